--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Builds the virtual environment once and runs the checks and the demo in it.
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint format check-histories
+
+$(STAMP): pyproject.toml requirements.lock
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q --disable-pip-version-check -r requirements.lock
+	$(BIN)/python -m pip install -q --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	@bash examples/demo.sh $(BIN)
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+	$(BIN)/lint-imports --no-cache
+
+test: lint
+	$(BIN)/python -m pytest
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
--- /dev/null
+++ b/wigeonspool/__init__.py
@@ -0,0 +1,1 @@
+"""A load balancer for servers whose load shifts in milliseconds."""
--- /dev/null
+++ b/wigeonspool/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The control process of an entry VM."""
--- /dev/null
+++ b/wigeonspool/agent/hub.py
@@ -0,0 +1,198 @@
+"""The stream server of an agent: gateways, other agents and operators."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+
+import loguru
+
+from wigeonspool.agent import configuration
+from wigeonspool.model import errors
+from wigeonspool.model import events
+from wigeonspool.model import messages
+from wigeonspool.wire import streams
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Subscriber:
+    """A process that follows this agent.
+
+    Attributes:
+        hello: What it opened its stream with.
+        stream: Its stream.
+        generation: Newest generation that was sent to it.
+        report: Latest report, if it is a gateway.
+    """
+
+    hello: messages.Hello
+    stream: streams.Stream
+    generation: int = 0
+    report: messages.GatewayReport | None = None
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Collection:
+    """An operator's question for the events of a VM.
+
+    Attributes:
+        asker: Who asked.
+        events: Events gathered so far.
+        waiting: Gateways that have not replied.
+    """
+
+    asker: Subscriber
+    events: list[events.Event]
+    waiting: set[str]
+
+    def reply(self, process: str) -> None:
+        """Sends what was gathered."""
+        self.asker.stream.post(
+            messages.EventsReply(process, tuple(self.events))
+        )
+
+
+class Hub:
+    """Accepts streams and keeps their subscribers up to date.
+
+    Attributes:
+        subscribers: Gateways and agents that follow this agent.
+        rejected: Streams closed for breaking the protocol, by error code.
+    """
+
+    def __init__(
+        self,
+        state: configuration.ConfigurationState,
+        answer: Callable[[messages.Message], messages.Message | None],
+        on_heartbeat: Callable[[messages.Heartbeat], None],
+    ) -> None:
+        """Prepares the hub.
+
+        Args:
+            state: Tables to feed to subscribers.
+            answer: Answers a question of an operator, or None.
+            on_heartbeat: Called with each heartbeat of another agent.
+        """
+        self._state = state
+        self._answer = answer
+        self._on_heartbeat = on_heartbeat
+        self._server: asyncio.Server | None = None
+        self.subscribers: list[Subscriber] = []
+        self.rejected: dict[str, int] = {}
+        self._collections: list[Collection] = []
+
+    async def start(self, address: str) -> None:
+        """Listens on host:port.
+
+        Raises:
+            OSError: If the address cannot be used.
+        """
+        host, _, port = address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    async def stop(self) -> None:
+        """Closes the port and all streams."""
+        if self._server is not None:
+            self._server.close()
+        for subscriber in self.subscribers:
+            subscriber.stream.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves one stream until it ends."""
+        stream = streams.Stream(reader, writer)
+        try:
+            await self._converse(stream)
+        except errors.WireError as error:
+            self.rejected[error.code] = self.rejected.get(error.code, 0) + 1
+            loguru.logger.warning(
+                "closed the stream of {}: {}", stream.peer, error
+            )
+        except OSError as error:
+            loguru.logger.info("stream of {} failed: {}", stream.peer, error)
+        finally:
+            stream.close()
+
+    async def _converse(self, stream: streams.Stream) -> None:
+        """Takes the messages of one stream.
+
+        Raises:
+            WireError: If the peer broke the protocol.
+            OSError: If the stream failed.
+        """
+        hello = await stream.receive()
+        if hello is None:
+            return
+        if not isinstance(hello, messages.Hello):
+            raise errors.FrameKindError(type(hello).__name__)
+        subscriber = Subscriber(hello, stream)
+        if hello.role != "operator":
+            self.subscribers.append(subscriber)
+            self.feed(subscriber)
+        try:
+            while (message := await stream.receive()) is not None:
+                self._take(subscriber, message)
+        finally:
+            if subscriber in self.subscribers:
+                self.subscribers.remove(subscriber)
+
+    def _take(self, subscriber: Subscriber, message: messages.Message) -> None:
+        """Takes one message of a subscriber."""
+        if isinstance(message, messages.GatewayReport):
+            subscriber.report = message
+        elif isinstance(message, messages.Heartbeat):
+            self._on_heartbeat(message)
+        elif isinstance(message, messages.EventsRequest):
+            self._collect_events(subscriber)
+        elif isinstance(message, messages.EventsReply):
+            self._take_events(subscriber, message)
+        else:
+            reply = self._answer(message)
+            if reply is not None:
+                subscriber.stream.post(reply)
+
+    def _collect_events(self, asker: Subscriber) -> None:
+        """Asks all gateways of the VM for their events."""
+        gateways = [s for s in self.subscribers if s.report is not None]
+        own = self._answer(messages.EventsRequest())
+        assert isinstance(own, messages.EventsReply)
+        collection = Collection(
+            asker, list(own.events), {s.hello.process for s in gateways}
+        )
+        if not gateways:
+            collection.reply(own.process)
+            return
+        self._collections.append(collection)
+        for gateway in gateways:
+            gateway.stream.post(messages.EventsRequest())
+
+    def _take_events(
+        self, subscriber: Subscriber, message: messages.EventsReply
+    ) -> None:
+        """Adds a gateway's events to the collections that wait for them."""
+        for collection in list(self._collections):
+            collection.waiting.discard(subscriber.hello.process)
+            collection.events += message.events
+            if not collection.waiting:
+                self._collections.remove(collection)
+                collection.reply(subscriber.hello.vm)
+
+    def feed(self, subscriber: Subscriber) -> None:
+        """Brings one subscriber up to the tables in force."""
+        for message in self._state.list_messages(subscriber.generation):
+            subscriber.stream.post(message)
+        subscriber.generation = self._state.tables.generation
+
+    def feed_all(self) -> None:
+        """Brings all subscribers up to the tables in force."""
+        for subscriber in self.subscribers:
+            self.feed(subscriber)
+
+    def broadcast(self, message: messages.Message) -> None:
+        """Sends a message to all subscribers."""
+        for subscriber in self.subscribers:
+            subscriber.stream.post(message)
+
+    def list_reports(self) -> list[messages.GatewayReport]:
+        """Returns the latest report of each connected gateway."""
+        return [s.report for s in self.subscribers if s.report is not None]
--- /dev/null
+++ b/wigeonspool/core/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions: pure functions and tables without sockets or clocks."""
--- /dev/null
+++ b/wigeonspool/core/tables.py
@@ -0,0 +1,123 @@
+"""The rows that the core works on.
+
+Systems run over these tables each tick; the path of one request touches only
+its own row and that of its target.
+"""
+
+import dataclasses
+import enum
+
+
+class TargetState(enum.Enum):
+    """Whether a target may receive work."""
+
+    SERVING = enum.auto()
+    EJECTED = enum.auto()
+    DRAINING = enum.auto()
+
+
+@dataclasses.dataclass(slots=True)
+class TargetRow:
+    """One target of a pool as this gateway knows it.
+
+    Attributes:
+        address: host:port.
+        zone: Availability zone.
+        slots: Requests that it runs at once.
+        in_flight: Attempts of this gateway that run there.
+        state: Whether it may receive work.
+        ejected_until: Deadline of its ejection, on the core's clock.
+        failures: Consecutive failed attempts.
+    """
+
+    address: str
+    zone: str
+    slots: int
+    in_flight: int = 0
+    state: TargetState = TargetState.SERVING
+    ejected_until: float = 0.0
+    failures: int = 0
+
+
+class RequestState(enum.Enum):
+    """Where a request is."""
+
+    QUEUED = enum.auto()
+    RUNNING = enum.auto()
+    SETTLED = enum.auto()
+
+
+@dataclasses.dataclass(slots=True)
+class RequestRow:
+    """One request of a caller.
+
+    Attributes:
+        request_id: Unique within the gateway.
+        pool: Pool that serves it.
+        route: Route that it matched.
+        deadline: Time by which its caller wants the answer.
+        idempotent: True if it may run more than once.
+        priority: 0 is refused last.
+        fingerprint: Equal for resends of the same request.
+        arrived_at: Time at which it was submitted.
+        state: Where it is.
+        target: Address of its running attempt, or "".
+        sent_at: Time at which that attempt was sent.
+        attempts: Attempts sent so far.
+        may_have_run: True once an attempt was lost.
+        tried: Addresses that failed it.
+    """
+
+    request_id: int
+    pool: str
+    route: str
+    deadline: float
+    idempotent: bool
+    priority: int = 1
+    fingerprint: int = 0
+    arrived_at: float = 0.0
+    state: RequestState = RequestState.QUEUED
+    target: str = ""
+    sent_at: float = 0.0
+    attempts: int = 0
+    may_have_run: bool = False
+    tried: set[str] = dataclasses.field(default_factory=set)
+
+
+class ResultKind(enum.Enum):
+    """How one attempt ended."""
+
+    ANSWERED = enum.auto()
+    FAILED = enum.auto()
+    NOT_RUN = enum.auto()
+    LOST = enum.auto()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What a target said of itself on an answer.
+
+    Attributes:
+        in_flight: Requests that ran there, of all gateways.
+        measured_at: Time of the reading, on the core's clock.
+    """
+
+    in_flight: int
+    measured_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """What the driver learned from one attempt.
+
+    Attributes:
+        kind: ANSWERED for a whole answer; FAILED for a whole answer that
+            tells of a server failure; NOT_RUN if the target provably did not
+            begin; LOST if it may have run and no whole answer came.
+        report: Load report that came with the answer.
+        draining: True if the target said that it is leaving.
+    """
+
+    kind: ResultKind
+    report: LoadReport | None = None
+    draining: bool = False
--- /dev/null
+++ b/wigeonspool/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The data path: requests from callers, decided by the core."""
--- /dev/null
+++ b/wigeonspool/gateway/main.py
@@ -0,0 +1,46 @@
+"""Command line of the gateway."""
+
+import pathlib
+import sys
+from typing import Annotated
+
+import cyclopts
+
+from wigeonspool import process
+from wigeonspool.gateway import service
+from wigeonspool.model import errors
+from wigeonspool.model import options
+
+app = cyclopts.App(
+    name="wigeonspool-gateway",
+    help="Serves callers: decides for each request which target runs it.",
+)
+
+
+@app.default
+def run(
+    settings: Annotated[pathlib.Path, cyclopts.Parameter(name="--settings")],
+    index: Annotated[int, cyclopts.Parameter(name="--index")] = 0,
+) -> None:
+    """Runs a gateway until SIGTERM, then drains and exits.
+
+    Args:
+        settings: YAML file with the settings of this VM.
+        index: Which of the VM's gateways to run, from 0.
+    """
+    try:
+        chosen = options.read_options(settings)
+        if not 0 <= index < len(chosen.gateway.addresses):
+            raise errors.SettingsError(
+                str(settings), "gateway.addresses", f"no entry {index}"
+            )
+    except errors.SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(process.EXIT_INVALID_SETTINGS)
+    process.configure_logs(f"gateway {chosen.vm}-{index}", chosen.log)
+    process.run_service(service.GatewayService(chosen, index))
+
+
+def main() -> None:
+    """Entry point of the binary."""
+    app()
--- /dev/null
+++ b/wigeonspool/gateway/scheduler.py
@@ -0,0 +1,75 @@
+"""Drives the core for a gateway: each request waits for its next action."""
+
+import asyncio
+
+from wigeonspool.core import actions
+from wigeonspool.core import dispatcher
+from wigeonspool.core import tables
+from wigeonspool.model import entities
+
+
+class Scheduler:
+    """Connects the coroutines of requests to the dispatcher."""
+
+    def __init__(self, zone: str) -> None:
+        """Prepares an empty dispatcher.
+
+        Args:
+            zone: Availability zone of the gateway.
+        """
+        self.core = dispatcher.Dispatcher(zone)
+        self._loop = asyncio.get_running_loop()
+        self._pending: dict[int, asyncio.Future[actions.Action]] = {}
+        self._last_id = 0
+
+    def create_id(self) -> int:
+        """Returns a request number that is unique within this process."""
+        self._last_id += 1
+        return self._last_id
+
+    def configure(self, pools: list[entities.Pool]) -> None:
+        """Takes the pools of a new generation."""
+        self.core.configure(pools)
+        self.tick()
+
+    async def submit(self, request: tables.RequestRow) -> actions.Action:
+        """Returns the first action of a request: a Send or a Settle."""
+        self._expect(request.request_id)
+        self._execute(self.core.submit(self._loop.time(), request))
+        return await self._wait(request.request_id)
+
+    async def finish(
+        self, request: tables.RequestRow, target: str, result: tables.Result
+    ) -> actions.Action:
+        """Reports an attempt; returns the next action of its request."""
+        self._expect(request.request_id)
+        now = self._loop.time()
+        self._execute(self.core.finish(now, request.request_id, target, result))
+        return await self._wait(request.request_id)
+
+    def abandon(self, request: tables.RequestRow) -> None:
+        """Drops a request whose caller left or whose deadline passed."""
+        self._pending.pop(request.request_id, None)
+        now = self._loop.time()
+        self._execute(self.core.abandon(now, request.request_id))
+
+    def tick(self) -> None:
+        """Runs the systems that depend on time."""
+        self._execute(self.core.tick(self._loop.time()))
+
+    def _expect(self, request_id: int) -> None:
+        """Prepares to receive the next action of a request."""
+        self._pending[request_id] = self._loop.create_future()
+
+    async def _wait(self, request_id: int) -> actions.Action:
+        """Waits for the next action of a request."""
+        action = await self._pending[request_id]
+        self._pending.pop(request_id, None)
+        return action
+
+    def _execute(self, done: list[actions.Action]) -> None:
+        """Hands actions to the coroutines that wait for them."""
+        for action in done:
+            future = self._pending.get(action.request_id)
+            if future is not None and not future.done():
+                future.set_result(action)
--- /dev/null
+++ b/wigeonspool/gateway/service.py
@@ -0,0 +1,150 @@
+"""The gateway process: it puts its parts together and stops them in order."""
+
+import asyncio
+import dataclasses
+import secrets
+from typing import Final
+
+from aiohttp import web
+import aioprometheus
+import loguru
+import mode
+
+from wigeonspool import process
+from wigeonspool.gateway import egress
+from wigeonspool.gateway import ingress
+from wigeonspool.gateway import link
+from wigeonspool.gateway import scheduler
+from wigeonspool.gateway import view
+from wigeonspool.model import entities
+from wigeonspool.model import events
+from wigeonspool.model import messages
+from wigeonspool.model import options
+
+TICK_SECONDS: Final = 0.01
+REPORT_SECONDS: Final = 0.25
+RECONNECT_SECONDS: Final = 0.2
+MOVE_CALLERS_SECONDS: Final = 1.0
+
+REQUESTS_ENDED: Final = aioprometheus.Counter(
+    "wigeonspool_gateway_requests_total", "Requests that ended, by outcome."
+)
+REQUESTS_RUNNING: Final = aioprometheus.Gauge(
+    "wigeonspool_gateway_requests_running", "Requests that have not ended."
+)
+
+
+class GatewayService(process.DrainingService):
+    """One gateway process."""
+
+    def __init__(self, settings: options.Options, index: int) -> None:
+        """Prepares the gateway.
+
+        Args:
+            settings: Settings of the VM.
+            index: Which of the VM's gateways this is, from 0.
+        """
+        super().__init__()
+        self._settings = settings
+        self._index = index
+        self._gateway = entities.Gateway(
+            name=f"{settings.vm}-{index}",
+            incarnation=secrets.token_hex(8),
+            address=settings.gateway.addresses[index],
+            zone=settings.zone,
+            vm=settings.vm,
+        )
+        self._log = process.EventLog(self._gateway.name)
+
+    async def on_start(self) -> None:
+        """Opens the link to the agent and the callers' port."""
+        self._view = view.FleetView()
+        self._scheduler = scheduler.Scheduler(self._settings.zone)
+        self._client = egress.Egress()
+        self._ingress = ingress.Ingress(
+            self._gateway,
+            self._settings,
+            self._view,
+            self._scheduler,
+            self._client,
+            self._log,
+        )
+        hello = messages.Hello(
+            self._gateway.name,
+            "gateway",
+            self._gateway.incarnation,
+            self._settings.vm,
+        )
+        self._link = link.AgentLink(
+            self._settings.agent.listen,
+            hello,
+            self._view,
+            self._log,
+            self._take_view,
+        )
+        self.add_future(link.keep_following(self._link, RECONNECT_SECONDS))
+        server = web.Server(self._ingress.serve, handler_cancellation=True)
+        self._callers = await process.serve_http(self._gateway.address, server)
+        metrics = web.Server(process.show_metrics)
+        self._metrics = await process.serve_http(
+            self._settings.gateway.metrics[self._index], metrics
+        )
+        self._log.record(events.Kind.PROCESS_STARTED, vm=self._settings.vm)
+        loguru.logger.info("serving callers on {}", self._gateway.address)
+
+    def _take_view(self) -> None:
+        """Puts new tables and members in force."""
+        self._scheduler.core.mark_leaving(self._view.leaving)
+        self._scheduler.configure(list(self._view.tables.pools.values()))
+        self._report()
+
+    def _report(self) -> None:
+        """Tells the agent of this gateway."""
+        demand = {
+            pool: count / REPORT_SECONDS
+            for pool, count in self._ingress.demand.items()
+        }
+        gateway = dataclasses.replace(
+            self._gateway, draining=self._ingress.draining, demand=demand
+        )
+        self._link.report(
+            messages.GatewayReport(gateway, self._view.tables.generation)
+        )
+
+    @mode.Service.timer(TICK_SECONDS)
+    async def _tick(self) -> None:
+        """Runs the systems of the core that depend on time."""
+        self._scheduler.tick()
+
+    @mode.Service.timer(REPORT_SECONDS)
+    async def _report_often(self) -> None:
+        """Reports to the agent and brings the metrics up to date."""
+        self._report()
+        self._ingress.demand.clear()
+        for (outcome, reason), count in self._ingress.counts.items():
+            REQUESTS_ENDED.set({"outcome": outcome, "reason": reason}, count)
+        REQUESTS_RUNNING.set({}, self._scheduler.core.count_running())
+
+    async def drain(self) -> None:
+        """Moves callers elsewhere, then finishes what is in flight.
+
+        Takes no longer than the drain setting.
+        """
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + self._settings.gateway.drain_seconds
+        self._ingress.draining = True
+        self._log.record(events.Kind.PROCESS_STOPPING, vm=self._settings.vm)
+        loguru.logger.info("draining; callers are told of other gateways")
+        self._report()
+        await asyncio.sleep(
+            self._settings.gateway.answer_seconds + MOVE_CALLERS_SECONDS
+        )
+        while self._scheduler.core.count_running() and loop.time() < give_up_at:
+            await asyncio.sleep(TICK_SECONDS)
+        loguru.logger.info("drained")
+
+    async def on_stop(self) -> None:
+        """Closes the ports and connections."""
+        await self._callers.cleanup()
+        await self._metrics.cleanup()
+        await self._client.close()
--- /dev/null
+++ b/wigeonspool/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load, experiments and the checking of histories."""
--- /dev/null
+++ b/wigeonspool/model/__init__.py
@@ -0,0 +1,1 @@
+"""What all parts share: entities, outcomes, errors, events and messages."""
--- /dev/null
+++ b/wigeonspool/model/errors.py
@@ -0,0 +1,194 @@
+"""Every failure that this system raises, and its text.
+
+Callers of a function decide by type, operators read the text. Both live here
+so that one reading shows all that can go wrong.
+"""
+
+from typing import ClassVar
+
+
+class WigeonspoolError(Exception):
+    """Base of all typed failures.
+
+    Attributes:
+        code: Stable name of the failure, used in metrics and JSON output.
+    """
+
+    code: ClassVar[str] = "internal"
+
+
+class SettingsError(WigeonspoolError):
+    """A settings or tables file is invalid; nothing of it was applied."""
+
+    code = "invalid-settings"
+
+    def __init__(self, file: str, field: str, problem: str) -> None:
+        super().__init__(f"{file}: {field}: {problem}")
+        self.file = file
+        self.field = field
+        self.problem = problem
+
+
+class WireError(WigeonspoolError):
+    """A peer broke the stream protocol; the connection is closed."""
+
+    code = "wire"
+
+
+class FrameTooLongError(WireError):
+    """A frame announced more bytes than the bound allows."""
+
+    code = "frame-too-long"
+
+    def __init__(self, length: int, bound: int) -> None:
+        super().__init__(f"frame of {length} bytes exceeds {bound} bytes")
+
+
+class FrameEncodingError(WireError):
+    """A frame is not a msgpack map of the expected shape."""
+
+    code = "frame-encoding"
+
+    def __init__(self, problem: str) -> None:
+        super().__init__(f"frame cannot be decoded: {problem}")
+
+
+class FrameVersionError(WireError):
+    """A frame speaks a protocol version that this process does not."""
+
+    code = "frame-version"
+
+    def __init__(self, version: object) -> None:
+        super().__init__(f"protocol version {version!r} is not supported")
+
+
+class FrameKindError(WireError):
+    """A frame is of a kind that this process does not know."""
+
+    code = "frame-kind"
+
+    def __init__(self, kind: object) -> None:
+        super().__init__(f"message kind {kind!r} is not known")
+
+
+class FrameCutError(WireError):
+    """The connection ended inside a frame."""
+
+    code = "frame-cut"
+
+    def __init__(self, missing: int) -> None:
+        super().__init__(f"connection ended {missing} bytes before frame end")
+
+
+class PeerUnknownError(WireError):
+    """A message came from a peer that is not in the membership."""
+
+    code = "peer-unknown"
+
+    def __init__(self, peer: str) -> None:
+        super().__init__(f"peer {peer!r} is not a member")
+
+
+class TokenError(WigeonspoolError):
+    """An assignment token was forged, damaged or signed by an old key."""
+
+    code = "token-invalid"
+
+    def __init__(self, problem: str) -> None:
+        super().__init__(f"assignment token: {problem}")
+
+
+class StoreError(WigeonspoolError):
+    """The platform's store could not serve a call."""
+
+    code = "store"
+
+
+class StoreUnavailableError(StoreError):
+    """The store did not answer; whether a write took effect is unknown."""
+
+    code = "store-unavailable"
+
+    def __init__(self, call: str, problem: str) -> None:
+        super().__init__(f"store call {call} failed: {problem}")
+
+
+class StoreAnswerError(StoreError):
+    """The store answered with something that is not its protocol."""
+
+    code = "store-answer"
+
+    def __init__(self, call: str, problem: str) -> None:
+        super().__init__(f"store call {call} answered badly: {problem}")
+
+
+class VmListError(WigeonspoolError):
+    """The VM list could not be read."""
+
+    code = "vm-list"
+
+    def __init__(self, problem: str) -> None:
+        super().__init__(f"VM list: {problem}")
+
+
+class ChangeConflictError(WigeonspoolError):
+    """Another operator's change took the generation first.
+
+    Attributes:
+        generation: Generation that the other change holds.
+        author: Operator that wrote the winning change.
+        change_id: Identity of the winning change.
+    """
+
+    code = "change-conflict"
+
+    def __init__(self, generation: int, author: str, change_id: str) -> None:
+        super().__init__(
+            f"generation {generation} was taken by {author}"
+            f" (change {change_id}); nothing of yours was applied"
+        )
+        self.generation = generation
+        self.author = author
+        self.change_id = change_id
+
+
+class ChangeUnknownError(WigeonspoolError):
+    """It could not be learned whether a change took effect."""
+
+    code = "change-unknown"
+
+    def __init__(self, generation: int, change_id: str) -> None:
+        super().__init__(
+            f"change {change_id} may hold generation {generation};"
+            " read the history before applying again"
+        )
+
+
+class ChangeTooLargeError(WigeonspoolError):
+    """A change exceeds the value size that the store can hold."""
+
+    code = "change-too-large"
+
+    def __init__(self, size: int, bound: int) -> None:
+        super().__init__(f"change of {size} bytes exceeds {bound} bytes")
+
+
+class AgentUnavailableError(WigeonspoolError):
+    """An agent did not answer an operator's command."""
+
+    code = "agent-unavailable"
+
+    def __init__(self, address: str, problem: str) -> None:
+        super().__init__(f"agent {address} did not answer: {problem}")
+
+
+class NotInForceError(WigeonspoolError):
+    """A generation was accepted but did not reach all VMs in time."""
+
+    code = "not-in-force"
+
+    def __init__(self, generation: int, holders: int, vms: int) -> None:
+        super().__init__(
+            f"generation {generation} is accepted and in force on"
+            f" {holders} of {vms} VMs"
+        )
--- /dev/null
+++ b/wigeonspool/operator/__init__.py
@@ -0,0 +1,1 @@
+"""What operators run: the control command and the time line."""
--- /dev/null
+++ b/wigeonspool/standin/main.py
@@ -0,0 +1,116 @@
+"""Command line of the stand-ins, which tests and the demo use."""
+
+import asyncio
+from collections.abc import Coroutine
+import pathlib
+import signal
+from typing import Annotated, Any, Final
+
+from aiohttp import web
+import cyclopts
+
+from wigeonspool.standin import store as stores
+from wigeonspool.standin import target as targets
+from wigeonspool.standin import vms
+
+LOOPBACK: Final = "127.0.0.1"
+
+app = cyclopts.App(
+    name="wigeonspool-standin",
+    help="Small stand-ins for the platform and for targets. Not for use.",
+)
+
+
+async def _serve(
+    application: web.Application,
+    port: int,
+    *background: Coroutine[Any, Any, None],
+) -> None:
+    """Serves until a signal asks to stop."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    tasks = [loop.create_task(work) for work in background]
+    runner = web.AppRunner(application, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, LOOPBACK, port).start()
+    await stop.wait()
+    for task in tasks:
+        task.cancel()
+    await runner.cleanup()
+
+
+@app.command
+def store(port: int = 2379) -> None:
+    """Runs the store stand-in.
+
+    Args:
+        port: Port on the loopback address.
+    """
+
+    async def run() -> None:
+        standin = stores.StoreStandin()
+        await _serve(standin.build_app(), port, standin.expire_leases())
+
+    asyncio.run(run())
+
+
+@app.command(name="vm-list")
+def vm_list(file: pathlib.Path, port: int = 2378) -> None:
+    """Runs the VM list stand-in.
+
+    Args:
+        file: YAML file with the first list.
+        port: Port on the loopback address.
+    """
+
+    async def run() -> None:
+        standin = vms.VmListStandin(vms.read_list(file))
+        await _serve(standin.build_app(), port)
+
+    asyncio.run(run())
+
+
+@app.command
+def target(
+    count: int,
+    first_port: int,
+    control_port: int,
+    slots: int = 4,
+    seed: int = 1,
+    work: Annotated[list[str] | None, cyclopts.Parameter()] = None,
+) -> None:
+    """Runs some targets in one process.
+
+    Args:
+        count: Number of targets.
+        first_port: Port of the first; the others follow.
+        control_port: Port that takes faults and shows runs.
+        slots: Requests that each target runs at once.
+        seed: Seed of the service times.
+        work: Service time of a path prefix, as /prefix=milliseconds.
+    """
+    works: list[targets.Work] = []
+    for entry in work or []:
+        prefix, _, service_ms = entry.rpartition("=")
+        works.append(targets.Work(prefix, float(service_ms)))
+
+    async def run() -> None:
+        group = targets.TargetGroup(
+            [
+                targets.TargetStandin(
+                    f"{LOOPBACK}:{first_port + i}", slots, works, seed + i
+                )
+                for i in range(count)
+            ]
+        )
+        await group.start()
+        await _serve(group.build_app(), control_port, group.stop_crashed())
+
+    asyncio.run(run())
+
+
+def main() -> None:
+    """Entry point of the binary."""
+    app()
--- /dev/null
+++ b/wigeonspool/standin/store.py
@@ -0,0 +1,317 @@
+"""Stand-in of the configuration store: etcd v3 HTTP/JSON, in memory.
+
+Faults are set over HTTP while it runs: down, slow, and replies lost after the
+change took effect.
+"""
+
+import asyncio
+import base64
+import dataclasses
+import json
+import time
+from typing import Any
+
+from aiohttp import web
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """One key."""
+
+    value: bytes
+    create_revision: int
+    mod_revision: int
+    version: int
+    lease: int
+
+
+@dataclasses.dataclass(slots=True)
+class Lease:
+    """One lease; `deadline` is on the monotonic clock."""
+
+    ttl_seconds: float
+    deadline: float
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """What goes wrong on purpose.
+
+    Attributes:
+        down: All calls are refused and watches cut.
+        delay_ms: Added to each call.
+        lose_replies: This many writes take effect with no reply.
+    """
+
+    down: bool = False
+    delay_ms: float = 0.0
+    lose_replies: int = 0
+
+
+class StoreStandin:
+    """Holds the keys, leases and watchers.
+
+    Attributes:
+        calls: Calls by path; a waiting watch counts as one.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.records: dict[bytes, Record] = {}
+        self.leases: dict[int, Lease] = {}
+        self.history: list[tuple[int, str, bytes, Record | None]] = []
+        self.changed = asyncio.Condition()
+        self.faults = Faults()
+        self.calls: dict[str, int] = {}
+
+    def build_app(self) -> web.Application:
+        """Returns the HTTP application."""
+        app = web.Application(client_max_size=4 * 1024 * 1024)
+        app.router.add_post("/v3/kv/range", self._wrap(self._range))
+        app.router.add_post("/v3/kv/put", self._wrap(self._put))
+        app.router.add_post("/v3/kv/deleterange", self._wrap(self._delete))
+        app.router.add_post("/v3/kv/txn", self._wrap(self._txn))
+        app.router.add_post("/v3/lease/grant", self._wrap(self._grant))
+        app.router.add_post("/v3/lease/keepalive", self._wrap(self._renew))
+        app.router.add_post("/v3/lease/revoke", self._wrap(self._revoke))
+        app.router.add_post("/v3/watch", self._watch)
+        app.router.add_post("/faults", self._set_faults)
+        app.router.add_get("/calls", self._show_calls)
+        return app
+
+    async def expire_leases(self) -> None:
+        """Ends leases whose deadline has passed, for ever."""
+        while True:
+            await asyncio.sleep(0.05)
+            now = time.monotonic()
+            for lease, row in list(self.leases.items()):
+                if row.deadline <= now:
+                    await self._end_lease(lease)
+
+    async def _end_lease(self, lease: int) -> None:
+        """Ends a lease and removes its keys."""
+        self.leases.pop(lease, None)
+        keys = [k for k, r in self.records.items() if r.lease == lease]
+        for key in keys:
+            self._remove(key)
+        await self._notify()
+
+    async def _notify(self) -> None:
+        """Wakes all watchers."""
+        async with self.changed:
+            self.changed.notify_all()
+
+    def _wrap(self, serve: Any) -> Any:
+        """Returns a handler that counts the call and applies the faults."""
+
+        async def handle(request: web.Request) -> web.StreamResponse:
+            self.calls[request.path] = self.calls.get(request.path, 0) + 1
+            body = await request.json()
+            if self.faults.delay_ms:
+                await asyncio.sleep(self.faults.delay_ms / 1000)
+            if self.faults.down:
+                return web.Response(status=503)
+            revision = self.revision
+            answer = serve(body)
+            if self.revision != revision:
+                await self._notify()
+                if self.faults.lose_replies > 0:
+                    self.faults.lose_replies -= 1
+                    assert request.transport is not None
+                    request.transport.abort()
+            answer["header"] = {"revision": str(self.revision)}
+            return web.json_response(answer)
+
+        return handle
+
+    def _select(self, body: dict[str, Any]) -> list[bytes]:
+        """Returns the keys that a request names, in order."""
+        start = base64.b64decode(body["key"])
+        if not body.get("range_end"):
+            return [start] if start in self.records else []
+        end = base64.b64decode(body["range_end"])
+        return sorted(
+            k for k in self.records if k >= start and (end == b"\0" or k < end)
+        )
+
+    def _show(self, key: bytes, record: Record) -> dict[str, Any]:
+        """Returns the JSON form of a key."""
+        return {
+            "key": base64.b64encode(key).decode(),
+            "value": base64.b64encode(record.value).decode(),
+            "create_revision": str(record.create_revision),
+            "mod_revision": str(record.mod_revision),
+            "version": str(record.version),
+            "lease": str(record.lease),
+        }
+
+    def _range(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Serves a read."""
+        keys = self._select(body)
+        if body.get("sort_order") == "DESCEND":
+            keys.reverse()
+        count = len(keys)
+        limit = int(body.get("limit", 0))
+        if limit:
+            keys = keys[:limit]
+        kvs = [self._show(k, self.records[k]) for k in keys]
+        return {"kvs": kvs, "count": str(count), "more": len(keys) < count}
+
+    def _write(self, key: bytes, value: bytes, lease: int) -> None:
+        """Writes one key at a new revision."""
+        self.revision += 1
+        old = self.records.get(key)
+        record = Record(
+            value,
+            old.create_revision if old else self.revision,
+            self.revision,
+            old.version + 1 if old else 1,
+            lease,
+        )
+        self.records[key] = record
+        self.history.append((self.revision, "PUT", key, record))
+
+    def _remove(self, key: bytes) -> None:
+        """Removes one key at a new revision."""
+        self.revision += 1
+        del self.records[key]
+        self.history.append((self.revision, "DELETE", key, None))
+
+    def _put(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Serves a write."""
+        lease = int(body.get("lease", 0))
+        self._write(
+            base64.b64decode(body["key"]),
+            base64.b64decode(body.get("value", "")),
+            lease,
+        )
+        return {}
+
+    def _delete(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Serves a removal."""
+        keys = self._select(body)
+        for key in keys:
+            self._remove(key)
+        return {"deleted": str(len(keys))}
+
+    def _compare(self, condition: dict[str, Any]) -> bool:
+        """Returns True if a condition of a transaction holds."""
+        record = self.records.get(base64.b64decode(condition["key"]))
+        fields = {
+            "CREATE": ("create_revision", record.create_revision)
+            if record
+            else ("create_revision", 0),
+            "MOD": ("mod_revision", record.mod_revision)
+            if record
+            else ("mod_revision", 0),
+            "VERSION": ("version", record.version)
+            if record
+            else ("version", 0),
+            "LEASE": ("lease", record.lease) if record else ("lease", 0),
+        }
+        if condition["target"] == "VALUE":
+            wanted = base64.b64decode(condition.get("value", ""))
+            return record is not None and record.value == wanted
+        name, actual = fields[condition["target"]]
+        return actual == int(condition.get(name, 0))
+
+    def _txn(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Serves a compare-and-swap."""
+        succeeded = all(map(self._compare, body.get("compare", [])))
+        branch = "success" if succeeded else "failure"
+        responses: list[dict[str, Any]] = []
+        for operation in body.get(branch, []):
+            for name, serve in (
+                ("put", self._put),
+                ("range", self._range),
+                ("delete_range", self._delete),
+            ):
+                if f"request_{name}" in operation:
+                    answer = serve(operation[f"request_{name}"])
+                    responses.append({f"response_{name}": answer})
+        return {"succeeded": succeeded, "responses": responses}
+
+    def _grant(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Serves a new lease."""
+        lease = int(body.get("ID", 0)) or len(self.leases) + self.revision
+        while lease in self.leases:
+            lease += 1
+        ttl = float(body["TTL"])
+        self.leases[lease] = Lease(ttl, time.monotonic() + ttl)
+        self.revision += 1
+        return {"ID": str(lease), "TTL": str(body["TTL"])}
+
+    def _renew(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Serves a renewal."""
+        lease = self.leases.get(int(body["ID"]))
+        if lease is None:
+            return {"result": {"ID": body["ID"], "TTL": "0"}}
+        lease.deadline = time.monotonic() + lease.ttl_seconds
+        ttl = str(int(lease.ttl_seconds))
+        return {"result": {"ID": str(body["ID"]), "TTL": ttl}}
+
+    def _revoke(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Serves the end of a lease."""
+        lease = int(body["ID"])
+        self.leases.pop(lease, None)
+        for key in [k for k, r in self.records.items() if r.lease == lease]:
+            self._remove(key)
+        return {}
+
+    async def _watch(self, request: web.Request) -> web.StreamResponse:
+        """Serves a watch until its caller leaves or a fault cuts it."""
+        self.calls["/v3/watch"] = self.calls.get("/v3/watch", 0) + 1
+        if self.faults.down:
+            return web.Response(status=503)
+        create = (await request.json())["create_request"]
+        start = base64.b64decode(create["key"])
+        end = base64.b64decode(create.get("range_end", ""))
+        seen = int(create.get("start_revision", 0)) - 1
+        if seen < 0:
+            seen = self.revision
+        response = web.StreamResponse()
+        await response.prepare(request)
+        head = {"result": {"created": True, "events": []}}
+        await response.write(json.dumps(head).encode() + b"\n")
+        while not self.faults.down:
+            batch = [
+                entry
+                for entry in self.history
+                if entry[0] > seen
+                and start <= entry[2] < (end or start + b"\0")
+            ]
+            seen = self.revision
+            if batch:
+                line = json.dumps(self._show_events(batch)).encode()
+                await response.write(line + b"\n")
+            async with self.changed:
+                if self.revision == seen:
+                    await self.changed.wait()
+        assert request.transport is not None
+        request.transport.abort()
+        return response
+
+    def _show_events(
+        self, batch: list[tuple[int, str, bytes, Record | None]]
+    ) -> dict[str, Any]:
+        """Returns the JSON form of some events of a watch."""
+        events: list[dict[str, Any]] = []
+        for _, kind, key, record in batch:
+            kv = (
+                self._show(key, record)
+                if record
+                else {"key": base64.b64encode(key).decode()}
+            )
+            events.append({"type": kind, "kv": kv})
+        return {"result": {"events": events}}
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        """Takes new faults; fields not given stay as they are."""
+        body = await request.json()
+        self.faults = dataclasses.replace(self.faults, **body)
+        await self._notify()
+        return web.json_response(dataclasses.asdict(self.faults))
+
+    async def _show_calls(self, _: web.Request) -> web.Response:
+        """Shows the calls counted so far."""
+        return web.json_response(self.calls)
--- /dev/null
+++ b/wigeonspool/standin/target.py
@@ -0,0 +1,290 @@
+"""Stand-in of targets: slots, service times, faults and a log of runs.
+
+One process serves many targets, each on a port of its own. Every run is
+written down, so that a checker can compare it with what callers saw.
+"""
+
+import asyncio
+import dataclasses
+import json
+import random
+import time
+from typing import Any, Final
+
+from aiohttp import web
+
+CHUNK_BYTES: Final = 64 * 1024
+CALLER: Final = "Wigeonspool-Caller"
+REQUEST: Final = "Wigeonspool-Request"
+KEY: Final = "Idempotency-Key"
+REMAINING_MS: Final = "Wigeonspool-Remaining-Ms"
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """What a target does wrong on purpose, or by the operator's wish.
+
+    Attributes:
+        slow: Service times are multiplied by this.
+        draining: It says so on answers and refuses new connections' work.
+        failing: Every request fails at once with 500.
+        shedding: Every request is refused as not run.
+        silent: Open connections get no answer any more.
+        health: What the health endpoint claims, if it is not the truth.
+        cold_until: Until this time on the monotonic clock it is 5 x slower.
+    """
+
+    slow: float = 1.0
+    draining: bool = False
+    failing: bool = False
+    shedding: bool = False
+    silent: bool = False
+    health: str = ""
+    cold_until: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """One request that a target began.
+
+    Attributes:
+        target: Address of the target.
+        request: Identity that the request carried.
+        caller: Caller that it named.
+        key: Its idempotency key, or "".
+        path: Its path.
+        started_at: Wall clock, in seconds.
+        ended_at: Wall clock, or 0 while it runs.
+        ending: "answered", "cancelled", "failed" or "".
+    """
+
+    target: str
+    request: str
+    caller: str
+    key: str
+    path: str
+    started_at: float
+    ended_at: float = 0.0
+    ending: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """How long requests under a path prefix take.
+
+    Attributes:
+        prefix: Prefix of the path.
+        service_ms: Mean service time.
+    """
+
+    prefix: str
+    service_ms: float
+
+
+class TargetStandin:
+    """One target."""
+
+    def __init__(
+        self, address: str, slots: int, works: list[Work], seed: int
+    ) -> None:
+        """Prepares the target.
+
+        Args:
+            address: host:port that it serves.
+            slots: Requests that it runs at once.
+            works: Service times by path prefix.
+            seed: Seed of its service times.
+        """
+        self.address = address
+        self.faults = Faults()
+        self.runs: list[Run] = []
+        self.crashed = False
+        self._works = works
+        self._slots = asyncio.Semaphore(slots)
+        self._in_flight = 0
+        self._random = random.Random(seed)
+
+    def _find_service_seconds(self, path: str) -> float:
+        """Returns the service time of a request."""
+        for work in self._works:
+            if path.startswith(work.prefix):
+                mean = work.service_ms / 1000
+                break
+        else:
+            mean = 0.005
+        seconds = mean * self._random.uniform(0.8, 1.2) * self.faults.slow
+        if time.monotonic() < self.faults.cold_until:
+            seconds *= 5
+        return seconds
+
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers one request."""
+        if request.path == "/health":
+            return self._show_health()
+        if self.faults.silent:
+            await asyncio.sleep(3600)
+        if self.faults.failing:
+            return web.Response(status=500)
+        if self.faults.shedding or self.faults.draining:
+            return self._shed()
+        body = await request.read()
+        if b"crash-target" in body or "crash-target" in request.query:
+            self._crash(request)
+        run = Run(
+            self.address,
+            request.headers.get(REQUEST, ""),
+            request.headers.get(CALLER, ""),
+            request.headers.get(KEY, ""),
+            request.path,
+            time.time(),
+        )
+        self._in_flight += 1
+        try:
+            return await self._run(request, run, body)
+        except asyncio.CancelledError:
+            run.ending = "cancelled"
+            raise
+        finally:
+            self._in_flight -= 1
+            run.ended_at = time.time()
+
+    async def _run(
+        self, request: web.BaseRequest, run: Run, body: bytes
+    ) -> web.StreamResponse:
+        """Runs one request in a slot."""
+        limit = request.headers.get(REMAINING_MS)
+        deadline = time.monotonic() + int(limit) / 1000 if limit else None
+        async with self._slots:
+            if deadline is not None and time.monotonic() >= deadline:
+                return self._shed()
+            self.runs.append(run)
+            await asyncio.sleep(self._find_service_seconds(request.path))
+            size = int(request.query.get("bytes", 0))
+            if size:
+                return await self._send_export(request, run, size)
+            run.ending = "answered"
+        document = {
+            "caller": run.caller,
+            "request": run.request,
+            "key": run.key,
+            "target": self.address,
+            "echo": body.decode("utf-8", "replace"),
+        }
+        return web.Response(
+            body=json.dumps(document).encode(),
+            content_type="application/json",
+            headers=self._build_fields(),
+        )
+
+    async def _send_export(
+        self, request: web.BaseRequest, run: Run, size: int
+    ) -> web.StreamResponse:
+        """Sends a long answer in chunks."""
+        response = web.StreamResponse(headers=self._build_fields())
+        response.content_length = size
+        await response.prepare(request)
+        chunk = b"x" * CHUNK_BYTES
+        while size > 0:
+            await response.write(chunk[:size])
+            size -= CHUNK_BYTES
+        await response.write_eof()
+        run.ending = "answered"
+        return response
+
+    def _build_fields(self) -> dict[str, str]:
+        """Returns the fields that each answer carries."""
+        fields = {
+            "endpoint-load-metrics": "JSON "
+            + json.dumps({"named_metrics": {"in_flight": self._in_flight}})
+        }
+        if self.faults.draining:
+            fields["Wigeonspool-Draining"] = "1"
+        return fields
+
+    def _shed(self) -> web.Response:
+        """Refuses a request that was not run."""
+        fields = self._build_fields() | {"Wigeonspool-Outcome": "not_run"}
+        return web.Response(status=503, headers=fields)
+
+    def _crash(self, request: web.BaseRequest) -> None:
+        """Drops this connection and refuses all later ones."""
+        self.crashed = True
+        assert request.transport is not None
+        request.transport.abort()
+        raise asyncio.CancelledError
+
+    def _show_health(self) -> web.Response:
+        """Answers the health endpoint, which may mislead."""
+        if self.faults.health:
+            return web.Response(text=self.faults.health)
+        state = "draining" if self.faults.draining else "ok"
+        document = {"state": state, "in_flight": self._in_flight}
+        return web.Response(
+            body=json.dumps(document).encode(),
+            content_type="application/json",
+        )
+
+
+class TargetGroup:
+    """The targets of one process, and the port that controls them."""
+
+    def __init__(self, targets: list[TargetStandin]) -> None:
+        self._targets = {target.address: target for target in targets}
+        self._runners: dict[str, web.ServerRunner] = {}
+
+    async def start(self) -> None:
+        """Opens the port of each target."""
+        for target in self._targets.values():
+            await self._open(target)
+
+    async def _open(self, target: TargetStandin) -> None:
+        """Opens the port of one target."""
+        host, _, port = target.address.rpartition(":")
+        server = web.Server(target.serve, handler_cancellation=True)
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port), backlog=512).start()
+        self._runners[target.address] = runner
+
+    async def stop_crashed(self) -> None:
+        """Closes the ports of crashed targets, for ever."""
+        while True:
+            await asyncio.sleep(0.01)
+            for address, target in self._targets.items():
+                if target.crashed and address in self._runners:
+                    await self._runners.pop(address).cleanup()
+
+    def build_app(self) -> web.Application:
+        """Returns the application of the control port."""
+        app = web.Application()
+        app.router.add_post("/faults", self._set_faults)
+        app.router.add_post("/restart", self._restart)
+        app.router.add_get("/runs", self._show_runs)
+        return app
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        """Takes faults for the targets named, or for all."""
+        body: dict[str, Any] = await request.json()
+        chosen = body.pop("targets", list(self._targets))
+        for address in chosen:
+            target = self._targets[address]
+            target.faults = dataclasses.replace(target.faults, **body)
+        return web.json_response({"targets": len(chosen)})
+
+    async def _restart(self, request: web.Request) -> web.Response:
+        """Opens the ports of crashed targets again."""
+        for address in (await request.json())["targets"]:
+            target = self._targets[address]
+            target.crashed = False
+            if address not in self._runners:
+                await self._open(target)
+        return web.json_response({})
+
+    async def _show_runs(self, _: web.Request) -> web.Response:
+        """Shows all runs of all targets."""
+        runs = [
+            dataclasses.asdict(run)
+            for target in self._targets.values()
+            for run in target.runs
+        ]
+        return web.json_response({"runs": runs})
--- /dev/null
+++ b/wigeonspool/wire/__init__.py
@@ -0,0 +1,1 @@
+"""What crosses process borders: frames, streams, tokens and clocks."""
--- /dev/null
+++ b/wigeonspool/wire/streams.py
@@ -0,0 +1,73 @@
+"""Message streams between this system's processes, over TCP."""
+
+import asyncio
+
+from wigeonspool.model import messages
+from wigeonspool.wire import frames
+
+
+class Stream:
+    """One connection that carries messages both ways.
+
+    Attributes:
+        peer: Remote host:port, for logs.
+        sent_bytes: Bytes of the frames written so far.
+    """
+
+    __slots__ = ("_reader", "_writer", "peer", "sent_bytes")
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self.sent_bytes = 0
+        name = writer.get_extra_info("peername")
+        self.peer = f"{name[0]}:{name[1]}" if name else "unknown"
+
+    async def receive(self) -> messages.Message | None:
+        """Returns the next message, or None at a clean end.
+
+        Raises:
+            WireError: If the peer broke the protocol.
+            OSError: If the connection failed.
+        """
+        document = await frames.read_frame(self._reader)
+        if document is None:
+            return None
+        return messages.decode_message(document)
+
+    def post(self, message: messages.Message) -> None:
+        """Queues a message without waiting for the peer."""
+        if self._writer.is_closing():
+            return
+        data = frames.pack_frame(messages.encode_message(message))
+        self.sent_bytes += len(data)
+        self._writer.write(data)
+
+    async def send(self, message: messages.Message) -> None:
+        """Sends a message and waits while the peer is slow to read.
+
+        Raises:
+            OSError: If the connection failed.
+        """
+        self.post(message)
+        await self._writer.drain()
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._writer.close()
+
+
+async def open_stream(address: str) -> Stream:
+    """Connects to a stream server.
+
+    Args:
+        address: host:port.
+
+    Raises:
+        OSError: If the connection failed.
+    """
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    return Stream(reader, writer)
