Split the gateway's ingress by job and test the path

Two causes: the demo's caller took its key from a counter that other calls had moved on, and the gateway told a key with another body "not run" although the key's first request may have run. The caller now uses the request's own number; the gateway answers "unknown".

--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,217 @@
+"""A whole small fleet on one event loop, with stand-ins for the rest."""
+
+import asyncio
+import contextlib
+import socket
+import time
+from typing import Any
+import uuid
+
+import aiohttp
+from aiohttp import web
+
+from wigeonspool import process
+from wigeonspool.agent import service as agents
+from wigeonspool.gateway import service as gateways
+from wigeonspool.model import changes
+from wigeonspool.model import declarations
+from wigeonspool.model import entities
+from wigeonspool.model import options
+from wigeonspool.platform import configuration
+from wigeonspool.platform import store as store_client
+from wigeonspool.standin import store as stores
+from wigeonspool.standin import target as targets
+from wigeonspool.standin import vms
+
+PREFIX = "/wigeonspool/"
+
+
+def reserve_port() -> int:
+    """Returns a port that was free just now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def reserve_address() -> str:
+    return f"127.0.0.1:{reserve_port()}"
+
+
+async def wait_for(check: Any, seconds: float = 10.0) -> None:
+    """Waits until a check holds; a liveness bound, not a measurement."""
+    give_up_at = time.monotonic() + seconds
+    while not check():
+        assert time.monotonic() < give_up_at, "waited for too long"
+        await asyncio.sleep(0.01)
+
+
+class Fleet:
+    """Stand-ins, agents and gateways that tests start and stop."""
+
+    def __init__(self, **gateway_settings: Any) -> None:
+        self.store = stores.StoreStandin()
+        self.vms = vms.VmListStandin([])
+        self.targets: dict[str, targets.TargetStandin] = {}
+        self.agents: dict[str, agents.AgentService] = {}
+        self.gateways: dict[str, gateways.GatewayService] = {}
+        self.addresses: dict[str, str] = {}
+        self.settings: dict[str, options.Options] = {}
+        self._gateway_settings = {
+            "answer_seconds": 0.2,
+            "drain_seconds": 5.0,
+        } | gateway_settings
+        self._stack = contextlib.AsyncExitStack()
+        self.session: aiohttp.ClientSession
+
+    async def start(self, vm_count: int = 2) -> None:
+        """Starts the platform and some entry VMs with a gateway each."""
+        self.session = await self._stack.enter_async_context(
+            aiohttp.ClientSession()
+        )
+        self.store_url = await self._serve(self.store.build_app())
+        self.vms_url = await self._serve(self.vms.build_app())
+        for index in range(vm_count):
+            await self.start_vm(f"vm-{index}", f"zone-{index % 2}")
+
+    async def _serve(self, app: web.Application) -> str:
+        runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await runner.setup()
+        address = reserve_address()
+        host, _, port = address.rpartition(":")
+        await web.TCPSite(runner, host, int(port)).start()
+        self._stack.push_async_callback(runner.cleanup)
+        return f"http://{address}"
+
+    def build_settings(self, vm: str, zone: str) -> options.Options:
+        peers = [s.agent.listen for s in self.settings.values()]
+        return options.Options.model_validate(
+            {
+                "vm": vm,
+                "zone": zone,
+                "region": "region",
+                "token_keys": ["test-key"],
+                "store": {"url": self.store_url, "timeout_seconds": 0.5},
+                "vm_list": {
+                    "url": f"{self.vms_url}/v1/vms",
+                    "poll_seconds": 0.1,
+                },
+                "agent": {
+                    "listen": reserve_address(),
+                    "metrics": reserve_address(),
+                    "peers": peers,
+                    "heartbeat_seconds": 0.1,
+                    "silence_seconds": 1.0,
+                },
+                "gateway": {
+                    "addresses": [reserve_address()],
+                    "metrics": [reserve_address()],
+                    **self._gateway_settings,
+                },
+            }
+        )
+
+    async def start_vm(self, vm: str, zone: str) -> None:
+        """Starts an agent and a gateway."""
+        settings = self.build_settings(vm, zone)
+        self.settings[vm] = settings
+        self.list_vm(vm, zone, settings.agent.listen, "entry")
+        self.agents[vm] = agents.AgentService(settings)
+        await self.agents[vm].start()
+        await self.start_gateway(vm)
+
+    async def start_gateway(self, vm: str) -> None:
+        gateway = gateways.GatewayService(self.settings[vm], 0)
+        self.gateways[vm] = gateway
+        self.addresses[vm] = self.settings[vm].gateway.addresses[0]
+        await gateway.start()
+
+    def list_vm(
+        self, name: str, zone: str, address: str, role: str, state: str = "live"
+    ) -> None:
+        """Puts a VM on the VM list, which shows it at once."""
+        entry = {
+            "name": name,
+            "zone": zone,
+            "region": "region",
+            "address": address,
+            "role": role,
+            "state": state,
+        }
+        self.vms._vms[name] = entry
+        self.vms._publish(dict(self.vms._vms))
+
+    async def start_target(
+        self, slots: int = 4, service_ms: float = 2.0
+    ) -> targets.TargetStandin:
+        """Starts a target that no pool names yet."""
+        address = reserve_address()
+        works = [targets.Work("/", service_ms)]
+        target = targets.TargetStandin(address, slots, works, seed=1)
+        server = web.Server(target.serve, handler_cancellation=True)
+        runner = await process.serve_http(address, server)
+        self._stack.push_async_callback(runner.cleanup)
+        self.targets[address] = target
+        return target
+
+    def declare(self, slots: int = 4) -> dict[str, Any]:
+        """Returns tables with one pool and two routes."""
+        listed = [{"address": a, "zone": "zone-0"} for a in self.targets]
+        return {
+            "pools": [{"name": "queue", "slots": slots, "targets": listed}],
+            "routes": [
+                {
+                    "name": "read",
+                    "method": "GET",
+                    "path_prefix": "/queue",
+                    "pool": "queue",
+                    "idempotent": True,
+                },
+                {
+                    "name": "write",
+                    "method": "POST",
+                    "path_prefix": "/queue",
+                    "pool": "queue",
+                    "idempotent": False,
+                },
+            ],
+        }
+
+    async def apply(self, document: dict[str, Any]) -> int:
+        """Writes tables to the store and waits until all have them."""
+        wanted = declarations.parse_tables("test", document)
+        client = store_client.StoreClient(self.session, self.store_url, 1.0)
+        log = configuration.ChangeLog(client, PREFIX)
+        held = await log.read_tables()
+        change = changes.diff_tables(
+            held, wanted, uuid.uuid4().hex, "test", time.time()
+        )
+        await log.propose(change)
+        await wait_for(lambda: self.is_in_force(change.generation))
+        return change.generation
+
+    def is_in_force(self, generation: int) -> bool:
+        """Returns True if all live gateways have a generation."""
+        tables: list[entities.Tables] = [
+            gateway._view.tables for gateway in self.gateways.values()
+        ]
+        return all(t.generation >= generation for t in tables)
+
+    async def stop_gateway(self, vm: str) -> None:
+        """Stops a gateway as SIGTERM would."""
+        gateway = self.gateways.pop(vm)
+        await gateway.drain()
+        await gateway.stop()
+
+    async def kill_gateway(self, vm: str) -> None:
+        """Ends a gateway at once; open connections are cut."""
+        gateway = self.gateways.pop(vm)
+        gateway._callers._shutdown_timeout = 0.0
+        await gateway.stop()
+
+    async def stop(self) -> None:
+        """Stops everything."""
+        for vm in list(self.gateways):
+            await self.kill_gateway(vm)
+        for agent in self.agents.values():
+            await agent.stop()
+        await self._stack.aclose()
--- a/wigeonspool/core/once.py
+++ b/wigeonspool/core/once.py
@@ -100,7 +100,8 @@
         row = self._rows.get((caller, key))
         if row is not None:
             if row.body_digest != body_digest:
-                return outcomes.refuse(outcomes.Reason.KEY_REUSED)
+                # What the key stood for first may have run.
+                return outcomes.doubt(outcomes.Reason.KEY_REUSED)
             return row
         # Rows up to this expiry are forgotten, so the key may have run.
         if expires_at <= max(now, self._forgotten_until):
--- /dev/null
+++ b/wigeonspool/gateway/addresses.py
@@ -0,0 +1,88 @@
+"""Answers the question which gateways a caller should use for a pool."""
+
+import json
+import time
+
+from aiohttp import web
+
+from wigeonspool.core import assignments
+from wigeonspool.gateway import answers
+from wigeonspool.gateway import headers
+from wigeonspool.gateway import view as views
+from wigeonspool.model import entities
+from wigeonspool.model import options
+from wigeonspool.model import outcomes
+from wigeonspool.wire import tokens
+
+
+class AddressBook:
+    """Names gateways to callers and assigns homes to their keys."""
+
+    def __init__(
+        self,
+        zone: str,
+        settings: options.GatewayOptions,
+        view: views.FleetView,
+        signer: tokens.TokenSigner,
+    ) -> None:
+        """Prepares the book.
+
+        Args:
+            zone: Availability zone of callers that name none.
+            settings: Lifetimes of answers and tokens.
+            view: What is known of the fleet.
+            signer: Signs assignment tokens.
+        """
+        self._zone = zone
+        self._settings = settings
+        self._view = view
+        self._signer = signer
+        self._answered = 0
+
+    def answer(self, request: web.BaseRequest) -> web.Response:
+        """Answers one address question."""
+        pool = request.query.get("pool", "")
+        zone = request.query.get("zone", self._zone)
+        if pool not in self._view.tables.pools:
+            failure = outcomes.refuse(outcomes.Reason.NOT_CONFIGURED)
+            return answers.build_problem(failure, "")
+        chosen = assignments.choose_gateways(
+            pool,
+            zone,
+            self._view.gateways.values(),
+            self._settings.gateways_per_pool,
+        )
+        if not chosen:
+            failure = outcomes.refuse(outcomes.Reason.DRAINING)
+            return answers.build_problem(failure, "")
+        self._answered += 1
+        home = chosen[self._answered % len(chosen)]
+        caller = request.headers.get(headers.CALLER, "")
+        assignment = self._assign(caller, home)
+        document = {
+            "pool": pool,
+            "addresses": [{"address": g.address, "weight": 1} for g in chosen],
+            "assignment": {
+                "id": assignment.assignment_id,
+                "home": home.address,
+                "token": self._signer.sign(assignment),
+                "remaining_ms": int(self._settings.token_seconds * 1000),
+            },
+            "remaining_ms": int(self._settings.answer_seconds * 1000),
+            "generation": self._view.tables.generation,
+        }
+        return web.Response(
+            body=json.dumps(document).encode(),
+            content_type="application/json",
+        )
+
+    def _assign(self, caller: str, home: entities.Gateway) -> tokens.Assignment:
+        """Returns a new assignment of a caller's keys to a home."""
+        return tokens.Assignment(
+            tokens.create_assignment_id(),
+            caller,
+            home.name,
+            home.incarnation,
+            home.address,
+            time.time() + self._settings.token_seconds,
+        )
--- /dev/null
+++ b/wigeonspool/gateway/runner.py
@@ -0,0 +1,227 @@
+"""Follows the core's actions for one request until it ends."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+from typing import Final
+
+import aiohttp
+from aiohttp import web
+from multidict import CIMultiDict
+
+from wigeonspool.core import actions
+from wigeonspool.core import once
+from wigeonspool.core import tables
+from wigeonspool.gateway import egress
+from wigeonspool.gateway import headers
+from wigeonspool.gateway import scheduler as schedulers
+from wigeonspool.model import entities
+from wigeonspool.model import events
+from wigeonspool.model import outcomes
+from wigeonspool.process import EventLog
+
+ONCE_ANSWER_BYTES: Final = 16 * 1024 * 1024
+
+Ending = once.Answer | outcomes.Failure
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OnceGuard:
+    """What the table of non-idempotent requests must hear of attempts.
+
+    Attributes:
+        before_send: Returns True if an attempt may leave now.
+        after_not_run: Called after an attempt that provably did not run.
+    """
+
+    before_send: Callable[[], bool]
+    after_not_run: Callable[[], None]
+
+
+class RequestRunner:
+    """Runs requests on targets as the core decides."""
+
+    def __init__(
+        self,
+        scheduler: schedulers.Scheduler,
+        client: egress.Egress,
+        log: EventLog,
+    ) -> None:
+        self._scheduler = scheduler
+        self._client = client
+        self._log = log
+
+    def create_row(
+        self, route: entities.Route, deadline: float, idempotent: bool
+    ) -> tables.RequestRow:
+        """Returns the row of a new request.
+
+        Args:
+            route: Route that it matched.
+            deadline: Time by which its caller wants the answer, loop clock.
+            idempotent: True if it may run more than once.
+        """
+        return tables.RequestRow(
+            request_id=self._scheduler.create_id(),
+            pool=route.pool,
+            route=route.name,
+            deadline=deadline,
+            idempotent=idempotent,
+            priority=route.priority,
+        )
+
+    async def run_whole(
+        self,
+        row: tables.RequestRow,
+        outgoing: egress.Outgoing,
+        request_id: str,
+        guard: OnceGuard,
+    ) -> Ending:
+        """Runs a request at most once; its answer is held whole.
+
+        Args:
+            row: Row of the request.
+            outgoing: What to send.
+            request_id: Identity on the time line.
+            guard: Hears of each attempt.
+        """
+        ending = await self._run(row, outgoing, request_id, None, guard)
+        assert not isinstance(ending, web.StreamResponse)
+        return ending
+
+    async def run(
+        self,
+        row: tables.RequestRow,
+        outgoing: egress.Outgoing,
+        request_id: str,
+        request: web.BaseRequest,
+    ) -> Ending | web.StreamResponse:
+        """Runs a request; a long answer streams to the caller.
+
+        Args:
+            row: Row of the request.
+            outgoing: What to send.
+            request_id: Identity on the time line.
+            request: Caller's request, to stream to.
+
+        Returns:
+            How the request ended, or the response that was streamed.
+        """
+        try:
+            return await self._run(row, outgoing, request_id, request, None)
+        except BaseException:
+            self._scheduler.abandon(row)
+            raise
+
+    async def _run(
+        self,
+        row: tables.RequestRow,
+        outgoing: egress.Outgoing,
+        request_id: str,
+        request: web.BaseRequest | None,
+        guard: OnceGuard | None,
+    ) -> Ending | web.StreamResponse:
+        """Follows the core's actions until the request ends."""
+        answer: once.Answer | None = None
+        try:
+            async with asyncio.timeout_at(row.deadline):
+                action = await self._scheduler.submit(row)
+            while isinstance(action, actions.Send):
+                self._log.record(
+                    events.Kind.REQUEST_SENT, request_id, action.target
+                )
+                attempt = await self._attempt(action, outgoing, guard)
+                if attempt.response is not None:
+                    assert request is not None
+                    return await self._stream(
+                        request, request_id, row, action.target, attempt
+                    )
+                answer = attempt.answer
+                assert attempt.result is not None
+                not_run = attempt.result.kind is tables.ResultKind.NOT_RUN
+                if guard is not None and not_run:
+                    guard.after_not_run()
+                async with asyncio.timeout_at(row.deadline):
+                    action = await self._scheduler.finish(
+                        row, action.target, attempt.result
+                    )
+        except TimeoutError:
+            return self._expire(row)
+        if isinstance(action, actions.Settle) and action.failure is not None:
+            return action.failure
+        assert answer is not None
+        return answer
+
+    def _expire(self, row: tables.RequestRow) -> outcomes.Failure:
+        """Ends a request whose deadline passed."""
+        running = row.state is tables.RequestState.RUNNING
+        self._scheduler.abandon(row)
+        if running or row.may_have_run:
+            return outcomes.doubt(outcomes.Reason.DEADLINE_PASSED)
+        return outcomes.refuse(outcomes.Reason.DEADLINE_PASSED)
+
+    async def _attempt(
+        self,
+        action: actions.Send,
+        outgoing: egress.Outgoing,
+        guard: OnceGuard | None,
+    ) -> egress.Attempt:
+        """Sends one attempt."""
+        if guard is None:
+            return await self._client.attempt(
+                action.target, outgoing, may_retry_connection=True
+            )
+        return await self._client.attempt(
+            action.target,
+            outgoing,
+            may_retry_connection=False,
+            before_send=guard.before_send,
+            whole_bytes=ONCE_ANSWER_BYTES,
+        )
+
+    async def _stream(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        row: tables.RequestRow,
+        target: str,
+        attempt: egress.Attempt,
+    ) -> web.StreamResponse:
+        """Passes a long answer on as it arrives."""
+        source = attempt.response
+        assert source is not None
+        fields = CIMultiDict(egress.filter_fields(source.headers))
+        fields[headers.OUTCOME] = outcomes.Outcome.ANSWERED
+        fields[headers.REQUEST] = request_id
+        response = web.StreamResponse(status=source.status, headers=fields)
+        if source.content_length is not None:
+            response.content_length = source.content_length
+        result = tables.Result(tables.ResultKind.LOST)
+        try:
+            async with asyncio.timeout_at(row.deadline):
+                await response.prepare(request)
+                async for chunk in source.content.iter_any():
+                    await response.write(chunk)
+                await response.write_eof()
+            result = egress.classify_answer(source)
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            # The caller must see that the answer is not whole.
+            if request.transport is not None:
+                request.transport.abort()
+        finally:
+            source.close()
+            # What was streamed cannot be taken back, so no attempt follows.
+            row.idempotent = False
+        await self._scheduler.finish(row, target, result)
+        return response
+
+
+def read_forwarded(answer: once.Answer) -> Ending:
+    """Returns the ending that another gateway told."""
+    fields = CIMultiDict(answer.headers)
+    outcome = fields.get(headers.OUTCOME, outcomes.Outcome.ANSWERED)
+    if outcome == outcomes.Outcome.ANSWERED:
+        return answer
+    return outcomes.Failure(
+        outcomes.Outcome(outcome), outcomes.Reason(fields[headers.REASON])
+    )
--- a/wigeonspool/load/callers.py
+++ b/wigeonspool/load/callers.py
@@ -168,7 +168,7 @@
         body = None
         if not work.idempotent:
             address = kept.assignment["home"]
-            invocation.key = f"{kept.assignment['id']}.{self._count}"
+            invocation.key = f"{kept.assignment['id']}.{invocation.request}"
             fields["Wigeonspool-Assignment"] = kept.assignment["token"]
             fields["Idempotency-Key"] = invocation.key
             body = invocation.request.encode()
