Close the holes in running keys at most once

Now a key is closed before its caller is told not run, only its home says so, and the bytes of kept answers are bounded.

Ruled out: a connection of its own for methods that the client resends. It sends them again on new connections too.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,6 +1,5 @@
 from wigeonspool.core import actions
 from wigeonspool.core import dispatcher
-from wigeonspool.core import once
 from wigeonspool.core import tables
 from wigeonspool.model import entities
 from wigeonspool.model import outcomes
@@ -62,32 +61,3 @@
         core.configure([entities.Pool("queue", 4, listed)])
         done = [core.submit(0.0, build_request(i))[0] for i in range(4)]
         assert {send.target for send in done} == {"t1:1"}
-
-
-class TestOnceTable:
-    def test_key_is_claimed_once(self) -> None:
-        table = once.OnceTable(10)
-        assert table.claim(0.0, "a", "k", b"d", 100.0) is None
-        row = table.claim(1.0, "a", "k", b"d", 100.0)
-        assert isinstance(row, once.OnceRow)
-        assert table.mark_sent("a", "k")
-        assert not table.mark_sent("a", "k")
-
-    def test_forgotten_key_is_refused_in_doubt(self) -> None:
-        table = once.OnceTable(10)
-        table.claim(0.0, "a", "k", b"d", 100.0)
-        table.claim(101.0, "a", "other", b"d", 200.0)
-        failure = table.claim(50.0, "a", "k", b"d", 100.0)
-        assert failure == outcomes.doubt(outcomes.Reason.TOKEN_EXPIRED)
-
-    def test_full_table_refuses_new_keys(self) -> None:
-        table = once.OnceTable(1)
-        table.claim(0.0, "a", "k", b"d", 100.0)
-        failure = table.claim(0.0, "a", "l", b"d", 100.0)
-        assert failure == outcomes.refuse(outcomes.Reason.TABLE_FULL)
-
-    def test_other_body_under_the_same_key_is_left_in_doubt(self) -> None:
-        table = once.OnceTable(10)
-        table.claim(0.0, "a", "k", b"d", 100.0)
-        failure = table.claim(0.0, "a", "k", b"e", 100.0)
-        assert failure == outcomes.doubt(outcomes.Reason.KEY_REUSED)
--- a/wigeonspool/gateway/answers.py
+++ b/wigeonspool/gateway/answers.py
@@ -20,6 +20,7 @@
     outcomes.Reason.TOKEN_INVALID: 403,
     outcomes.Reason.TOKEN_EXPIRED: 409,
     outcomes.Reason.IN_PROGRESS: 409,
+    outcomes.Reason.ANSWER_NOT_KEPT: 410,
     outcomes.Reason.BODY_TOO_LARGE: 413,
     outcomes.Reason.BAD_REQUEST: 400,
     outcomes.Reason.DEADLINE_PASSED: 504,
--- a/wigeonspool/gateway/egress.py
+++ b/wigeonspool/gateway/egress.py
@@ -1,7 +1,6 @@
 """Sends attempts to targets over kept HTTP connections."""
 
 import asyncio
-from collections.abc import Callable
 import dataclasses
 from typing import Final
 
@@ -13,11 +12,6 @@
 from wigeonspool.gateway import headers
 
 WHOLE_ANSWER_BYTES: Final = 256 * 1024
-# Methods that the HTTP client sends again by itself when a kept connection
-# proves dead.
-RESENT_METHODS: Final = frozenset(
-    {"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"}
-)
 STATUS_UNAVAILABLE: Final = 503
 
 Body = bytes | aiohttp.StreamReader | None
@@ -82,7 +76,6 @@
         address: str,
         outgoing: Outgoing,
         may_retry_connection: bool,
-        before_send: Callable[[], bool] | None = None,
         whole_bytes: int = WHOLE_ANSWER_BYTES,
     ) -> Attempt:
         """Sends one attempt and reads its answer if it is short.
@@ -90,16 +83,13 @@
         Args:
             address: host:port to send to.
             outgoing: What to send.
-            may_retry_connection: True if the HTTP client may send again when
-                a kept connection proves dead.
-            before_send: Must return True right before the attempt leaves.
+            may_retry_connection: True if the HTTP client may send again after
+                a lost connection.
             whole_bytes: Longest answer to hold whole.
 
         Raises:
             TimeoutError: If the deadline passed.
         """
-        if before_send is not None and not before_send():
-            return Attempt(tables.Result(tables.ResultKind.NOT_RUN))
         try:
             async with asyncio.timeout_at(outgoing.deadline):
                 response = await self._open(
@@ -120,15 +110,13 @@
         remaining = outgoing.deadline - self._loop.time()
         fields = outgoing.fields.copy()
         fields[headers.REMAINING_MS] = str(max(0, int(remaining * 1000)))
-        if not may_retry_connection and outgoing.method in RESENT_METHODS:
-            # A connection of its own has nothing to resend.
-            fields["Connection"] = "close"
         return await self._session.request(
             outgoing.method,
             f"http://{address}{outgoing.path}",
             headers=fields,
             data=outgoing.body,
             allow_redirects=False,
+            middlewares=() if may_retry_connection else (send_single,),
         )
 
     async def _read(
@@ -145,6 +133,27 @@
         return Attempt(classify_answer(response), answer=answer)
 
 
+async def send_single(
+    request: aiohttp.ClientRequest,
+    handler: aiohttp.ClientHandlerType,
+) -> aiohttp.ClientResponse:
+    """Keeps the HTTP client from sending a request a second time.
+
+    By itself it sends some methods again after a lost connection, also if
+    that was a new one and the first send may have run.
+
+    Raises:
+        ClientConnectorError: If there was no connection.
+        ClientConnectionError: If the connection was lost.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise aiohttp.ClientConnectionError(repr(error)) from error
+
+
 def filter_fields(
     fields: "CIMultiDict[str] | aiohttp.typedefs.LooseHeaders",
 ) -> tuple[tuple[str, str], ...]:
--- a/wigeonspool/gateway/headers.py
+++ b/wigeonspool/gateway/headers.py
@@ -5,6 +5,7 @@
 from multidict import istr
 
 ASSIGNMENT: Final = istr("Wigeonspool-Assignment")
+ATTEMPT: Final = istr("Wigeonspool-Attempt")
 CALLER: Final = istr("Wigeonspool-Caller")
 FORWARDED: Final = istr("Wigeonspool-Forwarded")
 KEY: Final = istr("Idempotency-Key")
--- a/wigeonspool/gateway/incoming.py
+++ b/wigeonspool/gateway/incoming.py
@@ -11,6 +11,7 @@
 from wigeonspool.model import outcomes
 
 HELD_BODY_BYTES: Final = 1024 * 1024
+ATTEMPT_DIGITS: Final = 9
 
 
 def read_remaining(request: web.BaseRequest) -> float | outcomes.Failure:
@@ -33,6 +34,26 @@
     return await request.read(), True
 
 
+async def read_bounded(request: web.BaseRequest) -> bytes | None:
+    """Returns a request's whole body, or None if it is too long to hold."""
+    length = request.content_length
+    if length is not None and length > HELD_BODY_BYTES:
+        return None
+    body = bytearray()
+    async for chunk in request.content.iter_any():
+        body += chunk
+        if len(body) > HELD_BODY_BYTES:
+            return None
+    return bytes(body)
+
+
+def read_attempt(request: web.BaseRequest) -> int:
+    """Returns which send of its key a request is; 0 if it does not tell."""
+    text = request.headers.get(headers.ATTEMPT, "")
+    is_number = text.isascii() and text.isdecimal()
+    return int(text) if is_number and len(text) <= ATTEMPT_DIGITS else 0
+
+
 def build_outgoing(
     request: web.BaseRequest,
     request_id: str,
--- a/wigeonspool/gateway/ingress.py
+++ b/wigeonspool/gateway/ingress.py
@@ -1,6 +1,8 @@
 """Takes requests from callers and gives each its own answer."""
 
 import asyncio
+import time
+from typing import Final
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -11,6 +13,7 @@
 from wigeonspool.gateway import headers
 from wigeonspool.gateway import home as homes
 from wigeonspool.gateway import incoming
+from wigeonspool.gateway import pauses
 from wigeonspool.gateway import runner as runners
 from wigeonspool.gateway import scheduler as schedulers
 from wigeonspool.gateway import view as views
@@ -21,6 +24,9 @@
 from wigeonspool.process import EventLog
 from wigeonspool.wire import tokens
 
+# How long a key that no route serves any more may wait for its home.
+NO_ROUTE_SECONDS: Final = 10.0
+
 
 class Ingress:
     """Serves callers on behalf of one gateway.
@@ -30,6 +36,7 @@
         counts: Requests that ended, by outcome and reason.
         demand: Requests received since the last report, by pool.
         draining: True once the gateway prepares to stop.
+        home: Serves the requests that may run at most once.
     """
 
     def __init__(
@@ -40,6 +47,7 @@
         scheduler: schedulers.Scheduler,
         client: egress.Egress,
         log: EventLog,
+        pauses_monitor: pauses.PauseMonitor,
     ) -> None:
         """Prepares the ingress.
 
@@ -50,6 +58,7 @@
             scheduler: Decides for each request.
             client: Holds the connections to targets.
             log: Events of this process.
+            pauses_monitor: Tells how long what is read now has waited.
         """
         self.gateway = gateway
         self.counts: dict[tuple[str, str], int] = {}
@@ -64,9 +73,10 @@
             gateway.zone, settings.gateway, view, signer
         )
         self._runner = runners.RequestRunner(scheduler, client, log)
-        self._home = homes.Home(
+        self._pauses = pauses_monitor
+        self.home = homes.Home(
             gateway,
-            settings.gateway.once_capacity,
+            settings.gateway,
             signer,
             self._runner,
             client,
@@ -75,7 +85,10 @@
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one HTTP request of a caller."""
         if request.path == headers.ADDRESS_PATH:
-            return self._addresses.answer(request)
+            response: web.StreamResponse = self._addresses.answer(request)
+            if self.draining:
+                response.force_close()
+            return response
         request_id = request.headers.get(headers.REQUEST)
         if request_id is None:
             self._received += 1
@@ -91,22 +104,40 @@
     ) -> runners.Ending | web.StreamResponse:
         """Serves a request that belongs to a route."""
         route = self._view.routes.find(request.method, request.path)
+        deadline = self._find_deadline(request, route)
+        if route is not None:
+            self.demand[route.pool] = self.demand.get(route.pool, 0) + 1
+        self._log.record(events.Kind.REQUEST_RECEIVED, request=request_id)
+        # What presents an assignment may have run, whatever its route is now.
+        presented = headers.ASSIGNMENT in request.headers
+        if presented or (route is not None and not route.idempotent):
+            return await self.home.serve(request, route, request_id, deadline)
         if route is None:
             return outcomes.refuse(outcomes.Reason.NO_ROUTE)
-        limit = incoming.read_remaining(request)
-        if isinstance(limit, outcomes.Failure):
-            return limit
-        deadline = self._loop.time() + min(route.time_limit_seconds, limit)
-        self.demand[route.pool] = self.demand.get(route.pool, 0) + 1
-        self._log.record(events.Kind.REQUEST_RECEIVED, request=request_id)
-        if not route.idempotent:
-            return await self._home.serve(request, route, request_id, deadline)
+        if isinstance(deadline, outcomes.Failure):
+            return deadline
         body, held = await incoming.read_body(request)
         outgoing = incoming.build_outgoing(request, request_id, body, deadline)
         # A body that is not held cannot be sent twice.
         row = self._runner.create_row(route, deadline, idempotent=held)
         return await self._runner.run(row, outgoing, request_id, request)
 
+    def _find_deadline(
+        self, request: web.BaseRequest, route: entities.Route | None
+    ) -> float | outcomes.Failure:
+        """Returns the time by which a caller wants its answer, loop clock.
+
+        Args:
+            request: Request of the caller.
+            route: Route that it matched, or None.
+        """
+        granted = incoming.read_remaining(request)
+        if isinstance(granted, outcomes.Failure):
+            return granted
+        limit = NO_ROUTE_SECONDS if route is None else route.time_limit_seconds
+        age = self._pauses.find_age(time.monotonic())
+        return self._loop.time() + min(limit, granted) - age
+
     def _tell(
         self,
         ending: runners.Ending | web.StreamResponse,
--- /dev/null
+++ b/wigeonspool/gateway/proofs.py
@@ -0,0 +1,56 @@
+"""Reads the key and the assignment that a non-idempotent request proves."""
+
+from typing import Final
+
+from aiohttp import web
+
+from wigeonspool.gateway import headers
+from wigeonspool.model import errors
+from wigeonspool.model import outcomes
+from wigeonspool.wire import tokens
+
+MAX_KEY_CHARS: Final = 256
+
+
+def is_key_valid(key: str) -> bool:
+    """Returns True if a key begins with the identity of an assignment."""
+    prefix, _, rest = key.partition(".")
+    return (
+        len(prefix) == tokens.ASSIGNMENT_ID_CHARS
+        and bool(rest)
+        and len(key) <= MAX_KEY_CHARS
+    )
+
+
+def read_assignment(
+    request: web.BaseRequest, signer: tokens.TokenSigner
+) -> tokens.Assignment | outcomes.Failure:
+    """Returns the assignment that a request proves.
+
+    A key that was never valid cannot have run. Once a key has the form of a
+    valid one, an earlier send of it may have run.
+
+    Args:
+        request: Request of a caller, or passed on by another gateway.
+        signer: Checks the token.
+    """
+    keys = request.headers.getall(headers.KEY, [])
+    if not keys:
+        return outcomes.refuse(outcomes.Reason.KEY_MISSING)
+    if len(keys) > 1:
+        return outcomes.doubt(outcomes.Reason.KEY_MALFORMED)
+    key = keys[0]
+    if not is_key_valid(key):
+        return outcomes.refuse(outcomes.Reason.KEY_MALFORMED)
+    token = request.headers.get(headers.ASSIGNMENT)
+    if token is None:
+        return outcomes.doubt(outcomes.Reason.TOKEN_MISSING)
+    try:
+        assignment = signer.verify(token)
+    except errors.TokenError:
+        return outcomes.doubt(outcomes.Reason.TOKEN_INVALID)
+    caller = request.headers.get(headers.CALLER, "")
+    prefix = key.partition(".")[0]
+    if assignment.caller != caller or assignment.assignment_id != prefix:
+        return outcomes.doubt(outcomes.Reason.TOKEN_INVALID)
+    return assignment
--- /dev/null
+++ b/wigeonspool/gateway/relay.py
@@ -0,0 +1,140 @@
+"""Passes a long answer on to a caller while it arrives."""
+
+import dataclasses
+
+import aiohttp
+from aiohttp import web
+from multidict import CIMultiDict
+
+from wigeonspool.core import once
+from wigeonspool.gateway import egress
+from wigeonspool.gateway import headers
+from wigeonspool.model import outcomes
+
+# Answers up to this length are held whole and can be given again.
+HELD_ANSWER_BYTES = 1024 * 1024
+
+
+@dataclasses.dataclass(slots=True)
+class Head:
+    """The first part of an answer of unknown length.
+
+    Attributes:
+        content: What was read.
+        ended: True if this is the whole body.
+    """
+
+    content: bytes
+    ended: bool
+
+
+async def read_head(source: aiohttp.ClientResponse) -> Head:
+    """Reads an answer up to the length that can be held.
+
+    Raises:
+        aiohttp.ClientError: If the answer was cut.
+        OSError: If the connection failed.
+    """
+    if (source.content_length or 0) > HELD_ANSWER_BYTES:
+        return Head(b"", ended=False)
+    content = bytearray()
+    async for chunk in source.content.iter_any():
+        content += chunk
+        if len(content) > HELD_ANSWER_BYTES:
+            return Head(bytes(content), ended=False)
+    return Head(bytes(content), ended=True)
+
+
+def build_answer(source: aiohttp.ClientResponse, body: bytes) -> once.Answer:
+    """Returns an answer that was read whole."""
+    fields = egress.filter_fields(source.headers)
+    return once.Answer(source.status, fields, body)
+
+
+def build_response(
+    source: aiohttp.ClientResponse, request_id: str
+) -> web.StreamResponse:
+    """Returns the response that passes an answer on."""
+    fields = CIMultiDict(egress.filter_fields(source.headers))
+    fields[headers.OUTCOME] = outcomes.Outcome.ANSWERED
+    fields[headers.REQUEST] = request_id
+    response = web.StreamResponse(status=source.status, headers=fields)
+    if source.content_length is not None:
+        response.content_length = source.content_length
+    return response
+
+
+def abort(request: web.BaseRequest) -> None:
+    """Cuts a caller's connection, so that it sees a part as a part."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
+async def pass_on(
+    request: web.BaseRequest | None,
+    response: web.StreamResponse,
+    source: aiohttp.ClientResponse,
+    head: bytes,
+) -> None:
+    """Passes an answer to a caller; reads it to its end in any case.
+
+    A caller that leaves must not cut the work of a target.
+
+    Args:
+        request: Request of the caller, or None if nobody waits.
+        response: Response to it.
+        source: Open answer of the target.
+        head: What was read of it before.
+
+    Raises:
+        aiohttp.ClientError: If the answer was cut; so is the caller's then.
+        OSError: If the connection to the target failed.
+    """
+    writer = _Writer(request, response)
+    await writer.prepare()
+    await writer.write(head)
+    try:
+        async for chunk in source.content.iter_any():
+            await writer.write(chunk)
+    except BaseException:
+        if request is not None:
+            abort(request)
+        raise
+    await writer.finish()
+
+
+class _Writer:
+    """Writes to a caller until that has left."""
+
+    def __init__(
+        self, request: web.BaseRequest | None, response: web.StreamResponse
+    ) -> None:
+        self._request = request
+        self._response = response
+
+    async def prepare(self) -> None:
+        """Sends the status and header fields."""
+        if self._request is None:
+            return
+        try:
+            await self._response.prepare(self._request)
+        except (ConnectionError, RuntimeError):
+            self._request = None
+
+    async def write(self, chunk: bytes) -> None:
+        """Sends a part of the body."""
+        if self._request is None or not chunk:
+            return
+        try:
+            await self._response.write(chunk)
+        except (ConnectionError, RuntimeError):
+            self._request = None
+
+    async def finish(self) -> None:
+        """Ends the body."""
+        if self._request is None:
+            return
+        try:
+            await self._response.write_eof()
+        except (ConnectionError, RuntimeError):
+            self._request = None
--- a/wigeonspool/gateway/runner.py
+++ b/wigeonspool/gateway/runner.py
@@ -1,9 +1,8 @@
 """Follows the core's actions for one request until it ends."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 import dataclasses
-from typing import Final
 
 import aiohttp
 from aiohttp import web
@@ -14,14 +13,13 @@
 from wigeonspool.core import tables
 from wigeonspool.gateway import egress
 from wigeonspool.gateway import headers
+from wigeonspool.gateway import relay
 from wigeonspool.gateway import scheduler as schedulers
 from wigeonspool.model import entities
 from wigeonspool.model import events
 from wigeonspool.model import outcomes
 from wigeonspool.process import EventLog
 
-ONCE_ANSWER_BYTES: Final = 16 * 1024 * 1024
-
 Ending = once.Answer | outcomes.Failure
 
 
@@ -32,10 +30,12 @@
     Attributes:
         before_send: Returns True if an attempt may leave now.
         after_not_run: Called after an attempt that provably did not run.
+        read_open: Reads an answer of unknown or great length.
     """
 
     before_send: Callable[[], bool]
     after_not_run: Callable[[], None]
+    read_open: Callable[[aiohttp.ClientResponse], Awaitable[egress.Attempt]]
 
 
 class RequestRunner:
@@ -85,7 +85,11 @@
             request_id: Identity on the time line.
             guard: Hears of each attempt.
         """
-        ending = await self._run(row, outgoing, request_id, None, guard)
+        try:
+            ending = await self._run(row, outgoing, request_id, None, guard)
+        except BaseException:
+            self._scheduler.abandon(row)
+            raise
         assert not isinstance(ending, web.StreamResponse)
         return ending
 
@@ -127,12 +131,14 @@
             async with asyncio.timeout_at(row.deadline):
                 action = await self._scheduler.submit(row)
             while isinstance(action, actions.Send):
+                if guard is not None and not guard.before_send():
+                    return self._expire(row, sent=False)
                 self._log.record(
                     events.Kind.REQUEST_SENT, request_id, action.target
                 )
                 attempt = await self._attempt(action, outgoing, guard)
                 if attempt.response is not None:
-                    assert request is not None
+                    assert request is not None, "no caller to stream to"
                     return await self._stream(
                         request, request_id, row, action.target, attempt
                     )
@@ -152,9 +158,16 @@
         assert answer is not None
         return answer
 
-    def _expire(self, row: tables.RequestRow) -> outcomes.Failure:
-        """Ends a request whose deadline passed."""
-        running = row.state is tables.RequestState.RUNNING
+    def _expire(
+        self, row: tables.RequestRow, sent: bool = True
+    ) -> outcomes.Failure:
+        """Ends a request whose deadline passed.
+
+        Args:
+            row: Row of the request.
+            sent: False if the attempt that the core began has not left.
+        """
+        running = sent and row.state is tables.RequestState.RUNNING
         self._scheduler.abandon(row)
         if running or row.may_have_run:
             return outcomes.doubt(outcomes.Reason.DEADLINE_PASSED)
@@ -171,13 +184,15 @@
             return await self._client.attempt(
                 action.target, outgoing, may_retry_connection=True
             )
-        return await self._client.attempt(
+        attempt = await self._client.attempt(
             action.target,
             outgoing,
             may_retry_connection=False,
-            before_send=guard.before_send,
-            whole_bytes=ONCE_ANSWER_BYTES,
+            whole_bytes=relay.HELD_ANSWER_BYTES,
         )
+        if attempt.response is not None:
+            return await guard.read_open(attempt.response)
+        return attempt
 
     async def _stream(
         self,
@@ -214,14 +229,3 @@
             row.idempotent = False
         await self._scheduler.finish(row, target, result)
         return response
-
-
-def read_forwarded(answer: once.Answer) -> Ending:
-    """Returns the ending that another gateway told."""
-    fields = CIMultiDict(answer.headers)
-    outcome = fields.get(headers.OUTCOME, outcomes.Outcome.ANSWERED)
-    if outcome == outcomes.Outcome.ANSWERED:
-        return answer
-    return outcomes.Failure(
-        outcomes.Outcome(outcome), outcomes.Reason(fields[headers.REASON])
-    )
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import secrets
+import time
 from typing import Final
 
 from aiohttp import web
@@ -14,6 +15,7 @@
 from wigeonspool.gateway import egress
 from wigeonspool.gateway import ingress
 from wigeonspool.gateway import link
+from wigeonspool.gateway import pauses
 from wigeonspool.gateway import scheduler
 from wigeonspool.gateway import view
 from wigeonspool.model import entities
@@ -61,6 +63,7 @@
         self._view = view.FleetView()
         self._scheduler = scheduler.Scheduler(self._settings.zone)
         self._client = egress.Egress()
+        self._pauses = pauses.PauseMonitor(time.monotonic())
         self._ingress = ingress.Ingress(
             self._gateway,
             self._settings,
@@ -68,6 +71,7 @@
             self._scheduler,
             self._client,
             self._log,
+            self._pauses,
         )
         hello = messages.Hello(
             self._gateway.name,
@@ -114,6 +118,9 @@
     @mode.Service.timer(TICK_SECONDS)
     async def _tick(self) -> None:
         """Runs the systems of the core that depend on time."""
+        if self._pauses.tick(time.monotonic()):
+            self._log.record(events.Kind.PROCESS_PAUSED, vm=self._settings.vm)
+            loguru.logger.warning("this process did not run for a while")
         self._scheduler.tick()
 
     @mode.Service.timer(REPORT_SECONDS)
--- a/wigeonspool/model/options.py
+++ b/wigeonspool/model/options.py
@@ -77,6 +77,7 @@
         token_seconds: Lifetime of an assignment token.
         drain_seconds: Longest time that a planned stop may take.
         once_capacity: Rows of the table of non-idempotent requests.
+        once_answer_bytes: Bytes of the answers that this table keeps.
         gateways_per_pool: Least gateways named for a pool and zone.
     """
 
@@ -86,6 +87,7 @@
     token_seconds: Seconds = 120.0
     drain_seconds: Seconds = 30.0
     once_capacity: Annotated[int, pydantic.Field(ge=1)] = 100_000
+    once_answer_bytes: Annotated[int, pydantic.Field(ge=0)] = 16_000_000
     gateways_per_pool: Annotated[int, pydantic.Field(ge=1)] = 2
 
 
--- a/wigeonspool/model/outcomes.py
+++ b/wigeonspool/model/outcomes.py
@@ -43,6 +43,7 @@
     HOME_GONE = "home-gone"
     HOME_UNREACHABLE = "home-unreachable"
     IN_PROGRESS = "in-progress"
+    ANSWER_NOT_KEPT = "answer-not-kept"
     BODY_TOO_LARGE = "body-too-large"
     BAD_REQUEST = "bad-request"
 
--- a/wigeonspool/wire/tokens.py
+++ b/wigeonspool/wire/tokens.py
@@ -15,6 +15,8 @@
 
 SALT: Final = "wigeonspool.assignment"
 ID_BYTES: Final = 9
+# Base64 gives four characters for three bytes.
+ASSIGNMENT_ID_CHARS: Final = ID_BYTES * 4 // 3
 FIELDS: Final = 6
 
 
