Decide each promise with a function of its own

The checker knew four counts. It now has one function for each promise over one history of sends, runs, leavings, faults, probes and generations, and the last outcome of a key is held against its runs. Twelve planted violations, kept as tests, are each found, and nothing else is found in them.

--- /dev/null
+++ b/tests/test_checker.py
@@ -0,0 +1,98 @@
+import dataclasses
+
+import pytest
+
+from wigeonspool.load import checker
+from wigeonspool.load import history as histories
+from wigeonspool.load import mutations
+
+
+def build_send(number: int, **fields: object) -> histories.Invocation:
+    send = histories.Invocation(
+        request=f"r{number}",
+        caller="clerk",
+        key=f"k{number}",
+        pool="refund",
+        idempotent=False,
+        started_at=float(number),
+        deadline=number + 2.0,
+        ended_at=number + 0.5,
+        outcome="answered",
+        status=200,
+    )
+    return dataclasses.replace(send, **fields)  # type: ignore[arg-type]
+
+
+def build_run(number: int, **fields: object) -> histories.Run:
+    run = histories.Run(
+        target=f"t{number % 2}",
+        request=f"r{number}",
+        caller="clerk",
+        key=f"k{number}",
+        path="/refund",
+        started_at=number + 0.1,
+        ended_at=number + 0.4,
+        ending="answered",
+    )
+    return dataclasses.replace(run, **fields)  # type: ignore[arg-type]
+
+
+def build_history() -> histories.History:
+    """Returns a history that keeps every promise."""
+    sends = [build_send(number) for number in range(6)]
+    runs = [build_run(number) for number in range(6)]
+    sends[1].outcome = "unknown"
+    sends.append(build_send(1, started_at=1.6, ended_at=1.7, attempt=1))
+    sends[2] = build_send(2, outcome="not_run", ended_at=2.05)
+    sends.append(build_send(2, started_at=2.07, attempt=1))
+    read = build_send(7, key="", idempotent=True)
+    runs.append(build_run(7, key="", ending="cancelled"))
+    runs.append(build_run(7, key="", started_at=7.2))
+    return histories.History(
+        invocations=[*sends, read],
+        runs=runs,
+        leavings=[histories.Leaving("t1", 20.0)],
+        faults=[histories.Fault("pause", "", 9.0, 9.2)],
+        probes=[histories.Probe("refund", float(i), 100) for i in range(9)],
+        budgets=[histories.Budget("refund", 10.0, 20_000.0)],
+        accepted=[histories.Accepted(1, 0.5), histories.Accepted(2, 4.0)],
+        in_force=[
+            histories.InForce("g1", "a", 1, 1.0),
+            histories.InForce("g1", "a", 2, 4.5),
+        ],
+        lives=[histories.Life("g1", "vm-1", "a", 0.0)],
+        ended_at=30.0,
+    )
+
+
+class TestChecker:
+    def test_history_that_keeps_all_promises_passes(self) -> None:
+        assert checker.find_violations(build_history()) == []
+
+    @pytest.mark.parametrize("name", mutations.MUTATIONS)
+    def test_planted_violation_is_found_and_nothing_else(
+        self, name: str
+    ) -> None:
+        promise, mutate = mutations.MUTATIONS[name]
+        history = build_history()
+        mutate(history)
+        found = checker.find_violations(history)
+        assert {violation.promise for violation in found} == {promise}
+        for violation in found:
+            assert checker.trace_violation(history, violation)
+
+    def test_cut_is_explained_by_a_kill_only_while_that_lasts(self) -> None:
+        history = build_history()
+        mutations.cut_request(history)
+        fault = histories.Fault("gateway-kill", "g", 7.0, 7.3)
+        history.faults.append(fault)
+        assert checker.find_violations(history) == []
+        history.faults[-1] = dataclasses.replace(fault, ended_at=6.9)
+        assert len(checker.find_violations(history)) == 1
+
+    def test_partition_excuses_a_late_generation_of_its_vm(self) -> None:
+        history = build_history()
+        mutations.delay_generation(history)
+        for vm, count in (("vm-2", 1), ("vm-1", 0)):
+            history.faults = [histories.Fault("partition", vm, 3.9, 6.0)]
+            assert len(checker.find_violations(history)) == count
--- a/wigeonspool/load/checker.py
+++ b/wigeonspool/load/checker.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from wigeonspool.load import history as histories
+from wigeonspool.load import promises
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,33 +46,40 @@
         late=late,
         not_run=outcomes["not_run"],
         unknown=outcomes["unknown"],
-        wrong=sum(not i.own for i in answered),
-        repeated=count_repeated(history),
+        wrong=len(promises.check_own_answers(history)),
+        repeated=len(promises.check_at_most_once(history)),
         cut=outcomes["cut"],
-        misreported=count_misreported(history),
+        misreported=len(promises.check_not_run(history)),
     )
 
 
-def count_repeated(history: histories.History) -> int:
-    """Returns the number of keys that ran more than once."""
-    runs = collections.Counter(
-        (run.caller, run.key) for run in history.runs if run.key
-    )
-    return sum(count > 1 for count in runs.values())
-
+def find_violations(history: histories.History) -> list[promises.Violation]:
+    """Returns where a history breaks any promise."""
+    return [
+        violation
+        for check in promises.PROMISES.values()
+        for violation in check(history)
+    ]
 
-def count_misreported(history: histories.History) -> int:
-    """Returns the number of requests told not run that a target began.
 
-    A key counts as not run if that is the last thing its caller was told; a
-    request without a key counts by its own identity.
-    """
-    begun_keys = {(run.caller, run.key) for run in history.runs if run.key}
-    begun_requests = {run.request for run in history.runs}
-    return sum(
-        (i.caller, i.key) in begun_keys
-        if i.key
-        else i.request in begun_requests
-        for i in history.invocations
-        if i.outcome == "not_run"
-    )
+def trace_violation(
+    history: histories.History, violation: promises.Violation
+) -> list[str]:
+    """Returns what the history holds of the subject, in order of time."""
+    subject = violation.subject
+    entries: list[tuple[float, str]] = []
+    for send in history.invocations:
+        if subject in (send.request, send.key):
+            entries.append((send.started_at, f"send {send}"))
+    for run in history.runs:
+        if subject in (run.request, run.key, run.target):
+            entries.append((run.started_at, f"run {run}"))
+    for event in history.in_force:
+        if event.process == subject:
+            entries.append((event.at, f"in force {event}"))
+    for fault in history.faults:
+        entries.append((fault.started_at, f"fault {fault}"))
+    for leaving in history.leavings:
+        if leaving.target == subject:
+            entries.append((leaving.started_at, f"leaving {leaving}"))
+    return [text for _, text in sorted(entries)]
