Bound, check and count what peers send on streams

Cause: a first frame of 16 MiB was accepted from anybody, a half-sent frame held its stream for ever, any role could send any message (an operator's command could send Members or a heartbeat), and the text of a version or kind error was made by repr(), which raises RecursionError on a value nested 1,000 deep: an untyped error out of the decoder. Rejections were counted in a dict that no metric showed.

Ruled out: a time bound on idle streams, since a quiet stream is normal.

After: 22 shapes of bad input against a running agent each close the stream with their code in wigeonspool_agent_streams_rejected_total, and the agent's gateway stays connected. Hypothesis (derandomized, 300 examples per property) finds only WireError out of frames, documents and messages, and only TokenError out of tokens. No fault was found in the tokens.

--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,259 @@
+import asyncio
+import dataclasses
+import struct
+from typing import Any
+
+import hypothesis
+from hypothesis import strategies
+import msgpack
+import pytest
+
+from tests import fleet as fleets
+from wigeonspool.agent import hub
+from wigeonspool.model import errors
+from wigeonspool.model import messages
+from wigeonspool.wire import frames
+from wigeonspool.wire import senders
+from wigeonspool.wire import tokens
+
+FUZZ = hypothesis.settings(
+    derandomize=True, max_examples=300, deadline=None, database=None
+)
+SCALARS = (
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**63), 2**64 - 1)
+    | strategies.floats()
+    | strategies.text(max_size=8)
+    | strategies.binary(max_size=8)
+    | strategies.builds(msgpack.Timestamp, strategies.integers(0, 2**33))
+)
+DOCUMENTS = strategies.recursive(
+    SCALARS,
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(strategies.text(max_size=6), inner)
+    ),
+    max_leaves=20,
+)
+KINDS = strategies.sampled_from(sorted(messages.KINDS))
+
+
+def pack(document: Any) -> bytes:
+    body = msgpack.packb(document)
+    return struct.pack(">I", len(body)) + body
+
+
+def pack_message(message: messages.Message) -> bytes:
+    return frames.pack_frame(messages.encode_message(message))
+
+
+async def read_all(data: bytes, frame_seconds: float = 5.0) -> list[Any]:
+    reader = asyncio.StreamReader()
+    reader.feed_data(data)
+    reader.feed_eof()
+    found = []
+    while True:
+        document = await frames.read_frame(reader, frame_seconds=frame_seconds)
+        if document is None:
+            return found
+        found.append(messages.decode_message(document))
+
+
+HELLO = messages.Hello("ctl", "operator", "", "")
+AGENT_HELLO = messages.Hello("vm-9-agent", "agent", "1", "vm-9")
+NESTED = b"\x91" * 1000 + b"\x01"
+DEEP_VERSION = b"\x83\xa1v" + NESTED + b"\xa1k\xa5Hello\xa1b\x80"
+DEEP_KIND = b"\x83\xa1v\x01\xa1k" + NESTED + b"\xa1b\x80"
+
+
+def prefix(body: bytes) -> bytes:
+    return struct.pack(">I", len(body)) + body
+
+
+BAD_BYTES = {
+    "too long": (struct.pack(">I", 1 << 31), "frame-too-long"),
+    "not msgpack": (prefix(b"\xc1\xc1\xc1"), "frame-encoding"),
+    "http": (b"GET / HTTP/1.1\r\nHost: a\r\n\r\n", "frame-too-long"),
+    "not a map": (pack([1, 2]), "frame-encoding"),
+    "empty body": (prefix(b""), "frame-encoding"),
+    "trailing bytes": (prefix(b"\x80\x80"), "frame-encoding"),
+    "wrong version": (pack({"v": 2, "k": "Hello", "b": {}}), "frame-version"),
+    "version is true": (
+        pack({"v": True, "k": "Hello", "b": {}}),
+        "frame-version",
+    ),
+    "unknown kind": (pack({"v": 1, "k": "Nonsense", "b": {}}), "frame-kind"),
+    "missing body": (pack({"v": 1, "k": "Hello"}), "frame-encoding"),
+    "missing field": (
+        pack({"v": 1, "k": "Hello", "b": {"process": "a"}}),
+        "frame-encoding",
+    ),
+    "nested beyond the codec": (prefix(b"\x91" * 3000), "frame-encoding"),
+    "deep version": (prefix(DEEP_VERSION), "frame-version"),
+    "deep kind": (prefix(DEEP_KIND), "frame-kind"),
+    "announced map": (prefix(b"\xdf\xff\xff\xff\xff"), "frame-encoding"),
+    "half-sent": (pack_message(HELLO)[:-3], "frame-cut"),
+    "half a header": (b"\x00\x00", "frame-cut"),
+    "not a hello": (pack_message(messages.StatusRequest()), "frame-kind"),
+    "unknown role": (
+        pack_message(dataclasses.replace(HELLO, role="root")),
+        "sender-role",
+    ),
+    "report of an operator": (
+        pack_message(HELLO) + pack_message(messages.Members((), ())),
+        "sender-role",
+    ),
+    "members of a follower": (
+        pack_message(dataclasses.replace(AGENT_HELLO, role="gateway"))
+        + pack_message(messages.Members((), ())),
+        "sender-role",
+    ),
+    "long after the hello": (
+        pack_message(HELLO) + struct.pack(">I", 1 << 25),
+        "frame-too-long",
+    ),
+}
+
+
+class TestFrames:
+    @hypothesis.given(strategies.binary(max_size=64))
+    @FUZZ
+    def test_any_bytes_give_wire_errors_only(self, data: bytes) -> None:
+        try:
+            asyncio.run(read_all(data))
+        except errors.WireError as error:
+            assert error.code != errors.WireError.code
+
+    @hypothesis.given(strategies.binary(max_size=64))
+    @FUZZ
+    def test_any_body_gives_encoding_errors_only(self, body: bytes) -> None:
+        try:
+            frames.unpack_body(body)
+        except errors.FrameEncodingError:
+            return
+
+    @hypothesis.given(DOCUMENTS)
+    @FUZZ
+    def test_any_document_gives_wire_errors_only(self, document: Any) -> None:
+        with pytest.raises(errors.WireError):
+            messages.decode_message(document)
+
+    @hypothesis.given(KINDS, strategies.data())
+    @FUZZ
+    def test_any_fields_give_wire_errors_only(
+        self, kind: str, data: strategies.DataObject
+    ) -> None:
+        names = [f.name for f in dataclasses.fields(messages.KINDS[kind])]
+        body = data.draw(
+            strategies.dictionaries(
+                strategies.sampled_from([*names, "other"]), DOCUMENTS
+            )
+        )
+        document = frames.unpack_body(
+            pack({"v": messages.PROTOCOL_VERSION, "k": kind, "b": body})[4:]
+        )
+        try:
+            message = messages.decode_message(document)
+        except errors.WireError:
+            return
+        assert type(message).__name__ == kind
+
+    async def test_frame_that_stalls_is_given_up(self) -> None:
+        reader = asyncio.StreamReader()
+        reader.feed_data(b"\x00\x00\x00\x09abc")
+        with pytest.raises(errors.FrameStalledError):
+            await frames.read_frame(reader, frame_seconds=0.01)
+
+    def test_array_longer_than_the_bound_is_refused(self) -> None:
+        body = msgpack.packb([None] * (frames.MAX_ENTRIES + 1))
+        with pytest.raises(errors.FrameEncodingError):
+            frames.unpack_body(body)
+
+
+class TestSenders:
+    def test_every_kind_has_senders(self) -> None:
+        assert set(senders.SENDERS) == set(messages.KINDS.values())
+
+
+class TestHub:
+    @pytest.mark.parametrize("name", BAD_BYTES)
+    async def test_bad_peer_is_counted_and_closed(
+        self, fleet: fleets.Fleet, name: str
+    ) -> None:
+        data, code = BAD_BYTES[name]
+        agent = fleet.agents["vm-0"]
+        host, _, port = fleet.settings["vm-0"].agent.listen.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        writer.write_eof()
+        async with asyncio.timeout(5.0):
+            while await reader.read(4096):
+                pass
+        writer.close()
+        assert agent._hub.rejected == {code: 1}
+        assert hub.STREAMS_REJECTED.get({"code": code}) >= 1
+        await fleets.wait_for(lambda: len(agent._hub.list_reports()) == 1)
+
+    async def test_peer_without_a_hello_is_closed(
+        self, fleet: fleets.Fleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(hub, "HELLO_SECONDS", 0.05)
+        agent = fleet.agents["vm-0"]
+        host, _, port = fleet.settings["vm-0"].agent.listen.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        async with asyncio.timeout(5.0):
+            assert await reader.read() == b""
+        writer.close()
+        assert agent._hub.rejected == {"frame-stalled": 1}
+
+
+class TestTokens:
+    SIGNER = tokens.TokenSigner(["old", "new"])
+    ASSIGNMENT = tokens.Assignment("i" * 12, "ann", "vm-0", "1", "a:1", 9.5)
+
+    @hypothesis.given(strategies.text(max_size=200))
+    @FUZZ
+    def test_any_text_gives_token_errors_only(self, text: str) -> None:
+        with pytest.raises(errors.TokenError):
+            self.SIGNER.verify(text)
+
+    @hypothesis.given(strategies.integers(0, 400), strategies.characters())
+    @FUZZ
+    def test_changed_token_never_says_something_else(
+        self, place: int, letter: str
+    ) -> None:
+        token = self.SIGNER.sign(self.ASSIGNMENT)
+        place %= len(token)
+        changed = token[:place] + letter + token[place + 1 :]
+        try:
+            # The last letter of base64 has bits that stand for nothing.
+            assert self.SIGNER.verify(changed) == self.ASSIGNMENT
+        except errors.TokenError:
+            return
+
+    @hypothesis.given(DOCUMENTS)
+    @FUZZ
+    def test_signed_nonsense_gives_token_errors_only(self, fields: Any) -> None:
+        try:
+            token = self.SIGNER._serializer.dumps(fields)
+        except (TypeError, ValueError):
+            return
+        with pytest.raises(errors.TokenError):
+            self.SIGNER.verify(str(token))
+
+    @pytest.mark.parametrize("cut", [1, 10, 40])
+    def test_cut_token_is_refused(self, cut: int) -> None:
+        token = self.SIGNER.sign(self.ASSIGNMENT)
+        with pytest.raises(errors.TokenError):
+            self.SIGNER.verify(token[:-cut])
+
+    def test_lone_surrogate_is_refused(self) -> None:
+        with pytest.raises(errors.TokenError):
+            self.SIGNER.verify("a.\udcff")
+
+    def test_retired_key_is_refused_and_older_key_is_not(self) -> None:
+        older = tokens.TokenSigner(["old"]).sign(self.ASSIGNMENT)
+        assert self.SIGNER.verify(older) == self.ASSIGNMENT
+        with pytest.raises(errors.TokenError):
+            tokens.TokenSigner(["new"]).verify(older)
--- a/wigeonspool/agent/hub.py
+++ b/wigeonspool/agent/hub.py
@@ -3,15 +3,26 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+from typing import Final
 
+import aioprometheus
 import loguru
 
 from wigeonspool.agent import configuration
 from wigeonspool.model import errors
 from wigeonspool.model import events
 from wigeonspool.model import messages
+from wigeonspool.wire import senders
 from wigeonspool.wire import streams
 
+HELLO_BYTES: Final = 4096
+HELLO_SECONDS: Final = 5.0
+
+STREAMS_REJECTED: Final = aioprometheus.Counter(
+    "wigeonspool_agent_streams_rejected_total",
+    "Streams closed because the peer broke the protocol, by error code.",
+)
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Subscriber:
@@ -105,6 +116,7 @@
             await self._converse(stream)
         except errors.WireError as error:
             self.rejected[error.code] = self.rejected.get(error.code, 0) + 1
+            STREAMS_REJECTED.inc({"code": error.code})
             loguru.logger.warning(
                 "closed the stream of {}: {}", stream.peer, error
             )
@@ -120,22 +132,42 @@
             WireError: If the peer broke the protocol.
             OSError: If the stream failed.
         """
-        hello = await stream.receive()
+        hello = await self._receive_hello(stream)
         if hello is None:
             return
-        if not isinstance(hello, messages.Hello):
-            raise errors.FrameKindError(type(hello).__name__)
         subscriber = Subscriber(hello, stream)
         if hello.role != "operator":
             self.subscribers.append(subscriber)
             self.feed(subscriber)
         try:
             while (message := await stream.receive()) is not None:
+                senders.check_sender(hello.role, message)
                 self._take(subscriber, message)
         finally:
             if subscriber in self.subscribers:
                 self.subscribers.remove(subscriber)
 
+    async def _receive_hello(
+        self, stream: streams.Stream
+    ) -> messages.Hello | None:
+        """Returns what a peer says of itself, or None if it left.
+
+        Raises:
+            WireError: If the peer broke the protocol or sent nothing in time.
+            OSError: If the stream failed.
+        """
+        try:
+            async with asyncio.timeout(HELLO_SECONDS):
+                hello = await stream.receive(HELLO_BYTES)
+        except TimeoutError as error:
+            raise errors.FrameStalledError(HELLO_SECONDS) from error
+        if hello is None:
+            return None
+        if not isinstance(hello, messages.Hello):
+            raise errors.FrameKindError(type(hello).__name__)
+        senders.check_sender(hello.role, hello)
+        return hello
+
     def _take(self, subscriber: Subscriber, message: messages.Message) -> None:
         """Takes one message of a subscriber."""
         if isinstance(message, messages.GatewayReport):
--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -26,6 +26,7 @@
 from wigeonspool.platform import configuration as platform_configuration
 from wigeonspool.platform import store
 from wigeonspool.platform import vms
+from wigeonspool.wire import senders
 from wigeonspool.wire import streams
 
 WATCH_IDLE_SECONDS: Final = 30.0
@@ -159,6 +160,7 @@
             await stream.send(hello)
             self._upstreams[address] = stream
             while (message := await stream.receive()) is not None:
+                senders.check_sender(senders.AGENT, message)
                 self._take(message)
         finally:
             self._upstreams.pop(address, None)
--- a/wigeonspool/gateway/link.py
+++ b/wigeonspool/gateway/link.py
@@ -10,6 +10,7 @@
 from wigeonspool.model import errors
 from wigeonspool.model import messages
 from wigeonspool.process import EventLog
+from wigeonspool.wire import senders
 from wigeonspool.wire import streams
 
 
@@ -57,6 +58,7 @@
             await stream.send(self._hello)
             self._stream = stream
             while (message := await stream.receive()) is not None:
+                senders.check_sender(senders.AGENT, message)
                 self._take(message, stream)
         finally:
             self._stream = None
--- a/wigeonspool/model/errors.py
+++ b/wigeonspool/model/errors.py
@@ -4,6 +4,7 @@
 so that one reading shows all that can go wrong.
 """
 
+import reprlib
 from typing import ClassVar
 
 
@@ -59,7 +60,9 @@
     code = "frame-version"
 
     def __init__(self, version: object) -> None:
-        super().__init__(f"protocol version {version!r} is not supported")
+        # What a peer sent may be huge or nested too deeply for repr().
+        shown = reprlib.repr(version)
+        super().__init__(f"protocol version {shown} is not supported")
 
 
 class FrameKindError(WireError):
@@ -68,7 +71,8 @@
     code = "frame-kind"
 
     def __init__(self, kind: object) -> None:
-        super().__init__(f"message kind {kind!r} is not known")
+        shown = reprlib.repr(kind)
+        super().__init__(f"message kind {shown} is not known")
 
 
 class FrameCutError(WireError):
@@ -80,6 +84,25 @@
         super().__init__(f"connection ended {missing} bytes before frame end")
 
 
+class FrameStalledError(WireError):
+    """A frame began, but the rest of it did not come in time."""
+
+    code = "frame-stalled"
+
+    def __init__(self, seconds: float) -> None:
+        super().__init__(f"frame was not whole after {seconds:g} s")
+
+
+class SenderRoleError(WireError):
+    """A peer sent a message that its role may not send."""
+
+    code = "sender-role"
+
+    def __init__(self, role: str, kind: str) -> None:
+        shown = reprlib.repr(role)
+        super().__init__(f"role {shown} may not send {kind}")
+
+
 class PeerUnknownError(WireError):
     """A message came from a peer that is not in the membership."""
 
--- a/wigeonspool/model/messages.py
+++ b/wigeonspool/model/messages.py
@@ -176,8 +176,9 @@
     """
     if not isinstance(document, dict):
         raise errors.FrameEncodingError("not a map")
-    if document.get("v") != PROTOCOL_VERSION:
-        raise errors.FrameVersionError(document.get("v"))
+    version = document.get("v")
+    if type(version) is not int or version != PROTOCOL_VERSION:
+        raise errors.FrameVersionError(version)
     kind = document.get("k")
     if not isinstance(kind, str) or kind not in KINDS:
         raise errors.FrameKindError(kind)
--- a/wigeonspool/wire/frames.py
+++ b/wigeonspool/wire/frames.py
@@ -1,7 +1,8 @@
 """Frames of a stream: a length, then a msgpack map.
 
 The length is bounded before anything is allocated, so that a broken peer
-cannot exhaust the memory of a process.
+cannot exhaust the memory of a process. A frame that has begun must end within
+a bound too, so that a peer that stops halfway does not hold a stream for ever.
 """
 
 import asyncio
@@ -13,6 +14,8 @@
 from wigeonspool.model import errors
 
 MAX_FRAME_BYTES: Final = 16 * 1024 * 1024
+MAX_ENTRIES: Final = 1 << 17
+FRAME_SECONDS: Final = 10.0
 LENGTH: Final = struct.Struct(">I")
 
 
@@ -26,33 +29,68 @@
     """Returns the document in the body of a frame.
 
     Raises:
-        FrameEncodingError: If the body is not msgpack.
+        FrameEncodingError: If the body is not msgpack, or holds an array or a
+            map of more than `MAX_ENTRIES` entries.
     """
     try:
-        return msgpack.unpackb(body, raw=False, strict_map_key=True)
-    except (ValueError, msgpack.UnpackException) as error:
-        raise errors.FrameEncodingError(str(error)) from error
+        return msgpack.unpackb(
+            body,
+            raw=False,
+            strict_map_key=True,
+            max_array_len=MAX_ENTRIES,
+            max_map_len=MAX_ENTRIES,
+        )
+    except (ValueError, OverflowError, msgpack.UnpackException) as error:
+        problem = str(error) or type(error).__name__
+        raise errors.FrameEncodingError(problem) from error
 
 
-async def read_frame(reader: asyncio.StreamReader) -> Any | None:
+async def read_frame(
+    reader: asyncio.StreamReader,
+    max_bytes: int = MAX_FRAME_BYTES,
+    frame_seconds: float = FRAME_SECONDS,
+) -> Any | None:
     """Returns the next document, or None at a clean end of the stream.
 
+    Waits without bound for a frame to begin.
+
+    Args:
+        reader: Where the bytes come from.
+        max_bytes: Longest body to accept.
+        frame_seconds: Longest time from a frame's first byte to its last.
+
     Raises:
         FrameTooLongError: If the announced length exceeds the bound.
         FrameCutError: If the stream ends inside a frame.
+        FrameStalledError: If the rest of a frame did not come in time.
         FrameEncodingError: If the body is not msgpack.
     """
+    first = await reader.read(1)
+    if not first:
+        return None
     try:
-        header = await reader.readexactly(LENGTH.size)
-    except asyncio.IncompleteReadError as error:
-        if not error.partial:
-            return None
-        raise errors.FrameCutError(LENGTH.size - len(error.partial)) from error
-    (length,) = LENGTH.unpack(header)
-    if length > MAX_FRAME_BYTES:
-        raise errors.FrameTooLongError(length, MAX_FRAME_BYTES)
+        async with asyncio.timeout(frame_seconds):
+            body = await _read_body(reader, first, max_bytes)
+    except TimeoutError as error:
+        raise errors.FrameStalledError(frame_seconds) from error
+    return unpack_body(body)
+
+
+async def _read_body(
+    reader: asyncio.StreamReader, first: bytes, max_bytes: int
+) -> bytes:
+    """Returns the body of a frame whose first byte is known.
+
+    Raises:
+        FrameTooLongError: If the announced length exceeds the bound.
+        FrameCutError: If the stream ends inside the frame.
+    """
     try:
-        body = await reader.readexactly(length)
+        rest = await reader.readexactly(LENGTH.size - len(first))
+        (length,) = LENGTH.unpack(first + rest)
+        if length > max_bytes:
+            raise errors.FrameTooLongError(length, max_bytes)
+        return await reader.readexactly(length)
     except asyncio.IncompleteReadError as error:
-        raise errors.FrameCutError(length - len(error.partial)) from error
-    return unpack_body(body)
+        missing = (error.expected or 0) - len(error.partial)
+        raise errors.FrameCutError(missing) from error
--- /dev/null
+++ b/wigeonspool/wire/senders.py
@@ -0,0 +1,42 @@
+"""Which role may send which message.
+
+A process that follows an agent must not be able to speak as a feeder, and an
+operator's command must not be able to report load.
+"""
+
+from typing import Final
+
+from wigeonspool.model import errors
+from wigeonspool.model import messages
+
+AGENT: Final = "agent"
+GATEWAY: Final = "gateway"
+OPERATOR: Final = "operator"
+ROLES: Final = frozenset({AGENT, GATEWAY, OPERATOR})
+
+SENDERS: Final[dict[type[messages.Message], frozenset[str]]] = {
+    messages.Hello: ROLES,
+    messages.Snapshot: frozenset({AGENT}),
+    messages.ChangeNotice: frozenset({AGENT}),
+    messages.Heartbeat: frozenset({AGENT}),
+    messages.Members: frozenset({AGENT}),
+    messages.GatewayReport: frozenset({GATEWAY}),
+    messages.StatusRequest: frozenset({OPERATOR}),
+    messages.EventsRequest: frozenset({AGENT, OPERATOR}),
+    messages.EventsReply: frozenset({AGENT, GATEWAY}),
+}
+
+
+def check_sender(role: str, message: messages.Message) -> None:
+    """Checks that a role may send a message.
+
+    Args:
+        role: What the peer said of itself in its Hello, or AGENT for a peer
+            that this process connected to.
+        message: What it sent.
+
+    Raises:
+        SenderRoleError: If it may not.
+    """
+    if role not in SENDERS[type(message)]:
+        raise errors.SenderRoleError(role, type(message).__name__)
--- a/wigeonspool/wire/streams.py
+++ b/wigeonspool/wire/streams.py
@@ -25,14 +25,19 @@
         name = writer.get_extra_info("peername")
         self.peer = f"{name[0]}:{name[1]}" if name else "unknown"
 
-    async def receive(self) -> messages.Message | None:
+    async def receive(
+        self, max_bytes: int = frames.MAX_FRAME_BYTES
+    ) -> messages.Message | None:
         """Returns the next message, or None at a clean end.
 
+        Args:
+            max_bytes: Longest frame to accept.
+
         Raises:
             WireError: If the peer broke the protocol.
             OSError: If the connection failed.
         """
-        document = await frames.read_frame(self._reader)
+        document = await frames.read_frame(self._reader, max_bytes)
         if document is None:
             return None
         return messages.decode_message(document)
