Name file, line and field of every problem in settings and tables

Cause: an empty tables file was valid and meant the removal of everything; a key that stood twice lost its first value in silence; a file that was not UTF-8 ended in a traceback; a problem named a field but never its line; a settings file with fewer metrics pages than gateways started and failed at its second gateway with an IndexError; "4" and true passed for numbers.

Now a file is read into its content and its node tree (model/documents.py), models check strictly, and checks over several fields or rows (ports that collide, routes that match the same, a route without its pool, times that contradict each other) name the line of the field too. A token key has at least 8 characters.

Ruled out: a YAML loader that attaches lines to values, since each model would have to unwrap them.

--- a/wigeonspool/model/declarations.py
+++ b/wigeonspool/model/declarations.py
@@ -4,18 +4,38 @@
 the rest of the system sees the data classes in `entities` only.
 """
 
+from collections.abc import Iterable, Mapping
 import dataclasses
 import pathlib
-from typing import Annotated, Any, Self, TypeVar
+from typing import Annotated, Any, Final, Generic, TypeVar
 
 import pydantic
-import yaml
 
+from wigeonspool.model import documents
 from wigeonspool.model import entities
 from wigeonspool.model import errors
 
+MAX_PORT: Final = 65_535
+
+
+def check_port(address: str) -> str:
+    """Returns an address whose port is one that TCP has.
+
+    Raises:
+        ValueError: If it is not; the model names the field.
+    """
+    port = int(address.rpartition(":")[2])
+    if not 0 < port <= MAX_PORT:
+        raise ValueError(f"port {port} is not between 1 and {MAX_PORT}")
+    return address
+
+
 Name = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
-Address = Annotated[str, pydantic.Field(pattern=r"^[0-9A-Za-z.:\[\]-]+:\d+$")]
+Address = Annotated[
+    str,
+    pydantic.Field(pattern=r"^[0-9A-Za-z.:\[\]-]+:\d{1,5}$"),
+    pydantic.AfterValidator(check_port),
+]
 Row = TypeVar("Row", entities.Pool, entities.Route)
 Fraction = Annotated[float, pydantic.Field(ge=0, le=1)]
 
@@ -23,7 +43,9 @@
 class Declaration(pydantic.BaseModel):
     """Base of all declarations: unknown fields are errors."""
 
-    model_config = pydantic.ConfigDict(extra="forbid", strict=True)
+    model_config = pydantic.ConfigDict(
+        extra="forbid", strict=True, allow_inf_nan=False
+    )
 
 
 class TargetDeclaration(Declaration):
@@ -51,16 +73,6 @@
     max_ejected_fraction: Fraction = 0.34
     retry_fraction: Fraction = 0.1
 
-    @pydantic.model_validator(mode="after")
-    def check_addresses(self) -> Self:
-        """Rejects a target that is listed twice."""
-        seen: set[str] = set()
-        for target in self.targets:
-            if target.address in seen:
-                raise ValueError(f"target {target.address} is listed twice")
-            seen.add(target.address)
-        return self
-
     def build(self) -> entities.Pool:
         """Returns the checked row."""
         targets = tuple(
@@ -100,90 +112,150 @@
     routes: list[RouteDeclaration] = []
 
 
-def check_join(file: str, tables: entities.Tables) -> None:
-    """Checks that each route names a pool that exists.
-
-    Args:
-        file: Name to report.
-        tables: Tables to check.
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Declared(Generic[Row]):
+    """A checked row and where it stands.
 
-    Raises:
-        SettingsError: If a route names a missing pool.
+    Attributes:
+        row: The row.
+        document: File that declares it.
+        path: Its place in that file.
     """
-    for route in tables.routes.values():
-        if route.pool not in tables.pools:
-            raise errors.SettingsError(
-                file,
-                f"routes.{route.name}.pool",
-                f"pool {route.pool!r} does not exist",
-            )
 
+    row: Row
+    document: documents.Document
+    path: tuple[str | int, ...]
 
-def read_yaml(path: pathlib.Path) -> Any:
-    """Returns the document in a YAML file.
+    def describe(self, field: str, problem: str) -> errors.SettingsError:
+        """Returns the error that names a field of this row."""
+        return self.document.describe((*self.path, field), problem)
 
-    Args:
-        path: File to read.
+
+def _declare_rows(
+    document: documents.Document,
+) -> tuple[list[_Declared[entities.Pool]], list[_Declared[entities.Route]]]:
+    """Returns the rows of one file.
 
     Raises:
-        SettingsError: If the file cannot be read or is not YAML.
+        SettingsError: If the file breaks the schema.
     """
     try:
-        return yaml.safe_load(path.read_text(encoding="utf-8"))
-    except OSError as error:
-        raise errors.SettingsError(str(path), "file", str(error)) from error
-    except yaml.YAMLError as error:
-        mark = getattr(error, "problem_mark", None)
-        line = "file" if mark is None else f"line {mark.line + 1}"
-        problem = getattr(error, "problem", None) or "not valid YAML"
-        raise errors.SettingsError(str(path), line, str(problem)) from error
+        tables = TablesDeclaration.model_validate(document.content)
+    except pydantic.ValidationError as error:
+        raise document.describe_validation(error) from error
+    pools = [
+        _Declared(pool.build(), document, ("pools", index))
+        for index, pool in enumerate(tables.pools)
+    ]
+    routes = [
+        _Declared(route.build(), document, ("routes", index))
+        for index, route in enumerate(tables.routes)
+    ]
+    return pools, routes
 
 
-def describe_problem(
-    file: str, error: pydantic.ValidationError
-) -> errors.SettingsError:
-    """Returns the first problem of a failed check as a typed error."""
-    first = error.errors()[0]
-    field = ".".join(str(part) for part in first["loc"]) or "document"
-    return errors.SettingsError(file, field, first["msg"])
+def _check_targets(pools: list[_Declared[entities.Pool]]) -> None:
+    """Checks that no pool lists a target twice.
 
+    Raises:
+        SettingsError: If one does.
+    """
+    for pool in pools:
+        seen: set[str] = set()
+        for index, target in enumerate(pool.row.targets):
+            if target.address in seen:
+                raise pool.document.describe(
+                    (*pool.path, "targets", index, "address"),
+                    f"target {target.address} is listed twice in the pool",
+                )
+            seen.add(target.address)
 
-def parse_tables(file: str, document: Any) -> entities.Tables:
-    """Returns the tables that a document declares, at generation 0.
 
-    Args:
-        file: Name to report in errors.
-        document: Parsed YAML or JSON.
+def _check_matches(routes: list[_Declared[entities.Route]]) -> None:
+    """Checks that no two routes match the same requests.
 
     Raises:
-        SettingsError: If the document breaks the schema.
+        SettingsError: If two do.
     """
-    try:
-        declared = TablesDeclaration.model_validate(document or {})
-    except pydantic.ValidationError as error:
-        raise describe_problem(file, error) from error
-    pools = merge_rows(file, "pools", [p.build() for p in declared.pools])
-    routes = merge_rows(file, "routes", [r.build() for r in declared.routes])
-    return entities.Tables(0, routes, pools)
+    seen: dict[tuple[str, str], str] = {}
+    for route in routes:
+        match = (route.row.method, route.row.path_prefix)
+        if match in seen:
+            raise route.describe(
+                "path_prefix", f"route {seen[match]!r} matches the same"
+            )
+        seen[match] = route.row.name
+
+
+def _check_join(
+    routes: list[_Declared[entities.Route]], pools: Mapping[str, entities.Pool]
+) -> None:
+    """Checks that each route names a pool that exists.
+
+    Raises:
+        SettingsError: If a route names a missing pool.
+    """
+    for route in routes:
+        if route.row.pool not in pools:
+            raise route.describe(
+                "pool", f"pool {route.row.pool!r} does not exist"
+            )
 
 
-def merge_rows(file: str, table: str, rows: list[Row]) -> dict[str, Row]:
+def _merge_rows(rows: list[_Declared[Row]]) -> dict[str, Row]:
     """Returns the rows by name.
 
     Raises:
         SettingsError: If two rows share a name.
     """
-    merged: dict[str, Row] = {}
+    merged: dict[str, _Declared[Row]] = {}
     for row in rows:
-        if row.name in merged:
-            raise errors.SettingsError(
-                file, f"{table}.{row.name}", "name is declared twice"
+        first = merged.setdefault(row.row.name, row)
+        if first is not row:
+            line = first.document.find_line(first.path)
+            raise row.describe(
+                "name",
+                f"{row.row.name!r} is declared twice, first in"
+                f" {first.document.file}:{line}",
             )
-        merged[row.name] = row
-    return merged
+    return {name: row.row for name, row in merged.items()}
 
 
-def read_tables(paths: list[pathlib.Path]) -> entities.Tables:
+def build_tables(given: Iterable[documents.Document]) -> entities.Tables:
+    """Returns the union of the tables in some documents, at generation 0.
+
+    Raises:
+        SettingsError: If a document breaks the schema, a name stands twice or
+            a route names a missing pool.
+    """
+    pools: list[_Declared[entities.Pool]] = []
+    routes: list[_Declared[entities.Route]] = []
+    for document in given:
+        more_pools, more_routes = _declare_rows(document)
+        pools += more_pools
+        routes += more_routes
+    pools_by_name = _merge_rows(pools)
+    routes_by_name = _merge_rows(routes)
+    _check_targets(pools)
+    _check_matches(routes)
+    _check_join(routes, pools_by_name)
+    return entities.Tables(0, routes_by_name, pools_by_name)
+
+
+def parse_tables(file: str, content: Any) -> entities.Tables:
+    """Returns the tables that plain content declares, at generation 0.
+
+    Args:
+        file: Name to report in errors.
+        content: Parsed YAML or JSON.
+
+    Raises:
+        SettingsError: If the content breaks the schema.
+    """
+    return build_tables([documents.Document(file, content)])
+
+
+def read_tables(paths: Iterable[pathlib.Path]) -> entities.Tables:
     """Returns the union of the tables in some files, at generation 0.
 
     Args:
@@ -193,18 +265,7 @@
         SettingsError: If a file is invalid, a name stands twice or a route
             names a missing pool.
     """
-    pools: list[entities.Pool] = []
-    routes: list[entities.Route] = []
-    for path in paths:
-        tables = parse_tables(str(path), read_yaml(path))
-        pools += tables.pools.values()
-        routes += tables.routes.values()
-    file = ", ".join(str(path) for path in paths)
-    union = entities.Tables(
-        0, merge_rows(file, "routes", routes), merge_rows(file, "pools", pools)
-    )
-    check_join(file, union)
-    return union
+    return build_tables([documents.read_document(path) for path in paths])
 
 
 def show_tables(tables: entities.Tables) -> dict[str, Any]:
--- a/wigeonspool/model/errors.py
+++ b/wigeonspool/model/errors.py
@@ -19,15 +19,26 @@
 
 
 class SettingsError(WigeonspoolError):
-    """A settings or tables file is invalid; nothing of it was applied."""
+    """A settings or tables file is invalid; nothing of it was applied.
+
+    Attributes:
+        file: Name of the file.
+        field: Dotted name of the field, or "document" or "file".
+        problem: What is wrong with it.
+        line: Line of the field, from 1, or 0 if it is not known.
+    """
 
     code = "invalid-settings"
 
-    def __init__(self, file: str, field: str, problem: str) -> None:
-        super().__init__(f"{file}: {field}: {problem}")
+    def __init__(
+        self, file: str, field: str, problem: str, line: int = 0
+    ) -> None:
+        place = f"{file}:{line}" if line else file
+        super().__init__(f"{place}: {field}: {problem}")
         self.file = file
         self.field = field
         self.problem = problem
+        self.line = line
 
 
 class WireError(WigeonspoolError):
--- a/wigeonspool/model/options.py
+++ b/wigeonspool/model/options.py
@@ -3,22 +3,29 @@
 One YAML file serves all processes of a VM; each reads the sections it needs.
 """
 
+from collections.abc import Iterator
 import pathlib
 from typing import Annotated, Literal
 
 import pydantic
 
 from wigeonspool.model import declarations
+from wigeonspool.model import documents
 
+Path = tuple[str | int, ...]
 Address = declarations.Address
 Name = declarations.Name
 Seconds = Annotated[float, pydantic.Field(gt=0)]
+Url = Annotated[str, pydantic.Field(pattern=r"^https?://[^\s/]+")]
+TokenKey = Annotated[str, pydantic.Field(min_length=8)]
 
 
 class Section(pydantic.BaseModel):
     """Base of all sections: unknown keys are errors."""
 
-    model_config = pydantic.ConfigDict(extra="forbid")
+    model_config = pydantic.ConfigDict(
+        extra="forbid", strict=True, allow_inf_nan=False
+    )
 
 
 class StoreOptions(Section):
@@ -30,7 +37,7 @@
         timeout_seconds: Longest time that one call may take.
     """
 
-    url: str = "http://127.0.0.1:2379"
+    url: Url = "http://127.0.0.1:2379"
     prefix: str = "/wigeonspool/"
     timeout_seconds: Seconds = 2.0
 
@@ -43,7 +50,7 @@
         poll_seconds: Time between two reads by a feeder.
     """
 
-    url: str = "http://127.0.0.1:2378/v1/vms"
+    url: Url = "http://127.0.0.1:2378/v1/vms"
     poll_seconds: Seconds = 1.0
 
 
@@ -109,7 +116,7 @@
     vm: Name
     zone: Name
     region: Name
-    token_keys: Annotated[list[str], pydantic.Field(min_length=1)]
+    token_keys: Annotated[list[TokenKey], pydantic.Field(min_length=1)]
     store: StoreOptions = StoreOptions()
     vm_list: VmListOptions = VmListOptions()
     agent: AgentOptions = AgentOptions()
@@ -117,6 +124,48 @@
     log: LogOptions = LogOptions()
 
 
+def iterate_ports(settings: Options) -> Iterator[tuple[Path, str]]:
+    """Yields each address that a process of the VM listens on."""
+    yield ("agent", "listen"), settings.agent.listen
+    yield ("agent", "metrics"), settings.agent.metrics
+    for index, address in enumerate(settings.gateway.addresses):
+        yield ("gateway", "addresses", index), address
+    for index, address in enumerate(settings.gateway.metrics):
+        yield ("gateway", "metrics", index), address
+
+
+def list_problems(settings: Options) -> Iterator[tuple[Path, str]]:
+    """Yields the fields that do not fit together, each with its problem."""
+    gateway = settings.gateway
+    if len(gateway.metrics) != len(gateway.addresses):
+        yield (
+            ("gateway", "metrics"),
+            f"{len(gateway.metrics)} entries, but gateway.addresses has"
+            f" {len(gateway.addresses)}",
+        )
+    seen: dict[str, Path] = {}
+    for path, address in iterate_ports(settings):
+        if address in seen:
+            first = documents.format_path(seen[address])
+            yield path, f"{address} is the address of {first} too"
+        seen[address] = path
+    if settings.agent.silence_seconds <= settings.agent.heartbeat_seconds:
+        yield (
+            ("agent", "silence_seconds"),
+            "must be longer than heartbeat_seconds",
+        )
+    if gateway.token_seconds < gateway.answer_seconds:
+        yield (
+            ("gateway", "token_seconds"),
+            "must not be shorter than answer_seconds",
+        )
+    if gateway.drain_seconds <= gateway.answer_seconds:
+        yield (
+            ("gateway", "drain_seconds"),
+            "must be longer than answer_seconds",
+        )
+
+
 def read_options(path: pathlib.Path) -> Options:
     """Returns the settings in a YAML file.
 
@@ -124,10 +173,14 @@
         path: File to read.
 
     Raises:
-        SettingsError: If the file cannot be read or breaks the schema.
+        SettingsError: If the file cannot be read, breaks the schema, or holds
+            fields that do not fit together.
     """
-    document = declarations.read_yaml(path)
+    document = documents.read_document(path)
     try:
-        return Options.model_validate(document or {})
+        settings = Options.model_validate(document.content)
     except pydantic.ValidationError as error:
-        raise declarations.describe_problem(str(path), error) from error
+        raise document.describe_validation(error) from error
+    for field, problem in list_problems(settings):
+        raise document.describe(field, problem)
+    return settings
