Gather a VM's state and events with a deadline

Cause: an agent put a question for events to its gateways and replied when the last had answered; a gateway that hung or left kept the operator's command waiting until its own timeout, and all that the others had said was lost. A gateway told nobody the state of its targets.

The same way carries the state of pools and targets with its reason (VmStatusRequest). It is asked for by operators only: at 10,000 instances it would be most of the control bytes if heartbeats carried it.

After: with one silent gateway on a VM the answer names it and holds all else; ten questions of both kinds at once are all answered.

--- /dev/null
+++ b/tests/test_gathering.py
@@ -0,0 +1,54 @@
+import asyncio
+
+import pytest
+
+from tests import fleet as fleets
+from wigeonspool.agent import gathering
+from wigeonspool.model import entities
+from wigeonspool.model import messages
+from wigeonspool.operator import sessions
+from wigeonspool.wire import streams
+
+
+async def connect_gateway(address: str, name: str) -> streams.Stream:
+    """Opens a gateway's stream whose questions nobody answers."""
+    stream = await streams.open_stream(address)
+    await stream.send(messages.Hello(name, "gateway", "1", "vm-0"))
+    gateway = entities.Gateway(name, "1", "127.0.0.1:1", "zone-0", "vm-0")
+    await stream.send(messages.GatewayReport(gateway, 0))
+    return stream
+
+
+class TestGatherer:
+    @pytest.mark.parametrize(
+        "question", [messages.EventsRequest(), messages.VmStatusRequest()]
+    )
+    async def test_silent_gateway_is_named_and_hides_nobody(
+        self,
+        fleet: fleets.Fleet,
+        monkeypatch: pytest.MonkeyPatch,
+        question: gathering.Question,
+    ) -> None:
+        monkeypatch.setattr(gathering, "GATHER_SECONDS", 0.3)
+        address = fleet.settings["vm-0"].agent.listen
+        silent = await connect_gateway(address, "vm-0-silent")
+        hub = fleet.agents["vm-0"]._hub
+        await fleets.wait_for(lambda: len(hub.list_reports()) == 2)
+        reply = await sessions.ask_agent(address, question)
+        silent.close()
+        assert isinstance(reply, gathering.Reply)
+        assert reply.missing == ("vm-0-silent",)
+        if isinstance(reply, messages.EventsReply):
+            assert set(reply.dropped) == {"vm-0-agent", "vm-0-0"}
+        else:
+            assert [g.name for g in reply.gateways] == ["vm-0-0"]
+
+    async def test_questions_at_the_same_time_are_all_answered(
+        self, fleet: fleets.Fleet
+    ) -> None:
+        address = fleet.settings["vm-0"].agent.listen
+        questions = [messages.EventsRequest(), messages.VmStatusRequest()] * 5
+        replies = await asyncio.gather(
+            *(sessions.ask_agent(address, q) for q in questions)
+        )
+        assert all(getattr(r, "missing", None) == () for r in replies)
--- a/wigeonspool/agent/hub.py
+++ b/wigeonspool/agent/hub.py
@@ -9,8 +9,8 @@
 import loguru
 
 from wigeonspool.agent import configuration
+from wigeonspool.agent import gathering
 from wigeonspool.model import errors
-from wigeonspool.model import events
 from wigeonspool.model import messages
 from wigeonspool.wire import senders
 from wigeonspool.wire import streams
@@ -41,27 +41,6 @@
     report: messages.GatewayReport | None = None
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class Collection:
-    """An operator's question for the events of a VM.
-
-    Attributes:
-        asker: Who asked.
-        events: Events gathered so far.
-        waiting: Gateways that have not replied.
-    """
-
-    asker: Subscriber
-    events: list[events.Event]
-    waiting: set[str]
-
-    def reply(self, process: str) -> None:
-        """Sends what was gathered."""
-        self.asker.stream.post(
-            messages.EventsReply(process, tuple(self.events))
-        )
-
-
 class Hub:
     """Accepts streams and keeps their subscribers up to date.
 
@@ -89,7 +68,7 @@
         self._server: asyncio.Server | None = None
         self.subscribers: list[Subscriber] = []
         self.rejected: dict[str, int] = {}
-        self._collections: list[Collection] = []
+        self._gatherer = gathering.Gatherer(answer)
 
     async def start(self, address: str) -> None:
         """Listens on host:port.
@@ -174,40 +153,22 @@
             subscriber.report = message
         elif isinstance(message, messages.Heartbeat):
             self._on_heartbeat(message)
-        elif isinstance(message, messages.EventsRequest):
-            self._collect_events(subscriber)
-        elif isinstance(message, messages.EventsReply):
-            self._take_events(subscriber, message)
+        elif isinstance(message, gathering.Question):
+            self._gatherer.ask(subscriber.stream, message, self._list_links())
+        elif isinstance(message, gathering.Reply):
+            self._gatherer.take(subscriber.hello.process, message)
         else:
             reply = self._answer(message)
             if reply is not None:
                 subscriber.stream.post(reply)
 
-    def _collect_events(self, asker: Subscriber) -> None:
-        """Asks all gateways of the VM for their events."""
-        gateways = [s for s in self.subscribers if s.report is not None]
-        own = self._answer(messages.EventsRequest())
-        assert isinstance(own, messages.EventsReply)
-        collection = Collection(
-            asker, list(own.events), {s.hello.process for s in gateways}
-        )
-        if not gateways:
-            collection.reply(own.process)
-            return
-        self._collections.append(collection)
-        for gateway in gateways:
-            gateway.stream.post(messages.EventsRequest())
-
-    def _take_events(
-        self, subscriber: Subscriber, message: messages.EventsReply
-    ) -> None:
-        """Adds a gateway's events to the collections that wait for them."""
-        for collection in list(self._collections):
-            collection.waiting.discard(subscriber.hello.process)
-            collection.events += message.events
-            if not collection.waiting:
-                self._collections.remove(collection)
-                collection.reply(subscriber.hello.vm)
+    def _list_links(self) -> list[tuple[str, streams.Stream]]:
+        """Returns the name and stream of each gateway of the VM."""
+        return [
+            (s.hello.process, s.stream)
+            for s in self.subscribers
+            if s.report is not None
+        ]
 
     def feed(self, subscriber: Subscriber) -> None:
         """Brings one subscriber up to the tables in force."""
--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -276,8 +276,7 @@
         if isinstance(message, messages.StatusRequest):
             return self._build_members()
         if isinstance(message, messages.EventsRequest):
-            return messages.EventsReply(
-                f"{self._settings.vm}-agent",
-                tuple(self._log.ring.list_events()),
-            )
+            return self._log.build_reply()
+        if isinstance(message, messages.VmStatusRequest):
+            return messages.VmStatusReply(())
         return None
--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -92,6 +92,13 @@
         row = self._pools.get(pool)
         return list(row.targets.values()) if row else []
 
+    def count_queued(self, pool: str) -> int:
+        """Returns the number of requests of a pool that wait for a slot."""
+        return sum(
+            request.pool == pool and request.state is tables.RequestState.QUEUED
+            for request in self._requests.values()
+        )
+
     def submit(
         self, now: float, request: tables.RequestRow
     ) -> list[actions.Action]:
--- a/wigeonspool/gateway/link.py
+++ b/wigeonspool/gateway/link.py
@@ -24,6 +24,7 @@
         view: views.FleetView,
         log: EventLog,
         on_change: Callable[[], None],
+        build_status: Callable[[str], messages.GatewayStatus],
     ) -> None:
         """Prepares the link.
 
@@ -33,12 +34,14 @@
             view: Where to put what the agent tells.
             log: Events of this process.
             on_change: Called after the view changed.
+            build_status: Returns the state of a pool, or of all for "".
         """
         self._address = address
         self._hello = hello
         self._view = view
         self._log = log
         self._on_change = on_change
+        self._build_status = build_status
         self._stream: streams.Stream | None = None
 
     def report(self, report: messages.GatewayReport) -> None:
@@ -80,10 +83,10 @@
             self._view.leaving = frozenset(message.leaving)
             self._on_change()
         elif isinstance(message, messages.EventsRequest):
-            reply = messages.EventsReply(
-                self._hello.process, tuple(self._log.ring.list_events())
-            )
-            stream.post(reply)
+            stream.post(self._log.build_reply())
+        elif isinstance(message, messages.VmStatusRequest):
+            status = self._build_status(message.pool)
+            stream.post(messages.VmStatusReply((status,)))
 
     def _take_change(self, change: changes.Change) -> None:
         """Takes a change that follows the tables in force.
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import secrets
 from typing import Final
 
@@ -15,6 +16,7 @@
 from wigeonspool.gateway import ingress
 from wigeonspool.gateway import link
 from wigeonspool.gateway import scheduler
+from wigeonspool.gateway import statuses
 from wigeonspool.gateway import view
 from wigeonspool.model import entities
 from wigeonspool.model import events
@@ -81,6 +83,12 @@
             self._view,
             self._log,
             self._take_view,
+            functools.partial(
+                statuses.build_status,
+                self._gateway.name,
+                self._view,
+                self._scheduler,
+            ),
         )
         self.add_future(link.keep_following(self._link, RECONNECT_SECONDS))
         server = web.Server(self._ingress.serve, handler_cancellation=True)
--- /dev/null
+++ b/wigeonspool/gateway/statuses.py
@@ -0,0 +1,72 @@
+"""Tells operators what a gateway knows of its pools and targets."""
+
+from wigeonspool.core import tables
+from wigeonspool.gateway import scheduler as schedulers
+from wigeonspool.gateway import view as views
+from wigeonspool.model import entities
+from wigeonspool.model import messages
+
+
+def build_status(
+    name: str,
+    view: views.FleetView,
+    scheduler: schedulers.Scheduler,
+    pool: str = "",
+) -> messages.GatewayStatus:
+    """Returns the state of a gateway.
+
+    Args:
+        name: Name of the gateway.
+        view: Tables in force there.
+        scheduler: Holds its core.
+        pool: Only this pool, or "" for all.
+    """
+    pools = [p for p in view.tables.pools.values() if pool in ("", p.name)]
+    return messages.GatewayStatus(
+        name,
+        scheduler.core.count_running(),
+        tuple(_build_pool(view, scheduler, p) for p in pools),
+    )
+
+
+def _build_pool(
+    view: views.FleetView,
+    scheduler: schedulers.Scheduler,
+    pool: entities.Pool,
+) -> messages.PoolStatus:
+    """Returns the state of one pool."""
+    drained = {t.address for t in pool.targets if t.drained}
+    targets = tuple(
+        messages.TargetStatus(
+            address=row.address,
+            zone=row.zone,
+            state=row.state.name.lower(),
+            reason=explain_state(row, row.address in drained, view),
+            in_flight=row.in_flight,
+            slots=row.slots,
+        )
+        for row in scheduler.core.list_targets(pool.name)
+    )
+    queued = scheduler.core.count_queued(pool.name)
+    return messages.PoolStatus(pool.name, queued, targets, {})
+
+
+def explain_state(
+    row: tables.TargetRow, drained: bool, view: views.FleetView
+) -> str:
+    """Returns why a target is in its state, or "" if it serves.
+
+    Args:
+        row: The target.
+        drained: True if the tables say so.
+        view: What is known of the fleet.
+    """
+    if row.state is tables.TargetState.DRAINING:
+        if drained:
+            return "drained by an operator"
+        if row.address in view.leaving:
+            return "leaving, says the VM list"
+        return "the target said so"
+    if row.state is tables.TargetState.EJECTED:
+        return f"{row.failures} failures in a row"
+    return ""
--- a/wigeonspool/model/errors.py
+++ b/wigeonspool/model/errors.py
@@ -226,3 +226,46 @@
             f"generation {generation} is accepted and in force on"
             f" {holders} of {vms} VMs"
         )
+
+
+class BaseOutdatedError(WigeonspoolError):
+    """The tables have changed since the state that a change is based on.
+
+    Attributes:
+        base: Generation that the operator worked from.
+        head: Generation that the tables have.
+        lost_to: One line for each difference that came between.
+    """
+
+    code = "base-outdated"
+
+    def __init__(self, base: int, head: int, lost_to: tuple[str, ...]) -> None:
+        listed = "".join(f"\n  {line}" for line in lost_to)
+        super().__init__(
+            f"the tables are at generation {head}, not at {base};"
+            f" nothing of yours was applied; what came between:{listed}"
+        )
+        self.base = base
+        self.head = head
+        self.lost_to = lost_to
+
+
+class GenerationMissingError(WigeonspoolError):
+    """The log does not hold a generation, or not any more."""
+
+    code = "generation-missing"
+
+    def __init__(self, generation: int, oldest: int, head: int) -> None:
+        super().__init__(
+            f"generation {generation} is not in the log, which holds"
+            f" {oldest} to {head}"
+        )
+
+
+class TargetUnknownError(WigeonspoolError):
+    """No pool lists a target, or the VM list does not name a VM."""
+
+    code = "target-unknown"
+
+    def __init__(self, name: str) -> None:
+        super().__init__(f"no pool has a target at {name!r}")
--- a/wigeonspool/process.py
+++ b/wigeonspool/process.py
@@ -14,6 +14,7 @@
 import uvloop
 
 from wigeonspool.model import events
+from wigeonspool.model import messages
 from wigeonspool.model import options
 from wigeonspool.wire import clocks
 
@@ -51,9 +52,10 @@
 class EventLog:
     """Stamps the events of this process and keeps the newest."""
 
-    __slots__ = ("_clock", "ring")
+    __slots__ = ("_clock", "_process", "ring")
 
     def __init__(self, process: str) -> None:
+        self._process = process
         self._clock = clocks.HybridClock(process)
         self.ring = events.Ring()
 
@@ -72,6 +74,14 @@
         )
         self.ring.append(event)
 
+    def build_reply(self) -> messages.EventsReply:
+        """Returns all that this process can tell of its events."""
+        return messages.EventsReply(
+            self._process,
+            tuple(self.ring.list_events()),
+            {self._process: self.ring.dropped},
+        )
+
     def observe(self, stamp: events.Stamp) -> None:
         """Orders later events after one of another process."""
         self._clock.observe_stamp(stamp)
--- a/wigeonspool/wire/frames.py
+++ b/wigeonspool/wire/frames.py
@@ -45,12 +45,12 @@
         raise errors.FrameEncodingError(problem) from error
 
 
-async def read_frame(
+async def read_body(
     reader: asyncio.StreamReader,
     max_bytes: int = MAX_FRAME_BYTES,
     frame_seconds: float = FRAME_SECONDS,
-) -> Any | None:
-    """Returns the next document, or None at a clean end of the stream.
+) -> bytes | None:
+    """Returns the body of the next frame, or None at a clean end.
 
     Waits without bound for a frame to begin.
 
@@ -63,20 +63,37 @@
         FrameTooLongError: If the announced length exceeds the bound.
         FrameCutError: If the stream ends inside a frame.
         FrameStalledError: If the rest of a frame did not come in time.
-        FrameEncodingError: If the body is not msgpack.
     """
     first = await reader.read(1)
     if not first:
         return None
     try:
         async with asyncio.timeout(frame_seconds):
-            body = await _read_body(reader, first, max_bytes)
+            return await _read_rest(reader, first, max_bytes)
     except TimeoutError as error:
         raise errors.FrameStalledError(frame_seconds) from error
-    return unpack_body(body)
 
 
-async def _read_body(
+async def read_frame(
+    reader: asyncio.StreamReader,
+    max_bytes: int = MAX_FRAME_BYTES,
+    frame_seconds: float = FRAME_SECONDS,
+) -> Any | None:
+    """Returns the next document, or None at a clean end of the stream.
+
+    Args:
+        reader: Where the bytes come from.
+        max_bytes: Longest body to accept.
+        frame_seconds: Longest time from a frame's first byte to its last.
+
+    Raises:
+        WireError: If no whole frame came, or its body is not msgpack.
+    """
+    body = await read_body(reader, max_bytes, frame_seconds)
+    return None if body is None else unpack_body(body)
+
+
+async def _read_rest(
     reader: asyncio.StreamReader, first: bytes, max_bytes: int
 ) -> bytes:
     """Returns the body of a frame whose first byte is known.
--- a/wigeonspool/wire/senders.py
+++ b/wigeonspool/wire/senders.py
@@ -22,6 +22,8 @@
     messages.Members: frozenset({AGENT}),
     messages.GatewayReport: frozenset({GATEWAY}),
     messages.StatusRequest: frozenset({OPERATOR}),
+    messages.VmStatusRequest: frozenset({AGENT, OPERATOR}),
+    messages.VmStatusReply: frozenset({AGENT, GATEWAY}),
     messages.EventsRequest: frozenset({AGENT, OPERATOR}),
     messages.EventsReply: frozenset({AGENT, GATEWAY}),
 }
