Let operators diff, apply, drain and see the fleet from one command

Cause: diff named rows only, not what changes in them; apply could overwrite what another operator had done while a file was edited; draining a target meant an edit of the file; nothing showed the state of targets; a change that was accepted but not in force ended with the same code as a store that was down.

After: six drains at once over one store leave six drained targets in six generations; a file based on an old generation is refused and shows the drain that it would have undone; a VM whose agent does not answer is named while all else is shown.

Ruled out: retrying apply after a conflict, since its file says what the whole tables shall be and was not made with the other change in view.

--- a/wigeonspool/model/declarations.py
+++ b/wigeonspool/model/declarations.py
@@ -10,12 +10,14 @@
 from typing import Annotated, Any, Final, Generic, TypeVar
 
 import pydantic
+import yaml
 
 from wigeonspool.model import documents
 from wigeonspool.model import entities
 from wigeonspool.model import errors
 
 MAX_PORT: Final = 65_535
+MAX_LINE_CHARS: Final = 200
 
 
 def check_port(address: str) -> str:
@@ -268,10 +270,29 @@
     return build_tables([documents.read_document(path) for path in paths])
 
 
-def show_tables(tables: entities.Tables) -> dict[str, Any]:
-    """Returns tables as a plain document."""
+def declare_tables(tables: entities.Tables) -> dict[str, Any]:
+    """Returns the document that declares some tables; see `read_tables`."""
     return {
-        "generation": tables.generation,
-        "pools": [dataclasses.asdict(p) for p in tables.pools.values()],
-        "routes": [dataclasses.asdict(r) for r in tables.routes.values()],
+        "pools": [_declare_pool(pool) for pool in tables.pools.values()],
+        "routes": [
+            dataclasses.asdict(route) for route in tables.routes.values()
+        ],
     }
+
+
+def _declare_pool(pool: entities.Pool) -> dict[str, Any]:
+    """Returns the declaration of a pool."""
+    fields = dataclasses.asdict(pool)
+    measuring = {
+        "requests_per_second": fields.pop("measuring_requests_per_second"),
+        "bytes_per_second": fields.pop("measuring_bytes_per_second"),
+    }
+    targets = list(fields.pop("targets"))
+    return fields | {"measuring": measuring, "targets": targets}
+
+
+def format_tables(tables: entities.Tables) -> str:
+    """Returns the YAML text that declares some tables."""
+    return yaml.safe_dump(
+        declare_tables(tables), sort_keys=False, width=MAX_LINE_CHARS
+    ).rstrip("\n")
--- a/wigeonspool/operator/ctl.py
+++ b/wigeonspool/operator/ctl.py
@@ -1,242 +1,469 @@
 """Command line of operators: the two tables, and the state of the fleet."""
 
 import asyncio
-from collections.abc import Coroutine
-import getpass
+import dataclasses
 import json
 import pathlib
-import sys
 import time
-from typing import Annotated, Any, Final, TypeVar
-import uuid
+from typing import Annotated, Any, Final
 
+import aiohttp
 import cyclopts
 
-from wigeonspool.model import changes
 from wigeonspool.model import declarations
 from wigeonspool.model import entities
 from wigeonspool.model import errors
-from wigeonspool.model import messages
+from wigeonspool.operator import differences
+from wigeonspool.operator import edits
+from wigeonspool.operator import outputs
 from wigeonspool.operator import sessions
+from wigeonspool.operator import statuses
+from wigeonspool.operator import versions
+from wigeonspool.platform import vms
 
-EXIT_FAILED: Final = 1
-EXIT_INVALID: Final = 2
-EXIT_CONFLICT: Final = 3
 POLL_SECONDS: Final = 0.05
+VM_LIST_SECONDS: Final = 2.0
+CLEAR_SCREEN: Final = "\x1b[H\x1b[2J"
+
+HELP: Final = """Reads and changes the tables of routes and pools.
+
+A first day:
+
+    wigeonspool-ctl validate tables.yaml
+    wigeonspool-ctl diff tables.yaml
+    wigeonspool-ctl apply tables.yaml --wait
+    wigeonspool-ctl status
+
+The store, the agent to ask and the VM list can also be given by
+WIGEONSPOOL_STORE, WIGEONSPOOL_PREFIX, WIGEONSPOOL_AGENT and
+WIGEONSPOOL_VM_LIST.
+
+Exit codes: 0 done; 1 the store or an agent did not serve the command; 2 the
+input is invalid and nothing was applied; 3 another operator's change came
+first and nothing was applied; 4 the change is accepted but was not in force
+everywhere in time; 5 it is unknown whether the change was accepted.
+"""
 
-Value = TypeVar("Value")
 Files = Annotated[list[pathlib.Path], cyclopts.Parameter(negative=())]
-StoreUrl = Annotated[
-    str, cyclopts.Parameter(name="--store", env_var="WIGEONSPOOL_STORE")
-]
-Prefix = Annotated[
-    str, cyclopts.Parameter(name="--prefix", env_var="WIGEONSPOOL_PREFIX")
-]
-AgentAddress = Annotated[
-    str, cyclopts.Parameter(name="--agent", env_var="WIGEONSPOOL_AGENT")
-]
-DEFAULT_STORE: Final = "http://127.0.0.1:2379"
-DEFAULT_PREFIX: Final = "/wigeonspool/"
-DEFAULT_AGENT: Final = "127.0.0.1:7000"
-
-app = cyclopts.App(
-    name="wigeonspool-ctl",
-    help="Reads and changes the tables of routes and pools.",
-)
-
-
-def run_command(work: Coroutine[Any, Any, Value]) -> Value:
-    """Runs a command; a typed failure becomes a message and an exit code."""
-    try:
-        return asyncio.run(work)
-    except errors.SettingsError as error:
-        print(error, file=sys.stderr)
-        sys.exit(EXIT_INVALID)
-    except errors.ChangeConflictError as error:
-        print(error, file=sys.stderr)
-        sys.exit(EXIT_CONFLICT)
-    except errors.WigeonspoolError as error:
-        print(error, file=sys.stderr)
-        sys.exit(EXIT_FAILED)
-
-
-def list_differences(change: changes.Change) -> list[str]:
-    """Returns the lines that describe a change."""
-    return [
-        *(f"+ pool {pool.name}" for pool in change.put_pools),
-        *(f"+ route {route.name}" for route in change.put_routes),
-        *(f"- pool {name}" for name in change.removed_pools),
-        *(f"- route {name}" for name in change.removed_routes),
-    ]
+AsJson = Annotated[bool, cyclopts.Parameter(name="--json", negative=())]
+
+
+@cyclopts.Parameter(name="*")
+@dataclasses.dataclass(frozen=True)
+class StoreAddress:
+    """Where the tables are kept.
+
+    Attributes:
+        store: Base URL of the store.
+        prefix: Key prefix of this system in the store.
+    """
+
+    store: Annotated[str, cyclopts.Parameter(env_var="WIGEONSPOOL_STORE")] = (
+        "http://127.0.0.1:2379"
+    )
+    prefix: Annotated[str, cyclopts.Parameter(env_var="WIGEONSPOOL_PREFIX")] = (
+        "/wigeonspool/"
+    )
+
+
+@cyclopts.Parameter(name="*")
+@dataclasses.dataclass(frozen=True)
+class AgentAddress:
+    """Whom to ask for the fleet.
+
+    Attributes:
+        agent: host:port of any agent.
+    """
+
+    agent: Annotated[str, cyclopts.Parameter(env_var="WIGEONSPOOL_AGENT")] = (
+        "127.0.0.1:7000"
+    )
+
+
+@cyclopts.Parameter(name="*")
+@dataclasses.dataclass(frozen=True)
+class Waiting:
+    """Whether to wait until a change is in force.
+
+    Attributes:
+        wait: Return once the generation is in force on all VMs.
+        wait_seconds: Longest time to wait, in seconds.
+    """
+
+    wait: Annotated[bool, cyclopts.Parameter(negative=())] = False
+    wait_seconds: float = 10.0
+
+
+DEFAULT_STORE: Final = StoreAddress()
+DEFAULT_AGENT: Final = AgentAddress()
+NO_WAITING: Final = Waiting()
+
+app = cyclopts.App(name="wigeonspool-ctl", help=HELP)
+
+
+def _describe_edit(edit: edits.Edit) -> dict[str, Any]:
+    """Returns a change as a plain document."""
+    return {
+        "generation": edit.generation,
+        "changed": not edit.change.is_empty(),
+        "differences": [dataclasses.asdict(d) for d in edit.differences],
+    }
+
+
+def _format_differences(edit: edits.Edit) -> list[str]:
+    """Returns the lines that show what a change alters."""
+    lines = [differences.format_difference(d) for d in edit.differences]
+    return lines or ["no difference"]
 
 
 @app.command
-def validate(files: Files) -> None:
+def validate(files: Files, *, as_json: AsJson = False) -> None:
     """Checks files of tables without applying them.
 
     Args:
         files: YAML files with pools and routes.
+        as_json: Print JSON.
     """
 
-    async def work() -> None:
-        tables = declarations.read_tables(files)
-        print(f"{len(tables.pools)} pools, {len(tables.routes)} routes: valid")
-
-    run_command(work())
-
+    async def work() -> entities.Tables:
+        return declarations.read_tables(files)
 
-async def _read_change(
-    files: list[pathlib.Path], store: str, prefix: str
-) -> changes.Change:
-    """Returns the change that files ask for, against the store's head."""
-    wanted = declarations.read_tables(files)
-    async with sessions.open_log(store, prefix) as log:
-        held = await log.read_tables()
-    return changes.diff_tables(
-        held, wanted, uuid.uuid4().hex, getpass.getuser(), time.time()
-    )
+    tables = outputs.run_command(work(), as_json)
+    counts = {"pools": len(tables.pools), "routes": len(tables.routes)}
+    line = f"{counts['pools']} pools, {counts['routes']} routes: valid"
+    outputs.print_result(counts, [line], as_json)
 
 
 @app.command
 def diff(
     files: Files,
-    store: StoreUrl = DEFAULT_STORE,
-    prefix: Prefix = DEFAULT_PREFIX,
+    *,
+    where: StoreAddress = DEFAULT_STORE,
+    as_json: AsJson = False,
 ) -> None:
-    """Shows what `apply` would change.
+    """Shows, field by field, what `apply` would change.
 
     Args:
         files: YAML files with pools and routes; together they are all that
             will exist.
-        store: Base URL of the store.
-        prefix: Key prefix of this system.
+        where: The store.
+        as_json: Print JSON.
     """
-    change = run_command(_read_change(files, store, prefix))
-    print("\n".join(list_differences(change)) or "no difference")
+
+    async def work() -> edits.Edit:
+        wanted = declarations.read_tables(files)
+        async with sessions.open_log(where.store, where.prefix) as log:
+            return await edits.plan_tables(log, wanted)
+
+    edit = outputs.run_command(work(), as_json)
+    document = _describe_edit(edit)
+    outputs.print_result(document, _format_differences(edit), as_json)
 
 
 @app.command
 def apply(
     files: Files,
-    store: StoreUrl = DEFAULT_STORE,
-    prefix: Prefix = DEFAULT_PREFIX,
-    agent: AgentAddress = DEFAULT_AGENT,
-    wait: bool = False,
-    wait_seconds: float = 10.0,
+    *,
+    base: int | None = None,
+    where: StoreAddress = DEFAULT_STORE,
+    whom: AgentAddress = DEFAULT_AGENT,
+    waiting: Waiting = NO_WAITING,
+    as_json: AsJson = False,
 ) -> None:
     """Makes the tables equal to those in some files.
 
     Args:
         files: YAML files with pools and routes; together they are all that
             will exist.
-        store: Base URL of the store.
-        prefix: Key prefix of this system.
-        agent: host:port of any agent, for `--wait`.
-        wait: Return once the generation is in force on all VMs.
-        wait_seconds: Longest time to wait.
+        base: Generation that the files were made from. If the tables have
+            changed since, nothing is applied and what came between is shown.
+        where: The store.
+        whom: The agent to ask, for `--wait`.
+        waiting: Whether to wait until the change is in force.
+        as_json: Print JSON.
     """
 
-    async def work() -> None:
-        change = await _read_change(files, store, prefix)
-        if change.is_empty():
-            print(f"generation {change.generation - 1}: no difference")
-            return
-        async with sessions.open_log(store, prefix) as log:
-            await log.propose(change)
-        print(f"generation {change.generation} accepted")
-        if wait:
-            await _wait_in_force(change.generation, agent, wait_seconds)
+    async def work() -> edits.Edit:
+        wanted = declarations.read_tables(files)
+        async with sessions.open_log(where.store, where.prefix) as log:
+            return await edits.put_tables(log, wanted, base)
 
-    run_command(work())
+    _finish_edit(outputs.run_command(work(), as_json), whom, waiting, as_json)
+
+
+def _finish_edit(
+    edit: edits.Edit, whom: AgentAddress, waiting: Waiting, as_json: bool
+) -> None:
+    """Prints an accepted change and waits for it if asked to."""
+    document = _describe_edit(edit)
+    lines = _format_differences(edit)
+    if not edit.change.is_empty():
+        lines.append(f"generation {edit.generation} accepted")
+    if not as_json:
+        outputs.print_result(document, lines, as_json)
+    if waiting.wait:
+        work = _wait_in_force(edit.generation, whom.agent, waiting.wait_seconds)
+        holders, spent_seconds = outputs.run_command(work, as_json)
+        document |= {"in_force": holders, "seconds": round(spent_seconds, 3)}
+        if not as_json:
+            print(
+                f"generation {edit.generation} in force on {holders} of"
+                f" {holders} VMs after {spent_seconds:.2f} s"
+            )
+    if as_json:
+        outputs.print_result(document, [], as_json)
 
 
 async def _wait_in_force(
     generation: int, agent: str, wait_seconds: float
-) -> None:
+) -> tuple[int, float]:
     """Waits until a generation is in force on all VMs.
 
+    Returns:
+        How many VMs those are, and how long it took in seconds.
+
     Raises:
         NotInForceError: If the time ran out.
     """
     started_at = time.monotonic()
     give_up_at = started_at + wait_seconds
+    holders = known = 0
     while True:
-        heartbeats = await _read_heartbeats(agent)
-        holders = sum(h.generation >= generation for h in heartbeats)
-        if holders == len(heartbeats) and holders:
-            spent = time.monotonic() - started_at
-            print(
-                f"generation {generation} in force on {holders} of"
-                f" {len(heartbeats)} VMs after {spent:.2f} s"
-            )
-            return
+        try:
+            heartbeats = await statuses.read_heartbeats(agent)
+            known = len(heartbeats)
+            holders = sum(h.generation >= generation for h in heartbeats)
+        except errors.AgentUnavailableError:
+            # The change is accepted, whatever an agent answers or not.
+            holders = 0
+        if holders == known and holders:
+            return holders, time.monotonic() - started_at
         if time.monotonic() >= give_up_at:
-            raise errors.NotInForceError(generation, holders, len(heartbeats))
+            raise errors.NotInForceError(generation, holders, known)
         await asyncio.sleep(POLL_SECONDS)
 
 
-async def _read_heartbeats(agent: str) -> tuple[messages.Heartbeat, ...]:
-    """Returns the fleet as an agent knows it."""
-    answer = await sessions.ask_agent(agent, messages.StatusRequest())
-    assert isinstance(answer, messages.Members)
-    return answer.heartbeats
-
-
 @app.command
 def show(
-    store: StoreUrl = DEFAULT_STORE, prefix: Prefix = DEFAULT_PREFIX
+    *,
+    at: int | None = None,
+    where: StoreAddress = DEFAULT_STORE,
+    as_json: AsJson = False,
 ) -> None:
-    """Shows the tables at the head of the log, as JSON.
+    """Shows the tables as a file that `apply` takes.
 
     Args:
-        store: Base URL of the store.
-        prefix: Key prefix of this system.
+        at: Generation to show; the newest if not given.
+        where: The store.
+        as_json: Print JSON.
     """
 
     async def work() -> entities.Tables:
-        async with sessions.open_log(store, prefix) as log:
-            return await log.read_tables()
-
-    tables = run_command(work())
-    print(json.dumps(declarations.show_tables(tables), indent=2))
+        async with sessions.open_log(where.store, where.prefix) as log:
+            if at is None:
+                return await log.read_tables()
+            return await versions.read_tables_at(log, at)
+
+    tables = outputs.run_command(work(), as_json)
+    document = declarations.declare_tables(tables)
+    lines = [
+        f"# generation {tables.generation}",
+        declarations.format_tables(tables),
+    ]
+    outputs.print_result(
+        {"generation": tables.generation, **document}, lines, as_json
+    )
 
 
 @app.command
 def history(
-    store: StoreUrl = DEFAULT_STORE,
-    prefix: Prefix = DEFAULT_PREFIX,
+    *,
     last: int = 20,
+    where: StoreAddress = DEFAULT_STORE,
+    as_json: AsJson = False,
 ) -> None:
-    """Shows the newest changes, one per line.
+    """Shows the newest changes: who, when, and what differs.
 
     Args:
-        store: Base URL of the store.
-        prefix: Key prefix of this system.
         last: Number of changes to show.
+        where: The store.
+        as_json: Print JSON, one object per change.
     """
 
-    async def work() -> list[changes.Change]:
-        async with sessions.open_log(store, prefix) as log:
-            return await log.read_after(0)
+    async def work() -> list[versions.Version]:
+        async with sessions.open_log(where.store, where.prefix) as log:
+            return await versions.read_versions(log)
 
-    for change in run_command(work())[-last:]:
-        at = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(change.written_at))
-        lines = ", ".join(list_differences(change))
-        print(f"{change.generation}  {at}  {change.author}  {lines}")
+    found = outputs.run_command(work(), as_json)
+    for version in found[max(0, len(found) - last) :]:
+        _print_version(version, as_json)
+
+
+def _print_version(version: versions.Version, as_json: bool) -> None:
+    """Prints one change of the history."""
+    change = version.change
+    at = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(change.written_at))
+    altered = version.list_differences()
+    document = {
+        "generation": change.generation,
+        "change_id": change.change_id,
+        "author": change.author,
+        "written_at": change.written_at,
+        "differences": [dataclasses.asdict(d) for d in altered],
+    }
+    lines = [f"{change.generation}  {at} UTC  {change.author}"]
+    lines += [f"  {differences.format_difference(d)}" for d in altered]
+    outputs.print_result(document, lines, as_json)
 
 
 @app.command
-def status(agent: AgentAddress = DEFAULT_AGENT) -> None:
-    """Shows the VMs and gateways of the fleet.
+def status(
+    *,
+    pool: str = "",
+    show_all: Annotated[
+        bool, cyclopts.Parameter(name="--all", negative=())
+    ] = False,
+    whom: AgentAddress = DEFAULT_AGENT,
+    as_json: AsJson = False,
+) -> None:
+    """Shows VMs, gateways, the generation in force, pools and targets.
+
+    Lists each target that does not serve at some gateway, and why.
 
     Args:
-        agent: host:port of any agent.
+        pool: Only this pool.
+        show_all: List all targets.
+        whom: The agent to ask; it names all others.
+        as_json: Print JSON.
+    """
+    work = statuses.read_fleet(whom.agent, pool)
+    fleet = outputs.run_command(work, as_json)
+    lines = statuses.format_fleet(fleet, show_all)
+    outputs.print_result(statuses.describe_fleet(fleet), lines, as_json)
+
+
+@app.command
+def top(
+    *,
+    pool: str = "",
+    every_seconds: float = 1.0,
+    count: int = 0,
+    whom: AgentAddress = DEFAULT_AGENT,
+    as_json: AsJson = False,
+) -> None:
+    """Shows the status again and again until interrupted.
+
+    Args:
+        pool: Only this pool.
+        every_seconds: Time between two refreshes.
+        count: Number of refreshes; 0 for no end.
+        whom: The agent to ask.
+        as_json: Print JSON, one object per refresh.
+    """
+    shown = 0
+    while not count or shown < count:
+        if shown:
+            time.sleep(every_seconds)
+        shown += 1
+        work = statuses.read_fleet(whom.agent, pool)
+        fleet = outputs.run_command(work, as_json)
+        if as_json:
+            print(json.dumps(statuses.describe_fleet(fleet)), flush=True)
+            continue
+        text = "\n".join(statuses.format_fleet(fleet))
+        print(f"{CLEAR_SCREEN}{text}", flush=True)
+
+
+@app.command
+def drain(
+    name: str,
+    *,
+    vm_list: Annotated[
+        str, cyclopts.Parameter(env_var="WIGEONSPOOL_VM_LIST")
+    ] = "http://127.0.0.1:2378/v1/vms",
+    where: StoreAddress = DEFAULT_STORE,
+    whom: AgentAddress = DEFAULT_AGENT,
+    waiting: Waiting = NO_WAITING,
+    as_json: AsJson = False,
+) -> None:
+    """Takes a target out of service: it gets no new work.
+
+    A change of another operator is never lost: if one comes first, this one
+    is made again on top of it.
+
+    Args:
+        name: host:port of a target, or the name of a target's VM.
+        vm_list: URL of the VM list, to find the address of a VM.
+        where: The store.
+        whom: The agent to ask, for `--wait`.
+        waiting: Whether to wait until the change is in force.
+        as_json: Print JSON.
+    """
+    work = _set_drained(name, True, vm_list, where)
+    _finish_edit(outputs.run_command(work, as_json), whom, waiting, as_json)
+
+
+@app.command
+def undrain(
+    name: str,
+    *,
+    vm_list: Annotated[
+        str, cyclopts.Parameter(env_var="WIGEONSPOOL_VM_LIST")
+    ] = "http://127.0.0.1:2378/v1/vms",
+    where: StoreAddress = DEFAULT_STORE,
+    whom: AgentAddress = DEFAULT_AGENT,
+    waiting: Waiting = NO_WAITING,
+    as_json: AsJson = False,
+) -> None:
+    """Puts a drained target back into service.
+
+    Args:
+        name: host:port of a target, or the name of a target's VM.
+        vm_list: URL of the VM list, to find the address of a VM.
+        where: The store.
+        whom: The agent to ask, for `--wait`.
+        waiting: Whether to wait until the change is in force.
+        as_json: Print JSON.
+    """
+    work = _set_drained(name, False, vm_list, where)
+    _finish_edit(outputs.run_command(work, as_json), whom, waiting, as_json)
+
+
+async def _set_drained(
+    name: str, drained: bool, vm_list: str, where: StoreAddress
+) -> edits.Edit:
+    """Drains a target or puts it back into service.
+
+    Raises:
+        TargetUnknownError: If no pool has it.
+        VmListError: If the name is a VM's and the list could not be read.
+        ChangeConflictError: If other changes came first each time.
+        StoreError: If the store could not serve a call.
+    """
+    address = await _find_address(name, vm_list)
+
+    def alter(tables: entities.Tables) -> entities.Tables:
+        return edits.mark_drained(tables, address, drained)
+
+    async with sessions.open_log(where.store, where.prefix) as log:
+        return await edits.edit_tables(log, alter)
+
+
+async def _find_address(name: str, vm_list: str) -> str:
+    """Returns the address of a target that is named by address or VM.
+
+    Raises:
+        TargetUnknownError: If the VM list does not name the VM.
+        VmListError: If the VM list could not be read.
     """
-    for heartbeat in run_command(_read_heartbeats(agent)):
-        print(f"{heartbeat.vm}  generation {heartbeat.generation}")
-        for gateway in heartbeat.gateways:
-            state = "draining" if gateway.draining else "serving"
-            print(f"  {gateway.name}  {gateway.address}  {state}")
+    if ":" in name:
+        return name
+    async with aiohttp.ClientSession() as session:
+        listed = await vms.read_vms(session, vm_list, VM_LIST_SECONDS)
+    for vm in listed:
+        if vm.name == name and vm.role == "target":
+            return vm.address
+    raise errors.TargetUnknownError(name)
 
 
 def main() -> None:
--- /dev/null
+++ b/wigeonspool/operator/differences.py
@@ -0,0 +1,119 @@
+"""What differs between two states of the tables, field by field."""
+
+from collections.abc import Iterable, Iterator, Mapping
+import dataclasses
+from typing import Any
+
+from wigeonspool.model import entities
+
+TARGETS = "targets"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Difference:
+    """One thing that a change alters.
+
+    Attributes:
+        table: "pool" or "route".
+        row: Name of the row.
+        field: Field that changes, or "" if a row or target comes or goes.
+        target: Address of the target it is about, or "".
+        before: Value before, or None if there was none.
+        after: Value after, or None if there is none.
+    """
+
+    table: str
+    row: str
+    field: str
+    target: str
+    before: Any
+    after: Any
+
+
+def _compare_fields(
+    table: str, row: str, target: str, before: Any, after: Any
+) -> Iterator[Difference]:
+    """Yields the fields that differ between two rows of one type."""
+    for field in dataclasses.fields(before):
+        if field.name == TARGETS:
+            continue
+        old = getattr(before, field.name)
+        new = getattr(after, field.name)
+        if old != new:
+            yield Difference(table, row, field.name, target, old, new)
+
+
+def _compare_targets(
+    pool: str,
+    before: Iterable[entities.Target],
+    after: Iterable[entities.Target],
+) -> Iterator[Difference]:
+    """Yields what differs between the targets of one pool."""
+    old = {target.address: target for target in before}
+    new = {target.address: target for target in after}
+    for address in sorted(old.keys() | new.keys()):
+        if address in old and address in new:
+            yield from _compare_fields(
+                "pool", pool, address, old[address], new[address]
+            )
+        else:
+            yield Difference(
+                "pool", pool, "", address, old.get(address), new.get(address)
+            )
+
+
+def _compare_rows(
+    table: str, before: Mapping[str, Any], after: Mapping[str, Any]
+) -> Iterator[Difference]:
+    """Yields what differs between two states of one table."""
+    for name in sorted(before.keys() | after.keys()):
+        old = before.get(name)
+        new = after.get(name)
+        if old is None or new is None:
+            yield Difference(table, name, "", "", old, new)
+            continue
+        yield from _compare_fields(table, name, "", old, new)
+        if isinstance(old, entities.Pool) and isinstance(new, entities.Pool):
+            yield from _compare_targets(name, old.targets, new.targets)
+
+
+def compare_tables(
+    before: entities.Tables, after: entities.Tables
+) -> list[Difference]:
+    """Returns what leads from one state of the tables to another."""
+    return [
+        *_compare_rows("pool", before.pools, after.pools),
+        *_compare_rows("route", before.routes, after.routes),
+    ]
+
+
+def _format_value(value: Any) -> str:
+    """Returns a field's value as YAML would show it."""
+    if isinstance(value, bool):
+        return str(value).lower()
+    return str(value)
+
+
+def _summarize(value: Any) -> str:
+    """Returns what matters of a row that comes or goes."""
+    if isinstance(value, entities.Pool):
+        return f"{len(value.targets)} targets of {value.slots} slots"
+    if isinstance(value, entities.Route):
+        return f"{value.method} {value.path_prefix} to pool {value.pool}"
+    assert isinstance(value, entities.Target)
+    state = ", drained" if value.drained else ""
+    return f"zone {value.zone}{state}"
+
+
+def format_difference(difference: Difference) -> str:
+    """Returns the line that shows a difference to an operator."""
+    place = f"{difference.table} {difference.row}"
+    if difference.target:
+        place += f" target {difference.target}"
+    if difference.field:
+        before = _format_value(difference.before)
+        after = _format_value(difference.after)
+        return f"~ {place}: {difference.field}: {before} -> {after}"
+    if difference.before is None:
+        return f"+ {place}: {_summarize(difference.after)}"
+    return f"- {place}: {_summarize(difference.before)}"
