--- /dev/null
+++ b/wigeonspool/core/quarantine.py
@@ -0,0 +1,110 @@
+"""Finds requests that crash the targets that run them.
+
+A request whose connection broke while it ran is a suspect. A suspect is run
+again only where no other suspect runs, so that a second crash points at one
+request alone. A request that was running at two crashes is refused; one that
+was answered is no suspect any more.
+"""
+
+import dataclasses
+from typing import Final
+
+CRASHES_TO_REFUSE: Final = 2
+MAX_SUSPECTS: Final = 10_000
+SUSPECT_SECONDS: Final = 600.0
+# Crashes of this many targets within the window are no request's fault.
+MASS_CRASH_TARGETS: Final = 3
+MASS_CRASH_SECONDS: Final = 0.05
+
+
+@dataclasses.dataclass(slots=True)
+class SuspectRow:
+    """One request that was running when a target crashed.
+
+    Attributes:
+        fingerprint: Equal for resends of the same request.
+        targets: Addresses of the targets that crashed while it ran there.
+        forget_at: Deadline of the suspicion, on the core's clock.
+    """
+
+    fingerprint: int
+    targets: set[str]
+    forget_at: float
+
+
+class QuarantineTable:
+    """Holds the suspects of a gateway, its own and those it was told of."""
+
+    def __init__(self) -> None:
+        """Prepares an empty table."""
+        self._rows: dict[int, SuspectRow] = {}
+        self._crashes: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        """Returns the number of suspects."""
+        return len(self._rows)
+
+    def note_crash(self, now: float, fingerprint: int, target: str) -> None:
+        """Notes that a connection broke while a request ran.
+
+        Args:
+            now: Time on the core's clock, in seconds.
+            fingerprint: Fingerprint of the request; 0 is never a suspect.
+            target: Address of the target.
+        """
+        if not fingerprint or self._is_mass_crash(now, target):
+            return
+        row = self._rows.get(fingerprint)
+        if row is None:
+            if len(self._rows) >= MAX_SUSPECTS:
+                self._rows.pop(next(iter(self._rows)))
+            row = SuspectRow(fingerprint, set(), 0.0)
+            self._rows[fingerprint] = row
+        row.targets.add(target)
+        row.forget_at = now + SUSPECT_SECONDS
+
+    def _is_mass_crash(self, now: float, target: str) -> bool:
+        """Returns True if several targets crashed at the same time."""
+        self._crashes[target] = now
+        recent = {
+            address: at
+            for address, at in self._crashes.items()
+            if at > now - MASS_CRASH_SECONDS
+        }
+        self._crashes = recent
+        return len(recent) >= MASS_CRASH_TARGETS
+
+    def clear(self, fingerprint: int) -> None:
+        """Ends the suspicion of a request that was answered."""
+        self._rows.pop(fingerprint, None)
+
+    def is_suspect(self, fingerprint: int) -> bool:
+        """Returns True if a request was running at a crash."""
+        return fingerprint in self._rows
+
+    def is_refused(self, now: float, fingerprint: int) -> bool:
+        """Returns True if a request must not run any more."""
+        row = self._rows.get(fingerprint)
+        if row is None:
+            return False
+        if row.forget_at <= now:
+            del self._rows[fingerprint]
+            return False
+        return len(row.targets) >= CRASHES_TO_REFUSE
+
+    def list_suspects(self) -> list[tuple[int, tuple[str, ...]]]:
+        """Returns fingerprints and crashed targets, to tell other gateways."""
+        return [
+            (row.fingerprint, tuple(sorted(row.targets)))
+            for row in self._rows.values()
+        ]
+
+    def merge(
+        self, now: float, fingerprint: int, targets: tuple[str, ...]
+    ) -> None:
+        """Takes a suspect of another gateway."""
+        row = self._rows.get(fingerprint)
+        if row is None:
+            row = SuspectRow(fingerprint, set(), now + SUSPECT_SECONDS)
+            self._rows[fingerprint] = row
+        row.targets.update(targets)
