Try the home against interleavings of faults in virtual time

A state machine drives two real homes, runners and dispatchers over fake targets and connections: kill and restart, drain, held connections, lost replies between gateways, silent and refusing targets, expiring tokens, clocks that jump and step back. Seven planted faults, kept as tests, are each found; three others were tried and dropped: a second check hides them (mark_sent that always allows, mark_refused that does nothing) or the search meets them too seldom here (a full table), so that one is tried on the table's own machine.

--- /dev/null
+++ b/tests/test_home_machine.py
@@ -0,0 +1,468 @@
+"""Interleavings of faults over the real home, runner and core.
+
+Time is virtual: a jump of the clock is a pause of the whole process. Targets,
+the connections between gateways and callers are fakes.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Coroutine
+import contextlib
+import itertools
+from typing import Any
+from unittest import mock
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+from multidict import CIMultiDict
+import pytest
+
+from tests import test_once
+from wigeonspool import process
+from wigeonspool.core import once
+from wigeonspool.core import tables
+from wigeonspool.gateway import answers
+from wigeonspool.gateway import egress
+from wigeonspool.gateway import headers
+from wigeonspool.gateway import home as homes
+from wigeonspool.gateway import runner as runners
+from wigeonspool.gateway import scheduler as schedulers
+from wigeonspool.load import history as histories
+from wigeonspool.load import promises
+from wigeonspool.model import entities
+from wigeonspool.model import options
+from wigeonspool.model import outcomes
+from wigeonspool.wire import tokens
+
+TOKEN_SECONDS = 20.0
+SETTLE_TURNS = 30
+ROUTE = entities.Route("write", "POST", "/", "pool", idempotent=False)
+TARGETS = ("t0:1", "t1:1")
+MODES = ("answer", "fail", "shed", "lose", "silent", "slow", "refuse")
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose clock a test moves; it starts far from zero."""
+
+    now = 1000.0
+
+    def time(self) -> float:
+        return self.now
+
+
+class Content:
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+
+    async def iter_any(self) -> AsyncIterator[bytes]:
+        yield self._body
+
+
+class Request:
+    """What a home reads of an HTTP request."""
+
+    method = "POST"
+    path_qs = "/"
+    transport = None
+
+    def __init__(self, fields: Any, body: bytes) -> None:
+        self.headers = CIMultiDict(fields)
+        self.content_length = len(body)
+        self.content = Content(body)
+
+
+class Gateway:
+    """One incarnation of a gateway."""
+
+    def __init__(self, world: "World", name: str, incarnation: int) -> None:
+        self.world = world
+        self.entity = entities.Gateway(
+            name, str(incarnation), f"{name}:1", "z", name
+        )
+        self.scheduler = schedulers.Scheduler("z")
+        listed = tuple(entities.Target(a, "z") for a in TARGETS)
+        self.scheduler.configure([entities.Pool("pool", 1, listed)])
+        client: Any = world
+        runner = runners.RequestRunner(
+            self.scheduler, client, process.EventLog(name)
+        )
+        settings = options.GatewayOptions(
+            once_capacity=4, once_answer_bytes=30, token_seconds=TOKEN_SECONDS
+        )
+        self.home = homes.Home(
+            self.entity, settings, world.signer, runner, client
+        )
+        self.dead = asyncio.get_running_loop().create_future()
+        self.reachable = asyncio.Event()
+        self.reachable.set()
+        self.tasks: set[asyncio.Task[Any]] = set()
+
+    async def serve(self, request: Any, deadline: float) -> Any:
+        """Returns the ending, or None if this process dies first."""
+        await self.reachable.wait()
+        work = self.home.serve(request, ROUTE, "", deadline)
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        await asyncio.wait(
+            {task, self.dead}, return_when=asyncio.FIRST_COMPLETED
+        )
+        return None if self.dead.done() else task.result()
+
+    def kill(self) -> None:
+        self.dead.set_result(None)
+        running = [row.task for row in self.home._running.values()]
+        for task in [*self.tasks, *running]:
+            assert task is not None
+            task.cancel()
+
+
+class World:
+    """Gateways, targets and callers; it is also the egress of gateways."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self.loop = loop
+        self.wall_offset = 0.0
+        self.signer = tokens.TokenSigner(["k"])
+        self.history = histories.History()
+        self.modes = dict.fromkeys(TARGETS, "answer")
+        self.release = asyncio.Event()
+        self.lose_forwards = False
+        self.incarnations = itertools.count()
+        self.clock = itertools.count()
+        self.gateways = {name: self.build(name) for name in ("a", "b")}
+        self.sends: set[asyncio.Task[None]] = set()
+
+    def monotonic(self) -> float:
+        return self.loop.now
+
+    def time(self) -> float:
+        return self.loop.now + self.wall_offset
+
+    def build(self, name: str) -> Gateway:
+        return Gateway(self, name, next(self.incarnations))
+
+    async def attempt(
+        self, address: str, outgoing: egress.Outgoing, **_: Any
+    ) -> egress.Attempt:
+        async with asyncio.timeout_at(outgoing.deadline):
+            if address in TARGETS:
+                return await self._run(address, outgoing)
+            return await self._forward(address, outgoing)
+
+    async def _run(
+        self, address: str, outgoing: egress.Outgoing
+    ) -> egress.Attempt:
+        mode = self.modes[address]
+        if mode in ("shed", "refuse"):
+            return egress.Attempt(tables.Result(tables.ResultKind.NOT_RUN))
+        key = outgoing.fields[headers.KEY]
+        at = float(next(self.clock))
+        caller = outgoing.fields[headers.CALLER]
+        ending = "answered" if mode in ("answer", "fail", "slow") else "lost"
+        self.history.runs.append(
+            histories.Run(address, "", caller, key, "/", at, at, ending)
+        )
+        if mode == "silent":
+            await asyncio.Event().wait()
+        if mode == "slow":
+            await self.release.wait()
+        if mode == "lose":
+            return egress.Attempt(tables.Result(tables.ResultKind.LOST))
+        failed = mode == "fail"
+        kind = (
+            tables.ResultKind.FAILED if failed else tables.ResultKind.ANSWERED
+        )
+        answer = once.Answer(500 if failed else 200, (), key.encode())
+        return egress.Attempt(tables.Result(kind), answer=answer)
+
+    async def _forward(
+        self, address: str, outgoing: egress.Outgoing
+    ) -> egress.Attempt:
+        gateway = self.gateways[address.partition(":")[0]]
+        body = outgoing.body
+        assert isinstance(body, bytes)
+        request = Request(outgoing.fields, body)
+        ending = await gateway.serve(request, outgoing.deadline)
+        if ending is None or self.lose_forwards:
+            return egress.Attempt(tables.Result(tables.ResultKind.LOST))
+        if isinstance(ending, outcomes.Failure):
+            problem = answers.build_problem(ending, "")
+            fields = tuple(problem.headers.items())
+            answer = once.Answer(problem.status, fields, b"")
+        else:
+            told = ((str(headers.OUTCOME), "answered"), *ending.headers)
+            answer = once.Answer(ending.status, told, ending.body)
+        result = tables.Result(tables.ResultKind.ANSWERED)
+        return egress.Attempt(result, answer=answer)
+
+    async def call(
+        self, key: str, token: str, via: str, attempt: int, seconds: float
+    ) -> None:
+        """Sends a key once and writes down what its caller is told."""
+        send = histories.Invocation(
+            "", "c", key, "pool", False, float(next(self.clock)), 0.0
+        )
+        send.attempt = attempt
+        self.history.invocations.append(send)
+        fields = {
+            headers.CALLER: "c",
+            headers.KEY: key,
+            headers.ASSIGNMENT: token,
+            headers.ATTEMPT: str(attempt),
+        }
+        gateway = self.gateways[via]
+        request = Request(fields, b"body")
+        ending = await gateway.serve(request, self.loop.now + seconds)
+        send.ended_at = float(next(self.clock))
+        if ending is None:
+            send.outcome = "cut"
+        elif isinstance(ending, outcomes.Failure):
+            send.outcome = ending.outcome
+            send.reason = ending.reason
+        else:
+            send.outcome = "answered"
+            send.status = ending.status
+            send.own = ending.body == key.encode()
+
+
+NAMES = strategies.sampled_from(["a", "b"])
+
+
+class HomeMachine(stateful.RuleBasedStateMachine):
+    """Two gateways, two targets with one slot each, and two faults or more."""
+
+    keys = stateful.Bundle("keys")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = VirtualLoop()
+        self.world = self.run(self._build())
+        self.patch = mock.patch.object(homes, "time", self.world)
+        self.patch.start()
+        self.attempts: dict[str, int] = {}
+
+    async def _build(self) -> World:
+        return World(self.loop)
+
+    def run(self, work: Coroutine[Any, Any, Any]) -> Any:
+        return self.loop.run_until_complete(work)
+
+    async def _settle(self) -> None:
+        for _ in range(SETTLE_TURNS):
+            await asyncio.sleep(0)
+
+    @stateful.rule(target=keys, home=NAMES)
+    def get_key(self, home: str) -> tuple[str, str]:
+        name = f"key-{len(self.attempts)}"
+        self.attempts[name] = -1
+        gateway = self.world.gateways[home].entity
+        assignment = tokens.Assignment(
+            name.ljust(tokens.ASSIGNMENT_ID_CHARS, "-"),
+            "c",
+            gateway.name,
+            gateway.incarnation,
+            gateway.address,
+            self.world.time() + TOKEN_SECONDS,
+        )
+        token = self.world.signer.sign(assignment)
+        return (f"{assignment.assignment_id}.{name}", token)
+
+    @stateful.rule(
+        key=keys,
+        via=NAMES,
+        numbered=strategies.booleans(),
+        seconds=strategies.sampled_from([0.5, 3.0, 30.0]),
+    )
+    def send(
+        self, key: tuple[str, str], via: str, numbered: bool, seconds: float
+    ) -> None:
+        name = key[0].partition(".")[2]
+        self.attempts[name] += int(numbered or self.attempts[name] < 0)
+        work = self.world.call(*key, via, self.attempts[name], seconds)
+        self.world.sends.add(self.loop.create_task(work))
+        self.run(self._settle())
+
+    @stateful.rule(
+        address=strategies.sampled_from(TARGETS),
+        mode=strategies.sampled_from(MODES),
+    )
+    def change_target(self, address: str, mode: str) -> None:
+        self.world.modes[address] = mode
+
+    @stateful.rule()
+    def release_slow(self) -> None:
+        self.world.release.set()
+        self.run(self._settle())
+        self.world.release.clear()
+
+    @stateful.rule(lost=strategies.booleans())
+    def lose_forwards(self, lost: bool) -> None:
+        self.world.lose_forwards = lost
+
+    @stateful.rule(name=NAMES)
+    def hold(self, name: str) -> None:
+        self.world.gateways[name].reachable.clear()
+
+    @stateful.rule(name=NAMES)
+    def let_go(self, name: str) -> None:
+        self.world.gateways[name].reachable.set()
+        self.run(self._settle())
+
+    @stateful.rule(name=NAMES)
+    def restart(self, name: str) -> None:
+        self.world.gateways[name].kill()
+        self.world.gateways[name] = self.run(self._rebuild(name))
+        self.run(self._settle())
+
+    async def _rebuild(self, name: str) -> Gateway:
+        return self.world.build(name)
+
+    @stateful.rule(name=NAMES)
+    def drain(self, name: str) -> None:
+        self.world.gateways[name].home.draining = True
+
+    @stateful.rule(seconds=strategies.sampled_from([0.3, 0.6, 2.0, 25.0]))
+    def pass_time(self, seconds: float) -> None:
+        self.loop.now += seconds
+        for gateway in self.world.gateways.values():
+            self.loop.call_soon(gateway.scheduler.tick)
+        self.run(self._settle())
+
+    @stateful.rule(seconds=strategies.sampled_from([-15.0, 15.0]))
+    def step_wall_clock(self, seconds: float) -> None:
+        self.world.wall_offset += seconds
+
+    @stateful.invariant()
+    def promises_hold(self) -> None:
+        for name in ("own-answer", "not-run", "at-most-once", "answer-ran"):
+            assert promises.PROMISES[name](self.world.history) == []
+
+    @stateful.invariant()
+    def bounds_hold(self) -> None:
+        for gateway in self.world.gateways.values():
+            assert len(gateway.home._table) <= 4
+            assert gateway.home._table.answer_bytes <= 30
+
+    def teardown(self) -> None:
+        for gateway in self.world.gateways.values():
+            gateway.kill()
+        for task in self.world.sends:
+            task.cancel()
+        self.run(self._settle())
+        self.patch.stop()
+        self.loop.close()
+
+
+TestHomeMachine = HomeMachine.TestCase
+TestHomeMachine.settings = hypothesis.settings(
+    derandomize=True,
+    max_examples=150,
+    stateful_step_count=40,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+def claim_again(
+    self: once.OnceTable, now: float, sent: once.Presentation
+) -> None:
+    self._rows[sent.index] = once.OnceRow(
+        sent.body_digest, sent.expires_at, sent.attempt
+    )
+
+
+def refuse_whatever_left(
+    self: runners.RequestRunner, row: tables.RequestRow, sent: bool = True
+) -> outcomes.Failure:
+    self._scheduler.abandon(row)
+    return outcomes.refuse(outcomes.Reason.DEADLINE_PASSED)
+
+
+def trust_the_core(
+    self: once.OnceTable, index: once.Index, failure: outcomes.Failure
+) -> bool:
+    return True
+
+
+def forget_all_rows(self: once.OnceTable, now: float) -> None:
+    self._rows.clear()
+    self._expiries.clear()
+
+
+def free_refused_row(
+    self: once.OnceTable, index: once.Index, failure: outcomes.Failure
+) -> bool:
+    self._rows[index].state = once.OnceState.REFUSED
+    self._rows[index].failure = failure
+    self._rows[index].attempt = -1
+    return True
+
+
+def refuse_without_closing(
+    self: once.OnceTable, now: float, sent: once.Presentation
+) -> outcomes.Failure:
+    return outcomes.refuse(outcomes.Reason.TABLE_FULL)
+
+
+def call_doubt_not_run(reason: outcomes.Reason) -> outcomes.Failure:
+    return outcomes.refuse(reason)
+
+
+def tell_any_answer(row: once.OnceRow) -> once.Answer:
+    return once.Answer(200, (), b"another's")
+
+
+Planted = list[tuple[Any, str, Any]]
+
+MUTATIONS: dict[str, tuple[type[stateful.RuleBasedStateMachine], Planted]] = {
+    "a resend claims its key again": (
+        HomeMachine,
+        [(once.OnceTable, "claim", claim_again)],
+    ),
+    "a deadline hides that an attempt left": (
+        HomeMachine,
+        [
+            (runners.RequestRunner, "_expire", refuse_whatever_left),
+            (once.OnceTable, "mark_refused", trust_the_core),
+        ],
+    ),
+    "rows are forgotten before their token expires": (
+        HomeMachine,
+        [(once.OnceTable, "_forget_expired", forget_all_rows)],
+    ),
+    "an older send of a refused key runs": (
+        HomeMachine,
+        [(once.OnceTable, "mark_refused", free_refused_row)],
+    ),
+    "a full table does not keep its word": (
+        test_once.TableMachine,
+        [(once.OnceTable, "_refuse_without_row", refuse_without_closing)],
+    ),
+    "doubt is told as not run": (
+        HomeMachine,
+        [(outcomes, "doubt", call_doubt_not_run)],
+    ),
+    "a resend gets another's answer": (
+        HomeMachine,
+        [(once, "tell_row", tell_any_answer)],
+    ),
+}
+
+
+class TestMutations:
+    @pytest.mark.parametrize("name", MUTATIONS)
+    def test_machine_finds_a_planted_fault(self, name: str) -> None:
+        machine, planted = MUTATIONS[name]
+        settings = hypothesis.settings(
+            TestHomeMachine.settings,
+            max_examples=1500,
+            phases=[hypothesis.Phase.generate],
+            print_blob=False,
+        )
+        with contextlib.ExitStack() as stack:
+            for owner, attribute, replacement in planted:
+                patch = mock.patch.object(owner, attribute, replacement)
+                stack.enter_context(patch)
+            stack.enter_context(pytest.raises(AssertionError))
+            stateful.run_state_machine_as_test(machine, settings=settings)
