Pass bodies through whole or visibly broken, within the deadline

Cause: a stream that failed was counted as answered; a caller on HTTP/1.0 saw a short answer as whole; a long or chunked upload that a target refused halfway was sent again without its first part; request bodies were decompressed; fields named by Connection passed on; HEAD lost its length; a caller that stopped reading or never sent its body was waited for without bound; a streamed 5xx was never retried; callers that left were not counted. Ruled out: a held answer of 250 KB cannot show a caller that stops reading, since the kernel takes it whole; the test uses 15 MB.

--- /dev/null
+++ b/tests/lone.py
@@ -0,0 +1,145 @@
+"""One gateway without agents, scripted targets and callers on raw sockets."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+import json
+from typing import Any
+
+from tests import fleet as fleets
+from wigeonspool.gateway import service as gateways
+from wigeonspool.model import entities
+from wigeonspool.model import options
+
+ROUTES = (
+    entities.Route("read", "GET", "/queue", "queue", True),
+    entities.Route("head", "HEAD", "/queue", "queue", True),
+    entities.Route("upload", "PUT", "/queue", "queue", True),
+    entities.Route("write", "POST", "/once", "queue", False),
+    entities.Route("remove", "DELETE", "/once", "queue", False),
+)
+
+Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+class LoneGateway:
+    """A gateway whose tables a test sets directly."""
+
+    def __init__(self) -> None:
+        address = fleets.reserve_address()
+        self.address = address
+        settings = {
+            "vm": "vm-0",
+            "zone": "zone-0",
+            "region": "region",
+            "token_keys": ["test-key"],
+            "agent": {"listen": fleets.reserve_address()},
+            "gateway": {
+                "addresses": [address],
+                "metrics": [fleets.reserve_address()],
+            },
+        }
+        parsed = options.Options.model_validate(settings)
+        self.service = gateways.GatewayService(parsed, 0)
+        self._servers: list[asyncio.Server] = []
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def start(self, *targets: str, slots: int = 4) -> None:
+        await self.service.start()
+        self.point_at(*targets, slots=slots)
+
+    def point_at(self, *targets: str, slots: int = 4) -> None:
+        """Puts tables with one pool in force."""
+        view = self.service._view
+        listed = tuple(entities.Target(t, "zone-0") for t in targets)
+        pool = entities.Pool("queue", slots, listed)
+        routes = {route.name: route for route in ROUTES}
+        generation = view.tables.generation + 1
+        view.take_tables(entities.Tables(generation, routes, {"queue": pool}))
+        gateway = self.service._gateway
+        view.gateways = {gateway.name: gateway}
+        self.service._take_view()
+
+    async def script(self, serve: Script) -> str:
+        """Starts a target that follows a script on each connection."""
+        address = fleets.reserve_address()
+        host, _, port = address.rpartition(":")
+
+        async def run(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            self._writers.append(writer)
+            try:
+                await serve(reader, writer)
+            except (
+                OSError,
+                asyncio.CancelledError,
+                asyncio.IncompleteReadError,
+            ):
+                writer.close()
+
+        server = await asyncio.start_server(run, host, int(port))
+        self._servers.append(server)
+        return address
+
+    async def build_once_fields(self, key: str = "k") -> str:
+        """Returns the fields that let a request run at most once."""
+        raw = await call(
+            self.address,
+            "GET /.wigeonspool/address?pool=queue HTTP/1.1\r\nHost: a\r\n"
+            "Connection: close\r\n\r\n",
+        )
+        assignment = json.loads(split_answer(raw)[2])["assignment"]
+        return (
+            f"Wigeonspool-Assignment: {assignment['token']}\r\n"
+            f"Idempotency-Key: {assignment['id']}.{key}\r\n"
+        )
+
+    def count(self, outcome: str, reason: str = "") -> int:
+        return self.service._ingress.counts.get((outcome, reason), 0)
+
+    async def wait_count(self, outcome: str, reason: str = "") -> None:
+        await fleets.wait_for(lambda: self.count(outcome, reason) == 1)
+
+    def count_slots(self) -> int:
+        """Returns the slots that attempts hold."""
+        rows = self.service._scheduler.core.list_targets("queue")
+        return sum(row.in_flight for row in rows)
+
+    async def stop(self) -> None:
+        for server in self._servers:
+            server.close()
+        for writer in self._writers:
+            writer.close()
+        self.service._callers._shutdown_timeout = 0.0
+        await self.service.stop()
+
+
+async def call(address: str, request: str | bytes) -> bytes:
+    """Sends raw bytes; returns all that comes until the connection ends."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    if isinstance(request, str):
+        request = request.encode("latin-1")
+    writer.write(request)
+    try:
+        async with asyncio.timeout(10):
+            return await reader.read()
+    finally:
+        writer.close()
+
+
+def split_answer(raw: bytes) -> tuple[int, list[tuple[str, str]], bytes]:
+    """Returns status, fields and undecoded body of a raw answer."""
+    head, _, body = raw.partition(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    fields = [line.partition(": ")[::2] for line in lines[1:]]
+    return int(lines[0].split()[1]), fields, body
+
+
+async def read_head(reader: asyncio.StreamReader) -> bytes:
+    return await reader.readuntil(b"\r\n\r\n")
+
+
+async def never(*_: Any) -> None:
+    """A script that answers nothing."""
+    await asyncio.sleep(60)
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,330 @@
+import asyncio
+from collections.abc import AsyncIterator
+import http.client
+import pathlib
+import socket
+import tracemalloc
+from typing import Any
+
+import aiohttp
+import pytest
+import pytest_asyncio
+import yaml
+
+from tests import fleet as fleets
+from tests import lone
+
+CASES = yaml.safe_load(
+    (pathlib.Path(__file__).parent / "cases/answers.yaml").read_text()
+)
+GET = "GET /queue HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+MEGABYTE = 1024 * 1024
+
+
+@pytest_asyncio.fixture
+async def gateway() -> AsyncIterator[lone.LoneGateway]:
+    started = lone.LoneGateway()
+    await started.start()
+    yield started
+    await started.stop()
+
+
+@pytest_asyncio.fixture
+async def session() -> AsyncIterator[aiohttp.ClientSession]:
+    async with aiohttp.ClientSession() as opened:
+        yield opened
+
+
+async def send_part(
+    gateway: lone.LoneGateway, answer: bytes, then: str = "close"
+) -> None:
+    """Points the gateway at a target that sends an answer and stops."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await lone.read_head(reader)
+        writer.write(answer)
+        await writer.drain()
+        if then == "close":
+            writer.close()
+        else:
+            await asyncio.sleep(60)
+
+    gateway.point_at(await gateway.script(serve))
+
+
+class TestAnswers:
+    @pytest.mark.parametrize("case", CASES, ids=lambda case: case["name"])
+    async def test_answer_reaches_the_caller(
+        self, gateway: lone.LoneGateway, case: dict[str, Any]
+    ) -> None:
+        then = "close" if case.get("close") else "stay"
+        await send_part(gateway, case["answer"].encode(), then)
+        start = GET.replace("GET", case["method"], 1)
+        raw = await lone.call(gateway.address, f"{start}\r\n")
+        status, fields, body = lone.split_answer(raw)
+        assert status == case["status"]
+        assert body.decode() == case["body"]
+        for name, values in case.get("present", {}).items():
+            got = [v for n, v in fields if n.lower() == name.lower()]
+            assert got == values
+        names = {name.lower() for name, _ in fields}
+        assert not names & {n.lower() for n in case.get("absent", [])}
+        assert gateway.count("answered") == 1
+
+
+class TestBrokenAnswers:
+    LENGTH = b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n"
+    CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    PARTS = (LENGTH + b"x" * 600_000, CHUNKED + b"5\r\nhello\r\n")
+
+    @pytest.mark.parametrize("part", PARTS, ids=["length", "chunked"])
+    async def test_target_that_breaks_off_never_looks_whole(
+        self,
+        gateway: lone.LoneGateway,
+        session: aiohttp.ClientSession,
+        part: bytes,
+    ) -> None:
+        await send_part(gateway, part)
+        with pytest.raises(aiohttp.ClientError):
+            async with session.get(
+                f"http://{gateway.address}/queue"
+            ) as response:
+                await response.read()
+        await gateway.wait_count("unknown", "connection-lost")
+        assert gateway.count("answered") == 0
+        assert gateway.count_slots() == 0
+
+    async def test_caller_of_http_1_0_sees_a_reset(
+        self, gateway: lone.LoneGateway
+    ) -> None:
+        await send_part(gateway, self.PARTS[1])
+        with pytest.raises(ConnectionResetError):
+            await lone.call(gateway.address, "GET /queue HTTP/1.0\r\n\r\n")
+
+    async def test_stream_that_passes_its_deadline_is_broken_off(
+        self, gateway: lone.LoneGateway, session: aiohttp.ClientSession
+    ) -> None:
+        await send_part(gateway, self.PARTS[0], "stay")
+        with pytest.raises(aiohttp.ClientError):
+            async with session.get(
+                f"http://{gateway.address}/queue",
+                headers={"Wigeonspool-Remaining-Ms": "200"},
+            ) as response:
+                await response.read()
+        await gateway.wait_count("unknown", "deadline-passed")
+        assert gateway.count_slots() == 0
+
+    async def test_short_answer_that_breaks_off_is_retried(
+        self, gateway: lone.LoneGateway
+    ) -> None:
+        requests = 0
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal requests
+            await lone.read_head(reader)
+            requests += 1
+            body = b"he" if requests == 1 else b"hello"
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
+            writer.write(body)
+            writer.close()
+
+        gateway.point_at(await gateway.script(serve))
+        raw = await lone.call(gateway.address, f"{GET}\r\n")
+        assert raw.endswith(b"\r\n\r\nhello")
+        assert requests == 2
+
+
+class TestCallersThatLeave:
+    async def leave(self, fleet: fleets.Fleet, path: str) -> None:
+        host, _, port = fleet.addresses["vm-0"].rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(f"GET {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+        target = next(iter(fleet.targets.values()))
+        await fleets.wait_for(lambda: target.runs)
+        await asyncio.sleep(0.05)
+        writer.close()
+        await fleets.wait_for(lambda: target.runs[0].ending)
+        assert target.runs[0].ending == "cancelled"
+        ingress = fleet.gateways["vm-0"]._ingress
+        index = ("unknown", "caller-left")
+        await fleets.wait_for(lambda: ingress.counts.get(index) == 1)
+
+    @pytest.mark.parametrize("path", ["/queue", "/queue?bytes=200000000"])
+    async def test_work_is_cancelled_at_the_target(
+        self, fleet: fleets.Fleet, path: str
+    ) -> None:
+        service_ms = 1.0 if "bytes" in path else 60_000.0
+        await fleet.start_target(service_ms=service_ms)
+        await fleet.apply(fleet.declare())
+        await self.leave(fleet, path)
+
+    @pytest.mark.parametrize(
+        ("start", "size", "reason"),
+        [
+            ("POST /once", 15_000_000, "caller-left"),
+            ("GET /queue", 50_000_000, "deadline-passed"),
+        ],
+        ids=["held", "streamed"],
+    )
+    async def test_caller_that_stops_reading_holds_nothing(
+        self, gateway: lone.LoneGateway, start: str, size: int, reason: str
+    ) -> None:
+        fields = await gateway.build_once_fields()
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n"
+        await send_part(gateway, head.encode() + b"x" * size, "stay")
+        host, _, port = gateway.address.rpartition(":")
+        with socket.socket() as caller:
+            # The kernel's buffers then hold less than an answer.
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.connect((host, int(port)))
+            caller.sendall(
+                f"{start} HTTP/1.1\r\nHost: a\r\n{fields}"
+                "Wigeonspool-Remaining-Ms: 1500\r\n\r\n".encode()
+            )
+            await gateway.wait_count("unknown", reason)
+        assert gateway.count_slots() == 0
+        assert gateway.count("answered") == 0
+        server = gateway.service._callers.server
+        assert server is not None
+        await fleets.wait_for(lambda: not server.connections)
+
+
+class TestMemory:
+    SIZE = 64 * MEGABYTE
+    HELD_BOUND = 4 * MEGABYTE
+
+    async def test_export_is_not_held(self, fleet: fleets.Fleet) -> None:
+        await fleet.start_target()
+        await fleet.apply(fleet.declare())
+        url = f"http://{fleet.addresses['vm-0']}/queue?bytes={self.SIZE}"
+        tracemalloc.start()
+        try:
+            received = 0
+            async with fleet.session.get(url) as response:
+                async for chunk in response.content.iter_any():
+                    received += len(chunk)
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert received == self.SIZE
+        assert peak < self.HELD_BOUND
+
+    async def test_upload_is_not_held(self, fleet: fleets.Fleet) -> None:
+        target = await fleet.start_target()
+        document = fleet.declare()
+        document["routes"][0]["method"] = "PUT"
+        await fleet.apply(document)
+
+        async def send() -> AsyncIterator[bytes]:
+            for _ in range(self.SIZE // MEGABYTE):
+                yield b"x" * MEGABYTE
+
+        url = f"http://{fleet.addresses['vm-0']}/queue"
+        tracemalloc.start()
+        try:
+            async with fleet.session.put(url, data=send()) as response:
+                assert response.status == 200
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert target.runs[0].body_bytes == self.SIZE
+        assert peak < 2 * self.HELD_BOUND
+
+
+class TestUploads:
+    async def test_upload_refused_halfway_is_not_sent_again(
+        self, gateway: lone.LoneGateway, session: aiohttp.ClientSession
+    ) -> None:
+        heads = []
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            heads.append(await lone.read_head(reader))
+            await reader.readexactly(100_000)
+            writer.write(
+                b"HTTP/1.1 503 No\r\nWigeonspool-Outcome: not_run\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+            await asyncio.sleep(60)
+
+        gateway.point_at(
+            await gateway.script(serve), await gateway.script(serve)
+        )
+        async with session.put(
+            f"http://{gateway.address}/queue", data=b"x" * 2 * MEGABYTE
+        ) as response:
+            assert response.headers["Wigeonspool-Outcome"] == "not_run"
+        assert len(heads) == 1
+
+    async def test_upload_whose_target_dies_is_unknown(
+        self, gateway: lone.LoneGateway, session: aiohttp.ClientSession
+    ) -> None:
+        heads = []
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            heads.append(await lone.read_head(reader))
+            await reader.readexactly(100_000)
+            writer.transport.abort()
+
+        gateway.point_at(
+            await gateway.script(serve), await gateway.script(serve)
+        )
+        async with session.put(
+            f"http://{gateway.address}/queue", data=b"x" * 2 * MEGABYTE
+        ) as response:
+            assert response.headers["Wigeonspool-Outcome"] == "unknown"
+        assert len(heads) == 1
+
+    async def test_caller_that_expects_continue_is_told(
+        self, gateway: lone.LoneGateway
+    ) -> None:
+        await send_part(
+            gateway, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "stay"
+        )
+        start = GET.replace("GET", "PUT", 1)
+        raw = await lone.call(
+            gateway.address,
+            f"{start}Content-Length: 2\r\nExpect: 100-continue\r\n\r\nok",
+        )
+        assert raw.startswith(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK")
+
+    async def test_body_that_never_comes_is_not_waited_for(
+        self, gateway: lone.LoneGateway
+    ) -> None:
+        gateway.point_at(await gateway.script(lone.never))
+        start = GET.replace("GET", "PUT", 1)
+        fields = "Content-Length: 9\r\nWigeonspool-Remaining-Ms: 100\r\n"
+        raw = await lone.call(gateway.address, f"{start}{fields}\r\nabc")
+        status, answered, _ = lone.split_answer(raw)
+        assert status == http.client.GATEWAY_TIMEOUT
+        assert ("Wigeonspool-Outcome", "not_run") in answered
+
+    async def test_encoded_body_passes_untouched(
+        self, gateway: lone.LoneGateway
+    ) -> None:
+        bodies = []
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            head = await lone.read_head(reader)
+            bodies.append((head, await reader.readexactly(4)))
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            await asyncio.sleep(60)
+
+        gateway.point_at(await gateway.script(serve))
+        start = GET.replace("GET", "PUT", 1)
+        await lone.call(
+            gateway.address,
+            f"{start}Content-Length: 4\r\nContent-Encoding: gzip\r\n\r\nabcd",
+        )
+        assert bodies[0][1] == b"abcd"
+        assert b"content-encoding: gzip" in bodies[0][0].lower()
+        assert b"transfer-encoding" not in bodies[0][0].lower()
--- a/wigeonspool/gateway/answers.py
+++ b/wigeonspool/gateway/answers.py
@@ -1,11 +1,15 @@
-"""Answers that a gateway gives of its own, as problem documents (RFC 9457)."""
+"""Builds and sends answers: targets' own, and problem documents (RFC 9457)."""
 
+import asyncio
 import json
 from typing import Final
 
 from aiohttp import web
+from multidict import CIMultiDict
 
+from wigeonspool.core import once
 from wigeonspool.gateway import headers
+from wigeonspool.gateway import streaming
 from wigeonspool.model import outcomes
 
 PROBLEM_TYPE: Final = "application/problem+json"
@@ -23,6 +27,7 @@
     outcomes.Reason.BODY_TOO_LARGE: 413,
     outcomes.Reason.BAD_REQUEST: 400,
     outcomes.Reason.DEADLINE_PASSED: 504,
+    outcomes.Reason.INTERNAL_ERROR: 500,
 }
 _DEFAULT_STATUS: Final = {
     outcomes.Outcome.NOT_RUN: 503,
@@ -56,3 +61,39 @@
             headers.REQUEST: request_id,
         },
     )
+
+
+def build_answer(answer: once.Answer, request_id: str) -> web.Response:
+    """Returns the response that carries a target's whole answer.
+
+    Args:
+        answer: Whole answer of a target.
+        request_id: Identity of the request, for the time line.
+    """
+    fields = CIMultiDict(answer.headers)
+    fields[headers.OUTCOME] = outcomes.Outcome.ANSWERED
+    fields[headers.REQUEST] = request_id
+    return web.Response(status=answer.status, headers=fields, body=answer.body)
+
+
+async def send(
+    request: web.BaseRequest, response: web.Response, deadline: float
+) -> bool:
+    """Sends a whole response to a caller.
+
+    Args:
+        request: Request of the caller.
+        response: What to send.
+        deadline: Time by which the caller must have read it, loop clock.
+
+    Returns:
+        False if the caller left or did not read it; its connection is reset.
+    """
+    try:
+        async with asyncio.timeout_at(deadline):
+            await response.prepare(request)
+            await response.write_eof()
+    except OSError:
+        streaming.break_off(request)
+        return False
+    return True
--- a/wigeonspool/gateway/egress.py
+++ b/wigeonspool/gateway/egress.py
@@ -1,26 +1,40 @@
 """Sends attempts to targets over kept HTTP connections."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 import dataclasses
-from typing import Final
+from typing import Final, Protocol
 
 import aiohttp
 from multidict import CIMultiDict
+import yarl
 
 from wigeonspool.core import once
 from wigeonspool.core import tables
+from wigeonspool.gateway import connections
 from wigeonspool.gateway import headers
+from wigeonspool.gateway import silence
 
 WHOLE_ANSWER_BYTES: Final = 256 * 1024
-# Methods that the HTTP client sends again by itself when a kept connection
-# proves dead.
-RESENT_METHODS: Final = frozenset(
-    {"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"}
-)
 STATUS_UNAVAILABLE: Final = 503
+STATUS_FAILED: Final = 500
+BODILESS_STATUS: Final = frozenset({204, 304})
 
-Body = bytes | aiohttp.StreamReader | None
+
+class StreamedBody(Protocol):
+    """A body that passes through once.
+
+    Attributes:
+        spent: True once a part of it was taken; it cannot be sent again.
+    """
+
+    spent: bool
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        """Returns the chunks of the body."""
+
+
+Body = bytes | StreamedBody | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,6 +55,11 @@
     body: Body
     deadline: float
 
+    def is_spent(self) -> bool:
+        """Returns True if its body was taken and it cannot be sent again."""
+        body = self.body
+        return body is not None and not isinstance(body, bytes) and body.spent
+
 
 @dataclasses.dataclass(slots=True)
 class Attempt:
@@ -49,7 +68,7 @@
     Attributes:
         result: What the core learns, or None while an answer streams.
         answer: The whole answer, if there is one.
-        response: The open answer, if it is too long to hold.
+        response: The open answer, if it is passed on as it arrives.
     """
 
     result: tables.Result | None
@@ -58,24 +77,28 @@
 
 
 class Egress:
-    """Holds the connections of a gateway to targets and other gateways."""
+    """Holds the connections of a gateway to targets and other gateways.
+
+    Attributes:
+        silent: Kept connections that were found silent or dead.
+        on_silent: Called with the address of each.
+    """
 
     def __init__(self) -> None:
-        connector = aiohttp.TCPConnector(
-            limit=0, keepalive_timeout=60, ttl_dns_cache=None
-        )
-        self._session = aiohttp.ClientSession(
-            connector=connector,
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(total=None),
-            skip_auto_headers=("User-Agent", "Accept-Encoding", "Accept"),
-        )
+        self.silent = 0
+        self.on_silent: Callable[[str], None] = lambda _: None
+        self._kept = connections.TargetConnector(reuse=True)
+        self._sessions = {
+            True: _open_session(self._kept),
+            False: _open_session(connections.TargetConnector(reuse=False)),
+        }
+        self._silence = silence.SilenceDetector()
         self._loop = asyncio.get_running_loop()
 
     async def close(self) -> None:
         """Closes all connections."""
-        await self._session.close()
+        for session in self._sessions.values():
+            await session.close()
 
     async def attempt(
         self,
@@ -84,16 +107,25 @@
         may_retry_connection: bool,
         before_send: Callable[[], bool] | None = None,
         whole_bytes: int = WHOLE_ANSWER_BYTES,
+        may_stream: bool = False,
+        route: str = "",
     ) -> Attempt:
         """Sends one attempt and reads its answer if it is short.
 
+        A request that may not be sent twice gets a connection of its own: a
+        kept one may have died since its last use, and whether the request ran
+        would then be unknown.
+
         Args:
             address: host:port to send to.
             outgoing: What to send.
-            may_retry_connection: True if the HTTP client may send again when
-                a kept connection proves dead.
+            may_retry_connection: True if the request may be sent again when
+                a kept connection proves dead or silent.
             before_send: Must return True right before the attempt leaves.
             whole_bytes: Longest answer to hold whole.
+            may_stream: True if a longer answer may be returned open;
+                otherwise it counts as lost.
+            route: Route of the request, whose times are learned.
 
         Raises:
             TimeoutError: If the deadline passed.
@@ -101,61 +133,166 @@
         if before_send is not None and not before_send():
             return Attempt(tables.Result(tables.ResultKind.NOT_RUN))
         try:
+            response = await self._open(
+                address, outgoing, may_retry_connection, route
+            )
             async with asyncio.timeout_at(outgoing.deadline):
-                response = await self._open(
-                    address, outgoing, may_retry_connection
-                )
-                return await self._read(response, whole_bytes)
-        except aiohttp.ClientConnectorError:
+                return await _read(response, whole_bytes, may_stream)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return Attempt(tables.Result(tables.ResultKind.NOT_RUN))
-        except (aiohttp.ClientError, OSError) as error:
-            if isinstance(error, TimeoutError):
-                raise
+        except (aiohttp.ClientError, OSError):
+            if self._loop.time() >= outgoing.deadline:
+                raise TimeoutError from None
             return Attempt(tables.Result(tables.ResultKind.LOST))
 
     async def _open(
-        self, address: str, outgoing: Outgoing, may_retry_connection: bool
+        self, address: str, outgoing: Outgoing, may_repeat: bool, route: str
+    ) -> aiohttp.ClientResponse:
+        """Returns the open answer; tries a fresh connection if it may."""
+        exchange = self._start_exchange(outgoing, may_repeat, route)
+        try:
+            return await self._send(
+                address, outgoing, may_repeat, route, exchange
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            raise
+        except (aiohttp.ClientError, OSError):
+            if not exchange.reused:
+                raise
+            self._distrust(address)
+            late = self._loop.time() >= outgoing.deadline
+            if late or not may_repeat or outgoing.is_spent():
+                raise
+        exchange = self._start_exchange(outgoing, may_repeat, route)
+        return await self._send(address, outgoing, may_repeat, route, exchange)
+
+    def _start_exchange(
+        self, outgoing: Outgoing, may_repeat: bool, route: str
+    ) -> connections.Exchange:
+        """Returns a new exchange with the time at which it is suspected."""
+        now = self._loop.time()
+        suspect_at = outgoing.deadline
+        if may_repeat and route and not outgoing.is_spent():
+            limit = self._silence.find_limit(route, suspect_at - now)
+            suspect_at = min(suspect_at, now + limit)
+        timeout = asyncio.timeout_at(outgoing.deadline)
+        return connections.Exchange(timeout, suspect_at)
+
+    async def _send(
+        self,
+        address: str,
+        outgoing: Outgoing,
+        may_repeat: bool,
+        route: str,
+        exchange: connections.Exchange,
     ) -> aiohttp.ClientResponse:
-        """Sends the request and returns the open answer."""
-        remaining = outgoing.deadline - self._loop.time()
+        """Sends a request over one connection; returns the open answer.
+
+        Raises:
+            TimeoutError: If no answer began in time.
+        """
+        connections.EXCHANGE.set(exchange)
+        started_at = self._loop.time()
         fields = outgoing.fields.copy()
+        remaining = outgoing.deadline - started_at
         fields[headers.REMAINING_MS] = str(max(0, int(remaining * 1000)))
-        if not may_retry_connection and outgoing.method in RESENT_METHODS:
-            # A connection of its own has nothing to resend.
-            fields["Connection"] = "close"
-        return await self._session.request(
-            outgoing.method,
-            f"http://{address}{outgoing.path}",
-            headers=fields,
-            data=outgoing.body,
-            allow_redirects=False,
+        suspected = self._loop.call_at(
+            exchange.suspect_at, self._suspect, exchange, outgoing
         )
+        try:
+            async with exchange.timeout:
+                response = await self._sessions[may_repeat].request(
+                    outgoing.method,
+                    yarl.URL(f"http://{address}{outgoing.path}", encoded=True),
+                    headers=fields,
+                    data=outgoing.body,
+                    allow_redirects=False,
+                )
+        finally:
+            suspected.cancel()
+        if route:
+            self._silence.learn(route, self._loop.time() - started_at)
+        return response
 
-    async def _read(
-        self, response: aiohttp.ClientResponse, whole_bytes: int
-    ) -> Attempt:
-        """Reads a short answer whole, or returns a long one open."""
-        length = response.content_length
-        if length is None or length > whole_bytes:
-            return Attempt(None, response=response)
-        body = await response.read()
-        answer = once.Answer(
-            response.status, filter_fields(response.headers), body
-        )
-        return Attempt(classify_answer(response), answer=answer)
+    def _suspect(
+        self, exchange: connections.Exchange, outgoing: Outgoing
+    ) -> None:
+        """Ends an exchange that is without an answer for too long."""
+        if exchange.suspect_at >= outgoing.deadline or outgoing.is_spent():
+            return
+        if self._silence.has_budget():
+            self._silence.spend()
+            exchange.timeout.reschedule(self._loop.time())
+
+    def _distrust(self, address: str) -> None:
+        """Closes the kept connections to a peer, for they may be gone too."""
+        host, _, port = address.rpartition(":")
+        self._kept.distrust(host, int(port))
+        self.silent += 1
+        self.on_silent(address)
 
 
-def filter_fields(
-    fields: "CIMultiDict[str] | aiohttp.typedefs.LooseHeaders",
-) -> tuple[tuple[str, str], ...]:
-    """Returns the header fields that pass from one hop to the next."""
-    return tuple(
-        (name, value)
-        for name, value in CIMultiDict(fields).items()
-        if name.lower() not in headers.HOP_BY_HOP
+def _open_session(
+    connector: connections.TargetConnector,
+) -> aiohttp.ClientSession:
+    """Returns a client that passes messages on unchanged."""
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=connections.CONNECT_SECONDS
+        ),
+        skip_auto_headers=(
+            "User-Agent",
+            "Accept-Encoding",
+            "Accept",
+            "Content-Type",
+        ),
+        middlewares=(connections.forbid_resend,),
     )
 
 
+async def _read(
+    response: aiohttp.ClientResponse, whole_bytes: int, may_stream: bool
+) -> Attempt:
+    """Reads a short answer whole, or returns a long one open."""
+    bodiless = response.method == "HEAD" or response.status in BODILESS_STATUS
+    length = 0 if bodiless else response.content_length
+    # A failure is held, however it is framed, so that it can be retried.
+    held = length is None and response.status >= STATUS_FAILED
+    if may_stream and not held and (length is None or length > whole_bytes):
+        return Attempt(None, response=response)
+    try:
+        body = await _read_up_to(response, whole_bytes)
+    except BaseException:
+        response.close()
+        raise
+    if body is None:
+        response.close()
+        return Attempt(tables.Result(tables.ResultKind.LOST))
+    fields = headers.select_end_to_end(response.headers)
+    if bodiless and "Content-Length" in response.headers:
+        fields["Content-Length"] = response.headers["Content-Length"]
+    answer = once.Answer(response.status, tuple(fields.items()), body)
+    return Attempt(classify_answer(response), answer=answer)
+
+
+async def _read_up_to(
+    response: aiohttp.ClientResponse, bound: int
+) -> bytes | None:
+    """Returns a whole body, or None if it exceeds a bound in bytes."""
+    parts: list[bytes] = []
+    size = 0
+    async for part in response.content.iter_any():
+        parts.append(part)
+        size += len(part)
+        if size > bound:
+            return None
+    response.release()
+    return b"".join(parts)
+
+
 def classify_answer(response: aiohttp.ClientResponse) -> tables.Result:
     """Returns what the core learns from a whole answer."""
     draining = headers.DRAINING in response.headers
--- a/wigeonspool/gateway/headers.py
+++ b/wigeonspool/gateway/headers.py
@@ -1,7 +1,9 @@
 """Names of the HTTP fields that callers, gateways and targets share."""
 
+from collections.abc import Mapping
 from typing import Final
 
+from multidict import CIMultiDict
 from multidict import istr
 
 ASSIGNMENT: Final = istr("Wigeonspool-Assignment")
@@ -30,6 +32,31 @@
         "transfer-encoding",
         "upgrade",
         "host",
+        "expect",
         "content-length",
     }
 )
+
+
+def select_end_to_end(fields: Mapping[str, str]) -> CIMultiDict[str]:
+    """Returns the fields that pass from one hop to the next.
+
+    Fields that the Connection field names belong to the hop too.
+
+    Args:
+        fields: Fields of a message; names may occur more than once.
+    """
+    passed = CIMultiDict(
+        [
+            (name, value)
+            for name, value in fields.items()
+            if name.lower() not in HOP_BY_HOP
+        ]
+    )
+    named = fields.get("Connection")
+    if named is None or named.lower() in ("keep-alive", "close"):
+        return passed
+    for value in CIMultiDict(fields).getall("Connection"):
+        for name in value.split(","):
+            passed.popall(name.strip(), None)
+    return passed
--- a/wigeonspool/gateway/home.py
+++ b/wigeonspool/gateway/home.py
@@ -65,7 +65,7 @@
             request_id: Identity on the time line.
             deadline: Time by which its caller wants the answer, loop clock.
         """
-        body, held = await incoming.read_body(request)
+        body, held = await incoming.read_body(request, deadline)
         if not held:
             return outcomes.refuse(outcomes.Reason.BODY_TOO_LARGE)
         assignment = self._check_assignment(request)
--- a/wigeonspool/gateway/incoming.py
+++ b/wigeonspool/gateway/incoming.py
@@ -1,16 +1,55 @@
 """Reads what gateways need to know from a caller's request."""
 
+import asyncio
+from collections.abc import AsyncIterator
 import hashlib
 from typing import Final
 
+import aiohttp
 from aiohttp import web
-from multidict import CIMultiDict
 
 from wigeonspool.gateway import egress
 from wigeonspool.gateway import headers
+from wigeonspool.model import errors
 from wigeonspool.model import outcomes
 
 HELD_BODY_BYTES: Final = 1024 * 1024
+CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class BodyStream:
+    """A request body that is too long to hold and passes through once.
+
+    Attributes:
+        length: Its length in bytes, or None if the caller told none.
+        spent: True once a part of it was taken; it cannot be sent again.
+    """
+
+    __slots__ = ("_head", "_rest", "length", "spent")
+
+    def __init__(
+        self, head: bytes, rest: aiohttp.StreamReader, length: int | None
+    ) -> None:
+        """Prepares the stream.
+
+        Args:
+            head: What was read of the body so far.
+            rest: Where the rest comes from.
+            length: Its length in bytes, or None if the caller told none.
+        """
+        self._head = head
+        self._rest = rest
+        self.length = length
+        self.spent = False
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        """Yields the body as it arrives."""
+        self.spent = True
+        if self._head:
+            yield self._head
+            self._head = b""
+        async for chunk in self._rest.iter_any():
+            yield chunk
 
 
 def read_remaining(request: web.BaseRequest) -> float | outcomes.Failure:
@@ -23,14 +62,47 @@
     return int(text) / 1000
 
 
-async def read_body(request: web.BaseRequest) -> tuple[egress.Body, bool]:
-    """Returns a request's body, and whether it is held whole."""
+async def read_body(
+    request: web.BaseRequest, deadline: float
+) -> tuple[egress.Body, bool]:
+    """Returns a request's body, and whether it is held whole.
+
+    Args:
+        request: Request of a caller.
+        deadline: Time by which the body must be here, loop clock.
+
+    Raises:
+        BodyUnreadableError: If the body is late or breaks HTTP.
+    """
     if not request.body_exists:
         return None, True
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        await request.writer.write(CONTINUE)
+        # The answer itself has not begun.
+        request.writer.output_size = 0
     length = request.content_length
-    if length is None or length > HELD_BODY_BYTES:
-        return request.content, False
-    return await request.read(), True
+    if length is not None and length > HELD_BODY_BYTES:
+        return BodyStream(b"", request.content, length), False
+    try:
+        async with asyncio.timeout_at(deadline):
+            head = await _read_up_to(request.content, HELD_BODY_BYTES)
+    except TimeoutError:
+        raise errors.BodyUnreadableError("late", True) from None
+    except (aiohttp.ClientError, web.RequestPayloadError) as error:
+        raise errors.BodyUnreadableError(repr(error), False) from error
+    if len(head) <= HELD_BODY_BYTES:
+        return head, True
+    return BodyStream(head, request.content, None), False
+
+
+async def _read_up_to(source: aiohttp.StreamReader, bound: int) -> bytes:
+    """Returns a stream's bytes, or a first part that exceeds a bound."""
+    parts: list[bytes] = []
+    size = 0
+    while size <= bound and (part := await source.readany()):
+        parts.append(part)
+        size += len(part)
+    return b"".join(parts)
 
 
 def build_outgoing(
@@ -40,11 +112,13 @@
     deadline: float,
 ) -> egress.Outgoing:
     """Returns what a target gets of a request."""
-    fields = CIMultiDict(egress.filter_fields(request.headers))
+    fields = headers.select_end_to_end(request.headers)
     fields.popall(headers.ASSIGNMENT, None)
     fields[headers.REQUEST] = request_id
+    if isinstance(body, BodyStream) and body.length is not None:
+        fields["Content-Length"] = str(body.length)
     return egress.Outgoing(
-        request.method, request.path_qs, fields, body, deadline
+        request.method, request.raw_path, fields, body, deadline
     )
 
 
--- a/wigeonspool/gateway/ingress.py
+++ b/wigeonspool/gateway/ingress.py
@@ -1,10 +1,11 @@
 """Takes requests from callers and gives each its own answer."""
 
 import asyncio
+from typing import Final
 
 from aiohttp import web
-from multidict import CIMultiDict
 
+from wigeonspool.core import once
 from wigeonspool.gateway import addresses
 from wigeonspool.gateway import answers
 from wigeonspool.gateway import egress
@@ -13,14 +14,18 @@
 from wigeonspool.gateway import incoming
 from wigeonspool.gateway import runner as runners
 from wigeonspool.gateway import scheduler as schedulers
+from wigeonspool.gateway import streaming
 from wigeonspool.gateway import view as views
 from wigeonspool.model import entities
+from wigeonspool.model import errors
 from wigeonspool.model import events
 from wigeonspool.model import options
 from wigeonspool.model import outcomes
 from wigeonspool.process import EventLog
 from wigeonspool.wire import tokens
 
+PROBLEM_SECONDS: Final = 1.0
+
 
 class Ingress:
     """Serves callers on behalf of one gateway.
@@ -59,6 +64,9 @@
         self._log = log
         self._received = 0
         self._loop = asyncio.get_running_loop()
+        client.on_silent = lambda address: log.record(
+            events.Kind.CONNECTION_SILENT, target=address
+        )
         signer = tokens.TokenSigner(settings.token_keys)
         self._addresses = addresses.AddressBook(
             gateway.zone, settings.gateway, view, signer
@@ -80,55 +88,104 @@
         if request_id is None:
             self._received += 1
             request_id = f"{self.gateway.name}-{self._received}"
-        ending = await self._serve_work(request, request_id)
-        response = self._tell(ending, request_id)
-        if self.draining:
-            response.force_close()
+        try:
+            ending = await self._serve_work(request, request_id)
+            response, failure = await self._tell(request, request_id, ending)
+        except asyncio.CancelledError:
+            left = outcomes.doubt(outcomes.Reason.CALLER_LEFT)
+            self.count(request_id, left)
+            raise
+        self.count(request_id, failure)
         return response
 
     async def _serve_work(
         self, request: web.BaseRequest, request_id: str
-    ) -> runners.Ending | web.StreamResponse:
-        """Serves a request that belongs to a route."""
+    ) -> tuple[runners.Ending | streaming.Streamed, float]:
+        """Serves a request that belongs to a route.
+
+        Returns:
+            How it ended, and its deadline on the loop clock.
+        """
+        now = self._loop.time()
         route = self._view.routes.find(request.method, request.path)
         if route is None:
-            return outcomes.refuse(outcomes.Reason.NO_ROUTE)
+            return outcomes.refuse(outcomes.Reason.NO_ROUTE), now
         limit = incoming.read_remaining(request)
         if isinstance(limit, outcomes.Failure):
-            return limit
-        deadline = self._loop.time() + min(route.time_limit_seconds, limit)
+            return limit, now
+        deadline = now + min(route.time_limit_seconds, limit)
         self.demand[route.pool] = self.demand.get(route.pool, 0) + 1
         self._log.record(events.Kind.REQUEST_RECEIVED, request=request_id)
+        try:
+            ending = await self._run(request, route, request_id, deadline)
+        except errors.BodyUnreadableError as error:
+            reason = outcomes.Reason.BAD_REQUEST
+            if error.late:
+                reason = outcomes.Reason.DEADLINE_PASSED
+            ending = outcomes.refuse(reason)
+        return ending, deadline
+
+    async def _run(
+        self,
+        request: web.BaseRequest,
+        route: entities.Route,
+        request_id: str,
+        deadline: float,
+    ) -> runners.Ending | streaming.Streamed:
+        """Runs a request of a route.
+
+        Raises:
+            BodyUnreadableError: If its body did not arrive; nothing was sent.
+        """
         if not route.idempotent:
             return await self._home.serve(request, route, request_id, deadline)
-        body, held = await incoming.read_body(request)
+        body, held = await incoming.read_body(request, deadline)
         outgoing = incoming.build_outgoing(request, request_id, body, deadline)
         # A body that is not held cannot be sent twice.
         row = self._runner.create_row(route, deadline, idempotent=held)
         return await self._runner.run(row, outgoing, request_id, request)
 
-    def _tell(
+    async def _tell(
         self,
-        ending: runners.Ending | web.StreamResponse,
+        request: web.BaseRequest,
         request_id: str,
-    ) -> web.StreamResponse:
-        """Returns the response for a request that ended, and counts it."""
+        told: tuple[runners.Ending | streaming.Streamed, float],
+    ) -> tuple[web.StreamResponse, outcomes.Failure | None]:
+        """Sends the caller its response.
+
+        Returns:
+            The response, and why the request was not answered, if so.
+        """
+        ending, deadline = told
+        if isinstance(ending, streaming.Streamed):
+            if self.draining:
+                ending.response.force_close()
+            return ending.response, ending.failure
+        late = self._loop.time() >= deadline
+        if isinstance(ending, once.Answer) and late:
+            ending = outcomes.doubt(outcomes.Reason.DEADLINE_PASSED)
+        response: web.Response
+        failure: outcomes.Failure | None = None
+        if isinstance(ending, outcomes.Failure):
+            failure = ending
+            response = answers.build_problem(ending, request_id)
+            deadline = self._loop.time() + PROBLEM_SECONDS
+        else:
+            response = answers.build_answer(ending, request_id)
+        if self.draining:
+            response.force_close()
+        if not await answers.send(request, response, deadline):
+            failure = outcomes.doubt(outcomes.Reason.CALLER_LEFT)
+        return response, failure
+
+    def count(self, request_id: str, failure: outcomes.Failure | None) -> None:
+        """Counts a request that ended and records how."""
         outcome = str(outcomes.Outcome.ANSWERED)
         reason = ""
-        if isinstance(ending, outcomes.Failure):
-            outcome = ending.outcome
-            reason = ending.reason
+        if failure is not None:
+            outcome = failure.outcome
+            reason = failure.reason
         index = (outcome, reason)
         self.counts[index] = self.counts.get(index, 0) + 1
         detail = {"outcome": outcome, "reason": reason}
         self._log.record(events.Kind.REQUEST_SETTLED, request_id, detail=detail)
-        if isinstance(ending, web.StreamResponse):
-            return ending
-        if isinstance(ending, outcomes.Failure):
-            return answers.build_problem(ending, request_id)
-        fields = CIMultiDict(ending.headers)
-        fields[headers.OUTCOME] = outcomes.Outcome.ANSWERED
-        fields[headers.REQUEST] = request_id
-        return web.Response(
-            status=ending.status, headers=fields, body=ending.body
-        )
--- /dev/null
+++ b/wigeonspool/gateway/listener.py
@@ -0,0 +1,81 @@
+"""The callers' port: what is not proper HTTP gets a typed answer and ends."""
+
+import asyncio
+from typing import Any, Final
+
+from aiohttp import web
+import loguru
+
+from wigeonspool.gateway import answers
+from wigeonspool.gateway import ingress as ingresses
+from wigeonspool.model import outcomes
+
+LINGER_SECONDS: Final = 1.0
+STATUS_BAD_REQUEST: Final = 400
+
+
+class CallerProtocol(web.RequestHandler):
+    """One connection of a caller."""
+
+    __slots__ = ("_ingress",)
+
+    def __init__(
+        self, server: web.Server, ingress: ingresses.Ingress, **settings: Any
+    ) -> None:
+        """Prepares a connection.
+
+        Args:
+            server: Server that it belongs to.
+            ingress: Counts what ended.
+            settings: Settings of the HTTP library.
+        """
+        super().__init__(server, **settings)
+        self._ingress = ingress
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Returns the last response of a connection that broke.
+
+        Raises:
+            ConnectionError: If an answer has begun, so that none can follow.
+        """
+        if status == STATUS_BAD_REQUEST:
+            failure = outcomes.refuse(outcomes.Reason.BAD_REQUEST)
+        else:
+            failure = outcomes.doubt(outcomes.Reason.INTERNAL_ERROR)
+            loguru.logger.opt(exception=exc).error("a request failed")
+        self._ingress.count("", failure)
+        if request.writer.output_size > 0:
+            raise ConnectionError("an answer has begun")
+        response = answers.build_problem(failure, "")
+        response.force_close()
+        return response
+
+
+class CallerServer(web.Server):
+    """The server of the callers' port."""
+
+    def __init__(self, ingress: ingresses.Ingress) -> None:
+        """Prepares the server.
+
+        Args:
+            ingress: Serves the requests.
+        """
+        super().__init__(ingress.serve, handler_cancellation=True)
+        self._ingress = ingress
+
+    def __call__(self) -> web.RequestHandler:
+        """Returns the protocol of a new connection."""
+        return CallerProtocol(
+            self,
+            self._ingress,
+            loop=asyncio.get_running_loop(),
+            access_log=None,
+            auto_decompress=False,
+            lingering_time=LINGER_SECONDS,
+        )
--- a/wigeonspool/gateway/runner.py
+++ b/wigeonspool/gateway/runner.py
@@ -15,6 +15,7 @@
 from wigeonspool.gateway import egress
 from wigeonspool.gateway import headers
 from wigeonspool.gateway import scheduler as schedulers
+from wigeonspool.gateway import streaming
 from wigeonspool.model import entities
 from wigeonspool.model import events
 from wigeonspool.model import outcomes
@@ -86,7 +87,7 @@
             guard: Hears of each attempt.
         """
         ending = await self._run(row, outgoing, request_id, None, guard)
-        assert not isinstance(ending, web.StreamResponse)
+        assert not isinstance(ending, streaming.Streamed)
         return ending
 
     async def run(
@@ -95,7 +96,7 @@
         outgoing: egress.Outgoing,
         request_id: str,
         request: web.BaseRequest,
-    ) -> Ending | web.StreamResponse:
+    ) -> Ending | streaming.Streamed:
         """Runs a request; a long answer streams to the caller.
 
         Args:
@@ -105,7 +106,7 @@
             request: Caller's request, to stream to.
 
         Returns:
-            How the request ended, or the response that was streamed.
+            How the request ended, or the answer that was streamed.
         """
         try:
             return await self._run(row, outgoing, request_id, request, None)
@@ -120,7 +121,7 @@
         request_id: str,
         request: web.BaseRequest | None,
         guard: OnceGuard | None,
-    ) -> Ending | web.StreamResponse:
+    ) -> Ending | streaming.Streamed:
         """Follows the core's actions until the request ends."""
         answer: once.Answer | None = None
         try:
@@ -130,11 +131,13 @@
                 self._log.record(
                     events.Kind.REQUEST_SENT, request_id, action.target
                 )
-                attempt = await self._attempt(action, outgoing, guard)
+                if outgoing.is_spent():
+                    return self._give_up(row)
+                attempt = await self._attempt(row, action, outgoing, guard)
                 if attempt.response is not None:
                     assert request is not None
                     return await self._stream(
-                        request, request_id, row, action.target, attempt
+                        request, request_id, row, action, attempt.response
                     )
                 answer = attempt.answer
                 assert attempt.result is not None
@@ -160,8 +163,16 @@
             return outcomes.doubt(outcomes.Reason.DEADLINE_PASSED)
         return outcomes.refuse(outcomes.Reason.DEADLINE_PASSED)
 
+    def _give_up(self, row: tables.RequestRow) -> outcomes.Failure:
+        """Ends a request whose body was taken and cannot be sent again."""
+        self._scheduler.abandon(row)
+        if row.may_have_run:
+            return outcomes.doubt(outcomes.Reason.TARGET_REFUSED)
+        return outcomes.refuse(outcomes.Reason.TARGET_REFUSED)
+
     async def _attempt(
         self,
+        row: tables.RequestRow,
         action: actions.Send,
         outgoing: egress.Outgoing,
         guard: OnceGuard | None,
@@ -169,7 +180,11 @@
         """Sends one attempt."""
         if guard is None:
             return await self._client.attempt(
-                action.target, outgoing, may_retry_connection=True
+                action.target,
+                outgoing,
+                may_retry_connection=row.idempotent,
+                may_stream=True,
+                route=row.route,
             )
         return await self._client.attempt(
             action.target,
@@ -184,36 +199,21 @@
         request: web.BaseRequest,
         request_id: str,
         row: tables.RequestRow,
-        target: str,
-        attempt: egress.Attempt,
-    ) -> web.StreamResponse:
-        """Passes a long answer on as it arrives."""
-        source = attempt.response
-        assert source is not None
-        fields = CIMultiDict(egress.filter_fields(source.headers))
-        fields[headers.OUTCOME] = outcomes.Outcome.ANSWERED
-        fields[headers.REQUEST] = request_id
-        response = web.StreamResponse(status=source.status, headers=fields)
-        if source.content_length is not None:
-            response.content_length = source.content_length
-        result = tables.Result(tables.ResultKind.LOST)
-        try:
-            async with asyncio.timeout_at(row.deadline):
-                await response.prepare(request)
-                async for chunk in source.content.iter_any():
-                    await response.write(chunk)
-                await response.write_eof()
+        action: actions.Send,
+        source: aiohttp.ClientResponse,
+    ) -> streaming.Streamed:
+        """Passes a long answer on, and tells the core how it ended."""
+        streamed = await streaming.pass_on(
+            request, request_id, source, row.deadline
+        )
+        if streamed.failure is None:
             result = egress.classify_answer(source)
-        except (TimeoutError, aiohttp.ClientError, OSError):
-            # The caller must see that the answer is not whole.
-            if request.transport is not None:
-                request.transport.abort()
-        finally:
-            source.close()
-            # What was streamed cannot be taken back, so no attempt follows.
-            row.idempotent = False
-        await self._scheduler.finish(row, target, result)
-        return response
+        else:
+            result = tables.Result(tables.ResultKind.LOST)
+        # What was streamed cannot be taken back, so no attempt follows.
+        row.idempotent = False
+        await self._scheduler.finish(row, action.target, result)
+        return streamed
 
 
 def read_forwarded(answer: once.Answer) -> Ending:
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -14,6 +14,7 @@
 from wigeonspool.gateway import egress
 from wigeonspool.gateway import ingress
 from wigeonspool.gateway import link
+from wigeonspool.gateway import listener
 from wigeonspool.gateway import scheduler
 from wigeonspool.gateway import view
 from wigeonspool.model import entities
@@ -83,7 +84,7 @@
             self._take_view,
         )
         self.add_future(link.keep_following(self._link, RECONNECT_SECONDS))
-        server = web.Server(self._ingress.serve, handler_cancellation=True)
+        server = listener.CallerServer(self._ingress)
         self._callers = await process.serve_http(self._gateway.address, server)
         metrics = web.Server(process.show_metrics)
         self._metrics = await process.serve_http(
--- a/wigeonspool/load/history.py
+++ b/wigeonspool/load/history.py
@@ -49,6 +49,7 @@
     started_at: float
     ended_at: float
     ending: str
+    body_bytes: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/wigeonspool/model/errors.py
+++ b/wigeonspool/model/errors.py
@@ -29,6 +29,16 @@
         self.problem = problem
 
 
+class BodyUnreadableError(WigeonspoolError):
+    """A caller's request body did not arrive whole; nothing was sent."""
+
+    code = "body-unreadable"
+
+    def __init__(self, problem: str, late: bool) -> None:
+        super().__init__(f"request body could not be read: {problem}")
+        self.late = late
+
+
 class WireError(WigeonspoolError):
     """A peer broke the stream protocol; the connection is closed."""
 
--- a/wigeonspool/model/outcomes.py
+++ b/wigeonspool/model/outcomes.py
@@ -45,6 +45,7 @@
     IN_PROGRESS = "in-progress"
     BODY_TOO_LARGE = "body-too-large"
     BAD_REQUEST = "bad-request"
+    INTERNAL_ERROR = "internal-error"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wigeonspool/standin/target.py
+++ b/wigeonspool/standin/target.py
@@ -56,6 +56,7 @@
         started_at: Wall clock, in seconds.
         ended_at: Wall clock, or 0 while it runs.
         ending: "answered", "cancelled", "failed" or "".
+        body_bytes: Length of its body.
     """
 
     target: str
@@ -66,6 +67,7 @@
     started_at: float
     ended_at: float = 0.0
     ending: str = ""
+    body_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,6 +83,16 @@
     service_ms: float
 
 
+async def _read_body(request: web.BaseRequest) -> tuple[bytes, int]:
+    """Returns the first part of a body, and its whole length in bytes."""
+    head = b""
+    size = 0
+    async for part in request.content.iter_any():
+        head += part[: CHUNK_BYTES - len(head)]
+        size += len(part)
+    return head, size
+
+
 class TargetStandin:
     """One target."""
 
@@ -127,7 +139,7 @@
             return web.Response(status=500)
         if self.faults.shedding or self.faults.draining:
             return self._shed()
-        body = await request.read()
+        body, size = await _read_body(request)
         if b"crash-target" in body or "crash-target" in request.query:
             self._crash(request)
         run = Run(
@@ -137,6 +149,7 @@
             request.headers.get(KEY, ""),
             request.path,
             time.time(),
+            body_bytes=size,
         )
         self._in_flight += 1
         try:
@@ -169,6 +182,7 @@
             "key": run.key,
             "target": self.address,
             "echo": body.decode("utf-8", "replace"),
+            "body_bytes": run.body_bytes,
         }
         return web.Response(
             body=json.dumps(document).encode(),
