--- a/wigeonspool/gateway/egress.py
+++ b/wigeonspool/gateway/egress.py
@@ -105,9 +105,7 @@
         address: str,
         outgoing: Outgoing,
         may_retry_connection: bool,
-        before_send: Callable[[], bool] | None = None,
         whole_bytes: int = WHOLE_ANSWER_BYTES,
-        may_stream: bool = False,
         route: str = "",
     ) -> Attempt:
         """Sends one attempt and reads its answer if it is short.
@@ -121,23 +119,18 @@
             outgoing: What to send.
             may_retry_connection: True if the request may be sent again when
                 a kept connection proves dead or silent.
-            before_send: Must return True right before the attempt leaves.
             whole_bytes: Longest answer to hold whole.
-            may_stream: True if a longer answer may be returned open;
-                otherwise it counts as lost.
             route: Route of the request, whose times are learned.
 
         Raises:
             TimeoutError: If the deadline passed.
         """
-        if before_send is not None and not before_send():
-            return Attempt(tables.Result(tables.ResultKind.NOT_RUN))
         try:
             response = await self._open(
                 address, outgoing, may_retry_connection, route
             )
             async with asyncio.timeout_at(outgoing.deadline):
-                return await _read(response, whole_bytes, may_stream)
+                return await _read(response, whole_bytes)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return Attempt(tables.Result(tables.ResultKind.NOT_RUN))
         except (aiohttp.ClientError, OSError):
@@ -253,15 +246,13 @@
     )
 
 
-async def _read(
-    response: aiohttp.ClientResponse, whole_bytes: int, may_stream: bool
-) -> Attempt:
+async def _read(response: aiohttp.ClientResponse, whole_bytes: int) -> Attempt:
     """Reads a short answer whole, or returns a long one open."""
     bodiless = response.method == "HEAD" or response.status in BODILESS_STATUS
     length = 0 if bodiless else response.content_length
     # A failure is held, however it is framed, so that it can be retried.
     held = length is None and response.status >= STATUS_FAILED
-    if may_stream and not held and (length is None or length > whole_bytes):
+    if not held and (length is None or length > whole_bytes):
         return Attempt(None, response=response)
     try:
         body = await _read_up_to(response, whole_bytes)
--- a/wigeonspool/gateway/incoming.py
+++ b/wigeonspool/gateway/incoming.py
@@ -14,6 +14,8 @@
 from wigeonspool.model import outcomes
 
 HELD_BODY_BYTES: Final = 1024 * 1024
+ATTEMPT_DIGITS: Final = 9
+LEAST_BODY_SECONDS: Final = 1.0
 CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -64,7 +66,7 @@
 
 async def read_body(
     request: web.BaseRequest, deadline: float
-) -> tuple[egress.Body, bool]:
+) -> tuple[bytes | BodyStream | None, bool]:
     """Returns a request's body, and whether it is held whole.
 
     Args:
@@ -105,6 +107,31 @@
     return b"".join(parts)
 
 
+async def read_bounded(
+    request: web.BaseRequest, deadline: float
+) -> bytes | None:
+    """Returns a request's whole body, or None if it is too long to hold.
+
+    Args:
+        request: Request of a caller.
+        deadline: Time by which the body must be here, loop clock.
+
+    Raises:
+        BodyUnreadableError: If the body is late or breaks HTTP.
+    """
+    body, _ = await read_body(request, deadline)
+    if isinstance(body, BodyStream):
+        return None
+    return body or b""
+
+
+def read_attempt(request: web.BaseRequest) -> int:
+    """Returns which send of its key a request is; 0 if it does not tell."""
+    text = request.headers.get(headers.ATTEMPT, "")
+    is_number = text.isascii() and text.isdecimal()
+    return int(text) if is_number and len(text) <= ATTEMPT_DIGITS else 0
+
+
 def build_outgoing(
     request: web.BaseRequest,
     request_id: str,
