--- a/wigeonspool/model/outcomes.py
+++ b/wigeonspool/model/outcomes.py
@@ -46,6 +46,7 @@
     ANSWER_NOT_KEPT = "answer-not-kept"
     BODY_TOO_LARGE = "body-too-large"
     BAD_REQUEST = "bad-request"
+    INTERNAL_ERROR = "internal-error"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
