Order events of all processes and never hide one behind another

Cause: no clock followed another, so an effect on one VM could stand before its cause on another; the time line asked agents one after the other and failed as a whole if one was gone; a gateway's ring of 4,096 events held little more than a second of requests and no change of state; forgotten events were counted and told nobody.

Events of requests have a ring of their own.

Forms: text, JSON lines, Chrome trace; filters by request, target, VM and kind go to the processes.

--- a/wigeonspool/agent/hub.py
+++ b/wigeonspool/agent/hub.py
@@ -8,9 +8,11 @@
 import aioprometheus
 import loguru
 
+from wigeonspool import process
 from wigeonspool.agent import configuration
 from wigeonspool.agent import gathering
 from wigeonspool.model import errors
+from wigeonspool.model import events
 from wigeonspool.model import messages
 from wigeonspool.wire import senders
 from wigeonspool.wire import streams
@@ -54,6 +56,7 @@
         state: configuration.ConfigurationState,
         answer: Callable[[messages.Message], messages.Message | None],
         on_heartbeat: Callable[[messages.Heartbeat], None],
+        log: process.EventLog,
     ) -> None:
         """Prepares the hub.
 
@@ -61,10 +64,12 @@
             state: Tables to feed to subscribers.
             answer: Answers a question of an operator, or None.
             on_heartbeat: Called with each heartbeat of another agent.
+            log: Events of this process.
         """
         self._state = state
         self._answer = answer
         self._on_heartbeat = on_heartbeat
+        self._log = log
         self._server: asyncio.Server | None = None
         self.subscribers: list[Subscriber] = []
         self.rejected: dict[str, int] = {}
@@ -90,12 +95,16 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serves one stream until it ends."""
-        stream = streams.Stream(reader, writer)
+        stream = streams.Stream(reader, writer, self._log.clock)
         try:
             await self._converse(stream)
         except errors.WireError as error:
             self.rejected[error.code] = self.rejected.get(error.code, 0) + 1
             STREAMS_REJECTED.inc({"code": error.code})
+            self._log.record(
+                events.Kind.PEER_REJECTED,
+                detail={"peer": stream.peer, "code": error.code},
+            )
             loguru.logger.warning(
                 "closed the stream of {}: {}", stream.peer, error
             )
--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -59,7 +59,9 @@
         self._log = process.EventLog(f"{settings.vm}-agent")
         self._state = configuration.ConfigurationState()
         self._members = members.MemberTable(settings.agent.silence_seconds)
-        self._hub = hub.Hub(self._state, self._answer, self._take_heartbeat)
+        self._hub = hub.Hub(
+            self._state, self._answer, self._take_heartbeat, self._log
+        )
         self._vms: list[entities.Vm] = []
         self._feeders: dict[str, asyncio.Task[None]] = {}
         self._upstreams: dict[str, streams.Stream] = {}
@@ -151,7 +153,7 @@
             WireError: If the feeder broke the protocol.
             OSError: If the stream failed.
         """
-        stream = await streams.open_stream(address)
+        stream = await streams.open_stream(address, self._log.clock)
         name = f"{self._settings.vm}-agent"
         hello = messages.Hello(
             name, "agent", self._incarnation, self._settings.vm
@@ -276,7 +278,7 @@
         if isinstance(message, messages.StatusRequest):
             return self._build_members()
         if isinstance(message, messages.EventsRequest):
-            return self._log.build_reply()
+            return self._log.build_reply(message.wanted)
         if isinstance(message, messages.VmStatusRequest):
             return messages.VmStatusReply(())
         return None
--- a/wigeonspool/gateway/link.py
+++ b/wigeonspool/gateway/link.py
@@ -56,7 +56,7 @@
             WireError: If the agent broke the protocol.
             OSError: If the stream failed.
         """
-        stream = await streams.open_stream(self._address)
+        stream = await streams.open_stream(self._address, self._log.clock)
         try:
             await stream.send(self._hello)
             self._stream = stream
@@ -83,7 +83,7 @@
             self._view.leaving = frozenset(message.leaving)
             self._on_change()
         elif isinstance(message, messages.EventsRequest):
-            stream.post(self._log.build_reply())
+            stream.post(self._log.build_reply(message.wanted))
         elif isinstance(message, messages.VmStatusRequest):
             status = self._build_status(message.pool)
             stream.post(messages.VmStatusReply((status,)))
--- a/wigeonspool/model/events.py
+++ b/wigeonspool/model/events.py
@@ -8,7 +8,8 @@
 import enum
 from typing import Final
 
-RING_CAPACITY_EVENTS: Final = 4096
+REQUEST_CAPACITY_EVENTS: Final = 4096
+STATE_CAPACITY_EVENTS: Final = 1024
 
 
 class Kind(enum.StrEnum):
@@ -71,23 +72,79 @@
     detail: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Filter:
+    """Which events are wanted; an empty field wants all.
+
+    Attributes:
+        request: Identity of a request.
+        target: Address of a target.
+        vm: Name of a VM that an event is about, or that its process runs on.
+        kinds: Kinds of events.
+    """
+
+    request: str = ""
+    target: str = ""
+    vm: str = ""
+    kinds: tuple[Kind, ...] = ()
+
+    def matches(self, event: Event) -> bool:
+        """Returns True if an event is wanted."""
+        if self.kinds and event.kind not in self.kinds:
+            return False
+        if self.request not in ("", event.request):
+            return False
+        if self.target not in ("", event.target):
+            return False
+        if self.vm in ("", event.vm):
+            return True
+        return event.stamp.process.startswith(f"{self.vm}-")
+
+
+WANT_ALL: Final = Filter()
+
+
 class Ring:
-    """Keeps the newest events of a process."""
+    """Keeps the newest events of a process.
 
-    __slots__ = ("_events", "dropped")
+    Events of requests are kept apart, since they are so many that they would
+    push out all others within seconds.
 
-    def __init__(self, capacity: int = RING_CAPACITY_EVENTS) -> None:
-        self._events: collections.deque[Event] = collections.deque(
-            maxlen=capacity
+    Attributes:
+        dropped: Events that were forgotten to make room.
+    """
+
+    __slots__ = ("_requests", "_states", "dropped")
+
+    def __init__(
+        self,
+        request_capacity: int = REQUEST_CAPACITY_EVENTS,
+        state_capacity: int = STATE_CAPACITY_EVENTS,
+    ) -> None:
+        """Prepares an empty ring.
+
+        Args:
+            request_capacity: Most events to keep that are about a request.
+            state_capacity: Most other events to keep.
+        """
+        self._requests: collections.deque[Event] = collections.deque(
+            maxlen=request_capacity
+        )
+        self._states: collections.deque[Event] = collections.deque(
+            maxlen=state_capacity
         )
         self.dropped = 0
 
     def append(self, event: Event) -> None:
-        """Adds an event; the oldest one is dropped if the ring is full."""
-        if len(self._events) == self._events.maxlen:
+        """Adds an event; the oldest of its sort is dropped if need be."""
+        kept = self._requests if event.request else self._states
+        if len(kept) == kept.maxlen:
             self.dropped += 1
-        self._events.append(event)
+        kept.append(event)
 
-    def list_events(self) -> list[Event]:
-        """Returns the kept events, oldest first."""
-        return list(self._events)
+    def list_events(self, wanted: Filter = WANT_ALL) -> list[Event]:
+        """Returns the kept events that are wanted, oldest first."""
+        kept = [*self._requests, *self._states]
+        return sorted(
+            filter(wanted.matches, kept), key=lambda event: event.stamp
+        )
--- a/wigeonspool/model/messages.py
+++ b/wigeonspool/model/messages.py
@@ -181,7 +181,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EventsRequest:
-    """Asks an agent for the events of its VM, or a gateway for its own."""
+    """Asks an agent for the events of its VM, or a gateway for its own.
+
+    Attributes:
+        wanted: Which events to send.
+    """
+
+    wanted: events.Filter = events.WANT_ALL
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -244,13 +250,40 @@
     return adapter
 
 
-def encode_message(message: Message) -> dict[str, Any]:
-    """Returns the wire form of a message, ready for the codec."""
-    return {
+def encode_message(
+    message: Message, stamp: events.Stamp | None = None
+) -> dict[str, Any]:
+    """Returns the wire form of a message, ready for the codec.
+
+    Args:
+        message: What to send.
+        stamp: Reading of the sender's clock, so that the receiver's follows.
+    """
+    document = {
         "v": PROTOCOL_VERSION,
         "k": type(message).__name__,
         "b": dataclasses.asdict(message),
     }
+    if stamp is not None:
+        document["t"] = [stamp.wall_ms, stamp.counter]
+    return document
+
+
+def read_stamp(document: Any) -> events.Stamp | None:
+    """Returns the sender's clock in a decoded frame, or None if it has none.
+
+    Args:
+        document: What the codec returned.
+
+    Raises:
+        FrameEncodingError: If the stamp is not one.
+    """
+    if not isinstance(document, dict) or "t" not in document:
+        return None
+    match document["t"]:
+        case [int(wall_ms), int(counter)]:
+            return events.Stamp(wall_ms, counter, "")
+    raise errors.FrameEncodingError("stamp is not two numbers")
 
 
 def decode_message(document: Any) -> Message:
--- a/wigeonspool/operator/timeline.py
+++ b/wigeonspool/operator/timeline.py
@@ -1,7 +1,6 @@
 """Command line of the time line: events of all processes in one order."""
 
 import asyncio
-import dataclasses
 import json
 import sys
 from typing import Annotated, Final, Literal
@@ -10,82 +9,95 @@
 
 from wigeonspool.model import errors
 from wigeonspool.model import events
-from wigeonspool.model import messages
-from wigeonspool.operator import sessions
+from wigeonspool.operator import collecting
+from wigeonspool.operator import traces
 
 EXIT_FAILED: Final = 1
 
-app = cyclopts.App(
-    name="wigeonspool-timeline",
-    help="Merges the events of all processes into one time line.",
-)
+HELP: Final = """Merges the events of all processes into one time line.
 
+One request, from its caller to its target:
 
-async def collect_events(agents: list[str]) -> list[events.Event]:
-    """Returns the events of agents and their gateways, in order.
+    wigeonspool-timeline 10.0.0.1:7000 10.0.0.2:7000 --request ID
 
-    Args:
-        agents: host:port of each agent.
+What happened to a target, over all VMs of the VM list:
+
+    wigeonspool-timeline --vm-list URL --target 10.0.1.7:9000
+
+Each process keeps its newest events only. The last lines, which begin with #,
+tell of processes that forgot events or did not answer. Exit codes: 0 if any
+agent answered, 1 if none did.
+"""
+
+app = cyclopts.App(name="wigeonspool-timeline", help=HELP)
+
+
+async def _collect(
+    agents: list[str], vm_list: str, wanted: events.Filter
+) -> collecting.TimeLine:
+    """Returns the time line of named agents and of those on the VM list.
 
     Raises:
-        AgentUnavailableError: If an agent did not answer.
+        VmListError: If nothing is named and the list could not be read.
     """
-    merged: list[events.Event] = []
-    for agent in agents:
-        answer = await sessions.ask_agent(agent, messages.EventsRequest())
-        assert isinstance(answer, messages.EventsReply)
-        merged += answer.events
-    return sorted(merged, key=lambda event: event.stamp)
-
-
-def format_event(event: events.Event) -> str:
-    """Returns the line that shows an event."""
-    parts = [
-        f"{event.stamp.wall_ms}.{event.stamp.counter}",
-        event.stamp.process,
-        event.kind,
-        event.request,
-        event.target,
-        event.vm,
-        *(f"{name}={value}" for name, value in event.detail.items()),
-    ]
-    return "  ".join(part for part in parts if part)
+    notes: tuple[collecting.Note, ...] = ()
+    addresses = list(agents)
+    try:
+        if vm_list:
+            addresses += await collecting.list_agents(vm_list)
+    except errors.VmListError as error:
+        if not addresses:
+            raise
+        notes = (collecting.Note("vm-list", str(error)),)
+    line = await collecting.collect_events(addresses, wanted)
+    return collecting.TimeLine(line.events, notes + line.notes, line.answered)
 
 
 @app.default
 def show(
-    agents: Annotated[list[str], cyclopts.Parameter(negative=())],
+    agents: Annotated[list[str] | None, cyclopts.Parameter(negative=())] = None,
+    *,
+    vm_list: Annotated[
+        str, cyclopts.Parameter(env_var="WIGEONSPOOL_VM_LIST")
+    ] = "",
     request: str = "",
     target: str = "",
     vm: str = "",
-    output: Literal["text", "json"] = "text",
+    kind: Annotated[
+        list[events.Kind] | None, cyclopts.Parameter(negative=())
+    ] = None,
+    last: int = 0,
+    output: Literal["text", "json", "chrome"] = "text",
 ) -> None:
     """Shows the time line of the fleet.
 
     Args:
         agents: host:port of each agent to ask.
+        vm_list: URL of the VM list; the agents of its entry VMs are asked too.
         request: Only events of this request.
         target: Only events of this target.
-        vm: Only events of this VM.
-        output: Form of the output.
+        vm: Only events of this VM and its processes.
+        kind: Only events of this kind; may be given more than once.
+        last: Only this many of the newest events; 0 for all.
+        output: Form of the output; `chrome` for a trace viewer.
     """
+    wanted = events.Filter(request, target, vm, tuple(kind or ()))
     try:
-        merged = asyncio.run(collect_events(agents))
+        line = asyncio.run(_collect(agents or [], vm_list, wanted))
     except errors.WigeonspoolError as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_FAILED)
-    for event in merged:
-        wanted = (
-            request in ("", event.request)
-            and target in ("", event.target)
-            and vm in ("", event.vm)
-        )
-        if not wanted:
-            continue
-        if output == "json":
-            print(json.dumps(dataclasses.asdict(event)))
-        else:
-            print(format_event(event))
+    newest = line.events[-last:] if last > 0 else line.events
+    line = collecting.TimeLine(newest, line.notes, line.answered)
+    if output == "chrome":
+        print(json.dumps(traces.build_chrome_trace(line)))
+    else:
+        form = traces.iterate_text if output == "text" else traces.iterate_json
+        for text in form(line):
+            print(text)
+    if not line.answered:
+        print("no agent answered", file=sys.stderr)
+        sys.exit(EXIT_FAILED)
 
 
 def main() -> None:
--- a/wigeonspool/process.py
+++ b/wigeonspool/process.py
@@ -50,13 +50,18 @@
 
 
 class EventLog:
-    """Stamps the events of this process and keeps the newest."""
+    """Stamps the events of this process and keeps the newest.
 
-    __slots__ = ("_clock", "_process", "ring")
+    Attributes:
+        clock: Clock of this process; streams make it follow their peers.
+        ring: The newest events.
+    """
+
+    __slots__ = ("_process", "clock", "ring")
 
     def __init__(self, process: str) -> None:
         self._process = process
-        self._clock = clocks.HybridClock(process)
+        self.clock = clocks.HybridClock(process)
         self.ring = events.Ring()
 
     def record(
@@ -68,24 +73,20 @@
         detail: Mapping[str, str] | None = None,
     ) -> None:
         """Adds an event that happens now."""
-        stamp = self._clock.issue_stamp()
+        stamp = self.clock.issue_stamp()
         event = events.Event(
             stamp, kind, request, target, vm, {**(detail or {})}
         )
         self.ring.append(event)
 
-    def build_reply(self) -> messages.EventsReply:
-        """Returns all that this process can tell of its events."""
+    def build_reply(self, wanted: events.Filter) -> messages.EventsReply:
+        """Returns the events of this process that are wanted."""
         return messages.EventsReply(
             self._process,
-            tuple(self.ring.list_events()),
+            tuple(self.ring.list_events(wanted)),
             {self._process: self.ring.dropped},
         )
 
-    def observe(self, stamp: events.Stamp) -> None:
-        """Orders later events after one of another process."""
-        self._clock.observe_stamp(stamp)
-
 
 async def serve_http(address: str, server: web.Server) -> web.ServerRunner:
     """Starts an HTTP server.
