--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 import secrets
+import time
 from typing import Final
 
 from aiohttp import web
@@ -15,6 +16,7 @@
 from wigeonspool.gateway import egress
 from wigeonspool.gateway import ingress
 from wigeonspool.gateway import link
+from wigeonspool.gateway import pauses
 from wigeonspool.gateway import scheduler
 from wigeonspool.gateway import statuses
 from wigeonspool.gateway import view
@@ -63,6 +65,7 @@
         self._view = view.FleetView()
         self._scheduler = scheduler.Scheduler(self._settings.zone)
         self._client = egress.Egress()
+        self._pauses = pauses.PauseMonitor(time.monotonic())
         self._ingress = ingress.Ingress(
             self._gateway,
             self._settings,
@@ -70,6 +73,7 @@
             self._scheduler,
             self._client,
             self._log,
+            self._pauses,
         )
         hello = messages.Hello(
             self._gateway.name,
@@ -122,6 +126,9 @@
     @mode.Service.timer(TICK_SECONDS)
     async def _tick(self) -> None:
         """Runs the systems of the core that depend on time."""
+        if self._pauses.tick(time.monotonic()):
+            self._log.record(events.Kind.PROCESS_PAUSED, vm=self._settings.vm)
+            loguru.logger.warning("this process did not run for a while")
         self._scheduler.tick()
 
     @mode.Service.timer(REPORT_SECONDS)
