Send the libraries' log through the log of the process

Cause: mode, asyncio and aiohttp write to the standard library's logging, which had no handler: a crashed task of a service printed without time and part, in text even where the setting says JSON, and JSON lines dropped tracebacks.

Now one module, logs.py, holds the log; process.py keeps events, metrics, start and stop. Libraries' starts and stops show at DEBUG only.

After: a record of mode has the process's prefix in text and is one object with its traceback in JSON.

--- a/wigeonspool/agent/main.py
+++ b/wigeonspool/agent/main.py
@@ -6,6 +6,7 @@
 
 import cyclopts
 
+from wigeonspool import logs
 from wigeonspool import process
 from wigeonspool.agent import service
 from wigeonspool.model import errors
@@ -31,7 +32,7 @@
     except errors.SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(process.EXIT_INVALID_SETTINGS)
-    process.configure_logs(f"agent {chosen.vm}", chosen.log)
+    logs.configure_logs(f"agent {chosen.vm}", chosen.log)
     process.run_service(service.AgentService(chosen))
 
 
--- a/wigeonspool/gateway/main.py
+++ b/wigeonspool/gateway/main.py
@@ -6,6 +6,7 @@
 
 import cyclopts
 
+from wigeonspool import logs
 from wigeonspool import process
 from wigeonspool.gateway import service
 from wigeonspool.model import errors
@@ -37,7 +38,7 @@
     except errors.SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(process.EXIT_INVALID_SETTINGS)
-    process.configure_logs(f"gateway {chosen.vm}-{index}", chosen.log)
+    logs.configure_logs(f"gateway {chosen.vm}-{index}", chosen.log)
     process.run_service(service.GatewayService(chosen, index))
 
 
--- /dev/null
+++ b/wigeonspool/logs.py
@@ -0,0 +1,68 @@
+"""The log of a process: short sentences, each with the prefix of its part.
+
+Libraries write to the standard library's logging; their records take the same
+way out, so that an operator reads one log in one form.
+"""
+
+import json
+import logging
+import sys
+from typing import Any, Final
+
+import loguru
+
+from wigeonspool.model import options
+
+TEXT_FORMAT: Final = "{time:HH:mm:ss.SSS} {level} {extra[part]}: {message}"
+
+
+class LibraryHandler(logging.Handler):
+    """Passes records of the standard library's logging on to loguru."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes one record of a library."""
+        try:
+            level: str | int = loguru.logger.level(record.levelname).name
+        except ValueError:
+            # Some libraries define levels of their own.
+            level = record.levelno
+        message = f"{record.name}: {record.getMessage()}"
+        chosen = loguru.logger.opt(exception=record.exc_info)
+        chosen.log(level, "{}", message)
+
+
+def configure_logs(part: str, settings: options.LogOptions) -> None:
+    """Directs the log of this process to standard error.
+
+    Args:
+        part: Prefix of each line.
+        settings: Format and lowest level.
+    """
+    loguru.logger.remove()
+    loguru.logger.configure(extra={"part": part})
+    if settings.format == "text":
+        loguru.logger.add(
+            sys.stderr, format=TEXT_FORMAT, level=settings.level, diagnose=False
+        )
+    else:
+        loguru.logger.add(write_json_line, level=settings.level)
+    # Libraries announce each start and stop of a part; that is for debugging.
+    quietest = max(logging.WARNING, logging.getLevelName(settings.level))
+    level = logging.DEBUG if settings.level == "DEBUG" else quietest
+    logging.basicConfig(handlers=[LibraryHandler()], level=level, force=True)
+    logging.captureWarnings(True)
+
+
+def write_json_line(message: Any) -> None:
+    """Writes one log record as a line of JSON."""
+    record = message.record
+    line = {
+        "time": record["time"].isoformat(),
+        "level": record["level"].name,
+        "part": record["extra"]["part"],
+        "message": record["message"],
+    }
+    if record["exception"] is not None:
+        line["exception"] = repr(record["exception"].value)
+        line["traceback"] = str(message).partition("\n")[2]
+    print(json.dumps(line), file=sys.stderr, flush=True)
--- a/wigeonspool/process.py
+++ b/wigeonspool/process.py
@@ -1,52 +1,20 @@
-"""What every process does alike: logs, metrics, events, start and stop."""
+"""What every process does alike: metrics, events, start and stop."""
 
 import asyncio
 from collections.abc import Mapping
-import json
 import signal
-import sys
-from typing import Any, Final
+from typing import Final
 
 from aiohttp import web
 import aioprometheus
-import loguru
 import mode
 import uvloop
 
 from wigeonspool.model import events
 from wigeonspool.model import messages
-from wigeonspool.model import options
 from wigeonspool.wire import clocks
 
 EXIT_INVALID_SETTINGS: Final = 2
-TEXT_FORMAT: Final = "{time:HH:mm:ss.SSS} {level} {extra[part]}: {message}"
-
-
-def configure_logs(part: str, settings: options.LogOptions) -> None:
-    """Directs the log of this process to standard error.
-
-    Args:
-        part: Prefix of each line.
-        settings: Format and lowest level.
-    """
-    loguru.logger.remove()
-    loguru.logger.configure(extra={"part": part})
-    if settings.format == "text":
-        loguru.logger.add(sys.stderr, format=TEXT_FORMAT, level=settings.level)
-        return
-    loguru.logger.add(write_json_line, level=settings.level)
-
-
-def write_json_line(message: Any) -> None:
-    """Writes one log record as a line of JSON."""
-    record = message.record
-    line = {
-        "time": record["time"].isoformat(),
-        "level": record["level"].name,
-        "part": record["extra"]["part"],
-        "message": record["message"],
-    }
-    print(json.dumps(line), file=sys.stderr)
 
 
 class EventLog:
