Add the virtual-time harness and wigeonspool-load decide

Cause: no decision could be measured. The harness runs the real Dispatcher of each gateway against fakes (targets with slots and a FIFO queue, links by zone, timed faults, reports with an age) on an event heap; baselines run on the same arrivals and 'limit' is service time alone plus links.

--- /dev/null
+++ b/tests/test_decide.py
@@ -0,0 +1,73 @@
+"""Experiments in virtual time: the harness, and what the policy reaches."""
+
+import json
+import pathlib
+from typing import Any
+
+import pytest
+
+from wigeonspool.load import decide
+from wigeonspool.load import experiment as experiments
+from wigeonspool.load import main
+from wigeonspool.model import errors
+
+FOLDER = pathlib.Path(__file__).parent.parent / "experiments"
+
+
+def run(name: str, *fields: str) -> dict[str, Any]:
+    """Returns the figures of an experiment's policies, by policy."""
+    path = FOLDER / f"{name}.yaml"
+    experiment = experiments.read_experiment(path, fields)
+    figures: dict[str, Any] = decide.run_experiment(experiment)["policies"]
+    return figures
+
+
+class TestExperimentFiles:
+    @pytest.mark.parametrize("path", sorted(FOLDER.glob("*.yaml")), ids=str)
+    def test_every_file_is_valid(self, path: pathlib.Path) -> None:
+        assert experiments.read_experiment(path).name == path.stem
+
+    def test_any_field_can_be_set(self) -> None:
+        path = FOLDER / "head-of-line.yaml"
+        fields = ["works.1.service_ms=2000", "targets.slots=8", "load=0.5"]
+        experiment = experiments.read_experiment(path, fields)
+        assert experiment.works[1].service_ms == 2000
+        assert (experiment.targets.slots, experiment.load) == (8, 0.5)
+
+    @pytest.mark.parametrize(
+        "field", ["nothing=1", "works.9.share=1", "load", "load=minus"]
+    )
+    def test_a_wrong_field_is_refused(self, field: str) -> None:
+        path = FOLDER / "head-of-line.yaml"
+        with pytest.raises(errors.SettingsError):
+            experiments.read_experiment(path, [field])
+
+
+class TestHarness:
+    def test_same_seed_gives_the_same_figures(
+        self, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        path = FOLDER / "head-of-line.yaml"
+        fields = ["seconds=1", "warmup_seconds=0"]
+        seen = []
+        for seed in (7, 7, 8):
+            main.decide(path, seed=seed, set_=fields, json_=True)
+            seen.append(json.loads(capsys.readouterr().out)["policies"])
+        assert str(seen[0]) == str(seen[1])
+        assert str(seen[0]) != str(seen[2])
+
+    def test_every_request_ends_once(self) -> None:
+        fields = ["seconds=6", "policies=[policy, two-choices]"]
+        for figures in run("crest", *fields).values():
+            row = figures["kinds"]["short"]
+            ends = ("answered_in_time", "late", "not_run", "unknown", "failed")
+            assert row["offered"] == sum(row[end] for end in ends)
+            assert figures["refused_but_ran"] == 0
+
+    def test_limit_is_service_time_and_links(self) -> None:
+        fields = ["seconds=4", "policies=[one-queue]", "load=0.1"]
+        fields += ["works.1.share=0.001", "works.0.spread=fixed"]
+        figures = run("head-of-line", *fields)
+        for name in ("limit", "one-queue"):
+            p50 = figures[name]["kinds"]["short"]["p50_ms"]
+            assert p50 == pytest.approx(3 + 5 + 3, rel=0.01)
--- a/wigeonspool/load/main.py
+++ b/wigeonspool/load/main.py
@@ -1,14 +1,20 @@
 """Command line of the bench: load, experiments and their reports."""
 
 import asyncio
+import json
+import pathlib
 import sys
-from typing import Final
+from typing import Annotated, Final
 
 import cyclopts
 
+from wigeonspool.load import decide as decides
 from wigeonspool.load import demo as demos
+from wigeonspool.load import experiment as experiments
+from wigeonspool.model import errors
 
 EXIT_BROKEN: Final = 1
+EXIT_SETTINGS: Final = 2
 
 app = cyclopts.App(
     name="wigeonspool-load",
@@ -43,6 +49,34 @@
         sys.exit(EXIT_BROKEN)
 
 
+@app.command
+def decide(
+    file: pathlib.Path,
+    *,
+    seed: int | None = None,
+    set_: Annotated[list[str], cyclopts.Parameter(name="--set")] | None = None,
+    json_: Annotated[bool, cyclopts.Parameter(name="--json")] = False,
+) -> None:
+    """Runs an experiment in virtual time, for the policy and its baselines.
+
+    Args:
+        file: YAML file of the experiment.
+        seed: Seed of all choices, instead of that of the file.
+        set_: field=value pairs that replace fields of the file.
+        json_: Prints JSON instead of tables.
+    """
+    try:
+        experiment = experiments.read_experiment(file, set_ or ())
+        result = decides.run_experiment(experiment, seed)
+    except errors.SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    if json_:
+        print(json.dumps(result))
+    else:
+        decides.print_figures(result)
+
+
 def main() -> None:
     """Entry point of the binary."""
     app()
--- /dev/null
+++ b/wigeonspool/load/servers.py
@@ -0,0 +1,209 @@
+"""The target side of an experiment: attempts arrive, run and end there."""
+
+from collections.abc import Callable
+import random
+from typing import Any, Final
+
+from wigeonspool.core import tables
+from wigeonspool.load import experiment as experiments
+from wigeonspool.load import fakes
+from wigeonspool.load import parties
+
+Push = Callable[[float, Callable[..., None], Any], None]
+Deliver = Callable[[float, fakes.Attempt, tables.Result], None]
+CONNECTIONS_PER_PAIR: Final = 8
+REPORT_BYTES: Final = 32
+
+
+class Servers:
+    """All targets of an experiment.
+
+    Attributes:
+        attempts: Attempts that were sent.
+        measuring_bytes: Bytes of load reports on answers.
+        begun: Attempts that each target began, by address.
+    """
+
+    def __init__(
+        self,
+        experiment: experiments.Experiment,
+        network: fakes.FakeNetwork,
+        push: Push,
+        deliver: Deliver,
+        seed: int,
+        slots: int,
+    ) -> None:
+        """Prepares the targets.
+
+        Args:
+            experiment: What happens.
+            network: Carries attempts and results.
+            push: Plans an event.
+            deliver: Takes a result at the gateway of its attempt.
+            seed: Seed of the chances that faults take.
+            slots: Slots of each target.
+        """
+        self._experiment = experiment
+        self._network = network
+        self._push = push
+        self._deliver = deliver
+        self._chances = random.Random(seed)
+        self._targets = {
+            t.address: fakes.FakeTarget(
+                t.address, t.zone, slots, experiment.targets.queue
+            )
+            for t in parties.list_targets(experiment)
+        }
+        self._sources: dict[int, tuple[parties.Job, str]] = {}
+        self.attempts = 0
+        self.measuring_bytes = 0
+        self.begun = dict.fromkeys(self._targets, 0)
+
+    def send(self, now: float, job: parties.Job, zone: str) -> None:
+        """Sends the attempt of a request from a gateway's zone."""
+        attempt = job.attempt
+        assert attempt is not None
+        self.attempts += 1
+        target = self._targets[attempt.target]
+        size = job.work.request_bytes
+        at = self._network.carry(now, zone, target.zone, size, caller=False)
+        self._push(at, self._reach, (attempt, job, zone))
+
+    def cancel(self, now: float, attempt: fakes.Attempt, zone: str) -> None:
+        """Cancels an attempt from a gateway's zone."""
+        attempt.cancelled = True
+        goal = self._targets[attempt.target].zone
+        at = self._network.carry(now, zone, goal, 100, caller=False)
+        self._push(at, self._stop, attempt)
+
+    def _stop(self, now: float, attempt: fakes.Attempt) -> None:
+        """Frees the slot of a cancelled attempt."""
+        if attempt.begun:
+            attempt.begun = False
+            target = self._targets[attempt.target]
+            target.free_slot(now)
+            self._begin(now, target)
+
+    def _reach(
+        self, now: float, what: tuple[fakes.Attempt, parties.Job, str]
+    ) -> None:
+        """Takes an attempt at its target."""
+        attempt, job, zone = what
+        target = self._targets[attempt.target]
+        if self._is_silent(attempt):
+            return
+        shed = target.has_fault("shed")
+        refused = shed is not None and self._chances.random() < shed.fraction
+        if refused or target.is_full() or target.has_fault("lost"):
+            self._answer(now, what, tables.ResultKind.NOT_RUN)
+            return
+        failing = target.has_fault("fail")
+        if failing is not None and self._chances.random() < failing.fraction:
+            job.runs += 1
+            at = now + fakes.FAIL_SECONDS
+            self._push(at, self._fail, what)
+            return
+        self._sources[attempt.request_id] = (job, zone)
+        target.enqueue(attempt)
+        self._begin(now, target)
+
+    def _is_silent(self, attempt: fakes.Attempt) -> bool:
+        """Returns True if the connection of an attempt leads nowhere."""
+        fault = self._targets[attempt.target].has_fault("silent")
+        if fault is None:
+            return False
+        connection = attempt.request_id % CONNECTIONS_PER_PAIR
+        pair = f"{attempt.gateway}/{attempt.target}/{connection}"
+        return random.Random(pair).random() < fault.fraction
+
+    def _fail(
+        self, now: float, what: tuple[fakes.Attempt, parties.Job, str]
+    ) -> None:
+        """Ends an attempt that its target fails."""
+        self._answer(now, what, tables.ResultKind.FAILED)
+
+    def _begin(self, now: float, target: fakes.FakeTarget) -> None:
+        """Begins what the free slots of a target can take."""
+        while (begun := target.begin_next(now)) is not None:
+            attempt, end = begun
+            job, zone = self._sources[attempt.request_id]
+            if end is None:
+                self._answer(
+                    now, (attempt, job, zone), tables.ResultKind.NOT_RUN
+                )
+                continue
+            job.runs += 1
+            self.begun[target.address] += 1
+            self._push(end, self._complete, (attempt, job, zone))
+
+    def _complete(
+        self, now: float, what: tuple[fakes.Attempt, parties.Job, str]
+    ) -> None:
+        """Ends an attempt that has run."""
+        attempt = what[0]
+        target = self._targets[attempt.target]
+        if not attempt.begun:
+            return
+        attempt.begun = False
+        del self._sources[attempt.request_id]
+        target.free_slot(now)
+        self._answer(now, what, tables.ResultKind.ANSWERED)
+        self._begin(now, target)
+
+    def _answer(
+        self,
+        now: float,
+        what: tuple[fakes.Attempt, parties.Job, str],
+        kind: tables.ResultKind,
+    ) -> None:
+        """Sends the result of an attempt to its gateway."""
+        attempt, job, zone = what
+        target = self._targets[attempt.target]
+        size = 100
+        report = None
+        if kind is tables.ResultKind.ANSWERED:
+            size = job.work.answer_bytes
+            if self._experiment.reports is not None:
+                report = target.report(now, self._experiment.reports)
+                size += REPORT_BYTES
+                self.measuring_bytes += REPORT_BYTES
+        result = tables.Result(
+            kind, report, target.has_fault("drain") is not None
+        )
+        at = self._network.carry(now, target.zone, zone, size, caller=False)
+        self._push(at, self._arrive, (attempt, result))
+
+    def _arrive(
+        self, now: float, what: tuple[fakes.Attempt, tables.Result]
+    ) -> None:
+        """Takes a result at its gateway."""
+        self._deliver(now, *what)
+
+    def begin_fault(self, now: float, fault: experiments.Fault) -> list[str]:
+        """Begins a fault and returns the addresses of its targets."""
+        changed = list(self._targets.values())[: fault.targets]
+        if fault.zone:
+            changed = [
+                t for t in self._targets.values() if t.zone == fault.zone
+            ]
+        for target in changed:
+            target.faults.append(fault)
+            if fault.kind == "lost":
+                self._lose(now, target)
+        return [target.address for target in changed]
+
+    def end_fault(self, now: float, fault: experiments.Fault) -> None:
+        """Ends a fault."""
+        for target in self._targets.values():
+            if fault in target.faults:
+                target.faults.remove(fault)
+
+    def _lose(self, now: float, target: fakes.FakeTarget) -> None:
+        """Loses all attempts at a target that died."""
+        target.lose_all(now)
+        for job, zone in list(self._sources.values()):
+            attempt = job.attempt
+            if attempt is None or attempt.target != target.address:
+                continue
+            attempt.begun = False
+            self._answer(now, (attempt, job, zone), tables.ResultKind.LOST)
