--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -26,6 +26,7 @@
 from wigeonspool.platform import configuration as platform_configuration
 from wigeonspool.platform import store
 from wigeonspool.platform import vms
+from wigeonspool.wire import senders
 from wigeonspool.wire import streams
 
 WATCH_IDLE_SECONDS: Final = 30.0
@@ -58,7 +59,9 @@
         self._log = process.EventLog(f"{settings.vm}-agent")
         self._state = configuration.ConfigurationState()
         self._members = members.MemberTable(settings.agent.silence_seconds)
-        self._hub = hub.Hub(self._state, self._answer, self._take_heartbeat)
+        self._hub = hub.Hub(
+            self._state, self._answer, self._take_heartbeat, self._log
+        )
         self._vms: list[entities.Vm] = []
         self._feeders: dict[str, asyncio.Task[None]] = {}
         self._upstreams: dict[str, streams.Stream] = {}
@@ -150,7 +153,7 @@
             WireError: If the feeder broke the protocol.
             OSError: If the stream failed.
         """
-        stream = await streams.open_stream(address)
+        stream = await streams.open_stream(address, self._log.clock)
         name = f"{self._settings.vm}-agent"
         hello = messages.Hello(
             name, "agent", self._incarnation, self._settings.vm
@@ -159,6 +162,7 @@
             await stream.send(hello)
             self._upstreams[address] = stream
             while (message := await stream.receive()) is not None:
+                senders.check_sender(senders.AGENT, message)
                 self._take(message)
         finally:
             self._upstreams.pop(address, None)
@@ -274,8 +278,7 @@
         if isinstance(message, messages.StatusRequest):
             return self._build_members()
         if isinstance(message, messages.EventsRequest):
-            return messages.EventsReply(
-                f"{self._settings.vm}-agent",
-                tuple(self._log.ring.list_events()),
-            )
+            return self._log.build_reply(message.wanted)
+        if isinstance(message, messages.VmStatusRequest):
+            return messages.VmStatusReply(())
         return None
--- a/wigeonspool/gateway/ingress.py
+++ b/wigeonspool/gateway/ingress.py
@@ -1,26 +1,35 @@
 """Takes requests from callers and gives each its own answer."""
 
 import asyncio
+import time
+from typing import Final
 
 from aiohttp import web
-from multidict import CIMultiDict
 
+from wigeonspool.core import once
 from wigeonspool.gateway import addresses
 from wigeonspool.gateway import answers
 from wigeonspool.gateway import egress
 from wigeonspool.gateway import headers
 from wigeonspool.gateway import home as homes
 from wigeonspool.gateway import incoming
+from wigeonspool.gateway import pauses
 from wigeonspool.gateway import runner as runners
 from wigeonspool.gateway import scheduler as schedulers
+from wigeonspool.gateway import streaming
 from wigeonspool.gateway import view as views
 from wigeonspool.model import entities
+from wigeonspool.model import errors
 from wigeonspool.model import events
 from wigeonspool.model import options
 from wigeonspool.model import outcomes
 from wigeonspool.process import EventLog
 from wigeonspool.wire import tokens
 
+PROBLEM_SECONDS: Final = 1.0
+# How long a key that no route serves any more may wait for its home.
+NO_ROUTE_SECONDS: Final = 10.0
+
 
 class Ingress:
     """Serves callers on behalf of one gateway.
@@ -30,6 +39,7 @@
         counts: Requests that ended, by outcome and reason.
         demand: Requests received since the last report, by pool.
         draining: True once the gateway prepares to stop.
+        home: Serves the requests that may run at most once.
     """
 
     def __init__(
@@ -40,6 +50,7 @@
         scheduler: schedulers.Scheduler,
         client: egress.Egress,
         log: EventLog,
+        pauses_monitor: pauses.PauseMonitor,
     ) -> None:
         """Prepares the ingress.
 
@@ -50,6 +61,7 @@
             scheduler: Decides for each request.
             client: Holds the connections to targets.
             log: Events of this process.
+            pauses_monitor: Tells how long what is read now has waited.
         """
         self.gateway = gateway
         self.counts: dict[tuple[str, str], int] = {}
@@ -59,14 +71,18 @@
         self._log = log
         self._received = 0
         self._loop = asyncio.get_running_loop()
+        client.on_silent = lambda address: log.record(
+            events.Kind.CONNECTION_SILENT, target=address
+        )
         signer = tokens.TokenSigner(settings.token_keys)
         self._addresses = addresses.AddressBook(
             gateway.zone, settings.gateway, view, signer
         )
         self._runner = runners.RequestRunner(scheduler, client, log)
-        self._home = homes.Home(
+        self._pauses = pauses_monitor
+        self.home = homes.Home(
             gateway,
-            settings.gateway.once_capacity,
+            settings.gateway,
             signer,
             self._runner,
             client,
@@ -75,60 +91,137 @@
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one HTTP request of a caller."""
         if request.path == headers.ADDRESS_PATH:
-            return self._addresses.answer(request)
+            response: web.StreamResponse = self._addresses.answer(request)
+            if self.draining:
+                response.force_close()
+            return response
         request_id = request.headers.get(headers.REQUEST)
         if request_id is None:
             self._received += 1
             request_id = f"{self.gateway.name}-{self._received}"
-        ending = await self._serve_work(request, request_id)
-        response = self._tell(ending, request_id)
-        if self.draining:
-            response.force_close()
+        try:
+            ending = await self._serve_work(request, request_id)
+            response, failure = await self._tell(request, request_id, ending)
+        except asyncio.CancelledError:
+            left = outcomes.doubt(outcomes.Reason.CALLER_LEFT)
+            self.count(request_id, left)
+            raise
+        self.count(request_id, failure)
         return response
 
     async def _serve_work(
         self, request: web.BaseRequest, request_id: str
-    ) -> runners.Ending | web.StreamResponse:
-        """Serves a request that belongs to a route."""
+    ) -> tuple[homes.Ending, float]:
+        """Serves a request that belongs to a route.
+
+        Returns:
+            How it ended, and its deadline on the loop clock.
+        """
         route = self._view.routes.find(request.method, request.path)
+        deadline = self._find_deadline(request, route)
+        if route is not None:
+            self.demand[route.pool] = self.demand.get(route.pool, 0) + 1
+        self._log.record(events.Kind.REQUEST_RECEIVED, request=request_id)
+        # What presents an assignment may have run, whatever its route is now.
+        presented = headers.ASSIGNMENT in request.headers
+        presented = presented or (route is not None and not route.idempotent)
+        ending: homes.Ending
+        try:
+            if presented:
+                ending = await self.home.serve(
+                    request, route, request_id, deadline
+                )
+            else:
+                ending = await self._run(request, route, request_id, deadline)
+        except errors.BodyUnreadableError as error:
+            reason = outcomes.Reason.BAD_REQUEST
+            if error.late:
+                reason = outcomes.Reason.DEADLINE_PASSED
+            tell = outcomes.doubt if presented else outcomes.refuse
+            ending = tell(reason)
+        if isinstance(deadline, outcomes.Failure):
+            deadline = self._loop.time() + PROBLEM_SECONDS
+        return ending, deadline
+
+    async def _run(
+        self,
+        request: web.BaseRequest,
+        route: entities.Route | None,
+        request_id: str,
+        deadline: float | outcomes.Failure,
+    ) -> runners.Ending | streaming.Streamed:
+        """Runs a request that may run more than once.
+
+        Raises:
+            BodyUnreadableError: If its body did not arrive; nothing was sent.
+        """
         if route is None:
             return outcomes.refuse(outcomes.Reason.NO_ROUTE)
-        limit = incoming.read_remaining(request)
-        if isinstance(limit, outcomes.Failure):
-            return limit
-        deadline = self._loop.time() + min(route.time_limit_seconds, limit)
-        self.demand[route.pool] = self.demand.get(route.pool, 0) + 1
-        self._log.record(events.Kind.REQUEST_RECEIVED, request=request_id)
-        if not route.idempotent:
-            return await self._home.serve(request, route, request_id, deadline)
-        body, held = await incoming.read_body(request)
+        if isinstance(deadline, outcomes.Failure):
+            return deadline
+        body, held = await incoming.read_body(request, deadline)
         outgoing = incoming.build_outgoing(request, request_id, body, deadline)
         # A body that is not held cannot be sent twice.
         row = self._runner.create_row(route, deadline, idempotent=held)
         return await self._runner.run(row, outgoing, request_id, request)
 
-    def _tell(
+    def _find_deadline(
+        self, request: web.BaseRequest, route: entities.Route | None
+    ) -> float | outcomes.Failure:
+        """Returns the time by which a caller wants its answer, loop clock.
+
+        Args:
+            request: Request of the caller.
+            route: Route that it matched, or None.
+        """
+        granted = incoming.read_remaining(request)
+        if isinstance(granted, outcomes.Failure):
+            return granted
+        limit = NO_ROUTE_SECONDS if route is None else route.time_limit_seconds
+        age = self._pauses.find_age(time.monotonic())
+        return self._loop.time() + min(limit, granted) - age
+
+    async def _tell(
         self,
-        ending: runners.Ending | web.StreamResponse,
+        request: web.BaseRequest,
         request_id: str,
-    ) -> web.StreamResponse:
-        """Returns the response for a request that ended, and counts it."""
+        told: tuple[homes.Ending, float],
+    ) -> tuple[web.StreamResponse, outcomes.Failure | None]:
+        """Sends the caller its response.
+
+        Returns:
+            The response, and why the request was not answered, if so.
+        """
+        ending, deadline = told
+        if isinstance(ending, streaming.Streamed):
+            if self.draining:
+                ending.response.force_close()
+            return ending.response, ending.failure
+        late = self._loop.time() >= deadline
+        if isinstance(ending, once.Answer) and late:
+            ending = outcomes.doubt(outcomes.Reason.DEADLINE_PASSED)
+        response: web.Response
+        failure: outcomes.Failure | None = None
+        if isinstance(ending, outcomes.Failure):
+            failure = ending
+            response = answers.build_problem(ending, request_id)
+            deadline = self._loop.time() + PROBLEM_SECONDS
+        else:
+            response = answers.build_answer(ending, request_id)
+        if self.draining:
+            response.force_close()
+        if not await answers.send(request, response, deadline):
+            failure = outcomes.doubt(outcomes.Reason.CALLER_LEFT)
+        return response, failure
+
+    def count(self, request_id: str, failure: outcomes.Failure | None) -> None:
+        """Counts a request that ended and records how."""
         outcome = str(outcomes.Outcome.ANSWERED)
         reason = ""
-        if isinstance(ending, outcomes.Failure):
-            outcome = ending.outcome
-            reason = ending.reason
+        if failure is not None:
+            outcome = failure.outcome
+            reason = failure.reason
         index = (outcome, reason)
         self.counts[index] = self.counts.get(index, 0) + 1
         detail = {"outcome": outcome, "reason": reason}
         self._log.record(events.Kind.REQUEST_SETTLED, request_id, detail=detail)
-        if isinstance(ending, web.StreamResponse):
-            return ending
-        if isinstance(ending, outcomes.Failure):
-            return answers.build_problem(ending, request_id)
-        fields = CIMultiDict(ending.headers)
-        fields[headers.OUTCOME] = outcomes.Outcome.ANSWERED
-        fields[headers.REQUEST] = request_id
-        return web.Response(
-            status=ending.status, headers=fields, body=ending.body
-        )
--- a/wigeonspool/model/errors.py
+++ b/wigeonspool/model/errors.py
@@ -4,6 +4,7 @@
 so that one reading shows all that can go wrong.
 """
 
+import reprlib
 from typing import ClassVar
 
 
@@ -18,15 +19,36 @@
 
 
 class SettingsError(WigeonspoolError):
-    """A settings or tables file is invalid; nothing of it was applied."""
+    """A settings or tables file is invalid; nothing of it was applied.
+
+    Attributes:
+        file: Name of the file.
+        field: Dotted name of the field, or "document" or "file".
+        problem: What is wrong with it.
+        line: Line of the field, from 1, or 0 if it is not known.
+    """
 
     code = "invalid-settings"
 
-    def __init__(self, file: str, field: str, problem: str) -> None:
-        super().__init__(f"{file}: {field}: {problem}")
+    def __init__(
+        self, file: str, field: str, problem: str, line: int = 0
+    ) -> None:
+        place = f"{file}:{line}" if line else file
+        super().__init__(f"{place}: {field}: {problem}")
         self.file = file
         self.field = field
         self.problem = problem
+        self.line = line
+
+
+class BodyUnreadableError(WigeonspoolError):
+    """A caller's request body did not arrive whole; nothing was sent."""
+
+    code = "body-unreadable"
+
+    def __init__(self, problem: str, late: bool) -> None:
+        super().__init__(f"request body could not be read: {problem}")
+        self.late = late
 
 
 class WireError(WigeonspoolError):
@@ -59,7 +81,9 @@
     code = "frame-version"
 
     def __init__(self, version: object) -> None:
-        super().__init__(f"protocol version {version!r} is not supported")
+        # What a peer sent may be huge or nested too deeply for repr().
+        shown = reprlib.repr(version)
+        super().__init__(f"protocol version {shown} is not supported")
 
 
 class FrameKindError(WireError):
@@ -68,7 +92,8 @@
     code = "frame-kind"
 
     def __init__(self, kind: object) -> None:
-        super().__init__(f"message kind {kind!r} is not known")
+        shown = reprlib.repr(kind)
+        super().__init__(f"message kind {shown} is not known")
 
 
 class FrameCutError(WireError):
@@ -80,6 +105,25 @@
         super().__init__(f"connection ended {missing} bytes before frame end")
 
 
+class FrameStalledError(WireError):
+    """A frame began, but the rest of it did not come in time."""
+
+    code = "frame-stalled"
+
+    def __init__(self, seconds: float) -> None:
+        super().__init__(f"frame was not whole after {seconds:g} s")
+
+
+class SenderRoleError(WireError):
+    """A peer sent a message that its role may not send."""
+
+    code = "sender-role"
+
+    def __init__(self, role: str, kind: str) -> None:
+        shown = reprlib.repr(role)
+        super().__init__(f"role {shown} may not send {kind}")
+
+
 class PeerUnknownError(WireError):
     """A message came from a peer that is not in the membership."""
 
@@ -192,3 +236,46 @@
             f"generation {generation} is accepted and in force on"
             f" {holders} of {vms} VMs"
         )
+
+
+class BaseOutdatedError(WigeonspoolError):
+    """The tables have changed since the state that a change is based on.
+
+    Attributes:
+        base: Generation that the operator worked from.
+        head: Generation that the tables have.
+        lost_to: One line for each difference that came between.
+    """
+
+    code = "base-outdated"
+
+    def __init__(self, base: int, head: int, lost_to: tuple[str, ...]) -> None:
+        listed = "".join(f"\n  {line}" for line in lost_to)
+        super().__init__(
+            f"the tables are at generation {head}, not at {base};"
+            f" nothing of yours was applied; what came between:{listed}"
+        )
+        self.base = base
+        self.head = head
+        self.lost_to = lost_to
+
+
+class GenerationMissingError(WigeonspoolError):
+    """The log does not hold a generation, or not any more."""
+
+    code = "generation-missing"
+
+    def __init__(self, generation: int, oldest: int, head: int) -> None:
+        super().__init__(
+            f"generation {generation} is not in the log, which holds"
+            f" {oldest} to {head}"
+        )
+
+
+class TargetUnknownError(WigeonspoolError):
+    """No pool lists a target, or the VM list does not name a VM."""
+
+    code = "target-unknown"
+
+    def __init__(self, name: str) -> None:
+        super().__init__(f"no pool has a target at {name!r}")
