Check histories of a fleet under pairs of faults

A fleet of three VMs runs in one process behind pipes that can be held, silenced or cut, under callers that send again, and under fifteen kinds of faults, planned stops and changes, two at a time. 'make check-histories' prints one line of JSON; a violation prints its seed, faults and trace.

The time taken from requests after a pause also held for 0.5 s for requests that never waited; it now holds for 8 turns of the event loop.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,11 @@
 test: lint
 	$(BIN)/python -m pytest
 
+SECONDS ?= 60
+SEED ?= 1
+check-histories: $(STAMP)
+	@$(BIN)/python -m tests.check_histories --seconds $(SECONDS) --seed $(SEED)
+
 format: $(STAMP)
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
--- a/wigeonspool/gateway/forwarding.py
+++ b/wigeonspool/gateway/forwarding.py
@@ -75,8 +75,7 @@
     response = relay.build_response(source, request_id)
     failure: outcomes.Failure | None = None
     try:
-        async with asyncio.timeout_at(outgoing.deadline):
-            await relay.pass_on(request, response, source, head.content)
+        await relay.pass_on(request, response, source, head.content)
     except (aiohttp.ClientError, OSError):
         failure = outcomes.doubt(outcomes.Reason.CONNECTION_LOST)
         streaming.break_off(request)
--- a/wigeonspool/gateway/home.py
+++ b/wigeonspool/gateway/home.py
@@ -312,13 +312,11 @@
                     answer = relay.build_answer(source, head.content)
                     result = egress.classify_answer(source)
                     return egress.Attempt(result, answer=answer)
-                running.reader = running.choose_reader()
-                running.response = relay.build_response(
-                    source, running.request_id
-                )
-                await relay.pass_on(
-                    running.reader, running.response, source, head.content
-                )
+            running.reader = running.choose_reader()
+            running.response = relay.build_response(source, running.request_id)
+            await relay.pass_on(
+                running.reader, running.response, source, head.content
+            )
         except (aiohttp.ClientError, OSError):
             return lost
         finally:
--- a/wigeonspool/gateway/pauses.py
+++ b/wigeonspool/gateway/pauses.py
@@ -8,8 +8,9 @@
 from typing import Final
 
 PAUSE_SECONDS: Final = 0.25
-# Reading what arrived during a pause takes several turns of the event loop.
-RESUME_SECONDS: Final = 0.5
+# Accepting and reading what arrived during a pause takes this many turns of
+# the event loop at most.
+RESUME_TURNS: Final = 8
 
 
 class PauseMonitor:
@@ -19,26 +20,33 @@
         pauses: Pauses noticed so far.
     """
 
-    __slots__ = ("_age", "_resumed_at", "_ticked_at", "pauses")
+    __slots__ = ("_age", "_ticked_at", "pauses")
 
     def __init__(self, now: float) -> None:
         """Starts at a time on the monotonic clock, in seconds."""
         self.pauses = 0
         self._ticked_at = now
-        self._resumed_at = float("-inf")
         self._age = 0.0
 
     def tick(self, now: float) -> bool:
-        """Takes the time of a tick; returns True after a pause."""
+        """Takes the time of a tick.
+
+        Returns:
+            True after a pause; `end_resume` must follow after some turns of
+            the event loop.
+        """
         gap = now - self._ticked_at
         self._ticked_at = now
         if gap < PAUSE_SECONDS:
             return False
         self.pauses += 1
         self._age = gap
-        self._resumed_at = now
         return True
 
+    def end_resume(self) -> None:
+        """Ends a resume; what is read from now on did not wait."""
+        self._age = 0.0
+
     def find_age(self, now: float) -> float:
         """Returns how long data that is read now may have waited, in seconds.
 
@@ -48,6 +56,4 @@
         gap = now - self._ticked_at
         if gap >= PAUSE_SECONDS:
             return gap
-        if now - self._resumed_at < RESUME_SECONDS:
-            return self._age
-        return 0.0
+        return self._age
--- a/wigeonspool/gateway/relay.py
+++ b/wigeonspool/gateway/relay.py
@@ -1,6 +1,8 @@
 """Passes a long answer on to a caller while it arrives."""
 
+import asyncio
 import dataclasses
+from typing import Final
 
 import aiohttp
 from aiohttp import web
@@ -11,7 +13,10 @@
 from wigeonspool.model import outcomes
 
 # Answers up to this length are held whole and can be given again.
-HELD_ANSWER_BYTES = 1024 * 1024
+HELD_ANSWER_BYTES: Final = 1024 * 1024
+# An answer that has begun to reach its caller ends when it stops moving, and
+# not at the deadline, since it cannot be given again.
+STALL_SECONDS: Final = 5.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,13 +87,15 @@
     Raises:
         aiohttp.ClientError: If the answer was cut; so is the caller's then.
         OSError: If the connection to the target failed.
+        TimeoutError: If it stopped moving.
     """
     writer = _Writer(request, response)
     await writer.prepare()
     await writer.write(head)
     try:
-        async for chunk in source.content.iter_any():
-            await writer.write(chunk)
+        while not source.content.at_eof():
+            async with asyncio.timeout(STALL_SECONDS):
+                await writer.write(await source.content.readany())
     except BaseException:
         if request is not None:
             streaming.break_off(request)
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -130,6 +130,9 @@
         if self._pauses.tick(time.monotonic()):
             self._log.record(events.Kind.PROCESS_PAUSED, vm=self._settings.vm)
             loguru.logger.warning("this process did not run for a while")
+            for _ in range(pauses.RESUME_TURNS):
+                await asyncio.sleep(0)
+            self._pauses.end_resume()
         self._scheduler.tick()
 
     @mode.Service.timer(REPORT_SECONDS)
--- a/wigeonspool/load/promises.py
+++ b/wigeonspool/load/promises.py
@@ -150,11 +150,11 @@
 def check_cuts(history: histories.History) -> list[Violation]:
     """Finds requests that were cut with no fault to explain it.
 
-    A planned stop is no fault, so it explains no cut.
+    A planned stop is no fault, so it explains no cut. A deadline does.
     """
     found = []
     for send in history.invocations:
-        if send.outcome != "cut":
+        if send.outcome != "cut" or send.ended_at >= send.deadline:
             continue
         explained = any(
             fault.kind in CUTTING
