Give tests ports that outgoing connections do not take

Cause: tests asked the system for a free port, closed it and bound it later; between the two an outgoing connection could get the same port from the ephemeral range. Seen once in a whole run here: address 127.0.0.1:57755 already in use, in the set-up of test_gathering.

Ports now come from 10000 to 19999, each given once in a run and probed first. No test is changed.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import itertools
+import os
 import socket
 import time
 from typing import Any
@@ -26,11 +28,23 @@
 PREFIX = "/wigeonspool/"
 
 
+# Below the ports that the system gives to outgoing connections: one of those
+# may take a port between its reservation and its use.
+FIRST_PORT = 10_000
+PORTS = 10_000
+_offsets = itertools.count(os.getpid() * 97)
+
+
 def reserve_port() -> int:
-    """Returns a port that was free just now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port that was free just now, and that was not given before."""
+    while True:
+        port = FIRST_PORT + next(_offsets) % PORTS
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 def reserve_address() -> str:
