--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -10,6 +10,7 @@
 
 from tests import fleet as fleets
 from wigeonspool.agent import hub
+from wigeonspool.agent import metrics
 from wigeonspool.model import errors
 from wigeonspool.model import messages
 from wigeonspool.wire import frames
@@ -192,7 +193,7 @@
                 pass
         writer.close()
         assert agent._hub.rejected == {code: 1}
-        assert hub.STREAMS_REJECTED.get({"code": code}) >= 1
+        assert metrics.STREAMS_REJECTED.get({"code": code}) >= 1
         await fleets.wait_for(lambda: len(agent._hub.list_reports()) == 1)
 
     async def test_peer_without_a_hello_is_closed(
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -131,6 +131,31 @@
         ]
         assert len(started) == 4
 
+    async def test_target_that_changes_its_state_is_told(
+        self, fleet: fleets.Fleet
+    ) -> None:
+        target = await fleet.start_target()
+        document = fleet.declare()
+        await fleet.apply(document)
+        wanted = events.Filter(target=target.address)
+        log = fleet.gateways["vm-0"]._log
+        for drained in (True, False):
+            document["pools"][0]["targets"][0]["drained"] = drained
+            await fleet.apply(document)
+            count = 2 - drained
+            await fleets.wait_for(
+                lambda count=count: len(log.ring.list_events(wanted)) == count
+            )
+        seen = log.ring.list_events(wanted)
+        assert [e.kind for e in seen] == [
+            events.Kind.TARGET_DRAINING,
+            events.Kind.TARGET_RESTORED,
+        ]
+        assert seen[0].detail == {
+            "pool": "queue",
+            "reason": "drained by an operator",
+        }
+
     async def test_clocks_follow_each_other(self, fleet: fleets.Fleet) -> None:
         ahead_ms = time.time_ns() // 1_000_000 + 30_000
         stamp = events.Stamp(ahead_ms, 0, "other")
--- a/wigeonspool/agent/hub.py
+++ b/wigeonspool/agent/hub.py
@@ -5,12 +5,12 @@
 import dataclasses
 from typing import Final
 
-import aioprometheus
 import loguru
 
 from wigeonspool import process
 from wigeonspool.agent import configuration
 from wigeonspool.agent import gathering
+from wigeonspool.agent import metrics
 from wigeonspool.model import errors
 from wigeonspool.model import events
 from wigeonspool.model import messages
@@ -20,11 +20,6 @@
 HELLO_BYTES: Final = 4096
 HELLO_SECONDS: Final = 5.0
 
-STREAMS_REJECTED: Final = aioprometheus.Counter(
-    "wigeonspool_agent_streams_rejected_total",
-    "Streams closed because the peer broke the protocol, by error code.",
-)
-
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Subscriber:
@@ -100,7 +95,7 @@
             await self._converse(stream)
         except errors.WireError as error:
             self.rejected[error.code] = self.rejected.get(error.code, 0) + 1
-            STREAMS_REJECTED.inc({"code": error.code})
+            metrics.STREAMS_REJECTED.inc({"code": error.code})
             self._log.record(
                 events.Kind.PEER_REJECTED,
                 detail={"peer": stream.peer, "code": error.code},
--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -9,8 +9,6 @@
 from typing import Final
 
 import aiohttp
-from aiohttp import web
-import aioprometheus
 import loguru
 import mode
 
@@ -18,6 +16,7 @@
 from wigeonspool.agent import configuration
 from wigeonspool.agent import hub
 from wigeonspool.agent import members
+from wigeonspool.agent import metrics
 from wigeonspool.model import entities
 from wigeonspool.model import errors
 from wigeonspool.model import events
@@ -32,16 +31,6 @@
 WATCH_IDLE_SECONDS: Final = 30.0
 RETRY_SECONDS: Final = 0.5
 
-GENERATION: Final = aioprometheus.Gauge(
-    "wigeonspool_agent_generation", "Generation of the tables in force."
-)
-STORE_CALLS: Final = aioprometheus.Counter(
-    "wigeonspool_agent_store_calls_total", "Calls made to the store."
-)
-MEMBERS: Final = aioprometheus.Gauge(
-    "wigeonspool_agent_members", "VMs that are believed live."
-)
-
 
 class AgentService(process.DrainingService):
     """The agent of one entry VM."""
@@ -80,8 +69,8 @@
             client, self._settings.store.prefix
         )
         await self._hub.start(self._settings.agent.listen)
-        self._metrics = await process.serve_http(
-            self._settings.agent.metrics, web.Server(process.show_metrics)
+        self._metrics = await process.serve_metrics(
+            self._settings.agent.metrics, self._publish_metrics
         )
         self._log.record(events.Kind.PROCESS_STARTED, vm=self._settings.vm)
         loguru.logger.info("listening on {}", self._settings.agent.listen)
@@ -96,6 +85,15 @@
         await self._metrics.cleanup()
         await self._session.close()
 
+    def _publish_metrics(self) -> None:
+        """Brings the metrics up to date."""
+        metrics.GENERATION.set({}, self._state.tables.generation)
+        metrics.STORE_CALLS.set({}, self._store.calls)
+        metrics.MEMBERS.set({}, len(self._members.list_heartbeats()))
+        metrics.GATEWAYS.set({}, len(self._hub.list_reports()))
+        metrics.SUBSCRIBERS.set({}, len(self._hub.subscribers))
+        metrics.EVENTS_DROPPED.set({}, self._log.ring.dropped)
+
     def _now(self) -> float:
         """Returns the time on this process's monotonic clock."""
         return asyncio.get_running_loop().time()
@@ -201,7 +199,6 @@
             detail={"generation": str(generation)},
         )
         loguru.logger.info("generation {} in force", generation)
-        GENERATION.set({}, generation)
         self._hub.feed_all()
 
     async def _follow_store(self) -> None:
@@ -242,8 +239,6 @@
                 self._log.record(events.Kind.MEMBER_LEFT, vm=vm)
                 loguru.logger.info("VM {} is silent", vm)
             self._hub.broadcast(self._build_members())
-            STORE_CALLS.set({}, self._store.calls)
-            MEMBERS.set({}, len(self._members.list_heartbeats()))
             await self.sleep(self._settings.agent.heartbeat_seconds)
 
     def _send_heartbeat(self) -> None:
--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -5,6 +5,7 @@
 refuse them any more.
 """
 
+import collections
 from collections.abc import Iterable
 import dataclasses
 import heapq
@@ -92,11 +93,12 @@
         row = self._pools.get(pool)
         return list(row.targets.values()) if row else []
 
-    def count_queued(self, pool: str) -> int:
-        """Returns the number of requests of a pool that wait for a slot."""
-        return sum(
-            request.pool == pool and request.state is tables.RequestState.QUEUED
+    def count_queued(self) -> collections.Counter[str]:
+        """Returns the number of requests that wait for a slot, by pool."""
+        return collections.Counter(
+            request.pool
             for request in self._requests.values()
+            if request.state is tables.RequestState.QUEUED
         )
 
     def submit(
--- /dev/null
+++ b/wigeonspool/gateway/metrics.py
@@ -0,0 +1,109 @@
+"""The metrics of a gateway, brought up to date when they are read.
+
+Nothing here runs on the path of a request; a gateway that nobody scrapes
+spends nothing on metrics.
+"""
+
+from typing import Final
+
+import aioprometheus
+
+from wigeonspool.gateway import ingress as ingresses
+from wigeonspool.gateway import scheduler as schedulers
+from wigeonspool.gateway import view as views
+from wigeonspool.model import events
+
+REQUESTS: Final = aioprometheus.Counter(
+    "wigeonspool_gateway_requests_total",
+    "Requests that ended, by outcome and reason.",
+)
+RUNNING: Final = aioprometheus.Gauge(
+    "wigeonspool_gateway_requests_running", "Requests that have not ended."
+)
+QUEUED: Final = aioprometheus.Gauge(
+    "wigeonspool_gateway_requests_queued",
+    "Requests that wait for a slot of a target, by pool.",
+)
+ATTEMPTS: Final = aioprometheus.Gauge(
+    "wigeonspool_gateway_attempts_running",
+    "Attempts that run on targets, by pool.",
+)
+TARGETS: Final = aioprometheus.Gauge(
+    "wigeonspool_gateway_targets", "Targets, by pool and state."
+)
+GENERATION: Final = aioprometheus.Gauge(
+    "wigeonspool_gateway_generation", "Generation of the tables in force."
+)
+DRAINING: Final = aioprometheus.Gauge(
+    "wigeonspool_gateway_draining", "1 while the gateway prepares to stop."
+)
+EVENTS_DROPPED: Final = aioprometheus.Counter(
+    "wigeonspool_gateway_events_dropped_total",
+    "Events that were forgotten to make room for newer ones.",
+)
+
+POOL_GAUGES: Final = (QUEUED, ATTEMPTS, TARGETS)
+LABEL_NAMES: Final = ("pool", "state")
+LabelValues = tuple[str, ...]
+
+
+class GatewayMetrics:
+    """Reads the state of a gateway into its metrics."""
+
+    def __init__(
+        self,
+        ingress: ingresses.Ingress,
+        scheduler: schedulers.Scheduler,
+        view: views.FleetView,
+        ring: events.Ring,
+    ) -> None:
+        """Prepares the metrics.
+
+        Args:
+            ingress: Counts the requests that ended.
+            scheduler: Holds the core.
+            view: Holds the tables in force.
+            ring: Counts the events that were forgotten.
+        """
+        self._ingress = ingress
+        self._scheduler = scheduler
+        self._view = view
+        self._ring = ring
+        self._shown: dict[str, set[LabelValues]] = {}
+
+    def publish(self) -> None:
+        """Brings all metrics up to date."""
+        for (outcome, reason), count in self._ingress.counts.items():
+            REQUESTS.set({"outcome": outcome, "reason": reason}, count)
+        RUNNING.set({}, self._scheduler.core.count_running())
+        GENERATION.set({}, self._view.tables.generation)
+        DRAINING.set({}, int(self._ingress.draining))
+        EVENTS_DROPPED.set({}, self._ring.dropped)
+        self._publish_pools()
+
+    def _publish_pools(self) -> None:
+        """Brings the metrics of pools up to date."""
+        values: dict[str, dict[LabelValues, float]]
+        values = {gauge.name: {} for gauge in POOL_GAUGES}
+        queued = self._scheduler.core.count_queued()
+        for pool in self._view.tables.pools:
+            targets = self._scheduler.core.list_targets(pool)
+            values[QUEUED.name][(pool,)] = queued[pool]
+            running = sum(target.in_flight for target in targets)
+            values[ATTEMPTS.name][(pool,)] = running
+            for target in targets:
+                place = (pool, target.state.name.lower())
+                count = values[TARGETS.name].get(place, 0)
+                values[TARGETS.name][place] = count + 1
+        for gauge in POOL_GAUGES:
+            self._set_all(gauge, values[gauge.name])
+
+    def _set_all(
+        self, gauge: aioprometheus.Gauge, values: dict[LabelValues, float]
+    ) -> None:
+        """Sets a gauge; labels that were set before and are not now read 0."""
+        before = self._shown.get(gauge.name, set())
+        for labels in before | values.keys():
+            named = dict(zip(LABEL_NAMES, labels, strict=False))
+            gauge.set(named, values.get(labels, 0))
+        self._shown[gauge.name] = before | values.keys()
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -8,7 +8,6 @@
 from typing import Final
 
 from aiohttp import web
-import aioprometheus
 import loguru
 import mode
 
@@ -16,10 +15,12 @@
 from wigeonspool.gateway import egress
 from wigeonspool.gateway import ingress
 from wigeonspool.gateway import link
+from wigeonspool.gateway import metrics
 from wigeonspool.gateway import pauses
 from wigeonspool.gateway import scheduler
 from wigeonspool.gateway import statuses
 from wigeonspool.gateway import view
+from wigeonspool.gateway import watching
 from wigeonspool.model import entities
 from wigeonspool.model import events
 from wigeonspool.model import messages
@@ -30,13 +31,6 @@
 RECONNECT_SECONDS: Final = 0.2
 MOVE_CALLERS_SECONDS: Final = 1.0
 
-REQUESTS_ENDED: Final = aioprometheus.Counter(
-    "wigeonspool_gateway_requests_total", "Requests that ended, by outcome."
-)
-REQUESTS_RUNNING: Final = aioprometheus.Gauge(
-    "wigeonspool_gateway_requests_running", "Requests that have not ended."
-)
-
 
 class GatewayService(process.DrainingService):
     """One gateway process."""
@@ -97,9 +91,14 @@
         self.add_future(link.keep_following(self._link, RECONNECT_SECONDS))
         server = web.Server(self._ingress.serve, handler_cancellation=True)
         self._callers = await process.serve_http(self._gateway.address, server)
-        metrics = web.Server(process.show_metrics)
-        self._metrics = await process.serve_http(
-            self._settings.gateway.metrics[self._index], metrics
+        self._watcher = watching.TargetWatcher(
+            self._view, self._scheduler, self._log
+        )
+        self._metrics = await process.serve_metrics(
+            self._settings.gateway.metrics[self._index],
+            metrics.GatewayMetrics(
+                self._ingress, self._scheduler, self._view, self._log.ring
+            ).publish,
         )
         self._log.record(events.Kind.PROCESS_STARTED, vm=self._settings.vm)
         loguru.logger.info("serving callers on {}", self._gateway.address)
@@ -133,12 +132,10 @@
 
     @mode.Service.timer(REPORT_SECONDS)
     async def _report_often(self) -> None:
-        """Reports to the agent and brings the metrics up to date."""
+        """Reports to the agent and to the time line."""
         self._report()
         self._ingress.demand.clear()
-        for (outcome, reason), count in self._ingress.counts.items():
-            REQUESTS_ENDED.set({"outcome": outcome, "reason": reason}, count)
-        REQUESTS_RUNNING.set({}, self._scheduler.core.count_running())
+        self._watcher.observe()
 
     async def drain(self) -> None:
         """Moves callers elsewhere, then finishes what is in flight.
--- a/wigeonspool/gateway/statuses.py
+++ b/wigeonspool/gateway/statuses.py
@@ -22,10 +22,11 @@
         pool: Only this pool, or "" for all.
     """
     pools = [p for p in view.tables.pools.values() if pool in ("", p.name)]
+    queued = scheduler.core.count_queued()
     return messages.GatewayStatus(
         name,
         scheduler.core.count_running(),
-        tuple(_build_pool(view, scheduler, p) for p in pools),
+        tuple(_build_pool(view, scheduler, p, queued[p.name]) for p in pools),
     )
 
 
@@ -33,6 +34,7 @@
     view: views.FleetView,
     scheduler: schedulers.Scheduler,
     pool: entities.Pool,
+    queued: int,
 ) -> messages.PoolStatus:
     """Returns the state of one pool."""
     drained = {t.address for t in pool.targets if t.drained}
@@ -47,7 +49,6 @@
         )
         for row in scheduler.core.list_targets(pool.name)
     )
-    queued = scheduler.core.count_queued(pool.name)
     return messages.PoolStatus(pool.name, queued, targets, {})
 
 
--- a/wigeonspool/process.py
+++ b/wigeonspool/process.py
@@ -1,7 +1,7 @@
 """What every process does alike: metrics, events, start and stop."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 import signal
 from typing import Final
 
@@ -74,13 +74,29 @@
     return runner
 
 
-async def show_metrics(request: web.BaseRequest) -> web.StreamResponse:
-    """Answers a scrape of the metrics of this process."""
-    if request.path != "/metrics":
-        return web.Response(status=404)
-    accepts = request.headers.getall("Accept", [])
-    content, headers = aioprometheus.render(aioprometheus.REGISTRY, accepts)
-    return web.Response(body=content, headers=headers)
+async def serve_metrics(
+    address: str, publish: Callable[[], None]
+) -> web.ServerRunner:
+    """Starts the metrics page of this process.
+
+    Args:
+        address: host:port to listen on.
+        publish: Brings the metrics up to date; called at each scrape.
+
+    Returns:
+        The runner that stops it.
+    """
+
+    async def show(request: web.BaseRequest) -> web.StreamResponse:
+        """Answers a scrape."""
+        if request.path != "/metrics":
+            return web.Response(status=404)
+        publish()
+        accepts = request.headers.getall("Accept", [])
+        content, fields = aioprometheus.render(aioprometheus.REGISTRY, accepts)
+        return web.Response(body=content, headers=fields)
+
+    return await serve_http(address, web.Server(show))
 
 
 class DrainingService(mode.Service):
