--- a/wigeonspool/gateway/home.py
+++ b/wigeonspool/gateway/home.py
@@ -23,12 +23,13 @@
 from wigeonspool.gateway import proofs
 from wigeonspool.gateway import relay
 from wigeonspool.gateway import runner as runners
+from wigeonspool.gateway import streaming
 from wigeonspool.model import entities
 from wigeonspool.model import options
 from wigeonspool.model import outcomes
 from wigeonspool.wire import tokens
 
-Ending = runners.Ending | web.StreamResponse
+Ending = runners.Ending | streaming.Streamed
 
 SETTLE_SECONDS: Final = 0.25
 
@@ -116,13 +117,17 @@
             request_id: Identity on the time line.
             deadline: Time by which its caller wants the answer, on the
                 monotonic clock, or why there is none.
+
+        Raises:
+            BodyUnreadableError: If its body did not arrive; nothing was sent.
         """
         assignment = proofs.read_assignment(request, self._signer)
         if isinstance(assignment, outcomes.Failure):
             return assignment
-        body = await incoming.read_bounded(request)
-        limit = (
-            time.monotonic() if not isinstance(deadline, float) else deadline
+        now = time.monotonic()
+        limit = now if not isinstance(deadline, float) else deadline
+        body = await incoming.read_bounded(
+            request, max(limit, now + incoming.LEAST_BODY_SECONDS)
         )
         outgoing = incoming.build_outgoing(request, request_id, body, limit)
         if assignment.home != self._gateway.name:
@@ -217,7 +222,8 @@
         if running.reader is None:
             return ending
         if running.reader is request and running.response is not None:
-            return running.response
+            failure = ending if isinstance(ending, outcomes.Failure) else None
+            return streaming.Streamed(running.response, failure)
         return outcomes.doubt(outcomes.Reason.ANSWER_NOT_KEPT)
 
     def _start(
--- a/wigeonspool/gateway/relay.py
+++ b/wigeonspool/gateway/relay.py
@@ -4,11 +4,10 @@
 
 import aiohttp
 from aiohttp import web
-from multidict import CIMultiDict
 
 from wigeonspool.core import once
-from wigeonspool.gateway import egress
 from wigeonspool.gateway import headers
+from wigeonspool.gateway import streaming
 from wigeonspool.model import outcomes
 
 # Answers up to this length are held whole and can be given again.
@@ -47,15 +46,15 @@
 
 def build_answer(source: aiohttp.ClientResponse, body: bytes) -> once.Answer:
     """Returns an answer that was read whole."""
-    fields = egress.filter_fields(source.headers)
-    return once.Answer(source.status, fields, body)
+    fields = headers.select_end_to_end(source.headers)
+    return once.Answer(source.status, tuple(fields.items()), body)
 
 
 def build_response(
     source: aiohttp.ClientResponse, request_id: str
 ) -> web.StreamResponse:
     """Returns the response that passes an answer on."""
-    fields = CIMultiDict(egress.filter_fields(source.headers))
+    fields = headers.select_end_to_end(source.headers)
     fields[headers.OUTCOME] = outcomes.Outcome.ANSWERED
     fields[headers.REQUEST] = request_id
     response = web.StreamResponse(status=source.status, headers=fields)
@@ -64,12 +63,6 @@
     return response
 
 
-def abort(request: web.BaseRequest) -> None:
-    """Cuts a caller's connection, so that it sees a part as a part."""
-    if request.transport is not None:
-        request.transport.abort()
-
-
 async def pass_on(
     request: web.BaseRequest | None,
     response: web.StreamResponse,
@@ -98,7 +91,7 @@
             await writer.write(chunk)
     except BaseException:
         if request is not None:
-            abort(request)
+            streaming.break_off(request)
         raise
     await writer.finish()
 
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -7,7 +7,6 @@
 import time
 from typing import Final
 
-from aiohttp import web
 import loguru
 import mode
 
@@ -15,6 +14,7 @@
 from wigeonspool.gateway import egress
 from wigeonspool.gateway import ingress
 from wigeonspool.gateway import link
+from wigeonspool.gateway import listener
 from wigeonspool.gateway import metrics
 from wigeonspool.gateway import pauses
 from wigeonspool.gateway import scheduler
@@ -89,7 +89,7 @@
             ),
         )
         self.add_future(link.keep_following(self._link, RECONNECT_SECONDS))
-        server = web.Server(self._ingress.serve, handler_cancellation=True)
+        server = listener.CallerServer(self._ingress)
         self._callers = await process.serve_http(self._gateway.address, server)
         self._watcher = watching.TargetWatcher(
             self._view, self._scheduler, self._log
--- a/wigeonspool/load/history.py
+++ b/wigeonspool/load/history.py
@@ -62,6 +62,7 @@
     started_at: float
     ended_at: float
     ending: str
+    body_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
