--- /dev/null
+++ b/examples/first-day/run.sh
@@ -0,0 +1,128 @@
+#!/usr/bin/env bash
+# Runs each command of docs/OPERATING.md against a small fleet on the loopback
+# address and prints it with its output. Takes the directory of the binaries.
+set -uo pipefail
+bin=$1
+cd "$(dirname "$0")"
+logs=$(mktemp -d)
+pids=()
+stop_all() {
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null; done
+  rm -rf "$logs"
+}
+trap stop_all EXIT
+export WIGEONSPOOL_STORE=http://127.0.0.1:23900
+export WIGEONSPOOL_AGENT=127.0.0.1:23200
+export WIGEONSPOOL_VM_LIST=http://127.0.0.1:23901/v1/vms
+export PATH="$bin:$PATH"
+
+start() {
+  local name=$1
+  shift
+  "$@" >"$logs/$name" 2>&1 &
+  pids+=($!)
+}
+show() {
+  echo "\$ $*"
+  "$@" 2>&1
+  local code=$?
+  if [ "$code" != 0 ]; then echo "(exit code $code)"; fi
+}
+title() { printf '\n== %s\n' "$1"; }
+set_faults() {
+  curl -s -o /dev/null -X POST -d "$2" "http://127.0.0.1:$1/faults"
+}
+read_queue() {
+  curl -s -o /dev/null -w '%{http_code}\n' -H "Wigeonspool-Request: $1" \
+    "http://127.0.0.1:23210/queue/1${2:-}"
+}
+wait_port() {
+  for _ in $(seq 100); do
+    if (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; then return; fi
+    sleep 0.1
+  done
+}
+
+start store wigeonspool-standin store --port 23900
+start vm-list wigeonspool-standin vm-list vms.yaml --port 23901
+start targets wigeonspool-standin target 3 23000 23090 --work /queue=5
+for port in 23900 23901 23090; do wait_port "$port"; done
+start agent-1 wigeonspool-agent --settings vm-1.yaml
+start agent-2 wigeonspool-agent --settings vm-2.yaml
+start gateway-1 wigeonspool-gateway --settings vm-1.yaml
+start gateway-2 wigeonspool-gateway --settings vm-2.yaml
+stopped=$!
+for port in 23200 23300 23210 23310; do wait_port "$port"; done
+sleep 1.5
+
+title "First day"
+show wigeonspool-ctl validate tables.yaml
+show wigeonspool-ctl diff tables.yaml
+show wigeonspool-ctl apply tables.yaml --wait
+show wigeonspool-ctl status
+for i in 1 2 3; do read_queue "first-$i" >/dev/null; done
+show wigeonspool-timeline --vm-list "$WIGEONSPOOL_VM_LIST" --request first-1
+
+title "Drain a target"
+show wigeonspool-ctl drain host-3 --wait
+show wigeonspool-ctl status
+show wigeonspool-ctl apply tables.yaml --base 1
+show wigeonspool-ctl history --last 1
+show wigeonspool-ctl undrain 127.0.0.1:23002 --wait
+
+title "The store is down"
+set_faults 23900 '{"down": true}'
+show wigeonspool-ctl diff tables.yaml
+read_queue down-1
+show wigeonspool-ctl status
+sleep 1
+tail -n 2 "$logs/agent-1"
+set_faults 23900 '{"down": false}'
+sleep 1.5
+sed 's/slots: 4/slots: 6/' tables.yaml >"$logs/more.yaml"
+show wigeonspool-ctl apply "$logs/more.yaml" --wait
+
+title "Crest"
+set_faults 23090 '{"slow": 60}'
+reads=()
+for i in $(seq 60); do
+  read_queue "crest-$i" >"$logs/crest-$i" &
+  reads+=($!)
+done
+sleep 0.4
+show wigeonspool-ctl status
+wait "${reads[@]}"
+cat "$logs"/crest-* | sort | uniq -c
+curl -s http://127.0.0.1:23211/metrics | grep '^wigeonspool_gateway_requests'
+set_faults 23090 '{"slow": 1}'
+
+title "A target that fails"
+set_faults 23090 '{"targets": ["127.0.0.1:23000"], "failing": true}'
+for i in $(seq 40); do read_queue "fail-$i"; done | sort | uniq -c
+sleep 0.5
+show wigeonspool-timeline "$WIGEONSPOOL_AGENT" --target 127.0.0.1:23000 \
+  --kind target-ejected --kind target-restored --last 4
+set_faults 23090 '{"targets": ["127.0.0.1:23000"], "failing": false}'
+
+title "Silent connections"
+set_faults 23090 '{"targets": ["127.0.0.1:23000"], "silent": true}'
+for i in $(seq 6); do read_queue "silent-$i"; done | sort | uniq -c
+show wigeonspool-timeline "$WIGEONSPOOL_AGENT" --kind connection-silent --last 3
+set_faults 23090 '{"targets": ["127.0.0.1:23000"], "silent": false}'
+
+title "A request that crashes targets"
+read_queue crash-1 '?crash-target'
+show wigeonspool-timeline "$WIGEONSPOOL_AGENT" --request crash-1
+show wigeonspool-ctl status
+curl -s -o /dev/null -X POST http://127.0.0.1:23090/restart -d \
+  '{"targets": ["127.0.0.1:23000", "127.0.0.1:23001", "127.0.0.1:23002"]}'
+
+title "Replace a VM"
+kill -TERM "$stopped"
+sleep 1
+show wigeonspool-ctl status
+wait "$stopped"
+echo "gateway ended with code $?"
+cat "$logs/gateway-2"
+show wigeonspool-timeline --vm-list "$WIGEONSPOOL_VM_LIST" --vm entry-2 --last 4
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -82,11 +82,12 @@
         )
         found = [json.loads(line) for line in out.splitlines()]
         assert {e["kind"] for e in found} == {"request-sent"}
-        _, out = await run(
-            "--vm-list", vm_list, "--kind", "process-started", "--vm", "vm-1"
-        )
-        names = {line.split("  ")[1] for line in out.splitlines()}
-        assert names == {"vm-1-agent", "vm-1-0"}
+        for kind in ("process-started", "configuration-in-force"):
+            _, out = await run(
+                "--vm-list", vm_list, "--kind", kind, "--vm", "vm-1"
+            )
+            names = {line.split("  ")[1] for line in out.splitlines()}
+            assert names == {"vm-1-agent", "vm-1-0"}
 
     async def test_vm_that_is_gone_is_a_note(self, fleet: fleets.Fleet) -> None:
         async def hang(_: Any, writer: asyncio.StreamWriter) -> None:
--- a/wigeonspool/gateway/link.py
+++ b/wigeonspool/gateway/link.py
@@ -8,6 +8,7 @@
 from wigeonspool.gateway import view as views
 from wigeonspool.model import changes
 from wigeonspool.model import errors
+from wigeonspool.model import events
 from wigeonspool.model import messages
 from wigeonspool.process import EventLog
 from wigeonspool.wire import senders
@@ -71,7 +72,7 @@
         """Takes one message of the agent."""
         if isinstance(message, messages.Snapshot):
             if self._view.take_tables(message.tables):
-                self._on_change()
+                self._put_in_force()
         elif isinstance(message, messages.ChangeNotice):
             self._take_change(message.change)
         elif isinstance(message, messages.Members):
@@ -100,7 +101,16 @@
         if change.generation != tables.generation + 1:
             raise errors.FrameEncodingError("a change is missing")
         self._view.take_tables(changes.apply_change(tables, change))
+        self._put_in_force()
+
+    def _put_in_force(self) -> None:
+        """Makes new tables known to this process and to the time line."""
         self._on_change()
+        self._log.record(
+            events.Kind.CONFIGURATION_IN_FORCE,
+            vm=self._hello.vm,
+            detail={"generation": str(self._view.tables.generation)},
+        )
 
 
 async def keep_following(link: AgentLink, retry_seconds: float) -> None:
--- a/wigeonspool/gateway/statuses.py
+++ b/wigeonspool/gateway/statuses.py
@@ -69,5 +69,5 @@
             return "leaving, says the VM list"
         return "the target said so"
     if row.state is tables.TargetState.EJECTED:
-        return f"{row.failures} failures in a row"
+        return "failures in a row"
     return ""
