--- a/wigeonspool/gateway/link.py
+++ b/wigeonspool/gateway/link.py
@@ -8,6 +8,7 @@
 from wigeonspool.gateway import view as views
 from wigeonspool.model import changes
 from wigeonspool.model import errors
+from wigeonspool.model import events
 from wigeonspool.model import messages
 from wigeonspool.process import EventLog
 from wigeonspool.wire import senders
@@ -56,7 +57,7 @@
             WireError: If the agent broke the protocol.
             OSError: If the stream failed.
         """
-        stream = await streams.open_stream(self._address)
+        stream = await streams.open_stream(self._address, self._log.clock)
         try:
             await stream.send(self._hello)
             self._stream = stream
@@ -71,7 +72,7 @@
         """Takes one message of the agent."""
         if isinstance(message, messages.Snapshot):
             if self._view.take_tables(message.tables):
-                self._on_change()
+                self._put_in_force()
         elif isinstance(message, messages.ChangeNotice):
             self._take_change(message.change)
         elif isinstance(message, messages.Members):
@@ -83,7 +84,7 @@
             self._view.leaving = frozenset(message.leaving)
             self._on_change()
         elif isinstance(message, messages.EventsRequest):
-            stream.post(self._log.build_reply())
+            stream.post(self._log.build_reply(message.wanted))
         elif isinstance(message, messages.VmStatusRequest):
             status = self._build_status(message.pool)
             stream.post(messages.VmStatusReply((status,)))
@@ -100,7 +101,16 @@
         if change.generation != tables.generation + 1:
             raise errors.FrameEncodingError("a change is missing")
         self._view.take_tables(changes.apply_change(tables, change))
+        self._put_in_force()
+
+    def _put_in_force(self) -> None:
+        """Makes new tables known to this process and to the time line."""
         self._on_change()
+        self._log.record(
+            events.Kind.CONFIGURATION_IN_FORCE,
+            vm=self._hello.vm,
+            detail={"generation": str(self._view.tables.generation)},
+        )
 
 
 async def keep_following(link: AgentLink, retry_seconds: float) -> None:
--- a/wigeonspool/gateway/relay.py
+++ b/wigeonspool/gateway/relay.py
@@ -1,18 +1,22 @@
 """Passes a long answer on to a caller while it arrives."""
 
+import asyncio
 import dataclasses
+from typing import Final
 
 import aiohttp
 from aiohttp import web
-from multidict import CIMultiDict
 
 from wigeonspool.core import once
-from wigeonspool.gateway import egress
 from wigeonspool.gateway import headers
+from wigeonspool.gateway import streaming
 from wigeonspool.model import outcomes
 
 # Answers up to this length are held whole and can be given again.
-HELD_ANSWER_BYTES = 1024 * 1024
+HELD_ANSWER_BYTES: Final = 1024 * 1024
+# An answer that has begun to reach its caller ends when it stops moving, and
+# not at the deadline, since it cannot be given again.
+STALL_SECONDS: Final = 5.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -47,15 +51,15 @@
 
 def build_answer(source: aiohttp.ClientResponse, body: bytes) -> once.Answer:
     """Returns an answer that was read whole."""
-    fields = egress.filter_fields(source.headers)
-    return once.Answer(source.status, fields, body)
+    fields = headers.select_end_to_end(source.headers)
+    return once.Answer(source.status, tuple(fields.items()), body)
 
 
 def build_response(
     source: aiohttp.ClientResponse, request_id: str
 ) -> web.StreamResponse:
     """Returns the response that passes an answer on."""
-    fields = CIMultiDict(egress.filter_fields(source.headers))
+    fields = headers.select_end_to_end(source.headers)
     fields[headers.OUTCOME] = outcomes.Outcome.ANSWERED
     fields[headers.REQUEST] = request_id
     response = web.StreamResponse(status=source.status, headers=fields)
@@ -64,12 +68,6 @@
     return response
 
 
-def abort(request: web.BaseRequest) -> None:
-    """Cuts a caller's connection, so that it sees a part as a part."""
-    if request.transport is not None:
-        request.transport.abort()
-
-
 async def pass_on(
     request: web.BaseRequest | None,
     response: web.StreamResponse,
@@ -89,16 +87,18 @@
     Raises:
         aiohttp.ClientError: If the answer was cut; so is the caller's then.
         OSError: If the connection to the target failed.
+        TimeoutError: If it stopped moving.
     """
     writer = _Writer(request, response)
     await writer.prepare()
     await writer.write(head)
     try:
-        async for chunk in source.content.iter_any():
-            await writer.write(chunk)
+        while not source.content.at_eof():
+            async with asyncio.timeout(STALL_SECONDS):
+                await writer.write(await source.content.readany())
     except BaseException:
         if request is not None:
-            abort(request)
+            streaming.break_off(request)
         raise
     await writer.finish()
 
