Judge targets by a score of what their attempts show

Cause: three failures in a row ejected a target, slow answers never did, and a target came back with all its slots at once. Weighed: strikes in a row. With exponential service times a target that became ten times slower shows three slow answers in a row only after about ten answers; a score that good answers reduce by a quarter needs about six.

--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,61 @@
+from wigeonspool.core import health
+from wigeonspool.core import tables
+
+GOOD = tables.Result(tables.ResultKind.ANSWERED)
+FAILED = tables.Result(tables.ResultKind.FAILED)
+
+
+class TestScore:
+    def test_three_failures_in_a_row_fail_a_target(self) -> None:
+        row = health.HealthRow()
+        for _ in range(3):
+            assert not health.is_failing(row)
+            health.note_bad(row, health.weigh_result(FAILED, 0.0, 1.0), 4)
+        assert health.is_failing(row)
+
+    def test_rare_slow_answers_do_no_harm(self) -> None:
+        row = health.HealthRow()
+        for _ in range(1000):
+            health.note_bad(row, health.SLOW_SCORE, 4)
+            for _ in range(5):
+                health.note_good(row, 4)
+        assert not health.is_failing(row)
+        assert row.cap >= 4
+
+    def test_slow_is_measured_in_medians_of_the_route(self) -> None:
+        slow = health.find_slow_seconds(0.005)
+        assert health.weigh_result(GOOD, 0.039, slow) == 0.0
+        assert health.weigh_result(GOOD, 0.041, slow) > 0.0
+
+    def test_nothing_is_slow_while_the_route_is_not_known(self) -> None:
+        assert health.find_slow_seconds(0.0) == float("inf")
+
+
+class TestEjection:
+    def test_time_out_doubles_up_to_a_bound(self) -> None:
+        row = health.HealthRow()
+        outs = []
+        for _ in range(10):
+            health.begin_ejection(row, 100.0)
+            outs.append(row.out_until - 100.0)
+        assert outs[1] > 1.9 * outs[0]
+        assert max(outs) == health.MAX_EJECTION_SECONDS
+
+    def test_target_comes_back_with_one_attempt_and_earns_its_slots(
+        self,
+    ) -> None:
+        row = health.HealthRow()
+        health.begin_ejection(row, 0.0)
+        health.end_ejection(row)
+        caps = []
+        for _ in range(3):
+            caps.append(row.cap)
+            health.note_good(row, 4)
+        assert caps == [1, 2, 4]
+        assert row.ejections == 0
+
+    def test_one_bad_sign_after_the_return_ejects_again(self) -> None:
+        row = health.HealthRow()
+        health.end_ejection(row)
+        health.note_bad(row, health.FAILED_SCORE, 4)
+        assert health.is_failing(row)
--- /dev/null
+++ b/wigeonspool/core/health.py
@@ -0,0 +1,127 @@
+"""Judges targets by what their attempts show, not by what they report.
+
+Each bad sign adds to a target's score and each good answer takes some off, so
+that a rare slow answer of a healthy target does no harm. A target whose score
+reaches the limit is ejected; it comes back with one attempt at a time and
+earns its slots again. The pool's bound on ejected targets always holds: a
+target that may not be ejected keeps one attempt at a time instead.
+"""
+
+import dataclasses
+from typing import Final
+
+from wigeonspool.core import tables
+
+SCORE_LIMIT: Final = 3.0
+GOOD_SCORE: Final = -0.25
+SLOW_SCORE: Final = 1.0
+FAILED_SCORE: Final = 1.0
+SHED_SCORE: Final = 1.0
+LOST_SCORE: Final = 1.5
+# An attempt is slow if it takes this many medians of its route.
+SLOW_RATIO: Final = 8.0
+LEAST_SLOW_SECONDS: Final = 0.02
+EJECTION_SECONDS: Final = 0.2
+MAX_EJECTION_SECONDS: Final = 5.0
+MAX_DOUBLINGS: Final = 5
+UNLIMITED: Final = 1_000_000
+# A target that said it is leaving gets nothing until it is heard of anew.
+DRAINING_SECONDS: Final = 600.0
+
+
+@dataclasses.dataclass(slots=True)
+class HealthRow:
+    """What the attempts at one target have shown.
+
+    Attributes:
+        score: Weight of recent bad signs.
+        cap: Attempts that it may have in flight.
+        ejections: Ejections since it last had all its slots.
+        out_until: Deadline of its ejection, on the core's clock.
+        draining_until: Deadline of its own word that it is leaving.
+    """
+
+    score: float = 0.0
+    cap: int = UNLIMITED
+    ejections: int = 0
+    out_until: float = 0.0
+    draining_until: float = 0.0
+
+
+def find_slow_seconds(median: float) -> float:
+    """Returns the time from which an attempt counts as slow, in seconds.
+
+    Args:
+        median: Median service time of its route, or 0.0 if not known.
+    """
+    if median <= 0.0:
+        return float("inf")
+    return max(LEAST_SLOW_SECONDS, SLOW_RATIO * median)
+
+
+def note_good(row: HealthRow, slots: int) -> None:
+    """Notes an answer in good time: the cap doubles up to the slots."""
+    row.score = max(0.0, row.score + GOOD_SCORE)
+    if row.cap >= slots:
+        row.cap = UNLIMITED
+        row.ejections = 0
+    else:
+        row.cap *= 2
+
+
+def note_bad(row: HealthRow, score: float, slots: int) -> None:
+    """Notes a bad sign: the cap halves.
+
+    Args:
+        row: Target's health.
+        score: Weight of the sign.
+        slots: Slots of the target.
+    """
+    row.score += score
+    row.cap = max(1, min(row.cap, slots) // 2)
+
+
+def weigh_result(result: tables.Result, seconds: float, slow: float) -> float:
+    """Returns the weight of an attempt's result; 0.0 if it is good.
+
+    Args:
+        result: How the attempt ended.
+        seconds: How long it took.
+        slow: Time from which it counts as slow, in seconds.
+    """
+    if result.kind is tables.ResultKind.FAILED:
+        return FAILED_SCORE
+    if result.kind is tables.ResultKind.NOT_RUN:
+        return SHED_SCORE
+    if result.kind is tables.ResultKind.LOST:
+        return LOST_SCORE
+    return SLOW_SCORE if seconds > slow else 0.0
+
+
+def is_failing(row: HealthRow) -> bool:
+    """Returns True if a target should be ejected."""
+    return row.score >= SCORE_LIMIT
+
+
+def begin_ejection(row: HealthRow, now: float) -> None:
+    """Takes a target out; each ejection in a row doubles the time."""
+    doublings = min(row.ejections, MAX_DOUBLINGS)
+    seconds = min(EJECTION_SECONDS * 2**doublings, MAX_EJECTION_SECONDS)
+    row.out_until = now + seconds
+    row.ejections += 1
+
+
+def end_ejection(row: HealthRow) -> None:
+    """Lets a target back with one attempt; one bad sign ejects it again."""
+    row.score = SCORE_LIMIT - SLOW_SCORE
+    row.cap = 1
+
+
+def begin_cold(row: HealthRow) -> None:
+    """Lets a new target begin with one attempt at a time."""
+    row.cap = 1
+
+
+def count_allowed_ejections(targets: int, fraction: float) -> int:
+    """Returns how many targets of a pool may be out at once."""
+    return int(targets * fraction)
