--- a/tests/lone.py
+++ b/tests/lone.py
@@ -5,6 +5,8 @@
 import json
 from typing import Any
 
+import loguru
+
 from tests import fleet as fleets
 from wigeonspool.gateway import service as gateways
 from wigeonspool.model import entities
@@ -44,6 +46,7 @@
         self._writers: list[asyncio.StreamWriter] = []
 
     async def start(self, *targets: str, slots: int = 4) -> None:
+        loguru.logger.disable("wigeonspool.gateway.link")
         await self.service.start()
         self.point_at(*targets, slots=slots)
 
@@ -111,6 +114,7 @@
         for writer in self._writers:
             writer.close()
         self.service._callers._shutdown_timeout = 0.0
+        loguru.logger.enable("wigeonspool.gateway.link")
         await self.service.stop()
 
 
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -37,6 +37,10 @@
 REQUESTS_RUNNING: Final = aioprometheus.Gauge(
     "wigeonspool_gateway_requests_running", "Requests that have not ended."
 )
+CONNECTIONS_SILENT: Final = aioprometheus.Counter(
+    "wigeonspool_gateway_connections_silent_total",
+    "Kept connections to targets that were found silent or dead.",
+)
 
 
 class GatewayService(process.DrainingService):
@@ -139,6 +143,7 @@
         self._ingress.demand.clear()
         for (outcome, reason), count in self._ingress.counts.items():
             REQUESTS_ENDED.set({"outcome": outcome, "reason": reason}, count)
+        CONNECTIONS_SILENT.set({}, self._client.silent)
         REQUESTS_RUNNING.set({}, self._scheduler.core.count_running())
 
     async def drain(self) -> None:
--- a/wigeonspool/standin/target.py
+++ b/wigeonspool/standin/target.py
@@ -5,14 +5,19 @@
 """
 
 import asyncio
+import ctypes
 import dataclasses
 import json
 import random
+import socket
+import struct
 import time
 from typing import Any, Final
+import weakref
 
 from aiohttp import web
 
+SO_ATTACH_FILTER: Final = 26
 CHUNK_BYTES: Final = 64 * 1024
 CALLER: Final = "Wigeonspool-Caller"
 REQUEST: Final = "Wigeonspool-Request"
@@ -29,7 +34,10 @@
         draining: It says so on answers and refuses new connections' work.
         failing: Every request fails at once with 500.
         shedding: Every request is refused as not run.
-        silent: Open connections get no answer any more.
+        silent: Setting it makes this share of the connections that are open
+            then silent for good: what comes in on them is dropped unseen.
+            New ones work.
+        stalled: No request is answered, on any connection.
         health: What the health endpoint claims, if it is not the truth.
         cold_until: Until this time on the monotonic clock it is 5 x slower.
     """
@@ -38,7 +46,8 @@
     draining: bool = False
     failing: bool = False
     shedding: bool = False
-    silent: bool = False
+    silent: float = 0.0
+    stalled: bool = False
     health: str = ""
     cold_until: float = 0.0
 
@@ -83,6 +92,17 @@
     service_ms: float
 
 
+def drop_incoming(connection: Any) -> None:
+    """Makes the kernel drop all that arrives on a connection, unseen.
+
+    To the other end it looks as if something between them had lost track of
+    the connection: nothing is acknowledged any more.
+    """
+    drop_all = ctypes.create_string_buffer(struct.pack("HBBI", 0x06, 0, 0, 0))
+    program = struct.pack("HL", 1, ctypes.addressof(drop_all))
+    connection.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+
+
 async def _read_body(request: web.BaseRequest) -> tuple[bytes, int]:
     """Returns the first part of a body, and its whole length in bytes."""
     head = b""
@@ -114,8 +134,21 @@
         self._works = works
         self._slots = asyncio.Semaphore(slots)
         self._in_flight = 0
+        self._transports: weakref.WeakSet[Any] = weakref.WeakSet()
         self._random = random.Random(seed)
 
+    def set_faults(self, **changed: Any) -> None:
+        """Changes some faults by name."""
+        self.faults = dataclasses.replace(self.faults, **changed)
+        if "silent" in changed:
+            self._silence_connections()
+
+    def _silence_connections(self) -> None:
+        """Makes a share of the open connections silent."""
+        opened = [t for t in self._transports if not t.is_closing()]
+        for transport in opened[: round(len(opened) * self.faults.silent)]:
+            drop_incoming(transport.get_extra_info("socket"))
+
     def _find_service_seconds(self, path: str) -> float:
         """Returns the service time of a request."""
         for work in self._works:
@@ -133,7 +166,8 @@
         """Answers one request."""
         if request.path == "/health":
             return self._show_health()
-        if self.faults.silent:
+        self._transports.add(request.transport)
+        if self.faults.stalled:
             await asyncio.sleep(3600)
         if self.faults.failing:
             return web.Response(status=500)
@@ -281,8 +315,7 @@
         body: dict[str, Any] = await request.json()
         chosen = body.pop("targets", list(self._targets))
         for address in chosen:
-            target = self._targets[address]
-            target.faults = dataclasses.replace(target.faults, **body)
+            self._targets[address].set_faults(**body)
         return web.json_response({"targets": len(chosen)})
 
     async def _restart(self, request: web.Request) -> web.Response:
