--- a/wigeonspool/process.py
+++ b/wigeonspool/process.py
@@ -1,62 +1,35 @@
-"""What every process does alike: logs, metrics, events, start and stop."""
+"""What every process does alike: metrics, events, start and stop."""
 
 import asyncio
 from collections.abc import Mapping
-import json
 import signal
-import sys
-from typing import Any, Final
+from typing import Final
 
 from aiohttp import web
 import aioprometheus
-import loguru
 import mode
 import uvloop
 
 from wigeonspool.model import events
 from wigeonspool.model import messages
-from wigeonspool.model import options
 from wigeonspool.wire import clocks
 
 EXIT_INVALID_SETTINGS: Final = 2
-TEXT_FORMAT: Final = "{time:HH:mm:ss.SSS} {level} {extra[part]}: {message}"
 
 
-def configure_logs(part: str, settings: options.LogOptions) -> None:
-    """Directs the log of this process to standard error.
+class EventLog:
+    """Stamps the events of this process and keeps the newest.
 
-    Args:
-        part: Prefix of each line.
-        settings: Format and lowest level.
+    Attributes:
+        clock: Clock of this process; streams make it follow their peers.
+        ring: The newest events.
     """
-    loguru.logger.remove()
-    loguru.logger.configure(extra={"part": part})
-    if settings.format == "text":
-        loguru.logger.add(sys.stderr, format=TEXT_FORMAT, level=settings.level)
-        return
-    loguru.logger.add(write_json_line, level=settings.level)
-
-
-def write_json_line(message: Any) -> None:
-    """Writes one log record as a line of JSON."""
-    record = message.record
-    line = {
-        "time": record["time"].isoformat(),
-        "level": record["level"].name,
-        "part": record["extra"]["part"],
-        "message": record["message"],
-    }
-    print(json.dumps(line), file=sys.stderr)
-
 
-class EventLog:
-    """Stamps the events of this process and keeps the newest."""
-
-    __slots__ = ("_clock", "_process", "ring")
+    __slots__ = ("_process", "clock", "ring")
 
     def __init__(self, process: str) -> None:
         self._process = process
-        self._clock = clocks.HybridClock(process)
+        self.clock = clocks.HybridClock(process)
         self.ring = events.Ring()
 
     def record(
@@ -68,24 +41,20 @@
         detail: Mapping[str, str] | None = None,
     ) -> None:
         """Adds an event that happens now."""
-        stamp = self._clock.issue_stamp()
+        stamp = self.clock.issue_stamp()
         event = events.Event(
             stamp, kind, request, target, vm, {**(detail or {})}
         )
         self.ring.append(event)
 
-    def build_reply(self) -> messages.EventsReply:
-        """Returns all that this process can tell of its events."""
+    def build_reply(self, wanted: events.Filter) -> messages.EventsReply:
+        """Returns the events of this process that are wanted."""
         return messages.EventsReply(
             self._process,
-            tuple(self.ring.list_events()),
+            tuple(self.ring.list_events(wanted)),
             {self._process: self.ring.dropped},
         )
 
-    def observe(self, stamp: events.Stamp) -> None:
-        """Orders later events after one of another process."""
-        self._clock.observe_stamp(stamp)
-
 
 async def serve_http(address: str, server: web.Server) -> web.ServerRunner:
     """Starts an HTTP server.
