Measure what a gateway adds with wigeonspool-load drive

The same open-loop load goes directly (twice, for the noise) and through the gateway, drawn from one sequence of due times; latency counts from the due time in HdrHistograms; processor time is read from /proc/PID/stat. examples/overhead.sh starts the processes. Also: bodies are read with iter_any.

--- a/wigeonspool/gateway/incoming.py
+++ b/wigeonspool/gateway/incoming.py
@@ -101,9 +101,11 @@
     """Returns a stream's bytes, or a first part that exceeds a bound."""
     parts: list[bytes] = []
     size = 0
-    while size <= bound and (part := await source.readany()):
+    async for part in source.iter_any():
         parts.append(part)
         size += len(part)
+        if size > bound:
+            break
     return b"".join(parts)
 
 
--- a/wigeonspool/load/main.py
+++ b/wigeonspool/load/main.py
@@ -1,14 +1,21 @@
 """Command line of the bench: load, experiments and their reports."""
 
 import asyncio
+import dataclasses
+import json
+import pathlib
 import sys
 from typing import Final
 
 import cyclopts
+import uvloop
 
 from wigeonspool.load import demo as demos
+from wigeonspool.load import drive as drives
+from wigeonspool.model import errors
 
 EXIT_BROKEN: Final = 1
+EXIT_INVALID_SETTINGS: Final = 2
 
 app = cyclopts.App(
     name="wigeonspool-load",
@@ -43,6 +50,34 @@
         sys.exit(EXIT_BROKEN)
 
 
+@app.command
+def drive(
+    experiment: pathlib.Path, pid: int = 0, json_output: bool = False
+) -> None:
+    """Measures what a gateway adds to a request and what that costs it.
+
+    The processes that the experiment names must be up; examples/overhead.sh
+    starts them.
+
+    Args:
+        experiment: YAML file of the experiment.
+        pid: Process of the gateway, whose processor time is read.
+        json_output: Print one line of JSON instead of tables.
+    """
+    try:
+        options = drives.read_drive(experiment)
+    except errors.SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_INVALID_SETTINGS)
+    report = uvloop.run(drives.run_drive(options, pid))
+    if json_output:
+        print(json.dumps(dataclasses.asdict(report)))
+    else:
+        drives.print_report(report)
+    if report.failed:
+        sys.exit(EXIT_BROKEN)
+
+
 def main() -> None:
     """Entry point of the binary."""
     app()
