--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -97,7 +97,11 @@
         self._metrics = await process.serve_metrics(
             self._settings.gateway.metrics[self._index],
             metrics.GatewayMetrics(
-                self._ingress, self._scheduler, self._view, self._log.ring
+                self._ingress,
+                self._client,
+                self._scheduler,
+                self._view,
+                self._log.ring,
             ).publish,
         )
         self._log.record(events.Kind.PROCESS_STARTED, vm=self._settings.vm)
