--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -22,8 +22,12 @@
     return figures
 
 
+# test_drive.py checks the file of the real path.
+VIRTUAL = sorted(set(FOLDER.glob("*.yaml")) - {FOLDER / "overhead.yaml"})
+
+
 class TestExperimentFiles:
-    @pytest.mark.parametrize("path", sorted(FOLDER.glob("*.yaml")), ids=str)
+    @pytest.mark.parametrize("path", VIRTUAL, ids=lambda path: path.stem)
     def test_every_file_is_valid(self, path: pathlib.Path) -> None:
         assert experiments.read_experiment(path).name == path.stem
 
--- a/tests/test_home_machine.py
+++ b/tests/test_home_machine.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import AsyncIterator, Coroutine
 import contextlib
 import itertools
 from typing import Any
@@ -57,6 +57,10 @@
         body, self._body = self._body, b""
         return body
 
+    async def iter_any(self) -> AsyncIterator[bytes]:
+        while part := await self.readany():
+            yield part
+
 
 class Request:
     """What a home reads of an HTTP request."""
