--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -82,13 +82,15 @@
         self._stack.push_async_callback(runner.cleanup)
         return f"http://{address}"
 
-    def build_settings(self, vm: str, zone: str) -> options.Options:
+    def build_settings(
+        self, vm: str, zone: str, region: str = "region"
+    ) -> options.Options:
         peers = [s.agent.listen for s in self.settings.values()]
         return options.Options.model_validate(
             {
                 "vm": vm,
                 "zone": zone,
-                "region": "region",
+                "region": region,
                 "token_keys": ["test-key"],
                 "store": {"url": self.store_url, "timeout_seconds": 0.5},
                 "vm_list": {
@@ -110,11 +112,13 @@
             }
         )
 
-    async def start_vm(self, vm: str, zone: str) -> None:
+    async def start_vm(
+        self, vm: str, zone: str, region: str = "region"
+    ) -> None:
         """Starts an agent and a gateway."""
-        settings = self.build_settings(vm, zone)
+        settings = self.build_settings(vm, zone, region)
         self.settings[vm] = settings
-        self.list_vm(vm, zone, settings.agent.listen, "entry")
+        self.list_vm(vm, zone, settings.agent.listen, "entry", region=region)
         self.agents[vm] = agents.AgentService(settings)
         await self.agents[vm].start()
         await self.start_gateway(vm)
@@ -125,14 +129,32 @@
         self.addresses[vm] = self.settings[vm].gateway.addresses[0]
         await gateway.start()
 
+    def agent_address(self, vm: str) -> str:
+        return self.settings[vm].agent.listen
+
+    def list_feeders(self) -> list[str]:
+        """Returns the VMs whose agents follow the store."""
+        return [vm for vm, a in self.agents.items() if a._watch is not None]
+
+    def sees_all(self, count: int) -> bool:
+        """Returns True if each gateway knows so many gateways."""
+        views = [gateway._view for gateway in self.gateways.values()]
+        return all(len(view.gateways) == count for view in views)
+
     def list_vm(
-        self, name: str, zone: str, address: str, role: str, state: str = "live"
+        self,
+        name: str,
+        zone: str,
+        address: str,
+        role: str,
+        state: str = "live",
+        region: str = "region",
     ) -> None:
         """Puts a VM on the VM list, which shows it at once."""
         entry = {
             "name": name,
             "zone": zone,
-            "region": "region",
+            "region": region,
             "address": address,
             "role": role,
             "state": state,
--- /dev/null
+++ b/tests/log_fakes.py
@@ -0,0 +1,81 @@
+"""A store client that calls the stand-in without sockets, with faults."""
+
+import asyncio
+from collections.abc import Callable
+import random
+from typing import Any
+
+from wigeonspool.model import changes
+from wigeonspool.model import entities
+from wigeonspool.model import errors
+from wigeonspool.platform import configuration
+from wigeonspool.platform import store
+from wigeonspool.standin import store as stores
+
+PREFIX = "/wigeonspool/"
+
+
+class DirectClient(store.StoreClient):
+    """Serves calls at once; `fault` may lose a call or its reply."""
+
+    def __init__(
+        self, standin: stores.StoreStandin, fault: Callable[[], str] = str
+    ) -> None:
+        self.calls = 0
+        self._standin = standin
+        self._fault = fault
+
+    async def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        self.calls += 1
+        fault = self._fault()
+        # Others may run between any two calls.
+        await asyncio.sleep(0)
+        if fault == "lost" or self._standin.faults.down:
+            raise errors.StoreUnavailableError(path, "lost")
+        serve = {
+            "/v3/kv/range": self._standin._range,
+            "/v3/kv/txn": self._standin._txn,
+            "/v3/kv/deleterange": self._standin._delete,
+        }[path]
+        answer = serve(body)
+        if fault == "reply-lost":
+            raise errors.StoreUnavailableError(path, "reply lost")
+        answer["header"] = {"revision": str(self._standin.revision)}
+        return answer
+
+
+def build_log(
+    standin: stores.StoreStandin, fault: Callable[[], str] = str
+) -> configuration.ChangeLog:
+    return configuration.ChangeLog(DirectClient(standin, fault), PREFIX)
+
+
+def build_pool(name: str, targets: int = 1, seed: int = 0) -> entities.Pool:
+    """Returns a pool whose addresses hardly compress."""
+    rng = random.Random(f"{name}/{seed}")
+    listed = tuple(
+        entities.Target(f"{rng.randbytes(24).hex()}:80", "zone-0")
+        for _ in range(targets)
+    )
+    return entities.Pool(name, 4, listed)
+
+
+def build_change(
+    held: entities.Tables, change_id: str, author: str = "ayla"
+) -> changes.Change:
+    """Returns a change that adds one pool named after it."""
+    pools = {**held.pools, change_id: build_pool(change_id)}
+    wanted = entities.Tables(0, held.routes, pools)
+    return changes.diff_tables(held, wanted, change_id, author, 1.0)
+
+
+async def write_changes(
+    log: configuration.ChangeLog, ids: list[str]
+) -> entities.Tables:
+    """Writes a change of each id after the head; returns the tables."""
+    held = await log.read_tables()
+    for change_id in ids:
+        change = build_change(held, change_id)
+        await log.propose(change)
+        held = changes.apply_change(held, change)
+    return held
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,352 @@
+import asyncio
+import random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import pytest
+
+from tests import log_fakes
+from wigeonspool import process
+from wigeonspool.agent import configuration as states
+from wigeonspool.agent import follower as followers
+from wigeonspool.model import changes
+from wigeonspool.model import entities
+from wigeonspool.model import errors
+from wigeonspool.model import events
+from wigeonspool.model import messages
+from wigeonspool.platform import configuration
+from wigeonspool.platform import snapshots
+from wigeonspool.platform import store as store_client
+from wigeonspool.standin import store as stores
+
+
+def list_ids(count: int, first: int = 0) -> list[str]:
+    return [f"change-{number}" for number in range(first, first + count)]
+
+
+class TestChangeLog:
+    async def test_reply_that_is_lost_after_the_write_is_no_conflict(
+        self,
+    ) -> None:
+        faults = iter(["reply-lost", "", ""])
+        standin = stores.StoreStandin()
+        log = log_fakes.build_log(standin, lambda: next(faults, ""))
+        change = log_fakes.build_change(entities.EMPTY_TABLES, "a")
+        await log.propose(change)
+        assert (await log.read_tables()).digest == change.digest
+
+    async def test_loser_of_a_race_is_told_of_the_winner(self) -> None:
+        log = log_fakes.build_log(stores.StoreStandin())
+        empty = entities.EMPTY_TABLES
+        await log.propose(log_fakes.build_change(empty, "a", "ayla"))
+        with pytest.raises(errors.ChangeConflictError) as caught:
+            await log.propose(log_fakes.build_change(empty, "b", "bora"))
+        assert (caught.value.author, caught.value.change_id) == ("ayla", "a")
+        assert list((await log.read_tables()).pools) == ["a"]
+
+    async def test_outcome_is_unknown_while_the_store_is_down(self) -> None:
+        standin = stores.StoreStandin()
+        standin.faults.down = True
+        change = log_fakes.build_change(entities.EMPTY_TABLES, "a")
+        with pytest.raises(errors.ChangeUnknownError):
+            await log_fakes.build_log(standin).propose(change)
+
+    async def test_removed_generation_cannot_be_taken_again(self) -> None:
+        log = log_fakes.build_log(stores.StoreStandin())
+        old = log_fakes.build_change(entities.EMPTY_TABLES, "late")
+        tables = await log_fakes.write_changes(log, list_ids(10))
+        await log.snapshots.write(tables, {}, "w")
+        await log.compact(10, kept_changes=2)
+        with pytest.raises(errors.ChangeConflictError):
+            await log.propose(old)
+        assert await log.read_tables() == tables
+
+    @pytest.mark.parametrize("seed", range(20))
+    async def test_racing_operators_with_lost_replies_leave_one_chain(
+        self, seed: int
+    ) -> None:
+        standin = stores.StoreStandin()
+        rng = random.Random(seed)
+
+        def fault() -> str:
+            return rng.choice(["", "", "", "", "lost", "reply-lost"])
+
+        accepted: list[str] = []
+
+        async def operate(name: str) -> None:
+            log = log_fakes.build_log(standin, fault)
+            for number in range(8):
+                change_id = f"{name}-{number}"
+                try:
+                    held = await log.read_tables()
+                    change = log_fakes.build_change(held, change_id, name)
+                    await log.propose(change)
+                except (errors.StoreError, errors.ChangeConflictError):
+                    continue
+                except errors.ChangeUnknownError:
+                    continue
+                accepted.append(change_id)
+
+        await asyncio.gather(*map(operate, ["ayla", "bora", "cem"]))
+        found = await log_fakes.build_log(standin).read_after(0)
+        assert [c.generation for c in found] == list(range(1, len(found) + 1))
+        tables = entities.EMPTY_TABLES
+        for change in found:
+            tables = changes.apply_change(tables, change)
+        assert len({c.change_id for c in found}) == len(found)
+        assert set(accepted) <= {c.change_id for c in found}
+        assert accepted
+
+
+class TestSnapshots:
+    async def test_large_tables_are_cut_below_the_bound_of_the_store(
+        self,
+    ) -> None:
+        standin = stores.StoreStandin()
+        log = log_fakes.build_log(standin)
+        pools = {
+            name: log_fakes.build_pool(name, targets=200)
+            for name in list_ids(120)
+        }
+        tables = entities.Tables(7, {}, pools, "digest")
+        assert await log.snapshots.write(tables, {7: "digest"}, "w")
+        assert len(standin.records) > 2
+        found = await log.snapshots.read_newest()
+        assert found == snapshots.Saved(tables, {7: "digest"})
+
+    async def test_writer_that_stops_halfway_leaves_nothing_to_read(
+        self,
+    ) -> None:
+        standin = stores.StoreStandin()
+        faults = iter(["", "", "lost"])
+        writer = log_fakes.build_log(standin, lambda: next(faults, ""))
+        tables = await log_fakes.write_changes(
+            log_fakes.build_log(standin), list_ids(3)
+        )
+        with pytest.raises(errors.StoreUnavailableError):
+            await writer.snapshots.write(tables, {}, "w")
+        log = log_fakes.build_log(standin)
+        assert await log.snapshots.read_newest() is None
+        assert await log.read_tables() == tables
+
+    async def test_damaged_part_is_noticed(self) -> None:
+        standin = stores.StoreStandin()
+        log = log_fakes.build_log(standin)
+        await log.snapshots.write(entities.Tables(3, {}, {}, "d"), {}, "w")
+        part = next(key for key in standin.records if b"config/part" in key)
+        standin.records[part].value = b"damaged"
+        with pytest.raises(errors.StoreAnswerError):
+            await log.snapshots.read_newest()
+
+    async def test_tables_are_read_from_snapshot_and_deltas(self) -> None:
+        log = log_fakes.build_log(stores.StoreStandin())
+        middle = await log_fakes.write_changes(log, list_ids(20))
+        await log.snapshots.write(middle, {}, "w")
+        await log.compact(20, kept_changes=5)
+        tables = await log_fakes.write_changes(log, list_ids(7, first=20))
+        news = await log.read_news(entities.EMPTY_TABLES)
+        assert news.base is not None
+        assert news.base.tables == middle
+        assert len(news.changes) == 7
+        assert await log.read_tables() == tables
+
+    async def test_reader_that_is_far_behind_jumps_to_the_snapshot(
+        self,
+    ) -> None:
+        log = log_fakes.build_log(stores.StoreStandin())
+        old = await log_fakes.write_changes(log, list_ids(2))
+        tables = await log_fakes.write_changes(log, list_ids(20, first=2))
+        await log.snapshots.write(tables, {}, "w")
+        await log.compact(22, kept_changes=3)
+        news = await log.read_news(old)
+        assert news.base is not None
+        assert news.base.tables.generation == 22
+
+
+class Feeder:
+    """A feeder's tables and follower over a store stand-in."""
+
+    def __init__(self, standin: stores.StoreStandin, name: str = "f") -> None:
+        client = log_fakes.DirectClient(standin)
+        self.log = configuration.ChangeLog(client, log_fakes.PREFIX)
+        self.state = states.ConfigurationState()
+        self.events = process.EventLog(name)
+        self.generations: list[int] = []
+        self.follower = followers.StoreFollower(
+            client, self.log, self.state, self.events, name, self.note
+        )
+
+    def note(self) -> None:
+        self.generations.append(self.state.tables.generation)
+
+    def list_kinds(self) -> list[events.Kind]:
+        return [event.kind for event in self.events.ring.list_events()]
+
+
+class TestStoreFollower:
+    async def test_older_head_is_not_followed_and_is_repaired(self) -> None:
+        standin = stores.StoreStandin()
+        feeder = Feeder(standin)
+        await log_fakes.write_changes(feeder.log, list_ids(5))
+        backup = standin.copy_records()
+        tables = await log_fakes.write_changes(feeder.log, list_ids(3, 5))
+        await feeder.follower.read()
+        await standin.restore_records(backup)
+        await feeder.follower.read()
+        assert feeder.state.tables == tables
+        assert feeder.list_kinds() == [
+            events.Kind.CONFIGURATION_STALE_HEAD,
+            events.Kind.CONFIGURATION_RESTORED,
+        ]
+        assert await feeder.log.read_tables() == tables
+        await log_fakes.write_changes(feeder.log, ["next"])
+        await feeder.follower.read()
+        assert feeder.state.tables.generation == 9
+
+    async def test_empty_store_gets_what_is_in_force(self) -> None:
+        standin = stores.StoreStandin()
+        feeder = Feeder(standin)
+        tables = await log_fakes.write_changes(feeder.log, list_ids(300))
+        await feeder.follower.read()
+        await standin.restore_records({})
+        await feeder.follower.read()
+        assert await feeder.log.read_tables() == tables
+        other = Feeder(standin)
+        await other.follower.read()
+        assert other.state.tables == tables
+
+    async def test_other_changes_after_a_backup_are_never_mixed_in(
+        self,
+    ) -> None:
+        standin = stores.StoreStandin()
+        feeder = Feeder(standin)
+        await log_fakes.write_changes(feeder.log, list_ids(5))
+        backup = standin.copy_records()
+        tables = await log_fakes.write_changes(feeder.log, list_ids(3, 5))
+        await feeder.follower.read()
+        await standin.restore_records(backup)
+        await log_fakes.write_changes(feeder.log, ["x", "y", "z", "w"])
+        with pytest.raises(errors.ChainBrokenError):
+            await feeder.follower.read()
+        assert feeder.state.tables == tables
+        # Once an operator removes the other changes, what is in force returns.
+        for number in range(6, 10):
+            key = f"{log_fakes.PREFIX}config/change/{number:016d}"
+            del standin.records[key.encode()]
+        await feeder.follower.read()
+        assert await feeder.log.read_tables() == tables
+
+    async def test_snapshots_are_written_and_old_changes_removed(self) -> None:
+        standin = stores.StoreStandin()
+        feeder = Feeder(standin)
+        for _ in range(7):
+            await log_fakes.write_changes(
+                feeder.log,
+                list_ids(200, feeder.state.tables.generation),
+            )
+            await feeder.follower.read()
+        kept = [key for key in standin.records if b"config/change" in key]
+        assert len(kept) <= followers.KEPT_CHANGES + 1
+        late = Feeder(standin)
+        await late.follower.read()
+        assert late.state.tables == feeder.state.tables
+
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    @given(
+        steps=strategies.lists(
+            strategies.sampled_from(
+                ["write", "read-a", "read-b", "backup", "restore", "replace"]
+            ),
+            max_size=25,
+        )
+    )
+    def test_generations_only_rise_on_one_chain(self, steps: list[str]) -> None:
+        asyncio.run(self._interleave(steps))
+
+    async def _interleave(self, steps: list[str]) -> None:
+        standin = stores.StoreStandin()
+        feeders = {"a": Feeder(standin, "a"), "b": Feeder(standin, "b")}
+        backup = standin.copy_records()
+        for number, step in enumerate(steps):
+            before = {n: f.state.tables for n, f in feeders.items()}
+            log = log_fakes.build_log(standin)
+            try:
+                if step == "write":
+                    await log_fakes.write_changes(log, [f"w{number}"])
+                elif step == "backup":
+                    backup = standin.copy_records()
+                elif step == "restore":
+                    await standin.restore_records(backup)
+                elif step == "replace":
+                    # A new VM learns from its peer before it asks the store.
+                    known = feeders["b"].state
+                    feeders["a"] = Feeder(standin, "a")
+                    for message in known.list_messages(0, ""):
+                        take_message(feeders["a"].state, message)
+                    before["a"] = feeders["a"].state.tables
+                else:
+                    await feeders[step[-1]].follower.read()
+            except (errors.ChainBrokenError, errors.StoreError):
+                pass
+            for name, tables in before.items():
+                now = feeders[name].state.tables
+                assert now.generation >= tables.generation
+                assert set(tables.pools) <= set(now.pools)
+
+
+def take_message(
+    state: states.ConfigurationState, message: messages.Message
+) -> bool:
+    if isinstance(message, messages.Snapshot):
+        return state.take_tables(
+            message.tables, dict(message.lineage), message.last
+        )
+    assert isinstance(message, messages.ChangeNotice)
+    return state.take_change(message.change)
+
+
+class TestConfigurationState:
+    def build(self, ids: list[str]) -> states.ConfigurationState:
+        state = states.ConfigurationState()
+        for change_id in ids:
+            state.take_change(log_fakes.build_change(state.tables, change_id))
+        return state
+
+    def test_subscriber_gets_only_the_changes_that_it_lacks(self) -> None:
+        state = self.build(list_ids(5))
+        other = self.build(list_ids(3))
+        told = state.list_messages(other.tables.generation, other.tables.digest)
+        assert [type(m) for m in told] == [messages.ChangeNotice] * 2
+        assert all(take_message(other, message) for message in told)
+        assert other.tables == state.tables
+
+    def test_subscriber_of_another_history_gets_nothing(self) -> None:
+        state = self.build(list_ids(5))
+        other = self.build([*list_ids(2), "other"])
+        with pytest.raises(errors.ChainBrokenError):
+            state.list_messages(3, other.tables.digest)
+
+    def test_snapshot_of_another_history_is_refused(self) -> None:
+        state = self.build([*list_ids(2), "other"])
+        snapshot = self.build(list_ids(9)).list_messages(0, "")
+        held = state.tables
+        with pytest.raises(errors.ChainBrokenError):
+            for message in snapshot:
+                take_message(state, message)
+        assert state.tables == held
+
+    def test_older_tables_are_not_taken(self) -> None:
+        state = self.build(list_ids(5))
+        older = self.build(list_ids(3))
+        assert not state.take_tables(older.tables, dict(older.lineage))
+        assert state.tables.generation == 5
+
+
+class TestValueBound:
+    def test_change_above_the_bound_is_refused_before_it_is_sent(self) -> None:
+        pool = log_fakes.build_pool("big", targets=20_000)
+        change = changes.Change(1, "id", "ayla", 1.0, put_pools=(pool,))
+        with pytest.raises(errors.ChangeTooLargeError):
+            configuration.encode_change(change)
+        assert store_client.MAX_VALUE_BYTES == stores.MAX_VALUE_BYTES
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,481 @@
+import asyncio
+import dataclasses
+import time
+from typing import Any
+import unittest.mock
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import pytest
+
+from tests import fleet as fleets
+from wigeonspool.agent import directory
+from wigeonspool.agent import hub
+from wigeonspool.agent import members
+from wigeonspool.gateway import view as views
+from wigeonspool.model import entities
+from wigeonspool.model import errors
+from wigeonspool.model import events
+from wigeonspool.model import messages
+from wigeonspool.wire import clocks
+from wigeonspool.wire import proofs
+from wigeonspool.wire import streams
+
+KEYS = ["test-key"]
+
+
+def build_heartbeat(
+    vm: str, sequence: int = 1, incarnation: str = "i", draining: bool = False
+) -> messages.Heartbeat:
+    gateway = entities.Gateway(
+        f"{vm}-0", incarnation, f"{vm}:80", "zone-0", vm, draining
+    )
+    return messages.Heartbeat(
+        vm, "region", f"{vm}:7000", incarnation, sequence, 0, (gateway,)
+    )
+
+
+def build_vms(regions: int, vms: int) -> list[entities.Vm]:
+    return [
+        entities.Vm(
+            f"vm-{region}-{number}",
+            f"zone-{region}",
+            f"region-{region}",
+            f"10.0.{region}.{number}:7000",
+            "entry",
+            entities.VmState.LIVE,
+        )
+        for region in range(regions)
+        for number in range(vms)
+    ]
+
+
+def list_kinds(log: Any) -> list[events.Kind]:
+    return [event.kind for event in log.ring.list_events()]
+
+
+class TestMemberTable:
+    def test_only_what_others_must_know_is_a_change(self) -> None:
+        table = members.MemberTable(2.0)
+        table.take(0.0, build_heartbeat("a"))
+        assert table.collect_changes() is not None
+        table.take(0.1, build_heartbeat("a", sequence=2))
+        assert table.take_beat(0.2, "a", "i", messages.Beat(3, 9))
+        assert table.collect_changes() is None
+        assert table.list_heartbeats()[0].generation == 9
+        table.take(0.3, build_heartbeat("a", sequence=4, draining=True))
+        changes = table.collect_changes()
+        assert changes is not None
+        assert changes.changed[0].gateways[0].draining
+
+    def test_silent_member_leaves_and_must_tell_all_when_it_returns(
+        self,
+    ) -> None:
+        table = members.MemberTable(2.0)
+        table.take(0.0, build_heartbeat("a"))
+        table.collect_changes()
+        assert table.drop_silent(2.0) == ["a"]
+        assert table.collect_changes() == messages.MemberChanges((), ("a",))
+        assert not table.take_beat(2.1, "a", "i", messages.Beat(9, 0))
+
+    def test_beat_of_an_older_run_is_not_taken(self) -> None:
+        table = members.MemberTable(2.0)
+        table.take(0.0, build_heartbeat("a", incarnation="new"))
+        assert not table.take_beat(1.0, "a", "old", messages.Beat(9, 0))
+
+    def test_members_are_not_dropped_by_a_process_that_was_paused(self) -> None:
+        table = members.MemberTable(2.0)
+        table.take(0.0, build_heartbeat("a"))
+        table.extend(100.0)
+        assert table.drop_silent(101.0) == []
+
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(
+        steps=strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from("abc"),
+                strategies.sampled_from(["join", "drain", "silence"]),
+            ),
+            max_size=30,
+        )
+    )
+    def test_mirror_fed_by_changes_equals_the_table(
+        self, steps: list[tuple[str, str]]
+    ) -> None:
+        table = members.MemberTable(2.0)
+        mirror = members.Mirror()
+        now = 0.0
+        for number, (vm, step) in enumerate(steps):
+            now += 1.0
+            if step != "silence":
+                drains = step == "drain"
+                table.take(now, build_heartbeat(vm, number, "i", drains))
+            table.drop_silent(now)
+            changes = table.collect_changes()
+            if changes is not None:
+                mirror.update(changes)
+            held = {h.vm: members.describe(h) for h in table.list_heartbeats()}
+            assert held == {
+                vm: members.describe(h) for vm, h in mirror.rows.items()
+            }
+
+
+class TestDirectory:
+    def build(self, vm: str, region: str) -> directory.Directory:
+        number = vm.rpartition("-")[2]
+        listen = f"10.0.{region[-1]}.{number}:7000"
+        return directory.Directory(vm, region, listen, ("seed:1",))
+
+    def test_followed_agents_are_few_whatever_the_fleet(self) -> None:
+        counts: dict[int, set[int]] = {}
+        for size in (5, 50):
+            listed = build_vms(3, size)
+            for vm in listed:
+                known = self.build(vm.name, vm.region)
+                known.take_list(listed, 2)
+                followed = len(known.choose_upstreams(is_lost=False))
+                counts.setdefault(size, set()).add(followed)
+        # A feeder follows one of its region and one of each other region.
+        assert counts == {5: {2, 3}, 50: {2, 3}}
+
+    def test_seeds_are_followed_while_nothing_is_known(self) -> None:
+        known = self.build("vm-0-1", "region-0")
+        assert known.choose_upstreams(False) == {"seed:1": hub.AGENT}
+
+    def test_agent_that_lost_its_feeders_follows_other_regions(self) -> None:
+        listed = build_vms(3, 5)
+        known = self.build("vm-0-1", "region-0")
+        known.take_list(listed, 2)
+        roles = list(known.choose_upstreams(is_lost=True).values())
+        assert roles.count(hub.REMOTE) == 2
+
+    def test_target_that_one_feeder_calls_leaving_is_leaving(self) -> None:
+        feeders = tuple(build_vms(1, 2))
+        known = self.build("vm-0-9", "region-0")
+        known.take_told(
+            [
+                messages.Directory(feeders, ("t:1",)),
+                messages.Directory(feeders, ()),
+            ]
+        )
+        assert known.known is not None
+        assert known.known.leaving == ("t:1",)
+
+    def test_new_vm_is_admitted_until_it_should_have_been_listed(self) -> None:
+        known = self.build("vm-0-1", "region-0")
+        known.take_list(build_vms(1, 3), 2)
+        known.admit(0.0, "vm-new")
+        known.admit(directory.ADMISSION_SECONDS - 1, "vm-new")
+        with pytest.raises(errors.PeerUnknownError):
+            known.admit(directory.ADMISSION_SECONDS, "vm-new")
+        known.take_list(build_vms(1, 3), 2)
+        known.admit(directory.ADMISSION_SECONDS, "vm-0-1")
+
+
+class TestPauseDetector:
+    def test_pause_is_seen_before_any_tick(self) -> None:
+        clock = [0.0]
+        detector = clocks.PauseDetector(2.0, lambda: clock[0])
+        clock[0] = 1.9
+        assert detector.is_current()
+        clock[0] = 2.1
+        assert not detector.is_current()
+
+    def test_process_is_not_current_until_refreshed(self) -> None:
+        clock = [0.0]
+        detector = clocks.PauseDetector(2.0, lambda: clock[0])
+        clock[0] = 5.0
+        # What arrived during the pause is read before the timer runs.
+        detector.refresh()
+        assert not detector.is_current()
+        assert detector.tick() == 5.0
+        assert not detector.is_current()
+        detector.refresh()
+        assert detector.is_current()
+
+    def test_gateway_that_was_paused_names_only_itself(self) -> None:
+        view = views.FleetView()
+        view.gateways = {
+            f"{vm}-0": build_heartbeat(vm).gateways[0] for vm in "ab"
+        }
+        is_current = [True]
+        view.watch_pauses("a-0", lambda: is_current[0])
+        assert set(view.gateways) == {"a-0", "b-0"}
+        is_current[0] = False
+        assert set(view.gateways) == {"a-0"}
+
+
+async def open_as(
+    address: str, role: str, vm: str, keys: list[str] | None = None
+) -> streams.Stream:
+    hello = messages.Hello(f"{vm}-agent", role, "i", vm)
+    stream = await streams.open_stream(address)
+    await stream.send(proofs.sign_hello(hello, keys or KEYS))
+    return stream
+
+
+class TestHub:
+    async def check_rejected(
+        self, fleet: fleets.Fleet, stream: streams.Stream
+    ) -> None:
+        agent = fleet.agents["vm-0"]
+        code = errors.PeerUnknownError.code
+        await fleets.wait_for(lambda: agent._hub.rejected.get(code) == 1)
+        while await stream.receive() is not None:
+            pass
+        assert events.Kind.PEER_REJECTED in list_kinds(agent._log)
+        # The process goes on.
+        other = await open_as(fleet.agent_address("vm-0"), "agent", "vm-9")
+        assert await other.receive() is not None
+        other.close()
+
+    async def test_stranger_is_rejected(self, fleet: fleets.Fleet) -> None:
+        address = fleet.agent_address("vm-0")
+        stream = await open_as(address, "agent", "vm-1", ["other-key"])
+        await self.check_rejected(fleet, stream)
+
+    async def test_heartbeat_for_another_vm_is_rejected(
+        self, fleet: fleets.Fleet
+    ) -> None:
+        address = fleet.agent_address("vm-0")
+        stream = await open_as(address, "agent", "vm-1")
+        stream.post(build_heartbeat("vm-7"))
+        await self.check_rejected(fleet, stream)
+
+    async def test_operator_cannot_send_heartbeats(
+        self, fleet: fleets.Fleet
+    ) -> None:
+        address = fleet.agent_address("vm-0")
+        stream = await open_as(address, "operator", "vm-1")
+        stream.post(build_heartbeat("vm-1"))
+        await self.check_rejected(fleet, stream)
+
+    async def test_gateway_of_another_vm_is_rejected(
+        self, fleet: fleets.Fleet
+    ) -> None:
+        address = fleet.agent_address("vm-0")
+        stream = await open_as(address, "gateway", "vm-1")
+        await self.check_rejected(fleet, stream)
+
+    async def test_frozen_subscriber_is_cut_off(
+        self, fleet: fleets.Fleet
+    ) -> None:
+        agent = fleet.agents["vm-0"]
+        stream = await open_as(fleet.agent_address("vm-0"), "agent", "frozen")
+
+        def is_subscribed() -> bool:
+            names = [s.hello.vm for s in agent._hub.subscribers]
+            return "frozen" in names
+
+        await fleets.wait_for(is_subscribed)
+        stream.post(build_heartbeat("frozen"))
+        # It sends beats but reads nothing; what it is sent is bounded.
+        stream._reader._transport.pause_reading()  # type: ignore[attr-defined]
+        bulky = messages.Directory((), tuple("x" * 100 for _ in range(5000)))
+        sent = 0
+        while is_subscribed():
+            stream.post(messages.Beat(1, 0))
+            agent._hub.send((hub.AGENT,), bulky)
+            sent += 1
+            await asyncio.sleep(0.005)
+            assert sent < 200
+        await fleets.wait_for(lambda: agent._hub.cut_off == 1)
+        stream.abort()
+
+    async def test_silent_subscriber_is_cut_off(
+        self, fleet: fleets.Fleet
+    ) -> None:
+        agent = fleet.agents["vm-0"]
+        stream = await open_as(fleet.agent_address("vm-0"), "agent", "silent")
+        await fleets.wait_for(lambda: agent._hub.cut_off == 1)
+        stream.abort()
+
+
+class TestFleetMembership:
+    async def test_idle_feeder_sends_nothing_but_pulses(
+        self, fleet: fleets.Fleet
+    ) -> None:
+        for number in range(2, 6):
+            await fleet.start_vm(f"vm-{number}", "zone-0")
+        await fleets.wait_for(lambda: fleet.sees_all(6))
+        await fleets.wait_for(lambda: len(fleet.list_feeders()) == 2)
+        feeder = fleet.list_feeders()[0]
+        stream = await open_as(fleet.agent_address(feeder), "agent", "vm-9")
+        stream.post(build_heartbeat("vm-9"))
+        # What the start of the fleet causes ends within the silence limit.
+        started_at = time.monotonic()
+        late: list[messages.Message | None] = []
+        while time.monotonic() < started_at + 4.0:
+            message = await stream.receive()
+            stream.post(messages.Beat(len(late) + 2, 0))
+            if time.monotonic() > started_at + 2.5:
+                late.append(message)
+        assert {type(m) for m in late} == {messages.Pulse}, late
+        stream.close()
+
+    async def test_only_feeders_call_the_platform(
+        self, fleet: fleets.Fleet
+    ) -> None:
+        for number in range(2, 8):
+            await fleet.start_vm(f"vm-{number}", "zone-0")
+        await fleets.wait_for(lambda: fleet.sees_all(8))
+        await fleets.wait_for(lambda: len(fleet.list_feeders()) == 2)
+        await fleets.wait_for(
+            lambda: sum(a._must_read_vms() for a in fleet.agents.values()) == 2
+        )
+        before = {vm: a._store.calls for vm, a in fleet.agents.items()}
+        await asyncio.sleep(2.0)
+        calling = {
+            vm for vm, a in fleet.agents.items() if a._store.calls > before[vm]
+        }
+        assert calling == set(fleet.list_feeders())
+
+    async def test_vm_that_is_gone_is_named_by_nobody(
+        self, fleet: fleets.Fleet
+    ) -> None:
+        await fleet.start_vm("vm-2", "zone-0")
+        await fleets.wait_for(lambda: fleet.sees_all(3))
+        await fleet.kill_gateway("vm-2")
+        await fleet.agents.pop("vm-2").stop()
+        await fleets.wait_for(lambda: fleet.sees_all(2))
+
+    async def test_paused_agent_notices_and_renews_its_knowledge(
+        self, fleet: fleets.Fleet
+    ) -> None:
+        await fleets.wait_for(lambda: fleet.sees_all(2))
+        # Everything on this event loop stands still for longer than allowed.
+        time.sleep(2.5)
+        for agent in fleet.agents.values():
+            await fleets.wait_for(
+                lambda log=agent._log: (
+                    events.Kind.PROCESS_PAUSED in list_kinds(log)
+                )
+            )
+        for gateway in fleet.gateways.values():
+            assert events.Kind.PROCESS_PAUSED in list_kinds(gateway._log)
+        await fleets.wait_for(lambda: fleet.sees_all(2))
+
+    async def test_silent_feeder_is_left_for_a_new_connection(
+        self, fleet: fleets.Fleet
+    ) -> None:
+        await fleets.wait_for(lambda: fleet.sees_all(2))
+        await fleets.wait_for(
+            lambda: bool(fleet.agents["vm-1"]._upstreams.list_streams())
+        )
+        agent = fleet.agents["vm-1"]
+        (old,) = agent._upstreams.list_streams()
+        # The far end is lost without a word.
+        for subscriber in fleet.agents["vm-0"]._hub.subscribers:
+            if subscriber.hello.vm == "vm-1":
+                subscriber.stream = unittest.mock.Mock(overflowed=False)
+                subscriber.silent_at = float("inf")
+        await fleets.wait_for(
+            lambda: (
+                old not in agent._upstreams.list_streams()
+                and bool(agent._upstreams.list_streams())
+            )
+        )
+        await fleets.wait_for(lambda: fleet.sees_all(2))
+
+    async def test_status_shows_all_regions(self, fleet: fleets.Fleet) -> None:
+        for number in range(3):
+            vm = f"far-{number}"
+            await fleet.start_vm(vm, "zone-9", region="far")
+        await fleets.wait_for(
+            lambda: (
+                {
+                    vm.region
+                    for a in fleet.agents.values()
+                    if a._directory.known
+                    for vm in a._directory.known.feeders
+                }
+                == {"region", "far"}
+            )
+        )
+        agent = fleet.agents["far-0"]
+
+        async def count() -> int:
+            return len((await agent._describe_fleet()).heartbeats)
+
+        give_up_at = time.monotonic() + 10
+        while await count() != 5:
+            assert time.monotonic() < give_up_at
+            await asyncio.sleep(0.1)
+        for vm in ("vm-0", "vm-1"):
+            await fleet.kill_gateway(vm)
+            await fleet.agents.pop(vm).stop()
+        answer = await agent._describe_fleet()
+        lost = [h for h in answer.heartbeats if h.generation == 0]
+        assert "region-unreachable" in {h.vm for h in lost}
+
+
+class TestConfigurationInTheFleet:
+    async def test_store_outage_new_vm_and_first_change_after(
+        self, fleet: fleets.Fleet
+    ) -> None:
+        await fleet.start_target()
+        generation = await fleet.apply(fleet.declare())
+        fleet.store.faults.down = True
+        await fleet.store._notify()
+        await fleet.start_vm("vm-2", "zone-0")
+        await fleets.wait_for(lambda: fleet.is_in_force(generation))
+        watchers = [a for a in fleet.agents.values() if a._watch is not None]
+        await fleets.wait_for(
+            lambda: any(
+                events.Kind.STORE_UNAVAILABLE in list_kinds(a._log)
+                for a in watchers
+            )
+        )
+        fleet.store.faults.down = False
+        await fleet.apply(fleet.declare(slots=7))
+        assert all(
+            g._view.tables.pools["queue"].slots == 7
+            for g in fleet.gateways.values()
+        )
+
+    async def test_watches_that_go_silent_do_not_hold_back_a_change(
+        self, fleet: fleets.Fleet
+    ) -> None:
+        await fleet.start_target()
+        await fleet.apply(fleet.declare())
+        fleet.store.faults.silent_watches = True
+        await fleet.apply(fleet.declare(slots=7))
+
+    async def test_fleet_keeps_its_tables_when_the_store_is_restored(
+        self, fleet: fleets.Fleet
+    ) -> None:
+        await fleet.start_target()
+        await fleet.apply(fleet.declare())
+        backup = fleet.store.copy_records()
+        generation = await fleet.apply(fleet.declare(slots=7))
+        await fleet.store.restore_records(backup)
+        await fleets.wait_for(
+            lambda: any(
+                events.Kind.CONFIGURATION_STALE_HEAD in list_kinds(a._log)
+                for a in fleet.agents.values()
+            )
+        )
+        assert await fleet.apply(fleet.declare(slots=9)) == generation + 1
+        # A replaced VM learns from its peers, whatever the store shows.
+        await fleet.store.restore_records(backup)
+        await fleet.kill_gateway("vm-1")
+        await fleet.agents.pop("vm-1").stop()
+        await fleet.start_vm("vm-1", "zone-1")
+        await fleets.wait_for(lambda: fleet.is_in_force(generation + 1))
+
+    async def test_feeder_with_another_history_is_not_followed(
+        self, fleet: fleets.Fleet
+    ) -> None:
+        await fleet.start_target()
+        await fleet.apply(fleet.declare())
+        agent = fleet.agents["vm-1"]
+        held = agent._state.tables
+        agent._take(
+            messages.Snapshot(
+                dataclasses.replace(held, generation=99, digest="x"),
+                ((held.generation, "other"), (99, "x")),
+            )
+        )
+        assert agent._state.tables == held
+        assert events.Kind.CONFIGURATION_DIVERGED in list_kinds(agent._log)
--- a/wigeonspool/agent/hub.py
+++ b/wigeonspool/agent/hub.py
@@ -1,17 +1,25 @@
 """The stream server of an agent: gateways, other agents and operators."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 import dataclasses
+from typing import Final
 
 import loguru
 
 from wigeonspool.agent import configuration
+from wigeonspool.agent import gathering
 from wigeonspool.model import errors
-from wigeonspool.model import events
 from wigeonspool.model import messages
+from wigeonspool.wire import frames
 from wigeonspool.wire import streams
 
+OPERATOR: Final = "operator"
+GATEWAY: Final = "gateway"
+AGENT: Final = "agent"
+# An agent of another region that wants the tables, but no members.
+REMOTE: Final = "remote"
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Subscriber:
@@ -21,34 +29,53 @@
         hello: What it opened its stream with.
         stream: Its stream.
         generation: Newest generation that was sent to it.
+        digest: Digest of the chain of changes there.
+        silent_at: Deadline, on this process's clock, by which it must have
+            sent something.
         report: Latest report, if it is a gateway.
     """
 
     hello: messages.Hello
     stream: streams.Stream
-    generation: int = 0
+    generation: int
+    digest: str
+    silent_at: float
     report: messages.GatewayReport | None = None
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class Collection:
-    """An operator's question for the events of a VM.
+@dataclasses.dataclass(slots=True)
+class Traffic:
+    """Bytes exchanged with other VMs, without those of open streams."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+    def add(self, stream: streams.Stream) -> None:
+        """Counts a stream that ended."""
+        self.sent_bytes += stream.sent_bytes
+        self.received_bytes += stream.received_bytes
+
+
+@dataclasses.dataclass(slots=True)
+class Callbacks:
+    """What the hub asks of the agent.
 
     Attributes:
-        asker: Who asked.
-        events: Events gathered so far.
-        waiting: Gateways that have not replied.
+        admit: Raises PeerUnknownError for a process that is no member.
+        answer: Answers a question, or None if it is none.
+        take_heartbeat: Takes a heartbeat of another agent.
+        take_beat: Takes a beat of the agent of a VM and incarnation; False
+            if all must be told again.
+        list_greetings: Returns what a new subscriber of a role is told.
+        reject: Notes a stream that was closed for breaking the protocol.
     """
 
-    asker: Subscriber
-    events: list[events.Event]
-    waiting: set[str]
-
-    def reply(self, process: str) -> None:
-        """Sends what was gathered."""
-        self.asker.stream.post(
-            messages.EventsReply(process, tuple(self.events))
-        )
+    admit: Callable[[messages.Hello], None]
+    answer: Callable[[messages.Message], Awaitable[messages.Message | None]]
+    take_heartbeat: Callable[[messages.Heartbeat], None]
+    take_beat: Callable[[str, str, messages.Beat], bool]
+    list_greetings: Callable[[str], list[messages.Message]]
+    reject: Callable[[str, errors.WireError], None]
 
 
 class Hub:
@@ -57,28 +84,32 @@
     Attributes:
         subscribers: Gateways and agents that follow this agent.
         rejected: Streams closed for breaking the protocol, by error code.
+        cut_off: Subscribers that were too slow or silent.
+        closed: Traffic of agents' streams that ended.
     """
 
     def __init__(
         self,
         state: configuration.ConfigurationState,
-        answer: Callable[[messages.Message], messages.Message | None],
-        on_heartbeat: Callable[[messages.Heartbeat], None],
+        callbacks: Callbacks,
+        silence_seconds: float,
     ) -> None:
         """Prepares the hub.
 
         Args:
             state: Tables to feed to subscribers.
-            answer: Answers a question of an operator, or None.
-            on_heartbeat: Called with each heartbeat of another agent.
+            callbacks: What the hub asks of the agent.
+            silence_seconds: A subscriber silent for longer is cut off.
         """
         self._state = state
-        self._answer = answer
-        self._on_heartbeat = on_heartbeat
+        self._callbacks = callbacks
+        self._silence_seconds = silence_seconds
         self._server: asyncio.Server | None = None
         self.subscribers: list[Subscriber] = []
         self.rejected: dict[str, int] = {}
-        self._collections: list[Collection] = []
+        self.cut_off = 0
+        self.closed = Traffic()
+        self._collector = gathering.EventCollector()
 
     async def start(self, address: str) -> None:
         """Listens on host:port.
@@ -96,6 +127,10 @@
         for subscriber in self.subscribers:
             subscriber.stream.close()
 
+    def _now(self) -> float:
+        """Returns the time on this process's monotonic clock."""
+        return asyncio.get_running_loop().time()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -105,9 +140,12 @@
             await self._converse(stream)
         except errors.WireError as error:
             self.rejected[error.code] = self.rejected.get(error.code, 0) + 1
+            self._callbacks.reject(stream.peer, error)
             loguru.logger.warning(
                 "closed the stream of {}: {}", stream.peer, error
             )
+        except errors.ChainBrokenError as error:
+            loguru.logger.warning("refused {}: {}", stream.peer, error)
         except OSError as error:
             loguru.logger.info("stream of {} failed: {}", stream.peer, error)
         finally:
@@ -117,82 +155,164 @@
         """Takes the messages of one stream.
 
         Raises:
-            WireError: If the peer broke the protocol.
+            WireError: If the peer broke the protocol or is no member.
+            ChainBrokenError: If the peer has another history of changes.
             OSError: If the stream failed.
         """
-        hello = await stream.receive()
+        async with asyncio.timeout(self._silence_seconds):
+            hello = await stream.receive()
         if hello is None:
             return
         if not isinstance(hello, messages.Hello):
             raise errors.FrameKindError(type(hello).__name__)
-        subscriber = Subscriber(hello, stream)
-        if hello.role != "operator":
-            self.subscribers.append(subscriber)
-            self.feed(subscriber)
+        self._callbacks.admit(hello)
+        subscriber = Subscriber(
+            hello,
+            stream,
+            hello.generation,
+            hello.digest,
+            self._now() + self._silence_seconds,
+        )
         try:
+            if hello.role != OPERATOR:
+                self._subscribe(subscriber)
             while (message := await stream.receive()) is not None:
-                self._take(subscriber, message)
+                subscriber.silent_at = self._now() + self._silence_seconds
+                await self._take(subscriber, message)
         finally:
             if subscriber in self.subscribers:
                 self.subscribers.remove(subscriber)
+            if hello.role in (AGENT, REMOTE):
+                self.closed.add(stream)
+            if stream.overflowed:
+                self.cut_off += 1
+                loguru.logger.info("{} reads too slowly", hello.process)
 
-    def _take(self, subscriber: Subscriber, message: messages.Message) -> None:
-        """Takes one message of a subscriber."""
+    def _subscribe(self, subscriber: Subscriber) -> None:
+        """Tells a new subscriber all that it needs.
+
+        Raises:
+            ChainBrokenError: If it has another history of changes.
+        """
+        for message in self._callbacks.list_greetings(subscriber.hello.role):
+            subscriber.stream.post(message)
+        self._feed([subscriber])
+        self.subscribers.append(subscriber)
+
+    async def _take(
+        self, subscriber: Subscriber, message: messages.Message
+    ) -> None:
+        """Takes one message.
+
+        Raises:
+            PeerUnknownError: If the sender may not send it.
+        """
+        hello = subscriber.hello
         if isinstance(message, messages.GatewayReport):
+            _check_role(hello, GATEWAY)
             subscriber.report = message
         elif isinstance(message, messages.Heartbeat):
-            self._on_heartbeat(message)
+            _check_role(hello, AGENT)
+            if message.vm != hello.vm:
+                raise errors.PeerUnknownError(message.vm)
+            self._callbacks.take_heartbeat(message)
+        elif isinstance(message, messages.Beat):
+            if hello.role != REMOTE:
+                _check_role(hello, AGENT)
+                self._take_beat(subscriber, message)
         elif isinstance(message, messages.EventsRequest):
-            self._collect_events(subscriber)
+            await self._collect_events(subscriber)
         elif isinstance(message, messages.EventsReply):
-            self._take_events(subscriber, message)
+            _check_role(hello, GATEWAY)
+            self._collector.take(hello.process, hello.vm, message)
         else:
-            reply = self._answer(message)
+            reply = await self._callbacks.answer(message)
             if reply is not None:
                 subscriber.stream.post(reply)
 
-    def _collect_events(self, asker: Subscriber) -> None:
+    def _take_beat(self, subscriber: Subscriber, beat: messages.Beat) -> None:
+        """Takes a beat; an agent that is not known must connect anew."""
+        hello = subscriber.hello
+        if not self._callbacks.take_beat(hello.vm, hello.incarnation, beat):
+            subscriber.stream.close()
+
+    async def _collect_events(self, asker: Subscriber) -> None:
         """Asks all gateways of the VM for their events."""
         gateways = [s for s in self.subscribers if s.report is not None]
-        own = self._answer(messages.EventsRequest())
+        own = await self._callbacks.answer(messages.EventsRequest())
         assert isinstance(own, messages.EventsReply)
-        collection = Collection(
-            asker, list(own.events), {s.hello.process for s in gateways}
-        )
-        if not gateways:
-            collection.reply(own.process)
-            return
-        self._collections.append(collection)
+        waiting = {s.hello.process for s in gateways}
+        self._collector.start(asker.stream, own, waiting)
         for gateway in gateways:
             gateway.stream.post(messages.EventsRequest())
 
-    def _take_events(
-        self, subscriber: Subscriber, message: messages.EventsReply
-    ) -> None:
-        """Adds a gateway's events to the collections that wait for them."""
-        for collection in list(self._collections):
-            collection.waiting.discard(subscriber.hello.process)
-            collection.events += message.events
-            if not collection.waiting:
-                self._collections.remove(collection)
-                collection.reply(subscriber.hello.vm)
-
-    def feed(self, subscriber: Subscriber) -> None:
-        """Brings one subscriber up to the tables in force."""
-        for message in self._state.list_messages(subscriber.generation):
-            subscriber.stream.post(message)
-        subscriber.generation = self._state.tables.generation
+    def _feed(self, subscribers: list[Subscriber]) -> None:
+        """Brings subscribers up to the tables in force.
+
+        Each message is packed once for all that hold the same generation.
+
+        Raises:
+            ChainBrokenError: If one has another history of changes.
+        """
+        tables = self._state.tables
+        packed: dict[tuple[int, str], list[bytes]] = {}
+        for subscriber in subscribers:
+            held = (subscriber.generation, subscriber.digest)
+            if held not in packed:
+                packed[held] = [
+                    frames.pack_frame(messages.encode_message(message))
+                    for message in self._state.list_messages(*held)
+                ]
+            for data in packed[held]:
+                subscriber.stream.post_frame(data)
+            if subscriber.generation < tables.generation:
+                subscriber.generation = tables.generation
+                subscriber.digest = tables.digest
 
     def feed_all(self) -> None:
         """Brings all subscribers up to the tables in force."""
+        self._feed(self.subscribers)
+
+    def send(self, roles: tuple[str, ...], message: messages.Message) -> None:
+        """Sends a message to the subscribers of some roles."""
+        data = frames.pack_frame(messages.encode_message(message))
         for subscriber in self.subscribers:
-            self.feed(subscriber)
+            if subscriber.hello.role in roles:
+                subscriber.stream.post_frame(data)
+
+    def cut_off_silent(self) -> None:
+        """Drops subscribers that are silent."""
+        now = self._now()
+        for subscriber in list(self.subscribers):
+            if subscriber.silent_at <= now:
+                self.cut_off += 1
+                self.subscribers.remove(subscriber)
+                subscriber.stream.abort()
+                loguru.logger.info("{} is silent", subscriber.hello.process)
 
-    def broadcast(self, message: messages.Message) -> None:
-        """Sends a message to all subscribers."""
+    def extend(self) -> None:
+        """Gives all subscribers time anew; this process did not listen."""
         for subscriber in self.subscribers:
-            subscriber.stream.post(message)
+            subscriber.silent_at = self._now() + self._silence_seconds
 
     def list_reports(self) -> list[messages.GatewayReport]:
         """Returns the latest report of each connected gateway."""
         return [s.report for s in self.subscribers if s.report is not None]
+
+    def list_streams(self) -> list[streams.Stream]:
+        """Returns the open streams of other agents."""
+        return [
+            s.stream
+            for s in self.subscribers
+            if s.hello.role in (AGENT, REMOTE)
+        ]
+
+
+def _check_role(hello: messages.Hello, role: str) -> None:
+    """Checks that a sender may send what only a role may.
+
+    Raises:
+        PeerUnknownError: If it is of another role.
+    """
+    if hello.role != role:
+        raise errors.PeerUnknownError(f"{hello.role} {hello.process}")
--- a/wigeonspool/agent/members.py
+++ b/wigeonspool/agent/members.py
@@ -1,5 +1,11 @@
-"""The table of VMs that an agent hears of."""
+"""The tables of VMs that an agent hears of.
 
+An agent tells the feeders of its region of itself. A feeder tells all that
+follow it what changed among the VMs that it hears directly, and never relays
+what another feeder told it. An agent joins what its feeders tell it.
+"""
+
+from collections.abc import Iterable
 import dataclasses
 
 from wigeonspool.core import assignments
@@ -22,7 +28,7 @@
 
 
 class MemberTable:
-    """Keeps the members that are live."""
+    """Keeps the members that are heard directly, and what changed."""
 
     def __init__(self, silence_seconds: float) -> None:
         """Prepares an empty table.
@@ -32,17 +38,35 @@
         """
         self._silence_seconds = silence_seconds
         self._rows: dict[str, MemberRow] = {}
+        self._changed: set[str] = set()
+        self._left: set[str] = set()
 
     def take(self, now: float, heartbeat: messages.Heartbeat) -> bool:
         """Takes a heartbeat; returns True if its VM was not live before."""
         known = self._rows.get(heartbeat.vm)
-        if known is not None and not _is_newer(heartbeat, known.heartbeat):
+        if known is not None and not is_newer(heartbeat, known.heartbeat):
             return False
+        if known is None or describe(known.heartbeat) != describe(heartbeat):
+            self._changed.add(heartbeat.vm)
+            self._left.discard(heartbeat.vm)
         self._rows[heartbeat.vm] = MemberRow(
             heartbeat, now + self._silence_seconds
         )
         return known is None
 
+    def take_beat(
+        self, now: float, vm: str, incarnation: str, beat: messages.Beat
+    ) -> bool:
+        """Takes a beat; returns False if its VM must tell all of itself."""
+        row = self._rows.get(vm)
+        if row is None or row.heartbeat.incarnation != incarnation:
+            return False
+        row.heartbeat = dataclasses.replace(
+            row.heartbeat, sequence=beat.sequence, generation=beat.generation
+        )
+        row.silent_at = now + self._silence_seconds
+        return True
+
     def drop_silent(self, now: float) -> list[str]:
         """Removes and returns the VMs that have been silent for too long."""
         silent = [
@@ -50,14 +74,100 @@
         ]
         for name in silent:
             del self._rows[name]
+        self._left.update(silent)
+        self._changed.difference_update(silent)
         return silent
 
+    def extend(self, now: float) -> None:
+        """Gives all members time anew; this process did not listen."""
+        for row in self._rows.values():
+            row.silent_at = now + self._silence_seconds
+
+    def collect_changes(self) -> messages.MemberChanges | None:
+        """Returns what changed since the last call, or None."""
+        if not self._changed and not self._left:
+            return None
+        changed = tuple(
+            self._rows[name].heartbeat for name in sorted(self._changed)
+        )
+        left = tuple(sorted(self._left))
+        self._changed.clear()
+        self._left.clear()
+        return messages.MemberChanges(changed, left)
+
     def list_heartbeats(self) -> tuple[messages.Heartbeat, ...]:
         """Returns the latest heartbeat of each live VM."""
         return tuple(row.heartbeat for row in self._rows.values())
 
 
-def _is_newer(heartbeat: messages.Heartbeat, known: messages.Heartbeat) -> bool:
+class Mirror:
+    """The members that one feeder told of.
+
+    Attributes:
+        rows: Heartbeats by VM.
+        forget_at: Deadline, on this process's clock, after which the rows are
+            dropped unless the feeder is heard again.
+    """
+
+    __slots__ = ("forget_at", "rows")
+
+    def __init__(self) -> None:
+        self.rows: dict[str, messages.Heartbeat] = {}
+        self.forget_at = 0.0
+
+    def replace(self, heartbeats: Iterable[messages.Heartbeat]) -> None:
+        """Takes all members that the feeder knows."""
+        self.rows = {heartbeat.vm: heartbeat for heartbeat in heartbeats}
+
+    def update(self, changes: messages.MemberChanges) -> None:
+        """Takes what changed."""
+        for vm in changes.left:
+            self.rows.pop(vm, None)
+        for heartbeat in changes.changed:
+            self.rows[heartbeat.vm] = heartbeat
+
+
+def join_members(
+    sources: Iterable[Iterable[messages.Heartbeat]],
+) -> dict[str, messages.Heartbeat]:
+    """Returns the newest heartbeat of each VM that any source calls live.
+
+    Sources come in rising order of trust for runs of one VM that differ.
+    """
+    joined: dict[str, messages.Heartbeat] = {}
+    for source in sources:
+        for heartbeat in source:
+            known = joined.get(heartbeat.vm)
+            if known is None or is_newer(heartbeat, known):
+                joined[heartbeat.vm] = heartbeat
+    return joined
+
+
+def diff_members(
+    before: dict[str, messages.Heartbeat], after: dict[str, messages.Heartbeat]
+) -> messages.MemberChanges | None:
+    """Returns what changed between two states, or None."""
+    changed = tuple(
+        heartbeat
+        for vm, heartbeat in after.items()
+        if vm not in before or describe(before[vm]) != describe(heartbeat)
+    )
+    left = tuple(vm for vm in before if vm not in after)
+    if not changed and not left:
+        return None
+    return messages.MemberChanges(changed, left)
+
+
+def describe(heartbeat: messages.Heartbeat) -> tuple[object, ...]:
+    """Returns what others must be told of when it changes."""
+    gateways = tuple(
+        (g.name, g.incarnation, g.address, g.draining)
+        for g in heartbeat.gateways
+    )
+    return (heartbeat.incarnation, heartbeat.address, gateways)
+
+
+def is_newer(heartbeat: messages.Heartbeat, known: messages.Heartbeat) -> bool:
     """Returns True unless a heartbeat repeats or precedes a known one."""
     if heartbeat.incarnation != known.incarnation:
         return True
@@ -65,7 +175,7 @@
 
 
 def choose_feeders(
-    vms: list[entities.Vm], feeders_per_region: int
+    vms: Iterable[entities.Vm], feeders_per_region: int
 ) -> list[entities.Vm]:
     """Returns the VMs whose agents follow the store.
 
@@ -84,3 +194,12 @@
         ranked = assignments.rank_members(f"feeder/{region}", names)
         chosen += [live[name] for name in ranked[:feeders_per_region]]
     return chosen
+
+
+def list_leaving(vms: Iterable[entities.Vm]) -> tuple[str, ...]:
+    """Returns the addresses of targets that the VM list calls leaving."""
+    return tuple(
+        vm.address
+        for vm in vms
+        if vm.role == "target" and vm.state is entities.VmState.LEAVING
+    )
--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -1,7 +1,8 @@
 """The agent process: it follows the tables and the members of the fleet.
 
-A few agents of each region, the feeders, follow the store. All agents follow
-the feeders, so the calls to the store do not grow with the fleet.
+A few agents of each region, the feeders, follow the store and the VM list. All
+agents follow the feeders of their region, so the calls to the platform do not
+grow with the fleet, nor do the bytes that an agent exchanges.
 """
 
 import asyncio
@@ -10,36 +11,35 @@
 
 import aiohttp
 from aiohttp import web
-import aioprometheus
 import loguru
 import mode
 
 from wigeonspool import process
 from wigeonspool.agent import configuration
+from wigeonspool.agent import directory
+from wigeonspool.agent import follower
 from wigeonspool.agent import hub
 from wigeonspool.agent import members
+from wigeonspool.agent import metrics
+from wigeonspool.agent import status
+from wigeonspool.agent import upstreams
 from wigeonspool.model import entities
 from wigeonspool.model import errors
 from wigeonspool.model import events
 from wigeonspool.model import messages
 from wigeonspool.model import options
-from wigeonspool.platform import configuration as platform_configuration
+from wigeonspool.platform import configuration as logs
 from wigeonspool.platform import store
 from wigeonspool.platform import vms
-from wigeonspool.wire import streams
+from wigeonspool.wire import clocks
+from wigeonspool.wire import proofs
 
-WATCH_IDLE_SECONDS: Final = 30.0
-RETRY_SECONDS: Final = 0.5
-
-GENERATION: Final = aioprometheus.Gauge(
-    "wigeonspool_agent_generation", "Generation of the tables in force."
-)
-STORE_CALLS: Final = aioprometheus.Counter(
-    "wigeonspool_agent_store_calls_total", "Calls made to the store."
-)
-MEMBERS: Final = aioprometheus.Gauge(
-    "wigeonspool_agent_members", "VMs that are believed live."
-)
+# Demand is told this often, in heartbeats; all else at once.
+REPEAT_HEARTBEATS: Final = 10
+# Seeds may know the feeders; the VM list is read if they do not tell so soon.
+SEED_SECONDS: Final = 0.5
+# A new feeder hears its peers before it reads a store that may be older.
+PEER_SECONDS: Final = 2.0
 
 
 class AgentService(process.DrainingService):
@@ -57,36 +57,63 @@
         self._sequence = 0
         self._log = process.EventLog(f"{settings.vm}-agent")
         self._state = configuration.ConfigurationState()
-        self._members = members.MemberTable(settings.agent.silence_seconds)
-        self._hub = hub.Hub(self._state, self._answer, self._take_heartbeat)
-        self._vms: list[entities.Vm] = []
-        self._feeders: dict[str, asyncio.Task[None]] = {}
-        self._upstreams: dict[str, streams.Stream] = {}
+        silence = settings.agent.silence_seconds
+        self._members = members.MemberTable(silence)
+        self._joined: dict[str, messages.Heartbeat] = {}
+        self._hub = hub.Hub(
+            self._state,
+            hub.Callbacks(
+                admit=self._admit,
+                answer=self._answer,
+                take_heartbeat=self._take_heartbeat,
+                take_beat=self._take_beat,
+                list_greetings=self._list_greetings,
+                reject=self._note_rejected,
+            ),
+            silence,
+        )
+        self._directory = directory.Directory(
+            settings.vm,
+            settings.region,
+            settings.agent.listen,
+            tuple(settings.agent.peers),
+        )
         self._watch: asyncio.Task[None] | None = None
+        self._diverged_at = 0
 
     async def on_start(self) -> None:
         """Opens the ports and begins to follow."""
+        settings = self._settings
+        self._started_at = self._now()
+        self._near_heard_at = self._now()
+        self._detector = clocks.PauseDetector(
+            settings.agent.silence_seconds, self._now
+        )
+        self._upstreams = upstreams.Upstreams(
+            settings.agent.silence_seconds, self._build_hello, self._take
+        )
         self._session = aiohttp.ClientSession()
-        client = store.StoreClient(
-            self._session,
-            self._settings.store.url,
-            self._settings.store.timeout_seconds,
+        self._store = store.StoreClient(
+            self._session, settings.store.url, settings.store.timeout_seconds
         )
-        self._store = client
-        self._changes = platform_configuration.ChangeLog(
-            client, self._settings.store.prefix
+        self._follower = follower.StoreFollower(
+            self._store,
+            logs.ChangeLog(self._store, settings.store.prefix),
+            self._state,
+            self._log,
+            f"{settings.vm}-{self._incarnation}",
+            self._put_in_force,
         )
-        await self._hub.start(self._settings.agent.listen)
+        await self._hub.start(settings.agent.listen)
         self._metrics = await process.serve_http(
-            self._settings.agent.metrics, web.Server(process.show_metrics)
+            settings.agent.metrics, web.Server(process.show_metrics)
         )
-        self._log.record(events.Kind.PROCESS_STARTED, vm=self._settings.vm)
-        loguru.logger.info("listening on {}", self._settings.agent.listen)
+        self._log.record(events.Kind.PROCESS_STARTED, vm=settings.vm)
+        loguru.logger.info("listening on {}", settings.agent.listen)
 
     async def on_stop(self) -> None:
         """Closes ports and streams."""
-        for task in self._feeders.values():
-            task.cancel()
+        self._upstreams.stop()
         if self._watch is not None:
             self._watch.cancel()
         await self._hub.stop()
@@ -97,96 +124,148 @@
         """Returns the time on this process's monotonic clock."""
         return asyncio.get_running_loop().time()
 
+    def _build_hello(self, role: str) -> messages.Hello:
+        """Returns what opens a stream in a role."""
+        hello = messages.Hello(
+            process=f"{self._settings.vm}-agent",
+            role=role,
+            incarnation=self._incarnation,
+            vm=self._settings.vm,
+            generation=self._state.tables.generation,
+            digest=self._state.tables.digest,
+        )
+        return proofs.sign_hello(hello, self._settings.token_keys)
+
+    # The VM list, and whom to follow.
+
     @mode.Service.task
-    async def _poll_vms(self) -> None:
-        """Reads the VM list and follows the feeders that it implies."""
+    async def _keep_directory(self) -> None:
+        """Keeps the knowledge of the VM list and follows its feeders."""
         while not self.should_stop:
-            try:
-                self._vms = await vms.read_vms(
-                    self._session,
-                    self._settings.vm_list.url,
-                    self._settings.store.timeout_seconds,
-                )
-            except errors.VmListError as error:
-                loguru.logger.info("{}", error)
-            self._follow_feeders()
+            if self._must_read_vms():
+                await self._read_vms()
+            self._follow()
             await self.sleep(self._settings.vm_list.poll_seconds)
 
-    def _follow_feeders(self) -> None:
-        """Starts and ends streams so that all feeders are followed."""
-        chosen = members.choose_feeders(
-            self._vms, self._settings.agent.feeders_per_region
+    def _must_read_vms(self) -> bool:
+        """Returns True if no other agent tells this one of the VM list."""
+        if self._directory.find_rank() is not None:
+            return True
+        if self._list_told():
+            return False
+        waits = self._now() < self._started_at + SEED_SECONDS
+        return not (waits and self._settings.agent.peers)
+
+    def _list_told(self) -> list[messages.Directory]:
+        """Returns what agents that were heard of late know of the list."""
+        fresh = sorted(self._upstreams.list_fresh(), key=lambda u: u.heard_at)
+        return [u.directory for u in fresh if u.directory is not None]
+
+    async def _read_vms(self) -> None:
+        """Reads the VM list; if that fails, the old one stays."""
+        try:
+            listed = await vms.read_vms(
+                self._session,
+                self._settings.vm_list.url,
+                self._settings.store.timeout_seconds,
+            )
+        except errors.VmListError as error:
+            loguru.logger.info("{}", error)
+            return
+        per_region = self._settings.agent.feeders_per_region
+        if self._directory.take_list(listed, per_region):
+            self._tell_directory()
+
+    def _tell_directory(self) -> None:
+        """Tells subscribers of the VM list."""
+        if self._directory.known is not None:
+            self._hub.send((hub.GATEWAY, hub.AGENT), self._directory.known)
+
+    def _follow(self) -> None:
+        """Starts and ends streams, and the watch, as the directory implies."""
+        rank = self._directory.find_rank()
+        told = self._list_told()
+        if rank is None and self._directory.take_told(told):
+            self._tell_directory()
+            rank = self._directory.find_rank()
+        self._upstreams.follow(
+            self._directory.choose_upstreams(self._is_lost())
         )
-        addresses = {vm.address for vm in chosen}
-        if not self._vms:
-            addresses = set(self._settings.agent.peers)
-        feeds = self._settings.agent.listen in addresses
-        addresses.discard(self._settings.agent.listen)
-        loop = asyncio.get_running_loop()
-        for address in self._feeders.keys() - addresses:
-            self._feeders.pop(address).cancel()
-        for address in addresses - self._feeders.keys():
-            task = loop.create_task(self._follow_feeder(address))
-            self._feeders[address] = task
-        if feeds and self._watch is None:
-            self._watch = loop.create_task(self._follow_store())
-        elif not feeds and self._watch is not None:
+        if rank is not None:
+            self._follower.rank = rank
+            if self._watch is None:
+                loop = asyncio.get_running_loop()
+                self._watch = loop.create_task(self._follow_store())
+        elif self._watch is not None:
             self._watch.cancel()
             self._watch = None
 
-    async def _follow_feeder(self, address: str) -> None:
-        """Follows one feeder for ever."""
-        while True:
+    def _is_lost(self) -> bool:
+        """Returns True if no feeder of this region was heard of late."""
+        known = self._directory.known
+        near = {
+            vm.address
+            for vm in (known.feeders if known else ())
+            if vm.region == self._settings.region
+        }
+        near.discard(self._settings.agent.listen)
+        fresh = {u.address for u in self._upstreams.list_fresh()}
+        if not near or near & fresh:
+            self._near_heard_at = self._now()
+        limit = 2 * self._settings.agent.silence_seconds
+        return self._now() > self._near_heard_at + limit
+
+    async def _follow_store(self) -> None:
+        """Follows the store once the peers have told what is in force."""
+        if self._upstreams.has_any():
             try:
-                await self._follow_stream(address)
-            except (errors.WireError, OSError) as error:
-                loguru.logger.info("feeder {}: {}", address, error)
-            await asyncio.sleep(RETRY_SECONDS)
+                async with asyncio.timeout(PEER_SECONDS):
+                    await self._upstreams.heard.wait()
+            except TimeoutError:
+                loguru.logger.info("no peer answers; the store decides")
+        await self._follower.follow()
 
-    async def _follow_stream(self, address: str) -> None:
-        """Follows a feeder over one stream until that ends.
+    # The tables.
+
+    def _take(self, message: messages.Message) -> None:
+        """Takes tables, a change or a pulse of a feeder.
 
         Raises:
-            WireError: If the feeder broke the protocol.
-            OSError: If the stream failed.
+            FrameEncodingError: If a change between is missing.
         """
-        stream = await streams.open_stream(address)
-        name = f"{self._settings.vm}-agent"
-        hello = messages.Hello(
-            name, "agent", self._incarnation, self._settings.vm
-        )
         try:
-            await stream.send(hello)
-            self._upstreams[address] = stream
-            while (message := await stream.receive()) is not None:
-                self._take(message)
-        finally:
-            self._upstreams.pop(address, None)
-            stream.close()
-
-    def _take(self, message: messages.Message) -> None:
-        """Takes one message of a feeder."""
-        if isinstance(message, messages.Snapshot):
-            if self._state.take_tables(message.tables):
-                self._put_in_force()
-        elif isinstance(message, messages.ChangeNotice):
-            self._take_change(message)
-        elif isinstance(message, messages.Members):
-            for heartbeat in message.heartbeats:
-                self._take_heartbeat(heartbeat)
+            self._take_tables(message)
+        except errors.ChainBrokenError as error:
+            if self._diverged_at != error.generation:
+                self._diverged_at = error.generation
+                self._log.record(
+                    events.Kind.CONFIGURATION_DIVERGED,
+                    vm=self._settings.vm,
+                    detail={"problem": str(error)},
+                )
+                loguru.logger.warning("a feeder differs: {}", error)
 
-    def _take_change(self, message: messages.ChangeNotice) -> None:
-        """Takes a change, which must follow the generation in force.
+    def _take_tables(self, message: messages.Message) -> None:
+        """Takes tables, a change or a pulse of a feeder.
 
         Raises:
+            ChainBrokenError: If the feeder has another history of changes.
             FrameEncodingError: If a change between is missing.
         """
-        change = message.change
-        if change.generation <= self._state.tables.generation:
-            return
-        if not self._state.take_change(change):
-            raise errors.FrameEncodingError("a change is missing")
-        self._put_in_force()
+        state = self._state
+        if isinstance(message, messages.Snapshot):
+            if state.take_tables(
+                message.tables, dict(message.lineage), message.last
+            ):
+                self._put_in_force()
+        elif isinstance(message, messages.ChangeNotice):
+            change = message.change
+            if state.take_change(change):
+                self._put_in_force()
+            elif change.generation > state.tables.generation:
+                raise errors.FrameEncodingError("a change is missing")
+        elif isinstance(message, messages.Pulse):
+            state.check_digest(message.generation, message.digest)
 
     def _put_in_force(self) -> None:
         """Hands new tables to all subscribers."""
@@ -197,51 +276,95 @@
             detail={"generation": str(generation)},
         )
         loguru.logger.info("generation {} in force", generation)
-        GENERATION.set({}, generation)
+        metrics.GENERATION.set({}, generation)
         self._hub.feed_all()
 
-    async def _follow_store(self) -> None:
-        """Follows the log of changes in the store."""
-        while True:
-            try:
-                await self._read_changes()
-                async for _ in self._store.watch_prefix(
-                    self._changes.prefix, 0, WATCH_IDLE_SECONDS
-                ):
-                    await self._read_changes()
-            except errors.StoreError as error:
-                loguru.logger.info("{}", error)
-                await asyncio.sleep(RETRY_SECONDS)
-
-    async def _read_changes(self) -> None:
-        """Takes the changes after the generation in force.
+    # The members.
+
+    def _admit(self, hello: messages.Hello) -> None:
+        """Checks that a process belongs to the fleet.
 
         Raises:
-            StoreError: If the store could not serve the call.
+            PeerUnknownError: If it does not.
         """
-        known = self._state.tables.generation
-        for change in await self._changes.read_after(known):
-            if self._state.take_change(change):
-                self._put_in_force()
+        if hello.role == hub.OPERATOR:
+            return
+        if not proofs.check_hello(hello, self._settings.token_keys):
+            raise errors.PeerUnknownError(hello.process)
+        if hello.role == hub.GATEWAY and hello.vm != self._settings.vm:
+            raise errors.PeerUnknownError(hello.process)
+        self._directory.admit(self._now(), hello.vm)
+
+    def _note_rejected(self, peer: str, error: errors.WireError) -> None:
+        """Records a stream that was closed for breaking the protocol."""
+        metrics.REJECTED.inc({"error": error.code})
+        self._log.record(
+            events.Kind.PEER_REJECTED,
+            detail={"peer": peer, "problem": str(error)},
+        )
 
     def _take_heartbeat(self, heartbeat: messages.Heartbeat) -> None:
-        """Takes the heartbeat of another VM."""
-        if self._members.take(self._now(), heartbeat):
-            self._log.record(events.Kind.MEMBER_JOINED, vm=heartbeat.vm)
+        """Takes the heartbeat of another VM, or of this one."""
+        self._members.take(self._now(), heartbeat)
+
+    def _take_beat(
+        self, vm: str, incarnation: str, beat: messages.Beat
+    ) -> bool:
+        """Takes a beat; returns False if all must be told again."""
+        return self._members.take_beat(self._now(), vm, incarnation, beat)
+
+    def _list_greetings(self, role: str) -> list[messages.Message]:
+        """Returns what a new subscriber is told first."""
+        told: list[messages.Message] = []
+        if self._directory.known is not None:
+            told.append(self._directory.known)
+        if role == hub.GATEWAY:
+            told.append(messages.Members(tuple(self._joined.values()), ()))
+        elif role == hub.AGENT:
+            told.append(self._build_members())
+        return told
+
+    def _build_members(self) -> messages.Members:
+        """Returns the members that are heard directly."""
+        known = self._directory.known
+        leaving = known.leaving if known else ()
+        return messages.Members(self._members.list_heartbeats(), leaving)
 
     @mode.Service.task
     async def _beat(self) -> None:
-        """Tells feeders of this VM and subscribers of all VMs."""
+        """Tells feeders of this VM and subscribers of their members."""
         while not self.should_stop:
+            self._check_pause()
             self._send_heartbeat()
-            for vm in self._members.drop_silent(self._now()):
-                self._log.record(events.Kind.MEMBER_LEFT, vm=vm)
-                loguru.logger.info("VM {} is silent", vm)
-            self._hub.broadcast(self._build_members())
-            STORE_CALLS.set({}, self._store.calls)
-            MEMBERS.set({}, len(self._members.list_heartbeats()))
+            self._members.drop_silent(self._now())
+            self._hub.cut_off_silent()
+            changes = self._members.collect_changes()
+            if changes is not None:
+                self._hub.send((hub.AGENT,), changes)
+            self._join_members()
+            pulse = messages.Pulse(
+                self._state.tables.generation, self._state.tables.digest
+            )
+            self._hub.send((hub.GATEWAY, hub.AGENT, hub.REMOTE), pulse)
+            self._show_metrics()
             await self.sleep(self._settings.agent.heartbeat_seconds)
 
+    def _check_pause(self) -> None:
+        """Notices that this process stood still, and renews its knowledge."""
+        gap = self._detector.tick()
+        if not gap:
+            return
+        self._log.record(
+            events.Kind.PROCESS_PAUSED,
+            vm=self._settings.vm,
+            detail={"seconds": f"{gap:.1f}"},
+        )
+        loguru.logger.warning("paused for {:.1f} s", gap)
+        self._members.extend(self._now())
+        self._hub.extend()
+        self._upstreams.reopen()
+        self._detector.refresh()
+
     def _send_heartbeat(self) -> None:
         """Sends a heartbeat to the feeders and takes it here too."""
         self._sequence += 1
@@ -257,25 +380,77 @@
             gateways=tuple(report.gateway for report in reports),
         )
         self._take_heartbeat(heartbeat)
-        for stream in self._upstreams.values():
-            stream.post(heartbeat)
+        repeats = self._sequence % REPEAT_HEARTBEATS == 0
+        self._upstreams.tell(heartbeat, repeats)
 
-    def _build_members(self) -> messages.Members:
-        """Returns the members as this agent knows them."""
-        leaving = tuple(
-            vm.address
-            for vm in self._vms
-            if vm.role == "target" and vm.state is entities.VmState.LEAVING
+    def _join_members(self) -> None:
+        """Joins what feeders tell, and tells the gateways what changed."""
+        fresh = self._upstreams.list_fresh()
+        told = [u.mirror.rows.values() for u in fresh]
+        # While nothing is heard, the old knowledge is better than none.
+        if not told and self._directory.find_rank() is None:
+            told = [self._joined.values()]
+        joined = members.join_members([*told, self._members.list_heartbeats()])
+        changes = members.diff_members(self._joined, joined)
+        self._joined = joined
+        if changes is None:
+            return
+        for vm in changes.left:
+            self._log.record(events.Kind.MEMBER_LEFT, vm=vm)
+        for heartbeat in changes.changed:
+            self._log.record(events.Kind.MEMBER_JOINED, vm=heartbeat.vm)
+        self._hub.send((hub.GATEWAY,), changes)
+
+    def _show_metrics(self) -> None:
+        """Brings the metrics up to date."""
+        metrics.STORE_CALLS.set({}, self._store.calls)
+        metrics.MEMBERS.set({}, len(self._joined))
+        metrics.CUT_OFF.set({}, self._hub.cut_off)
+        sent, received = self.count_bytes()
+        metrics.PEER_BYTES.set({"direction": "sent"}, sent)
+        metrics.PEER_BYTES.set({"direction": "received"}, received)
+
+    def count_bytes(self) -> tuple[int, int]:
+        """Returns the bytes sent to and received from other agents."""
+        open_streams = [
+            *self._hub.list_streams(),
+            *self._upstreams.list_streams(),
+        ]
+        ended = (self._hub.closed, self._upstreams.closed)
+        sent = sum(s.sent_bytes for s in open_streams)
+        received = sum(s.received_bytes for s in open_streams)
+        return (
+            sent + sum(t.sent_bytes for t in ended),
+            received + sum(t.received_bytes for t in ended),
         )
-        return messages.Members(self._members.list_heartbeats(), leaving)
 
-    def _answer(self, message: messages.Message) -> messages.Message | None:
-        """Answers a question of an operator."""
-        if isinstance(message, messages.StatusRequest):
+    # The questions of operators.
+
+    async def _answer(
+        self, message: messages.Message
+    ) -> messages.Message | None:
+        """Answers a question of an operator or of another agent."""
+        if isinstance(message, messages.RegionRequest):
             return self._build_members()
+        if isinstance(message, messages.StatusRequest):
+            return await self._describe_fleet()
         if isinstance(message, messages.EventsRequest):
             return messages.EventsReply(
                 f"{self._settings.vm}-agent",
                 tuple(self._log.ring.list_events()),
             )
         return None
+
+    async def _describe_fleet(self) -> messages.Members:
+        """Returns the VMs of all regions, as one feeder of each knows them."""
+        own = self._build_members()
+        feeders: dict[str, list[entities.Vm]] = {}
+        for vm in (
+            self._directory.known.feeders if self._directory.known else ()
+        ):
+            feeders.setdefault(vm.region, []).append(vm)
+        if self._directory.find_rank() is not None:
+            feeders.pop(self._settings.region, None)
+        told = await status.ask_regions(feeders)
+        joined = members.join_members([own.heartbeats, *told])
+        return messages.Members(tuple(joined.values()), own.leaving)
--- /dev/null
+++ b/wigeonspool/agent/status.py
@@ -0,0 +1,66 @@
+"""Gathers the state of the whole fleet when an operator asks for it.
+
+No agent keeps all VMs; each region's feeders know those of their region.
+"""
+
+import asyncio
+from collections.abc import Mapping, Sequence
+from typing import Final
+
+import loguru
+
+from wigeonspool.agent import hub
+from wigeonspool.model import entities
+from wigeonspool.model import errors
+from wigeonspool.model import messages
+from wigeonspool.wire import streams
+
+ANSWER_SECONDS: Final = 0.8
+
+
+async def ask_regions(
+    feeders: Mapping[str, Sequence[entities.Vm]],
+) -> list[tuple[messages.Heartbeat, ...]]:
+    """Returns what one feeder of each region knows of its VMs.
+
+    A region that does not answer is shown as one VM of generation 0, so that
+    nobody takes the answer for the whole fleet.
+
+    Args:
+        feeders: Feeders by region.
+    """
+    asked = (ask_region(name, vms) for name, vms in feeders.items())
+    return list(await asyncio.gather(*asked))
+
+
+async def ask_region(
+    region: str, feeders: Sequence[entities.Vm]
+) -> tuple[messages.Heartbeat, ...]:
+    """Returns the VMs of a region, from the first feeder that answers."""
+    for vm in feeders:
+        try:
+            async with asyncio.timeout(ANSWER_SECONDS / len(feeders)):
+                return await _ask_feeder(vm.address)
+        except (errors.WireError, OSError, TimeoutError) as error:
+            loguru.logger.info("feeder {}: {!r}", vm.name, error)
+    name = f"{region}-unreachable"
+    return (messages.Heartbeat(name, region, "", "", 0, 0, ()),)
+
+
+async def _ask_feeder(address: str) -> tuple[messages.Heartbeat, ...]:
+    """Returns the VMs that a feeder hears.
+
+    Raises:
+        WireError: If it broke the protocol.
+        OSError: If the stream failed.
+    """
+    stream = await streams.open_stream(address)
+    try:
+        stream.post(messages.Hello("status", hub.OPERATOR, "", ""))
+        stream.post(messages.RegionRequest())
+        answer = await stream.receive()
+    finally:
+        stream.close()
+    if not isinstance(answer, messages.Members):
+        raise errors.FrameKindError(type(answer).__name__)
+    return answer.heartbeats
--- /dev/null
+++ b/wigeonspool/agent/upstreams.py
@@ -0,0 +1,203 @@
+"""The streams that an agent follows: its feeders, or seeds while none is known.
+
+Each stream brings tables, members and what is needed of the VM list. It is
+closed and opened anew if nothing came for too long, since a connection can go
+silent for good while new ones work.
+"""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+from typing import Final
+
+import loguru
+
+from wigeonspool.agent import hub
+from wigeonspool.agent import members
+from wigeonspool.model import errors
+from wigeonspool.model import messages
+from wigeonspool.wire import streams
+
+RETRY_SECONDS: Final = 0.5
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Upstream:
+    """One agent that is followed.
+
+    Attributes:
+        address: host:port of it.
+        role: Role that this agent opens the stream with.
+        mirror: Members that it told of.
+        directory: What it told of the VM list.
+        stream: Open stream, if any.
+        task: Keeps the stream open.
+        told: What it was last told of this VM.
+        heard_at: When it was last heard, on this process's clock.
+    """
+
+    address: str
+    role: str
+    mirror: members.Mirror
+    directory: messages.Directory | None = None
+    stream: streams.Stream | None = None
+    task: asyncio.Task[None] | None = None
+    told: object = None
+    heard_at: float = float("-inf")
+
+
+class Upstreams:
+    """Follows a changing set of agents.
+
+    Attributes:
+        heard: Set once any agent has told all that it knows.
+        closed: Traffic of streams that ended.
+    """
+
+    def __init__(
+        self,
+        silence_seconds: float,
+        build_hello: Callable[[str], messages.Hello],
+        take: Callable[[messages.Message], None],
+    ) -> None:
+        """Prepares to follow.
+
+        Args:
+            silence_seconds: A stream silent for longer is opened anew.
+            build_hello: Returns what opens a stream in a role.
+            take: Takes a message that brings tables or a pulse; raises
+                WireError if the stream must be opened anew.
+        """
+        self._silence_seconds = silence_seconds
+        self._build_hello = build_hello
+        self._take_tables = take
+        self._upstreams: dict[str, Upstream] = {}
+        self.heard = asyncio.Event()
+        self.closed = hub.Traffic()
+
+    def follow(self, roles: dict[str, str]) -> None:
+        """Starts and ends streams so that exactly some agents are followed.
+
+        Args:
+            roles: Role to follow each address in.
+        """
+        loop = asyncio.get_running_loop()
+        for address, upstream in list(self._upstreams.items()):
+            if roles.get(address) != upstream.role:
+                self._drop(address)
+        for address, role in roles.items():
+            if address not in self._upstreams:
+                upstream = Upstream(address, role, members.Mirror())
+                upstream.task = loop.create_task(self._keep(upstream))
+                self._upstreams[address] = upstream
+
+    def _drop(self, address: str) -> None:
+        """Ends one stream."""
+        upstream = self._upstreams.pop(address)
+        if upstream.task is not None:
+            upstream.task.cancel()
+
+    def stop(self) -> None:
+        """Ends all streams."""
+        self.follow({})
+
+    def reopen(self) -> None:
+        """Opens all streams anew; what was known may be out of date."""
+        for upstream in self._upstreams.values():
+            upstream.heard_at = float("-inf")
+            if upstream.stream is not None:
+                upstream.stream.abort()
+
+    async def _keep(self, upstream: Upstream) -> None:
+        """Follows one agent for ever."""
+        while True:
+            try:
+                await self._follow_stream(upstream)
+            except (errors.WireError, OSError, TimeoutError) as error:
+                loguru.logger.info("feeder {}: {!r}", upstream.address, error)
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def _follow_stream(self, upstream: Upstream) -> None:
+        """Follows an agent over one stream until that ends.
+
+        Raises:
+            WireError: If the agent broke the protocol.
+            OSError: If the stream failed.
+            TimeoutError: If nothing came for too long.
+        """
+        async with asyncio.timeout(self._silence_seconds):
+            stream = await streams.open_stream(upstream.address)
+        try:
+            upstream.told = None
+            stream.post(self._build_hello(upstream.role))
+            upstream.stream = stream
+            while True:
+                async with asyncio.timeout(self._silence_seconds):
+                    message = await stream.receive()
+                if message is None:
+                    return
+                self._take(upstream, message)
+        finally:
+            upstream.stream = None
+            self.closed.add(stream)
+            stream.abort()
+
+    def _take(self, upstream: Upstream, message: messages.Message) -> None:
+        """Takes one message of an agent.
+
+        Raises:
+            WireError: If the stream must be opened anew.
+        """
+        if isinstance(message, messages.Members):
+            upstream.mirror.replace(message.heartbeats)
+        elif isinstance(message, messages.MemberChanges):
+            upstream.mirror.update(message)
+        elif isinstance(message, messages.Directory):
+            upstream.directory = message
+        else:
+            self._take_tables(message)
+        # Until its first pulse an agent has not told all that it knows.
+        if isinstance(message, messages.Pulse):
+            self.heard.set()
+        if isinstance(message, messages.Pulse) or self._is_fresh(upstream):
+            upstream.heard_at = asyncio.get_running_loop().time()
+
+    def _is_fresh(self, upstream: Upstream) -> bool:
+        """Returns True if an agent was heard a short time ago."""
+        now = asyncio.get_running_loop().time()
+        return now - upstream.heard_at <= 2 * self._silence_seconds
+
+    def has_any(self) -> bool:
+        """Returns True if any agent is followed."""
+        return bool(self._upstreams)
+
+    def list_fresh(self) -> list[Upstream]:
+        """Returns the agents that were heard a short time ago."""
+        return [u for u in self._upstreams.values() if self._is_fresh(u)]
+
+    def tell(
+        self, heartbeat: messages.Heartbeat, repeat_heartbeat: bool
+    ) -> None:
+        """Tells all feeders of this VM.
+
+        Args:
+            heartbeat: All that there is to tell.
+            repeat_heartbeat: True to send it all though little changed.
+        """
+        beat = messages.Beat(heartbeat.sequence, heartbeat.generation)
+        described = members.describe(heartbeat)
+        for upstream in self._upstreams.values():
+            if upstream.stream is None:
+                continue
+            known = upstream.told == described and not repeat_heartbeat
+            if known or upstream.role == hub.REMOTE:
+                upstream.stream.post(beat)
+            else:
+                upstream.stream.post(heartbeat)
+                upstream.told = described
+
+    def list_streams(self) -> list[streams.Stream]:
+        """Returns the open streams."""
+        return [
+            u.stream for u in self._upstreams.values() if u.stream is not None
+        ]
--- a/wigeonspool/gateway/link.py
+++ b/wigeonspool/gateway/link.py
@@ -2,16 +2,28 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
+import time
+from typing import Final
 
 import loguru
 
 from wigeonspool.gateway import view as views
 from wigeonspool.model import changes
 from wigeonspool.model import errors
+from wigeonspool.model import events
 from wigeonspool.model import messages
 from wigeonspool.process import EventLog
+from wigeonspool.wire import clocks
 from wigeonspool.wire import streams
 
+# An agent sends a pulse several times in this time.
+SILENCE_SECONDS: Final = 3.0
+# Longer than any work of the event loop, shorter than the time in which a
+# change must be in force.
+PAUSE_SECONDS: Final = 2.0
+CHECK_SECONDS: Final = 0.2
+
 
 class AgentLink:
     """Follows the agent and tells it of this gateway."""
@@ -39,6 +51,9 @@
         self._log = log
         self._on_change = on_change
         self._stream: streams.Stream | None = None
+        self._members: dict[str, messages.Heartbeat] = {}
+        self._detector = clocks.PauseDetector(PAUSE_SECONDS, time.monotonic)
+        view.watch_pauses(hello.process, self._detector.is_current)
 
     def report(self, report: messages.GatewayReport) -> None:
         """Tells the agent of this gateway, if a stream is open."""
@@ -51,12 +66,25 @@
         Raises:
             WireError: If the agent broke the protocol.
             OSError: If the stream failed.
+            ChainBrokenError: If the agent has another history of changes.
+            TimeoutError: If the agent was silent for too long.
         """
         stream = await streams.open_stream(self._address)
         try:
-            await stream.send(self._hello)
+            tables = self._view.tables
+            await stream.send(
+                dataclasses.replace(
+                    self._hello,
+                    generation=tables.generation,
+                    digest=tables.digest,
+                )
+            )
             self._stream = stream
-            while (message := await stream.receive()) is not None:
+            while True:
+                async with asyncio.timeout(SILENCE_SECONDS):
+                    message = await stream.receive()
+                if message is None:
+                    return
                 self._take(message, stream)
         finally:
             self._stream = None
@@ -70,24 +98,60 @@
         elif isinstance(message, messages.ChangeNotice):
             self._take_change(message.change)
         elif isinstance(message, messages.Members):
-            self._view.gateways = {
-                gateway.name: gateway
-                for heartbeat in message.heartbeats
-                for gateway in heartbeat.gateways
-            }
+            self._members = {h.vm: h for h in message.heartbeats}
+            self._show_gateways()
+        elif isinstance(message, messages.MemberChanges):
+            for vm in message.left:
+                self._members.pop(vm, None)
+            self._members |= {h.vm: h for h in message.changed}
+            self._show_gateways()
+        elif isinstance(message, messages.Directory):
             self._view.leaving = frozenset(message.leaving)
             self._on_change()
+        elif isinstance(message, messages.Pulse):
+            # By its first pulse the agent has told all that it knows; what is
+            # left of a stream from before a pause proves nothing.
+            if stream is self._stream:
+                self._detector.refresh()
         elif isinstance(message, messages.EventsRequest):
             reply = messages.EventsReply(
                 self._hello.process, tuple(self._log.ring.list_events())
             )
             stream.post(reply)
 
+    def _show_gateways(self) -> None:
+        """Puts the gateways of all members in view."""
+        self._view.gateways = {
+            gateway.name: gateway
+            for heartbeat in self._members.values()
+            for gateway in heartbeat.gateways
+        }
+        self._on_change()
+
+    def check_pause(self) -> None:
+        """Notices that this process stood still, and renews its knowledge.
+
+        Until then the view names no gateway but this one.
+        """
+        gap = self._detector.tick()
+        if not gap:
+            return
+        self._log.record(
+            events.Kind.PROCESS_PAUSED,
+            vm=self._hello.vm,
+            detail={"seconds": f"{gap:.1f}"},
+        )
+        loguru.logger.warning("paused for {:.1f} s", gap)
+        if self._stream is not None:
+            self._stream.abort()
+            self._stream = None
+
     def _take_change(self, change: changes.Change) -> None:
         """Takes a change that follows the tables in force.
 
         Raises:
             FrameEncodingError: If a change between is missing.
+            ChainBrokenError: If it follows other tables.
         """
         tables = self._view.tables
         if change.generation <= tables.generation:
@@ -100,9 +164,27 @@
 
 async def keep_following(link: AgentLink, retry_seconds: float) -> None:
     """Follows the agent for ever; reconnects after a fixed delay."""
+    checks = asyncio.create_task(_check_pauses(link))
+    try:
+        await _reconnect(link, retry_seconds)
+    finally:
+        checks.cancel()
+
+
+async def _check_pauses(link: AgentLink) -> None:
+    """Lets a link notice pauses, for ever."""
+    while True:
+        link.check_pause()
+        await asyncio.sleep(CHECK_SECONDS)
+
+
+async def _reconnect(link: AgentLink, retry_seconds: float) -> None:
+    """Follows the agent for ever."""
     while True:
         try:
             await link.follow()
-        except (errors.WireError, OSError) as error:
-            loguru.logger.info("agent stream ended: {}", error)
+        except (errors.WireError, OSError, TimeoutError) as error:
+            loguru.logger.info("agent stream ended: {!r}", error)
+        except errors.ChainBrokenError as error:
+            loguru.logger.warning("the agent differs: {}", error)
         await asyncio.sleep(retry_seconds)
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -20,6 +20,7 @@
 from wigeonspool.model import events
 from wigeonspool.model import messages
 from wigeonspool.model import options
+from wigeonspool.wire import proofs
 
 TICK_SECONDS: Final = 0.01
 REPORT_SECONDS: Final = 0.25
@@ -69,11 +70,14 @@
             self._client,
             self._log,
         )
-        hello = messages.Hello(
-            self._gateway.name,
-            "gateway",
-            self._gateway.incarnation,
-            self._settings.vm,
+        hello = proofs.sign_hello(
+            messages.Hello(
+                self._gateway.name,
+                "gateway",
+                self._gateway.incarnation,
+                self._settings.vm,
+            ),
+            self._settings.token_keys,
         )
         self._link = link.AgentLink(
             self._settings.agent.listen,
--- a/wigeonspool/model/changes.py
+++ b/wigeonspool/model/changes.py
@@ -1,12 +1,19 @@
 """Changes of the two tables, and how tables follow from them.
 
 A change is a delta against the generation before it. Its own identity tells a
-writer whether a write whose reply was lost took effect.
+writer whether a write whose reply was lost took effect. The identities form a
+chain of digests, so that two different changes with one generation, as a
+restored store can hold, are told apart and never mixed.
 """
 
 import dataclasses
+import hashlib
+from typing import Final
 
 from wigeonspool.model import entities
+from wigeonspool.model import errors
+
+DIGEST_BYTES: Final = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,6 +29,7 @@
         put_routes: Routes that it adds or replaces.
         removed_pools: Names of pools that it removes.
         removed_routes: Names of routes that it removes.
+        parent: Digest of the tables that it is based on.
     """
 
     generation: int
@@ -32,6 +40,12 @@
     put_routes: tuple[entities.Route, ...] = ()
     removed_pools: tuple[str, ...] = ()
     removed_routes: tuple[str, ...] = ()
+    parent: str = ""
+
+    @property
+    def digest(self) -> str:
+        """Digest of the chain up to this change."""
+        return extend_chain(self.parent, self.change_id)
 
     def is_empty(self) -> bool:
         """Returns True if the change alters nothing."""
@@ -43,8 +57,20 @@
         )
 
 
+def extend_chain(parent: str, change_id: str) -> str:
+    """Returns the digest of a chain and one more change."""
+    raw = f"{parent}/{change_id}".encode()
+    return hashlib.blake2b(raw, digest_size=DIGEST_BYTES).hexdigest()
+
+
 def apply_change(tables: entities.Tables, change: Change) -> entities.Tables:
-    """Returns the tables after a change; the given ones stay as they are."""
+    """Returns the tables after a change; the given ones stay as they are.
+
+    Raises:
+        ChainBrokenError: If the change is based on other tables.
+    """
+    if change.parent != tables.digest:
+        raise errors.ChainBrokenError(change.generation)
     pools = dict(tables.pools)
     routes = dict(tables.routes)
     for pool_name in change.removed_pools:
@@ -53,7 +79,7 @@
         routes.pop(route_name, None)
     pools.update((pool.name, pool) for pool in change.put_pools)
     routes.update((route.name, route) for route in change.put_routes)
-    return entities.Tables(change.generation, routes, pools)
+    return entities.Tables(change.generation, routes, pools, change.digest)
 
 
 def diff_tables(
@@ -89,4 +115,5 @@
         ),
         removed_pools=tuple(before.pools.keys() - after.pools.keys()),
         removed_routes=tuple(before.routes.keys() - after.routes.keys()),
+        parent=before.digest,
     )
--- a/wigeonspool/model/entities.py
+++ b/wigeonspool/model/entities.py
@@ -78,11 +78,13 @@
         generation: Number of the change that made them; 0 is empty.
         routes: Routes by name.
         pools: Pools by name.
+        digest: Digest of the chain of changes that led here; "" if empty.
     """
 
     generation: int
     routes: Mapping[str, Route]
     pools: Mapping[str, Pool]
+    digest: str = ""
 
 
 EMPTY_TABLES = Tables(0, {}, {})
--- a/wigeonspool/model/errors.py
+++ b/wigeonspool/model/errors.py
@@ -152,6 +152,23 @@
         self.change_id = change_id
 
 
+class ChainBrokenError(WigeonspoolError):
+    """A change follows other tables than those at its generation.
+
+    Attributes:
+        generation: Generation at which two histories differ.
+    """
+
+    code = "chain-broken"
+
+    def __init__(self, generation: int) -> None:
+        super().__init__(
+            f"generation {generation} exists in two versions;"
+            " the store may have been restored from a backup"
+        )
+        self.generation = generation
+
+
 class ChangeUnknownError(WigeonspoolError):
     """It could not be learned whether a change took effect."""
 
--- a/wigeonspool/model/events.py
+++ b/wigeonspool/model/events.py
@@ -18,6 +18,8 @@
     PROCESS_STOPPING = "process-stopping"
     CONFIGURATION_IN_FORCE = "configuration-in-force"
     CONFIGURATION_STALE_HEAD = "configuration-stale-head"
+    CONFIGURATION_DIVERGED = "configuration-diverged"
+    CONFIGURATION_RESTORED = "configuration-restored"
     STORE_UNAVAILABLE = "store-unavailable"
     STORE_AVAILABLE = "store-available"
     MEMBER_JOINED = "member-joined"
--- a/wigeonspool/model/messages.py
+++ b/wigeonspool/model/messages.py
@@ -26,19 +26,33 @@
         role: "agent", "gateway" or "operator".
         incarnation: Identity of this run of the process.
         vm: Name of its VM.
+        generation: Generation that it holds.
+        digest: Digest of the chain of changes there.
+        proof: Shows that the sender holds a key of the fleet.
     """
 
     process: str
     role: str
     incarnation: str
     vm: str
+    generation: int = 0
+    digest: str = ""
+    proof: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
-    """The whole tables at a generation."""
+    """The whole tables at a generation.
+
+    Attributes:
+        tables: The tables.
+        lineage: Digests of the generations that led to them.
+        last: Change that made them, if known.
+    """
 
     tables: entities.Tables
+    lineage: tuple[tuple[int, str], ...] = ()
+    last: changes.Change | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,6 +85,32 @@
     gateways: tuple[entities.Gateway, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Beat:
+    """Says that the sender lives and is as its last heartbeat told.
+
+    Attributes:
+        sequence: Rises by one with each heartbeat or beat of an incarnation.
+        generation: Generation in force on all processes of the VM.
+    """
+
+    sequence: int
+    generation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pulse:
+    """Says that a followed agent lives and has sent all that it knows.
+
+    Attributes:
+        generation: Generation in force there.
+        digest: Digest of the chain of changes there.
+    """
+
+    generation: int
+    digest: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatewayReport:
     """What a gateway tells its agent.
@@ -97,9 +137,40 @@
     leaving: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberChanges:
+    """What changed since the members that were sent before.
+
+    Attributes:
+        changed: Heartbeats of VMs that are new or altered.
+        left: Names of VMs that are no longer live.
+    """
+
+    changed: tuple[Heartbeat, ...]
+    left: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Directory:
+    """What agents need of the VM list, which only feeders read.
+
+    Attributes:
+        feeders: VMs whose agents follow the store.
+        leaving: Addresses of targets that are leaving.
+    """
+
+    feeders: tuple[entities.Vm, ...]
+    leaving: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StatusRequest:
-    """Asks an agent for the fleet as it sees it."""
+    """Asks an agent for the whole fleet; answered with members."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RegionRequest:
+    """Asks an agent for the VMs that it hears directly."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,9 +191,14 @@
     | Snapshot
     | ChangeNotice
     | Heartbeat
+    | Beat
+    | Pulse
     | GatewayReport
     | Members
+    | MemberChanges
+    | Directory
     | StatusRequest
+    | RegionRequest
     | EventsRequest
     | EventsReply
 )
@@ -134,9 +210,14 @@
         Snapshot,
         ChangeNotice,
         Heartbeat,
+        Beat,
+        Pulse,
         GatewayReport,
         Members,
+        MemberChanges,
+        Directory,
         StatusRequest,
+        RegionRequest,
         EventsRequest,
         EventsReply,
     )
--- a/wigeonspool/platform/store.py
+++ b/wigeonspool/platform/store.py
@@ -35,6 +35,50 @@
     lease: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Page:
+    """The result of a read of many keys.
+
+    Attributes:
+        entries: Entries in the order asked for.
+        revision: Store revision that the read saw.
+    """
+
+    entries: list[Entry]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Condition:
+    """What must hold for a transaction to write.
+
+    Attributes:
+        key: Key to compare.
+        value: Bytes that it must hold, or None if it must be absent.
+    """
+
+    key: str
+    value: bytes | None = None
+
+
+def _build_compare(condition: Condition) -> dict[str, Any]:
+    """Returns a condition in the form of the protocol."""
+    key = _encode(condition.key.encode())
+    if condition.value is None:
+        return {
+            "key": key,
+            "target": "CREATE",
+            "result": "EQUAL",
+            "create_revision": 0,
+        }
+    return {
+        "key": key,
+        "target": "VALUE",
+        "result": "EQUAL",
+        "value": _encode(condition.value),
+    }
+
+
 def _encode(data: bytes) -> str:
     """Returns base64 text, as the JSON interface carries bytes."""
     return base64.b64encode(data).decode("ascii")
@@ -108,6 +152,17 @@
             limit: Most entries to return, 0 for all.
             newest: True to order by descending key.
 
+        Raises:
+            StoreError: If the store could not serve the call.
+        """
+        page = await self.read_page(prefix, after, limit, newest)
+        return page.entries
+
+    async def read_page(
+        self, prefix: str, after: str = "", limit: int = 0, newest: bool = False
+    ) -> Page:
+        """Returns entries as `read_prefix` does, and the revision read.
+
         Raises:
             StoreError: If the store could not serve the call.
         """
@@ -120,7 +175,10 @@
         if newest:
             body |= {"sort_order": "DESCEND", "sort_target": "KEY"}
         answer = await self._call("/v3/kv/range", body)
-        return [_parse_entry(kv) for kv in answer.get("kvs", [])]
+        revision = int(answer.get("header", {}).get("revision", 0))
+        return Page(
+            [_parse_entry(kv) for kv in answer.get("kvs", [])], revision
+        )
 
     async def read(self, key: str) -> Entry | None:
         """Returns the entry of a key, or None if it is absent.
@@ -149,22 +207,55 @@
             StoreUnavailableError: If it is unknown whether the write happened.
             StoreAnswerError: If the answer is not of the protocol.
         """
-        name = _encode(key.encode())
-        put = {"key": name, "value": _encode(value), "lease": lease}
+        return await self.commit([Condition(key)], {key: value}, lease)
+
+    async def commit(
+        self,
+        conditions: list[Condition],
+        writes: dict[str, bytes],
+        lease: int = 0,
+    ) -> bool:
+        """Writes some keys at once if all conditions hold.
+
+        Args:
+            conditions: What must hold.
+            writes: Bytes by key.
+            lease: Lease to bind the keys to, 0 for none.
+
+        Returns:
+            True if this call wrote them, False if a condition did not hold.
+
+        Raises:
+            StoreUnavailableError: If it is unknown whether the write happened.
+            StoreAnswerError: If the answer is not of the protocol.
+        """
+        puts = [
+            {
+                "key": _encode(key.encode()),
+                "value": _encode(value),
+                "lease": lease,
+            }
+            for key, value in writes.items()
+        ]
         body = {
-            "compare": [
-                {
-                    "key": name,
-                    "target": "CREATE",
-                    "result": "EQUAL",
-                    "create_revision": 0,
-                }
-            ],
-            "success": [{"request_put": put}],
+            "compare": [_build_compare(condition) for condition in conditions],
+            "success": [{"request_put": put} for put in puts],
         }
         answer = await self._call("/v3/kv/txn", body)
         return bool(answer.get("succeeded", False))
 
+    async def remove_range(self, start: str, end: str) -> None:
+        """Removes the keys from `start` up to and without `end`.
+
+        Raises:
+            StoreError: If the store could not serve the call.
+        """
+        body = {
+            "key": _encode(start.encode()),
+            "range_end": _encode(end.encode()),
+        }
+        await self._call("/v3/kv/deleterange", body)
+
     async def grant_lease(self, ttl_seconds: int) -> int:
         """Returns a new lease.
 
--- a/wigeonspool/standin/store.py
+++ b/wigeonspool/standin/store.py
@@ -1,18 +1,23 @@
 """Stand-in of the configuration store: etcd v3 HTTP/JSON, in memory.
 
-Faults are set over HTTP while it runs: down, slow, and replies lost after the
-change took effect.
+Faults are set over HTTP while it runs: down, slow, replies lost after the
+change took effect, and watches that go silent. A backup can be taken and
+restored.
 """
 
 import asyncio
 import base64
+import contextlib
 import dataclasses
 import json
 import time
-from typing import Any
+from typing import Any, Final
 
 from aiohttp import web
 
+MAX_VALUE_BYTES: Final = 1024 * 1024
+WATCH_CHECK_SECONDS: Final = 0.5
+
 
 @dataclasses.dataclass(slots=True)
 class Record:
@@ -41,11 +46,13 @@
         down: All calls are refused and watches cut.
         delay_ms: Added to each call.
         lose_replies: This many writes take effect with no reply.
+        silent_watches: Watches stay open and report nothing.
     """
 
     down: bool = False
     delay_ms: float = 0.0
     lose_replies: int = 0
+    silent_watches: bool = False
 
 
 class StoreStandin:
@@ -79,6 +86,20 @@
         app.router.add_get("/calls", self._show_calls)
         return app
 
+    def copy_records(self) -> dict[bytes, Record]:
+        """Returns a backup of all keys."""
+        return {
+            key: dataclasses.replace(record)
+            for key, record in self.records.items()
+        }
+
+    async def restore_records(self, backup: dict[bytes, Record]) -> None:
+        """Replaces all keys by those of a backup; watches report nothing."""
+        self.records = {k: dataclasses.replace(r) for k, r in backup.items()}
+        self.revision += 1
+        self.history.clear()
+        await self._notify()
+
     async def expire_leases(self) -> None:
         """Ends leases whose deadline has passed, for ever."""
         while True:
@@ -112,7 +133,10 @@
             if self.faults.down:
                 return web.Response(status=503)
             revision = self.revision
-            answer = serve(body)
+            try:
+                answer = serve(body)
+            except ValueError as error:
+                return web.json_response({"message": str(error)}, status=400)
             if self.revision != revision:
                 await self._notify()
                 if self.faults.lose_replies > 0:
@@ -158,7 +182,13 @@
         return {"kvs": kvs, "count": str(count), "more": len(keys) < count}
 
     def _write(self, key: bytes, value: bytes, lease: int) -> None:
-        """Writes one key at a new revision."""
+        """Writes one key at a new revision.
+
+        Raises:
+            ValueError: If the value exceeds the bound.
+        """
+        if len(value) > MAX_VALUE_BYTES:
+            raise ValueError("value is too large")
         self.revision += 1
         old = self.records.get(key)
         record = Record(
@@ -273,23 +303,36 @@
         await response.prepare(request)
         head = {"result": {"created": True, "events": []}}
         await response.write(json.dumps(head).encode() + b"\n")
-        while not self.faults.down:
-            batch = [
-                entry
-                for entry in self.history
-                if entry[0] > seen
-                and start <= entry[2] < (end or start + b"\0")
-            ]
+        while not self.faults.down and not _has_left(request):
+            batch = self._list_since(seen, start, end or start + b"\0")
             seen = self.revision
-            if batch:
+            if batch and not self.faults.silent_watches:
                 line = json.dumps(self._show_events(batch)).encode()
                 await response.write(line + b"\n")
-            async with self.changed:
+            await self._wait_for_change(seen)
+        if request.transport is not None:
+            request.transport.abort()
+        return response
+
+    async def _wait_for_change(self, seen: int) -> None:
+        """Waits for a revision after one, for a limited time."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(WATCH_CHECK_SECONDS), self.changed:
                 if self.revision == seen:
                     await self.changed.wait()
-        assert request.transport is not None
-        request.transport.abort()
-        return response
+
+    def _list_since(
+        self, seen: int, start: bytes, end: bytes
+    ) -> list[tuple[int, str, bytes, Record | None]]:
+        """Returns the writes of a key range after a revision."""
+        found: list[tuple[int, str, bytes, Record | None]] = []
+        for entry in reversed(self.history):
+            if entry[0] <= seen:
+                break
+            if start <= entry[2] < end:
+                found.append(entry)
+        found.reverse()
+        return found
 
     def _show_events(
         self, batch: list[tuple[int, str, bytes, Record | None]]
@@ -315,3 +358,8 @@
     async def _show_calls(self, _: web.Request) -> web.Response:
         """Shows the calls counted so far."""
         return web.json_response(self.calls)
+
+
+def _has_left(request: web.Request) -> bool:
+    """Returns True if the caller of a watch closed its connection."""
+    return request.transport is None or request.transport.is_closing()
--- a/wigeonspool/standin/vms.py
+++ b/wigeonspool/standin/vms.py
@@ -9,7 +9,11 @@
 
 
 class VmListStandin:
-    """Serves the list as it was `lag_seconds` ago."""
+    """Serves the list as it was `lag_seconds` ago.
+
+    Attributes:
+        calls: Reads of the list.
+    """
 
     def __init__(self, vms: list[dict[str, Any]]) -> None:
         """Prepares the list.
@@ -21,6 +25,7 @@
         self._shown = dict(self._vms)
         self._lag_seconds = 0.0
         self._down = False
+        self.calls = 0
 
     def build_app(self) -> web.Application:
         """Returns the HTTP application."""
@@ -32,6 +37,7 @@
 
     async def _show(self, _: web.Request) -> web.Response:
         """Shows the list."""
+        self.calls += 1
         if self._down:
             return web.Response(status=503)
         return web.json_response({"vms": list(self._shown.values())})
--- a/wigeonspool/wire/clocks.py
+++ b/wigeonspool/wire/clocks.py
@@ -1,5 +1,6 @@
-"""A hybrid logical clock, so that events of many processes can be ordered."""
+"""Clocks of a process: one that orders events, one that notices pauses."""
 
+from collections.abc import Callable
 import time
 
 from wigeonspool.model import events
@@ -30,3 +31,51 @@
         if (stamp.wall_ms, stamp.counter) > (self._wall_ms, self._counter):
             self._wall_ms = stamp.wall_ms
             self._counter = stamp.counter
+
+
+class PauseDetector:
+    """Tells whether this process has stood still for too long.
+
+    A process that was paused may act on what it knew before. It asks here
+    right before each such act, since after a pause the act may run before
+    any timer does. Once a pause is noticed, the process is not current until
+    its knowledge has been refreshed.
+    """
+
+    __slots__ = ("_is_refreshed", "_limit_seconds", "_now", "_ticked_at")
+
+    def __init__(self, limit_seconds: float, now: Callable[[], float]) -> None:
+        """Starts the detector.
+
+        Args:
+            limit_seconds: A longer time between two ticks is a pause.
+            now: Clock that goes on while the process is paused, in seconds.
+        """
+        self._limit_seconds = limit_seconds
+        self._now = now
+        self._ticked_at = now()
+        self._is_refreshed = True
+
+    def tick(self) -> float:
+        """Notes that the process runs; called several times in the limit.
+
+        Returns:
+            Length of the pause that has just ended, in seconds, or 0.
+        """
+        now = self._now()
+        gap = now - self._ticked_at
+        self._ticked_at = now
+        if gap <= self._limit_seconds:
+            return 0.0
+        self._is_refreshed = False
+        return gap
+
+    def refresh(self) -> None:
+        """Notes that knowledge was renewed after the latest pause."""
+        if self._now() - self._ticked_at <= self._limit_seconds:
+            self._is_refreshed = True
+
+    def is_current(self) -> bool:
+        """Returns True unless a pause has made knowledge out of date."""
+        gap = self._now() - self._ticked_at
+        return self._is_refreshed and gap <= self._limit_seconds
--- a/wigeonspool/wire/frames.py
+++ b/wigeonspool/wire/frames.py
@@ -34,13 +34,12 @@
         raise errors.FrameEncodingError(str(error)) from error
 
 
-async def read_frame(reader: asyncio.StreamReader) -> Any | None:
-    """Returns the next document, or None at a clean end of the stream.
+async def read_body(reader: asyncio.StreamReader) -> bytes | None:
+    """Returns the body of the next frame, or None at a clean end.
 
     Raises:
         FrameTooLongError: If the announced length exceeds the bound.
         FrameCutError: If the stream ends inside a frame.
-        FrameEncodingError: If the body is not msgpack.
     """
     try:
         header = await reader.readexactly(LENGTH.size)
@@ -52,7 +51,18 @@
     if length > MAX_FRAME_BYTES:
         raise errors.FrameTooLongError(length, MAX_FRAME_BYTES)
     try:
-        body = await reader.readexactly(length)
+        return await reader.readexactly(length)
     except asyncio.IncompleteReadError as error:
         raise errors.FrameCutError(length - len(error.partial)) from error
-    return unpack_body(body)
+
+
+async def read_frame(reader: asyncio.StreamReader) -> Any | None:
+    """Returns the next document, or None at a clean end of the stream.
+
+    Raises:
+        FrameTooLongError: If the announced length exceeds the bound.
+        FrameCutError: If the stream ends inside a frame.
+        FrameEncodingError: If the body is not msgpack.
+    """
+    body = await read_body(reader)
+    return None if body is None else unpack_body(body)
--- /dev/null
+++ b/wigeonspool/wire/proofs.py
@@ -0,0 +1,36 @@
+"""Proofs in the opening of a stream that its sender belongs to the fleet.
+
+The VM list lags, so it cannot tell a new VM from a stranger. A process of the
+fleet shows instead that it holds one of the keys in the settings.
+"""
+
+import dataclasses
+import hashlib
+import hmac
+
+from wigeonspool.model import messages
+
+
+def _compute(hello: messages.Hello, key: str) -> str:
+    """Returns the proof of an opening under one key."""
+    text = "\0".join(
+        (hello.process, hello.role, hello.incarnation, hello.vm)
+    ).encode()
+    return hmac.new(key.encode(), text, hashlib.sha256).hexdigest()
+
+
+def sign_hello(hello: messages.Hello, keys: list[str]) -> messages.Hello:
+    """Returns an opening with its proof.
+
+    Args:
+        hello: Opening without a proof.
+        keys: Keys of the fleet; the last one signs.
+    """
+    return dataclasses.replace(hello, proof=_compute(hello, keys[-1]))
+
+
+def check_hello(hello: messages.Hello, keys: list[str]) -> bool:
+    """Returns True if the sender holds one of the keys."""
+    return any(
+        hmac.compare_digest(_compute(hello, key), hello.proof) for key in keys
+    )
--- a/wigeonspool/wire/streams.py
+++ b/wigeonspool/wire/streams.py
@@ -1,10 +1,15 @@
 """Message streams between this system's processes, over TCP."""
 
 import asyncio
+from typing import Final
 
 from wigeonspool.model import messages
 from wigeonspool.wire import frames
 
+# A peer that leaves more than this unread is cut off; it reconnects and gets
+# the whole state. The largest message, a snapshot, always fits once.
+MAX_UNSENT_BYTES: Final = 1024 * 1024
+
 
 class Stream:
     """One connection that carries messages both ways.
@@ -12,9 +17,18 @@
     Attributes:
         peer: Remote host:port, for logs.
         sent_bytes: Bytes of the frames written so far.
+        received_bytes: Bytes of the frames read so far.
+        overflowed: True if the peer left too much unread and was cut off.
     """
 
-    __slots__ = ("_reader", "_writer", "peer", "sent_bytes")
+    __slots__ = (
+        "_reader",
+        "_writer",
+        "overflowed",
+        "peer",
+        "received_bytes",
+        "sent_bytes",
+    )
 
     def __init__(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -22,6 +36,8 @@
         self._reader = reader
         self._writer = writer
         self.sent_bytes = 0
+        self.received_bytes = 0
+        self.overflowed = False
         name = writer.get_extra_info("peername")
         self.peer = f"{name[0]}:{name[1]}" if name else "unknown"
 
@@ -32,16 +48,28 @@
             WireError: If the peer broke the protocol.
             OSError: If the connection failed.
         """
-        document = await frames.read_frame(self._reader)
-        if document is None:
+        body = await frames.read_body(self._reader)
+        if body is None:
             return None
-        return messages.decode_message(document)
+        self.received_bytes += frames.LENGTH.size + len(body)
+        return messages.decode_message(frames.unpack_body(body))
 
     def post(self, message: messages.Message) -> None:
-        """Queues a message without waiting for the peer."""
+        """Queues a message without waiting for the peer.
+
+        The connection is cut if the peer has left too much unread.
+        """
+        self.post_frame(frames.pack_frame(messages.encode_message(message)))
+
+    def post_frame(self, data: bytes) -> None:
+        """Queues a message that is packed already; see `post`."""
         if self._writer.is_closing():
             return
-        data = frames.pack_frame(messages.encode_message(message))
+        unsent = self._writer.transport.get_write_buffer_size()
+        if unsent > MAX_UNSENT_BYTES:
+            self.overflowed = True
+            self._writer.transport.abort()
+            return
         self.sent_bytes += len(data)
         self._writer.write(data)
 
@@ -58,6 +86,10 @@
         """Closes the connection."""
         self._writer.close()
 
+    def abort(self) -> None:
+        """Closes the connection at once; what is unsent is dropped."""
+        self._writer.transport.abort()
+
 
 async def open_stream(address: str) -> Stream:
     """Connects to a stream server.
