--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -136,6 +136,18 @@
         """Returns the VMs whose agents follow the store."""
         return [vm for vm, a in self.agents.items() if a._watch is not None]
 
+    async def settle_feeders(self) -> str:
+        """Waits until all agree on the feeders; returns one of them."""
+
+        def is_settled() -> bool:
+            known = [a._directory.known for a in self.agents.values()]
+            named = [sorted(v.name for v in k.feeders) for k in known if k]
+            feeders = sorted(self.list_feeders())
+            return named == [feeders] * len(self.agents)
+
+        await wait_for(is_settled)
+        return self.list_feeders()[0]
+
     def sees_all(self, count: int) -> bool:
         """Returns True if each gateway knows so many gateways."""
         views = [gateway._view for gateway in self.gateways.values()]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,7 +11,6 @@
 
 from tests import fleet as fleets
 from wigeonspool.agent import directory
-from wigeonspool.agent import hub
 from wigeonspool.agent import members
 from wigeonspool.gateway import view as views
 from wigeonspool.model import entities
@@ -20,6 +19,7 @@
 from wigeonspool.model import messages
 from wigeonspool.wire import clocks
 from wigeonspool.wire import proofs
+from wigeonspool.wire import senders
 from wigeonspool.wire import streams
 
 KEYS = ["test-key"]
@@ -141,27 +141,36 @@
 
     def test_seeds_are_followed_while_nothing_is_known(self) -> None:
         known = self.build("vm-0-1", "region-0")
-        assert known.choose_upstreams(False) == {"seed:1": hub.AGENT}
+        assert known.choose_upstreams(False) == {"seed:1": senders.AGENT}
 
     def test_agent_that_lost_its_feeders_follows_other_regions(self) -> None:
         listed = build_vms(3, 5)
         known = self.build("vm-0-1", "region-0")
         known.take_list(listed, 2)
         roles = list(known.choose_upstreams(is_lost=True).values())
-        assert roles.count(hub.REMOTE) == 2
+        assert roles.count(senders.REMOTE) == 2
 
     def test_target_that_one_feeder_calls_leaving_is_leaving(self) -> None:
         feeders = tuple(build_vms(1, 2))
         known = self.build("vm-0-9", "region-0")
         known.take_told(
             [
-                messages.Directory(feeders, ("t:1",)),
-                messages.Directory(feeders, ()),
+                messages.Directory(feeders, ("t:1",), True),
+                messages.Directory(feeders, (), True),
             ]
         )
         assert known.known is not None
         assert known.known.leaving == ("t:1",)
 
+    def test_old_knowledge_of_others_does_not_replace_a_reading(self) -> None:
+        known = self.build("vm-0-9", "region-0")
+        stale = messages.Directory(tuple(build_vms(1, 1)), ())
+        assert known.take_told([stale])
+        known.take_list(build_vms(1, 5), 2)
+        read = known.known
+        assert not known.take_told([stale])
+        assert known.known == read
+
     def test_new_vm_is_admitted_until_it_should_have_been_listed(self) -> None:
         known = self.build("vm-0-1", "region-0")
         known.take_list(build_vms(1, 3), 2)
@@ -217,10 +226,12 @@
 
 class TestHub:
     async def check_rejected(
-        self, fleet: fleets.Fleet, stream: streams.Stream
+        self,
+        fleet: fleets.Fleet,
+        stream: streams.Stream,
+        code: str = errors.PeerUnknownError.code,
     ) -> None:
         agent = fleet.agents["vm-0"]
-        code = errors.PeerUnknownError.code
         await fleets.wait_for(lambda: agent._hub.rejected.get(code) == 1)
         while await stream.receive() is not None:
             pass
@@ -249,7 +260,7 @@
         address = fleet.agent_address("vm-0")
         stream = await open_as(address, "operator", "vm-1")
         stream.post(build_heartbeat("vm-1"))
-        await self.check_rejected(fleet, stream)
+        await self.check_rejected(fleet, stream, errors.SenderRoleError.code)
 
     async def test_gateway_of_another_vm_is_rejected(
         self, fleet: fleets.Fleet
@@ -276,7 +287,7 @@
         sent = 0
         while is_subscribed():
             stream.post(messages.Beat(1, 0))
-            agent._hub.send((hub.AGENT,), bulky)
+            agent._hub.send((senders.AGENT,), bulky)
             sent += 1
             await asyncio.sleep(0.005)
             assert sent < 200
@@ -299,8 +310,7 @@
         for number in range(2, 6):
             await fleet.start_vm(f"vm-{number}", "zone-0")
         await fleets.wait_for(lambda: fleet.sees_all(6))
-        await fleets.wait_for(lambda: len(fleet.list_feeders()) == 2)
-        feeder = fleet.list_feeders()[0]
+        feeder = await fleet.settle_feeders()
         stream = await open_as(fleet.agent_address(feeder), "agent", "vm-9")
         stream.post(build_heartbeat("vm-9"))
         # What the start of the fleet causes ends within the silence limit.
@@ -320,7 +330,7 @@
         for number in range(2, 8):
             await fleet.start_vm(f"vm-{number}", "zone-0")
         await fleets.wait_for(lambda: fleet.sees_all(8))
-        await fleets.wait_for(lambda: len(fleet.list_feeders()) == 2)
+        await fleet.settle_feeders()
         await fleets.wait_for(
             lambda: sum(a._must_read_vms() for a in fleet.agents.values()) == 2
         )
@@ -452,7 +462,7 @@
         await fleet.store.restore_records(backup)
         await fleets.wait_for(
             lambda: any(
-                events.Kind.CONFIGURATION_STALE_HEAD in list_kinds(a._log)
+                events.Kind.CONFIGURATION_RESTORED in list_kinds(a._log)
                 for a in fleet.agents.values()
             )
         )
--- a/wigeonspool/agent/directory.py
+++ b/wigeonspool/agent/directory.py
@@ -7,12 +7,12 @@
 import dataclasses
 from typing import Final
 
-from wigeonspool.agent import hub
 from wigeonspool.agent import members
 from wigeonspool.core import assignments
 from wigeonspool.model import entities
 from wigeonspool.model import errors
 from wigeonspool.model import messages
+from wigeonspool.wire import senders
 
 # The list lags, so a new VM is admitted before the list shows it.
 ADMISSION_SECONDS: Final = 60.0
@@ -52,13 +52,22 @@
         for name in self.listed & self.unlisted.keys():
             del self.unlisted[name]
         chosen = tuple(members.choose_feeders(vms, feeders))
-        return self._take(messages.Directory(chosen, members.list_leaving(vms)))
+        return self._take(
+            messages.Directory(chosen, members.list_leaving(vms), True)
+        )
 
     def take_told(self, told: list[messages.Directory]) -> bool:
-        """Takes what feeders told; returns True if anything changed.
+        """Takes what agents told; returns True if anything changed.
+
+        A target that any of them calls leaving is leaving. What an agent has
+        from others is taken only while nothing is known: two agents that told
+        each other what they had before would never forget it.
 
-        A target that any of them calls leaving is leaving.
+        Args:
+            told: Directories, the one heard last at the end.
         """
+        if self.known is not None:
+            told = [one for one in told if one.is_first_hand]
         if not told:
             return False
         leaving = {address for one in told for address in one.leaving}
@@ -68,10 +77,14 @@
 
     def _take(self, directory: messages.Directory) -> bool:
         """Takes new knowledge; an empty list of feeders is no knowledge."""
-        if not directory.feeders or directory == self.known:
+        if not directory.feeders:
             return False
+        known = self.known
         self.known = directory
-        return True
+        return known is None or (
+            (directory.feeders, directory.leaving)
+            != (known.feeders, known.leaving)
+        )
 
     def find_rank(self) -> int | None:
         """Returns the place of this agent among the feeders, or None."""
@@ -87,13 +100,15 @@
         """
         feeders = self.known.feeders if self.known else ()
         chosen = {
-            vm.address: hub.AGENT for vm in feeders if vm.region == self.region
+            vm.address: senders.AGENT
+            for vm in feeders
+            if vm.region == self.region
         }
         if is_lost or not chosen:
-            chosen |= dict.fromkeys(self.seeds, hub.AGENT)
+            chosen |= dict.fromkeys(self.seeds, senders.AGENT)
         if is_lost or self.find_rank() is not None:
             for vm in self._choose_remote(feeders):
-                chosen.setdefault(vm.address, hub.REMOTE)
+                chosen.setdefault(vm.address, senders.REMOTE)
         chosen.pop(self.listen, None)
         return chosen
 
--- a/wigeonspool/agent/gathering.py
+++ b/wigeonspool/agent/gathering.py
@@ -1,61 +1,128 @@
-"""Gathers the events of a VM's processes for an operator."""
+"""Puts an operator's question to all gateways of a VM.
 
+The answer goes out when all have replied, or at a deadline with the names of
+those that have not: one gateway that hangs must not hide all others.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
 import dataclasses
+from typing import Final
 
-from wigeonspool.model import events
 from wigeonspool.model import messages
 from wigeonspool.wire import streams
 
+GATHER_SECONDS: Final = 1.0
+
+Question = messages.EventsRequest | messages.VmStatusRequest
+Reply = messages.EventsReply | messages.VmStatusReply
+
 
 @dataclasses.dataclass(slots=True, eq=False)
-class Collection:
-    """An operator's question for the events of a VM.
+class Gathering:
+    """A question whose replies are awaited.
 
     Attributes:
-        stream: Where to reply.
-        events: Events gathered so far.
-        waiting: Gateways that have not replied.
+        asker: Stream of the operator.
+        reply: What was gathered so far.
+        waiting: Names of the gateways that have not replied.
     """
 
-    stream: streams.Stream
-    events: list[events.Event]
+    asker: streams.Stream
+    reply: Reply
     waiting: set[str]
 
-    def reply(self, process: str) -> None:
-        """Sends what was gathered."""
-        self.stream.post(messages.EventsReply(process, tuple(self.events)))
+
+def merge_replies(first: Reply, second: Reply) -> Reply:
+    """Returns what two replies to one question say together.
+
+    A reply of another kind is for another question; it changes nothing.
+    """
+    if isinstance(first, messages.EventsReply):
+        if not isinstance(second, messages.EventsReply):
+            return first
+        return dataclasses.replace(
+            first,
+            events=first.events + second.events,
+            dropped=first.dropped | second.dropped,
+            missing=first.missing + second.missing,
+        )
+    if not isinstance(second, messages.VmStatusReply):
+        return first
+    return dataclasses.replace(
+        first,
+        gateways=first.gateways + second.gateways,
+        missing=first.missing + second.missing,
+    )
 
 
-class EventCollector:
-    """Keeps the questions that wait for gateways."""
+class Gatherer:
+    """Holds the questions whose replies are awaited."""
+
+    def __init__(
+        self, answer: Callable[[messages.Message], messages.Message | None]
+    ) -> None:
+        """Prepares to gather.
 
-    def __init__(self) -> None:
-        self._collections: list[Collection] = []
+        Args:
+            answer: Gives the agent's own reply to a question.
+        """
+        self._answer = answer
+        self._pending: list[Gathering] = []
 
-    def start(
+    def ask(
         self,
-        stream: streams.Stream,
-        own: messages.EventsReply,
-        waiting: set[str],
+        asker: streams.Stream,
+        question: Question,
+        gateways: Iterable[tuple[str, streams.Stream]],
     ) -> None:
-        """Begins to gather events.
+        """Puts a question to gateways and replies to its asker.
+
+        Args:
+            asker: Stream of the operator.
+            question: What it asked.
+            gateways: Name and stream of each gateway.
+        """
+        streams_by_name = dict(gateways)
+        own = self._answer(question)
+        assert isinstance(own, Reply)
+        gathering = Gathering(asker, own, set(streams_by_name))
+        self._pending.append(gathering)
+        for stream in streams_by_name.values():
+            stream.post(question)
+        loop = asyncio.get_running_loop()
+        loop.call_later(GATHER_SECONDS, self._finish, gathering)
+        self._finish_if_whole(gathering)
+
+    def take(self, gateway: str, reply: Reply) -> None:
+        """Takes a gateway's reply for all questions that await it.
 
         Args:
-            stream: Where to reply.
-            own: Events of the agent.
-            waiting: Names of the gateways that were asked.
+            gateway: Name of the gateway.
+            reply: What it replied.
         """
-        collection = Collection(stream, list(own.events), waiting)
-        if not waiting:
-            collection.reply(own.process)
+        for gathering in list(self._pending):
+            if type(gathering.reply) is not type(reply):
+                continue
+            if gateway not in gathering.waiting:
+                continue
+            gathering.waiting.discard(gateway)
+            gathering.reply = merge_replies(gathering.reply, reply)
+            self._finish_if_whole(gathering)
+
+    def _finish_if_whole(self, gathering: Gathering) -> None:
+        """Replies to the asker once no gateway is awaited."""
+        if not gathering.waiting:
+            self._finish(gathering)
+
+    def _finish(self, gathering: Gathering) -> None:
+        """Replies to the asker, once."""
+        if gathering not in self._pending:
             return
-        self._collections.append(collection)
-
-    def take(self, process: str, vm: str, reply: messages.EventsReply) -> None:
-        """Adds a gateway's events to the questions that wait for them."""
-        for collection in list(self._collections):
-            collection.waiting.discard(process)
-            collection.events += reply.events
-            if not collection.waiting:
-                self._collections.remove(collection)
-                collection.reply(vm)
+        self._pending.remove(gathering)
+        missing = tuple(sorted(gathering.waiting))
+        gathering.asker.post(
+            dataclasses.replace(
+                gathering.reply, missing=gathering.reply.missing + missing
+            )
+        )
--- a/wigeonspool/agent/hub.py
+++ b/wigeonspool/agent/hub.py
@@ -5,6 +5,7 @@
 import dataclasses
 from typing import Final
 
+import aioprometheus
 import loguru
 
 from wigeonspool.agent import configuration
@@ -12,13 +13,17 @@
 from wigeonspool.model import errors
 from wigeonspool.model import messages
 from wigeonspool.wire import frames
+from wigeonspool.wire import senders
 from wigeonspool.wire import streams
 
-OPERATOR: Final = "operator"
-GATEWAY: Final = "gateway"
-AGENT: Final = "agent"
-# An agent of another region that wants the tables, but no members.
-REMOTE: Final = "remote"
+HELLO_BYTES: Final = 4096
+HELLO_SECONDS: Final = 5.0
+AGENTS: Final = (senders.AGENT, senders.REMOTE)
+
+STREAMS_REJECTED: Final = aioprometheus.Counter(
+    "wigeonspool_agent_streams_rejected_total",
+    "Streams closed because the peer broke the protocol, by error code.",
+)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -63,17 +68,21 @@
     Attributes:
         admit: Raises PeerUnknownError for a process that is no member.
         answer: Answers a question, or None if it is none.
+        describe_fleet: Returns the VMs of all regions.
         take_heartbeat: Takes a heartbeat of another agent.
         take_beat: Takes a beat of the agent of a VM and incarnation; False
             if all must be told again.
+        note_report: Called after a gateway reported.
         list_greetings: Returns what a new subscriber of a role is told.
         reject: Notes a stream that was closed for breaking the protocol.
     """
 
     admit: Callable[[messages.Hello], None]
-    answer: Callable[[messages.Message], Awaitable[messages.Message | None]]
+    answer: Callable[[messages.Message], messages.Message | None]
+    describe_fleet: Callable[[], Awaitable[messages.Members]]
     take_heartbeat: Callable[[messages.Heartbeat], None]
     take_beat: Callable[[str, str, messages.Beat], bool]
+    note_report: Callable[[], None]
     list_greetings: Callable[[str], list[messages.Message]]
     reject: Callable[[str, errors.WireError], None]
 
@@ -109,7 +118,7 @@
         self.rejected: dict[str, int] = {}
         self.cut_off = 0
         self.closed = Traffic()
-        self._collector = gathering.EventCollector()
+        self._gatherer = gathering.Gatherer(callbacks.answer)
 
     async def start(self, address: str) -> None:
         """Listens on host:port.
@@ -140,6 +149,7 @@
             await self._converse(stream)
         except errors.WireError as error:
             self.rejected[error.code] = self.rejected.get(error.code, 0) + 1
+            STREAMS_REJECTED.inc({"code": error.code})
             self._callbacks.reject(stream.peer, error)
             loguru.logger.warning(
                 "closed the stream of {}: {}", stream.peer, error
@@ -159,12 +169,9 @@
             ChainBrokenError: If the peer has another history of changes.
             OSError: If the stream failed.
         """
-        async with asyncio.timeout(self._silence_seconds):
-            hello = await stream.receive()
+        hello = await self._receive_hello(stream)
         if hello is None:
             return
-        if not isinstance(hello, messages.Hello):
-            raise errors.FrameKindError(type(hello).__name__)
         self._callbacks.admit(hello)
         subscriber = Subscriber(
             hello,
@@ -174,20 +181,42 @@
             self._now() + self._silence_seconds,
         )
         try:
-            if hello.role != OPERATOR:
+            if hello.role != senders.OPERATOR:
                 self._subscribe(subscriber)
             while (message := await stream.receive()) is not None:
                 subscriber.silent_at = self._now() + self._silence_seconds
+                senders.check_sender(hello.role, message)
                 await self._take(subscriber, message)
         finally:
             if subscriber in self.subscribers:
                 self.subscribers.remove(subscriber)
-            if hello.role in (AGENT, REMOTE):
+            if hello.role in AGENTS:
                 self.closed.add(stream)
             if stream.overflowed:
                 self.cut_off += 1
                 loguru.logger.info("{} reads too slowly", hello.process)
 
+    async def _receive_hello(
+        self, stream: streams.Stream
+    ) -> messages.Hello | None:
+        """Returns what a peer says of itself, or None if it left.
+
+        Raises:
+            WireError: If the peer broke the protocol or sent nothing in time.
+            OSError: If the stream failed.
+        """
+        try:
+            async with asyncio.timeout(HELLO_SECONDS):
+                hello = await stream.receive(HELLO_BYTES)
+        except TimeoutError as error:
+            raise errors.FrameStalledError(HELLO_SECONDS) from error
+        if hello is None:
+            return None
+        if not isinstance(hello, messages.Hello):
+            raise errors.FrameKindError(type(hello).__name__)
+        senders.check_sender(hello.role, hello)
+        return hello
+
     def _subscribe(self, subscriber: Subscriber) -> None:
         """Tells a new subscriber all that it needs.
 
@@ -209,24 +238,23 @@
         """
         hello = subscriber.hello
         if isinstance(message, messages.GatewayReport):
-            _check_role(hello, GATEWAY)
             subscriber.report = message
+            self._callbacks.note_report()
         elif isinstance(message, messages.Heartbeat):
-            _check_role(hello, AGENT)
             if message.vm != hello.vm:
                 raise errors.PeerUnknownError(message.vm)
             self._callbacks.take_heartbeat(message)
         elif isinstance(message, messages.Beat):
-            if hello.role != REMOTE:
-                _check_role(hello, AGENT)
+            if hello.role == senders.AGENT:
                 self._take_beat(subscriber, message)
-        elif isinstance(message, messages.EventsRequest):
-            await self._collect_events(subscriber)
-        elif isinstance(message, messages.EventsReply):
-            _check_role(hello, GATEWAY)
-            self._collector.take(hello.process, hello.vm, message)
+        elif isinstance(message, gathering.Question):
+            self._gatherer.ask(subscriber.stream, message, self._list_links())
+        elif isinstance(message, gathering.Reply):
+            self._gatherer.take(hello.process, message)
+        elif isinstance(message, messages.StatusRequest):
+            subscriber.stream.post(await self._callbacks.describe_fleet())
         else:
-            reply = await self._callbacks.answer(message)
+            reply = self._callbacks.answer(message)
             if reply is not None:
                 subscriber.stream.post(reply)
 
@@ -236,15 +264,13 @@
         if not self._callbacks.take_beat(hello.vm, hello.incarnation, beat):
             subscriber.stream.close()
 
-    async def _collect_events(self, asker: Subscriber) -> None:
-        """Asks all gateways of the VM for their events."""
-        gateways = [s for s in self.subscribers if s.report is not None]
-        own = await self._callbacks.answer(messages.EventsRequest())
-        assert isinstance(own, messages.EventsReply)
-        waiting = {s.hello.process for s in gateways}
-        self._collector.start(asker.stream, own, waiting)
-        for gateway in gateways:
-            gateway.stream.post(messages.EventsRequest())
+    def _list_links(self) -> list[tuple[str, streams.Stream]]:
+        """Returns the name and stream of each gateway of the VM."""
+        return [
+            (s.hello.process, s.stream)
+            for s in self.subscribers
+            if s.report is not None
+        ]
 
     def _feed(self, subscribers: list[Subscriber]) -> None:
         """Brings subscribers up to the tables in force.
@@ -301,18 +327,4 @@
 
     def list_streams(self) -> list[streams.Stream]:
         """Returns the open streams of other agents."""
-        return [
-            s.stream
-            for s in self.subscribers
-            if s.hello.role in (AGENT, REMOTE)
-        ]
-
-
-def _check_role(hello: messages.Hello, role: str) -> None:
-    """Checks that a sender may send what only a role may.
-
-    Raises:
-        PeerUnknownError: If it is of another role.
-    """
-    if hello.role != role:
-        raise errors.PeerUnknownError(f"{hello.role} {hello.process}")
+        return [s.stream for s in self.subscribers if s.hello.role in AGENTS]
--- a/wigeonspool/agent/metrics.py
+++ b/wigeonspool/agent/metrics.py
@@ -17,10 +17,6 @@
     "wigeonspool_agent_peer_bytes_total",
     "Bytes exchanged with other agents, by direction.",
 )
-REJECTED: Final = aioprometheus.Counter(
-    "wigeonspool_agent_rejected_streams_total",
-    "Streams closed for breaking the protocol, by error.",
-)
 CUT_OFF: Final = aioprometheus.Counter(
     "wigeonspool_agent_cut_off_streams_total",
     "Streams closed because their reader was silent or too slow.",
--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -33,7 +33,10 @@
 from wigeonspool.platform import vms
 from wigeonspool.wire import clocks
 from wigeonspool.wire import proofs
+from wigeonspool.wire import senders
 
+# Who is told of members and of the VM list.
+NEAR: Final = (senders.GATEWAY, senders.AGENT)
 # Demand is told this often, in heartbeats; all else at once.
 REPEAT_HEARTBEATS: Final = 10
 # Seeds may know the feeders; the VM list is read if they do not tell so soon.
@@ -65,8 +68,10 @@
             hub.Callbacks(
                 admit=self._admit,
                 answer=self._answer,
+                describe_fleet=self._describe_fleet,
                 take_heartbeat=self._take_heartbeat,
                 take_beat=self._take_beat,
+                note_report=self._note_report,
                 list_greetings=self._list_greetings,
                 reject=self._note_rejected,
             ),
@@ -80,6 +85,7 @@
         )
         self._watch: asyncio.Task[None] | None = None
         self._diverged_at = 0
+        self._told_generation = 0
 
     async def on_start(self) -> None:
         """Opens the ports and begins to follow."""
@@ -179,7 +185,7 @@
     def _tell_directory(self) -> None:
         """Tells subscribers of the VM list."""
         if self._directory.known is not None:
-            self._hub.send((hub.GATEWAY, hub.AGENT), self._directory.known)
+            self._hub.send(NEAR, self._directory.known)
 
     def _follow(self) -> None:
         """Starts and ends streams, and the watch, as the directory implies."""
@@ -287,17 +293,16 @@
         Raises:
             PeerUnknownError: If it does not.
         """
-        if hello.role == hub.OPERATOR:
+        if hello.role == senders.OPERATOR:
             return
         if not proofs.check_hello(hello, self._settings.token_keys):
             raise errors.PeerUnknownError(hello.process)
-        if hello.role == hub.GATEWAY and hello.vm != self._settings.vm:
+        if hello.role == senders.GATEWAY and hello.vm != self._settings.vm:
             raise errors.PeerUnknownError(hello.process)
         self._directory.admit(self._now(), hello.vm)
 
     def _note_rejected(self, peer: str, error: errors.WireError) -> None:
         """Records a stream that was closed for breaking the protocol."""
-        metrics.REJECTED.inc({"error": error.code})
         self._log.record(
             events.Kind.PEER_REJECTED,
             detail={"peer": peer, "problem": str(error)},
@@ -313,14 +318,25 @@
         """Takes a beat; returns False if all must be told again."""
         return self._members.take_beat(self._now(), vm, incarnation, beat)
 
+    def _note_report(self) -> None:
+        """Tells at once that all gateways have a new generation in force."""
+        if self._find_generation() != self._told_generation:
+            self._send_heartbeat()
+
+    def _find_generation(self) -> int:
+        """Returns the generation in force on all processes of the VM."""
+        reports = self._hub.list_reports()
+        generations = [report.generation for report in reports]
+        return min([*generations, self._state.tables.generation])
+
     def _list_greetings(self, role: str) -> list[messages.Message]:
         """Returns what a new subscriber is told first."""
         told: list[messages.Message] = []
         if self._directory.known is not None:
             told.append(self._directory.known)
-        if role == hub.GATEWAY:
+        if role == senders.GATEWAY:
             told.append(messages.Members(tuple(self._joined.values()), ()))
-        elif role == hub.AGENT:
+        elif role == senders.AGENT:
             told.append(self._build_members())
         return told
 
@@ -340,12 +356,12 @@
             self._hub.cut_off_silent()
             changes = self._members.collect_changes()
             if changes is not None:
-                self._hub.send((hub.AGENT,), changes)
+                self._hub.send((senders.AGENT,), changes)
             self._join_members()
             pulse = messages.Pulse(
                 self._state.tables.generation, self._state.tables.digest
             )
-            self._hub.send((hub.GATEWAY, hub.AGENT, hub.REMOTE), pulse)
+            self._hub.send((*NEAR, senders.REMOTE), pulse)
             self._show_metrics()
             await self.sleep(self._settings.agent.heartbeat_seconds)
 
@@ -368,15 +384,15 @@
     def _send_heartbeat(self) -> None:
         """Sends a heartbeat to the feeders and takes it here too."""
         self._sequence += 1
+        self._told_generation = self._find_generation()
         reports = self._hub.list_reports()
-        generations = [report.generation for report in reports]
         heartbeat = messages.Heartbeat(
             vm=self._settings.vm,
             region=self._settings.region,
             address=self._settings.agent.listen,
             incarnation=self._incarnation,
             sequence=self._sequence,
-            generation=min([*generations, self._state.tables.generation]),
+            generation=self._told_generation,
             gateways=tuple(report.gateway for report in reports),
         )
         self._take_heartbeat(heartbeat)
@@ -399,7 +415,7 @@
             self._log.record(events.Kind.MEMBER_LEFT, vm=vm)
         for heartbeat in changes.changed:
             self._log.record(events.Kind.MEMBER_JOINED, vm=heartbeat.vm)
-        self._hub.send((hub.GATEWAY,), changes)
+        self._hub.send((senders.GATEWAY,), changes)
 
     def _show_metrics(self) -> None:
         """Brings the metrics up to date."""
@@ -426,19 +442,14 @@
 
     # The questions of operators.
 
-    async def _answer(
-        self, message: messages.Message
-    ) -> messages.Message | None:
+    def _answer(self, message: messages.Message) -> messages.Message | None:
         """Answers a question of an operator or of another agent."""
         if isinstance(message, messages.RegionRequest):
             return self._build_members()
-        if isinstance(message, messages.StatusRequest):
-            return await self._describe_fleet()
         if isinstance(message, messages.EventsRequest):
-            return messages.EventsReply(
-                f"{self._settings.vm}-agent",
-                tuple(self._log.ring.list_events()),
-            )
+            return self._log.build_reply()
+        if isinstance(message, messages.VmStatusRequest):
+            return messages.VmStatusReply(())
         return None
 
     async def _describe_fleet(self) -> messages.Members:
--- a/wigeonspool/agent/status.py
+++ b/wigeonspool/agent/status.py
@@ -9,10 +9,10 @@
 
 import loguru
 
-from wigeonspool.agent import hub
 from wigeonspool.model import entities
 from wigeonspool.model import errors
 from wigeonspool.model import messages
+from wigeonspool.wire import senders
 from wigeonspool.wire import streams
 
 ANSWER_SECONDS: Final = 0.8
@@ -56,7 +56,7 @@
     """
     stream = await streams.open_stream(address)
     try:
-        stream.post(messages.Hello("status", hub.OPERATOR, "", ""))
+        stream.post(messages.Hello("status", senders.OPERATOR, "", ""))
         stream.post(messages.RegionRequest())
         answer = await stream.receive()
     finally:
--- a/wigeonspool/agent/upstreams.py
+++ b/wigeonspool/agent/upstreams.py
@@ -16,6 +16,7 @@
 from wigeonspool.agent import members
 from wigeonspool.model import errors
 from wigeonspool.model import messages
+from wigeonspool.wire import senders
 from wigeonspool.wire import streams
 
 RETRY_SECONDS: Final = 0.5
@@ -136,6 +137,7 @@
                     message = await stream.receive()
                 if message is None:
                     return
+                senders.check_sender(senders.AGENT, message)
                 self._take(upstream, message)
         finally:
             upstream.stream = None
@@ -190,7 +192,7 @@
             if upstream.stream is None:
                 continue
             known = upstream.told == described and not repeat_heartbeat
-            if known or upstream.role == hub.REMOTE:
+            if known or upstream.role == senders.REMOTE:
                 upstream.stream.post(beat)
             else:
                 upstream.stream.post(heartbeat)
--- a/wigeonspool/gateway/link.py
+++ b/wigeonspool/gateway/link.py
@@ -11,10 +11,10 @@
 from wigeonspool.gateway import view as views
 from wigeonspool.model import changes
 from wigeonspool.model import errors
-from wigeonspool.model import events
 from wigeonspool.model import messages
 from wigeonspool.process import EventLog
 from wigeonspool.wire import clocks
+from wigeonspool.wire import senders
 from wigeonspool.wire import streams
 
 # An agent sends a pulse several times in this time.
@@ -35,6 +35,7 @@
         view: views.FleetView,
         log: EventLog,
         on_change: Callable[[], None],
+        build_status: Callable[[str], messages.GatewayStatus],
     ) -> None:
         """Prepares the link.
 
@@ -44,12 +45,14 @@
             view: Where to put what the agent tells.
             log: Events of this process.
             on_change: Called after the view changed.
+            build_status: Returns the state of a pool, or of all for "".
         """
         self._address = address
         self._hello = hello
         self._view = view
         self._log = log
         self._on_change = on_change
+        self._build_status = build_status
         self._stream: streams.Stream | None = None
         self._members: dict[str, messages.Heartbeat] = {}
         self._detector = clocks.PauseDetector(PAUSE_SECONDS, time.monotonic)
@@ -85,6 +88,7 @@
                     message = await stream.receive()
                 if message is None:
                     return
+                senders.check_sender(senders.AGENT, message)
                 self._take(message, stream)
         finally:
             self._stream = None
@@ -114,10 +118,10 @@
             if stream is self._stream:
                 self._detector.refresh()
         elif isinstance(message, messages.EventsRequest):
-            reply = messages.EventsReply(
-                self._hello.process, tuple(self._log.ring.list_events())
-            )
-            stream.post(reply)
+            stream.post(self._log.build_reply())
+        elif isinstance(message, messages.VmStatusRequest):
+            status = self._build_status(message.pool)
+            stream.post(messages.VmStatusReply((status,)))
 
     def _show_gateways(self) -> None:
         """Puts the gateways of all members in view."""
@@ -136,11 +140,6 @@
         gap = self._detector.tick()
         if not gap:
             return
-        self._log.record(
-            events.Kind.PROCESS_PAUSED,
-            vm=self._hello.vm,
-            detail={"seconds": f"{gap:.1f}"},
-        )
         loguru.logger.warning("paused for {:.1f} s", gap)
         if self._stream is not None:
             self._stream.abort()
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import dataclasses
+import functools
 import secrets
+import time
 from typing import Final
 
 from aiohttp import web
@@ -14,7 +16,9 @@
 from wigeonspool.gateway import egress
 from wigeonspool.gateway import ingress
 from wigeonspool.gateway import link
+from wigeonspool.gateway import pauses
 from wigeonspool.gateway import scheduler
+from wigeonspool.gateway import statuses
 from wigeonspool.gateway import view
 from wigeonspool.model import entities
 from wigeonspool.model import events
@@ -62,6 +66,7 @@
         self._view = view.FleetView()
         self._scheduler = scheduler.Scheduler(self._settings.zone)
         self._client = egress.Egress()
+        self._pauses = pauses.PauseMonitor(time.monotonic())
         self._ingress = ingress.Ingress(
             self._gateway,
             self._settings,
@@ -69,6 +74,7 @@
             self._scheduler,
             self._client,
             self._log,
+            self._pauses,
         )
         hello = proofs.sign_hello(
             messages.Hello(
@@ -85,6 +91,12 @@
             self._view,
             self._log,
             self._take_view,
+            functools.partial(
+                statuses.build_status,
+                self._gateway.name,
+                self._view,
+                self._scheduler,
+            ),
         )
         self.add_future(link.keep_following(self._link, RECONNECT_SECONDS))
         server = web.Server(self._ingress.serve, handler_cancellation=True)
@@ -118,6 +130,9 @@
     @mode.Service.timer(TICK_SECONDS)
     async def _tick(self) -> None:
         """Runs the systems of the core that depend on time."""
+        if self._pauses.tick(time.monotonic()):
+            self._log.record(events.Kind.PROCESS_PAUSED, vm=self._settings.vm)
+            loguru.logger.warning("this process did not run for a while")
         self._scheduler.tick()
 
     @mode.Service.timer(REPORT_SECONDS)
--- /dev/null
+++ b/wigeonspool/wire/senders.py
@@ -0,0 +1,51 @@
+"""Which role may send which message.
+
+A process that follows an agent must not be able to speak as a feeder, and an
+operator's command must not be able to report load.
+"""
+
+from typing import Final
+
+from wigeonspool.model import errors
+from wigeonspool.model import messages
+
+AGENT: Final = "agent"
+GATEWAY: Final = "gateway"
+OPERATOR: Final = "operator"
+# An agent of another region that wants the tables, but no members.
+REMOTE: Final = "remote"
+ROLES: Final = frozenset({AGENT, GATEWAY, OPERATOR, REMOTE})
+
+SENDERS: Final[dict[type[messages.Message], frozenset[str]]] = {
+    messages.Hello: ROLES,
+    messages.Snapshot: frozenset({AGENT}),
+    messages.ChangeNotice: frozenset({AGENT}),
+    messages.Heartbeat: frozenset({AGENT}),
+    messages.Beat: frozenset({AGENT, REMOTE}),
+    messages.Pulse: frozenset({AGENT}),
+    messages.Members: frozenset({AGENT}),
+    messages.MemberChanges: frozenset({AGENT}),
+    messages.Directory: frozenset({AGENT}),
+    messages.GatewayReport: frozenset({GATEWAY}),
+    messages.StatusRequest: frozenset({OPERATOR}),
+    messages.RegionRequest: frozenset({OPERATOR}),
+    messages.VmStatusRequest: frozenset({AGENT, OPERATOR}),
+    messages.VmStatusReply: frozenset({AGENT, GATEWAY}),
+    messages.EventsRequest: frozenset({AGENT, OPERATOR}),
+    messages.EventsReply: frozenset({AGENT, GATEWAY}),
+}
+
+
+def check_sender(role: str, message: messages.Message) -> None:
+    """Checks that a role may send a message.
+
+    Args:
+        role: What the peer said of itself in its Hello, or AGENT for a peer
+            that this process connected to.
+        message: What it sent.
+
+    Raises:
+        SenderRoleError: If it may not.
+    """
+    if role not in SENDERS[type(message)]:
+        raise errors.SenderRoleError(role, type(message).__name__)
--- a/wigeonspool/wire/streams.py
+++ b/wigeonspool/wire/streams.py
@@ -41,14 +41,19 @@
         name = writer.get_extra_info("peername")
         self.peer = f"{name[0]}:{name[1]}" if name else "unknown"
 
-    async def receive(self) -> messages.Message | None:
+    async def receive(
+        self, max_bytes: int = frames.MAX_FRAME_BYTES
+    ) -> messages.Message | None:
         """Returns the next message, or None at a clean end.
 
+        Args:
+            max_bytes: Longest frame to accept.
+
         Raises:
             WireError: If the peer broke the protocol.
             OSError: If the connection failed.
         """
-        body = await frames.read_body(self._reader)
+        body = await frames.read_body(self._reader, max_bytes)
         if body is None:
             return None
         self.received_bytes += frames.LENGTH.size + len(body)
