Hold each pool's measuring budget by a lease

The budget is one for all VMs; dividing it by the live gateways exceeds it whenever two agents disagree on who lives.

Feeders claim the pools that fall to them, bound to one lease each. The agent's service is split: following, feeding, taking tables.

A lease per pool: a renewal per pool. Calling an own key without the lease's number one's own: it may be bound to an earlier lease that ends sooner.

Nothing spends the budget yet: no prober was begun.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -134,13 +134,13 @@
 
     def list_feeders(self) -> list[str]:
         """Returns the VMs whose agents follow the store."""
-        return [vm for vm, a in self.agents.items() if a._watch is not None]
+        return [vm for vm, a in self.agents.items() if a._following.is_feeding]
 
     async def settle_feeders(self) -> str:
         """Waits until all agree on the feeders; returns one of them."""
 
         def is_settled() -> bool:
-            known = [a._directory.known for a in self.agents.values()]
+            known = [a._following.directory.known for a in self.agents.values()]
             named = [sorted(v.name for v in k.feeders) for k in known if k]
             feeders = sorted(self.list_feeders())
             return named == [feeders] * len(self.agents)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -174,7 +174,13 @@
         self.events = process.EventLog(name)
         self.generations: list[int] = []
         self.follower = followers.StoreFollower(
-            client, self.log, self.state, self.events, name, self.note
+            client,
+            self.log,
+            self.state,
+            self.events,
+            name,
+            self.note,
+            lambda: 0,
         )
 
     def note(self) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -332,12 +332,19 @@
         await fleets.wait_for(lambda: fleet.sees_all(8))
         await fleet.settle_feeders()
         await fleets.wait_for(
-            lambda: sum(a._must_read_vms() for a in fleet.agents.values()) == 2
+            lambda: (
+                sum(
+                    a._following.must_read_list() for a in fleet.agents.values()
+                )
+                == 2
+            )
         )
-        before = {vm: a._store.calls for vm, a in fleet.agents.items()}
+        before = {vm: a._feeder.client.calls for vm, a in fleet.agents.items()}
         await asyncio.sleep(2.0)
         calling = {
-            vm for vm, a in fleet.agents.items() if a._store.calls > before[vm]
+            vm
+            for vm, a in fleet.agents.items()
+            if a._feeder.client.calls > before[vm]
         }
         assert calling == set(fleet.list_feeders())
 
@@ -397,8 +404,8 @@
                 {
                     vm.region
                     for a in fleet.agents.values()
-                    if a._directory.known
-                    for vm in a._directory.known.feeders
+                    if a._following.directory.known
+                    for vm in a._following.directory.known.feeders
                 }
                 == {"region", "far"}
             )
@@ -430,7 +437,7 @@
         await fleet.store._notify()
         await fleet.start_vm("vm-2", "zone-0")
         await fleets.wait_for(lambda: fleet.is_in_force(generation))
-        watchers = [a for a in fleet.agents.values() if a._watch is not None]
+        watchers = [a for a in fleet.agents.values() if a._following.is_feeding]
         await fleets.wait_for(
             lambda: any(
                 events.Kind.STORE_UNAVAILABLE in list_kinds(a._log)
@@ -481,7 +488,7 @@
         await fleet.apply(fleet.declare())
         agent = fleet.agents["vm-1"]
         held = agent._state.tables
-        agent._take(
+        agent._upstreams._take_tables(
             messages.Snapshot(
                 dataclasses.replace(held, generation=99, digest="x"),
                 ((held.generation, "other"), (99, "x")),
--- a/wigeonspool/agent/directory.py
+++ b/wigeonspool/agent/directory.py
@@ -92,6 +92,12 @@
         names = [vm.name for vm in feeders]
         return names.index(self.vm) if self.vm in names else None
 
+    def list_near(self) -> set[str]:
+        """Returns the addresses of the other feeders of this region."""
+        feeders = self.known.feeders if self.known else ()
+        near = {vm.address for vm in feeders if vm.region == self.region}
+        return near - {self.listen}
+
     def choose_upstreams(self, is_lost: bool) -> dict[str, str]:
         """Returns the role to follow each address in.
 
--- a/wigeonspool/agent/follower.py
+++ b/wigeonspool/agent/follower.py
@@ -25,12 +25,7 @@
 
 
 class StoreFollower:
-    """Brings the tables in force to the head of the log.
-
-    Attributes:
-        rank: Place of this feeder among all feeders; the first one writes
-            snapshots, the others only if it does not.
-    """
+    """Brings the tables in force to the head of the log."""
 
     def __init__(
         self,
@@ -40,6 +35,7 @@
         event_log: process.EventLog,
         writer: str,
         on_change: Callable[[], None],
+        find_rank: Callable[[], int | None],
     ) -> None:
         """Prepares the follower.
 
@@ -50,6 +46,8 @@
             event_log: Events of this process.
             writer: Identity of this process in what it writes.
             on_change: Called after the tables changed.
+            find_rank: Returns the place of this feeder among all feeders; the
+                first one writes snapshots, the others only if it does not.
         """
         self._client = client
         self._log = log
@@ -57,10 +55,10 @@
         self._events = event_log
         self._writer = writer
         self._on_change = on_change
+        self._find_rank = find_rank
         self._is_available = True
         self._reported: events.Kind | None = None
         self._saved_generation = 0
-        self.rank = 0
 
     async def follow(self) -> None:
         """Follows the store for ever; tries again after a failure."""
@@ -148,7 +146,8 @@
         """
         tables = self._state.tables
         due = self._saved_generation + SNAPSHOT_CHANGES
-        if tables.generation < due + self.rank * SNAPSHOT_CHANGES // 4:
+        rank = self._find_rank() or 0
+        if tables.generation < due + rank * SNAPSHOT_CHANGES // 4:
             return
         await self._log.snapshots.write(
             tables, self._state.lineage, self._writer
--- a/wigeonspool/agent/metrics.py
+++ b/wigeonspool/agent/metrics.py
@@ -13,6 +13,9 @@
 MEMBERS: Final = aioprometheus.Gauge(
     "wigeonspool_agent_members", "VMs that are believed live."
 )
+LEASES: Final = aioprometheus.Gauge(
+    "wigeonspool_agent_leases", "Measuring budgets that this agent may spend."
+)
 PEER_BYTES: Final = aioprometheus.Counter(
     "wigeonspool_agent_peer_bytes_total",
     "Bytes exchanged with other agents, by direction.",
--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -16,11 +16,12 @@
 
 from wigeonspool import process
 from wigeonspool.agent import configuration
-from wigeonspool.agent import directory
-from wigeonspool.agent import follower
+from wigeonspool.agent import feeding
+from wigeonspool.agent import following
 from wigeonspool.agent import hub
 from wigeonspool.agent import members
 from wigeonspool.agent import metrics
+from wigeonspool.agent import receiver as receivers
 from wigeonspool.agent import status
 from wigeonspool.agent import upstreams
 from wigeonspool.model import entities
@@ -28,9 +29,6 @@
 from wigeonspool.model import events
 from wigeonspool.model import messages
 from wigeonspool.model import options
-from wigeonspool.platform import configuration as logs
-from wigeonspool.platform import store
-from wigeonspool.platform import vms
 from wigeonspool.wire import clocks
 from wigeonspool.wire import proofs
 from wigeonspool.wire import senders
@@ -39,10 +37,6 @@
 NEAR: Final = (senders.GATEWAY, senders.AGENT)
 # Demand is told this often, in heartbeats; all else at once.
 REPEAT_HEARTBEATS: Final = 10
-# Seeds may know the feeders; the VM list is read if they do not tell so soon.
-SEED_SECONDS: Final = 0.5
-# A new feeder hears its peers before it reads a store that may be older.
-PEER_SECONDS: Final = 2.0
 
 
 class AgentService(process.DrainingService):
@@ -77,39 +71,36 @@
             ),
             silence,
         )
-        self._directory = directory.Directory(
-            settings.vm,
-            settings.region,
-            settings.agent.listen,
-            tuple(settings.agent.peers),
-        )
-        self._watch: asyncio.Task[None] | None = None
-        self._diverged_at = 0
         self._told_generation = 0
 
     async def on_start(self) -> None:
         """Opens the ports and begins to follow."""
         settings = self._settings
-        self._started_at = self._now()
-        self._near_heard_at = self._now()
         self._detector = clocks.PauseDetector(
-            settings.agent.silence_seconds, self._now
+            settings.agent.silence_seconds, clocks.read_clock
+        )
+        receiver = receivers.TableReceiver(
+            self._state, self._log, self._put_in_force
         )
         self._upstreams = upstreams.Upstreams(
-            settings.agent.silence_seconds, self._build_hello, self._take
+            settings.agent.silence_seconds, self._build_hello, receiver.take
         )
         self._session = aiohttp.ClientSession()
-        self._store = store.StoreClient(
-            self._session, settings.store.url, settings.store.timeout_seconds
-        )
-        self._follower = follower.StoreFollower(
-            self._store,
-            logs.ChangeLog(self._store, settings.store.prefix),
+        self._feeder = feeding.Feeder(
+            settings,
+            f"{settings.vm}-{self._incarnation}",
+            self._session,
             self._state,
             self._log,
-            f"{settings.vm}-{self._incarnation}",
             self._put_in_force,
         )
+        self._following = following.Following(
+            settings,
+            self._session,
+            self._upstreams,
+            lambda known: self._hub.send(NEAR, known),
+            self._feeder.run,
+        )
         await self._hub.start(settings.agent.listen)
         self._metrics = await process.serve_http(
             settings.agent.metrics, web.Server(process.show_metrics)
@@ -120,8 +111,8 @@
     async def on_stop(self) -> None:
         """Closes ports and streams."""
         self._upstreams.stop()
-        if self._watch is not None:
-            self._watch.cancel()
+        self._following.stop()
+        await self._feeder.leases.stop()
         await self._hub.stop()
         await self._metrics.cleanup()
         await self._session.close()
@@ -142,137 +133,15 @@
         )
         return proofs.sign_hello(hello, self._settings.token_keys)
 
-    # The VM list, and whom to follow.
-
     @mode.Service.task
-    async def _keep_directory(self) -> None:
-        """Keeps the knowledge of the VM list and follows its feeders."""
+    async def _keep_following(self) -> None:
+        """Keeps at the feeders, and becomes one if the VM list says so."""
         while not self.should_stop:
-            if self._must_read_vms():
-                await self._read_vms()
-            self._follow()
+            await self._following.step()
             await self.sleep(self._settings.vm_list.poll_seconds)
 
-    def _must_read_vms(self) -> bool:
-        """Returns True if no other agent tells this one of the VM list."""
-        if self._directory.find_rank() is not None:
-            return True
-        if self._list_told():
-            return False
-        waits = self._now() < self._started_at + SEED_SECONDS
-        return not (waits and self._settings.agent.peers)
-
-    def _list_told(self) -> list[messages.Directory]:
-        """Returns what agents that were heard of late know of the list."""
-        fresh = sorted(self._upstreams.list_fresh(), key=lambda u: u.heard_at)
-        return [u.directory for u in fresh if u.directory is not None]
-
-    async def _read_vms(self) -> None:
-        """Reads the VM list; if that fails, the old one stays."""
-        try:
-            listed = await vms.read_vms(
-                self._session,
-                self._settings.vm_list.url,
-                self._settings.store.timeout_seconds,
-            )
-        except errors.VmListError as error:
-            loguru.logger.info("{}", error)
-            return
-        per_region = self._settings.agent.feeders_per_region
-        if self._directory.take_list(listed, per_region):
-            self._tell_directory()
-
-    def _tell_directory(self) -> None:
-        """Tells subscribers of the VM list."""
-        if self._directory.known is not None:
-            self._hub.send(NEAR, self._directory.known)
-
-    def _follow(self) -> None:
-        """Starts and ends streams, and the watch, as the directory implies."""
-        rank = self._directory.find_rank()
-        told = self._list_told()
-        if rank is None and self._directory.take_told(told):
-            self._tell_directory()
-            rank = self._directory.find_rank()
-        self._upstreams.follow(
-            self._directory.choose_upstreams(self._is_lost())
-        )
-        if rank is not None:
-            self._follower.rank = rank
-            if self._watch is None:
-                loop = asyncio.get_running_loop()
-                self._watch = loop.create_task(self._follow_store())
-        elif self._watch is not None:
-            self._watch.cancel()
-            self._watch = None
-
-    def _is_lost(self) -> bool:
-        """Returns True if no feeder of this region was heard of late."""
-        known = self._directory.known
-        near = {
-            vm.address
-            for vm in (known.feeders if known else ())
-            if vm.region == self._settings.region
-        }
-        near.discard(self._settings.agent.listen)
-        fresh = {u.address for u in self._upstreams.list_fresh()}
-        if not near or near & fresh:
-            self._near_heard_at = self._now()
-        limit = 2 * self._settings.agent.silence_seconds
-        return self._now() > self._near_heard_at + limit
-
-    async def _follow_store(self) -> None:
-        """Follows the store once the peers have told what is in force."""
-        if self._upstreams.has_any():
-            try:
-                async with asyncio.timeout(PEER_SECONDS):
-                    await self._upstreams.heard.wait()
-            except TimeoutError:
-                loguru.logger.info("no peer answers; the store decides")
-        await self._follower.follow()
-
     # The tables.
 
-    def _take(self, message: messages.Message) -> None:
-        """Takes tables, a change or a pulse of a feeder.
-
-        Raises:
-            FrameEncodingError: If a change between is missing.
-        """
-        try:
-            self._take_tables(message)
-        except errors.ChainBrokenError as error:
-            if self._diverged_at != error.generation:
-                self._diverged_at = error.generation
-                self._log.record(
-                    events.Kind.CONFIGURATION_DIVERGED,
-                    vm=self._settings.vm,
-                    detail={"problem": str(error)},
-                )
-                loguru.logger.warning("a feeder differs: {}", error)
-
-    def _take_tables(self, message: messages.Message) -> None:
-        """Takes tables, a change or a pulse of a feeder.
-
-        Raises:
-            ChainBrokenError: If the feeder has another history of changes.
-            FrameEncodingError: If a change between is missing.
-        """
-        state = self._state
-        if isinstance(message, messages.Snapshot):
-            if state.take_tables(
-                message.tables, dict(message.lineage), message.last
-            ):
-                self._put_in_force()
-        elif isinstance(message, messages.ChangeNotice):
-            change = message.change
-            if state.take_change(change):
-                self._put_in_force()
-            elif change.generation > state.tables.generation:
-                raise errors.FrameEncodingError("a change is missing")
-        elif isinstance(message, messages.Pulse):
-            state.check_digest(message.generation, message.digest)
-
     def _put_in_force(self) -> None:
         """Hands new tables to all subscribers."""
         generation = self._state.tables.generation
@@ -299,7 +168,7 @@
             raise errors.PeerUnknownError(hello.process)
         if hello.role == senders.GATEWAY and hello.vm != self._settings.vm:
             raise errors.PeerUnknownError(hello.process)
-        self._directory.admit(self._now(), hello.vm)
+        self._following.directory.admit(self._now(), hello.vm)
 
     def _note_rejected(self, peer: str, error: errors.WireError) -> None:
         """Records a stream that was closed for breaking the protocol."""
@@ -332,8 +201,8 @@
     def _list_greetings(self, role: str) -> list[messages.Message]:
         """Returns what a new subscriber is told first."""
         told: list[messages.Message] = []
-        if self._directory.known is not None:
-            told.append(self._directory.known)
+        if self._following.directory.known is not None:
+            told.append(self._following.directory.known)
         if role == senders.GATEWAY:
             told.append(messages.Members(tuple(self._joined.values()), ()))
         elif role == senders.AGENT:
@@ -342,7 +211,7 @@
 
     def _build_members(self) -> messages.Members:
         """Returns the members that are heard directly."""
-        known = self._directory.known
+        known = self._following.directory.known
         leaving = known.leaving if known else ()
         return messages.Members(self._members.list_heartbeats(), leaving)
 
@@ -404,7 +273,7 @@
         fresh = self._upstreams.list_fresh()
         told = [u.mirror.rows.values() for u in fresh]
         # While nothing is heard, the old knowledge is better than none.
-        if not told and self._directory.find_rank() is None:
+        if not told and self._following.directory.find_rank() is None:
             told = [self._joined.values()]
         joined = members.join_members([*told, self._members.list_heartbeats()])
         changes = members.diff_members(self._joined, joined)
@@ -419,13 +288,23 @@
 
     def _show_metrics(self) -> None:
         """Brings the metrics up to date."""
-        metrics.STORE_CALLS.set({}, self._store.calls)
+        metrics.STORE_CALLS.set({}, self._feeder.client.calls)
         metrics.MEMBERS.set({}, len(self._joined))
         metrics.CUT_OFF.set({}, self._hub.cut_off)
+        metrics.LEASES.set({}, len(self._feeder.leases.list_held()))
         sent, received = self.count_bytes()
         metrics.PEER_BYTES.set({"direction": "sent"}, sent)
         metrics.PEER_BYTES.set({"direction": "received"}, received)
 
+    @property
+    def generation(self) -> int:
+        """Generation in force."""
+        return self._state.tables.generation
+
+    def count_calls(self) -> tuple[int, int]:
+        """Returns the calls made to the store and reads of the VM list."""
+        return self._feeder.client.calls, self._following.list_reads
+
     def count_bytes(self) -> tuple[int, int]:
         """Returns the bytes sent to and received from other agents."""
         open_streams = [
@@ -455,12 +334,11 @@
     async def _describe_fleet(self) -> messages.Members:
         """Returns the VMs of all regions, as one feeder of each knows them."""
         own = self._build_members()
+        known = self._following.directory.known
         feeders: dict[str, list[entities.Vm]] = {}
-        for vm in (
-            self._directory.known.feeders if self._directory.known else ()
-        ):
+        for vm in known.feeders if known else ():
             feeders.setdefault(vm.region, []).append(vm)
-        if self._directory.find_rank() is not None:
+        if self._following.is_feeding:
             feeders.pop(self._settings.region, None)
         told = await status.ask_regions(feeders)
         joined = members.join_members([own.heartbeats, *told])
--- a/wigeonspool/gateway/link.py
+++ b/wigeonspool/gateway/link.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
-import time
 from typing import Final
 
 import loguru
@@ -55,7 +54,7 @@
         self._build_status = build_status
         self._stream: streams.Stream | None = None
         self._members: dict[str, messages.Heartbeat] = {}
-        self._detector = clocks.PauseDetector(PAUSE_SECONDS, time.monotonic)
+        self._detector = clocks.PauseDetector(PAUSE_SECONDS, clocks.read_clock)
         view.watch_pauses(hello.process, self._detector.is_current)
 
     def report(self, report: messages.GatewayReport) -> None:
--- a/wigeonspool/platform/store.py
+++ b/wigeonspool/platform/store.py
@@ -256,6 +256,20 @@
         }
         await self._call("/v3/kv/deleterange", body)
 
+    async def remove_if(self, key: str, value: bytes) -> bool:
+        """Removes a key if it holds some bytes; returns True if it did.
+
+        Raises:
+            StoreError: If the store could not serve the call.
+        """
+        name = _encode(key.encode())
+        body = {
+            "compare": [_build_compare(Condition(key, value))],
+            "success": [{"request_delete_range": {"key": name}}],
+        }
+        answer = await self._call("/v3/kv/txn", body)
+        return bool(answer.get("succeeded", False))
+
     async def grant_lease(self, ttl_seconds: int) -> int:
         """Returns a new lease.
 
--- a/wigeonspool/standin/store.py
+++ b/wigeonspool/standin/store.py
@@ -185,8 +185,10 @@
         """Writes one key at a new revision.
 
         Raises:
-            ValueError: If the value exceeds the bound.
+            ValueError: If the value exceeds the bound or the lease ended.
         """
+        if lease and lease not in self.leases:
+            raise ValueError("lease not found")
         if len(value) > MAX_VALUE_BYTES:
             raise ValueError("value is too large")
         self.revision += 1
--- a/wigeonspool/wire/clocks.py
+++ b/wigeonspool/wire/clocks.py
@@ -33,6 +33,11 @@
             self._counter = stamp.counter
 
 
+def read_clock() -> float:
+    """Returns seconds on a clock that goes on while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class PauseDetector:
     """Tells whether this process has stood still for too long.
 
