Measure what control costs a node

`wigeonspool-load control` runs fleets of agents on one event loop over stand-ins that examples/control.sh starts, and `wigeonspool-load memory` reads the memory of an agent process that the script started.

--- /dev/null
+++ b/examples/control.sh
@@ -0,0 +1,24 @@
+#!/usr/bin/env bash
+# Measures what control costs a node: fleets of agents on one event loop over
+# the stand-ins, then the memory of one agent process with large tables.
+set -euo pipefail
+bin=$1
+shift
+here=$(cd "$(dirname "$0")" && pwd)
+pids=()
+stop_all() {
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+}
+trap stop_all EXIT
+run() { "$bin/$@" & pids+=($!); }
+
+run wigeonspool-standin store --port 22960
+run wigeonspool-standin vm-list "$here/control/vms.yaml" --port 22961
+run wigeonspool-standin vm-list "$here/control/one.yaml" --port 22962
+run wigeonspool-agent --settings "$here/control/agent.yaml"
+agent=$!
+sleep 4
+"$bin/wigeonspool-load" memory --store http://127.0.0.1:22960 --pid "$agent"
+"$bin/wigeonspool-load" control --store http://127.0.0.1:22960 \
+  --vm-list http://127.0.0.1:22961 "$@"
--- a/wigeonspool/load/main.py
+++ b/wigeonspool/load/main.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import sys
-from typing import Final
+from typing import Annotated, Final
 
 import cyclopts
+import loguru
+import uvloop
 
+from wigeonspool.load import control as controls
 from wigeonspool.load import demo as demos
 
 EXIT_BROKEN: Final = 1
@@ -43,6 +46,69 @@
         sys.exit(EXIT_BROKEN)
 
 
+@app.command
+def control(
+    store: str,
+    vm_list: str,
+    agents: Annotated[tuple[int, ...], cyclopts.Parameter(negative=())] = (
+        20,
+        50,
+        100,
+        200,
+    ),
+    regions: int = 3,
+    services: int = 100,
+    targets: int = 500,
+    seconds: float = 10.0,
+    rate: float = 1.0,
+) -> None:
+    """Measures what control costs a node, by size of the fleet.
+
+    Args:
+        store: Base URL of a store stand-in.
+        vm_list: Base URL of a VM list stand-in.
+        agents: Sizes of the fleet.
+        regions: Number of regions.
+        services: Pools in the tables.
+        targets: Targets of all pools together.
+        seconds: Length of each measurement.
+        rate: Changes a second in the second measurement of a size.
+    """
+    loguru.logger.remove()
+    platform = controls.Platform(store, vm_list, regions, services, targets)
+    rows = [
+        uvloop.run(controls.measure_size(platform, size, seconds, rate))
+        for size in agents
+    ]
+    controls.print_rows(rows)
+
+
+@app.command
+def memory(
+    store: str,
+    pid: int,
+    prefix: str = "/wigeonspool/",
+    services: int = 1900,
+    targets: int = 10_000,
+) -> None:
+    """Measures the memory of an agent before and after it gets tables.
+
+    Args:
+        store: Base URL of the store stand-in that the agent follows.
+        pid: Process id of the agent.
+        prefix: Key prefix that it follows.
+        services: Pools in the tables.
+        targets: Targets of all pools together.
+    """
+    platform = controls.Platform(store, "", 1, services, targets)
+    work = controls.measure_memory(platform, prefix, pid)
+    for name, found in asyncio.run(work):
+        print(
+            f"{name}: resident {found.resident:.1f} MiB,"
+            f" private {found.private:.1f}, shared {found.shared:.1f}"
+        )
+
+
 def main() -> None:
     """Entry point of the binary."""
     app()
