--- a/wigeonspool/agent/hub.py
+++ b/wigeonspool/agent/hub.py
@@ -8,11 +8,12 @@
 import aioprometheus
 import loguru
 
+from wigeonspool import process
 from wigeonspool.agent import configuration
 from wigeonspool.agent import gathering
 from wigeonspool.model import errors
+from wigeonspool.model import events
 from wigeonspool.model import messages
-from wigeonspool.wire import frames
 from wigeonspool.wire import senders
 from wigeonspool.wire import streams
 
@@ -74,7 +75,6 @@
             if all must be told again.
         note_report: Called after a gateway reported.
         list_greetings: Returns what a new subscriber of a role is told.
-        reject: Notes a stream that was closed for breaking the protocol.
     """
 
     admit: Callable[[messages.Hello], None]
@@ -84,7 +84,6 @@
     take_beat: Callable[[str, str, messages.Beat], bool]
     note_report: Callable[[], None]
     list_greetings: Callable[[str], list[messages.Message]]
-    reject: Callable[[str, errors.WireError], None]
 
 
 class Hub:
@@ -102,6 +101,7 @@
         state: configuration.ConfigurationState,
         callbacks: Callbacks,
         silence_seconds: float,
+        log: process.EventLog,
     ) -> None:
         """Prepares the hub.
 
@@ -109,10 +109,12 @@
             state: Tables to feed to subscribers.
             callbacks: What the hub asks of the agent.
             silence_seconds: A subscriber silent for longer is cut off.
+            log: Events of this process.
         """
         self._state = state
         self._callbacks = callbacks
         self._silence_seconds = silence_seconds
+        self._log = log
         self._server: asyncio.Server | None = None
         self.subscribers: list[Subscriber] = []
         self.rejected: dict[str, int] = {}
@@ -144,13 +146,16 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serves one stream until it ends."""
-        stream = streams.Stream(reader, writer)
+        stream = streams.Stream(reader, writer, self._log.clock)
         try:
             await self._converse(stream)
         except errors.WireError as error:
             self.rejected[error.code] = self.rejected.get(error.code, 0) + 1
             STREAMS_REJECTED.inc({"code": error.code})
-            self._callbacks.reject(stream.peer, error)
+            self._log.record(
+                events.Kind.PEER_REJECTED,
+                detail={"peer": stream.peer, "code": error.code},
+            )
             loguru.logger.warning(
                 "closed the stream of {}: {}", stream.peer, error
             )
@@ -286,7 +291,7 @@
             held = (subscriber.generation, subscriber.digest)
             if held not in packed:
                 packed[held] = [
-                    frames.pack_frame(messages.encode_message(message))
+                    streams.pack_message(message, self._log.clock)
                     for message in self._state.list_messages(*held)
                 ]
             for data in packed[held]:
@@ -301,7 +306,7 @@
 
     def send(self, roles: tuple[str, ...], message: messages.Message) -> None:
         """Sends a message to the subscribers of some roles."""
-        data = frames.pack_frame(messages.encode_message(message))
+        data = streams.pack_message(message, self._log.clock)
         for subscriber in self.subscribers:
             if subscriber.hello.role in roles:
                 subscriber.stream.post_frame(data)
--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -67,9 +67,9 @@
                 take_beat=self._take_beat,
                 note_report=self._note_report,
                 list_greetings=self._list_greetings,
-                reject=self._note_rejected,
             ),
             silence,
+            self._log,
         )
         self._told_generation = 0
 
@@ -83,7 +83,10 @@
             self._state, self._log, self._put_in_force
         )
         self._upstreams = upstreams.Upstreams(
-            settings.agent.silence_seconds, self._build_hello, receiver.take
+            settings.agent.silence_seconds,
+            self._build_hello,
+            receiver.take,
+            self._log.clock,
         )
         self._session = aiohttp.ClientSession()
         self._feeder = feeding.Feeder(
@@ -170,13 +173,6 @@
             raise errors.PeerUnknownError(hello.process)
         self._following.directory.admit(self._now(), hello.vm)
 
-    def _note_rejected(self, peer: str, error: errors.WireError) -> None:
-        """Records a stream that was closed for breaking the protocol."""
-        self._log.record(
-            events.Kind.PEER_REJECTED,
-            detail={"peer": peer, "problem": str(error)},
-        )
-
     def _take_heartbeat(self, heartbeat: messages.Heartbeat) -> None:
         """Takes the heartbeat of another VM, or of this one."""
         self._members.take(self._now(), heartbeat)
@@ -326,7 +322,7 @@
         if isinstance(message, messages.RegionRequest):
             return self._build_members()
         if isinstance(message, messages.EventsRequest):
-            return self._log.build_reply()
+            return self._log.build_reply(message.wanted)
         if isinstance(message, messages.VmStatusRequest):
             return messages.VmStatusReply(())
         return None
--- a/wigeonspool/agent/upstreams.py
+++ b/wigeonspool/agent/upstreams.py
@@ -16,6 +16,7 @@
 from wigeonspool.agent import members
 from wigeonspool.model import errors
 from wigeonspool.model import messages
+from wigeonspool.wire import clocks
 from wigeonspool.wire import senders
 from wigeonspool.wire import streams
 
@@ -60,6 +61,7 @@
         silence_seconds: float,
         build_hello: Callable[[str], messages.Hello],
         take: Callable[[messages.Message], None],
+        clock: clocks.HybridClock,
     ) -> None:
         """Prepares to follow.
 
@@ -68,7 +70,9 @@
             build_hello: Returns what opens a stream in a role.
             take: Takes a message that brings tables or a pulse; raises
                 WireError if the stream must be opened anew.
+            clock: Clock of this process, which stamps messages.
         """
+        self._clock = clock
         self._silence_seconds = silence_seconds
         self._build_hello = build_hello
         self._take_tables = take
@@ -127,7 +131,7 @@
             TimeoutError: If nothing came for too long.
         """
         async with asyncio.timeout(self._silence_seconds):
-            stream = await streams.open_stream(upstream.address)
+            stream = await streams.open_stream(upstream.address, self._clock)
         try:
             upstream.told = None
             stream.post(self._build_hello(upstream.role))
--- a/wigeonspool/gateway/forwarding.py
+++ b/wigeonspool/gateway/forwarding.py
@@ -10,6 +10,7 @@
 from wigeonspool.gateway import egress
 from wigeonspool.gateway import headers
 from wigeonspool.gateway import relay
+from wigeonspool.gateway import streaming
 from wigeonspool.model import outcomes
 from wigeonspool.wire import tokens
 
@@ -22,7 +23,7 @@
     assignment: tokens.Assignment,
     outgoing: egress.Outgoing,
     gateway: str,
-) -> once.Answer | outcomes.Failure | web.StreamResponse:
+) -> once.Answer | outcomes.Failure | streaming.Streamed:
     """Passes a request to the gateway that may run it.
 
     Args:
@@ -57,7 +58,7 @@
     request: web.BaseRequest,
     source: aiohttp.ClientResponse,
     outgoing: egress.Outgoing,
-) -> once.Answer | outcomes.Failure | web.StreamResponse:
+) -> once.Answer | outcomes.Failure | streaming.Streamed:
     """Passes on an answer of unknown or great length."""
     request_id = outgoing.fields[headers.REQUEST]
     try:
@@ -72,14 +73,16 @@
         source.close()
         return UNREACHABLE
     response = relay.build_response(source, request_id)
+    failure: outcomes.Failure | None = None
     try:
         async with asyncio.timeout_at(outgoing.deadline):
             await relay.pass_on(request, response, source, head.content)
     except (aiohttp.ClientError, OSError):
-        relay.abort(request)
+        failure = outcomes.doubt(outcomes.Reason.CONNECTION_LOST)
+        streaming.break_off(request)
     finally:
         source.close()
-    return response
+    return streaming.Streamed(response, failure)
 
 
 def read_ending(answer: once.Answer) -> once.Answer | outcomes.Failure:
--- a/wigeonspool/gateway/link.py
+++ b/wigeonspool/gateway/link.py
@@ -71,7 +71,7 @@
             ChainBrokenError: If the agent has another history of changes.
             TimeoutError: If the agent was silent for too long.
         """
-        stream = await streams.open_stream(self._address)
+        stream = await streams.open_stream(self._address, self._log.clock)
         try:
             tables = self._view.tables
             await stream.send(
@@ -117,7 +117,7 @@
             if stream is self._stream:
                 self._detector.refresh()
         elif isinstance(message, messages.EventsRequest):
-            stream.post(self._log.build_reply())
+            stream.post(self._log.build_reply(message.wanted))
         elif isinstance(message, messages.VmStatusRequest):
             status = self._build_status(message.pool)
             stream.post(messages.VmStatusReply((status,)))
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -16,6 +16,7 @@
 from wigeonspool.gateway import egress
 from wigeonspool.gateway import ingress
 from wigeonspool.gateway import link
+from wigeonspool.gateway import listener
 from wigeonspool.gateway import pauses
 from wigeonspool.gateway import scheduler
 from wigeonspool.gateway import statuses
@@ -99,7 +100,7 @@
             ),
         )
         self.add_future(link.keep_following(self._link, RECONNECT_SECONDS))
-        server = web.Server(self._ingress.serve, handler_cancellation=True)
+        server = listener.CallerServer(self._ingress)
         self._callers = await process.serve_http(self._gateway.address, server)
         metrics = web.Server(process.show_metrics)
         self._metrics = await process.serve_http(
--- a/wigeonspool/wire/streams.py
+++ b/wigeonspool/wire/streams.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from wigeonspool.model import messages
+from wigeonspool.wire import clocks
 from wigeonspool.wire import frames
 
 # A peer that leaves more than this unread is cut off; it reconnects and gets
@@ -22,6 +23,7 @@
     """
 
     __slots__ = (
+        "_clock",
         "_reader",
         "_writer",
         "overflowed",
@@ -31,8 +33,19 @@
     )
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        clock: clocks.HybridClock | None = None,
     ) -> None:
+        """Prepares a stream over a connection.
+
+        Args:
+            reader: Its receiving side.
+            writer: Its sending side.
+            clock: Clock of this process, which follows that of the peer.
+        """
+        self._clock = clock
         self._reader = reader
         self._writer = writer
         self.sent_bytes = 0
@@ -57,14 +70,19 @@
         if body is None:
             return None
         self.received_bytes += frames.LENGTH.size + len(body)
-        return messages.decode_message(frames.unpack_body(body))
+        document = frames.unpack_body(body)
+        message = messages.decode_message(document)
+        stamp = messages.read_stamp(document)
+        if stamp is not None and self._clock is not None:
+            self._clock.observe_stamp(stamp)
+        return message
 
     def post(self, message: messages.Message) -> None:
         """Queues a message without waiting for the peer.
 
         The connection is cut if the peer has left too much unread.
         """
-        self.post_frame(frames.pack_frame(messages.encode_message(message)))
+        self.post_frame(pack_message(message, self._clock))
 
     def post_frame(self, data: bytes) -> None:
         """Queues a message that is packed already; see `post`."""
@@ -96,15 +114,26 @@
         self._writer.transport.abort()
 
 
-async def open_stream(address: str) -> Stream:
+def pack_message(
+    message: messages.Message, clock: clocks.HybridClock | None
+) -> bytes:
+    """Returns the frame of a message, stamped by the clock of this process."""
+    stamp = None if clock is None else clock.issue_stamp()
+    return frames.pack_frame(messages.encode_message(message, stamp))
+
+
+async def open_stream(
+    address: str, clock: clocks.HybridClock | None = None
+) -> Stream:
     """Connects to a stream server.
 
     Args:
         address: host:port.
+        clock: Clock of this process, which follows that of the peer.
 
     Raises:
         OSError: If the connection failed.
     """
     host, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
-    return Stream(reader, writer)
+    return Stream(reader, writer, clock)
