--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -7,13 +7,15 @@
 from wigeonspool.model import entities
 from wigeonspool.model import messages
 from wigeonspool.operator import sessions
+from wigeonspool.wire import proofs
 from wigeonspool.wire import streams
 
 
 async def connect_gateway(address: str, name: str) -> streams.Stream:
     """Opens a gateway's stream whose questions nobody answers."""
     stream = await streams.open_stream(address)
-    await stream.send(messages.Hello(name, "gateway", "1", "vm-0"))
+    hello = messages.Hello(name, "gateway", "1", "vm-0")
+    await stream.send(proofs.sign_hello(hello, ["test-key"]))
     gateway = entities.Gateway(name, "1", "127.0.0.1:1", "zone-0", "vm-0")
     await stream.send(messages.GatewayReport(gateway, 0))
     return stream
