Split the dispatcher by job and choose without scanning targets

Cause: every choice looked at all targets, and every tick at all pools. Choosing, queueing, learning and the row of a pool now have modules of their own. Targets stand in buckets by free slots; a tick touches only pools in which something waits and ejections that are over. Long work (a route whose median is 8 x the pool's typical one) leaves slots to short work: what short work uses and half of what nobody uses.

--- /dev/null
+++ b/wigeonspool/core/choosing.py
@@ -0,0 +1,83 @@
+"""Finds the target with the most free slots without looking at all of them.
+
+Targets stand in groups, the preferred ones first, and in each group in one
+bucket for each number of free slots. An attempt moves its target by one
+bucket, so the cost of a choice does not grow with the pool.
+"""
+
+import enum
+from typing import Final
+
+from wigeonspool.core import tables
+
+LEVELS: Final = 16
+
+
+class Group(enum.IntEnum):
+    """How far a target is from being this gateway's own."""
+
+    OWN = 0
+    SHARED = 1
+    REMOTE = 2
+
+
+class TargetIndex:
+    """The targets of a pool, arranged by group and free slots."""
+
+    __slots__ = ("_buckets", "_places")
+
+    def __init__(self) -> None:
+        """Prepares empty buckets."""
+        self._buckets: list[list[dict[str, tables.TargetRow]]] = [
+            [{} for _ in range(LEVELS + 1)] for _ in Group
+        ]
+        self._places: dict[str, tuple[int, int]] = {}
+
+    def place(self, target: tables.TargetRow) -> None:
+        """Puts a target where it belongs, after any change of its row."""
+        level = _find_level(target)
+        place = (target.group, level)
+        known = self._places.get(target.address)
+        if known == place:
+            return
+        if known is not None:
+            del self._buckets[known[0]][known[1]][target.address]
+        self._places[target.address] = place
+        self._buckets[place[0]][place[1]][target.address] = target
+
+    def remove(self, address: str) -> None:
+        """Forgets a target."""
+        place = self._places.pop(address, None)
+        if place is not None:
+            del self._buckets[place[0]][place[1]][address]
+
+    def choose(
+        self, tried: set[str], farthest: int = Group.REMOTE
+    ) -> tables.TargetRow | None:
+        """Returns the target with the most free slots of the first group.
+
+        Args:
+            tried: Addresses to use only if there is no other.
+            farthest: Last group to look at.
+        """
+        fallback: tables.TargetRow | None = None
+        for buckets in self._buckets[: farthest + 1]:
+            for level in range(LEVELS, 0, -1):
+                # At most as many rows are passed over as were tried.
+                for target in buckets[level].values():
+                    if target.address not in tried:
+                        return target
+                    fallback = fallback or target
+        return fallback
+
+
+def _find_level(target: tables.TargetRow) -> int:
+    """Returns the bucket for a target's free slots; 0 takes no work."""
+    if target.state is not tables.TargetState.SERVING:
+        return 0
+    free = target.limit - target.in_flight
+    if free <= 0:
+        return 0
+    if target.limit <= LEVELS:
+        return free
+    return max(1, free * LEVELS // target.limit)
--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -5,12 +5,13 @@
 refuse them any more.
 """
 
-from collections.abc import Iterable
-import dataclasses
+from collections.abc import Iterable, Mapping
 import heapq
 from typing import Final
 
 from wigeonspool.core import actions
+from wigeonspool.core import choosing
+from wigeonspool.core import pools
 from wigeonspool.core import tables
 from wigeonspool.model import entities
 from wigeonspool.model import outcomes
@@ -20,21 +21,6 @@
 EJECTION_SECONDS: Final = 1.0
 
 
-@dataclasses.dataclass(slots=True)
-class PoolRow:
-    """The targets and the queue of one pool.
-
-    Attributes:
-        pool: The operators' row.
-        targets: Targets by address.
-        queue: Heap of (deadline, request id).
-    """
-
-    pool: entities.Pool
-    targets: dict[str, tables.TargetRow]
-    queue: list[tuple[float, int]] = dataclasses.field(default_factory=list)
-
-
 class Dispatcher:
     """Holds the tables of one gateway and runs the systems over them."""
 
@@ -45,25 +31,29 @@
             zone: Availability zone of the gateway.
         """
         self._zone = zone
-        self._pools: dict[str, PoolRow] = {}
+        self._pools: dict[str, pools.PoolRow] = {}
         self._requests: dict[int, tables.RequestRow] = {}
         self._leaving: frozenset[str] = frozenset()
+        self._waiting: set[str] = set()
+        self._ejected: list[tuple[float, str, str]] = []
 
-    def configure(self, pools: Iterable[entities.Pool]) -> None:
+    def configure(self, listed: Iterable[entities.Pool]) -> None:
         """Takes the pools of a new generation; running work goes on."""
-        wanted = {pool.name: pool for pool in pools}
+        wanted = {pool.name: pool for pool in listed}
         for name in self._pools.keys() - wanted.keys():
-            self._pools[name].targets = {}
+            self._pools[name].replace_targets({})
         for name, pool in wanted.items():
-            row = self._pools.setdefault(name, PoolRow(pool, {}))
+            row = self._pools.setdefault(name, pools.PoolRow(pool, self._zone))
             row.pool = pool
-            row.targets = {
-                target.address: self._merge_target(row, target)
-                for target in pool.targets
-            }
+            row.replace_targets(
+                {
+                    target.address: self._merge_target(row, target)
+                    for target in pool.targets
+                }
+            )
 
     def _merge_target(
-        self, row: PoolRow, target: entities.Target
+        self, row: pools.PoolRow, target: entities.Target
     ) -> tables.TargetRow:
         """Returns the row of a target, with what is known of it."""
         known = row.targets.get(target.address)
@@ -78,6 +68,17 @@
             known.state = tables.TargetState.SERVING
         return known
 
+    def share(self, pool: str, limits: Mapping[str, int] | None) -> None:
+        """Takes the slots that this gateway may use.
+
+        Args:
+            pool: Pool that is shared.
+            limits: Slots by target address, or None to use them all.
+        """
+        row = self._pools.get(pool)
+        if row is not None:
+            row.share(limits)
+
     def mark_leaving(self, addresses: Iterable[str]) -> None:
         """Takes the addresses of all targets that the VM list calls leaving."""
         self._leaving = frozenset(addresses)
@@ -118,7 +119,7 @@
             return [self._refuse(request, outcomes.Reason.DEADLINE_PASSED)]
         request.arrived_at = now
         self._requests[request.request_id] = request
-        heapq.heappush(row.queue, (request.deadline, request.request_id))
+        row.enqueue(request)
         return self._dispatch(now, row)
 
     def finish(
@@ -136,7 +137,9 @@
         if request is None:
             return []
         row = self._pools[request.pool]
-        self._release(now, row, target, result)
+        if result.kind is tables.ResultKind.ANSWERED:
+            row.times.record(request.route, now - request.sent_at)
+        self._release(now, row, request, target, result)
         request.tried.add(target)
         done = self._conclude(now, row, request, result)
         return done + self._dispatch(now, row)
@@ -156,27 +159,40 @@
         if request.state is tables.RequestState.RUNNING:
             done.append(actions.Cancel(request_id, request.target))
             lost = tables.Result(tables.ResultKind.ANSWERED)
-            self._release(now, row, request.target, lost)
+            self._release(now, row, request, request.target, lost)
         request.state = tables.RequestState.SETTLED
         return done + self._dispatch(now, row)
 
     def tick(self, now: float) -> list[actions.Action]:
         """Runs the systems that depend on time alone."""
+        self._restore(now)
         done: list[actions.Action] = []
-        for row in self._pools.values():
-            for target in row.targets.values():
-                if (
-                    target.state is tables.TargetState.EJECTED
-                    and target.ejected_until <= now
-                ):
-                    target.state = tables.TargetState.SERVING
-            done += self._dispatch(now, row)
+        for name in list(self._waiting):
+            done += self._dispatch(now, self._pools[name])
         return done
 
+    def _restore(self, now: float) -> None:
+        """Lets targets serve again whose ejection is over."""
+        while self._ejected and self._ejected[0][0] <= now:
+            _, pool, address = heapq.heappop(self._ejected)
+            row = self._pools[pool]
+            target = row.targets.get(address)
+            if target is None or target.ejected_until > now:
+                continue
+            if target.state is tables.TargetState.EJECTED:
+                target.state = tables.TargetState.SERVING
+                row.index.place(target)
+
     def _release(
-        self, now: float, row: PoolRow, address: str, result: tables.Result
+        self,
+        now: float,
+        row: pools.PoolRow,
+        request: tables.RequestRow,
+        address: str,
+        result: tables.Result,
     ) -> None:
         """Frees the slot of an attempt and learns from its result."""
+        row.count_end(request)
         target = row.targets.get(address)
         if target is None:
             return
@@ -185,13 +201,14 @@
             target.state = tables.TargetState.DRAINING
         if result.kind is tables.ResultKind.ANSWERED:
             target.failures = 0
-            return
-        target.failures += 1
-        if target.failures >= EJECTION_FAILURES:
-            self._eject(now, row, target)
+        else:
+            target.failures += 1
+            if target.failures >= EJECTION_FAILURES:
+                self._eject(now, row, target)
+        row.index.place(target)
 
     def _eject(
-        self, now: float, row: PoolRow, target: tables.TargetRow
+        self, now: float, row: pools.PoolRow, target: tables.TargetRow
     ) -> None:
         """Keeps new work from a target, within the pool's bound."""
         states = [t.state for t in row.targets.values()]
@@ -201,11 +218,13 @@
         if target.state is tables.TargetState.SERVING:
             target.state = tables.TargetState.EJECTED
             target.ejected_until = now + EJECTION_SECONDS
+            entry = (target.ejected_until, row.pool.name, target.address)
+            heapq.heappush(self._ejected, entry)
 
     def _conclude(
         self,
         now: float,
-        row: PoolRow,
+        row: pools.PoolRow,
         request: tables.RequestRow,
         result: tables.Result,
     ) -> list[actions.Action]:
@@ -218,7 +237,7 @@
         if safe and request.attempts < MAX_ATTEMPTS and now < request.deadline:
             request.state = tables.RequestState.QUEUED
             request.target = ""
-            heapq.heappush(row.queue, (request.deadline, request.request_id))
+            row.enqueue(request)
             return []
         if result.kind is tables.ResultKind.FAILED:
             return [self._settle(request, None)]
@@ -246,57 +265,44 @@
         )
         return self._settle(request, failure)
 
-    def _dispatch(self, now: float, row: PoolRow) -> list[actions.Action]:
+    def _dispatch(self, now: float, row: pools.PoolRow) -> list[actions.Action]:
         """Sends queued requests while targets have free slots."""
+        row.refresh(now)
         done: list[actions.Action] = []
-        while row.queue:
-            deadline, request_id = row.queue[0]
-            request = self._requests.get(request_id)
-            if (
-                request is None
-                or request.state is not tables.RequestState.QUEUED
-            ):
-                heapq.heappop(row.queue)
-                continue
-            if deadline <= now:
-                heapq.heappop(row.queue)
-                done.append(
-                    self._refuse(request, outcomes.Reason.DEADLINE_PASSED)
-                )
+        while (request := row.peek()) is not None:
+            if request.deadline <= now:
+                row.queue.pop(request)
+                reason = outcomes.Reason.DEADLINE_PASSED
+                done.append(self._refuse(request, reason))
                 continue
             target = self._choose(row, request)
             if target is None:
                 break
-            heapq.heappop(row.queue)
-            done.append(self._send(now, request, target))
+            row.queue.pop(request)
+            done.append(self._send(now, row, request, target))
+        if row.queue:
+            self._waiting.add(row.pool.name)
+        else:
+            self._waiting.discard(row.pool.name)
         return done
 
     def _choose(
-        self, row: PoolRow, request: tables.RequestRow
+        self, row: pools.PoolRow, request: tables.RequestRow
     ) -> tables.TargetRow | None:
-        """Returns the target with the fewest attempts, near ones first."""
-        best: tables.TargetRow | None = None
-        best_rank = (True, True, 0)
-        for target in row.targets.values():
-            if target.state is not tables.TargetState.SERVING:
-                continue
-            if target.in_flight >= target.slots:
-                continue
-            rank = (
-                target.address in request.tried,
-                target.zone != self._zone,
-                target.in_flight,
-            )
-            if best is None or rank < best_rank:
-                best = target
-                best_rank = rank
-        return best
+        """Returns the target with the most free slots, near ones first."""
+        return row.index.choose(request.tried, choosing.Group.REMOTE)
 
     def _send(
-        self, now: float, request: tables.RequestRow, target: tables.TargetRow
+        self,
+        now: float,
+        row: pools.PoolRow,
+        request: tables.RequestRow,
+        target: tables.TargetRow,
     ) -> actions.Action:
         """Starts an attempt."""
+        row.count_start(request)
         target.in_flight += 1
+        row.index.place(target)
         request.state = tables.RequestState.RUNNING
         request.target = target.address
         request.sent_at = now
--- /dev/null
+++ b/wigeonspool/core/learning.py
@@ -0,0 +1,112 @@
+"""Learns how long the requests of each route run.
+
+The service time of an attempt is what this gateway saw, so it contains the
+link to the target.
+"""
+
+from typing import Any, Final
+
+from hdrh import histogram
+
+HIGHEST_MICROSECONDS: Final = 3_600_000_000
+SIGNIFICANT_DIGITS: Final = 2
+MIN_SAMPLES: Final = 20
+REFRESH_SECONDS: Final = 0.25
+KEEP_SECONDS: Final = 5.0
+LONG_RATIO: Final = 8.0
+MEAN_WEIGHT: Final = 0.01
+
+
+class RouteTimes:
+    """Service times of one route, in seconds.
+
+    Attributes:
+        mean: Moving mean, or 0.0 while nothing is known.
+        median: Median of the last seconds, or 0.0.
+        high: Ninety-ninth percentile of the last seconds, or 0.0.
+        is_long: True if its requests run many times longer than others.
+    """
+
+    __slots__ = ("_kept_until", "_samples", "high", "is_long", "mean", "median")
+
+    def __init__(self) -> None:
+        """Prepares an empty sketch."""
+        self._samples: Any = histogram.HdrHistogram(
+            1, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
+        )
+        self._kept_until = 0.0
+        self.mean = 0.0
+        self.median = 0.0
+        self.high = 0.0
+        self.is_long = False
+
+    def record(self, seconds: float) -> None:
+        """Takes the service time of one attempt."""
+        self._samples.record_value(max(1, int(seconds * 1e6)))
+        if self.mean:
+            self.mean += (seconds - self.mean) * MEAN_WEIGHT
+        else:
+            self.mean = seconds
+
+    def refresh(self, now: float) -> None:
+        """Reads the quantiles; drops samples that are too old."""
+        if self._samples.get_total_count() < MIN_SAMPLES:
+            return
+        read = self._samples.get_value_at_percentile
+        self.median = read(50) / 1e6
+        self.high = read(99) / 1e6
+        if now >= self._kept_until:
+            self._samples.reset()
+            self._kept_until = now + KEEP_SECONDS
+
+
+class PoolTimes:
+    """Service times of the routes of one pool."""
+
+    __slots__ = ("_counts", "_refresh_at", "_routes")
+
+    def __init__(self) -> None:
+        """Prepares an empty table."""
+        self._routes: dict[str, RouteTimes] = {}
+        self._counts: dict[str, int] = {}
+        self._refresh_at = 0.0
+
+    def find(self, route: str) -> RouteTimes:
+        """Returns what is known of a route."""
+        times = self._routes.get(route)
+        if times is None:
+            times = RouteTimes()
+            self._routes[route] = times
+        return times
+
+    def record(self, route: str, seconds: float) -> None:
+        """Takes the service time of one attempt of a route."""
+        self.find(route).record(seconds)
+        self._counts[route] = self._counts.get(route, 0) + 1
+
+    def refresh(self, now: float) -> None:
+        """Brings quantiles up to date and marks the long routes."""
+        if now < self._refresh_at:
+            return
+        self._refresh_at = now + REFRESH_SECONDS
+        for times in self._routes.values():
+            times.refresh(now)
+        known = {r: t.median for r, t in self._routes.items() if t.median}
+        if not known:
+            return
+        typical = _find_typical(known, self._counts)
+        for route, times in self._routes.items():
+            times.is_long = known.get(route, 0.0) > LONG_RATIO * typical
+
+
+def _find_typical(medians: dict[str, float], counts: dict[str, int]) -> float:
+    """Returns the median of routes' medians, weighted by requests."""
+    half = sum(counts[route] for route in medians) / 2
+    seen = 0
+    median = 0.0
+    for route in sorted(medians, key=lambda route: medians[route]):
+        median = medians[route]
+        seen += counts[route]
+        if seen >= half:
+            break
+    return median
--- /dev/null
+++ b/wigeonspool/core/pools.py
@@ -0,0 +1,131 @@
+"""One pool as a gateway holds it: targets, queue and what was learned."""
+
+from collections.abc import Mapping
+from typing import Final
+
+from wigeonspool.core import choosing
+from wigeonspool.core import learning
+from wigeonspool.core import queueing
+from wigeonspool.core import tables
+from wigeonspool.model import entities
+
+REFRESH_SECONDS: Final = 0.05
+USE_WEIGHT: Final = 0.05
+SHARED_LIMIT: Final = 1
+
+
+class PoolRow:
+    """The targets and the queue of one pool.
+
+    Attributes:
+        pool: The operators' row.
+        targets: Targets by address.
+        index: The same targets, arranged for a choice.
+        queue: Requests that wait for a slot.
+        times: Service times of the pool's routes.
+        slots: Slots that this gateway may use at its own targets.
+        long_limit: How many of them long work may use.
+    """
+
+    __slots__ = (
+        "_limits",
+        "_refresh_at",
+        "_running",
+        "_used",
+        "_zone",
+        "index",
+        "long_limit",
+        "pool",
+        "queue",
+        "slots",
+        "targets",
+        "times",
+    )
+
+    def __init__(self, pool: entities.Pool, zone: str) -> None:
+        """Prepares a pool without targets.
+
+        Args:
+            pool: The operators' row.
+            zone: Availability zone of the gateway.
+        """
+        self.pool = pool
+        self.targets: dict[str, tables.TargetRow] = {}
+        self.index = choosing.TargetIndex()
+        self.queue = queueing.RequestQueue()
+        self.times = learning.PoolTimes()
+        self.slots = 0
+        self.long_limit = 0
+        self._zone = zone
+        self._limits: Mapping[str, int] | None = None
+        # Attempts in flight of short and of long work, and their means.
+        self._running = [0, 0]
+        self._used = [0.0, 0.0]
+        self._refresh_at = 0.0
+
+    def replace_targets(self, targets: dict[str, tables.TargetRow]) -> None:
+        """Takes the targets of a new generation."""
+        for address in self.targets.keys() - targets.keys():
+            self.index.remove(address)
+        self.targets = targets
+        self.share(self._limits)
+
+    def share(self, limits: Mapping[str, int] | None) -> None:
+        """Takes the slots that this gateway may use, or None for all."""
+        self._limits = limits
+        self.slots = 0
+        for target in self.targets.values():
+            self._set_limit(target)
+            if target.group == choosing.Group.OWN:
+                self.slots += target.limit
+            self.index.place(target)
+        self.long_limit = min(self.long_limit or self.slots, self.slots)
+
+    def _set_limit(self, target: tables.TargetRow) -> None:
+        """Sets the group of a target and the slots to use there."""
+        if target.zone != self._zone:
+            target.group = choosing.Group.REMOTE
+            target.limit = target.slots
+        elif self._limits is None:
+            target.group = choosing.Group.OWN
+            target.limit = target.slots
+        elif target.address in self._limits:
+            target.group = choosing.Group.OWN
+            target.limit = min(self._limits[target.address], target.slots)
+        else:
+            target.group = choosing.Group.SHARED
+            target.limit = SHARED_LIMIT
+
+    def enqueue(self, request: tables.RequestRow) -> None:
+        """Adds a request to the queue, with what is known of its route."""
+        times = self.times.find(request.route)
+        request.expected = times.mean
+        request.is_long = times.is_long
+        self.queue.push(request)
+
+    def peek(self) -> tables.RequestRow | None:
+        """Returns the next request that may have a slot."""
+        return self.queue.peek(self._running[1] < max(1, self.long_limit))
+
+    def count_start(self, request: tables.RequestRow) -> None:
+        """Counts an attempt that begins."""
+        self._running[request.is_long] += 1
+
+    def count_end(self, request: tables.RequestRow) -> None:
+        """Counts an attempt that ended."""
+        self._running[request.is_long] -= 1
+
+    def refresh(self, now: float) -> None:
+        """Brings the slots kept for short work up to date.
+
+        Short work keeps what it uses, and half of what nobody uses.
+        """
+        if now < self._refresh_at:
+            return
+        self._refresh_at = now + REFRESH_SECONDS
+        self.times.refresh(now)
+        for kind, running in enumerate(self._running):
+            self._used[kind] += (running - self._used[kind]) * USE_WEIGHT
+        short, long = self._used
+        spare = max(0.0, self.slots - short - long)
+        self.long_limit = max(1, round(self.slots - short - spare / 2))
--- a/wigeonspool/core/tables.py
+++ b/wigeonspool/core/tables.py
@@ -24,6 +24,8 @@
         address: host:port.
         zone: Availability zone.
         slots: Requests that it runs at once.
+        limit: Slots that this gateway may use.
+        group: Place in the order of preference; 0 comes first.
         in_flight: Attempts of this gateway that run there.
         state: Whether it may receive work.
         ejected_until: Deadline of its ejection, on the core's clock.
@@ -33,6 +35,8 @@
     address: str
     zone: str
     slots: int
+    limit: int = 0
+    group: int = 0
     in_flight: int = 0
     state: TargetState = TargetState.SERVING
     ejected_until: float = 0.0
@@ -66,6 +70,8 @@
         attempts: Attempts sent so far.
         may_have_run: True once an attempt was lost.
         tried: Addresses that failed it.
+        expected: Service time that its route has taken, in seconds.
+        is_long: True if its route takes many times longer than others.
     """
 
     request_id: int
@@ -82,6 +88,8 @@
     attempts: int = 0
     may_have_run: bool = False
     tried: set[str] = dataclasses.field(default_factory=set)
+    expected: float = 0.0
+    is_long: bool = False
 
 
 class ResultKind(enum.Enum):
--- a/wigeonspool/load/experiment.py
+++ b/wigeonspool/load/experiment.py
@@ -7,7 +7,7 @@
 import pydantic
 import yaml
 
-from wigeonspool.model import declarations
+from wigeonspool.model import documents
 from wigeonspool.model import errors
 
 Positive = Annotated[float, pydantic.Field(gt=0)]
@@ -203,13 +203,13 @@
     Raises:
         SettingsError: If the file or an assignment breaks the schema.
     """
-    document = declarations.read_yaml(path)
+    document = documents.read_document(path)
     for assignment in assignments:
-        _assign_field(document, assignment)
+        _assign_field(document.content, assignment)
     try:
-        return Experiment.model_validate(document)
+        return Experiment.model_validate(document.content)
     except pydantic.ValidationError as error:
-        raise declarations.describe_problem(str(path), error) from error
+        raise document.describe_validation(error) from error
 
 
 def _assign_field(document: Any, assignment: str) -> None:
