--- a/wigeonspool/gateway/metrics.py
+++ b/wigeonspool/gateway/metrics.py
@@ -8,6 +8,7 @@
 
 import aioprometheus
 
+from wigeonspool.gateway import egress
 from wigeonspool.gateway import ingress as ingresses
 from wigeonspool.gateway import scheduler as schedulers
 from wigeonspool.gateway import view as views
@@ -37,6 +38,10 @@
 DRAINING: Final = aioprometheus.Gauge(
     "wigeonspool_gateway_draining", "1 while the gateway prepares to stop."
 )
+CONNECTIONS_SILENT: Final = aioprometheus.Counter(
+    "wigeonspool_gateway_connections_silent_total",
+    "Kept connections to targets that were found silent or dead.",
+)
 EVENTS_DROPPED: Final = aioprometheus.Counter(
     "wigeonspool_gateway_events_dropped_total",
     "Events that were forgotten to make room for newer ones.",
@@ -53,6 +58,7 @@
     def __init__(
         self,
         ingress: ingresses.Ingress,
+        client: egress.Egress,
         scheduler: schedulers.Scheduler,
         view: views.FleetView,
         ring: events.Ring,
@@ -61,11 +67,13 @@
 
         Args:
             ingress: Counts the requests that ended.
+            client: Counts the connections that fell silent.
             scheduler: Holds the core.
             view: Holds the tables in force.
             ring: Counts the events that were forgotten.
         """
         self._ingress = ingress
+        self._client = client
         self._scheduler = scheduler
         self._view = view
         self._ring = ring
@@ -75,6 +83,7 @@
         """Brings all metrics up to date."""
         for (outcome, reason), count in self._ingress.counts.items():
             REQUESTS.set({"outcome": outcome, "reason": reason}, count)
+        CONNECTIONS_SILENT.set({}, self._client.silent)
         RUNNING.set({}, self._scheduler.core.count_running())
         GENERATION.set({}, self._view.tables.generation)
         DRAINING.set({}, int(self._ingress.draining))
--- a/wigeonspool/load/baselines.py
+++ b/wigeonspool/load/baselines.py
@@ -2,12 +2,13 @@
 
 import collections
 from collections.abc import Callable
+import dataclasses
 import random
 from typing import Final
 
 from wigeonspool.core import actions
-from wigeonspool.core import assignments
 from wigeonspool.core import dispatcher
+from wigeonspool.core import sharing
 from wigeonspool.core import tables
 from wigeonspool.load import experiment as experiments
 from wigeonspool.load import parties
@@ -163,7 +164,8 @@
         """Prepares a dispatcher for each gateway."""
         self._gateways = {g.name: g for g in parties.list_gateways(experiment)}
         self._live = list(self._gateways)
-        self._least = experiment.gateways.least
+        shape = experiment.gateways
+        self._crews = sharing.Crews(shape.requests_per_second, shape.least)
         self._pool = entities.Pool(
             parties.POOL,
             experiment.targets.slots,
@@ -180,17 +182,25 @@
 
     def name_gateways(self, zone: str) -> list[tuple[str, float]]:
         """Answers the address question as a gateway does."""
-        live = [self._gateways[name] for name in self._live]
-        chosen = assignments.choose_gateways(
-            parties.POOL, zone, live, self._least
-        )
-        return [(gateway.name, 1.0) for gateway in chosen]
+        gateways = [self._gateways[name] for name in self._live]
+        crew = self._crews.find(parties.POOL, zone, gateways)
+        return [(gateway.name, 1.0) for gateway in crew]
 
     def take_beat(
         self, now: float, demand: dict[str, float], live: list[str]
     ) -> None:
         """Gives every gateway the digests of the others."""
         self._live = live
+        gateways = [
+            dataclasses.replace(
+                self._gateways[name], demand={parties.POOL: demand[name]}
+            )
+            for name in live
+        ]
+        for name in live:
+            zone = self._gateways[name].zone
+            limits = self._crews.divide(self._pool, zone, gateways, name)
+            self.dispatchers[name].share(parties.POOL, limits)
 
     def mark_leaving(self, addresses: list[str]) -> None:
         """Takes the targets that the VM list calls leaving."""
--- a/wigeonspool/load/main.py
+++ b/wigeonspool/load/main.py
@@ -1,20 +1,25 @@
 """Command line of the bench: load, experiments and their reports."""
 
 import asyncio
+import dataclasses
 import json
 import pathlib
 import sys
 from typing import Annotated, Final
 
 import cyclopts
+import loguru
+import uvloop
 
+from wigeonspool.load import control as controls
 from wigeonspool.load import decide as decides
 from wigeonspool.load import demo as demos
+from wigeonspool.load import drive as drives
 from wigeonspool.load import experiment as experiments
 from wigeonspool.model import errors
 
 EXIT_BROKEN: Final = 1
-EXIT_SETTINGS: Final = 2
+EXIT_INVALID_SETTINGS: Final = 2
 
 app = cyclopts.App(
     name="wigeonspool-load",
@@ -70,13 +75,104 @@
         result = decides.run_experiment(experiment, seed)
     except errors.SettingsError as error:
         print(error, file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
+        sys.exit(EXIT_INVALID_SETTINGS)
     if json_:
         print(json.dumps(result))
     else:
         decides.print_figures(result)
 
 
+@app.command
+def drive(
+    experiment: pathlib.Path, pid: int = 0, json_output: bool = False
+) -> None:
+    """Measures what a gateway adds to a request and what that costs it.
+
+    The processes that the experiment names must be up; examples/overhead.sh
+    starts them.
+
+    Args:
+        experiment: YAML file of the experiment.
+        pid: Process of the gateway, whose processor time is read.
+        json_output: Print one line of JSON instead of tables.
+    """
+    try:
+        options = drives.read_drive(experiment)
+    except errors.SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_INVALID_SETTINGS)
+    report = uvloop.run(drives.run_drive(options, pid))
+    if json_output:
+        print(json.dumps(dataclasses.asdict(report)))
+    else:
+        drives.print_report(report)
+    if report.failed:
+        sys.exit(EXIT_BROKEN)
+
+
+@app.command
+def control(
+    store: str,
+    vm_list: str,
+    agents: Annotated[tuple[int, ...], cyclopts.Parameter(negative=())] = (
+        20,
+        50,
+        100,
+        200,
+    ),
+    regions: int = 3,
+    services: int = 100,
+    targets: int = 500,
+    seconds: float = 10.0,
+    rate: float = 1.0,
+) -> None:
+    """Measures what control costs a node, by size of the fleet.
+
+    Args:
+        store: Base URL of a store stand-in.
+        vm_list: Base URL of a VM list stand-in.
+        agents: Sizes of the fleet.
+        regions: Number of regions.
+        services: Pools in the tables.
+        targets: Targets of all pools together.
+        seconds: Length of each measurement.
+        rate: Changes a second in the second measurement of a size.
+    """
+    loguru.logger.remove()
+    platform = controls.Platform(store, vm_list, regions, services, targets)
+    rows = [
+        uvloop.run(controls.measure_size(platform, size, seconds, rate))
+        for size in agents
+    ]
+    controls.print_rows(rows)
+
+
+@app.command
+def memory(
+    store: str,
+    pid: int,
+    prefix: str = "/wigeonspool/",
+    services: int = 1900,
+    targets: int = 10_000,
+) -> None:
+    """Measures the memory of an agent before and after it gets tables.
+
+    Args:
+        store: Base URL of the store stand-in that the agent follows.
+        pid: Process id of the agent.
+        prefix: Key prefix that it follows.
+        services: Pools in the tables.
+        targets: Targets of all pools together.
+    """
+    platform = controls.Platform(store, "", 1, services, targets)
+    work = controls.measure_memory(platform, prefix, pid)
+    for name, found in asyncio.run(work):
+        print(
+            f"{name}: resident {found.resident:.1f} MiB,"
+            f" private {found.private:.1f}, shared {found.shared:.1f}"
+        )
+
+
 def main() -> None:
     """Entry point of the binary."""
     app()
