Eject slow and failing targets by score and let them earn slots back

Cause: three failures in a row were the only ground to eject; slow answers never counted, a target came back with all its slots, and a target's own word that it leaves was forgotten at the next message of members. Change: supervision.py judges each result and each attempt that should have ended; ejection doubles from 0.2 s to 5 s, a target returns with one attempt; a new target starts with one; suspects of crashes are kept apart. The pools that need a look at the tick are a set, so idle pools cost nothing.

--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -7,14 +7,14 @@
 
 class TestScore:
     def test_three_failures_in_a_row_fail_a_target(self) -> None:
-        row = health.HealthRow()
+        row = tables.HealthRow()
         for _ in range(3):
             assert not health.is_failing(row)
             health.note_bad(row, health.weigh_result(FAILED, 0.0, 1.0), 4)
         assert health.is_failing(row)
 
     def test_rare_slow_answers_do_no_harm(self) -> None:
-        row = health.HealthRow()
+        row = tables.HealthRow()
         for _ in range(1000):
             health.note_bad(row, health.SLOW_SCORE, 4)
             for _ in range(5):
@@ -33,7 +33,7 @@
 
 class TestEjection:
     def test_time_out_doubles_up_to_a_bound(self) -> None:
-        row = health.HealthRow()
+        row = tables.HealthRow()
         outs = []
         for _ in range(10):
             health.begin_ejection(row, 100.0)
@@ -44,7 +44,7 @@
     def test_target_comes_back_with_one_attempt_and_earns_its_slots(
         self,
     ) -> None:
-        row = health.HealthRow()
+        row = tables.HealthRow()
         health.begin_ejection(row, 0.0)
         health.end_ejection(row)
         caps = []
@@ -55,7 +55,7 @@
         assert row.ejections == 0
 
     def test_one_bad_sign_after_the_return_ejects_again(self) -> None:
-        row = health.HealthRow()
+        row = tables.HealthRow()
         health.end_ejection(row)
         health.note_bad(row, health.FAILED_SCORE, 4)
         assert health.is_failing(row)
--- a/wigeonspool/core/choosing.py
+++ b/wigeonspool/core/choosing.py
@@ -75,9 +75,10 @@
     """Returns the bucket for a target's free slots; 0 takes no work."""
     if target.state is not tables.TargetState.SERVING:
         return 0
-    free = target.limit - target.in_flight
+    limit = min(target.limit, target.health.cap)
+    free = limit - target.in_flight
     if free <= 0:
         return 0
-    if target.limit <= LEVELS:
+    if limit <= LEVELS:
         return free
-    return max(1, free * LEVELS // target.limit)
+    return max(1, free * LEVELS // limit)
--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -12,14 +12,15 @@
 
 from wigeonspool.core import actions
 from wigeonspool.core import choosing
+from wigeonspool.core import health
 from wigeonspool.core import pools
+from wigeonspool.core import quarantine
+from wigeonspool.core import supervision
 from wigeonspool.core import tables
 from wigeonspool.model import entities
 from wigeonspool.model import outcomes
 
 MAX_ATTEMPTS: Final = 3
-EJECTION_FAILURES: Final = 3
-EJECTION_SECONDS: Final = 1.0
 
 
 class Dispatcher:
@@ -36,7 +37,8 @@
         self._requests: dict[int, tables.RequestRow] = {}
         self._leaving: frozenset[str] = frozenset()
         self._waiting: set[str] = set()
-        self._ejected: list[tuple[float, str, str]] = []
+        self._watched: set[str] = set()
+        self._quarantine = quarantine.QuarantineTable()
 
     def configure(self, listed: Iterable[entities.Pool]) -> None:
         """Takes the pools of a new generation; running work goes on."""
@@ -48,27 +50,13 @@
             row.pool = pool
             row.replace_targets(
                 {
-                    target.address: self._merge_target(row, target)
+                    target.address: supervision.merge_target(
+                        row, target, target.address in self._leaving
+                    )
                     for target in pool.targets
                 }
             )
 
-    def _merge_target(
-        self, row: pools.PoolRow, target: entities.Target
-    ) -> tables.TargetRow:
-        """Returns the row of a target, with what is known of it."""
-        known = row.targets.get(target.address)
-        if known is None:
-            known = tables.TargetRow(
-                target.address, target.zone, row.pool.slots
-            )
-        known.slots = row.pool.slots
-        if target.drained or target.address in self._leaving:
-            known.state = tables.TargetState.DRAINING
-        elif known.state is tables.TargetState.DRAINING:
-            known.state = tables.TargetState.SERVING
-        return known
-
     def share(self, pool: str, limits: Mapping[str, int] | None) -> None:
         """Takes the slots that this gateway may use.
 
@@ -80,6 +68,17 @@
         if row is not None:
             row.share(limits)
 
+    def list_suspects(self) -> list[tuple[int, tuple[str, ...]]]:
+        """Returns fingerprints and crashed targets, for other gateways."""
+        return self._quarantine.list_suspects()
+
+    def merge_suspects(
+        self, now: float, suspects: Iterable[tuple[int, tuple[str, ...]]]
+    ) -> None:
+        """Takes the suspects of another gateway."""
+        for fingerprint, targets in suspects:
+            self._quarantine.merge(now, fingerprint, targets)
+
     def mark_leaving(self, addresses: Iterable[str]) -> None:
         """Takes the addresses of all targets that the VM list calls leaving."""
         self._leaving = frozenset(addresses)
@@ -119,6 +118,8 @@
             return [self._refuse(request, outcomes.Reason.NOT_CONFIGURED)]
         if request.deadline <= now:
             return [self._refuse(request, outcomes.Reason.DEADLINE_PASSED)]
+        if self._quarantine.is_refused(now, request.fingerprint):
+            return [self._refuse(request, outcomes.Reason.QUARANTINED)]
         request.arrived_at = now
         self._requests[request.request_id] = request
         row.enqueue(request)
@@ -141,6 +142,9 @@
         row = self._pools[request.pool]
         if result.kind is tables.ResultKind.ANSWERED:
             row.times.record(request.route, now - request.sent_at)
+            self._quarantine.clear(request.fingerprint)
+        elif result.crashed:
+            self._quarantine.note_crash(now, request.fingerprint, target)
         self._release(now, row, request, target, result)
         request.tried.add(target)
         done = self._conclude(now, row, request, result)
@@ -160,30 +164,34 @@
         done: list[actions.Action] = []
         if request.state is tables.RequestState.RUNNING:
             done.append(actions.Cancel(request_id, request.target))
-            lost = tables.Result(tables.ResultKind.ANSWERED)
-            self._release(now, row, request, request.target, lost)
+            self._release(now, row, request, request.target, None)
         request.state = tables.RequestState.SETTLED
         return done + self._dispatch(now, row)
 
     def tick(self, now: float) -> list[actions.Action]:
         """Runs the systems that depend on time alone."""
-        self._restore(now)
         done: list[actions.Action] = []
+        for name in list(self._watched):
+            row = self._pools[name]
+            self._note_overdue(now, row)
+            supervision.restore_targets(now, row)
+            if not row.overdue and not row.returns:
+                self._watched.discard(name)
         for name in list(self._waiting):
             done += self._dispatch(now, self._pools[name])
         return done
 
-    def _restore(self, now: float) -> None:
-        """Lets targets serve again whose ejection is over."""
-        while self._ejected and self._ejected[0][0] <= now:
-            _, pool, address = heapq.heappop(self._ejected)
-            row = self._pools[pool]
-            target = row.targets.get(address)
-            if target is None or target.ejected_until > now:
-                continue
-            if target.state is tables.TargetState.EJECTED:
-                target.state = tables.TargetState.SERVING
-                row.index.place(target)
+    def _note_overdue(self, now: float, row: pools.PoolRow) -> None:
+        """Judges targets by attempts that should have ended by now."""
+        while row.overdue and row.overdue[0][0] <= now:
+            _, request_id, attempt = heapq.heappop(row.overdue)
+            request = self._requests.get(request_id)
+            if (
+                request is not None
+                and request.state is tables.RequestState.RUNNING
+                and request.attempts == attempt
+            ):
+                supervision.learn_overdue(now, row, request)
 
     def _release(
         self,
@@ -191,38 +199,24 @@
         row: pools.PoolRow,
         request: tables.RequestRow,
         address: str,
-        result: tables.Result,
+        result: tables.Result | None,
     ) -> None:
-        """Frees the slot of an attempt and learns from its result."""
+        """Frees the slot of an attempt and learns from its result, if any."""
         row.count_end(request)
+        if request.suspect:
+            request.suspect = False
+            row.suspects[address] -= 1
+            row.suspects += collections.Counter()
         target = row.targets.get(address)
         if target is None:
             return
         target.in_flight = max(0, target.in_flight - 1)
-        if result.draining:
-            target.state = tables.TargetState.DRAINING
-        if result.kind is tables.ResultKind.ANSWERED:
-            target.failures = 0
-        else:
-            target.failures += 1
-            if target.failures >= EJECTION_FAILURES:
-                self._eject(now, row, target)
+        if result is not None:
+            supervision.learn_result(now, row, request, target, result)
+            if row.returns:
+                self._watched.add(row.pool.name)
         row.index.place(target)
 
-    def _eject(
-        self, now: float, row: pools.PoolRow, target: tables.TargetRow
-    ) -> None:
-        """Keeps new work from a target, within the pool's bound."""
-        states = [t.state for t in row.targets.values()]
-        bound = int(len(states) * row.pool.max_ejected_fraction)
-        if states.count(tables.TargetState.EJECTED) >= bound:
-            return
-        if target.state is tables.TargetState.SERVING:
-            target.state = tables.TargetState.EJECTED
-            target.ejected_until = now + EJECTION_SECONDS
-            entry = (target.ejected_until, row.pool.name, target.address)
-            heapq.heappush(self._ejected, entry)
-
     def _conclude(
         self,
         now: float,
@@ -235,6 +229,8 @@
             return [self._settle(request, None)]
         if result.kind is not tables.ResultKind.NOT_RUN:
             request.may_have_run = True
+        if self._quarantine.is_refused(now, request.fingerprint):
+            return [self._refuse(request, outcomes.Reason.QUARANTINED)]
         safe = result.kind is tables.ResultKind.NOT_RUN or request.idempotent
         if safe and request.attempts < MAX_ATTEMPTS and now < request.deadline:
             request.state = tables.RequestState.QUEUED
@@ -292,7 +288,10 @@
         self, row: pools.PoolRow, request: tables.RequestRow
     ) -> tables.TargetRow | None:
         """Returns the target with the most free slots, near ones first."""
-        return row.index.choose(request.tried, choosing.Group.REMOTE)
+        avoided = request.tried
+        if self._quarantine.is_suspect(request.fingerprint):
+            avoided = avoided | row.suspects.keys()
+        return row.index.choose(avoided, choosing.Group.REMOTE)
 
     def _send(
         self,
@@ -309,4 +308,20 @@
         request.target = target.address
         request.sent_at = now
         request.attempts += 1
+        request.overdue = False
+        if self._quarantine.is_suspect(request.fingerprint):
+            request.suspect = True
+            row.suspects[target.address] += 1
+        self._expect_end(now, row, request)
         return actions.Send(request.request_id, target.address)
+
+    def _expect_end(
+        self, now: float, row: pools.PoolRow, request: tables.RequestRow
+    ) -> None:
+        """Plans a look at an attempt when it should have ended."""
+        median = row.times.find(request.route).median
+        if median:
+            at = now + health.find_slow_seconds(median)
+            entry = (at, request.request_id, request.attempts)
+            heapq.heappush(row.overdue, entry)
+            self._watched.add(row.pool.name)
--- a/wigeonspool/core/health.py
+++ b/wigeonspool/core/health.py
@@ -7,7 +7,6 @@
 target that may not be ejected keeps one attempt at a time instead.
 """
 
-import dataclasses
 from typing import Final
 
 from wigeonspool.core import tables
@@ -24,28 +23,8 @@
 EJECTION_SECONDS: Final = 0.2
 MAX_EJECTION_SECONDS: Final = 5.0
 MAX_DOUBLINGS: Final = 5
-UNLIMITED: Final = 1_000_000
 # A target that said it is leaving gets nothing until it is heard of anew.
-DRAINING_SECONDS: Final = 600.0
-
-
-@dataclasses.dataclass(slots=True)
-class HealthRow:
-    """What the attempts at one target have shown.
-
-    Attributes:
-        score: Weight of recent bad signs.
-        cap: Attempts that it may have in flight.
-        ejections: Ejections since it last had all its slots.
-        out_until: Deadline of its ejection, on the core's clock.
-        draining_until: Deadline of its own word that it is leaving.
-    """
-
-    score: float = 0.0
-    cap: int = UNLIMITED
-    ejections: int = 0
-    out_until: float = 0.0
-    draining_until: float = 0.0
+DRAINING_SECONDS: Final = 60.0
 
 
 def find_slow_seconds(median: float) -> float:
@@ -59,17 +38,17 @@
     return max(LEAST_SLOW_SECONDS, SLOW_RATIO * median)
 
 
-def note_good(row: HealthRow, slots: int) -> None:
+def note_good(row: tables.HealthRow, slots: int) -> None:
     """Notes an answer in good time: the cap doubles up to the slots."""
     row.score = max(0.0, row.score + GOOD_SCORE)
     if row.cap >= slots:
-        row.cap = UNLIMITED
+        row.cap = tables.UNLIMITED
         row.ejections = 0
     else:
         row.cap *= 2
 
 
-def note_bad(row: HealthRow, score: float, slots: int) -> None:
+def note_bad(row: tables.HealthRow, score: float, slots: int) -> None:
     """Notes a bad sign: the cap halves.
 
     Args:
@@ -98,12 +77,12 @@
     return SLOW_SCORE if seconds > slow else 0.0
 
 
-def is_failing(row: HealthRow) -> bool:
+def is_failing(row: tables.HealthRow) -> bool:
     """Returns True if a target should be ejected."""
     return row.score >= SCORE_LIMIT
 
 
-def begin_ejection(row: HealthRow, now: float) -> None:
+def begin_ejection(row: tables.HealthRow, now: float) -> None:
     """Takes a target out; each ejection in a row doubles the time."""
     doublings = min(row.ejections, MAX_DOUBLINGS)
     seconds = min(EJECTION_SECONDS * 2**doublings, MAX_EJECTION_SECONDS)
@@ -111,13 +90,13 @@
     row.ejections += 1
 
 
-def end_ejection(row: HealthRow) -> None:
+def end_ejection(row: tables.HealthRow) -> None:
     """Lets a target back with one attempt; one bad sign ejects it again."""
     row.score = SCORE_LIMIT - SLOW_SCORE
     row.cap = 1
 
 
-def begin_cold(row: HealthRow) -> None:
+def begin_cold(row: tables.HealthRow) -> None:
     """Lets a new target begin with one attempt at a time."""
     row.cap = 1
 
--- a/wigeonspool/core/pools.py
+++ b/wigeonspool/core/pools.py
@@ -1,5 +1,6 @@
 """One pool as a gateway holds it: targets, queue and what was learned."""
 
+import collections
 from collections.abc import Mapping
 from typing import Final
 
@@ -25,6 +26,11 @@
         times: Service times of the pool's routes.
         slots: Slots that this gateway may use at its own targets.
         long_limit: How many of them long work may use.
+        own_targets: Targets that this gateway shares with no other.
+        ejected: Addresses of those that are ejected.
+        returns: Heap of (time, address) at which targets may serve again.
+        overdue: Heap of (time, request id, attempt) at which attempts are slow.
+        suspects: Running attempts of suspects by target address.
     """
 
     __slots__ = (
@@ -33,11 +39,16 @@
         "_running",
         "_used",
         "_zone",
+        "ejected",
         "index",
         "long_limit",
+        "overdue",
+        "own_targets",
         "pool",
         "queue",
+        "returns",
         "slots",
+        "suspects",
         "targets",
         "times",
     )
@@ -56,6 +67,11 @@
         self.times = learning.PoolTimes()
         self.slots = 0
         self.long_limit = 0
+        self.own_targets = 0
+        self.ejected: set[str] = set()
+        self.returns: list[tuple[float, str]] = []
+        self.overdue: list[tuple[float, int, int]] = []
+        self.suspects: collections.Counter[str] = collections.Counter()
         self._zone = zone
         self._limits: Mapping[str, int] | None = None
         # Attempts in flight of short and of long work, and their means.
@@ -67,6 +83,7 @@
         """Takes the targets of a new generation."""
         for address in self.targets.keys() - targets.keys():
             self.index.remove(address)
+            self.ejected.discard(address)
         self.targets = targets
         self.share(self._limits)
 
@@ -74,10 +91,12 @@
         """Takes the slots that this gateway may use, or None for all."""
         self._limits = limits
         self.slots = 0
+        self.own_targets = 0
         for target in self.targets.values():
             self._set_limit(target)
             if target.group == choosing.Group.OWN:
                 self.slots += target.limit
+                self.own_targets += 1
             self.index.place(target)
         self.long_limit = min(self.long_limit or self.slots, self.slots)
 
--- /dev/null
+++ b/wigeonspool/core/supervision.py
@@ -0,0 +1,142 @@
+"""Ejects targets, lets them back and holds them to the pool's bound."""
+
+import heapq
+
+from wigeonspool.core import choosing
+from wigeonspool.core import health
+from wigeonspool.core import pools
+from wigeonspool.core import tables
+from wigeonspool.model import entities
+
+
+def merge_target(
+    row: pools.PoolRow, listed: entities.Target, leaving: bool
+) -> tables.TargetRow:
+    """Returns the row of a listed target, with what is known of it.
+
+    Args:
+        row: Pool that lists it.
+        listed: The operators' row.
+        leaving: True if the VM list calls it leaving.
+    """
+    known = row.targets.get(listed.address)
+    if known is None:
+        known = tables.TargetRow(listed.address, listed.zone, row.pool.slots)
+        if row.targets:
+            health.begin_cold(known.health)
+    known.slots = row.pool.slots
+    if listed.drained or leaving or known.health.draining_until:
+        known.state = tables.TargetState.DRAINING
+        row.ejected.discard(known.address)
+    elif known.state is tables.TargetState.DRAINING:
+        known.state = tables.TargetState.SERVING
+    return known
+
+
+def learn_result(
+    now: float,
+    row: pools.PoolRow,
+    request: tables.RequestRow,
+    target: tables.TargetRow,
+    result: tables.Result,
+) -> None:
+    """Judges a target by the result of an attempt.
+
+    Args:
+        now: Time on the core's clock, in seconds.
+        row: Pool of the target.
+        request: Request of the attempt.
+        target: Target that it was sent to.
+        result: How it ended.
+    """
+    if result.draining:
+        begin_draining(now, row, target)
+        return
+    slow = health.find_slow_seconds(row.times.find(request.route).median)
+    seconds = now - request.sent_at
+    score = health.weigh_result(result, seconds, slow)
+    if not score:
+        health.note_good(target.health, target.slots)
+    elif not request.overdue or score != health.SLOW_SCORE:
+        _note_bad(now, row, target, score)
+
+
+def learn_overdue(
+    now: float, row: pools.PoolRow, request: tables.RequestRow
+) -> None:
+    """Judges a target by an attempt that should have ended by now."""
+    request.overdue = True
+    target = row.targets.get(request.target)
+    if target is not None:
+        _note_bad(now, row, target, health.SLOW_SCORE)
+        row.index.place(target)
+
+
+def _note_bad(
+    now: float, row: pools.PoolRow, target: tables.TargetRow, score: float
+) -> None:
+    """Notes a bad sign and ejects the target if that is one too many."""
+    health.note_bad(target.health, score, target.slots)
+    if not health.is_failing(target.health):
+        return
+    if target.state is not tables.TargetState.SERVING:
+        return
+    if target.group == choosing.Group.OWN:
+        allowed = health.count_allowed_ejections(
+            row.own_targets, row.pool.max_ejected_fraction
+        )
+        if len(row.ejected) >= allowed:
+            target.health.cap = 1
+            return
+        row.ejected.add(target.address)
+    target.state = tables.TargetState.EJECTED
+    health.begin_ejection(target.health, now)
+    entry = (target.health.out_until, target.address)
+    heapq.heappush(row.returns, entry)
+
+
+def begin_draining(
+    now: float, row: pools.PoolRow, target: tables.TargetRow
+) -> None:
+    """Takes out a target that said it is leaving."""
+    target.state = tables.TargetState.DRAINING
+    target.health.draining_until = now + health.DRAINING_SECONDS
+    row.ejected.discard(target.address)
+    entry = (target.health.draining_until, target.address)
+    heapq.heappush(row.returns, entry)
+
+
+def restore_targets(now: float, row: pools.PoolRow) -> bool:
+    """Lets targets serve again whose time out is over.
+
+    Returns:
+        True if a target serves again.
+    """
+    restored = False
+    while row.returns and row.returns[0][0] <= now:
+        _, address = heapq.heappop(row.returns)
+        target = row.targets.get(address)
+        if target is not None:
+            restored |= _restore_target(now, row, target)
+    return restored
+
+
+def _restore_target(
+    now: float, row: pools.PoolRow, target: tables.TargetRow
+) -> bool:
+    """Lets a target serve again if its time out is over."""
+    row_health = target.health
+    if target.state is tables.TargetState.EJECTED:
+        if row_health.out_until > now:
+            return False
+    elif target.state is tables.TargetState.DRAINING:
+        if not 0.0 < row_health.draining_until <= now:
+            return False
+        row_health.draining_until = 0.0
+    else:
+        return False
+    row.ejected.discard(target.address)
+    target.state = tables.TargetState.SERVING
+    health.end_ejection(row_health)
+    row.index.place(target)
+    return True
--- a/wigeonspool/core/tables.py
+++ b/wigeonspool/core/tables.py
@@ -6,6 +6,9 @@
 
 import dataclasses
 import enum
+from typing import Final
+
+UNLIMITED: Final = 1_000_000
 
 
 class TargetState(enum.Enum):
@@ -16,6 +19,25 @@
     DRAINING = enum.auto()
 
 
+@dataclasses.dataclass(slots=True)
+class HealthRow:
+    """What the attempts at one target have shown.
+
+    Attributes:
+        score: Weight of recent bad signs.
+        cap: Attempts that it may have in flight.
+        ejections: Ejections since it last had all its slots.
+        out_until: Deadline of its ejection, on the core's clock.
+        draining_until: Deadline of its own word that it is leaving.
+    """
+
+    score: float = 0.0
+    cap: int = UNLIMITED
+    ejections: int = 0
+    out_until: float = 0.0
+    draining_until: float = 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class TargetRow:
     """One target of a pool as this gateway knows it.
@@ -28,8 +50,7 @@
         group: Place in the order of preference; 0 comes first.
         in_flight: Attempts of this gateway that run there.
         state: Whether it may receive work.
-        ejected_until: Deadline of its ejection, on the core's clock.
-        failures: Consecutive failed attempts.
+        health: What its attempts have shown.
     """
 
     address: str
@@ -39,8 +60,7 @@
     group: int = 0
     in_flight: int = 0
     state: TargetState = TargetState.SERVING
-    ejected_until: float = 0.0
-    failures: int = 0
+    health: HealthRow = dataclasses.field(default_factory=HealthRow)
 
 
 class RequestState(enum.Enum):
@@ -70,6 +90,8 @@
         attempts: Attempts sent so far.
         may_have_run: True once an attempt was lost.
         tried: Addresses that failed it.
+        overdue: True once its running attempt counted as slow.
+        suspect: True if its attempt is that of a suspect.
         expected: Service time that its route has taken, in seconds.
         is_long: True if its route takes many times longer than others.
     """
@@ -88,6 +110,8 @@
     attempts: int = 0
     may_have_run: bool = False
     tried: set[str] = dataclasses.field(default_factory=set)
+    overdue: bool = False
+    suspect: bool = False
     expected: float = 0.0
     is_long: bool = False
 
@@ -124,8 +148,10 @@
             begin; LOST if it may have run and no whole answer came.
         report: Load report that came with the answer.
         draining: True if the target said that it is leaving.
+        crashed: True if the connection broke while the attempt ran.
     """
 
     kind: ResultKind
     report: LoadReport | None = None
     draining: bool = False
+    crashed: bool = False
