Divide each pool's slots between gateways by their demand

Cause: gateways that share targets cannot count each other's attempts, and two gateways cannot carry 5,600 requests a second. Now each slot has one gateway; the number of gateways that callers are told grows with demand, and slots follow the demand that each gateway meets. Long work leaves 0.75 of the slots that short work uses and 0.25 of the spare ones.

--- /dev/null
+++ b/tests/test_sharing.py
@@ -0,0 +1,94 @@
+"""How gateways share a pool, and which of them callers are told."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+
+from wigeonspool.core import sharing
+from wigeonspool.model import entities
+
+
+def build_pool(targets: int, slots: int) -> entities.Pool:
+    listed = (entities.Target(f"t{i}:1", "zone-0") for i in range(targets))
+    return entities.Pool("queue", slots, tuple(listed))
+
+
+def build_gateways(count: int, demand: float) -> list[entities.Gateway]:
+    return [
+        entities.Gateway(
+            f"g{i}",
+            "1",
+            f"g{i}:1",
+            "zone-0",
+            f"vm-{i}",
+            False,
+            {"queue": demand},
+        )
+        for i in range(count)
+    ]
+
+
+class TestDivision:
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(
+        targets=strategies.integers(0, 40),
+        slots=strategies.integers(1, 9),
+        gateways=strategies.integers(0, 20),
+    )
+    def test_each_slot_has_one_gateway(
+        self, targets: int, slots: int, gateways: int
+    ) -> None:
+        names = {f"g{i}": 1.0 for i in range(gateways)}
+        pool = build_pool(targets, slots)
+        shares = sharing.divide_slots(pool, "zone-0", names)
+        if gateways:
+            for target in pool.targets:
+                held = sum(s.get(target.address, 0) for s in shares.values())
+                assert held == slots
+            sizes = [sum(share.values()) for share in shares.values()]
+            assert max(sizes) - min(sizes) <= 1
+
+    def test_drained_and_remote_targets_are_nobodys(self) -> None:
+        near, *_ = build_pool(1, 4).targets
+        far = dataclasses.replace(near, address="f:1", zone="zone-1")
+        drained = dataclasses.replace(near, address="d:1", drained=True)
+        pool = entities.Pool("queue", 4, (near, far, drained))
+        shares = sharing.divide_slots(pool, "zone-0", {"g0": 1.0})
+        assert shares == {"g0": {"t0:1": 4}}
+
+
+class TestWeights:
+    def test_slots_stay_where_callers_still_send(self) -> None:
+        old, new = build_gateways(2, 1000)
+        new = dataclasses.replace(new, demand={"queue": 0.0})
+        weights = sharing.weigh_gateways("queue", [old, new], [old, new])
+        assert weights == {"g0": 2.0, "g1": 0.25}
+        # A gateway that is no longer named keeps slots for its callers.
+        weights = sharing.weigh_gateways("queue", [new], [old, new])
+        assert weights == {"g0": 1.0, "g1": 0.25}
+
+    def test_noise_moves_no_slots(self) -> None:
+        one, two = build_gateways(2, 1000)
+        two = dataclasses.replace(two, demand={"queue": 1080.0})
+        weights = sharing.weigh_gateways("queue", [one, two], [one, two])
+        assert weights == {"g0": 1.0, "g1": 1.0}
+
+
+class TestCrews:
+    def test_count_follows_demand_up_at_once_and_down_late(self) -> None:
+        crews = sharing.Crews(carried=1000, least=2)
+        counts = []
+        for demand in (100, 450, 380, 100):
+            gateways = build_gateways(10, demand)
+            counts.append(len(crews.find("queue", "zone-0", gateways)))
+        assert counts == [2, 5, 5, 2]
+
+    def test_a_gateway_that_is_not_named_owns_nothing(self) -> None:
+        crews = sharing.Crews(carried=1000, least=2)
+        gateways = build_gateways(4, 0)
+        pool = build_pool(6, 2)
+        crew = crews.find("queue", "zone-0", gateways)
+        for gateway in gateways:
+            share = crews.divide(pool, "zone-0", gateways, gateway.name)
+            assert sum(share.values()) == (6 if gateway in crew else 0)
--- a/wigeonspool/core/pools.py
+++ b/wigeonspool/core/pools.py
@@ -12,6 +12,8 @@
 REFRESH_SECONDS: Final = 0.05
 USE_WEIGHT: Final = 0.05
 SHARED_LIMIT: Final = 1
+KEPT_OF_USE: Final = 0.75
+KEPT_OF_SPARE: Final = 0.25
 
 
 class PoolRow:
@@ -118,7 +120,8 @@
     def refresh(self, now: float) -> None:
         """Brings the slots kept for short work up to date.
 
-        Short work keeps what it uses, and half of what nobody uses.
+        Short work keeps most of what it uses and a part of the spare slots.
+        It may lose the rest, since its own slots are free again soon.
         """
         if now < self._refresh_at:
             return
@@ -128,4 +131,5 @@
             self._used[kind] += (running - self._used[kind]) * USE_WEIGHT
         short, long = self._used
         spare = max(0.0, self.slots - short - long)
-        self.long_limit = max(1, round(self.slots - short - spare / 2))
+        kept = KEPT_OF_USE * short + KEPT_OF_SPARE * spare
+        self.long_limit = max(1, round(self.slots - kept))
--- a/wigeonspool/core/sharing.py
+++ b/wigeonspool/core/sharing.py
@@ -4,12 +4,15 @@
 All gateways divide alike, since they compute from the same names.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 import math
+from typing import Final
 
 from wigeonspool.core import assignments
 from wigeonspool.model import entities
 
+STEPS_PER_PART: Final = 4
+
 
 def count_gateways(demand: float, carried: float, least: int, kept: int) -> int:
     """Returns how many gateways a pool needs in a zone.
@@ -31,33 +34,69 @@
 
 
 def divide_slots(
-    pool: entities.Pool, zone: str, gateways: Sequence[str]
+    pool: entities.Pool, zone: str, weights: Mapping[str, float]
 ) -> dict[str, dict[str, int]]:
     """Returns for each gateway the slots it may use, by target address.
 
     Args:
         pool: Pool whose targets of a zone are divided.
         zone: Availability zone.
-        gateways: Names of the gateways that share it.
+        weights: Parts of the gateways that share it, in their order.
     """
-    shares: dict[str, dict[str, int]] = {name: {} for name in gateways}
+    shares: dict[str, dict[str, int]] = {name: {} for name in weights}
     near = {
         target.address: target
         for target in pool.targets
         if target.zone == zone and not target.drained
     }
-    if not gateways or not near:
+    if not weights or not near:
         return shares
     order = assignments.rank_members(pool.name, near)
     total = len(order) * pool.slots
-    for slot in range(total):
-        owner = gateways[slot * len(gateways) // total]
-        address = order[slot // pool.slots]
-        share = shares[owner]
-        share[address] = share.get(address, 0) + 1
+    whole = sum(weights.values())
+    seen = 0.0
+    begin = 0
+    for name, weight in weights.items():
+        seen += weight
+        end = round(total * seen / whole)
+        for slot in range(begin, end):
+            address = order[slot // pool.slots]
+            shares[name][address] = shares[name].get(address, 0) + 1
+        begin = end
     return shares
 
 
+def weigh_gateways(
+    pool: str,
+    crew: Iterable[entities.Gateway],
+    gateways: Iterable[entities.Gateway],
+) -> dict[str, float]:
+    """Returns each gateway's part of a pool, by the demand that it meets.
+
+    Callers keep old answers, so demand follows the crew late; a part that did
+    not follow demand would leave some gateways short of slots meanwhile.
+    Parts are rounded, so that noise moves no slots.
+
+    Args:
+        pool: Name of the pool.
+        crew: Gateways that callers are told of now.
+        gateways: All gateways of the zone.
+    """
+    members = {gateway.name for gateway in crew}
+    demand = {g.name: g.demand.get(pool, 0.0) for g in gateways}
+    whole = sum(demand.values())
+    if not whole:
+        return {name: 1.0 for name in demand if name in members}
+    mean = whole / max(1, len(members))
+    weights = {}
+    for name, met in demand.items():
+        steps = round(met / mean * STEPS_PER_PART)
+        weight = max(steps, name in members) / STEPS_PER_PART
+        if weight:
+            weights[name] = weight
+    return weights
+
+
 class Crews:
     """Which gateways serve a pool in a zone, by demand."""
 
@@ -78,8 +117,16 @@
         self, pool: str, zone: str, gateways: Iterable[entities.Gateway]
     ) -> list[entities.Gateway]:
         """Returns the gateways to name to the pool's callers of a zone."""
-        count = self._kept.get((pool, zone), self._least)
-        return assignments.choose_gateways(pool, zone, gateways, count)
+        listed = list(gateways)
+        demand = sum(
+            gateway.demand.get(pool, 0.0)
+            for gateway in listed
+            if gateway.zone == zone
+        )
+        kept = self._kept.get((pool, zone), self._least)
+        count = count_gateways(demand, self._carried, self._least, kept)
+        self._kept[(pool, zone)] = count
+        return assignments.choose_gateways(pool, zone, listed, count)
 
     def divide(
         self,
@@ -88,7 +135,7 @@
         gateways: Sequence[entities.Gateway],
         name: str,
     ) -> dict[str, int]:
-        """Takes digests of demand and divides the pool anew.
+        """Divides a pool by the latest digests of demand.
 
         Args:
             pool: Pool to divide.
@@ -99,14 +146,8 @@
         Returns:
             The slots that it may use, by target address.
         """
-        demand = sum(
-            gateway.demand.get(pool.name, 0.0)
-            for gateway in gateways
-            if gateway.zone == zone
-        )
-        kept = self._kept.get((pool.name, zone), self._least)
-        count = count_gateways(demand, self._carried, self._least, kept)
-        self._kept[(pool.name, zone)] = count
         crew = self.find(pool.name, zone, gateways)
-        names = [gateway.name for gateway in crew]
-        return divide_slots(pool, zone, names).get(name, {})
+        near = [gateway for gateway in gateways if gateway.zone == zone]
+        near.sort(key=lambda gateway: gateway.name)
+        weights = weigh_gateways(pool.name, crew, near)
+        return divide_slots(pool, zone, weights).get(name, {})
--- a/wigeonspool/gateway/addresses.py
+++ b/wigeonspool/gateway/addresses.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from wigeonspool.core import assignments
+from wigeonspool.core import sharing
 from wigeonspool.gateway import answers
 from wigeonspool.gateway import headers
 from wigeonspool.gateway import view as views
@@ -38,6 +38,24 @@
         self._view = view
         self._signer = signer
         self._answered = 0
+        self._crews = sharing.Crews(
+            settings.requests_per_second, settings.gateways_per_pool
+        )
+
+    def divide_pools(self, name: str) -> dict[str, dict[str, int]]:
+        """Divides every pool between the gateways that serve it.
+
+        Args:
+            name: Name of this gateway.
+
+        Returns:
+            By pool, the slots that this gateway may use at each target.
+        """
+        gateways = list(self._view.gateways.values())
+        return {
+            pool.name: self._crews.divide(pool, self._zone, gateways, name)
+            for pool in self._view.tables.pools.values()
+        }
 
     def answer(self, request: web.BaseRequest) -> web.Response:
         """Answers one address question."""
@@ -46,12 +64,7 @@
         if pool not in self._view.tables.pools:
             failure = outcomes.refuse(outcomes.Reason.NOT_CONFIGURED)
             return answers.build_problem(failure, "")
-        chosen = assignments.choose_gateways(
-            pool,
-            zone,
-            self._view.gateways.values(),
-            self._settings.gateways_per_pool,
-        )
+        chosen = self._crews.find(pool, zone, self._view.gateways.values())
         if not chosen:
             failure = outcomes.refuse(outcomes.Reason.DRAINING)
             return answers.build_problem(failure, "")
--- a/wigeonspool/gateway/ingress.py
+++ b/wigeonspool/gateway/ingress.py
@@ -88,6 +88,10 @@
             client,
         )
 
+    def divide_pools(self) -> dict[str, dict[str, int]]:
+        """Returns the slots that this gateway may use, by pool and target."""
+        return self._addresses.divide_pools(self.gateway.name)
+
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one HTTP request of a caller."""
         if request.path == headers.ADDRESS_PATH:
--- a/wigeonspool/gateway/scheduler.py
+++ b/wigeonspool/gateway/scheduler.py
@@ -1,6 +1,7 @@
 """Drives the core for a gateway: each request waits for its next action."""
 
 import asyncio
+from collections.abc import Mapping
 
 from wigeonspool.core import actions
 from wigeonspool.core import dispatcher
@@ -32,6 +33,12 @@
         self.core.configure(pools)
         self.tick()
 
+    def share(self, limits: Mapping[str, Mapping[str, int]]) -> None:
+        """Takes the slots that this gateway may use, by pool and target."""
+        for pool, slots in limits.items():
+            self.core.share(pool, slots)
+        self.tick()
+
     async def submit(self, request: tables.RequestRow) -> actions.Action:
         """Returns the first action of a request: a Send or a Settle."""
         self._expect(request.request_id)
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -111,8 +111,16 @@
         """Puts new tables and members in force."""
         self._scheduler.core.mark_leaving(self._view.leaving)
         self._scheduler.configure(list(self._view.tables.pools.values()))
+        self._share_pools()
         self._report()
 
+    def _share_pools(self) -> None:
+        """Divides the pools with the other gateways that serve them."""
+        # Callers keep old answers for a while, so a gateway that drains
+        # goes on with the slots that it had.
+        if not self._ingress.draining:
+            self._scheduler.share(self._ingress.divide_pools())
+
     def _report(self) -> None:
         """Tells the agent of this gateway."""
         demand = {
@@ -141,6 +149,7 @@
     async def _report_often(self) -> None:
         """Reports to the agent and to the time line."""
         self._report()
+        self._share_pools()
         self._ingress.demand.clear()
         self._watcher.observe()
 
--- a/wigeonspool/model/options.py
+++ b/wigeonspool/model/options.py
@@ -86,6 +86,8 @@
         once_capacity: Rows of the table of non-idempotent requests.
         once_answer_bytes: Bytes of the answers that this table keeps.
         gateways_per_pool: Least gateways named for a pool and zone.
+        requests_per_second: What one gateway process carries; a pool with
+            more demand in a zone is given more gateways.
     """
 
     addresses: list[Address] = ["127.0.0.1:8000"]
@@ -96,6 +98,7 @@
     once_capacity: Annotated[int, pydantic.Field(ge=1)] = 100_000
     once_answer_bytes: Annotated[int, pydantic.Field(ge=0)] = 16_000_000
     gateways_per_pool: Annotated[int, pydantic.Field(ge=1)] = 2
+    requests_per_second: Annotated[float, pydantic.Field(gt=0)] = 1400.0
 
 
 class LogOptions(Section):
