--- a/wigeonspool/agent/metrics.py
+++ b/wigeonspool/agent/metrics.py
@@ -28,3 +28,14 @@
     "wigeonspool_agent_streams_rejected_total",
     "Streams closed because the peer broke the protocol, by error code.",
 )
+LEASES: Final = aioprometheus.Gauge(
+    "wigeonspool_agent_leases", "Measuring budgets that this agent may spend."
+)
+PEER_BYTES: Final = aioprometheus.Counter(
+    "wigeonspool_agent_peer_bytes_total",
+    "Bytes exchanged with other agents, by direction.",
+)
+CUT_OFF: Final = aioprometheus.Counter(
+    "wigeonspool_agent_cut_off_streams_total",
+    "Streams closed because their reader was silent or too slow.",
+)
--- a/wigeonspool/wire/streams.py
+++ b/wigeonspool/wire/streams.py
@@ -1,11 +1,16 @@
 """Message streams between this system's processes, over TCP."""
 
 import asyncio
+from typing import Final
 
 from wigeonspool.model import messages
 from wigeonspool.wire import clocks
 from wigeonspool.wire import frames
 
+# A peer that leaves more than this unread is cut off; it reconnects and gets
+# the whole state. The largest message, a snapshot, always fits once.
+MAX_UNSENT_BYTES: Final = 1024 * 1024
+
 
 class Stream:
     """One connection that carries messages both ways.
@@ -13,9 +18,19 @@
     Attributes:
         peer: Remote host:port, for logs.
         sent_bytes: Bytes of the frames written so far.
+        received_bytes: Bytes of the frames read so far.
+        overflowed: True if the peer left too much unread and was cut off.
     """
 
-    __slots__ = ("_clock", "_reader", "_writer", "peer", "sent_bytes")
+    __slots__ = (
+        "_clock",
+        "_reader",
+        "_writer",
+        "overflowed",
+        "peer",
+        "received_bytes",
+        "sent_bytes",
+    )
 
     def __init__(
         self,
@@ -34,6 +49,8 @@
         self._reader = reader
         self._writer = writer
         self.sent_bytes = 0
+        self.received_bytes = 0
+        self.overflowed = False
         name = writer.get_extra_info("peername")
         self.peer = f"{name[0]}:{name[1]}" if name else "unknown"
 
@@ -49,9 +66,11 @@
             WireError: If the peer broke the protocol.
             OSError: If the connection failed.
         """
-        document = await frames.read_frame(self._reader, max_bytes)
-        if document is None:
+        body = await frames.read_body(self._reader, max_bytes)
+        if body is None:
             return None
+        self.received_bytes += frames.LENGTH.size + len(body)
+        document = frames.unpack_body(body)
         message = messages.decode_message(document)
         stamp = messages.read_stamp(document)
         if stamp is not None and self._clock is not None:
@@ -59,11 +78,21 @@
         return message
 
     def post(self, message: messages.Message) -> None:
-        """Queues a message without waiting for the peer."""
+        """Queues a message without waiting for the peer.
+
+        The connection is cut if the peer has left too much unread.
+        """
+        self.post_frame(pack_message(message, self._clock))
+
+    def post_frame(self, data: bytes) -> None:
+        """Queues a message that is packed already; see `post`."""
         if self._writer.is_closing():
             return
-        stamp = None if self._clock is None else self._clock.issue_stamp()
-        data = frames.pack_frame(messages.encode_message(message, stamp))
+        unsent = self._writer.transport.get_write_buffer_size()
+        if unsent > MAX_UNSENT_BYTES:
+            self.overflowed = True
+            self._writer.transport.abort()
+            return
         self.sent_bytes += len(data)
         self._writer.write(data)
 
@@ -80,6 +109,18 @@
         """Closes the connection."""
         self._writer.close()
 
+    def abort(self) -> None:
+        """Closes the connection at once; what is unsent is dropped."""
+        self._writer.transport.abort()
+
+
+def pack_message(
+    message: messages.Message, clock: clocks.HybridClock | None
+) -> bytes:
+    """Returns the frame of a message, stamped by the clock of this process."""
+    stamp = None if clock is None else clock.issue_stamp()
+    return frames.pack_frame(messages.encode_message(message, stamp))
+
 
 async def open_stream(
     address: str, clock: clocks.HybridClock | None = None
