--- /dev/null
+++ b/tests/test_control_bench.py
@@ -0,0 +1,56 @@
+import pytest
+
+from wigeonspool.load import control
+from wigeonspool.load import footprint
+from wigeonspool.model import entities
+from wigeonspool.platform import store
+
+ROLLUP = """55d0-7ffd ---p 00000000 00:00 0    [rollup]
+Rss:               20480 kB
+Pss:               12000 kB
+Shared_Clean:       8192 kB
+Shared_Dirty:          0 kB
+Private_Clean:      2048 kB
+Private_Dirty:     10240 kB
+"""
+
+
+class TestFootprint:
+    def test_private_and_shared_are_told_apart(self) -> None:
+        assert footprint.parse_footprint(ROLLUP) == footprint.Footprint(
+            20.0, 12.0, 8.0
+        )
+
+    def test_cut_file_is_not_taken_for_an_empty_process(self) -> None:
+        with pytest.raises(KeyError):
+            footprint.parse_footprint("Rss: 1 kB\n")
+
+
+class TestCost:
+    def test_rates_are_per_second_and_per_node(self) -> None:
+        before = control.Reading(10.0, 1.0, [0, 0, 0], [0, 0, 0], 5, 1)
+        after = control.Reading(
+            20.0, 1.3, [100, 200, 9000], [50, 60, 1000], 105, 21
+        )
+        assert control.compare_readings(before, after) == control.Cost(
+            3, pytest.approx(1.0), 6.0, 20.0, 1000.0, 10.0, 2.0
+        )
+
+
+class TestTables:
+    def test_targets_are_spread_over_all_services(self) -> None:
+        tables = control.build_tables(19, 100)
+        sizes = {len(pool.targets) for pool in tables.pools.values()}
+        assert sizes == {5, 6}
+        listed = {t.address for p in tables.pools.values() for t in p.targets}
+        assert len(listed) == 100
+
+    def test_each_step_stays_below_the_bound_of_the_store(self) -> None:
+        wanted = control.build_tables(1900, 10_000)
+        held = entities.EMPTY_TABLES
+        for tables in control.split_tables(wanted):
+            change = control.changes.diff_tables(held, tables, "i", "a", 0.0)
+            value = control.configuration.encode_change(change)
+            assert len(value) <= store.MAX_VALUE_BYTES
+            held = control.changes.apply_change(held, change)
+        assert held.pools == wanted.pools
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -17,6 +17,7 @@
 from wigeonspool.model import errors
 from wigeonspool.model import events
 from wigeonspool.model import messages
+from wigeonspool.platform import vms
 from wigeonspool.wire import clocks
 from wigeonspool.wire import proofs
 from wigeonspool.wire import senders
@@ -139,6 +140,17 @@
         # A feeder follows one of its region and one of each other region.
         assert counts == {5: {2, 3}, 50: {2, 3}}
 
+    def test_feeders_of_a_region_lie_in_different_zones(self) -> None:
+        for salt in range(20):
+            listed = [
+                dataclasses.replace(
+                    vm, name=f"{salt}-{vm.name}", zone=f"zone-{number % 2}"
+                )
+                for number, vm in enumerate(build_vms(1, 10))
+            ]
+            chosen = members.choose_feeders(listed, 2)
+            assert {vm.zone for vm in chosen} == {"zone-0", "zone-1"}
+
     def test_seeds_are_followed_while_nothing_is_known(self) -> None:
         known = self.build("vm-0-1", "region-0")
         assert known.choose_upstreams(False) == {"seed:1": senders.AGENT}
@@ -303,6 +315,27 @@
         stream.abort()
 
 
+class TestStream:
+    async def test_slow_reader_of_a_large_message_is_not_cut_off(self) -> None:
+        transport = unittest.mock.Mock()
+        writer = unittest.mock.Mock(transport=transport)
+        writer.is_closing.return_value = False
+        writer.get_extra_info.return_value = ("127.0.0.1", 1)
+        stream = streams.Stream(unittest.mock.Mock(), writer)
+        transport.get_write_buffer_size.return_value = 0
+        stream.post_frame(b"x" * (3 * streams.MAX_UNSENT_BYTES))
+        # Nothing of it has been read while pulses follow.
+        unsent = 3 * streams.MAX_UNSENT_BYTES
+        transport.get_write_buffer_size.return_value = unsent
+        stream.post_frame(b"pulse")
+        assert not stream.overflowed
+        unsent += streams.MAX_UNSENT_BYTES + 1
+        transport.get_write_buffer_size.return_value = unsent
+        stream.post_frame(b"pulse")
+        assert stream.overflowed
+        transport.abort.assert_called_once()
+
+
 class TestFleetMembership:
     async def test_idle_feeder_sends_nothing_but_pulses(
         self, fleet: fleets.Fleet
@@ -348,6 +381,17 @@
         }
         assert calling == set(fleet.list_feeders())
 
+    async def test_list_that_is_the_same_is_parsed_once(
+        self, fleet: fleets.Fleet
+    ) -> None:
+        reader = vms.VmListReader(fleet.session, f"{fleet.vms_url}/v1/vms", 5.0)
+        first = await reader.read()
+        assert await reader.read() == first
+        assert reader.parsed == 1
+        fleet.list_vm("vm-9", "zone-0", "10.0.0.1:1", "entry")
+        assert len(await reader.read()) == len(first) + 1
+        assert reader.parsed == 2
+
     async def test_vm_that_is_gone_is_named_by_nobody(
         self, fleet: fleets.Fleet
     ) -> None:
--- a/wigeonspool/agent/following.py
+++ b/wigeonspool/agent/following.py
@@ -52,7 +52,9 @@
             feed: Does a feeder's work until it is cancelled.
         """
         self._settings = settings
-        self._session = session
+        self._reader = vms.VmListReader(
+            session, settings.vm_list.url, settings.store.timeout_seconds
+        )
         self._upstreams = upstreams
         self._tell = tell
         self._feed = feed
@@ -113,11 +115,7 @@
         """Reads the VM list; if that fails, the old one stays."""
         self.list_reads += 1
         try:
-            listed = await vms.read_vms(
-                self._session,
-                self._settings.vm_list.url,
-                self._settings.store.timeout_seconds,
-            )
+            listed = await self._reader.read()
         except errors.VmListError as error:
             loguru.logger.info("{}", error)
             return
--- a/wigeonspool/agent/leases.py
+++ b/wigeonspool/agent/leases.py
@@ -19,7 +19,7 @@
 TTL_SECONDS: Final = 9
 MARGIN_SECONDS: Final = 1.0
 RENEW_SECONDS: Final = 3.0
-CLAIMS_PER_STEP: Final = 20
+CLAIMS_PER_STEP: Final = 5
 MEASURING: Final = "lease/measuring/"
 
 
--- a/wigeonspool/agent/members.py
+++ b/wigeonspool/agent/members.py
@@ -181,7 +181,8 @@
 
     Args:
         vms: The VM list.
-        feeders_per_region: How many to choose in each region.
+        feeders_per_region: How many to choose in each region; they lie in
+            different zones if possible.
     """
     live = {
         vm.name: vm
@@ -192,10 +193,25 @@
     for region in sorted({vm.region for vm in live.values()}):
         names = [vm.name for vm in live.values() if vm.region == region]
         ranked = assignments.rank_members(f"feeder/{region}", names)
-        chosen += [live[name] for name in ranked[:feeders_per_region]]
+        spread = _spread_zones([live[name] for name in ranked])
+        chosen += spread[:feeders_per_region]
     return chosen
 
 
+def _spread_zones(ranked: list[entities.Vm]) -> list[entities.Vm]:
+    """Returns VMs with the first of each zone before all others.
+
+    The loss of one zone then leaves a feeder in another one.
+    """
+    zones: set[str] = set()
+    first: list[entities.Vm] = []
+    for vm in ranked:
+        if vm.zone not in zones:
+            zones.add(vm.zone)
+            first.append(vm)
+    return first + [vm for vm in ranked if vm not in first]
+
+
 def list_leaving(vms: Iterable[entities.Vm]) -> tuple[str, ...]:
     """Returns the addresses of targets that the VM list calls leaving."""
     return tuple(
--- a/wigeonspool/load/control.py
+++ b/wigeonspool/load/control.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import os
 import statistics
 import time
 from typing import Any, Final
@@ -104,12 +105,14 @@
         changing: Cost while changes are applied.
         changes_per_second: Rate of these changes.
         in_force: Seconds from each apply to in force on the last node.
+        memory: MiB of private memory that each agent adds to this process.
     """
 
     idle: Cost
     changing: Cost
     changes_per_second: float
     in_force: list[float]
+    memory: float
 
 
 def build_tables(services: int, targets: int) -> entities.Tables:
@@ -300,6 +303,7 @@
     """
     async with aiohttp.ClientSession() as session:
         fleet = Fleet(session, platform, size)
+        private = footprint.read_footprint(os.getpid()).private
         try:
             await fleet.start()
             wanted = build_tables(platform.services, platform.targets)
@@ -312,9 +316,11 @@
             before = fleet.read()
             in_force = await _apply_often(fleet, wanted, seconds, rate)
             changing = compare_readings(before, fleet.read())
+            private = footprint.read_footprint(os.getpid()).private - private
         finally:
             await fleet.stop()
-    return Row(idle, changing, len(in_force) / seconds, in_force)
+    rate = len(in_force) / seconds
+    return Row(idle, changing, rate, in_force, private / size)
 
 
 async def _apply_often(
@@ -346,7 +352,7 @@
     print(
         f"{'agents':>7}{'cpu %':>8}{'in B/s':>9}{'out B/s':>9}{'most B/s':>10}"
         f"{'store/s':>9}{'list/s':>8}{'B/change':>10}{'ms/change':>11}"
-        f"{'apply p50 s':>13}{'max s':>8}"
+        f"{'apply p50 s':>13}{'max s':>8}{'MiB':>7}"
     )
     for row in rows:
         idle = row.idle
@@ -361,7 +367,7 @@
             f"{idle.vm_list_calls:>8.2f}{received / rate:>10.0f}"
             f"{10 * processor / rate:>11.3f}"
             f"{statistics.median(row.in_force):>13.3f}"
-            f"{max(row.in_force):>8.3f}"
+            f"{max(row.in_force):>8.3f}{row.memory:>7.2f}"
         )
     _print_slopes(rows)
 
--- a/wigeonspool/platform/vms.py
+++ b/wigeonspool/platform/vms.py
@@ -1,6 +1,7 @@
 """Client of the platform's VM list, which lags behind the VMs."""
 
-from typing import Annotated, Literal
+import hashlib
+from typing import Annotated, Final, Literal
 
 import aiohttp
 import pydantic
@@ -8,6 +9,8 @@
 from wigeonspool.model import entities
 from wigeonspool.model import errors
 
+DIGEST_BYTES: Final = 16
+
 
 class VmDocument(pydantic.BaseModel):
     """One VM as the list shows it."""
@@ -26,10 +29,55 @@
     vms: list[VmDocument]
 
 
+class VmListReader:
+    """Reads the VM list; a list that has not changed is not parsed again.
+
+    Attributes:
+        parsed: Lists parsed so far.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, url: str, timeout_seconds: float
+    ) -> None:
+        """Prepares to read.
+
+        Args:
+            session: HTTP client to use.
+            url: URL of the list.
+            timeout_seconds: Longest time that one call may take.
+        """
+        self._session = session
+        self._url = url
+        self._timeout = aiohttp.ClientTimeout(total=timeout_seconds)
+        self._digest = b""
+        self._vms: list[entities.Vm] = []
+        self.parsed = 0
+
+    async def read(self) -> list[entities.Vm]:
+        """Returns the VMs that the platform knows.
+
+        Raises:
+            VmListError: If the list could not be read.
+        """
+        try:
+            async with self._session.get(
+                self._url, timeout=self._timeout
+            ) as response:
+                body = await response.read()
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise errors.VmListError(repr(error)) from error
+        digest = hashlib.blake2b(body, digest_size=DIGEST_BYTES).digest()
+        if digest != self._digest:
+            self._vms = parse_vms(body)
+            self._digest = digest
+            self.parsed += 1
+        return self._vms
+
+
 async def read_vms(
     session: aiohttp.ClientSession, url: str, timeout_seconds: float
 ) -> list[entities.Vm]:
-    """Returns the VMs that the platform knows.
+    """Returns the VMs that the platform knows, read once.
 
     Args:
         session: HTTP client to use.
@@ -39,13 +87,17 @@
     Raises:
         VmListError: If the list could not be read.
     """
-    timeout = aiohttp.ClientTimeout(total=timeout_seconds)
+    return await VmListReader(session, url, timeout_seconds).read()
+
+
+def parse_vms(body: bytes) -> list[entities.Vm]:
+    """Returns the VMs in the body of a list.
+
+    Raises:
+        VmListError: If it breaks the schema.
+    """
     try:
-        async with session.get(url, timeout=timeout) as response:
-            body = await response.read()
         document = VmListDocument.model_validate_json(body)
-    except (TimeoutError, aiohttp.ClientError, OSError) as error:
-        raise errors.VmListError(repr(error)) from error
     except pydantic.ValidationError as error:
         raise errors.VmListError(error.errors()[0]["msg"]) from error
     return [entities.Vm(**vm.model_dump()) for vm in document.vms]
--- a/wigeonspool/wire/streams.py
+++ b/wigeonspool/wire/streams.py
@@ -7,8 +7,8 @@
 from wigeonspool.wire import clocks
 from wigeonspool.wire import frames
 
-# A peer that leaves more than this unread is cut off; it reconnects and gets
-# the whole state. The largest message, a snapshot, always fits once.
+# A peer that leaves more than this unread, besides the largest message that it
+# was sent, is cut off; it reconnects and gets the whole state.
 MAX_UNSENT_BYTES: Final = 1024 * 1024
 
 
@@ -24,6 +24,7 @@
 
     __slots__ = (
         "_clock",
+        "_largest_bytes",
         "_reader",
         "_writer",
         "overflowed",
@@ -51,6 +52,7 @@
         self.sent_bytes = 0
         self.received_bytes = 0
         self.overflowed = False
+        self._largest_bytes = 0
         name = writer.get_extra_info("peername")
         self.peer = f"{name[0]}:{name[1]}" if name else "unknown"
 
@@ -89,10 +91,11 @@
         if self._writer.is_closing():
             return
         unsent = self._writer.transport.get_write_buffer_size()
-        if unsent > MAX_UNSENT_BYTES:
+        if unsent > MAX_UNSENT_BYTES + self._largest_bytes:
             self.overflowed = True
             self._writer.transport.abort()
             return
+        self._largest_bytes = max(self._largest_bytes, len(data))
         self.sent_bytes += len(data)
         self._writer.write(data)
 
