--- a/wigeonspool/load/main.py
+++ b/wigeonspool/load/main.py
@@ -5,17 +5,19 @@
 import json
 import pathlib
 import sys
-from typing import Final
+from typing import Annotated, Final
 
 import cyclopts
 import uvloop
 
+from wigeonspool.load import decide as decides
 from wigeonspool.load import demo as demos
 from wigeonspool.load import drive as drives
+from wigeonspool.load import experiment as experiments
 from wigeonspool.model import errors
 
 EXIT_BROKEN: Final = 1
-EXIT_INVALID_SETTINGS: Final = 2
+EXIT_SETTINGS: Final = 2
 
 app = cyclopts.App(
     name="wigeonspool-load",
@@ -52,7 +54,10 @@
 
 @app.command
 def drive(
-    experiment: pathlib.Path, pid: int = 0, json_output: bool = False
+    experiment: pathlib.Path,
+    *,
+    pid: int = 0,
+    json_: Annotated[bool, cyclopts.Parameter(name="--json")] = False,
 ) -> None:
     """Measures what a gateway adds to a request and what that costs it.
 
@@ -62,15 +67,15 @@
     Args:
         experiment: YAML file of the experiment.
         pid: Process of the gateway, whose processor time is read.
-        json_output: Print one line of JSON instead of tables.
+        json_: Print one line of JSON instead of tables.
     """
     try:
         options = drives.read_drive(experiment)
     except errors.SettingsError as error:
         print(error, file=sys.stderr)
-        sys.exit(EXIT_INVALID_SETTINGS)
+        sys.exit(EXIT_SETTINGS)
     report = uvloop.run(drives.run_drive(options, pid))
-    if json_output:
+    if json_:
         print(json.dumps(dataclasses.asdict(report)))
     else:
         drives.print_report(report)
@@ -78,6 +83,34 @@
         sys.exit(EXIT_BROKEN)
 
 
+@app.command
+def decide(
+    file: pathlib.Path,
+    *,
+    seed: int | None = None,
+    set_: Annotated[list[str], cyclopts.Parameter(name="--set")] | None = None,
+    json_: Annotated[bool, cyclopts.Parameter(name="--json")] = False,
+) -> None:
+    """Runs an experiment in virtual time, for the policy and its baselines.
+
+    Args:
+        file: YAML file of the experiment.
+        seed: Seed of all choices, instead of that of the file.
+        set_: field=value pairs that replace fields of the file.
+        json_: Prints JSON instead of tables.
+    """
+    try:
+        experiment = experiments.read_experiment(file, set_ or ())
+        result = decides.run_experiment(experiment, seed)
+    except errors.SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    if json_:
+        print(json.dumps(result))
+    else:
+        decides.print_figures(result)
+
+
 def main() -> None:
     """Entry point of the binary."""
     app()
