--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -10,9 +10,11 @@
 
 from tests import fleet as fleets
 from wigeonspool.agent import hub
+from wigeonspool.agent import metrics
 from wigeonspool.model import errors
 from wigeonspool.model import messages
 from wigeonspool.wire import frames
+from wigeonspool.wire import proofs
 from wigeonspool.wire import senders
 from wigeonspool.wire import tokens
 
@@ -62,6 +64,9 @@
 
 HELLO = messages.Hello("ctl", "operator", "", "")
 AGENT_HELLO = messages.Hello("vm-9-agent", "agent", "1", "vm-9")
+GATEWAY_HELLO = proofs.sign_hello(
+    messages.Hello("vm-0-9", "gateway", "1", "vm-0"), ["test-key"]
+)
 NESTED = b"\x91" * 1000 + b"\x01"
 DEEP_VERSION = b"\x83\xa1v" + NESTED + b"\xa1k\xa5Hello\xa1b\x80"
 DEEP_KIND = b"\x83\xa1v\x01\xa1k" + NESTED + b"\xa1b\x80"
@@ -105,10 +110,13 @@
         "sender-role",
     ),
     "members of a follower": (
-        pack_message(dataclasses.replace(AGENT_HELLO, role="gateway"))
-        + pack_message(messages.Members((), ())),
+        pack_message(GATEWAY_HELLO) + pack_message(messages.Members((), ())),
         "sender-role",
     ),
+    "no proof of the fleet's key": (
+        pack_message(AGENT_HELLO),
+        "peer-unknown",
+    ),
     "long after the hello": (
         pack_message(HELLO) + struct.pack(">I", 1 << 25),
         "frame-too-long",
@@ -192,7 +200,7 @@
                 pass
         writer.close()
         assert agent._hub.rejected == {code: 1}
-        assert hub.STREAMS_REJECTED.get({"code": code}) >= 1
+        assert metrics.STREAMS_REJECTED.get({"code": code}) >= 1
         await fleets.wait_for(lambda: len(agent._hub.list_reports()) == 1)
 
     async def test_peer_without_a_hello_is_closed(
--- a/wigeonspool/load/main.py
+++ b/wigeonspool/load/main.py
@@ -8,8 +8,10 @@
 from typing import Annotated, Final
 
 import cyclopts
+import loguru
 import uvloop
 
+from wigeonspool.load import control as controls
 from wigeonspool.load import decide as decides
 from wigeonspool.load import demo as demos
 from wigeonspool.load import drive as drives
@@ -17,7 +19,7 @@
 from wigeonspool.model import errors
 
 EXIT_BROKEN: Final = 1
-EXIT_SETTINGS: Final = 2
+EXIT_INVALID_SETTINGS: Final = 2
 
 app = cyclopts.App(
     name="wigeonspool-load",
@@ -52,6 +54,34 @@
         sys.exit(EXIT_BROKEN)
 
 
+@app.command
+def decide(
+    file: pathlib.Path,
+    *,
+    seed: int | None = None,
+    set_: Annotated[list[str], cyclopts.Parameter(name="--set")] | None = None,
+    json_: Annotated[bool, cyclopts.Parameter(name="--json")] = False,
+) -> None:
+    """Runs an experiment in virtual time, for the policy and its baselines.
+
+    Args:
+        file: YAML file of the experiment.
+        seed: Seed of all choices, instead of that of the file.
+        set_: field=value pairs that replace fields of the file.
+        json_: Prints JSON instead of tables.
+    """
+    try:
+        experiment = experiments.read_experiment(file, set_ or ())
+        result = decides.run_experiment(experiment, seed)
+    except errors.SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_INVALID_SETTINGS)
+    if json_:
+        print(json.dumps(result))
+    else:
+        decides.print_figures(result)
+
+
 @app.command
 def drive(
     experiment: pathlib.Path,
@@ -73,7 +103,7 @@
         options = drives.read_drive(experiment)
     except errors.SettingsError as error:
         print(error, file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
+        sys.exit(EXIT_INVALID_SETTINGS)
     report = uvloop.run(drives.run_drive(options, pid))
     if json_:
         print(json.dumps(dataclasses.asdict(report)))
@@ -84,31 +114,66 @@
 
 
 @app.command
-def decide(
-    file: pathlib.Path,
-    *,
-    seed: int | None = None,
-    set_: Annotated[list[str], cyclopts.Parameter(name="--set")] | None = None,
-    json_: Annotated[bool, cyclopts.Parameter(name="--json")] = False,
+def control(
+    store: str,
+    vm_list: str,
+    agents: Annotated[tuple[int, ...], cyclopts.Parameter(negative=())] = (
+        20,
+        50,
+        100,
+        200,
+    ),
+    regions: int = 3,
+    services: int = 100,
+    targets: int = 500,
+    seconds: float = 10.0,
+    rate: float = 1.0,
 ) -> None:
-    """Runs an experiment in virtual time, for the policy and its baselines.
+    """Measures what control costs a node, by size of the fleet.
 
     Args:
-        file: YAML file of the experiment.
-        seed: Seed of all choices, instead of that of the file.
-        set_: field=value pairs that replace fields of the file.
-        json_: Prints JSON instead of tables.
+        store: Base URL of a store stand-in.
+        vm_list: Base URL of a VM list stand-in.
+        agents: Sizes of the fleet.
+        regions: Number of regions.
+        services: Pools in the tables.
+        targets: Targets of all pools together.
+        seconds: Length of each measurement.
+        rate: Changes a second in the second measurement of a size.
     """
-    try:
-        experiment = experiments.read_experiment(file, set_ or ())
-        result = decides.run_experiment(experiment, seed)
-    except errors.SettingsError as error:
-        print(error, file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    if json_:
-        print(json.dumps(result))
-    else:
-        decides.print_figures(result)
+    loguru.logger.remove()
+    platform = controls.Platform(store, vm_list, regions, services, targets)
+    rows = [
+        uvloop.run(controls.measure_size(platform, size, seconds, rate))
+        for size in agents
+    ]
+    controls.print_rows(rows)
+
+
+@app.command
+def memory(
+    store: str,
+    pid: int,
+    prefix: str = "/wigeonspool/",
+    services: int = 1900,
+    targets: int = 10_000,
+) -> None:
+    """Measures the memory of an agent before and after it gets tables.
+
+    Args:
+        store: Base URL of the store stand-in that the agent follows.
+        pid: Process id of the agent.
+        prefix: Key prefix that it follows.
+        services: Pools in the tables.
+        targets: Targets of all pools together.
+    """
+    platform = controls.Platform(store, "", 1, services, targets)
+    work = controls.measure_memory(platform, prefix, pid)
+    for name, found in asyncio.run(work):
+        print(
+            f"{name}: resident {found.resident:.1f} MiB,"
+            f" private {found.private:.1f}, shared {found.shared:.1f}"
+        )
 
 
 def main() -> None:
--- a/wigeonspool/wire/senders.py
+++ b/wigeonspool/wire/senders.py
@@ -12,16 +12,23 @@
 AGENT: Final = "agent"
 GATEWAY: Final = "gateway"
 OPERATOR: Final = "operator"
-ROLES: Final = frozenset({AGENT, GATEWAY, OPERATOR})
+# An agent of another region that wants the tables, but no members.
+REMOTE: Final = "remote"
+ROLES: Final = frozenset({AGENT, GATEWAY, OPERATOR, REMOTE})
 
 SENDERS: Final[dict[type[messages.Message], frozenset[str]]] = {
     messages.Hello: ROLES,
     messages.Snapshot: frozenset({AGENT}),
     messages.ChangeNotice: frozenset({AGENT}),
     messages.Heartbeat: frozenset({AGENT}),
+    messages.Beat: frozenset({AGENT, REMOTE}),
+    messages.Pulse: frozenset({AGENT}),
     messages.Members: frozenset({AGENT}),
+    messages.MemberChanges: frozenset({AGENT}),
+    messages.Directory: frozenset({AGENT}),
     messages.GatewayReport: frozenset({GATEWAY}),
     messages.StatusRequest: frozenset({OPERATOR}),
+    messages.RegionRequest: frozenset({OPERATOR}),
     messages.VmStatusRequest: frozenset({AGENT, OPERATOR}),
     messages.VmStatusReply: frozenset({AGENT, GATEWAY}),
     messages.EventsRequest: frozenset({AGENT, OPERATOR}),
