Refuse paths, times and fields that targets could misread

Cause: /queue/%2e%2e/secret matched the route of /queue and went to its target as written; a remaining time of thirty digits ended in an untyped error; digits of other scripts counted as a number; callers could set fields that only gateways set. Change: incoming.find_problem and read_remaining refuse them typed and counted; fields of gateways are dropped from callers' requests.

--- a/wigeonspool/gateway/headers.py
+++ b/wigeonspool/gateway/headers.py
@@ -18,6 +18,9 @@
 DRAINING: Final = istr("Wigeonspool-Draining")
 LOAD: Final = istr("endpoint-load-metrics")
 
+# Fields that only gateways and targets set; a caller's are dropped.
+GATEWAYS_OWN: Final = (ASSIGNMENT, FORWARDED, OUTCOME, REASON, DRAINING)
+
 ADDRESS_PATH: Final = "/.wigeonspool/address"
 
 # Fields that belong to one connection and are not passed on.
--- a/wigeonspool/gateway/incoming.py
+++ b/wigeonspool/gateway/incoming.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import hashlib
+import re
 from typing import Final
 
 import aiohttp
@@ -16,6 +17,9 @@
 HELD_BODY_BYTES: Final = 1024 * 1024
 ATTEMPT_DIGITS: Final = 9
 LEAST_BODY_SECONDS: Final = 1.0
+REMAINING_DIGITS: Final = 12
+REQUEST_ID_CHARS: Final = 128
+SUSPECT_PATH: Final = re.compile(r"[%\\]|/\.|[^!-~]")
 CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -54,12 +58,34 @@
             yield chunk
 
 
+def find_problem(request: web.BaseRequest) -> outcomes.Reason | None:
+    """Returns why a request must not reach a target, or None.
+
+    A path that another program could read as a path of another route is
+    refused, not cleaned: what the route of a request is must be certain.
+    """
+    if len(request.headers.get(headers.REQUEST, "")) > REQUEST_ID_CHARS:
+        return outcomes.Reason.BAD_REQUEST
+    raw = request.raw_path
+    if not raw.startswith("/"):
+        return outcomes.Reason.BAD_REQUEST
+    if not SUSPECT_PATH.search(raw):
+        return None
+    path = request.path
+    segments = path.replace("\\", "/").split("/")
+    if "." in segments or ".." in segments or not path.isprintable():
+        return outcomes.Reason.BAD_REQUEST
+    return None
+
+
 def read_remaining(request: web.BaseRequest) -> float | outcomes.Failure:
     """Returns the time that the caller grants, in seconds."""
-    text = request.headers.get(headers.REMAINING_MS)
-    if text is None:
+    texts = request.headers.getall(headers.REMAINING_MS, ())
+    if not texts:
         return float("inf")
-    if not text.isdecimal():
+    text = texts[0]
+    is_number = text.isascii() and text.isdecimal()
+    if len(texts) > 1 or not is_number or len(text) > REMAINING_DIGITS:
         return outcomes.refuse(outcomes.Reason.BAD_REQUEST)
     return int(text) / 1000
 
@@ -140,7 +166,8 @@
 ) -> egress.Outgoing:
     """Returns what a target gets of a request."""
     fields = headers.select_end_to_end(request.headers)
-    fields.popall(headers.ASSIGNMENT, None)
+    for name in headers.GATEWAYS_OWN:
+        fields.popall(name, None)
     fields[headers.REQUEST] = request_id
     if isinstance(body, BodyStream) and body.length is not None:
         fields["Content-Length"] = str(body.length)
--- a/wigeonspool/gateway/ingress.py
+++ b/wigeonspool/gateway/ingress.py
@@ -95,12 +95,16 @@
             if self.draining:
                 response.force_close()
             return response
+        problem = incoming.find_problem(request)
         request_id = request.headers.get(headers.REQUEST)
-        if request_id is None:
+        if request_id is None or problem is not None:
             self._received += 1
             request_id = f"{self.gateway.name}-{self._received}"
         try:
-            ending = await self._serve_work(request, request_id)
+            if problem is None:
+                ending = await self._serve_work(request, request_id)
+            else:
+                ending = self._refuse(request, problem)
             response, failure = await self._tell(request, request_id, ending)
         except asyncio.CancelledError:
             left = outcomes.doubt(outcomes.Reason.CALLER_LEFT)
@@ -109,6 +113,15 @@
         self.count(request_id, failure)
         return response
 
+    def _refuse(
+        self, request: web.BaseRequest, reason: outcomes.Reason
+    ) -> tuple[homes.Ending, float]:
+        """Returns the ending of a request that must not reach a target."""
+        # What presents an assignment may have run when it was well formed.
+        presented = headers.ASSIGNMENT in request.headers
+        tell = outcomes.doubt if presented else outcomes.refuse
+        return tell(reason), self._loop.time() + PROBLEM_SECONDS
+
     async def _serve_work(
         self, request: web.BaseRequest, request_id: str
     ) -> tuple[homes.Ending, float]:
