--- a/examples/first-day/run.sh
+++ b/examples/first-day/run.sh
@@ -3,8 +3,9 @@
 # address and prints it with its output. Takes the directory of the binaries.
 set -uo pipefail
 bin=$1
-cd "$(dirname "$0")"
 logs=$(mktemp -d)
+cp "$(dirname "$0")"/*.yaml "$logs"
+cd "$logs"
 pids=()
 stop_all() {
   for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null; done
@@ -15,6 +16,7 @@
 export WIGEONSPOOL_STORE=http://127.0.0.1:23900
 export WIGEONSPOOL_AGENT=127.0.0.1:23200
 export WIGEONSPOOL_VM_LIST=http://127.0.0.1:23901/v1/vms
+export LOGNAME=ann
 export PATH="$bin:$PATH"
 
 start() {
@@ -74,14 +76,14 @@
 title "The store is down"
 set_faults 23900 '{"down": true}'
 show wigeonspool-ctl diff tables.yaml
-read_queue down-1
+echo "a read during the outage: $(read_queue down-1)"
 show wigeonspool-ctl status
 sleep 1
 tail -n 2 "$logs/agent-1"
 set_faults 23900 '{"down": false}'
 sleep 1.5
-sed 's/slots: 4/slots: 6/' tables.yaml >"$logs/more.yaml"
-show wigeonspool-ctl apply "$logs/more.yaml" --wait
+sed 's/slots: 4/slots: 6/' tables.yaml >more.yaml
+show wigeonspool-ctl apply more.yaml --wait
 
 title "Crest"
 set_faults 23090 '{"slow": 60}'
@@ -112,7 +114,7 @@
 set_faults 23090 '{"targets": ["127.0.0.1:23000"], "silent": false}'
 
 title "A request that crashes targets"
-read_queue crash-1 '?crash-target'
+echo "the caller is told: $(read_queue crash-1 '?crash-target')"
 show wigeonspool-timeline "$WIGEONSPOOL_AGENT" --request crash-1
 show wigeonspool-ctl status
 curl -s -o /dev/null -X POST http://127.0.0.1:23090/restart -d \
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,100 @@
+from collections.abc import Iterator
+import configparser
+import inspect
+import pathlib
+import re
+from typing import Any
+
+import pydantic
+import pytest
+
+from wigeonspool.model import options
+
+ROOT = pathlib.Path(__file__).parent.parent
+PAGES = sorted([*ROOT.glob("*.md"), *ROOT.glob("docs/**/*.md")])
+LINK = re.compile(r"\]\(([^)#:]+)(?:#[^)]*)?\)")
+ANCHOR = re.compile(r"\]\(#([^)]+)\)")
+ROW = re.compile(r"^\| `([\w.]+)` \| ([^|]+) \| ([^|]+) \| (.*) \|$", re.M)
+UNITS = {"seconds": "s", "bytes": "bytes", "url": "URL"}
+
+
+def read_texts(model: type[pydantic.BaseModel]) -> dict[str, str]:
+    """Returns the doc comment of each field of a model."""
+    section = inspect.cleandoc(model.__doc__ or "").partition("Attributes:")[2]
+    texts: dict[str, str] = {}
+    name = ""
+    for line in section.splitlines():
+        found = re.match(r"    (\w+): (.*)", line)
+        if found:
+            name = found[1]
+            texts[name] = found[2]
+        elif line.startswith("        "):
+            texts[name] += f" {line.strip()}"
+    return texts
+
+
+def iterate_settings(
+    model: type[pydantic.BaseModel], prefix: str = ""
+) -> Iterator[tuple[str, Any, str]]:
+    """Yields path, default and doc comment of each setting."""
+    texts = read_texts(model)
+    for name, field in model.model_fields.items():
+        kind = field.annotation
+        if isinstance(kind, type) and issubclass(kind, options.Section):
+            yield from iterate_settings(kind, f"{prefix}{name}.")
+            continue
+        default = "required"
+        if isinstance(field.default, list):
+            default = f"`[{', '.join(field.default)}]`"
+        elif not field.is_required():
+            default = f"`{field.default}`"
+        yield f"{prefix}{name}", default, texts[name]
+
+
+class TestSettingsTable:
+    def test_table_lists_every_setting_as_it_is(self) -> None:
+        page = (ROOT / "docs" / "OPERATING.md").read_text(encoding="utf-8")
+        rows = {p: (d, text) for p, _, d, text in ROW.findall(page)}
+        wanted = {p: (d, t) for p, d, t in iterate_settings(options.Options)}
+        assert rows == wanted
+
+    def test_units_agree_with_names(self) -> None:
+        page = (ROOT / "docs" / "OPERATING.md").read_text(encoding="utf-8")
+        for path, unit, _, _ in ROW.findall(page):
+            suffix = re.split(r"[._]", path)[-1]
+            assert unit == UNITS.get(suffix, unit), path
+            assert (unit == "s") == (suffix == "seconds"), path
+
+
+class TestLinks:
+    @pytest.mark.parametrize("page", PAGES, ids=lambda page: page.name)
+    def test_links_lead_to_files_and_headings(self, page: pathlib.Path) -> None:
+        text = page.read_text(encoding="utf-8")
+        for target in LINK.findall(text):
+            assert (page.parent / target).exists(), target
+        headings = {
+            re.sub(r"[^\w -]", "", line.lstrip("# ").lower()).replace(" ", "-")
+            for line in text.splitlines()
+            if line.startswith("#")
+        }
+        assert set(ANCHOR.findall(text)) <= headings
+
+
+class TestUnits:
+    def read_unit(self, name: str) -> configparser.ConfigParser:
+        unit = configparser.ConfigParser(strict=False, interpolation=None)
+        unit.read(ROOT / "examples" / "systemd" / name)
+        return unit
+
+    def test_stop_timeout_is_longer_than_the_drain(self) -> None:
+        unit = self.read_unit("wigeonspool-gateway@.service")
+        drain_seconds = options.GatewayOptions().drain_seconds
+        assert float(unit["Service"]["TimeoutStopSec"]) > drain_seconds
+
+    @pytest.mark.parametrize(
+        "name", ["wigeonspool-agent.service", "wigeonspool-gateway@.service"]
+    )
+    def test_invalid_settings_are_not_started_again(self, name: str) -> None:
+        service = self.read_unit(name)["Service"]
+        assert service["RestartPreventExitStatus"] == "2"
+        assert service["KillSignal"] == "SIGTERM"
--- a/wigeonspool/model/options.py
+++ b/wigeonspool/model/options.py
@@ -99,7 +99,12 @@
 
 
 class LogOptions(Section):
-    """How a process logs."""
+    """How a process logs.
+
+    Attributes:
+        format: "text" for people, "json" for one JSON object per line.
+        level: Lowest level that is written.
+    """
 
     format: Literal["text", "json"] = "text"
     level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
@@ -112,7 +117,8 @@
         vm: Unique name of the VM.
         zone: Availability zone of the VM.
         region: Region of the zone.
-        token_keys: Keys that sign assignment tokens, the newest last.
+        token_keys: Keys that sign assignment tokens, the newest last; the
+            same on all VMs.
     """
 
     vm: Name
