--- a/wigeonspool/agent/hub.py
+++ b/wigeonspool/agent/hub.py
@@ -1,7 +1,7 @@
 """The stream server of an agent: gateways, other agents and operators."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 import dataclasses
 from typing import Final
 
@@ -19,6 +19,7 @@
 
 HELLO_BYTES: Final = 4096
 HELLO_SECONDS: Final = 5.0
+AGENTS: Final = (senders.AGENT, senders.REMOTE)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -29,46 +30,92 @@
         hello: What it opened its stream with.
         stream: Its stream.
         generation: Newest generation that was sent to it.
+        digest: Digest of the chain of changes there.
+        silent_at: Deadline, on this process's clock, by which it must have
+            sent something.
         report: Latest report, if it is a gateway.
     """
 
     hello: messages.Hello
     stream: streams.Stream
-    generation: int = 0
+    generation: int
+    digest: str
+    silent_at: float
     report: messages.GatewayReport | None = None
 
 
+@dataclasses.dataclass(slots=True)
+class Traffic:
+    """Bytes exchanged with other VMs, without those of open streams."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+    def add(self, stream: streams.Stream) -> None:
+        """Counts a stream that ended."""
+        self.sent_bytes += stream.sent_bytes
+        self.received_bytes += stream.received_bytes
+
+
+@dataclasses.dataclass(slots=True)
+class Callbacks:
+    """What the hub asks of the agent.
+
+    Attributes:
+        admit: Raises PeerUnknownError for a process that is no member.
+        answer: Answers a question, or None if it is none.
+        describe_fleet: Returns the VMs of all regions.
+        take_heartbeat: Takes a heartbeat of another agent.
+        take_beat: Takes a beat of the agent of a VM and incarnation; False
+            if all must be told again.
+        note_report: Called after a gateway reported.
+        list_greetings: Returns what a new subscriber of a role is told.
+    """
+
+    admit: Callable[[messages.Hello], None]
+    answer: Callable[[messages.Message], messages.Message | None]
+    describe_fleet: Callable[[], Awaitable[messages.Members]]
+    take_heartbeat: Callable[[messages.Heartbeat], None]
+    take_beat: Callable[[str, str, messages.Beat], bool]
+    note_report: Callable[[], None]
+    list_greetings: Callable[[str], list[messages.Message]]
+
+
 class Hub:
     """Accepts streams and keeps their subscribers up to date.
 
     Attributes:
         subscribers: Gateways and agents that follow this agent.
         rejected: Streams closed for breaking the protocol, by error code.
+        cut_off: Subscribers that were too slow or silent.
+        closed: Traffic of agents' streams that ended.
     """
 
     def __init__(
         self,
         state: configuration.ConfigurationState,
-        answer: Callable[[messages.Message], messages.Message | None],
-        on_heartbeat: Callable[[messages.Heartbeat], None],
+        callbacks: Callbacks,
+        silence_seconds: float,
         log: process.EventLog,
     ) -> None:
         """Prepares the hub.
 
         Args:
             state: Tables to feed to subscribers.
-            answer: Answers a question of an operator, or None.
-            on_heartbeat: Called with each heartbeat of another agent.
+            callbacks: What the hub asks of the agent.
+            silence_seconds: A subscriber silent for longer is cut off.
             log: Events of this process.
         """
         self._state = state
-        self._answer = answer
-        self._on_heartbeat = on_heartbeat
+        self._callbacks = callbacks
+        self._silence_seconds = silence_seconds
         self._log = log
         self._server: asyncio.Server | None = None
         self.subscribers: list[Subscriber] = []
         self.rejected: dict[str, int] = {}
-        self._gatherer = gathering.Gatherer(answer)
+        self.cut_off = 0
+        self.closed = Traffic()
+        self._gatherer = gathering.Gatherer(callbacks.answer)
 
     async def start(self, address: str) -> None:
         """Listens on host:port.
@@ -86,6 +133,10 @@
         for subscriber in self.subscribers:
             subscriber.stream.close()
 
+    def _now(self) -> float:
+        """Returns the time on this process's monotonic clock."""
+        return asyncio.get_running_loop().time()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -103,6 +154,8 @@
             loguru.logger.warning(
                 "closed the stream of {}: {}", stream.peer, error
             )
+        except errors.ChainBrokenError as error:
+            loguru.logger.warning("refused {}: {}", stream.peer, error)
         except OSError as error:
             loguru.logger.info("stream of {} failed: {}", stream.peer, error)
         finally:
@@ -112,23 +165,36 @@
         """Takes the messages of one stream.
 
         Raises:
-            WireError: If the peer broke the protocol.
+            WireError: If the peer broke the protocol or is no member.
+            ChainBrokenError: If the peer has another history of changes.
             OSError: If the stream failed.
         """
         hello = await self._receive_hello(stream)
         if hello is None:
             return
-        subscriber = Subscriber(hello, stream)
-        if hello.role != "operator":
-            self.subscribers.append(subscriber)
-            self.feed(subscriber)
+        self._callbacks.admit(hello)
+        subscriber = Subscriber(
+            hello,
+            stream,
+            hello.generation,
+            hello.digest,
+            self._now() + self._silence_seconds,
+        )
         try:
+            if hello.role != senders.OPERATOR:
+                self._subscribe(subscriber)
             while (message := await stream.receive()) is not None:
+                subscriber.silent_at = self._now() + self._silence_seconds
                 senders.check_sender(hello.role, message)
-                self._take(subscriber, message)
+                await self._take(subscriber, message)
         finally:
             if subscriber in self.subscribers:
                 self.subscribers.remove(subscriber)
+            if hello.role in AGENTS:
+                self.closed.add(stream)
+            if stream.overflowed:
+                self.cut_off += 1
+                loguru.logger.info("{} reads too slowly", hello.process)
 
     async def _receive_hello(
         self, stream: streams.Stream
@@ -151,21 +217,53 @@
         senders.check_sender(hello.role, hello)
         return hello
 
-    def _take(self, subscriber: Subscriber, message: messages.Message) -> None:
-        """Takes one message of a subscriber."""
+    def _subscribe(self, subscriber: Subscriber) -> None:
+        """Tells a new subscriber all that it needs.
+
+        Raises:
+            ChainBrokenError: If it has another history of changes.
+        """
+        for message in self._callbacks.list_greetings(subscriber.hello.role):
+            subscriber.stream.post(message)
+        self._feed([subscriber])
+        self.subscribers.append(subscriber)
+
+    async def _take(
+        self, subscriber: Subscriber, message: messages.Message
+    ) -> None:
+        """Takes one message.
+
+        Raises:
+            PeerUnknownError: If the sender may not send it.
+        """
+        hello = subscriber.hello
         if isinstance(message, messages.GatewayReport):
             subscriber.report = message
+            self._callbacks.note_report()
         elif isinstance(message, messages.Heartbeat):
-            self._on_heartbeat(message)
+            if message.vm != hello.vm:
+                raise errors.PeerUnknownError(message.vm)
+            self._callbacks.take_heartbeat(message)
+        elif isinstance(message, messages.Beat):
+            if hello.role == senders.AGENT:
+                self._take_beat(subscriber, message)
         elif isinstance(message, gathering.Question):
             self._gatherer.ask(subscriber.stream, message, self._list_links())
         elif isinstance(message, gathering.Reply):
-            self._gatherer.take(subscriber.hello.process, message)
+            self._gatherer.take(hello.process, message)
+        elif isinstance(message, messages.StatusRequest):
+            subscriber.stream.post(await self._callbacks.describe_fleet())
         else:
-            reply = self._answer(message)
+            reply = self._callbacks.answer(message)
             if reply is not None:
                 subscriber.stream.post(reply)
 
+    def _take_beat(self, subscriber: Subscriber, beat: messages.Beat) -> None:
+        """Takes a beat; an agent that is not known must connect anew."""
+        hello = subscriber.hello
+        if not self._callbacks.take_beat(hello.vm, hello.incarnation, beat):
+            subscriber.stream.close()
+
     def _list_links(self) -> list[tuple[str, streams.Stream]]:
         """Returns the name and stream of each gateway of the VM."""
         return [
@@ -174,22 +272,59 @@
             if s.report is not None
         ]
 
-    def feed(self, subscriber: Subscriber) -> None:
-        """Brings one subscriber up to the tables in force."""
-        for message in self._state.list_messages(subscriber.generation):
-            subscriber.stream.post(message)
-        subscriber.generation = self._state.tables.generation
+    def _feed(self, subscribers: list[Subscriber]) -> None:
+        """Brings subscribers up to the tables in force.
+
+        Each message is packed once for all that hold the same generation.
+
+        Raises:
+            ChainBrokenError: If one has another history of changes.
+        """
+        tables = self._state.tables
+        packed: dict[tuple[int, str], list[bytes]] = {}
+        for subscriber in subscribers:
+            held = (subscriber.generation, subscriber.digest)
+            if held not in packed:
+                packed[held] = [
+                    streams.pack_message(message, self._log.clock)
+                    for message in self._state.list_messages(*held)
+                ]
+            for data in packed[held]:
+                subscriber.stream.post_frame(data)
+            if subscriber.generation < tables.generation:
+                subscriber.generation = tables.generation
+                subscriber.digest = tables.digest
 
     def feed_all(self) -> None:
         """Brings all subscribers up to the tables in force."""
+        self._feed(self.subscribers)
+
+    def send(self, roles: tuple[str, ...], message: messages.Message) -> None:
+        """Sends a message to the subscribers of some roles."""
+        data = streams.pack_message(message, self._log.clock)
         for subscriber in self.subscribers:
-            self.feed(subscriber)
+            if subscriber.hello.role in roles:
+                subscriber.stream.post_frame(data)
 
-    def broadcast(self, message: messages.Message) -> None:
-        """Sends a message to all subscribers."""
+    def cut_off_silent(self) -> None:
+        """Drops subscribers that are silent."""
+        now = self._now()
+        for subscriber in list(self.subscribers):
+            if subscriber.silent_at <= now:
+                self.cut_off += 1
+                self.subscribers.remove(subscriber)
+                subscriber.stream.abort()
+                loguru.logger.info("{} is silent", subscriber.hello.process)
+
+    def extend(self) -> None:
+        """Gives all subscribers time anew; this process did not listen."""
         for subscriber in self.subscribers:
-            subscriber.stream.post(message)
+            subscriber.silent_at = self._now() + self._silence_seconds
 
     def list_reports(self) -> list[messages.GatewayReport]:
         """Returns the latest report of each connected gateway."""
         return [s.report for s in self.subscribers if s.report is not None]
+
+    def list_streams(self) -> list[streams.Stream]:
+        """Returns the open streams of other agents."""
+        return [s.stream for s in self.subscribers if s.hello.role in AGENTS]
