--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -14,10 +14,13 @@
 from tests import fleet as fleets
 from wigeonspool.model import entities
 from wigeonspool.model import errors
+from wigeonspool.model import messages
 from wigeonspool.operator import ctl
 from wigeonspool.operator import differences
 from wigeonspool.operator import edits
 from wigeonspool.operator import sessions
+from wigeonspool.operator import statuses
+from wigeonspool.operator import versions
 
 
 @dataclasses.dataclass(frozen=True)
@@ -224,6 +227,27 @@
         assert first.endswith("UTC  test")
         assert second == "  ~ pool queue: slots: 4 -> 8"
 
+    async def test_history_goes_back_beyond_the_oldest_snapshot(
+        self, operator: Operator
+    ) -> None:
+        fleet = operator.fleet
+        for slots in (5, 6, 7, 8):
+            await fleet.apply(fleet.declare(slots=slots))
+        async with sessions.open_log(fleet.store_url, fleets.PREFIX) as log:
+            tables = await versions.read_tables_at(log, 4)
+            await log.snapshots.write(tables, {}, "test")
+            await log.compact(4, kept_changes=1)
+        done = await operator.run("history")
+        lines = done.out.splitlines()
+        assert [x.split("  ")[0] for x in lines[::2]] == ["3", "4", "5"]
+        assert lines[1].startswith("  ~ pool queue: row: not kept -> 2 targets")
+        assert lines[5] == "  ~ pool queue: slots: 7 -> 8"
+        done = await operator.run("show", "--at", "4", "--json")
+        assert done.document["pools"][0]["slots"] == 7
+        done = await operator.run("show", "--at", "3")
+        assert done.code == 2
+        assert "which holds 4 to 5" in done.err
+
 
 class TestDrain:
     async def test_target_is_drained_and_served_again(
@@ -312,6 +336,30 @@
         assert done.code == 1
         assert "agent 127.0.0.1:1 did not answer" in done.err
 
+    @pytest.mark.parametrize("address", ["", "nonsense", "a:b", "a:99999"])
+    async def test_address_that_is_none_is_told(
+        self, operator: Operator, address: str
+    ) -> None:
+        done = await operator.run("status", "--agent", address)
+        assert done.code == 1
+        assert f"agent {address} did not answer" in done.err
+
+    async def test_region_that_cannot_be_reached_hides_no_other(
+        self, operator: Operator, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        heartbeats = await statuses.read_heartbeats(
+            operator.fleet.settings["vm-0"].agent.listen
+        )
+        gone = messages.Heartbeat("far-unreachable", "far", "", "", 0, 0, ())
+
+        async def read(_: str) -> tuple[messages.Heartbeat, ...]:
+            return (*heartbeats, gone)
+
+        monkeypatch.setattr(statuses, "read_heartbeats", read)
+        done = await operator.run("status")
+        assert "in force on 2 of 3 VMs" in done.out
+        assert "  far-unreachable-agent did not answer" in done.out
+
 
 class TestDifferences:
     def test_every_field_of_a_row_is_compared(self) -> None:
--- a/wigeonspool/operator/differences.py
+++ b/wigeonspool/operator/differences.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 import dataclasses
-from typing import Any
+from typing import Any, Final
 
+from wigeonspool.model import changes
 from wigeonspool.model import entities
 
-TARGETS = "targets"
+TARGETS: Final = "targets"
+UNKNOWN: Final = "not kept"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,6 +89,28 @@
     ]
 
 
+def describe_change(change: changes.Change) -> list[Difference]:
+    """Returns what a change writes, where the tables before are not known."""
+    written: list[tuple[str, entities.Pool | entities.Route]] = [
+        *(("pool", pool) for pool in change.put_pools),
+        *(("route", route) for route in change.put_routes),
+    ]
+    removed = [
+        *(("pool", name) for name in change.removed_pools),
+        *(("route", name) for name in change.removed_routes),
+    ]
+    return [
+        *(
+            Difference(table, row.name, "row", "", UNKNOWN, _summarize(row))
+            for table, row in written
+        ),
+        *(
+            Difference(table, name, "row", "", UNKNOWN, "removed")
+            for table, name in removed
+        ),
+    ]
+
+
 def _format_value(value: Any) -> str:
     """Returns a field's value as YAML would show it."""
     if isinstance(value, bool):
--- a/wigeonspool/operator/sessions.py
+++ b/wigeonspool/operator/sessions.py
@@ -53,7 +53,7 @@
                 answer = await stream.receive()
             finally:
                 stream.close()
-    except (OSError, errors.WireError) as error:
+    except (OSError, ValueError, errors.WireError) as error:
         raise errors.AgentUnavailableError(address, repr(error)) from error
     if answer is None:
         raise errors.AgentUnavailableError(address, "no answer")
--- a/wigeonspool/operator/versions.py
+++ b/wigeonspool/operator/versions.py
@@ -15,31 +15,62 @@
 
     Attributes:
         change: The change.
-        before: Tables that it was based on.
-        after: Tables that it made.
+        before: Tables that it was based on, or None if they are not kept.
+        after: Tables that it made, or None if they are not kept.
     """
 
     change: changes.Change
-    before: entities.Tables
-    after: entities.Tables
+    before: entities.Tables | None = None
+    after: entities.Tables | None = None
 
     def list_differences(self) -> list[differences.Difference]:
         """Returns what the change altered."""
+        if self.before is None or self.after is None:
+            return differences.describe_change(self.change)
         return differences.compare_tables(self.before, self.after)
 
 
+async def _read_base(
+    log: configuration.ChangeLog, oldest: int
+) -> entities.Tables:
+    """Returns the oldest tables from which the log can be followed.
+
+    Args:
+        log: Log of changes.
+        oldest: Generation of the oldest change that it holds.
+
+    Raises:
+        StoreError: If the store could not serve a call.
+    """
+    if oldest == 1:
+        return entities.EMPTY_TABLES
+    saved = await log.snapshots.read_oldest()
+    return entities.EMPTY_TABLES if saved is None else saved.tables
+
+
 async def read_versions(log: configuration.ChangeLog) -> list[Version]:
     """Returns all changes that the log holds, oldest first.
 
+    The tables around a change are known from the oldest snapshot on.
+
     Raises:
         StoreError: If the store could not serve a call.
+        ChainBrokenError: If the log is not one chain of changes.
     """
+    found = await log.read_after(0)
+    if not found:
+        return []
+    tables = await _read_base(log, found[0].generation)
     versions: list[Version] = []
-    tables = entities.EMPTY_TABLES
-    for change in await log.read_after(tables.generation):
-        after = changes.apply_change(tables, change)
-        versions.append(Version(change, tables, after))
-        tables = after
+    for change in found:
+        if change.generation < tables.generation:
+            versions.append(Version(change))
+        elif change.generation == tables.generation:
+            versions.append(Version(change, after=tables))
+        else:
+            after = changes.apply_change(tables, change)
+            versions.append(Version(change, tables, after))
+            tables = after
     return versions
 
 
@@ -49,18 +80,20 @@
     """Returns the tables as they were at a generation.
 
     Raises:
-        GenerationMissingError: If the log does not hold it.
+        GenerationMissingError: If the log does not hold it any more.
         StoreError: If the store could not serve a call.
+        ChainBrokenError: If the log is not one chain of changes.
     """
-    versions = await read_versions(log)
-    if versions and versions[0].before.generation == generation:
-        return versions[0].before
-    for version in versions:
-        if version.after.generation == generation:
-            return version.after
-    oldest = versions[0].before.generation if versions else 0
-    head = versions[-1].after.generation if versions else 0
-    raise errors.GenerationMissingError(generation, oldest, head)
+    known: dict[int, entities.Tables] = {}
+    for version in await read_versions(log):
+        for tables in (version.before, version.after):
+            if tables is not None:
+                known[tables.generation] = tables
+    if generation not in known:
+        raise errors.GenerationMissingError(
+            generation, min(known, default=0), max(known, default=0)
+        )
+    return known[generation]
 
 
 async def describe_between(
--- a/wigeonspool/platform/snapshots.py
+++ b/wigeonspool/platform/snapshots.py
@@ -137,12 +137,30 @@
     async def read_newest(self) -> Saved | None:
         """Returns the newest snapshot, or None if there is none.
 
+        Raises:
+            StoreError: If the store could not serve a call or all snapshots
+                are damaged.
+        """
+        return await self._read_first(newest=True)
+
+    async def read_oldest(self) -> Saved | None:
+        """Returns the oldest kept snapshot, or None if there is none.
+
+        Raises:
+            StoreError: If the store could not serve a call or all snapshots
+                are damaged.
+        """
+        return await self._read_first(newest=False)
+
+    async def _read_first(self, newest: bool) -> Saved | None:
+        """Returns the first snapshot in an order that is not damaged.
+
         Raises:
             StoreError: If the store could not serve a call or all snapshots
                 are damaged.
         """
         found = await self._client.read_prefix(
-            self._manifests, limit=READ_ATTEMPTS, newest=True
+            self._manifests, limit=READ_ATTEMPTS, newest=newest
         )
         problem: errors.StoreAnswerError | None = None
         for entry in found:
