--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -157,6 +157,21 @@
             "reason": "drained by an operator",
         }
 
+    async def test_member_that_changes_has_not_joined_again(
+        self, fleet: fleets.Fleet
+    ) -> None:
+        gateway = fleet.gateways["vm-1"]
+        agent = fleet.agents["vm-0"]
+        gateway._ingress.draining = True
+        await fleets.wait_for(
+            lambda: any(
+                g.draining for h in agent._joined.values() for g in h.gateways
+            )
+        )
+        wanted = events.Filter(kinds=(events.Kind.MEMBER_JOINED,))
+        joined = agent._log.ring.list_events(wanted)
+        assert sorted(e.vm for e in joined) == ["vm-0", "vm-1"]
+
     async def test_clocks_follow_each_other(self, fleet: fleets.Fleet) -> None:
         ahead_ms = time.time_ns() // 1_000_000 + 30_000
         stamp = events.Stamp(ahead_ms, 0, "other")
--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -284,13 +284,15 @@
             told = [self._joined.values()]
         joined = members.join_members([*told, self._members.list_heartbeats()])
         changes = members.diff_members(self._joined, joined)
+        before = self._joined
         self._joined = joined
         if changes is None:
             return
         for vm in changes.left:
             self._log.record(events.Kind.MEMBER_LEFT, vm=vm)
         for heartbeat in changes.changed:
-            self._log.record(events.Kind.MEMBER_JOINED, vm=heartbeat.vm)
+            if heartbeat.vm not in before:
+                self._log.record(events.Kind.MEMBER_JOINED, vm=heartbeat.vm)
         self._hub.send((senders.GATEWAY,), changes)
 
     @property
@@ -325,7 +327,11 @@
         if isinstance(message, messages.EventsRequest):
             return self._log.build_reply(message.wanted)
         if isinstance(message, messages.VmStatusRequest):
-            return messages.VmStatusReply(())
+            return messages.VmStatusReply(
+                (),
+                measured_pools=tuple(sorted(self._feeder.leases.list_held())),
+                store_calls=self._feeder.client.calls,
+            )
         return None
 
     async def _describe_fleet(self) -> messages.Members:
--- a/wigeonspool/model/messages.py
+++ b/wigeonspool/model/messages.py
@@ -241,15 +241,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class VmStatusReply:
-    """What the gateways of a VM do.
+    """What the processes of a VM do.
 
     Attributes:
-        gateways: Those that answered in time.
+        gateways: Gateways that answered in time.
         missing: Names of those that did not.
+        measured_pools: Pools whose measuring budget the VM may spend.
+        store_calls: Calls to the store since the agent started.
     """
 
     gateways: tuple[GatewayStatus, ...]
     missing: tuple[str, ...] = ()
+    measured_pools: tuple[str, ...] = ()
+    store_calls: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wigeonspool/operator/statuses.py
+++ b/wigeonspool/operator/statuses.py
@@ -20,11 +20,15 @@
         heartbeat: What its agent told last.
         gateways: What its gateways told, or () if they did not.
         missing: Processes of the VM that did not answer.
+        measured_pools: Pools whose measuring budget it may spend.
+        store_calls: Calls to the store since its agent started.
     """
 
     heartbeat: messages.Heartbeat
     gateways: tuple[messages.GatewayStatus, ...]
     missing: tuple[str, ...]
+    measured_pools: tuple[str, ...] = ()
+    store_calls: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,12 +66,14 @@
         queued: Requests that wait at all gateways.
         targets: Its targets.
         budgets: What was used of each budget since the gateways started.
+        measured_by: VMs that may spend its measuring budget.
     """
 
     name: str
     queued: int
     targets: tuple[TargetState, ...]
     budgets: dict[str, float]
+    measured_by: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,7 +121,13 @@
         return VmState(heartbeat, (), (f"{heartbeat.vm}-agent",))
     if not isinstance(answer, messages.VmStatusReply):
         return VmState(heartbeat, (), (f"{heartbeat.vm}-agent",))
-    return VmState(heartbeat, answer.gateways, answer.missing)
+    return VmState(
+        heartbeat,
+        answer.gateways,
+        answer.missing,
+        answer.measured_pools,
+        answer.store_calls,
+    )
 
 
 async def read_fleet(agent: str, pool: str = "") -> FleetState:
@@ -141,10 +153,19 @@
         for gateway in vm.gateways:
             for pool in gateway.pools:
                 views[pool.name].append(pool)
-    return tuple(_merge_pool(name, views[name]) for name in sorted(views))
+    return tuple(
+        _merge_pool(
+            name,
+            views[name],
+            tuple(vm.heartbeat.vm for vm in vms if name in vm.measured_pools),
+        )
+        for name in sorted(views)
+    )
 
 
-def _merge_pool(name: str, views: list[messages.PoolStatus]) -> PoolState:
+def _merge_pool(
+    name: str, views: list[messages.PoolStatus], measured_by: tuple[str, ...]
+) -> PoolState:
     """Returns one pool as some gateways see it."""
     targets: dict[str, list[messages.TargetStatus]]
     targets = collections.defaultdict(list)
@@ -158,6 +179,7 @@
         sum(view.queued for view in views),
         tuple(_merge_target(targets[address]) for address in sorted(targets)),
         dict(budgets),
+        measured_by,
     )
 
 
@@ -192,7 +214,8 @@
     """
     lines = [
         f"generation {fleet.generation} in force on {fleet.count_holders()}"
-        f" of {len(fleet.vms)} VMs"
+        f" of {len(fleet.vms)} VMs;"
+        f" {sum(vm.store_calls for vm in fleet.vms)} calls to the store"
     ]
     for vm in fleet.vms:
         lines += _format_vm(vm)
@@ -229,6 +252,10 @@
         f"pool {pool.name}  targets: {states or 'none'}"
         f"  in flight {in_flight} of {slots} slots  queued {pool.queued}"
     ]
+    if pool.measured_by:
+        lines.append(
+            f"  measuring budget is held by {', '.join(pool.measured_by)}"
+        )
     if pool.budgets:
         used = ", ".join(
             f"{name} {pool.budgets[name]:g}" for name in sorted(pool.budgets)
