Stop a request that crashes its targets, and tell a broken send from a refusal

Cause 1: a request that kills its targets was retried on the next one. Cause 2, found on the way: an idempotent request whose kept connection broke was sent again on a new connection; if that was refused the attempt was called NOT_RUN although the first send may have run. Cause 3: a target that refuses connections stayed in use if the bound on ejections was reached, and each attempt there used up one of three. Ruled out: counting only sheds; refused connections were the cause.

--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -21,6 +21,8 @@
 from wigeonspool.model import outcomes
 
 MAX_ATTEMPTS: Final = 3
+# Attempts that provably did not run cost a target nothing, so more are made.
+MAX_SENDS: Final = 12
 
 
 class Dispatcher:
@@ -231,8 +233,7 @@
             request.may_have_run = True
         if self._quarantine.is_refused(now, request.fingerprint):
             return [self._refuse(request, outcomes.Reason.QUARANTINED)]
-        safe = result.kind is tables.ResultKind.NOT_RUN or request.idempotent
-        if safe and request.attempts < MAX_ATTEMPTS and now < request.deadline:
+        if self._may_retry(now, request, result):
             request.state = tables.RequestState.QUEUED
             request.target = ""
             row.enqueue(request)
@@ -244,6 +245,17 @@
         failure = outcomes.doubt(outcomes.Reason.CONNECTION_LOST)
         return [self._settle(request, failure)]
 
+    def _may_retry(
+        self, now: float, request: tables.RequestRow, result: tables.Result
+    ) -> bool:
+        """Returns True if a request may be sent once more."""
+        if now >= request.deadline or request.attempts >= MAX_SENDS:
+            return False
+        if result.kind is tables.ResultKind.NOT_RUN:
+            return True
+        request.failures += 1
+        return request.idempotent and request.failures < MAX_ATTEMPTS
+
     def _settle(
         self, request: tables.RequestRow, failure: outcomes.Failure | None
     ) -> actions.Action:
--- a/wigeonspool/core/supervision.py
+++ b/wigeonspool/core/supervision.py
@@ -52,6 +52,9 @@
     if result.draining:
         begin_draining(now, row, target)
         return
+    if result.refused:
+        _take_out(now, row, target)
+        return
     slow = health.find_slow_seconds(row.times.find(request.route).median)
     seconds = now - request.sent_at
     score = health.weigh_result(result, seconds, slow)
@@ -89,6 +92,17 @@
             target.health.cap = 1
             return
         row.ejected.add(target.address)
+    _take_out(now, row, target)
+
+
+def _take_out(now: float, row: pools.PoolRow, target: tables.TargetRow) -> None:
+    """Takes a target out for a time.
+
+    A target that refuses connections goes without regard to the bound, since
+    nothing could run there anyway.
+    """
+    if target.state is not tables.TargetState.SERVING:
+        return
     target.state = tables.TargetState.EJECTED
     health.begin_ejection(target.health, now)
     entry = (target.health.out_until, target.address)
--- a/wigeonspool/core/tables.py
+++ b/wigeonspool/core/tables.py
@@ -88,6 +88,7 @@
         target: Address of its running attempt, or "".
         sent_at: Time at which that attempt was sent.
         attempts: Attempts sent so far.
+        failures: Attempts that may have run without a good answer.
         may_have_run: True once an attempt was lost.
         tried: Addresses that failed it.
         overdue: True once its running attempt counted as slow.
@@ -108,6 +109,7 @@
     target: str = ""
     sent_at: float = 0.0
     attempts: int = 0
+    failures: int = 0
     may_have_run: bool = False
     tried: set[str] = dataclasses.field(default_factory=set)
     overdue: bool = False
@@ -149,9 +151,11 @@
         report: Load report that came with the answer.
         draining: True if the target said that it is leaving.
         crashed: True if the connection broke while the attempt ran.
+        refused: True if no connection could be opened.
     """
 
     kind: ResultKind
     report: LoadReport | None = None
     draining: bool = False
     crashed: bool = False
+    refused: bool = False
--- a/wigeonspool/gateway/egress.py
+++ b/wigeonspool/gateway/egress.py
@@ -14,7 +14,13 @@
 from wigeonspool.gateway import connections
 from wigeonspool.gateway import headers
 from wigeonspool.gateway import silence
+from wigeonspool.model import errors
 
+# Nothing of a request has left when these are raised.
+CONNECT_ERRORS: Final = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
 WHOLE_ANSWER_BYTES: Final = 256 * 1024
 STATUS_UNAVAILABLE: Final = 503
 STATUS_FAILED: Final = 500
@@ -131,12 +137,15 @@
             )
             async with asyncio.timeout_at(outgoing.deadline):
                 return await _read(response, whole_bytes)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-            return Attempt(tables.Result(tables.ResultKind.NOT_RUN))
-        except (aiohttp.ClientError, OSError):
+        except CONNECT_ERRORS:
+            refused = tables.Result(tables.ResultKind.NOT_RUN, refused=True)
+            return Attempt(refused)
+        except (aiohttp.ClientError, OSError) as error:
             if self._loop.time() >= outgoing.deadline:
                 raise TimeoutError from None
-            return Attempt(tables.Result(tables.ResultKind.LOST))
+            silent = isinstance(error, TimeoutError)
+            lost = tables.Result(tables.ResultKind.LOST, crashed=not silent)
+            return Attempt(lost)
 
     async def _open(
         self, address: str, outgoing: Outgoing, may_repeat: bool, route: str
@@ -147,7 +156,7 @@
             return await self._send(
                 address, outgoing, may_repeat, route, exchange
             )
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        except CONNECT_ERRORS:
             raise
         except (aiohttp.ClientError, OSError):
             if not exchange.reused:
@@ -157,7 +166,13 @@
             if late or not may_repeat or outgoing.is_spent():
                 raise
         exchange = self._start_exchange(outgoing, may_repeat, route)
-        return await self._send(address, outgoing, may_repeat, route, exchange)
+        try:
+            return await self._send(
+                address, outgoing, may_repeat, route, exchange
+            )
+        except CONNECT_ERRORS as error:
+            # The first send may have run, so this is no refusal.
+            raise errors.TargetGoneError(address) from error
 
     def _start_exchange(
         self, outgoing: Outgoing, may_repeat: bool, route: str
--- a/wigeonspool/gateway/home.py
+++ b/wigeonspool/gateway/home.py
@@ -249,7 +249,10 @@
     ) -> runners.Ending:
         """Runs a claimed request and records how it ended."""
         row = self._runner.create_row(
-            route, outgoing.deadline, idempotent=False
+            route,
+            outgoing.deadline,
+            idempotent=False,
+            fingerprint=incoming.find_fingerprint(outgoing),
         )
         guard = runners.OnceGuard(
             before_send=lambda: self._may_send(index, outgoing.deadline),
--- a/wigeonspool/gateway/incoming.py
+++ b/wigeonspool/gateway/incoming.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 from aiohttp import web
+import xxhash
 
 from wigeonspool.gateway import egress
 from wigeonspool.gateway import headers
@@ -158,3 +159,17 @@
     if isinstance(outgoing.body, bytes):
         digest.update(outgoing.body)
     return digest.digest()
+
+
+def find_fingerprint(outgoing: egress.Outgoing) -> int:
+    """Returns a number that is equal for resends of the same request.
+
+    It names caller, method, path and a held body; the key and the identity
+    of a resend may be new.
+    """
+    hasher = xxhash.xxh3_64()
+    hasher.update(outgoing.fields.get(headers.CALLER, "").encode())
+    hasher.update(f"\n{outgoing.method} {outgoing.path}\n".encode())
+    if isinstance(outgoing.body, bytes):
+        hasher.update(outgoing.body)
+    return hasher.intdigest()
--- a/wigeonspool/gateway/ingress.py
+++ b/wigeonspool/gateway/ingress.py
@@ -162,7 +162,9 @@
         body, held = await incoming.read_body(request, deadline)
         outgoing = incoming.build_outgoing(request, request_id, body, deadline)
         # A body that is not held cannot be sent twice.
-        row = self._runner.create_row(route, deadline, idempotent=held)
+        row = self._runner.create_row(
+            route, deadline, held, incoming.find_fingerprint(outgoing)
+        )
         return await self._runner.run(row, outgoing, request_id, request)
 
     def _find_deadline(
--- a/wigeonspool/gateway/runner.py
+++ b/wigeonspool/gateway/runner.py
@@ -51,7 +51,11 @@
         self._log = log
 
     def create_row(
-        self, route: entities.Route, deadline: float, idempotent: bool
+        self,
+        route: entities.Route,
+        deadline: float,
+        idempotent: bool,
+        fingerprint: int = 0,
     ) -> tables.RequestRow:
         """Returns the row of a new request.
 
@@ -59,6 +63,7 @@
             route: Route that it matched.
             deadline: Time by which its caller wants the answer, loop clock.
             idempotent: True if it may run more than once.
+            fingerprint: Equal for resends of the same request.
         """
         return tables.RequestRow(
             request_id=self._scheduler.create_id(),
@@ -67,6 +72,7 @@
             deadline=deadline,
             idempotent=idempotent,
             priority=route.priority,
+            fingerprint=fingerprint,
         )
 
     async def run_whole(
--- a/wigeonspool/load/baselines.py
+++ b/wigeonspool/load/baselines.py
@@ -151,6 +151,9 @@
         """Learns which gateways live."""
         self._live = set(live)
 
+    def share_suspects(self, now: float) -> None:
+        """Does nothing: no gateway suspects a request."""
+
     def mark_leaving(self, addresses: list[str]) -> None:
         """Does nothing."""
 
@@ -202,6 +205,13 @@
             limits = self._crews.divide(self._pool, zone, gateways, name)
             self.dispatchers[name].share(parties.POOL, limits)
 
+    def share_suspects(self, now: float) -> None:
+        """Tells all gateways of requests that crash targets."""
+        for teller in self.dispatchers.values():
+            suspects = teller.list_suspects()
+            for hearer in self.dispatchers.values():
+                hearer.merge_suspects(now, suspects)
+
     def mark_leaving(self, addresses: list[str]) -> None:
         """Takes the targets that the VM list calls leaving."""
         for core in self.dispatchers.values():
--- a/wigeonspool/load/decide.py
+++ b/wigeonspool/load/decide.py
@@ -76,5 +76,6 @@
             f" {figures['cross_region_bytes']} bytes"
             f" ({figures['cross_region_fraction']:.3%}),"
             f" ran twice {figures['runs_twice']},"
-            f" refused but ran {figures['refused_but_ran']}"
+            f" refused but ran {figures['refused_but_ran']},"
+            f" crashed targets {figures['crashes']}"
         )
--- a/wigeonspool/load/experiment.py
+++ b/wigeonspool/load/experiment.py
@@ -63,6 +63,7 @@
         least: Fewest gateways named for a pool and zone.
         tick_ms: Time between two ticks of the core.
         beat_ms: Time between two digests of demand.
+        tell_ms: Time in which gateways hear of each other's suspects.
     """
 
     count: Count = 16
@@ -70,6 +71,7 @@
     least: Count = 2
     tick_ms: Positive = 10.0
     beat_ms: Positive = 500.0
+    tell_ms: Positive = 100.0
 
 
 class Work(Section):
@@ -87,6 +89,7 @@
         request_bytes: Size of a request.
         answer_bytes: Size of an answer.
         fingerprint: Equal for resends of the same request; 0 for none.
+        crashes: True if each target that begins it crashes.
     """
 
     name: str
@@ -100,6 +103,30 @@
     request_bytes: Count = 500
     answer_bytes: Count = 2000
     fingerprint: int = 0
+    crashes: bool = False
+
+
+class Resends(Section):
+    """One request that its caller sends again and again.
+
+    Attributes:
+        work: What is sent.
+        at_s: When it is sent first.
+        every_ms: Time between two sends.
+        count: How often it is sent.
+        restart_s: Time that a crashed target needs to come back.
+    """
+
+    work: Work
+    at_s: NotNegative
+    every_ms: Positive = 200.0
+    count: Count = 20
+    restart_s: Positive = 5.0
+
+    def list_times(self) -> list[float]:
+        """Returns when the request is sent, in seconds."""
+        step = self.every_ms / 1000
+        return [self.at_s + index * step for index in range(self.count)]
 
 
 class Step(Section):
@@ -169,6 +196,7 @@
     works: Annotated[list[Work], pydantic.Field(min_length=1)]
     steps: list[Step] = []
     faults: list[Fault] = []
+    resends: Resends | None = None
     windows: list[Window] = []
     reports: Reports | None = None
     answer_seconds: Positive = 2.0
--- a/wigeonspool/load/harness.py
+++ b/wigeonspool/load/harness.py
@@ -78,6 +78,7 @@
         self.tally.attempts = self._servers.attempts
         self.tally.measuring_bytes = self._servers.measuring_bytes
         self.tally.by_target = self._servers.begun
+        self.tally.crashes = self._servers.crashes
         self.tally.total_bytes = self._network.total_bytes
         self.tally.cross_region_bytes = self._network.cross_region_bytes
         return self.tally
@@ -99,21 +100,20 @@
         for fault in self._experiment.faults:
             self._push(fault.at_s, self._begin_fault, fault)
             self._push(fault.until_s, self._servers.end_fault, fault)
+        if (resends := self._experiment.resends) is not None:
+            for at in resends.list_times():
+                self._push(at, self._resend, resends.work)
 
     def _push(self, at: float, act: Callable[..., None], what: Any) -> None:
         """Plans an event."""
         if at < 1e9:
             heapq.heappush(self._heap, (at, next(self._order), act, what))
 
-    def _is_over(self, now: float) -> bool:
-        """Returns True once no more requests come and all have ended."""
-        return now >= self._experiment.seconds and not self._jobs
-
     def _tick(self, now: float, name: str) -> None:
         """Ticks one gateway."""
         if name not in self._lost:
             self._execute(now, name, self._fleet.deciders[name].tick(now))
-        if not self._is_over(now):
+        if now < self._experiment.seconds or self._jobs:
             step = self._experiment.gateways.tick_ms / 1000
             self._push(now + step, self._tick, name)
 
@@ -124,7 +124,7 @@
         demand = {name: self._received[name] / step for name in live}
         self._fleet.take_beat(now, demand, live)
         self._received = dict.fromkeys(self._gateways, 0)
-        if not self._is_over(now):
+        if now < self._experiment.seconds or self._jobs:
             self._push(now + step, self._beat, None)
 
     def _ask(self, now: float, what: tuple[str, int, bool]) -> None:
@@ -146,14 +146,28 @@
         service = work.service_ms / 1000
         if work.spread == "exponential":
             service = rng.expovariate(1 / service)
-        zone = rng.choice(experiment.zones).name
+        self._offer(now, work, service, rng)
+        rate = experiment.compute_capacity() * experiment.find_load(now)
+        self._push(now + rng.expovariate(rate), self._arrive, None)
+
+    def _resend(self, now: float, work: experiments.Work) -> None:
+        """Sends once more what its caller sends again and again."""
+        self._offer(now, work, work.service_ms / 1000, self._spread)
+
+    def _offer(
+        self,
+        now: float,
+        work: experiments.Work,
+        service: float,
+        rng: random.Random,
+    ) -> None:
+        """Sends a request of a caller in a zone drawn by chance."""
+        zone = rng.choice(self._experiment.zones).name
         deadline = now + work.deadline_ms / 1000
         job = parties.Job(next(self._ids), work, zone, service, now, deadline)
         self._jobs[job.request_id] = job
         self.tally.record_offer(job)
         self._call(now, job)
-        rate = experiment.compute_capacity() * experiment.find_load(now)
-        self._push(now + rng.expovariate(rate), self._arrive, None)
 
     def _call(self, now: float, job: parties.Job) -> None:
         """Sends a request to a gateway that its caller was told."""
@@ -246,6 +260,10 @@
         decider = self._fleet.deciders[attempt.gateway]
         done = decider.finish(now, job.request_id, attempt.target, result)
         self._execute(now, attempt.gateway, done)
+        if result.crashed:
+            step = self._experiment.gateways.tell_ms / 1000
+            tell = self._fleet.share_suspects
+            self._push(now + step, lambda at, _: tell(at), None)
 
     def _settle(
         self, now: float, job: parties.Job, failure: outcomes.Failure | None
@@ -270,7 +288,8 @@
         changed = self._servers.begin_fault(now, fault)
         if fault.kind == "drain":
             at = now + fault.listed_after_s
-            self._push(at, self._list_leaving, changed)
+            tell = self._fleet.mark_leaving
+            self._push(at, lambda _, leaving: tell(leaving), changed)
         if fault.kind != "lost" or not fault.zone:
             return
         for gateway in self._gateways.values():
@@ -280,7 +299,3 @@
         for job in list(self._jobs.values()):
             if job.gateway in self._lost and job.attempt is not None:
                 self._end(now, job, cut)
-
-    def _list_leaving(self, now: float, addresses: list[str]) -> None:
-        """Lets the VM list tell of leaving targets."""
-        self._fleet.mark_leaving(addresses)
--- a/wigeonspool/load/parties.py
+++ b/wigeonspool/load/parties.py
@@ -51,6 +51,9 @@
     ) -> None:
         """Takes the digests of demand, in requests per second."""
 
+    def share_suspects(self, now: float) -> None:
+        """Tells all gateways of requests that crash targets."""
+
     def mark_leaving(self, addresses: list[str]) -> None:
         """Takes the targets that the VM list calls leaving."""
 
--- a/wigeonspool/load/servers.py
+++ b/wigeonspool/load/servers.py
@@ -21,6 +21,7 @@
     Attributes:
         attempts: Attempts that were sent.
         measuring_bytes: Bytes of load reports on answers.
+        crashes: Targets that a request crashed.
         begun: Attempts that each target began, by address.
     """
 
@@ -57,6 +58,7 @@
         self._sources: dict[int, tuple[parties.Job, str]] = {}
         self.attempts = 0
         self.measuring_bytes = 0
+        self.crashes = 0
         self.begun = dict.fromkeys(self._targets, 0)
 
     def send(self, now: float, job: parties.Job, zone: str) -> None:
@@ -93,8 +95,8 @@
         if self._is_silent(attempt):
             return
         shed = target.has_fault("shed")
-        refused = shed is not None and self._chances.random() < shed.fraction
-        if refused or target.is_full() or target.has_fault("lost"):
+        is_shed = shed is not None and self._chances.random() < shed.fraction
+        if is_shed or target.is_full() or target.has_fault("lost"):
             self._answer(now, what, tables.ResultKind.NOT_RUN)
             return
         failing = target.has_fault("fail")
@@ -134,6 +136,9 @@
                 continue
             job.runs += 1
             self.begun[target.address] += 1
+            if job.work.crashes:
+                self._crash(now, target)
+                return
             self._push(end, self._complete, (attempt, job, zone))
 
     def _complete(
@@ -168,7 +173,12 @@
                 size += REPORT_BYTES
                 self.measuring_bytes += REPORT_BYTES
         result = tables.Result(
-            kind, report, target.has_fault("drain") is not None
+            kind,
+            report,
+            draining=target.has_fault("drain") is not None,
+            crashed=kind is tables.ResultKind.LOST,
+            refused=target.has_fault("lost") is not None
+            and kind is tables.ResultKind.NOT_RUN,
         )
         at = self._network.carry(now, target.zone, zone, size, caller=False)
         self._push(at, self._arrive, (attempt, result))
@@ -198,6 +208,17 @@
             if fault in target.faults:
                 target.faults.remove(fault)
 
+    def _crash(self, now: float, target: fakes.FakeTarget) -> None:
+        """Loses a target for as long as it takes to start again."""
+        resends = self._experiment.resends
+        assert resends is not None
+        self.crashes += 1
+        until = now + resends.restart_s
+        fault = experiments.Fault(at_s=now, until_s=until, kind="lost")
+        target.faults.append(fault)
+        self._lose(now, target)
+        self._push(until, self.end_fault, fault)
+
     def _lose(self, now: float, target: fakes.FakeTarget) -> None:
         """Loses all attempts at a target that died."""
         target.lose_all(now)
--- a/wigeonspool/load/tally.py
+++ b/wigeonspool/load/tally.py
@@ -93,6 +93,7 @@
         total_bytes: Bytes between gateways, targets and callers.
         cross_region_bytes: Those of them that cross regions.
         by_target: Requests that each target began.
+        crashes: Targets that a request crashed.
     """
 
     def __init__(self, experiment: experiments.Experiment) -> None:
@@ -107,6 +108,7 @@
         self.measuring_bytes = 0
         self.total_bytes = 0
         self.cross_region_bytes = 0
+        self.crashes = 0
         self.by_target: dict[str, int] = {}
 
     def is_measured(self, sent_at: float) -> bool:
@@ -158,6 +160,7 @@
             "attempts": self.attempts,
             "runs_twice": self.runs_twice,
             "refused_but_ran": self.refused_but_ran,
+            "crashes": self.crashes,
             "measuring_requests": self.measuring_requests,
             "measuring_bytes": self.measuring_bytes,
             "total_bytes": self.total_bytes,
--- a/wigeonspool/model/errors.py
+++ b/wigeonspool/model/errors.py
@@ -234,6 +234,17 @@
         super().__init__(f"change of {size} bytes exceeds {bound} bytes")
 
 
+class TargetGoneError(WigeonspoolError, ConnectionError):
+    """A target broke a connection and then refused a new one."""
+
+    code = "target-gone"
+
+    def __init__(self, address: str) -> None:
+        super().__init__(
+            f"target {address} is gone; what was sent may have run"
+        )
+
+
 class AgentUnavailableError(WigeonspoolError):
     """An agent did not answer an operator's command."""
 
