Plant faults in running fleets and signal real gateway processes

A gateway process under SIGSTOP and SIGCONT runs nothing late; under SIGTERM it ends its work and exits with 0; under SIGKILL its work is told unknown and does not run again.

--- a/tests/check_histories.py
+++ b/tests/check_histories.py
@@ -296,6 +296,8 @@
         with self._claim(list(self.settings), rng) as vm:
             gateway = self.gateways[vm]
             self._end_life(vm)
+            # A pipe cannot refuse a connection as a closed port does.
+            self.doors.pop(self.addresses[vm])
             await self.stop_gateway(vm)
             assert gateway._gateway.address == self.addresses[vm]
             await self.start_gateway(vm)
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -48,6 +48,7 @@
 async def drain_nothing(self: gateways.GatewayService) -> None:
     """Stops at once, whatever is in flight."""
     # The HTTP library takes 0 for no bound.
+    # The HTTP library takes 0 for no bound.
     self._callers._shutdown_timeout = 0.001
 
 
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,113 @@
+"""A gateway as a process of its own, stopped, paused and killed by signals."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import pathlib
+import signal
+import sys
+
+import aiohttp
+import pytest_asyncio
+import yaml
+
+from tests import fleet as fleets
+from tests import test_home
+from wigeonspool.agent import service as agents
+
+COMMAND = "from wigeonspool.gateway.main import main; main()"
+VM = "vm-alone"
+
+
+class ProcessScene(test_home.Scene):
+    """A scene whose home is a gateway process; two others run here."""
+
+    process: asyncio.subprocess.Process
+
+    async def start_process(self, folder: pathlib.Path) -> None:
+        fleet = self.fleet
+        settings = fleet.build_settings(VM, "zone-9")
+        fleet.settings[VM] = settings
+        fleet.list_vm(VM, "zone-9", settings.agent.listen, "entry")
+        fleet.agents[VM] = agents.AgentService(settings)
+        await fleet.agents[VM].start()
+        file = folder / "settings.yaml"
+        file.write_text(yaml.safe_dump(settings.model_dump(mode="json")))
+        self.process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-c", COMMAND, "--settings", str(file))
+        )
+        fleet.addresses[VM] = settings.gateway.addresses[0]
+        view = next(iter(fleet.gateways.values()))._view
+        await fleets.wait_for(lambda: f"{VM}-0" in view.gateways, 20.0)
+        self.assignment = await self.ask_address_in("zone-9")
+        assert self.home == VM
+        # The tables may reach the new process after its first report.
+        while (await self.send("first"))[0] != "answered":
+            self.assignment = await self.ask_address_in("zone-9")
+        self.target.runs.clear()
+
+    async def ask_address_in(self, zone: str) -> dict[str, str]:
+        seed = self.fleet.addresses["vm-0"]
+        async with self.fleet.session.get(
+            f"http://{seed}/.wigeonspool/address?pool=queue&zone={zone}",
+            headers={"Wigeonspool-Caller": test_home.CALLER},
+        ) as response:
+            return dict(await response.json())["assignment"]
+
+
+@pytest_asyncio.fixture
+async def scene(tmp_path: pathlib.Path) -> AsyncIterator[ProcessScene]:
+    fleet = fleets.Fleet()
+    built = await test_home.build_scene(fleet)
+    alone = ProcessScene(fleet, built.target)
+    await alone.start_process(tmp_path)
+    yield alone
+    if alone.process.returncode is None:
+        alone.process.kill()
+    await alone.process.wait()
+    await fleet.stop()
+
+
+class TestSignals:
+    async def test_process_that_was_paused_runs_nothing_late(
+        self, scene: ProcessScene
+    ) -> None:
+        scene.process.send_signal(signal.SIGSTOP)
+        late = asyncio.create_task(
+            scene.send("2", Wigeonspool_Remaining_Ms="300")
+        )
+        await asyncio.sleep(1.5)
+        told = await scene.send(
+            "2", at=scene.other, Wigeonspool_Remaining_Ms="300"
+        )
+        assert told[0] == "unknown"
+        scene.process.send_signal(signal.SIGCONT)
+        assert (await late)[:2] == ("not_run", "deadline-passed")
+        assert scene.target.runs == []
+
+    async def test_terminated_process_ends_its_work_and_exits(
+        self, scene: ProcessScene
+    ) -> None:
+        scene.target.script = ["wait"]
+        running = asyncio.create_task(scene.send("2"))
+        await fleets.wait_for(lambda: bool(scene.target.runs))
+        scene.process.terminate()
+        await asyncio.sleep(1.0)
+        scene.target.release.set()
+        assert (await running)[0] == "answered"
+        async with asyncio.timeout(20.0):
+            assert await scene.process.wait() == 0
+        assert len(scene.target.runs) == 1
+
+    async def test_killed_process_leaves_its_work_unknown(
+        self, scene: ProcessScene
+    ) -> None:
+        scene.target.script = ["wait"]
+        running = asyncio.create_task(scene.send("2"))
+        await fleets.wait_for(lambda: bool(scene.target.runs))
+        scene.process.kill()
+        told = await asyncio.gather(running, return_exceptions=True)
+        assert isinstance(told[0], aiohttp.ClientError)
+        scene.target.release.set()
+        resent = await scene.send("2", at=scene.other)
+        assert resent[0] == "unknown"
+        assert len(scene.target.runs) == 1
