Tell all gateways at once of a request that crashes targets

Cause: each gateway learned of a crashing request by losing two targets of its own, so 20 sends through n gateways could cost 2n targets. Weighed: carrying it in the heartbeat, which three beats of 0.5 s delay; and asking the store, which a crash must not depend on. Measured: tests/test_crash.py::test_all_gateways_hear_of_it: the second gateway refuses both resends, 2 targets lost in all. There was no such message before, so there is no figure before.

--- a/tests/test_crash.py
+++ b/tests/test_crash.py
@@ -72,6 +72,18 @@
         assert told[0] == ("unknown", "quarantined")
         assert set(told[1:]) == {("not_run", "quarantined")}
 
+    async def test_all_gateways_hear_of_it(self, crashing: Crashing) -> None:
+        assert (await crashing.read("vm-0", "crash-target=1"))[0] == "unknown"
+        other = crashing.gateways["vm-1"]._scheduler.core
+
+        def has_heard() -> bool:
+            return bool(other.list_suspects())
+
+        await fleets.wait_for(has_heard)
+        told = [await crashing.read("vm-1", "crash-target=1") for _ in "12"]
+        assert told == [("not_run", "quarantined")] * 2
+        assert crashing.count_crashed() == 2
+
     async def test_others_are_answered_beside_it(
         self, crashing: Crashing
     ) -> None:
--- a/wigeonspool/agent/hub.py
+++ b/wigeonspool/agent/hub.py
@@ -69,6 +69,7 @@
         take_beat: Takes a beat of the agent of a VM and incarnation; False
             if all must be told again.
         note_report: Called after a gateway reported.
+        take_suspect: Takes a request that crashes targets.
         list_greetings: Returns what a new subscriber of a role is told.
     """
 
@@ -78,6 +79,7 @@
     take_heartbeat: Callable[[messages.Heartbeat], None]
     take_beat: Callable[[str, str, messages.Beat], bool]
     note_report: Callable[[], None]
+    take_suspect: Callable[[messages.Suspect], None]
     list_greetings: Callable[[str], list[messages.Message]]
 
 
@@ -240,6 +242,8 @@
         if isinstance(message, messages.GatewayReport):
             subscriber.report = message
             self._callbacks.note_report()
+        elif isinstance(message, messages.Suspect):
+            self._callbacks.take_suspect(message)
         elif isinstance(message, messages.Heartbeat):
             if message.vm != hello.vm:
                 raise errors.PeerUnknownError(message.vm)
--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -22,6 +22,7 @@
 from wigeonspool.agent import metrics
 from wigeonspool.agent import receiver as receivers
 from wigeonspool.agent import status
+from wigeonspool.agent import suspects
 from wigeonspool.agent import upstreams
 from wigeonspool.model import entities
 from wigeonspool.model import errors
@@ -65,12 +66,14 @@
                 take_heartbeat=self._take_heartbeat,
                 take_beat=self._take_beat,
                 note_report=self._note_report,
+                take_suspect=self._take_suspect,
                 list_greetings=self._list_greetings,
             ),
             silence,
             self._log,
         )
         self._told_generation = 0
+        self._suspects = suspects.SuspectRelay()
 
     async def on_start(self) -> None:
         """Opens the ports and begins to follow."""
@@ -85,6 +88,7 @@
             settings.agent.silence_seconds,
             self._build_hello,
             receiver.take,
+            self._take_suspect,
             self._log.clock,
         )
         self._session = aiohttp.ClientSession()
@@ -200,6 +204,15 @@
         if self._find_generation() != self._told_generation:
             self._send_heartbeat()
 
+    def _take_suspect(self, suspect: messages.Suspect) -> None:
+        """Passes on a request that crashes targets."""
+        self._suspects.take(self._now(), suspect, self._pass_on)
+
+    def _pass_on(self, message: messages.Message) -> None:
+        """Sends a message to all processes that are connected."""
+        self._hub.send((*NEAR, senders.REMOTE), message)
+        self._upstreams.send(message)
+
     def _find_generation(self) -> int:
         """Returns the generation in force on all processes of the VM."""
         reports = self._hub.list_reports()
--- a/wigeonspool/agent/upstreams.py
+++ b/wigeonspool/agent/upstreams.py
@@ -61,6 +61,7 @@
         silence_seconds: float,
         build_hello: Callable[[str], messages.Hello],
         take: Callable[[messages.Message], None],
+        take_suspect: Callable[[messages.Suspect], None],
         clock: clocks.HybridClock,
     ) -> None:
         """Prepares to follow.
@@ -70,12 +71,14 @@
             build_hello: Returns what opens a stream in a role.
             take: Takes a message that brings tables or a pulse; raises
                 WireError if the stream must be opened anew.
+            take_suspect: Takes a request that crashes targets.
             clock: Clock of this process, which stamps messages.
         """
         self._clock = clock
         self._silence_seconds = silence_seconds
         self._build_hello = build_hello
         self._take_tables = take
+        self._take_suspect = take_suspect
         self._upstreams: dict[str, Upstream] = {}
         self.heard = asyncio.Event()
         self.closed = hub.Traffic()
@@ -160,6 +163,8 @@
             upstream.mirror.update(message)
         elif isinstance(message, messages.Directory):
             upstream.directory = message
+        elif isinstance(message, messages.Suspect):
+            self._take_suspect(message)
         else:
             self._take_tables(message)
         # Until its first pulse an agent has not told all that it knows.
@@ -202,6 +207,11 @@
                 upstream.stream.post(heartbeat)
                 upstream.told = described
 
+    def send(self, message: messages.Message) -> None:
+        """Sends a message to all agents that are followed."""
+        for stream in self.list_streams():
+            stream.post(message)
+
     def list_streams(self) -> list[streams.Stream]:
         """Returns the open streams."""
         return [
--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -74,6 +74,10 @@
         """Returns fingerprints and crashed targets, for other gateways."""
         return self._quarantine.list_suspects()
 
+    def find_crashes(self, fingerprint: int) -> tuple[str, ...]:
+        """Returns the targets that crashed while a request ran there."""
+        return self._quarantine.find_crashes(fingerprint)
+
     def merge_suspects(
         self, now: float, suspects: Iterable[tuple[int, tuple[str, ...]]]
     ) -> None:
--- a/wigeonspool/core/quarantine.py
+++ b/wigeonspool/core/quarantine.py
@@ -92,6 +92,11 @@
             return False
         return len(row.targets) >= CRASHES_TO_REFUSE
 
+    def find_crashes(self, fingerprint: int) -> tuple[str, ...]:
+        """Returns the targets that crashed while a request ran there."""
+        row = self._rows.get(fingerprint)
+        return tuple(sorted(row.targets)) if row else ()
+
     def list_suspects(self) -> list[tuple[int, tuple[str, ...]]]:
         """Returns fingerprints and crashed targets, to tell other gateways."""
         return [
--- a/wigeonspool/gateway/link.py
+++ b/wigeonspool/gateway/link.py
@@ -35,6 +35,7 @@
         view: views.FleetView,
         log: EventLog,
         on_change: Callable[[], None],
+        on_suspect: Callable[[messages.Suspect], None],
         build_status: Callable[[str], messages.GatewayStatus],
     ) -> None:
         """Prepares the link.
@@ -45,6 +46,7 @@
             view: Where to put what the agent tells.
             log: Events of this process.
             on_change: Called after the view changed.
+            on_suspect: Takes a request that crashes targets.
             build_status: Returns the state of a pool, or of all for "".
         """
         self._address = address
@@ -52,16 +54,17 @@
         self._view = view
         self._log = log
         self._on_change = on_change
+        self._on_suspect = on_suspect
         self._build_status = build_status
         self._stream: streams.Stream | None = None
         self._members: dict[str, messages.Heartbeat] = {}
         self._detector = clocks.PauseDetector(PAUSE_SECONDS, clocks.read_clock)
         view.watch_pauses(hello.process, self._detector.is_current)
 
-    def report(self, report: messages.GatewayReport) -> None:
-        """Tells the agent of this gateway, if a stream is open."""
+    def send(self, message: messages.GatewayReport | messages.Suspect) -> None:
+        """Tells the agent something, if a stream is open."""
         if self._stream is not None:
-            self._stream.post(report)
+            self._stream.post(message)
 
     async def follow(self) -> None:
         """Follows the agent over one stream until that ends.
@@ -117,6 +120,8 @@
             # left of a stream from before a pause proves nothing.
             if stream is self._stream:
                 self._detector.refresh()
+        elif isinstance(message, messages.Suspect):
+            self._on_suspect(message)
         elif isinstance(message, messages.EventsRequest):
             stream.post(self._log.build_reply(message.wanted))
         elif isinstance(message, messages.VmStatusRequest):
--- a/wigeonspool/gateway/scheduler.py
+++ b/wigeonspool/gateway/scheduler.py
@@ -1,16 +1,22 @@
 """Drives the core for a gateway: each request waits for its next action."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from wigeonspool.core import actions
 from wigeonspool.core import dispatcher
 from wigeonspool.core import tables
 from wigeonspool.model import entities
+from wigeonspool.model import messages
 
 
 class Scheduler:
-    """Connects the coroutines of requests to the dispatcher."""
+    """Connects the coroutines of requests to the dispatcher.
+
+    Attributes:
+        core: The dispatcher.
+        on_suspect: Called with each request that was running at a crash.
+    """
 
     def __init__(self, zone: str) -> None:
         """Prepares an empty dispatcher.
@@ -22,6 +28,8 @@
         self._loop = asyncio.get_running_loop()
         self._pending: dict[int, asyncio.Future[actions.Action]] = {}
         self._last_id = 0
+        self.on_suspect: Callable[[messages.Suspect], None]
+        self.on_suspect = lambda suspect: None
 
     def create_id(self) -> int:
         """Returns a request number that is unique within this process."""
@@ -39,6 +47,17 @@
             self.core.share(pool, slots)
         self.tick()
 
+    def take_suspect(self, suspect: messages.Suspect) -> None:
+        """Takes a request that crashed targets of another gateway."""
+        told = [(suspect.fingerprint, suspect.targets)]
+        self.core.merge_suspects(self._loop.time(), told)
+
+    def _tell_suspect(self, fingerprint: int) -> None:
+        """Tells of a request that was running when a target crashed."""
+        targets = self.core.find_crashes(fingerprint)
+        if targets:
+            self.on_suspect(messages.Suspect(fingerprint, targets))
+
     async def submit(self, request: tables.RequestRow) -> actions.Action:
         """Returns the first action of a request: a Send or a Settle."""
         self._expect(request.request_id)
@@ -52,6 +71,8 @@
         self._expect(request.request_id)
         now = self._loop.time()
         self._execute(self.core.finish(now, request.request_id, target, result))
+        if result.crashed:
+            self._tell_suspect(request.fingerprint)
         return await self._wait(request.request_id)
 
     def abandon(self, request: tables.RequestRow) -> None:
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -59,6 +59,7 @@
         """Opens the link to the agent and the callers' port."""
         self._view = view.FleetView()
         self._scheduler = scheduler.Scheduler(self._settings.zone)
+        self._scheduler.on_suspect = lambda suspect: self._link.send(suspect)
         self._client = egress.Egress()
         self._pauses = pauses.PauseMonitor(time.monotonic())
         self._ingress = ingress.Ingress(
@@ -85,6 +86,7 @@
             self._view,
             self._log,
             self._take_view,
+            self._scheduler.take_suspect,
             functools.partial(
                 statuses.build_status,
                 self._gateway.name,
@@ -134,7 +136,7 @@
         gateway = dataclasses.replace(
             self._gateway, draining=self._ingress.draining, demand=demand
         )
-        self._link.report(
+        self._link.send(
             messages.GatewayReport(gateway, self._view.tables.generation)
         )
 
--- a/wigeonspool/model/messages.py
+++ b/wigeonspool/model/messages.py
@@ -165,6 +165,19 @@
     is_first_hand: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspect:
+    """A request that was running when targets crashed.
+
+    Attributes:
+        fingerprint: Equal for resends of the request.
+        targets: Addresses of the targets that crashed.
+    """
+
+    fingerprint: int
+    targets: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StatusRequest:
     """Asks an agent for the whole fleet; answered with members."""
@@ -295,6 +308,7 @@
     | Members
     | MemberChanges
     | Directory
+    | Suspect
     | StatusRequest
     | RegionRequest
     | VmStatusRequest
@@ -316,6 +330,7 @@
         Members,
         MemberChanges,
         Directory,
+        Suspect,
         StatusRequest,
         RegionRequest,
         VmStatusRequest,
--- a/wigeonspool/wire/senders.py
+++ b/wigeonspool/wire/senders.py
@@ -27,6 +27,7 @@
     messages.MemberChanges: frozenset({AGENT}),
     messages.Directory: frozenset({AGENT}),
     messages.GatewayReport: frozenset({GATEWAY}),
+    messages.Suspect: frozenset({AGENT, GATEWAY, REMOTE}),
     messages.StatusRequest: frozenset({OPERATOR}),
     messages.RegionRequest: frozenset({OPERATOR}),
     messages.VmStatusRequest: frozenset({AGENT, OPERATOR}),
