Ask a target that sheds less and less, also where the bound protects it

Cause: since attempts that did not run no longer count against the three that may fail, the only target of a pool that sheds was asked 12 times within milliseconds. Change: a target whose sheds reach the score's limit is out for 20 ms, doubled each time, without regard to the bound on ejections.

--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -1,5 +1,8 @@
+from wigeonspool.core import actions
+from wigeonspool.core import dispatcher
 from wigeonspool.core import health
 from wigeonspool.core import tables
+from wigeonspool.model import entities
 
 GOOD = tables.Result(tables.ResultKind.ANSWERED)
 FAILED = tables.Result(tables.ResultKind.FAILED)
@@ -59,3 +62,23 @@
         health.end_ejection(row)
         health.note_bad(row, health.FAILED_SCORE, 4)
         assert health.is_failing(row)
+
+
+class TestShedding:
+    def test_target_that_sheds_is_asked_less_and_less(self) -> None:
+        """Even the only target of a pool, which the bound protects."""
+        core = dispatcher.Dispatcher("zone-0")
+        listed = (entities.Target("t0:1", "zone-0"),)
+        core.configure([entities.Pool("queue", 4, listed)])
+        shed = tables.Result(tables.ResultKind.NOT_RUN)
+        request = tables.RequestRow(1, "queue", "read", 100.0, True)
+        sends: list[float] = []
+        done = core.submit(0.0, request)
+        for step in range(1000):
+            now = step / 1000
+            done = done or core.tick(now)
+            if done and isinstance(done[0], actions.Send):
+                sends.append(now)
+                done = core.finish(now, 1, "t0:1", shed)
+        assert 3 < len(sends) < 10
+        assert sends[-1] - sends[-2] > sends[-3] - sends[-4]
--- a/wigeonspool/core/health.py
+++ b/wigeonspool/core/health.py
@@ -21,6 +21,8 @@
 SLOW_RATIO: Final = 8.0
 LEAST_SLOW_SECONDS: Final = 0.02
 EJECTION_SECONDS: Final = 0.2
+# A target that sheds is asked again sooner, for it may shed for all pools.
+SHED_SECONDS: Final = 0.02
 MAX_EJECTION_SECONDS: Final = 5.0
 MAX_DOUBLINGS: Final = 5
 # A target that said it is leaving gets nothing until it is heard of anew.
@@ -82,10 +84,18 @@
     return row.score >= SCORE_LIMIT
 
 
-def begin_ejection(row: tables.HealthRow, now: float) -> None:
-    """Takes a target out; each ejection in a row doubles the time."""
+def begin_ejection(
+    row: tables.HealthRow, now: float, seconds: float = EJECTION_SECONDS
+) -> None:
+    """Takes a target out; each ejection in a row doubles the time.
+
+    Args:
+        row: Target's health.
+        now: Time on the core's clock, in seconds.
+        seconds: Time of a first ejection.
+    """
     doublings = min(row.ejections, MAX_DOUBLINGS)
-    seconds = min(EJECTION_SECONDS * 2**doublings, MAX_EJECTION_SECONDS)
+    seconds = min(seconds * 2**doublings, MAX_EJECTION_SECONDS)
     row.out_until = now + seconds
     row.ejections += 1
 
--- a/wigeonspool/core/supervision.py
+++ b/wigeonspool/core/supervision.py
@@ -62,6 +62,9 @@
         health.note_good(target.health, target.slots)
     elif not request.overdue or score != health.SLOW_SCORE:
         _note_bad(now, row, target, score)
+        not_run = result.kind is tables.ResultKind.NOT_RUN
+        if not_run and health.is_failing(target.health):
+            _take_out(now, row, target, health.SHED_SECONDS)
 
 
 def learn_overdue(
@@ -95,16 +98,21 @@
     _take_out(now, row, target)
 
 
-def _take_out(now: float, row: pools.PoolRow, target: tables.TargetRow) -> None:
-    """Takes a target out for a time.
+def _take_out(
+    now: float,
+    row: pools.PoolRow,
+    target: tables.TargetRow,
+    seconds: float = health.EJECTION_SECONDS,
+) -> None:
+    """Takes a target out for a time that doubles with each ejection.
 
-    A target that refuses connections goes without regard to the bound, since
-    nothing could run there anyway.
+    A target that refuses connections or work goes without regard to the
+    bound, since nothing would run there anyway.
     """
     if target.state is not tables.TargetState.SERVING:
         return
     target.state = tables.TargetState.EJECTED
-    health.begin_ejection(target.health, now)
+    health.begin_ejection(target.health, now, seconds)
     entry = (target.health.out_until, target.address)
     heapq.heappush(row.returns, entry)
 
