--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -6,34 +6,23 @@
 """
 
 import collections
-from collections.abc import Iterable
-import dataclasses
+from collections.abc import Iterable, Mapping
 import heapq
 from typing import Final
 
 from wigeonspool.core import actions
+from wigeonspool.core import choosing
+from wigeonspool.core import health
+from wigeonspool.core import pools
+from wigeonspool.core import quarantine
+from wigeonspool.core import supervision
 from wigeonspool.core import tables
 from wigeonspool.model import entities
 from wigeonspool.model import outcomes
 
 MAX_ATTEMPTS: Final = 3
-EJECTION_FAILURES: Final = 3
-EJECTION_SECONDS: Final = 1.0
-
-
-@dataclasses.dataclass(slots=True)
-class PoolRow:
-    """The targets and the queue of one pool.
-
-    Attributes:
-        pool: The operators' row.
-        targets: Targets by address.
-        queue: Heap of (deadline, request id).
-    """
-
-    pool: entities.Pool
-    targets: dict[str, tables.TargetRow]
-    queue: list[tuple[float, int]] = dataclasses.field(default_factory=list)
+# Attempts that provably did not run cost a target nothing, so more are made.
+MAX_SENDS: Final = 12
 
 
 class Dispatcher:
@@ -46,38 +35,51 @@
             zone: Availability zone of the gateway.
         """
         self._zone = zone
-        self._pools: dict[str, PoolRow] = {}
+        self._pools: dict[str, pools.PoolRow] = {}
         self._requests: dict[int, tables.RequestRow] = {}
         self._leaving: frozenset[str] = frozenset()
+        self._waiting: set[str] = set()
+        self._watched: set[str] = set()
+        self._quarantine = quarantine.QuarantineTable()
 
-    def configure(self, pools: Iterable[entities.Pool]) -> None:
+    def configure(self, listed: Iterable[entities.Pool]) -> None:
         """Takes the pools of a new generation; running work goes on."""
-        wanted = {pool.name: pool for pool in pools}
+        wanted = {pool.name: pool for pool in listed}
         for name in self._pools.keys() - wanted.keys():
-            self._pools[name].targets = {}
+            self._pools[name].replace_targets({})
         for name, pool in wanted.items():
-            row = self._pools.setdefault(name, PoolRow(pool, {}))
+            row = self._pools.setdefault(name, pools.PoolRow(pool, self._zone))
             row.pool = pool
-            row.targets = {
-                target.address: self._merge_target(row, target)
-                for target in pool.targets
-            }
-
-    def _merge_target(
-        self, row: PoolRow, target: entities.Target
-    ) -> tables.TargetRow:
-        """Returns the row of a target, with what is known of it."""
-        known = row.targets.get(target.address)
-        if known is None:
-            known = tables.TargetRow(
-                target.address, target.zone, row.pool.slots
+            row.replace_targets(
+                {
+                    target.address: supervision.merge_target(
+                        row, target, target.address in self._leaving
+                    )
+                    for target in pool.targets
+                }
             )
-        known.slots = row.pool.slots
-        if target.drained or target.address in self._leaving:
-            known.state = tables.TargetState.DRAINING
-        elif known.state is tables.TargetState.DRAINING:
-            known.state = tables.TargetState.SERVING
-        return known
+
+    def share(self, pool: str, limits: Mapping[str, int] | None) -> None:
+        """Takes the slots that this gateway may use.
+
+        Args:
+            pool: Pool that is shared.
+            limits: Slots by target address, or None to use them all.
+        """
+        row = self._pools.get(pool)
+        if row is not None:
+            row.share(limits)
+
+    def list_suspects(self) -> list[tuple[int, tuple[str, ...]]]:
+        """Returns fingerprints and crashed targets, for other gateways."""
+        return self._quarantine.list_suspects()
+
+    def merge_suspects(
+        self, now: float, suspects: Iterable[tuple[int, tuple[str, ...]]]
+    ) -> None:
+        """Takes the suspects of another gateway."""
+        for fingerprint, targets in suspects:
+            self._quarantine.merge(now, fingerprint, targets)
 
     def mark_leaving(self, addresses: Iterable[str]) -> None:
         """Takes the addresses of all targets that the VM list calls leaving."""
@@ -118,9 +120,11 @@
             return [self._refuse(request, outcomes.Reason.NOT_CONFIGURED)]
         if request.deadline <= now:
             return [self._refuse(request, outcomes.Reason.DEADLINE_PASSED)]
+        if self._quarantine.is_refused(now, request.fingerprint):
+            return [self._refuse(request, outcomes.Reason.QUARANTINED)]
         request.arrived_at = now
         self._requests[request.request_id] = request
-        heapq.heappush(row.queue, (request.deadline, request.request_id))
+        row.enqueue(request)
         return self._dispatch(now, row)
 
     def finish(
@@ -138,7 +142,12 @@
         if request is None:
             return []
         row = self._pools[request.pool]
-        self._release(now, row, target, result)
+        if result.kind is tables.ResultKind.ANSWERED:
+            row.times.record(request.route, now - request.sent_at)
+            self._quarantine.clear(request.fingerprint)
+        elif result.crashed:
+            self._quarantine.note_crash(now, request.fingerprint, target)
+        self._release(now, row, request, target, result)
         request.tried.add(target)
         done = self._conclude(now, row, request, result)
         return done + self._dispatch(now, row)
@@ -157,57 +166,63 @@
         done: list[actions.Action] = []
         if request.state is tables.RequestState.RUNNING:
             done.append(actions.Cancel(request_id, request.target))
-            lost = tables.Result(tables.ResultKind.ANSWERED)
-            self._release(now, row, request.target, lost)
+            self._release(now, row, request, request.target, None)
         request.state = tables.RequestState.SETTLED
         return done + self._dispatch(now, row)
 
     def tick(self, now: float) -> list[actions.Action]:
         """Runs the systems that depend on time alone."""
         done: list[actions.Action] = []
-        for row in self._pools.values():
-            for target in row.targets.values():
-                if (
-                    target.state is tables.TargetState.EJECTED
-                    and target.ejected_until <= now
-                ):
-                    target.state = tables.TargetState.SERVING
-            done += self._dispatch(now, row)
+        for name in list(self._watched):
+            row = self._pools[name]
+            self._note_overdue(now, row)
+            supervision.restore_targets(now, row)
+            if not row.overdue and not row.returns:
+                self._watched.discard(name)
+        for name in list(self._waiting):
+            done += self._dispatch(now, self._pools[name])
         return done
 
+    def _note_overdue(self, now: float, row: pools.PoolRow) -> None:
+        """Judges targets by attempts that should have ended by now."""
+        while row.overdue and row.overdue[0][0] <= now:
+            _, request_id, attempt = heapq.heappop(row.overdue)
+            request = self._requests.get(request_id)
+            if (
+                request is not None
+                and request.state is tables.RequestState.RUNNING
+                and request.attempts == attempt
+            ):
+                supervision.learn_overdue(now, row, request)
+
     def _release(
-        self, now: float, row: PoolRow, address: str, result: tables.Result
+        self,
+        now: float,
+        row: pools.PoolRow,
+        request: tables.RequestRow,
+        address: str,
+        result: tables.Result | None,
     ) -> None:
-        """Frees the slot of an attempt and learns from its result."""
+        """Frees the slot of an attempt and learns from its result, if any."""
+        row.count_end(request)
+        if request.suspect:
+            request.suspect = False
+            row.suspects[address] -= 1
+            row.suspects += collections.Counter()
         target = row.targets.get(address)
         if target is None:
             return
         target.in_flight = max(0, target.in_flight - 1)
-        if result.draining:
-            target.state = tables.TargetState.DRAINING
-        if result.kind is tables.ResultKind.ANSWERED:
-            target.failures = 0
-            return
-        target.failures += 1
-        if target.failures >= EJECTION_FAILURES:
-            self._eject(now, row, target)
-
-    def _eject(
-        self, now: float, row: PoolRow, target: tables.TargetRow
-    ) -> None:
-        """Keeps new work from a target, within the pool's bound."""
-        states = [t.state for t in row.targets.values()]
-        bound = int(len(states) * row.pool.max_ejected_fraction)
-        if states.count(tables.TargetState.EJECTED) >= bound:
-            return
-        if target.state is tables.TargetState.SERVING:
-            target.state = tables.TargetState.EJECTED
-            target.ejected_until = now + EJECTION_SECONDS
+        if result is not None:
+            supervision.learn_result(now, row, request, target, result)
+            if row.returns:
+                self._watched.add(row.pool.name)
+        row.index.place(target)
 
     def _conclude(
         self,
         now: float,
-        row: PoolRow,
+        row: pools.PoolRow,
         request: tables.RequestRow,
         result: tables.Result,
     ) -> list[actions.Action]:
@@ -216,11 +231,12 @@
             return [self._settle(request, None)]
         if result.kind is not tables.ResultKind.NOT_RUN:
             request.may_have_run = True
-        safe = result.kind is tables.ResultKind.NOT_RUN or request.idempotent
-        if safe and request.attempts < MAX_ATTEMPTS and now < request.deadline:
+        if self._quarantine.is_refused(now, request.fingerprint):
+            return [self._refuse(request, outcomes.Reason.QUARANTINED)]
+        if self._may_retry(now, request, result):
             request.state = tables.RequestState.QUEUED
             request.target = ""
-            heapq.heappush(row.queue, (request.deadline, request.request_id))
+            row.enqueue(request)
             return []
         if result.kind is tables.ResultKind.FAILED:
             return [self._settle(request, None)]
@@ -229,6 +245,17 @@
         failure = outcomes.doubt(outcomes.Reason.CONNECTION_LOST)
         return [self._settle(request, failure)]
 
+    def _may_retry(
+        self, now: float, request: tables.RequestRow, result: tables.Result
+    ) -> bool:
+        """Returns True if a request may be sent once more."""
+        if now >= request.deadline or request.attempts >= MAX_SENDS:
+            return False
+        if result.kind is tables.ResultKind.NOT_RUN:
+            return True
+        request.failures += 1
+        return request.idempotent and request.failures < MAX_ATTEMPTS
+
     def _settle(
         self, request: tables.RequestRow, failure: outcomes.Failure | None
     ) -> actions.Action:
@@ -248,59 +275,65 @@
         )
         return self._settle(request, failure)
 
-    def _dispatch(self, now: float, row: PoolRow) -> list[actions.Action]:
+    def _dispatch(self, now: float, row: pools.PoolRow) -> list[actions.Action]:
         """Sends queued requests while targets have free slots."""
+        row.refresh(now)
         done: list[actions.Action] = []
-        while row.queue:
-            deadline, request_id = row.queue[0]
-            request = self._requests.get(request_id)
-            if (
-                request is None
-                or request.state is not tables.RequestState.QUEUED
-            ):
-                heapq.heappop(row.queue)
-                continue
-            if deadline <= now:
-                heapq.heappop(row.queue)
-                done.append(
-                    self._refuse(request, outcomes.Reason.DEADLINE_PASSED)
-                )
+        while (request := row.peek()) is not None:
+            if request.deadline <= now:
+                row.queue.pop(request)
+                reason = outcomes.Reason.DEADLINE_PASSED
+                done.append(self._refuse(request, reason))
                 continue
             target = self._choose(row, request)
             if target is None:
                 break
-            heapq.heappop(row.queue)
-            done.append(self._send(now, request, target))
+            row.queue.pop(request)
+            done.append(self._send(now, row, request, target))
+        if row.queue:
+            self._waiting.add(row.pool.name)
+        else:
+            self._waiting.discard(row.pool.name)
         return done
 
     def _choose(
-        self, row: PoolRow, request: tables.RequestRow
+        self, row: pools.PoolRow, request: tables.RequestRow
     ) -> tables.TargetRow | None:
-        """Returns the target with the fewest attempts, near ones first."""
-        best: tables.TargetRow | None = None
-        best_rank = (True, True, 0)
-        for target in row.targets.values():
-            if target.state is not tables.TargetState.SERVING:
-                continue
-            if target.in_flight >= target.slots:
-                continue
-            rank = (
-                target.address in request.tried,
-                target.zone != self._zone,
-                target.in_flight,
-            )
-            if best is None or rank < best_rank:
-                best = target
-                best_rank = rank
-        return best
+        """Returns the target with the most free slots, near ones first."""
+        avoided = request.tried
+        if self._quarantine.is_suspect(request.fingerprint):
+            avoided = avoided | row.suspects.keys()
+        return row.index.choose(avoided, choosing.Group.REMOTE)
 
     def _send(
-        self, now: float, request: tables.RequestRow, target: tables.TargetRow
+        self,
+        now: float,
+        row: pools.PoolRow,
+        request: tables.RequestRow,
+        target: tables.TargetRow,
     ) -> actions.Action:
         """Starts an attempt."""
+        row.count_start(request)
         target.in_flight += 1
+        row.index.place(target)
         request.state = tables.RequestState.RUNNING
         request.target = target.address
         request.sent_at = now
         request.attempts += 1
+        request.overdue = False
+        if self._quarantine.is_suspect(request.fingerprint):
+            request.suspect = True
+            row.suspects[target.address] += 1
+        self._expect_end(now, row, request)
         return actions.Send(request.request_id, target.address)
+
+    def _expect_end(
+        self, now: float, row: pools.PoolRow, request: tables.RequestRow
+    ) -> None:
+        """Plans a look at an attempt when it should have ended."""
+        median = row.times.find(request.route).median
+        if median:
+            at = now + health.find_slow_seconds(median)
+            entry = (at, request.request_id, request.attempts)
+            heapq.heappush(row.overdue, entry)
+            self._watched.add(row.pool.name)
