Tell the score of an ejected target, and send the example's reads at once

Cause: targets are ejected by a score now, so 'failures in a row' was no longer the reason; one read at a time never reached the failing target of the example.

--- a/examples/first-day/run.sh
+++ b/examples/first-day/run.sh
@@ -39,6 +39,17 @@
   curl -s -o /dev/null -w '%{http_code}\n' -H "Wigeonspool-Request: $1" \
     "http://127.0.0.1:26210/queue/1${2:-}"
 }
+start_reads() {
+  reads=()
+  for i in $(seq "$1"); do
+    read_queue "$2-$i" >"$logs/$2-$i" &
+    reads+=($!)
+  done
+}
+count_reads() {
+  wait "${reads[@]}"
+  cat "$logs/$1"-* | sort | uniq -c
+}
 wait_port() {
   for _ in $(seq 100); do
     if (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; then return; fi
@@ -91,21 +102,20 @@
 
 title "Crest"
 set_faults 26090 '{"slow": 60}'
-reads=()
-for i in $(seq 60); do
-  read_queue "crest-$i" >"$logs/crest-$i" &
-  reads+=($!)
-done
+start_reads 60 crest
 sleep 0.4
 show wigeonspool-ctl status
-wait "${reads[@]}"
-cat "$logs"/crest-* | sort | uniq -c
+count_reads crest
 curl -s http://127.0.0.1:26211/metrics | grep '^wigeonspool_gateway_requests'
 set_faults 26090 '{"slow": 1}'
 
 title "A target that fails"
 set_faults 26090 '{"targets": ["127.0.0.1:26000"], "failing": true}'
-for i in $(seq 40); do read_queue "fail-$i"; done | sort | uniq -c
+for round in 1 2 3 4 5; do
+  start_reads 20 "fail-$round"
+  wait "${reads[@]}"
+done
+count_reads fail
 sleep 0.5
 show wigeonspool-timeline "$WIGEONSPOOL_AGENT" --target 127.0.0.1:26000 \
   --kind target-ejected --kind target-restored --last 4
--- a/wigeonspool/gateway/statuses.py
+++ b/wigeonspool/gateway/statuses.py
@@ -69,5 +69,5 @@
             return "leaving, says the VM list"
         return "the target said so"
     if row.state is tables.TargetState.EJECTED:
-        return "failures in a row"
+        return f"slow or failing (score {row.health.score:.1f})"
     return ""
