Tell of ejections that begin and end between two looks

Cause: ejections last 0.2 s at first, and a gateway looks at its targets four times a second for the time line, so most were not told: a target that failed every attempt showed no event in a run of the example.

The count of ejections in the target's row now tells of those between.

--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -11,6 +11,8 @@
 import pytest
 
 from tests import fleet as fleets
+from wigeonspool.core import tables
+from wigeonspool.gateway import watching
 from wigeonspool.model import errors
 from wigeonspool.model import events
 from wigeonspool.model import messages
@@ -186,6 +188,34 @@
         )
 
 
+SERVING = tables.TargetState.SERVING
+EJECTED = tables.TargetState.EJECTED
+DRAINING = tables.TargetState.DRAINING
+
+
+class TestTargetWatcher:
+    @pytest.mark.parametrize(
+        ("before", "now", "entered"),
+        [
+            ((SERVING, 0), (SERVING, 0), []),
+            ((SERVING, 0), (EJECTED, 1), [EJECTED]),
+            ((EJECTED, 1), (EJECTED, 1), []),
+            ((EJECTED, 1), (SERVING, 1), [SERVING]),
+            ((SERVING, 0), (SERVING, 1), [EJECTED, SERVING]),
+            ((SERVING, 1), (DRAINING, 2), [EJECTED, DRAINING]),
+            ((SERVING, 1), (SERVING, 0), []),
+            ((SERVING, 0), (DRAINING, 0), [DRAINING]),
+        ],
+    )
+    def test_ejection_between_two_looks_is_told(
+        self, before: Any, now: Any, entered: list[Any]
+    ) -> None:
+        found = watching.list_changes(
+            watching.SeenState(*before), watching.SeenState(*now)
+        )
+        assert found == entered
+
+
 class TestChromeTrace:
     def test_request_is_a_span_and_notes_are_kept(self) -> None:
         def build(counter: int, kind: events.Kind) -> events.Event:
--- a/wigeonspool/gateway/statuses.py
+++ b/wigeonspool/gateway/statuses.py
@@ -43,7 +43,7 @@
             address=row.address,
             zone=row.zone,
             state=row.state.name.lower(),
-            reason=explain_state(row, row.address in drained, view),
+            reason=explain_state(row, row.state, row.address in drained, view),
             in_flight=row.in_flight,
             slots=row.slots,
         )
@@ -53,21 +53,25 @@
 
 
 def explain_state(
-    row: tables.TargetRow, drained: bool, view: views.FleetView
+    row: tables.TargetRow,
+    state: tables.TargetState,
+    drained: bool,
+    view: views.FleetView,
 ) -> str:
     """Returns why a target is in its state, or "" if it serves.
 
     Args:
         row: The target.
+        state: State to explain.
         drained: True if the tables say so.
         view: What is known of the fleet.
     """
-    if row.state is tables.TargetState.DRAINING:
+    if state is tables.TargetState.DRAINING:
         if drained:
             return "drained by an operator"
         if row.address in view.leaving:
             return "leaving, says the VM list"
         return "the target said so"
-    if row.state is tables.TargetState.EJECTED:
+    if state is tables.TargetState.EJECTED:
         return f"slow or failing (score {row.health.score:.1f})"
     return ""
--- a/wigeonspool/gateway/watching.py
+++ b/wigeonspool/gateway/watching.py
@@ -1,5 +1,6 @@
 """Records on the time line when a target changes its state."""
 
+import dataclasses
 from typing import Final
 
 from wigeonspool.core import tables
@@ -16,6 +17,34 @@
 }
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeenState:
+    """A target as it was seen last.
+
+    Attributes:
+        state: Its state.
+        ejections: Ejections since it last had all its slots; an ejection may
+            begin and end between two looks.
+    """
+
+    state: tables.TargetState
+    ejections: int
+
+
+USUAL: Final = SeenState(tables.TargetState.SERVING, 0)
+
+
+def list_changes(before: SeenState, now: SeenState) -> list[tables.TargetState]:
+    """Returns the states that a target went into between two looks."""
+    entered: list[tables.TargetState] = []
+    if now.ejections > before.ejections:
+        entered.append(tables.TargetState.EJECTED)
+    last = entered[-1] if entered else before.state
+    if now.state is not last:
+        entered.append(now.state)
+    return entered
+
+
 class TargetWatcher:
     """Remembers the state of each target that does not simply serve."""
 
@@ -35,27 +64,36 @@
         self._view = view
         self._scheduler = scheduler
         self._log = log
-        self._known: dict[tuple[str, str], tables.TargetState] = {}
+        self._known: dict[tuple[str, str], SeenState] = {}
 
     def observe(self) -> None:
         """Records each change of state since the last call."""
-        found: dict[tuple[str, str], tables.TargetState] = {}
+        found: dict[tuple[str, str], SeenState] = {}
         for pool in self._view.tables.pools.values():
             drained = {t.address for t in pool.targets if t.drained}
             for row in self._scheduler.core.list_targets(pool.name):
                 place = (pool.name, row.address)
-                if row.state is not tables.TargetState.SERVING:
-                    found[place] = row.state
-                if row.state is self._known.pop(
-                    place, tables.TargetState.SERVING
-                ):
-                    continue
-                reason = statuses.explain_state(
-                    row, row.address in drained, self._view
-                )
-                self._log.record(
-                    KINDS[row.state],
-                    target=row.address,
-                    detail={"pool": pool.name, "reason": reason},
-                )
+                now = SeenState(row.state, row.health.ejections)
+                if now != USUAL:
+                    found[place] = now
+                before = self._known.get(place, USUAL)
+                for state in list_changes(before, now):
+                    self._record(pool.name, row, state, drained)
         self._known = found
+
+    def _record(
+        self,
+        pool: str,
+        row: tables.TargetRow,
+        state: tables.TargetState,
+        drained: set[str],
+    ) -> None:
+        """Records that a target went into a state."""
+        reason = statuses.explain_state(
+            row, state, row.address in drained, self._view
+        )
+        self._log.record(
+            KINDS[state],
+            target=row.address,
+            detail={"pool": pool, "reason": reason},
+        )
