Wait under fewer timers on the path of a request

Cause: a request that waits for nothing armed six timers: at submit, at finish, for the attempt, its suspicion, its body and its answer. Change: a timer is armed only where something is waited for; the attempt has one for all of it; a response of up to 16 KB into an empty buffer has none.

--- a/wigeonspool/gateway/answers.py
+++ b/wigeonspool/gateway/answers.py
@@ -13,6 +13,8 @@
 from wigeonspool.model import outcomes
 
 PROBLEM_TYPE: Final = "application/problem+json"
+# With the header fields it stays below what a transport takes unwritten.
+SMALL_BODY_BYTES: Final = 16 * 1024
 TYPE_PREFIX: Final = "urn:wigeonspool:reason:"
 
 _STATUS: Final = {
@@ -91,10 +93,26 @@
         False if the caller left or did not read it; its connection is reset.
     """
     try:
-        async with asyncio.timeout_at(deadline):
+        if fits_buffer(request, response):
             await response.prepare(request)
             await response.write_eof()
+        else:
+            async with asyncio.timeout_at(deadline):
+                await response.prepare(request)
+                await response.write_eof()
     except OSError:
         streaming.break_off(request)
         return False
     return True
+
+
+def fits_buffer(request: web.BaseRequest, response: web.Response) -> bool:
+    """Returns True if a response can be written without waiting."""
+    transport = request.transport
+    body = response.body
+    return (
+        transport is not None
+        and transport.get_write_buffer_size() == 0
+        and isinstance(body, bytes)
+        and len(body) <= SMALL_BODY_BYTES
+    )
--- a/wigeonspool/gateway/connections.py
+++ b/wigeonspool/gateway/connections.py
@@ -28,7 +28,7 @@
     """One use of a connection: a request and the start of its answer.
 
     Attributes:
-        timeout: Bounds the wait for the answer.
+        timeout: Ends the wait for the answer once the peer is suspected.
         suspect_at: Time at which a peer without an answer is suspected, loop
             clock.
         reused: True if the connection had been used before.
--- a/wigeonspool/gateway/egress.py
+++ b/wigeonspool/gateway/egress.py
@@ -126,10 +126,10 @@
             TimeoutError: If the deadline passed.
         """
         try:
-            response = await self._open(
-                address, outgoing, may_retry_connection, route
-            )
             async with asyncio.timeout_at(outgoing.deadline):
+                response = await self._open(
+                    address, outgoing, may_retry_connection, route
+                )
                 return await _read(response, whole_bytes)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return Attempt(tables.Result(tables.ResultKind.NOT_RUN))
@@ -168,8 +168,7 @@
         if may_repeat and route and not outgoing.is_spent():
             limit = self._silence.find_limit(route, suspect_at - now)
             suspect_at = min(suspect_at, now + limit)
-        timeout = asyncio.timeout_at(outgoing.deadline)
-        return connections.Exchange(timeout, suspect_at)
+        return connections.Exchange(asyncio.timeout(None), suspect_at)
 
     async def _send(
         self,
@@ -182,11 +181,11 @@
         """Sends a request over one connection; returns the open answer.
 
         Raises:
-            TimeoutError: If no answer began in time.
+            TimeoutError: If the connection was suspected to be silent.
         """
         connections.EXCHANGE.set(exchange)
         started_at = self._loop.time()
-        fields = outgoing.fields.copy()
+        fields = outgoing.fields
         remaining = outgoing.deadline - started_at
         fields[headers.REMAINING_MS] = str(max(0, int(remaining * 1000)))
         suspected = self._loop.call_at(
--- a/wigeonspool/gateway/runner.py
+++ b/wigeonspool/gateway/runner.py
@@ -1,6 +1,5 @@
 """Follows the core's actions for one request until it ends."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 import dataclasses
 
@@ -127,8 +126,7 @@
         """Follows the core's actions until the request ends."""
         answer: once.Answer | None = None
         try:
-            async with asyncio.timeout_at(row.deadline):
-                action = await self._scheduler.submit(row)
+            action = await self._scheduler.submit(row)
             while isinstance(action, actions.Send):
                 if guard is not None and not guard.before_send():
                     return self._expire(row, sent=False)
@@ -148,10 +146,9 @@
                 not_run = attempt.result.kind is tables.ResultKind.NOT_RUN
                 if guard is not None and not_run:
                     guard.after_not_run()
-                async with asyncio.timeout_at(row.deadline):
-                    action = await self._scheduler.finish(
-                        row, action.target, attempt.result
-                    )
+                action = await self._scheduler.finish(
+                    row, action.target, attempt.result
+                )
         except TimeoutError:
             return self._expire(row)
         if isinstance(action, actions.Settle) and action.failure is not None:
--- a/wigeonspool/gateway/scheduler.py
+++ b/wigeonspool/gateway/scheduler.py
@@ -36,7 +36,7 @@
         """Returns the first action of a request: a Send or a Settle."""
         self._expect(request.request_id)
         self._execute(self.core.submit(self._loop.time(), request))
-        return await self._wait(request.request_id)
+        return await self._wait(request)
 
     async def finish(
         self, request: tables.RequestRow, target: str, result: tables.Result
@@ -45,7 +45,7 @@
         self._expect(request.request_id)
         now = self._loop.time()
         self._execute(self.core.finish(now, request.request_id, target, result))
-        return await self._wait(request.request_id)
+        return await self._wait(request)
 
     def abandon(self, request: tables.RequestRow) -> None:
         """Drops a request whose caller left or whose deadline passed."""
@@ -61,11 +61,18 @@
         """Prepares to receive the next action of a request."""
         self._pending[request_id] = self._loop.create_future()
 
-    async def _wait(self, request_id: int) -> actions.Action:
-        """Waits for the next action of a request."""
-        action = await self._pending[request_id]
-        self._pending.pop(request_id, None)
-        return action
+    async def _wait(self, request: tables.RequestRow) -> actions.Action:
+        """Waits for the next action of a request.
+
+        Raises:
+            TimeoutError: If its deadline passed.
+        """
+        pending = self._pending[request.request_id]
+        if not pending.done():
+            async with asyncio.timeout_at(request.deadline):
+                await pending
+        self._pending.pop(request.request_id, None)
+        return pending.result()
 
     def _execute(self, done: list[actions.Action]) -> None:
         """Hands actions to the coroutines that wait for them."""
