--- a/wigeonspool/gateway/ingress.py
+++ b/wigeonspool/gateway/ingress.py
@@ -88,6 +88,10 @@
             client,
         )
 
+    def divide_pools(self) -> dict[str, dict[str, int]]:
+        """Returns the slots that this gateway may use, by pool and target."""
+        return self._addresses.divide_pools(self.gateway.name)
+
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one HTTP request of a caller."""
         if request.path == headers.ADDRESS_PATH:
@@ -175,7 +179,9 @@
         body, held = await incoming.read_body(request, deadline)
         outgoing = incoming.build_outgoing(request, request_id, body, deadline)
         # A body that is not held cannot be sent twice.
-        row = self._runner.create_row(route, deadline, idempotent=held)
+        row = self._runner.create_row(
+            route, deadline, held, incoming.find_fingerprint(outgoing)
+        )
         return await self._runner.run(row, outgoing, request_id, request)
 
     def _find_deadline(
