Let the planted older send meet a refusal that takes until its deadline

Cause: work that provably did not run is sent on until its deadline, so three sheds at once are no refusal any more; the scripted interleaving of "an older send of a refused key runs" no longer reached its refused row and found nothing. It now passes the deadline and finds the planted fault again. The machine also gets the rule send_while_all_shed, since chance seldom makes that row of steps.

--- a/tests/test_home_machine.py
+++ b/tests/test_home_machine.py
@@ -294,6 +294,16 @@
     def change_target(self, address: str, mode: str) -> None:
         self.world.modes[address] = mode
 
+    @stateful.rule(key=keys, via=NAMES)
+    def send_while_all_shed(self, key: tuple[str, str], via: str) -> None:
+        """A refusal needs this row of steps, which chance seldom makes."""
+        modes = dict(self.world.modes)
+        for address in TARGETS:
+            self.change_target(address, "shed")
+        self.send(key, via, numbered=True, seconds=0.5)
+        self.pass_time(0.6)
+        self.world.modes = modes
+
     @stateful.rule()
     def release_slow(self) -> None:
         self.world.release.set()
@@ -448,10 +458,12 @@
     machine.send(key, "b", True, 30.0)
     for address in TARGETS:
         machine.change_target(address, "shed")
-    machine.send(key, "a", True, 3.0)
+    machine.send(key, "a", True, 0.5)
+    machine.pass_time(0.6)
     for address in TARGETS:
         machine.change_target(address, "answer")
     machine.let_go("b")
+    machine.pass_time(2.0)
 
 
 def meet_lost_reply(machine: HomeMachine) -> None:
