--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -17,6 +17,7 @@
 from wigeonspool.model import messages
 from wigeonspool.operator import ctl
 from wigeonspool.operator import differences
+from wigeonspool.operator import draining
 from wigeonspool.operator import edits
 from wigeonspool.operator import sessions
 from wigeonspool.operator import statuses
@@ -289,7 +290,7 @@
         async def drain(address: str) -> None:
             async with sessions.open_log(fleet.store_url, fleets.PREFIX) as log:
                 await edits.edit_tables(
-                    log, lambda t: edits.mark_drained(t, address, True)
+                    log, lambda t: draining.mark_drained(t, address, True)
                 )
 
         await asyncio.gather(*(drain(address) for address in fleet.targets))
--- /dev/null
+++ b/wigeonspool/operator/arguments.py
@@ -0,0 +1,61 @@
+"""Arguments that several commands of operators share."""
+
+import dataclasses
+import pathlib
+from typing import Annotated, Final
+
+import cyclopts
+
+Files = Annotated[list[pathlib.Path], cyclopts.Parameter(negative=())]
+AsJson = Annotated[bool, cyclopts.Parameter(name="--json", negative=())]
+
+
+@cyclopts.Parameter(name="*")
+@dataclasses.dataclass(frozen=True)
+class StoreAddress:
+    """Where the tables are kept.
+
+    Attributes:
+        store: Base URL of the store.
+        prefix: Key prefix of this system in the store.
+    """
+
+    store: Annotated[str, cyclopts.Parameter(env_var="WIGEONSPOOL_STORE")] = (
+        "http://127.0.0.1:2379"
+    )
+    prefix: Annotated[str, cyclopts.Parameter(env_var="WIGEONSPOOL_PREFIX")] = (
+        "/wigeonspool/"
+    )
+
+
+@cyclopts.Parameter(name="*")
+@dataclasses.dataclass(frozen=True)
+class AgentAddress:
+    """Whom to ask for the fleet.
+
+    Attributes:
+        agent: host:port of any agent.
+    """
+
+    agent: Annotated[str, cyclopts.Parameter(env_var="WIGEONSPOOL_AGENT")] = (
+        "127.0.0.1:7000"
+    )
+
+
+@cyclopts.Parameter(name="*")
+@dataclasses.dataclass(frozen=True)
+class Waiting:
+    """Whether to wait until a change is in force.
+
+    Attributes:
+        wait: Return once the generation is in force on all VMs.
+        wait_seconds: Longest time to wait, in seconds.
+    """
+
+    wait: Annotated[bool, cyclopts.Parameter(negative=())] = False
+    wait_seconds: float = 10.0
+
+
+DEFAULT_STORE: Final = StoreAddress()
+DEFAULT_AGENT: Final = AgentAddress()
+NO_WAITING: Final = Waiting()
--- a/wigeonspool/operator/ctl.py
+++ b/wigeonspool/operator/ctl.py
@@ -1,28 +1,24 @@
 """Command line of operators: the two tables, and the state of the fleet."""
 
-import asyncio
 import dataclasses
 import json
-import pathlib
 import time
 from typing import Annotated, Any, Final
 
-import aiohttp
 import cyclopts
 
 from wigeonspool.model import declarations
 from wigeonspool.model import entities
-from wigeonspool.model import errors
+from wigeonspool.operator import arguments
 from wigeonspool.operator import differences
+from wigeonspool.operator import draining
 from wigeonspool.operator import edits
 from wigeonspool.operator import outputs
+from wigeonspool.operator import progress
 from wigeonspool.operator import sessions
 from wigeonspool.operator import statuses
 from wigeonspool.operator import versions
-from wigeonspool.platform import vms
 
-POLL_SECONDS: Final = 0.05
-VM_LIST_SECONDS: Final = 2.0
 CLEAR_SCREEN: Final = "\x1b[H\x1b[2J"
 
 HELP: Final = """Reads and changes the tables of routes and pools.
@@ -44,60 +40,6 @@
 everywhere in time; 5 it is unknown whether the change was accepted.
 """
 
-Files = Annotated[list[pathlib.Path], cyclopts.Parameter(negative=())]
-AsJson = Annotated[bool, cyclopts.Parameter(name="--json", negative=())]
-
-
-@cyclopts.Parameter(name="*")
-@dataclasses.dataclass(frozen=True)
-class StoreAddress:
-    """Where the tables are kept.
-
-    Attributes:
-        store: Base URL of the store.
-        prefix: Key prefix of this system in the store.
-    """
-
-    store: Annotated[str, cyclopts.Parameter(env_var="WIGEONSPOOL_STORE")] = (
-        "http://127.0.0.1:2379"
-    )
-    prefix: Annotated[str, cyclopts.Parameter(env_var="WIGEONSPOOL_PREFIX")] = (
-        "/wigeonspool/"
-    )
-
-
-@cyclopts.Parameter(name="*")
-@dataclasses.dataclass(frozen=True)
-class AgentAddress:
-    """Whom to ask for the fleet.
-
-    Attributes:
-        agent: host:port of any agent.
-    """
-
-    agent: Annotated[str, cyclopts.Parameter(env_var="WIGEONSPOOL_AGENT")] = (
-        "127.0.0.1:7000"
-    )
-
-
-@cyclopts.Parameter(name="*")
-@dataclasses.dataclass(frozen=True)
-class Waiting:
-    """Whether to wait until a change is in force.
-
-    Attributes:
-        wait: Return once the generation is in force on all VMs.
-        wait_seconds: Longest time to wait, in seconds.
-    """
-
-    wait: Annotated[bool, cyclopts.Parameter(negative=())] = False
-    wait_seconds: float = 10.0
-
-
-DEFAULT_STORE: Final = StoreAddress()
-DEFAULT_AGENT: Final = AgentAddress()
-NO_WAITING: Final = Waiting()
-
 app = cyclopts.App(name="wigeonspool-ctl", help=HELP)
 
 
@@ -117,7 +59,9 @@
 
 
 @app.command
-def validate(files: Files, *, as_json: AsJson = False) -> None:
+def validate(
+    files: arguments.Files, *, as_json: arguments.AsJson = False
+) -> None:
     """Checks files of tables without applying them.
 
     Args:
@@ -136,10 +80,10 @@
 
 @app.command
 def diff(
-    files: Files,
+    files: arguments.Files,
     *,
-    where: StoreAddress = DEFAULT_STORE,
-    as_json: AsJson = False,
+    where: arguments.StoreAddress = arguments.DEFAULT_STORE,
+    as_json: arguments.AsJson = False,
 ) -> None:
     """Shows, field by field, what `apply` would change.
 
@@ -162,13 +106,13 @@
 
 @app.command
 def apply(
-    files: Files,
+    files: arguments.Files,
     *,
     base: int | None = None,
-    where: StoreAddress = DEFAULT_STORE,
-    whom: AgentAddress = DEFAULT_AGENT,
-    waiting: Waiting = NO_WAITING,
-    as_json: AsJson = False,
+    where: arguments.StoreAddress = arguments.DEFAULT_STORE,
+    whom: arguments.AgentAddress = arguments.DEFAULT_AGENT,
+    waiting: arguments.Waiting = arguments.NO_WAITING,
+    as_json: arguments.AsJson = False,
 ) -> None:
     """Makes the tables equal to those in some files.
 
@@ -192,7 +136,10 @@
 
 
 def _finish_edit(
-    edit: edits.Edit, whom: AgentAddress, waiting: Waiting, as_json: bool
+    edit: edits.Edit,
+    whom: arguments.AgentAddress,
+    waiting: arguments.Waiting,
+    as_json: bool,
 ) -> None:
     """Prints an accepted change and waits for it if asked to."""
     document = _describe_edit(edit)
@@ -202,7 +149,9 @@
     if not as_json:
         outputs.print_result(document, lines, as_json)
     if waiting.wait:
-        work = _wait_in_force(edit.generation, whom.agent, waiting.wait_seconds)
+        work = progress.wait_in_force(
+            edit.generation, whom.agent, waiting.wait_seconds
+        )
         holders, spent_seconds = outputs.run_command(work, as_json)
         document |= {"in_force": holders, "seconds": round(spent_seconds, 3)}
         if not as_json:
@@ -214,41 +163,12 @@
         outputs.print_result(document, [], as_json)
 
 
-async def _wait_in_force(
-    generation: int, agent: str, wait_seconds: float
-) -> tuple[int, float]:
-    """Waits until a generation is in force on all VMs.
-
-    Returns:
-        How many VMs those are, and how long it took in seconds.
-
-    Raises:
-        NotInForceError: If the time ran out.
-    """
-    started_at = time.monotonic()
-    give_up_at = started_at + wait_seconds
-    holders = known = 0
-    while True:
-        try:
-            heartbeats = await statuses.read_heartbeats(agent)
-            known = len(heartbeats)
-            holders = sum(h.generation >= generation for h in heartbeats)
-        except errors.AgentUnavailableError:
-            # The change is accepted, whatever an agent answers or not.
-            holders = 0
-        if holders == known and holders:
-            return holders, time.monotonic() - started_at
-        if time.monotonic() >= give_up_at:
-            raise errors.NotInForceError(generation, holders, known)
-        await asyncio.sleep(POLL_SECONDS)
-
-
 @app.command
 def show(
     *,
     at: int | None = None,
-    where: StoreAddress = DEFAULT_STORE,
-    as_json: AsJson = False,
+    where: arguments.StoreAddress = arguments.DEFAULT_STORE,
+    as_json: arguments.AsJson = False,
 ) -> None:
     """Shows the tables as a file that `apply` takes.
 
@@ -279,8 +199,8 @@
 def history(
     *,
     last: int = 20,
-    where: StoreAddress = DEFAULT_STORE,
-    as_json: AsJson = False,
+    where: arguments.StoreAddress = arguments.DEFAULT_STORE,
+    as_json: arguments.AsJson = False,
 ) -> None:
     """Shows the newest changes: who, when, and what differs.
 
@@ -323,8 +243,8 @@
     show_all: Annotated[
         bool, cyclopts.Parameter(name="--all", negative=())
     ] = False,
-    whom: AgentAddress = DEFAULT_AGENT,
-    as_json: AsJson = False,
+    whom: arguments.AgentAddress = arguments.DEFAULT_AGENT,
+    as_json: arguments.AsJson = False,
 ) -> None:
     """Shows VMs, gateways, the generation in force, pools and targets.
 
@@ -348,8 +268,8 @@
     pool: str = "",
     every_seconds: float = 1.0,
     count: int = 0,
-    whom: AgentAddress = DEFAULT_AGENT,
-    as_json: AsJson = False,
+    whom: arguments.AgentAddress = arguments.DEFAULT_AGENT,
+    as_json: arguments.AsJson = False,
 ) -> None:
     """Shows the status again and again until interrupted.
 
@@ -381,10 +301,10 @@
     vm_list: Annotated[
         str, cyclopts.Parameter(env_var="WIGEONSPOOL_VM_LIST")
     ] = "http://127.0.0.1:2378/v1/vms",
-    where: StoreAddress = DEFAULT_STORE,
-    whom: AgentAddress = DEFAULT_AGENT,
-    waiting: Waiting = NO_WAITING,
-    as_json: AsJson = False,
+    where: arguments.StoreAddress = arguments.DEFAULT_STORE,
+    whom: arguments.AgentAddress = arguments.DEFAULT_AGENT,
+    waiting: arguments.Waiting = arguments.NO_WAITING,
+    as_json: arguments.AsJson = False,
 ) -> None:
     """Takes a target out of service: it gets no new work.
 
@@ -399,7 +319,7 @@
         waiting: Whether to wait until the change is in force.
         as_json: Print JSON.
     """
-    work = _set_drained(name, True, vm_list, where)
+    work = draining.set_drained(name, True, vm_list, where)
     _finish_edit(outputs.run_command(work, as_json), whom, waiting, as_json)
 
 
@@ -410,10 +330,10 @@
     vm_list: Annotated[
         str, cyclopts.Parameter(env_var="WIGEONSPOOL_VM_LIST")
     ] = "http://127.0.0.1:2378/v1/vms",
-    where: StoreAddress = DEFAULT_STORE,
-    whom: AgentAddress = DEFAULT_AGENT,
-    waiting: Waiting = NO_WAITING,
-    as_json: AsJson = False,
+    where: arguments.StoreAddress = arguments.DEFAULT_STORE,
+    whom: arguments.AgentAddress = arguments.DEFAULT_AGENT,
+    waiting: arguments.Waiting = arguments.NO_WAITING,
+    as_json: arguments.AsJson = False,
 ) -> None:
     """Puts a drained target back into service.
 
@@ -425,47 +345,10 @@
         waiting: Whether to wait until the change is in force.
         as_json: Print JSON.
     """
-    work = _set_drained(name, False, vm_list, where)
+    work = draining.set_drained(name, False, vm_list, where)
     _finish_edit(outputs.run_command(work, as_json), whom, waiting, as_json)
 
 
-async def _set_drained(
-    name: str, drained: bool, vm_list: str, where: StoreAddress
-) -> edits.Edit:
-    """Drains a target or puts it back into service.
-
-    Raises:
-        TargetUnknownError: If no pool has it.
-        VmListError: If the name is a VM's and the list could not be read.
-        ChangeConflictError: If other changes came first each time.
-        StoreError: If the store could not serve a call.
-    """
-    address = await _find_address(name, vm_list)
-
-    def alter(tables: entities.Tables) -> entities.Tables:
-        return edits.mark_drained(tables, address, drained)
-
-    async with sessions.open_log(where.store, where.prefix) as log:
-        return await edits.edit_tables(log, alter)
-
-
-async def _find_address(name: str, vm_list: str) -> str:
-    """Returns the address of a target that is named by address or VM.
-
-    Raises:
-        TargetUnknownError: If the VM list does not name the VM.
-        VmListError: If the VM list could not be read.
-    """
-    if ":" in name:
-        return name
-    async with aiohttp.ClientSession() as session:
-        listed = await vms.read_vms(session, vm_list, VM_LIST_SECONDS)
-    for vm in listed:
-        if vm.name == name and vm.role == "target":
-            return vm.address
-    raise errors.TargetUnknownError(name)
-
-
 def main() -> None:
     """Entry point of the binary."""
     app()
--- /dev/null
+++ b/wigeonspool/operator/draining.py
@@ -0,0 +1,93 @@
+"""Drains targets, and puts them back, by changes of the tables."""
+
+import dataclasses
+from typing import Final
+
+import aiohttp
+
+from wigeonspool.model import entities
+from wigeonspool.model import errors
+from wigeonspool.operator import arguments
+from wigeonspool.operator import edits
+from wigeonspool.operator import sessions
+from wigeonspool.platform import vms
+
+VM_LIST_SECONDS: Final = 2.0
+
+
+def mark_drained(
+    tables: entities.Tables, address: str, drained: bool
+) -> entities.Tables:
+    """Returns tables in which all pools drain a target, or serve it again.
+
+    Args:
+        tables: Tables to start from; they stay as they are.
+        address: host:port of the target.
+        drained: Whether it shall receive no new work.
+
+    Raises:
+        TargetUnknownError: If no pool lists the target.
+    """
+    pools = dict(tables.pools)
+    found = False
+    for pool in tables.pools.values():
+        if all(target.address != address for target in pool.targets):
+            continue
+        found = True
+        targets = tuple(
+            dataclasses.replace(target, drained=drained)
+            if target.address == address
+            else target
+            for target in pool.targets
+        )
+        pools[pool.name] = dataclasses.replace(pool, targets=targets)
+    if not found:
+        raise errors.TargetUnknownError(address)
+    return dataclasses.replace(tables, pools=pools)
+
+
+async def set_drained(
+    name: str, drained: bool, vm_list: str, where: arguments.StoreAddress
+) -> edits.Edit:
+    """Drains a target or puts it back into service.
+
+    Args:
+        name: host:port of the target, or the name of its VM.
+        drained: Whether it shall receive no new work.
+        vm_list: URL of the VM list.
+        where: The store.
+
+    Raises:
+        TargetUnknownError: If no pool has it.
+        VmListError: If the name is a VM's and the list could not be read.
+        ChangeConflictError: If other changes came first each time.
+        StoreError: If the store could not serve a call.
+    """
+    address = await find_address(name, vm_list)
+
+    def alter(tables: entities.Tables) -> entities.Tables:
+        return mark_drained(tables, address, drained)
+
+    async with sessions.open_log(where.store, where.prefix) as log:
+        return await edits.edit_tables(log, alter)
+
+
+async def find_address(name: str, vm_list: str) -> str:
+    """Returns the address of a target that is named by address or VM.
+
+    Args:
+        name: host:port of the target, or the name of its VM.
+        vm_list: URL of the VM list.
+
+    Raises:
+        TargetUnknownError: If the VM list does not name the VM.
+        VmListError: If the VM list could not be read.
+    """
+    if ":" in name:
+        return name
+    async with aiohttp.ClientSession() as session:
+        listed = await vms.read_vms(session, vm_list, VM_LIST_SECONDS)
+    for vm in listed:
+        if vm.name == name and vm.role == "target":
+            return vm.address
+    raise errors.TargetUnknownError(name)
--- a/wigeonspool/operator/edits.py
+++ b/wigeonspool/operator/edits.py
@@ -130,34 +130,3 @@
             await asyncio.sleep(RETRY_SECONDS)
             continue
         return edit
-
-
-def mark_drained(
-    tables: entities.Tables, address: str, drained: bool
-) -> entities.Tables:
-    """Returns tables in which all pools drain a target, or serve it again.
-
-    Args:
-        tables: Tables to start from; they stay as they are.
-        address: host:port of the target.
-        drained: Whether it shall receive no new work.
-
-    Raises:
-        TargetUnknownError: If no pool lists the target.
-    """
-    pools = dict(tables.pools)
-    found = False
-    for pool in tables.pools.values():
-        if all(target.address != address for target in pool.targets):
-            continue
-        found = True
-        targets = tuple(
-            dataclasses.replace(target, drained=drained)
-            if target.address == address
-            else target
-            for target in pool.targets
-        )
-        pools[pool.name] = dataclasses.replace(pool, targets=targets)
-    if not found:
-        raise errors.TargetUnknownError(address)
-    return dataclasses.replace(tables, pools=pools)
