--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -22,6 +22,7 @@
 from wigeonspool.agent import metrics
 from wigeonspool.agent import receiver as receivers
 from wigeonspool.agent import status
+from wigeonspool.agent import suspects
 from wigeonspool.agent import upstreams
 from wigeonspool.model import entities
 from wigeonspool.model import errors
@@ -36,6 +37,9 @@
 NEAR: Final = (senders.GATEWAY, senders.AGENT)
 # Demand is told this often, in heartbeats; all else at once.
 REPEAT_HEARTBEATS: Final = 10
+DRAIN_POLL_SECONDS: Final = 0.05
+# A report passes this agent, a feeder and another agent, and then some slack.
+HEARTBEATS_TO_TELL: Final = 4
 
 
 class AgentService(process.DrainingService):
@@ -65,12 +69,15 @@
                 take_heartbeat=self._take_heartbeat,
                 take_beat=self._take_beat,
                 note_report=self._note_report,
+                take_suspect=self._take_suspect,
                 list_greetings=self._list_greetings,
             ),
             silence,
             self._log,
         )
         self._told_generation = 0
+        self._suspects = suspects.SuspectRelay()
+        self._beats = 0
 
     async def on_start(self) -> None:
         """Opens the ports and begins to follow."""
@@ -85,6 +92,7 @@
             settings.agent.silence_seconds,
             self._build_hello,
             receiver.take,
+            self._take_suspect,
             self._log.clock,
         )
         self._session = aiohttp.ClientSession()
@@ -110,6 +118,26 @@
         self._log.record(events.Kind.PROCESS_STARTED, vm=settings.vm)
         loguru.logger.info("listening on {}", settings.agent.listen)
 
+    async def drain(self) -> None:
+        """Tells others of the gateways of this VM until those have stopped.
+
+        Gateways that are asked to stop along with the agent say so first; if
+        none does, only the agent is replaced and nobody needs to be told.
+        """
+        settings = self._settings
+        give_up_at = self._now() + settings.gateway.drain_seconds
+        leave_at = self._now() + (
+            HEARTBEATS_TO_TELL * settings.agent.heartbeat_seconds
+        )
+        loguru.logger.info("draining; gateways are waited for")
+        while self._now() < give_up_at:
+            draining = any(
+                report.gateway.draining for report in self._hub.list_reports()
+            )
+            if not draining and self._now() >= leave_at:
+                break
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
     async def on_stop(self) -> None:
         """Closes ports and streams."""
         self._upstreams.stop()
@@ -200,6 +228,15 @@
         if self._find_generation() != self._told_generation:
             self._send_heartbeat()
 
+    def _take_suspect(self, suspect: messages.Suspect) -> None:
+        """Passes on a request that crashes targets."""
+        self._suspects.take(self._now(), suspect, self._pass_on)
+
+    def _pass_on(self, message: messages.Message) -> None:
+        """Sends a message to all processes that are connected."""
+        self._hub.send((*NEAR, senders.REMOTE), message)
+        self._upstreams.send(message)
+
     def _find_generation(self) -> int:
         """Returns the generation in force on all processes of the VM."""
         reports = self._hub.list_reports()
@@ -227,6 +264,7 @@
     async def _beat(self) -> None:
         """Tells feeders of this VM and subscribers of their members."""
         while not self.should_stop:
+            self._beats += 1
             self._check_pause()
             self._send_heartbeat()
             self._members.drop_silent(self._now())
@@ -238,9 +276,15 @@
             pulse = messages.Pulse(
                 self._state.tables.generation, self._state.tables.digest
             )
-            self._hub.send((*NEAR, senders.REMOTE), pulse)
+            self._hub.send(NEAR, pulse)
+            if self._is_remote_due():
+                self._hub.send((senders.REMOTE,), pulse)
             await self.sleep(self._settings.agent.heartbeat_seconds)
 
+    def _is_remote_due(self) -> bool:
+        """Returns True in the beats in which other regions are told."""
+        return self._beats % senders.REMOTE_BEATS == 0
+
     def _check_pause(self) -> None:
         """Notices that this process stood still, and renews its knowledge."""
         gap = self._detector.tick()
@@ -272,8 +316,8 @@
             gateways=tuple(report.gateway for report in reports),
         )
         self._take_heartbeat(heartbeat)
-        repeats = self._sequence % REPEAT_HEARTBEATS == 0
-        self._upstreams.tell(heartbeat, repeats)
+        repeats = self._beats % REPEAT_HEARTBEATS == 0
+        self._upstreams.tell(heartbeat, repeats, self._is_remote_due())
 
     def _join_members(self) -> None:
         """Joins what feeders tell, and tells the gateways what changed."""
--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -74,6 +74,10 @@
         """Returns fingerprints and crashed targets, for other gateways."""
         return self._quarantine.list_suspects()
 
+    def find_crashes(self, fingerprint: int) -> tuple[str, ...]:
+        """Returns the targets that crashed while a request ran there."""
+        return self._quarantine.find_crashes(fingerprint)
+
     def merge_suspects(
         self, now: float, suspects: Iterable[tuple[int, tuple[str, ...]]]
     ) -> None:
@@ -170,6 +174,18 @@
         request.state = tables.RequestState.SETTLED
         return done + self._dispatch(now, row)
 
+    def refuse_queued(self) -> list[actions.Action]:
+        """Refuses all requests that wait, since this gateway stops."""
+        queued = [
+            request
+            for request in self._requests.values()
+            if request.state is tables.RequestState.QUEUED
+        ]
+        return [
+            self._refuse(request, outcomes.Reason.DRAINING)
+            for request in queued
+        ]
+
     def tick(self, now: float) -> list[actions.Action]:
         """Runs the systems that depend on time alone."""
         done: list[actions.Action] = []
