Admit by deadline, and use others' slots only beside long work

Cause: gateways sent what could not make its deadline; in the first crest 16,668 of 26,430 callers were cut at their deadline. Now what cannot finish in time is refused at once as not run, less important work first, and what has waited too long is refused instead of sent.

--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,81 @@
+"""Which requests are refused at once, and which are sent."""
+
+import pytest
+
+from wigeonspool.core import actions
+from wigeonspool.core import admission
+from wigeonspool.core import dispatcher
+from wigeonspool.core import tables
+from wigeonspool.model import entities
+from wigeonspool.model import outcomes
+
+SERVICE = 0.1
+
+
+def build_request(
+    number: int, deadline: float, priority: int = 0
+) -> tables.RequestRow:
+    return tables.RequestRow(
+        number, "queue", "read", deadline, idempotent=True, priority=priority
+    )
+
+
+class TestAdmission:
+    @pytest.mark.parametrize(
+        ("remaining", "wait", "priority", "admitted"),
+        [
+            (1.0, 0.29, 0, True),
+            (1.0, 0.31, 0, False),
+            (1.0, 0.16, 1, False),
+            (1.0, 0.14, 1, True),
+            (0.05, 0.0, 0, False),
+            (0.2, 0.0, 9, True),
+        ],
+    )
+    def test_wait_and_service_must_fit(
+        self, remaining: float, wait: float, priority: int, admitted: bool
+    ) -> None:
+        request = build_request(1, 10.0 + remaining, priority)
+        request.expected = SERVICE
+        fits = admission.can_finish(10.0, request, 4 * SERVICE, wait)
+        assert fits is admitted
+
+
+class TestRefusal:
+    """One target with one slot; the route is known to take 0.1 s."""
+
+    @pytest.fixture
+    def core(self) -> dispatcher.Dispatcher:
+        core = dispatcher.Dispatcher("zone-0")
+        targets = (entities.Target("t0:1", "zone-0"),)
+        core.configure([entities.Pool("queue", 1, targets)])
+        core.submit(0.0, build_request(1, 10.0))
+        result = tables.Result(tables.ResultKind.ANSWERED)
+        core.finish(SERVICE, 1, "t0:1", result)
+        return core
+
+    def test_unreachable_deadline_is_told_as_not_run(
+        self, core: dispatcher.Dispatcher
+    ) -> None:
+        failure = outcomes.refuse(outcomes.Reason.DEADLINE_UNREACHABLE)
+        done = core.submit(1.0, build_request(2, 1.05))
+        assert done == [actions.Settle(2, failure)]
+
+    def test_queued_request_that_cannot_make_it_is_not_sent(
+        self, core: dispatcher.Dispatcher
+    ) -> None:
+        core.submit(1.0, build_request(2, 9.0))
+        assert core.submit(1.0, build_request(3, 1.5)) == []
+        result = tables.Result(tables.ResultKind.ANSWERED)
+        done = core.finish(1.45, 2, "t0:1", result)
+        failure = outcomes.refuse(outcomes.Reason.DEADLINE_UNREACHABLE)
+        assert done == [actions.Settle(2, None), actions.Settle(3, failure)]
+
+    def test_lost_attempt_is_not_told_as_not_run(
+        self, core: dispatcher.Dispatcher
+    ) -> None:
+        core.submit(1.0, build_request(2, 1.15))
+        lost = tables.Result(tables.ResultKind.LOST)
+        failure = outcomes.doubt(outcomes.Reason.DEADLINE_UNREACHABLE)
+        done = core.finish(1.1, 2, "t0:1", lost)
+        assert done == [actions.Settle(2, failure)]
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -92,3 +92,27 @@
         assert figures["short"]["p99_to_limit"] <= to_limit
         assert figures["short"]["p99_to_two-choices"] <= 0.4
         assert figures["long"]["p50_to_limit"] <= 1.2
+
+
+class TestCrest:
+    """Three times the demand that the pool can serve."""
+
+    def test_what_can_be_served_is_served_in_time(self) -> None:
+        fields = ["seconds=9", "policies=[policy]"]
+        figures = run("crest", *fields)["policy"]
+        crest = figures["windows"]["crest-1"]
+        after = figures["windows"]["after-1"]
+        capacity = 2 * 22 * 4 / 0.020
+        assert crest["delivered"] >= 0.95 * capacity
+        assert after["answered_in_time"] >= 0.995 * after["offered"]
+        assert crest["refusal_max_ms"] <= 20
+        assert figures["kinds"]["short"]["late"] == 0
+        assert figures["refused_but_ran"] == 0
+
+    def test_less_important_work_is_refused_first(self) -> None:
+        low = "{name: low, share: 1, service_ms: 20, deadline_ms: 250"
+        works = "[{name: high, share: 1, service_ms: 20, deadline_ms: 250,"
+        works += f" priority: 0}}, {low}, priority: 5, long: true}}]"
+        fields = ["seconds=9", "policies=[policy]", f"works={works}"]
+        kinds = run("crest", *fields, "steps.1.load=1.6")["policy"]["kinds"]
+        assert kinds["short"]["not_run"] < 0.1 * kinds["long"]["not_run"]
--- /dev/null
+++ b/wigeonspool/core/admission.py
@@ -0,0 +1,55 @@
+"""Refuses at once what cannot be answered by its deadline.
+
+A request waits behind the work that is queued before it. If that wait and its
+own service time do not fit into the time that is left, it is refused as not
+run, so that its caller may act and no slot works for nothing.
+"""
+
+from typing import Final
+
+from wigeonspool.core import tables
+
+HIGH_SHARE: Final = 0.5
+# Slots may move to another gateway while a request waits.
+WAIT_SHARE: Final = 0.5
+
+
+def can_finish(
+    now: float,
+    request: tables.RequestRow,
+    high: float,
+    wait: float,
+) -> bool:
+    """Returns True if a new request should be queued.
+
+    Less important work may use only a part of the time that a queue can
+    last, so that it is refused first.
+
+    Args:
+        now: Time on the core's clock, in seconds.
+        request: The new request.
+        high: Time in which nearly all requests of its route are served.
+        wait: Expected time until a slot is free for it.
+    """
+    remaining = request.deadline - now
+    # Nearly all must fit, unless even an idle pool leaves no time for that.
+    service = max(request.expected, min(high, remaining * HIGH_SHARE))
+    longest_wait = (remaining - service) * WAIT_SHARE / (1 + request.priority)
+    return wait <= longest_wait
+
+
+def can_start(now: float, request: tables.RequestRow, high: float) -> bool:
+    """Returns True if a queued request may still be answered in time.
+
+    One that has waited gives way to later ones unless it is likely to make
+    it; otherwise slots would work for what ends just after its deadline.
+
+    Args:
+        now: Time on the core's clock, in seconds.
+        request: The request whose turn it is.
+        high: Time in which nearly all requests of its route are served.
+    """
+    service = request.expected
+    if request.arrived_at < now:
+        service = (service + max(service, high)) / 2
+    return now + service <= request.deadline
--- a/wigeonspool/core/choosing.py
+++ b/wigeonspool/core/choosing.py
@@ -52,16 +52,20 @@
             del self._buckets[place[0]][place[1]][address]
 
     def choose(
-        self, tried: set[str], farthest: int = Group.REMOTE
+        self,
+        tried: set[str],
+        farthest: int = Group.REMOTE,
+        first: int = Group.OWN,
     ) -> tables.TargetRow | None:
         """Returns the target with the most free slots of the first group.
 
         Args:
             tried: Addresses to use only if there is no other.
             farthest: Last group to look at.
+            first: First group to look at.
         """
         fallback: tables.TargetRow | None = None
-        for buckets in self._buckets[: farthest + 1]:
+        for buckets in self._buckets[first : farthest + 1]:
             for level in range(LEVELS, 0, -1):
                 # At most as many rows are passed over as were tried.
                 for target in buckets[level].values():
--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -11,7 +11,6 @@
 from typing import Final
 
 from wigeonspool.core import actions
-from wigeonspool.core import choosing
 from wigeonspool.core import health
 from wigeonspool.core import pools
 from wigeonspool.core import quarantine
@@ -120,6 +119,9 @@
             return [self._refuse(request, outcomes.Reason.DEADLINE_PASSED)]
         if self._quarantine.is_refused(now, request.fingerprint):
             return [self._refuse(request, outcomes.Reason.QUARANTINED)]
+        if not row.admits(now, request):
+            reason = outcomes.Reason.DEADLINE_UNREACHABLE
+            return [self._refuse(request, reason)]
         request.arrived_at = now
         self._requests[request.request_id] = request
         row.enqueue(request)
@@ -268,9 +270,11 @@
         row.refresh(now)
         done: list[actions.Action] = []
         while (request := row.peek()) is not None:
-            if request.deadline <= now:
+            if not row.can_start(now, request):
                 row.queue.pop(request)
-                reason = outcomes.Reason.DEADLINE_PASSED
+                reason = outcomes.Reason.DEADLINE_UNREACHABLE
+                if request.deadline <= now:
+                    reason = outcomes.Reason.DEADLINE_PASSED
                 done.append(self._refuse(request, reason))
                 continue
             target = self._choose(row, request)
@@ -291,7 +295,7 @@
         avoided = request.tried
         if self._quarantine.is_suspect(request.fingerprint):
             avoided = avoided | row.suspects.keys()
-        return row.index.choose(avoided, choosing.Group.REMOTE)
+        return row.choose(request, avoided)
 
     def _send(
         self,
--- a/wigeonspool/core/pools.py
+++ b/wigeonspool/core/pools.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from typing import Final
 
+from wigeonspool.core import admission
 from wigeonspool.core import choosing
 from wigeonspool.core import learning
 from wigeonspool.core import queueing
@@ -124,10 +125,55 @@
         request.is_long = times.is_long
         self.queue.push(request)
 
+    def admits(self, now: float, request: tables.RequestRow) -> bool:
+        """Returns True if a new request can be answered by its deadline."""
+        times = self.times.find(request.route)
+        if not times.mean:
+            return True
+        request.expected = times.mean
+        wait = self._predict_wait(times.is_long)
+        return admission.can_finish(now, request, times.high, wait)
+
+    def can_start(self, now: float, request: tables.RequestRow) -> bool:
+        """Returns True if a queued request can still be answered in time."""
+        high = self.times.find(request.route).high
+        return admission.can_start(now, request, high)
+
+    def _predict_wait(self, is_long: bool) -> float:
+        """Returns the time until queued work leaves a slot, in seconds."""
+        if not self.queue:
+            return 0.0
+        if is_long:
+            return self.queue.long_work / max(1, self.long_limit)
+        slots = max(1, self.slots - self._running[1])
+        return self.queue.short_work / slots
+
     def peek(self) -> tables.RequestRow | None:
         """Returns the next request that may have a slot."""
         return self.queue.peek(self._running[1] < max(1, self.long_limit))
 
+    def choose(
+        self, request: tables.RequestRow, avoided: set[str]
+    ) -> tables.TargetRow | None:
+        """Returns the target to send a request to, or None.
+
+        Slots of other gateways are used only by short work while long work
+        holds own ones; if all are busy, that would only move the queue to
+        where nobody counts it.
+
+        Args:
+            request: The request to send.
+            avoided: Addresses to use only if there is no other.
+        """
+        own = self.index.choose(avoided, choosing.Group.OWN)
+        if own is not None:
+            return own
+        stuck = self._running[1] > 0 and not request.is_long
+        first = choosing.Group.REMOTE
+        if stuck or not self.slots:
+            first = choosing.Group.SHARED
+        return self.index.choose(avoided, choosing.Group.REMOTE, first)
+
     def count_start(self, request: tables.RequestRow) -> None:
         """Counts an attempt that begins."""
         self._running[request.is_long] += 1
--- a/wigeonspool/core/sharing.py
+++ b/wigeonspool/core/sharing.py
@@ -12,6 +12,7 @@
 from wigeonspool.model import entities
 
 STEPS_PER_PART: Final = 4
+LEAST_PART: Final = 0.05
 
 
 def count_gateways(demand: float, carried: float, least: int, kept: int) -> int:
@@ -90,8 +91,9 @@
     mean = whole / max(1, len(members))
     weights = {}
     for name, met in demand.items():
-        steps = round(met / mean * STEPS_PER_PART)
-        weight = max(steps, name in members) / STEPS_PER_PART
+        weight = round(met / mean * STEPS_PER_PART) / STEPS_PER_PART
+        if name in members:
+            weight = max(weight, LEAST_PART)
         if weight:
             weights[name] = weight
     return weights
--- a/wigeonspool/load/tally.py
+++ b/wigeonspool/load/tally.py
@@ -32,6 +32,8 @@
     Attributes:
         offered: Requests that callers sent.
         answered_in_time: Whole answers within the caller's deadline.
+        delivered: Answers in time that arrived within the window, whenever
+            their requests were sent; counted for windows only.
         late: Answers sent as a success after the caller's deadline.
         not_run: Requests whose caller was told that they did not run.
         unknown: Requests whose caller was told that they may have run.
@@ -42,6 +44,7 @@
 
     offered: int = 0
     answered_in_time: int = 0
+    delivered: int = 0
     late: int = 0
     not_run: int = 0
     unknown: int = 0
@@ -67,6 +70,7 @@
         return {
             "offered": self.offered,
             "answered_in_time": self.answered_in_time,
+            "delivered": self.delivered,
             "late": self.late,
             "not_run": self.not_run,
             "unknown": self.unknown,
@@ -129,6 +133,10 @@
         )
         if told_not_run and job.runs:
             self.refused_but_ran += 1
+        if failure is None and not job.failed and at <= job.deadline:
+            for window in self._experiment.windows:
+                if window.from_s <= at < window.to_s:
+                    self.windows[window.name].delivered += 1
         for figures in self._list_figures(job):
             if told_not_run:
                 figures.record_refusal(at - job.sent_at)
