--- a/wigeonspool/agent/hub.py
+++ b/wigeonspool/agent/hub.py
@@ -69,6 +69,7 @@
         take_beat: Takes a beat of the agent of a VM and incarnation; False
             if all must be told again.
         note_report: Called after a gateway reported.
+        take_suspect: Takes a request that crashes targets.
         list_greetings: Returns what a new subscriber of a role is told.
     """
 
@@ -78,6 +79,7 @@
     take_heartbeat: Callable[[messages.Heartbeat], None]
     take_beat: Callable[[str, str, messages.Beat], bool]
     note_report: Callable[[], None]
+    take_suspect: Callable[[messages.Suspect], None]
     list_greetings: Callable[[str], list[messages.Message]]
 
 
@@ -137,6 +139,12 @@
         """Returns the time on this process's monotonic clock."""
         return asyncio.get_running_loop().time()
 
+    def _find_deadline(self, hello: messages.Hello) -> float:
+        """Returns by when a subscriber must send something."""
+        return self._now() + senders.find_silence(
+            hello.role, self._silence_seconds
+        )
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -178,13 +186,13 @@
             stream,
             hello.generation,
             hello.digest,
-            self._now() + self._silence_seconds,
+            self._find_deadline(hello),
         )
         try:
             if hello.role != senders.OPERATOR:
                 self._subscribe(subscriber)
             while (message := await stream.receive()) is not None:
-                subscriber.silent_at = self._now() + self._silence_seconds
+                subscriber.silent_at = self._find_deadline(subscriber.hello)
                 senders.check_sender(hello.role, message)
                 await self._take(subscriber, message)
         finally:
@@ -240,6 +248,8 @@
         if isinstance(message, messages.GatewayReport):
             subscriber.report = message
             self._callbacks.note_report()
+        elif isinstance(message, messages.Suspect):
+            self._callbacks.take_suspect(message)
         elif isinstance(message, messages.Heartbeat):
             if message.vm != hello.vm:
                 raise errors.PeerUnknownError(message.vm)
@@ -319,7 +329,7 @@
     def extend(self) -> None:
         """Gives all subscribers time anew; this process did not listen."""
         for subscriber in self.subscribers:
-            subscriber.silent_at = self._now() + self._silence_seconds
+            subscriber.silent_at = self._find_deadline(subscriber.hello)
 
     def list_reports(self) -> list[messages.GatewayReport]:
         """Returns the latest report of each connected gateway."""
--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -20,6 +20,8 @@
 from wigeonspool.model import outcomes
 
 MAX_ATTEMPTS: Final = 3
+# Attempts that provably did not run cost a target nothing, so more are made.
+MAX_SENDS: Final = 12
 
 
 class Dispatcher:
@@ -71,6 +73,10 @@
         """Returns fingerprints and crashed targets, for other gateways."""
         return self._quarantine.list_suspects()
 
+    def find_crashes(self, fingerprint: int) -> tuple[str, ...]:
+        """Returns the targets that crashed while a request ran there."""
+        return self._quarantine.find_crashes(fingerprint)
+
     def merge_suspects(
         self, now: float, suspects: Iterable[tuple[int, tuple[str, ...]]]
     ) -> None:
@@ -170,6 +176,18 @@
         request.state = tables.RequestState.SETTLED
         return done + self._dispatch(now, row)
 
+    def refuse_queued(self) -> list[actions.Action]:
+        """Refuses all requests that wait, since this gateway stops."""
+        queued = [
+            request
+            for request in self._requests.values()
+            if request.state is tables.RequestState.QUEUED
+        ]
+        return [
+            self._refuse(request, outcomes.Reason.DRAINING)
+            for request in queued
+        ]
+
     def tick(self, now: float) -> list[actions.Action]:
         """Runs the systems that depend on time alone."""
         done: list[actions.Action] = []
@@ -233,8 +251,7 @@
             request.may_have_run = True
         if self._quarantine.is_refused(now, request.fingerprint):
             return [self._refuse(request, outcomes.Reason.QUARANTINED)]
-        safe = result.kind is tables.ResultKind.NOT_RUN or request.idempotent
-        if safe and request.attempts < MAX_ATTEMPTS and now < request.deadline:
+        if self._may_retry(now, request, result):
             request.state = tables.RequestState.QUEUED
             request.target = ""
             row.enqueue(request)
@@ -246,6 +263,17 @@
         failure = outcomes.doubt(outcomes.Reason.CONNECTION_LOST)
         return [self._settle(request, failure)]
 
+    def _may_retry(
+        self, now: float, request: tables.RequestRow, result: tables.Result
+    ) -> bool:
+        """Returns True if a request may be sent once more."""
+        if now >= request.deadline or request.attempts >= MAX_SENDS:
+            return False
+        if result.kind is tables.ResultKind.NOT_RUN:
+            return True
+        request.failures += 1
+        return request.idempotent and request.failures < MAX_ATTEMPTS
+
     def _settle(
         self, request: tables.RequestRow, failure: outcomes.Failure | None
     ) -> actions.Action:
--- a/wigeonspool/gateway/egress.py
+++ b/wigeonspool/gateway/egress.py
@@ -14,7 +14,13 @@
 from wigeonspool.gateway import connections
 from wigeonspool.gateway import headers
 from wigeonspool.gateway import silence
+from wigeonspool.model import errors
 
+# Nothing of a request has left when these are raised.
+CONNECT_ERRORS: Final = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
 WHOLE_ANSWER_BYTES: Final = 256 * 1024
 STATUS_UNAVAILABLE: Final = 503
 STATUS_FAILED: Final = 500
@@ -126,17 +132,20 @@
             TimeoutError: If the deadline passed.
         """
         try:
-            response = await self._open(
-                address, outgoing, may_retry_connection, route
-            )
             async with asyncio.timeout_at(outgoing.deadline):
+                response = await self._open(
+                    address, outgoing, may_retry_connection, route
+                )
                 return await _read(response, whole_bytes)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-            return Attempt(tables.Result(tables.ResultKind.NOT_RUN))
-        except (aiohttp.ClientError, OSError):
+        except CONNECT_ERRORS:
+            refused = tables.Result(tables.ResultKind.NOT_RUN, refused=True)
+            return Attempt(refused)
+        except (aiohttp.ClientError, OSError) as error:
             if self._loop.time() >= outgoing.deadline:
                 raise TimeoutError from None
-            return Attempt(tables.Result(tables.ResultKind.LOST))
+            silent = isinstance(error, TimeoutError)
+            lost = tables.Result(tables.ResultKind.LOST, crashed=not silent)
+            return Attempt(lost)
 
     async def _open(
         self, address: str, outgoing: Outgoing, may_repeat: bool, route: str
@@ -147,7 +156,7 @@
             return await self._send(
                 address, outgoing, may_repeat, route, exchange
             )
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        except CONNECT_ERRORS:
             raise
         except (aiohttp.ClientError, OSError):
             if not exchange.reused:
@@ -157,7 +166,13 @@
             if late or not may_repeat or outgoing.is_spent():
                 raise
         exchange = self._start_exchange(outgoing, may_repeat, route)
-        return await self._send(address, outgoing, may_repeat, route, exchange)
+        try:
+            return await self._send(
+                address, outgoing, may_repeat, route, exchange
+            )
+        except CONNECT_ERRORS as error:
+            # The first send may have run, so this is no refusal.
+            raise errors.TargetGoneError(address) from error
 
     def _start_exchange(
         self, outgoing: Outgoing, may_repeat: bool, route: str
@@ -168,8 +183,7 @@
         if may_repeat and route and not outgoing.is_spent():
             limit = self._silence.find_limit(route, suspect_at - now)
             suspect_at = min(suspect_at, now + limit)
-        timeout = asyncio.timeout_at(outgoing.deadline)
-        return connections.Exchange(timeout, suspect_at)
+        return connections.Exchange(asyncio.timeout(None), suspect_at)
 
     async def _send(
         self,
@@ -182,11 +196,11 @@
         """Sends a request over one connection; returns the open answer.
 
         Raises:
-            TimeoutError: If no answer began in time.
+            TimeoutError: If the connection was suspected to be silent.
         """
         connections.EXCHANGE.set(exchange)
         started_at = self._loop.time()
-        fields = outgoing.fields.copy()
+        fields = outgoing.fields
         remaining = outgoing.deadline - started_at
         fields[headers.REMAINING_MS] = str(max(0, int(remaining * 1000)))
         suspected = self._loop.call_at(
--- a/wigeonspool/gateway/runner.py
+++ b/wigeonspool/gateway/runner.py
@@ -1,6 +1,5 @@
 """Follows the core's actions for one request until it ends."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 import dataclasses
 
@@ -51,7 +50,11 @@
         self._log = log
 
     def create_row(
-        self, route: entities.Route, deadline: float, idempotent: bool
+        self,
+        route: entities.Route,
+        deadline: float,
+        idempotent: bool,
+        fingerprint: int = 0,
     ) -> tables.RequestRow:
         """Returns the row of a new request.
 
@@ -59,6 +62,7 @@
             route: Route that it matched.
             deadline: Time by which its caller wants the answer, loop clock.
             idempotent: True if it may run more than once.
+            fingerprint: Equal for resends of the same request.
         """
         return tables.RequestRow(
             request_id=self._scheduler.create_id(),
@@ -67,6 +71,7 @@
             deadline=deadline,
             idempotent=idempotent,
             priority=route.priority,
+            fingerprint=fingerprint,
         )
 
     async def run_whole(
@@ -127,8 +132,7 @@
         """Follows the core's actions until the request ends."""
         answer: once.Answer | None = None
         try:
-            async with asyncio.timeout_at(row.deadline):
-                action = await self._scheduler.submit(row)
+            action = await self._scheduler.submit(row)
             while isinstance(action, actions.Send):
                 if guard is not None and not guard.before_send():
                     return self._expire(row, sent=False)
@@ -148,10 +152,9 @@
                 not_run = attempt.result.kind is tables.ResultKind.NOT_RUN
                 if guard is not None and not_run:
                     guard.after_not_run()
-                async with asyncio.timeout_at(row.deadline):
-                    action = await self._scheduler.finish(
-                        row, action.target, attempt.result
-                    )
+                action = await self._scheduler.finish(
+                    row, action.target, attempt.result
+                )
         except TimeoutError:
             return self._expire(row)
         if isinstance(action, actions.Settle) and action.failure is not None:
--- a/wigeonspool/load/main.py
+++ b/wigeonspool/load/main.py
@@ -84,7 +84,10 @@
 
 @app.command
 def drive(
-    experiment: pathlib.Path, pid: int = 0, json_output: bool = False
+    experiment: pathlib.Path,
+    *,
+    pid: int = 0,
+    json_: Annotated[bool, cyclopts.Parameter(name="--json")] = False,
 ) -> None:
     """Measures what a gateway adds to a request and what that costs it.
 
@@ -94,7 +97,7 @@
     Args:
         experiment: YAML file of the experiment.
         pid: Process of the gateway, whose processor time is read.
-        json_output: Print one line of JSON instead of tables.
+        json_: Print one line of JSON instead of tables.
     """
     try:
         options = drives.read_drive(experiment)
@@ -102,7 +105,7 @@
         print(error, file=sys.stderr)
         sys.exit(EXIT_INVALID_SETTINGS)
     report = uvloop.run(drives.run_drive(options, pid))
-    if json_output:
+    if json_:
         print(json.dumps(dataclasses.asdict(report)))
     else:
         drives.print_report(report)
--- a/wigeonspool/model/messages.py
+++ b/wigeonspool/model/messages.py
@@ -165,6 +165,19 @@
     is_first_hand: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspect:
+    """A request that was running when targets crashed.
+
+    Attributes:
+        fingerprint: Equal for resends of the request.
+        targets: Addresses of the targets that crashed.
+    """
+
+    fingerprint: int
+    targets: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StatusRequest:
     """Asks an agent for the whole fleet; answered with members."""
@@ -241,15 +254,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class VmStatusReply:
-    """What the gateways of a VM do.
+    """What the processes of a VM do.
 
     Attributes:
-        gateways: Those that answered in time.
+        gateways: Gateways that answered in time.
         missing: Names of those that did not.
+        measured_pools: Pools whose measuring budget the VM may spend.
+        store_calls: Calls to the store since the agent started.
     """
 
     gateways: tuple[GatewayStatus, ...]
     missing: tuple[str, ...] = ()
+    measured_pools: tuple[str, ...] = ()
+    store_calls: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -291,6 +308,7 @@
     | Members
     | MemberChanges
     | Directory
+    | Suspect
     | StatusRequest
     | RegionRequest
     | VmStatusRequest
@@ -312,6 +330,7 @@
         Members,
         MemberChanges,
         Directory,
+        Suspect,
         StatusRequest,
         RegionRequest,
         VmStatusRequest,
