--- a/wigeonspool/agent/upstreams.py
+++ b/wigeonspool/agent/upstreams.py
@@ -61,6 +61,7 @@
         silence_seconds: float,
         build_hello: Callable[[str], messages.Hello],
         take: Callable[[messages.Message], None],
+        take_suspect: Callable[[messages.Suspect], None],
         clock: clocks.HybridClock,
     ) -> None:
         """Prepares to follow.
@@ -70,12 +71,14 @@
             build_hello: Returns what opens a stream in a role.
             take: Takes a message that brings tables or a pulse; raises
                 WireError if the stream must be opened anew.
+            take_suspect: Takes a request that crashes targets.
             clock: Clock of this process, which stamps messages.
         """
         self._clock = clock
         self._silence_seconds = silence_seconds
         self._build_hello = build_hello
         self._take_tables = take
+        self._take_suspect = take_suspect
         self._upstreams: dict[str, Upstream] = {}
         self.heard = asyncio.Event()
         self.closed = hub.Traffic()
@@ -130,14 +133,15 @@
             OSError: If the stream failed.
             TimeoutError: If nothing came for too long.
         """
-        async with asyncio.timeout(self._silence_seconds):
+        silence = senders.find_silence(upstream.role, self._silence_seconds)
+        async with asyncio.timeout(silence):
             stream = await streams.open_stream(upstream.address, self._clock)
         try:
             upstream.told = None
             stream.post(self._build_hello(upstream.role))
             upstream.stream = stream
             while True:
-                async with asyncio.timeout(self._silence_seconds):
+                async with asyncio.timeout(silence):
                     message = await stream.receive()
                 if message is None:
                     return
@@ -160,6 +164,8 @@
             upstream.mirror.update(message)
         elif isinstance(message, messages.Directory):
             upstream.directory = message
+        elif isinstance(message, messages.Suspect):
+            self._take_suspect(message)
         else:
             self._take_tables(message)
         # Until its first pulse an agent has not told all that it knows.
@@ -171,7 +177,8 @@
     def _is_fresh(self, upstream: Upstream) -> bool:
         """Returns True if an agent was heard a short time ago."""
         now = asyncio.get_running_loop().time()
-        return now - upstream.heard_at <= 2 * self._silence_seconds
+        silence = senders.find_silence(upstream.role, self._silence_seconds)
+        return now - upstream.heard_at <= 2 * silence
 
     def has_any(self) -> bool:
         """Returns True if any agent is followed."""
@@ -182,26 +189,38 @@
         return [u for u in self._upstreams.values() if self._is_fresh(u)]
 
     def tell(
-        self, heartbeat: messages.Heartbeat, repeat_heartbeat: bool
+        self,
+        heartbeat: messages.Heartbeat,
+        repeat_heartbeat: bool,
+        tell_remote: bool,
     ) -> None:
         """Tells all feeders of this VM.
 
         Args:
             heartbeat: All that there is to tell.
             repeat_heartbeat: True to send it all though little changed.
+            tell_remote: True to tell agents of other regions too.
         """
         beat = messages.Beat(heartbeat.sequence, heartbeat.generation)
         described = members.describe(heartbeat)
         for upstream in self._upstreams.values():
             if upstream.stream is None:
                 continue
-            known = upstream.told == described and not repeat_heartbeat
-            if known or upstream.role == senders.REMOTE:
+            if upstream.role == senders.REMOTE:
+                if tell_remote:
+                    upstream.stream.post(beat)
+                continue
+            if upstream.told == described and not repeat_heartbeat:
                 upstream.stream.post(beat)
             else:
                 upstream.stream.post(heartbeat)
                 upstream.told = described
 
+    def send(self, message: messages.Message) -> None:
+        """Sends a message to all agents that are followed."""
+        for stream in self.list_streams():
+            stream.post(message)
+
     def list_streams(self) -> list[streams.Stream]:
         """Returns the open streams."""
         return [
--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -11,7 +11,6 @@
 from typing import Final
 
 from wigeonspool.core import actions
-from wigeonspool.core import choosing
 from wigeonspool.core import health
 from wigeonspool.core import pools
 from wigeonspool.core import quarantine
@@ -74,6 +73,10 @@
         """Returns fingerprints and crashed targets, for other gateways."""
         return self._quarantine.list_suspects()
 
+    def find_crashes(self, fingerprint: int) -> tuple[str, ...]:
+        """Returns the targets that crashed while a request ran there."""
+        return self._quarantine.find_crashes(fingerprint)
+
     def merge_suspects(
         self, now: float, suspects: Iterable[tuple[int, tuple[str, ...]]]
     ) -> None:
@@ -122,6 +125,9 @@
             return [self._refuse(request, outcomes.Reason.DEADLINE_PASSED)]
         if self._quarantine.is_refused(now, request.fingerprint):
             return [self._refuse(request, outcomes.Reason.QUARANTINED)]
+        if not row.admits(now, request):
+            reason = outcomes.Reason.DEADLINE_UNREACHABLE
+            return [self._refuse(request, reason)]
         request.arrived_at = now
         self._requests[request.request_id] = request
         row.enqueue(request)
@@ -292,9 +298,11 @@
         row.refresh(now)
         done: list[actions.Action] = []
         while (request := row.peek()) is not None:
-            if request.deadline <= now:
+            if not row.can_start(now, request):
                 row.queue.pop(request)
-                reason = outcomes.Reason.DEADLINE_PASSED
+                reason = outcomes.Reason.DEADLINE_UNREACHABLE
+                if request.deadline <= now:
+                    reason = outcomes.Reason.DEADLINE_PASSED
                 done.append(self._refuse(request, reason))
                 continue
             target = self._choose(row, request)
@@ -315,7 +323,7 @@
         avoided = request.tried
         if self._quarantine.is_suspect(request.fingerprint):
             avoided = avoided | row.suspects.keys()
-        return row.index.choose(avoided, choosing.Group.REMOTE)
+        return row.choose(request, avoided)
 
     def _send(
         self,
--- a/wigeonspool/gateway/scheduler.py
+++ b/wigeonspool/gateway/scheduler.py
@@ -1,16 +1,22 @@
 """Drives the core for a gateway: each request waits for its next action."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from wigeonspool.core import actions
 from wigeonspool.core import dispatcher
 from wigeonspool.core import tables
 from wigeonspool.model import entities
+from wigeonspool.model import messages
 
 
 class Scheduler:
-    """Connects the coroutines of requests to the dispatcher."""
+    """Connects the coroutines of requests to the dispatcher.
+
+    Attributes:
+        core: The dispatcher.
+        on_suspect: Called with each request that was running at a crash.
+    """
 
     def __init__(self, zone: str) -> None:
         """Prepares an empty dispatcher.
@@ -22,6 +28,8 @@
         self._loop = asyncio.get_running_loop()
         self._pending: dict[int, asyncio.Future[actions.Action]] = {}
         self._last_id = 0
+        self.on_suspect: Callable[[messages.Suspect], None]
+        self.on_suspect = lambda suspect: None
 
     def create_id(self) -> int:
         """Returns a request number that is unique within this process."""
@@ -39,11 +47,22 @@
             self.core.share(pool, slots)
         self.tick()
 
+    def take_suspect(self, suspect: messages.Suspect) -> None:
+        """Takes a request that crashed targets of another gateway."""
+        told = [(suspect.fingerprint, suspect.targets)]
+        self.core.merge_suspects(self._loop.time(), told)
+
+    def _tell_suspect(self, fingerprint: int) -> None:
+        """Tells of a request that was running when a target crashed."""
+        targets = self.core.find_crashes(fingerprint)
+        if targets:
+            self.on_suspect(messages.Suspect(fingerprint, targets))
+
     async def submit(self, request: tables.RequestRow) -> actions.Action:
         """Returns the first action of a request: a Send or a Settle."""
         self._expect(request.request_id)
         self._execute(self.core.submit(self._loop.time(), request))
-        return await self._wait(request.request_id)
+        return await self._wait(request)
 
     async def finish(
         self, request: tables.RequestRow, target: str, result: tables.Result
@@ -52,7 +71,9 @@
         self._expect(request.request_id)
         now = self._loop.time()
         self._execute(self.core.finish(now, request.request_id, target, result))
-        return await self._wait(request.request_id)
+        if result.crashed:
+            self._tell_suspect(request.fingerprint)
+        return await self._wait(request)
 
     def abandon(self, request: tables.RequestRow) -> None:
         """Drops a request whose caller left or whose deadline passed."""
@@ -72,11 +93,18 @@
         """Prepares to receive the next action of a request."""
         self._pending[request_id] = self._loop.create_future()
 
-    async def _wait(self, request_id: int) -> actions.Action:
-        """Waits for the next action of a request."""
-        action = await self._pending[request_id]
-        self._pending.pop(request_id, None)
-        return action
+    async def _wait(self, request: tables.RequestRow) -> actions.Action:
+        """Waits for the next action of a request.
+
+        Raises:
+            TimeoutError: If its deadline passed.
+        """
+        pending = self._pending[request.request_id]
+        if not pending.done():
+            async with asyncio.timeout_at(request.deadline):
+                await pending
+        self._pending.pop(request.request_id, None)
+        return pending.result()
 
     def _execute(self, done: list[actions.Action]) -> None:
         """Hands actions to the coroutines that wait for them."""
