Tell demand of gateways when it moves

The number of gateways of a pool now follows the demand that all of a zone's gateways report, but members were sent as changes of everything except demand: an agent repeated it to its feeders each 5 s and nobody passed it on.

An agent tells its feeders when its demand moved by a tenth; a feeder passes on in each beat the four members whose demand moved most; an agent tells its gateways all that changed.

Passing all on: bytes grow with the region. Fewer than four: a region of seven VMs would take over a second at a crest.

Measured: tests/test_membership.py, demand of one VM of six reaches all others; without the change the test does not end. At rest a subscriber still gets pulses only.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -70,6 +70,33 @@
         assert changes is not None
         assert changes.changed[0].gateways[0].draining
 
+    def test_demand_is_told_when_it_moved_and_few_at_once(self) -> None:
+        table = members.MemberTable(2.0)
+        names = [f"vm-{number}" for number in range(10)]
+
+        def take(sequence: int, demand: float) -> None:
+            for number, name in enumerate(names):
+                heartbeat = build_heartbeat(name, sequence)
+                gateway = dataclasses.replace(
+                    heartbeat.gateways[0], demand={"queue": demand * number}
+                )
+                table.take(
+                    0.0, dataclasses.replace(heartbeat, gateways=(gateway,))
+                )
+
+        take(1, 100.0)
+        table.collect_changes()
+        take(2, 101.0)
+        assert table.collect_changes() is None
+        take(3, 200.0)
+        told: list[str] = []
+        while (changes := table.collect_changes()) is not None:
+            assert len(changes.changed) <= members.DEMAND_ROWS
+            told += [heartbeat.vm for heartbeat in changes.changed]
+        # Those that moved most come first, and each that moved comes once.
+        assert set(told[: members.DEMAND_ROWS]) == set(names[-4:])
+        assert sorted(told) == names[1:]
+
     def test_silent_member_leaves_and_must_tell_all_when_it_returns(
         self,
     ) -> None:
@@ -357,6 +384,28 @@
         assert {type(m) for m in late} == {messages.Pulse}, late
         stream.close()
 
+    async def test_demand_reaches_the_gateways_of_other_vms(
+        self, fleet: fleets.Fleet
+    ) -> None:
+        for number in range(2, 6):
+            await fleet.start_vm(f"vm-{number}", "zone-0")
+        await fleets.wait_for(lambda: fleet.sees_all(6))
+        await fleet.settle_feeders()
+        plain = next(
+            vm for vm in fleet.agents if vm not in fleet.list_feeders()
+        )
+        busy = fleet.gateways[plain]
+        others = [g for vm, g in fleet.gateways.items() if vm != plain]
+
+        def is_known() -> bool:
+            busy._ingress.demand["queue"] = 50
+            return all(
+                g._view.gateways[f"{plain}-0"].demand.get("queue", 0) > 10
+                for g in others
+            )
+
+        await fleets.wait_for(is_known)
+
     async def test_only_feeders_call_the_platform(
         self, fleet: fleets.Fleet
     ) -> None:
--- a/wigeonspool/agent/members.py
+++ b/wigeonspool/agent/members.py
@@ -7,11 +7,20 @@
 
 from collections.abc import Iterable
 import dataclasses
+from typing import Final
 
 from wigeonspool.core import assignments
 from wigeonspool.model import entities
 from wigeonspool.model import messages
 
+# Demand that moved by less than this, of what was told or in requests a second,
+# is not worth a message.
+DEMAND_FRACTION: Final = 0.1
+DEMAND_LEAST: Final = 1.0
+# Most members whose demand alone is told at once, so that the bytes do not grow
+# with the fleet; those that moved most go first.
+DEMAND_ROWS: Final = 4
+
 
 @dataclasses.dataclass(slots=True)
 class MemberRow:
@@ -21,10 +30,12 @@
         heartbeat: What it told.
         silent_at: Deadline, on this process's clock, by which the next must
             have come.
+        told: What others were told last.
     """
 
     heartbeat: messages.Heartbeat
     silent_at: float
+    told: messages.Heartbeat | None = None
 
 
 class MemberTable:
@@ -49,8 +60,9 @@
         if known is None or describe(known.heartbeat) != describe(heartbeat):
             self._changed.add(heartbeat.vm)
             self._left.discard(heartbeat.vm)
+        told = None if known is None else known.told
         self._rows[heartbeat.vm] = MemberRow(
-            heartbeat, now + self._silence_seconds
+            heartbeat, now + self._silence_seconds, told
         )
         return known is None
 
@@ -85,16 +97,29 @@
 
     def collect_changes(self) -> messages.MemberChanges | None:
         """Returns what changed since the last call, or None."""
+        self._changed.update(self._list_moved())
         if not self._changed and not self._left:
             return None
         changed = tuple(
             self._rows[name].heartbeat for name in sorted(self._changed)
         )
+        for heartbeat in changed:
+            self._rows[heartbeat.vm].told = heartbeat
         left = tuple(sorted(self._left))
         self._changed.clear()
         self._left.clear()
         return messages.MemberChanges(changed, left)
 
+    def _list_moved(self) -> list[str]:
+        """Returns the members whose demand moved most since it was told."""
+        moved = {
+            name: moved_by
+            for name, row in self._rows.items()
+            if (moved_by := measure_demand(row.told, row.heartbeat))
+        }
+        ranked = sorted(moved, key=lambda name: moved[name], reverse=True)
+        return ranked[:DEMAND_ROWS]
+
     def list_heartbeats(self) -> tuple[messages.Heartbeat, ...]:
         """Returns the latest heartbeat of each live VM."""
         return tuple(row.heartbeat for row in self._rows.values())
@@ -150,7 +175,7 @@
     changed = tuple(
         heartbeat
         for vm, heartbeat in after.items()
-        if vm not in before or describe(before[vm]) != describe(heartbeat)
+        if vm not in before or before[vm].gateways != heartbeat.gateways
     )
     left = tuple(vm for vm in before if vm not in after)
     if not changed and not left:
@@ -167,6 +192,34 @@
     return (heartbeat.incarnation, heartbeat.address, gateways)
 
 
+def measure_demand(
+    told: messages.Heartbeat | None, heartbeat: messages.Heartbeat
+) -> float:
+    """Returns by how much demand moved, or 0 if that is not worth telling.
+
+    Args:
+        told: What was told last, or None.
+        heartbeat: What is known now.
+    """
+    before = _list_demand(told) if told is not None else {}
+    after = _list_demand(heartbeat)
+    moved = sum(
+        abs(after.get(key, 0.0) - before.get(key, 0.0))
+        for key in before.keys() | after.keys()
+    )
+    least = max(DEMAND_LEAST, DEMAND_FRACTION * sum(before.values()))
+    return moved if moved > least else 0.0
+
+
+def _list_demand(heartbeat: messages.Heartbeat) -> dict[tuple[str, str], float]:
+    """Returns the demand by gateway and pool."""
+    return {
+        (gateway.name, pool): demand
+        for gateway in heartbeat.gateways
+        for pool, demand in gateway.demand.items()
+    }
+
+
 def is_newer(heartbeat: messages.Heartbeat, known: messages.Heartbeat) -> bool:
     """Returns True unless a heartbeat repeats or precedes a known one."""
     if heartbeat.incarnation != known.incarnation:
--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -34,8 +34,6 @@
 
 # Who is told of members and of the VM list.
 NEAR: Final = (senders.GATEWAY, senders.AGENT)
-# Demand is told this often, in heartbeats; all else at once.
-REPEAT_HEARTBEATS: Final = 10
 
 
 class AgentService(process.DrainingService):
@@ -280,8 +278,7 @@
             gateways=tuple(report.gateway for report in reports),
         )
         self._take_heartbeat(heartbeat)
-        repeats = self._beats % REPEAT_HEARTBEATS == 0
-        self._upstreams.tell(heartbeat, repeats, self._is_remote_due())
+        self._upstreams.tell(heartbeat, self._is_remote_due())
 
     def _join_members(self) -> None:
         """Joins what feeders tell, and tells the gateways what changed."""
--- a/wigeonspool/agent/upstreams.py
+++ b/wigeonspool/agent/upstreams.py
@@ -44,7 +44,7 @@
     directory: messages.Directory | None = None
     stream: streams.Stream | None = None
     task: asyncio.Task[None] | None = None
-    told: object = None
+    told: messages.Heartbeat | None = None
     heard_at: float = float("-inf")
 
 
@@ -186,18 +186,15 @@
     def tell(
         self,
         heartbeat: messages.Heartbeat,
-        repeat_heartbeat: bool,
         tell_remote: bool,
     ) -> None:
         """Tells all feeders of this VM.
 
         Args:
             heartbeat: All that there is to tell.
-            repeat_heartbeat: True to send it all though little changed.
             tell_remote: True to tell agents of other regions too.
         """
         beat = messages.Beat(heartbeat.sequence, heartbeat.generation)
-        described = members.describe(heartbeat)
         for upstream in self._upstreams.values():
             if upstream.stream is None:
                 continue
@@ -205,11 +202,16 @@
                 if tell_remote:
                     upstream.stream.post(beat)
                 continue
-            if upstream.told == described and not repeat_heartbeat:
+            told = upstream.told
+            if (
+                told is not None
+                and members.describe(told) == members.describe(heartbeat)
+                and not members.measure_demand(told, heartbeat)
+            ):
                 upstream.stream.post(beat)
             else:
                 upstream.stream.post(heartbeat)
-                upstream.told = described
+                upstream.told = heartbeat
 
     def list_streams(self) -> list[streams.Stream]:
         """Returns the open streams."""
