--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -22,6 +22,7 @@
 from wigeonspool.agent import metrics
 from wigeonspool.agent import receiver as receivers
 from wigeonspool.agent import status
+from wigeonspool.agent import suspects
 from wigeonspool.agent import upstreams
 from wigeonspool.model import entities
 from wigeonspool.model import errors
@@ -34,6 +35,9 @@
 
 # Who is told of members and of the VM list.
 NEAR: Final = (senders.GATEWAY, senders.AGENT)
+DRAIN_POLL_SECONDS: Final = 0.05
+# A report passes this agent, a feeder and another agent, and then some slack.
+HEARTBEATS_TO_TELL: Final = 4
 
 
 class AgentService(process.DrainingService):
@@ -63,12 +67,14 @@
                 take_heartbeat=self._take_heartbeat,
                 take_beat=self._take_beat,
                 note_report=self._note_report,
+                take_suspect=self._take_suspect,
                 list_greetings=self._list_greetings,
             ),
             silence,
             self._log,
         )
         self._told_generation = 0
+        self._suspects = suspects.SuspectRelay()
         self._beats = 0
 
     async def on_start(self) -> None:
@@ -84,6 +90,7 @@
             settings.agent.silence_seconds,
             self._build_hello,
             receiver.take,
+            self._take_suspect,
             self._log.clock,
         )
         self._session = aiohttp.ClientSession()
@@ -109,6 +116,26 @@
         self._log.record(events.Kind.PROCESS_STARTED, vm=settings.vm)
         loguru.logger.info("listening on {}", settings.agent.listen)
 
+    async def drain(self) -> None:
+        """Tells others of the gateways of this VM until those have stopped.
+
+        Gateways that are asked to stop along with the agent say so first; if
+        none does, only the agent is replaced and nobody needs to be told.
+        """
+        settings = self._settings
+        give_up_at = self._now() + settings.gateway.drain_seconds
+        leave_at = self._now() + (
+            HEARTBEATS_TO_TELL * settings.agent.heartbeat_seconds
+        )
+        loguru.logger.info("draining; gateways are waited for")
+        while self._now() < give_up_at:
+            draining = any(
+                report.gateway.draining for report in self._hub.list_reports()
+            )
+            if not draining and self._now() >= leave_at:
+                break
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
     async def on_stop(self) -> None:
         """Closes ports and streams."""
         self._upstreams.stop()
@@ -199,6 +226,15 @@
         if self._find_generation() != self._told_generation:
             self._send_heartbeat()
 
+    def _take_suspect(self, suspect: messages.Suspect) -> None:
+        """Passes on a request that crashes targets."""
+        self._suspects.take(self._now(), suspect, self._pass_on)
+
+    def _pass_on(self, message: messages.Message) -> None:
+        """Sends a message to all processes that are connected."""
+        self._hub.send((*NEAR, senders.REMOTE), message)
+        self._upstreams.send(message)
+
     def _find_generation(self) -> int:
         """Returns the generation in force on all processes of the VM."""
         reports = self._hub.list_reports()
