--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -8,6 +8,7 @@
 import pydantic
 import pytest
 
+from wigeonspool.model import messages
 from wigeonspool.model import options
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -80,6 +81,19 @@
         assert set(ANCHOR.findall(text)) <= headings
 
 
+class TestArchitecture:
+    PAGE = (ROOT / "docs" / "ARCHITECTURE.md").read_text(encoding="utf-8")
+
+    def test_every_message_is_listed(self) -> None:
+        rows = [x for x in self.PAGE.splitlines() if x.startswith("| `")]
+        listed = {name for row in rows for name in re.findall(r"`(\w+)`", row)}
+        assert set(messages.KINDS) <= listed
+
+    def test_files_that_are_named_exist(self) -> None:
+        for name in re.findall(r"`(\w+/\w+\.py)`", self.PAGE):
+            assert (ROOT / "wigeonspool" / name).exists(), name
+
+
 class TestUnits:
     def read_unit(self, name: str) -> configparser.ConfigParser:
         unit = configparser.ConfigParser(strict=False, interpolation=None)
