--- /dev/null
+++ b/tests/test_cost.py
@@ -0,0 +1,38 @@
+"""The cost of a decision, by counts rather than by time."""
+
+import sys
+from typing import Any
+
+import pytest
+
+from wigeonspool.load import cost
+
+
+def count_lines(bench: cost.Bench) -> int:
+    """Returns the lines of our code that 280 requests run."""
+    lines = 0
+
+    def trace(frame: Any, event: str, _: Any) -> Any:
+        nonlocal lines
+        if "wigeonspool" not in frame.f_code.co_filename:
+            return None
+        lines += event == "line"
+        return trace
+
+    sys.settrace(trace)
+    try:
+        bench.run(280)
+    finally:
+        sys.settrace(None)
+    return lines
+
+
+class TestCost:
+    def test_a_decision_does_not_grow_with_the_pool(self) -> None:
+        counts = []
+        for targets in (40, 4_000):
+            bench = cost.Bench(targets)
+            bench.fill()
+            bench.run(100)
+            counts.append(count_lines(bench))
+        assert counts[1] == pytest.approx(counts[0], rel=0.5)
--- a/wigeonspool/core/choosing.py
+++ b/wigeonspool/core/choosing.py
@@ -53,7 +53,7 @@
 
     def choose(
         self,
-        tried: set[str],
+        tried: frozenset[str],
         farthest: int = Group.REMOTE,
         first: int = Group.OWN,
     ) -> tables.TargetRow | None:
--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -154,7 +154,8 @@
         elif result.crashed:
             self._quarantine.note_crash(now, request.fingerprint, target)
         self._release(now, row, request, target, result)
-        request.tried.add(target)
+        if result.kind is not tables.ResultKind.ANSWERED:
+            request.tried |= {target}
         done = self._conclude(now, row, request, result)
         return done + self._dispatch(now, row)
 
--- a/wigeonspool/core/learning.py
+++ b/wigeonspool/core/learning.py
@@ -13,6 +13,8 @@
 MIN_SAMPLES: Final = 20
 REFRESH_SECONDS: Final = 0.25
 KEEP_SECONDS: Final = 5.0
+DENSE_SAMPLES: Final = 500
+SPARSE_STEP: Final = 8
 LONG_RATIO: Final = 8.0
 MEAN_WEIGHT: Final = 0.01
 
@@ -27,13 +29,22 @@
         is_long: True if its requests run many times longer than others.
     """
 
-    __slots__ = ("_kept_until", "_samples", "high", "is_long", "mean", "median")
+    __slots__ = (
+        "_count",
+        "_kept_until",
+        "_samples",
+        "high",
+        "is_long",
+        "mean",
+        "median",
+    )
 
     def __init__(self) -> None:
         """Prepares an empty sketch."""
         self._samples: Any = histogram.HdrHistogram(
             1, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
         )
+        self._count = 0
         self._kept_until = 0.0
         self.mean = 0.0
         self.median = 0.0
@@ -42,7 +53,10 @@
 
     def record(self, seconds: float) -> None:
         """Takes the service time of one attempt."""
-        self._samples.record_value(max(1, int(seconds * 1e6)))
+        self._count += 1
+        # Quantiles of many samples do not need each of them.
+        if self._count <= DENSE_SAMPLES or not self._count % SPARSE_STEP:
+            self._samples.record_value(max(1, int(seconds * 1e6)))
         if self.mean:
             self.mean += (seconds - self.mean) * MEAN_WEIGHT
         else:
@@ -50,13 +64,14 @@
 
     def refresh(self, now: float) -> None:
         """Reads the quantiles; drops samples that are too old."""
-        if self._samples.get_total_count() < MIN_SAMPLES:
+        if self._count < MIN_SAMPLES:
             return
         read = self._samples.get_value_at_percentile
         self.median = read(50) / 1e6
         self.high = read(99) / 1e6
         if now >= self._kept_until:
             self._samples.reset()
+            self._count = 0
             self._kept_until = now + KEEP_SECONDS
 
 
--- a/wigeonspool/core/pools.py
+++ b/wigeonspool/core/pools.py
@@ -153,7 +153,7 @@
         return self.queue.peek(self._running[1] < max(1, self.long_limit))
 
     def choose(
-        self, request: tables.RequestRow, avoided: set[str]
+        self, request: tables.RequestRow, avoided: frozenset[str]
     ) -> tables.TargetRow | None:
         """Returns the target to send a request to, or None.
 
--- a/wigeonspool/core/routing.py
+++ b/wigeonspool/core/routing.py
@@ -6,30 +6,43 @@
 
 
 class RouteIndex:
-    """Routes arranged for lookup by method and path."""
+    """Routes arranged for lookup by method and path.
 
-    __slots__ = ("_by_length",)
+    A lookup tries each whole-segment prefix of the path, the longest first,
+    so its cost grows with the path and not with the number of routes.
+    """
+
+    __slots__ = ("_routes",)
 
     def __init__(self, routes: Iterable[entities.Route]) -> None:
-        """Arranges routes, the longest prefix first."""
-        self._by_length = sorted(
-            routes,
-            key=lambda route: (-len(route.path_prefix), route.method == "*"),
-        )
+        """Arranges routes by prefix; the first of equal ones wins."""
+        self._routes: dict[str, dict[str, entities.Route]] = {}
+        for route in routes:
+            by_method = self._routes.setdefault(route.path_prefix, {})
+            by_method.setdefault(route.method, route)
 
     def find(self, method: str, path: str) -> entities.Route | None:
         """Returns the route of a request, or None."""
-        for route in self._by_length:
-            if route.method in (method, "*") and _matches(
-                route.path_prefix, path
-            ):
-                return route
+        end = len(path)
+        while end or path[:1] in ("", "/", "?"):
+            by_method = self._routes.get(path[:end])
+            if by_method is not None:
+                route = by_method.get(method) or by_method.get("*")
+                if route is not None:
+                    return route
+            if end == 0:
+                break
+            end = _find_cut(path, end)
         return None
 
 
-def _matches(prefix: str, path: str) -> bool:
-    """Returns True if a path lies under a prefix, by whole segments."""
-    if not path.startswith(prefix):
-        return False
-    rest = path[len(prefix) :]
-    return not rest or prefix.endswith("/") or rest[0] in "/?"
+def _find_cut(path: str, end: int) -> int:
+    """Returns the end of the next shorter prefix of whole segments.
+
+    A prefix ends behind a slash, or before a slash or a question mark.
+    """
+    if path[end - 1] == "/":
+        return end - 1
+    slash = path.rfind("/", 0, end)
+    question = path.rfind("?", 0, end)
+    return max(slash + 1, question)
--- a/wigeonspool/core/tables.py
+++ b/wigeonspool/core/tables.py
@@ -111,7 +111,7 @@
     attempts: int = 0
     failures: int = 0
     may_have_run: bool = False
-    tried: set[str] = dataclasses.field(default_factory=set)
+    tried: frozenset[str] = frozenset()
     overdue: bool = False
     suspect: bool = False
     expected: float = 0.0
--- /dev/null
+++ b/wigeonspool/load/cost.py
@@ -0,0 +1,144 @@
+"""What one decision costs, by the number of targets and of routes."""
+
+import collections
+import dataclasses
+import gc
+import statistics
+import time
+import tracemalloc
+from typing import Final
+
+from wigeonspool.core import dispatcher
+from wigeonspool.core import routing
+from wigeonspool.core import tables
+from wigeonspool.model import entities
+
+TARGETS: Final = (40, 400, 4_000, 10_000)
+TARGETS_PER_SERVICE: Final = 5
+SLOTS: Final = 4
+LOAD: Final = 0.8
+REQUESTS_PER_TICK: Final = 14
+SECONDS_BETWEEN_REQUESTS: Final = 0.0007
+TIME_LIMIT_SECONDS: Final = 1e6
+ANSWERED: Final = tables.Result(tables.ResultKind.ANSWERED)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cost:
+    """The cost of one decision.
+
+    Attributes:
+        targets: Targets of the pool.
+        microseconds: Processor time of a request: its route found, submitted
+            and finished, with its part of the ticks; the median of the runs.
+        request_bytes: Memory of a request in flight.
+        target_bytes: Memory of a target.
+    """
+
+    targets: int
+    microseconds: float
+    request_bytes: float
+    target_bytes: float
+
+
+class Bench:
+    """A dispatcher under steady load."""
+
+    def __init__(self, targets: int) -> None:
+        """Fills a pool to its usual load.
+
+        Args:
+            targets: Targets of the pool; one in five has a route.
+        """
+        listed = tuple(
+            entities.Target(f"t{i}:1", "ege-1") for i in range(targets)
+        )
+        count = max(1, targets // TARGETS_PER_SERVICE)
+        self._routes = routing.RouteIndex(
+            entities.Route(f"r{i}", "GET", f"/r{i}", "pool", idempotent=True)
+            for i in range(count)
+        )
+        self._path = f"/r{count - 1}/comments?page=2"
+        self._core = dispatcher.Dispatcher("ege-1")
+        self._core.configure([entities.Pool("pool", SLOTS, listed)])
+        self._now = 0.0
+        self._number = 0
+        self._running: collections.deque[tuple[int, str]] = collections.deque()
+
+    def fill(self) -> int:
+        """Sends requests up to the usual load and returns their number."""
+        count = int(len(self._core.list_targets("pool")) * SLOTS * LOAD)
+        for _ in range(count):
+            self._submit()
+        return count
+
+    def run(self, requests: int) -> float:
+        """Returns the processor time of a request, in microseconds."""
+        began = time.process_time()
+        for number in range(requests):
+            self._now += SECONDS_BETWEEN_REQUESTS
+            request_id, target = self._running.popleft()
+            self._core.finish(self._now, request_id, target, ANSWERED)
+            self._submit()
+            if number % REQUESTS_PER_TICK == 0:
+                self._core.tick(self._now)
+        return (time.process_time() - began) / requests * 1e6
+
+    def _submit(self) -> None:
+        """Submits one request; a slot is free for it."""
+        self._number += 1
+        route = self._routes.find("GET", self._path)
+        assert route is not None
+        deadline = self._now + TIME_LIMIT_SECONDS
+        row = tables.RequestRow(
+            self._number, route.pool, route.name, deadline, route.idempotent
+        )
+        self._core.submit(self._now, row)
+        self._running.append((row.request_id, row.target))
+
+
+def measure_sizes(requests: int, repeats: int) -> list[Cost]:
+    """Returns the cost of a decision for each number of targets.
+
+    Args:
+        requests: Requests measured in each run.
+        repeats: Runs of each size; the sizes take turns, so that noise of
+            the machine meets all of them.
+    """
+    benches = {targets: Bench(targets) for targets in TARGETS}
+    times: dict[int, list[float]] = {targets: [] for targets in TARGETS}
+    for bench in benches.values():
+        bench.fill()
+        bench.run(requests)
+    for _ in range(repeats):
+        for targets, bench in benches.items():
+            times[targets].append(bench.run(requests))
+    del benches
+    return [
+        Cost(targets, statistics.median(times[targets]), *_weigh(targets))
+        for targets in TARGETS
+    ]
+
+
+def _weigh(targets: int) -> tuple[float, float]:
+    """Returns the memory of a request in flight and of a target."""
+    gc.collect()
+    tracemalloc.start()
+    bench = Bench(targets)
+    empty = tracemalloc.get_traced_memory()[0]
+    count = bench.fill()
+    full = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return (full - empty) / count, empty / targets
+
+
+def print_costs(costs: list[Cost]) -> None:
+    """Prints the costs as a table."""
+    print(f"{'targets':>8}{'us/request':>12}{'to first':>10}", end="")
+    print(f"{'B/request':>11}{'B/target':>10}")
+    for cost in costs:
+        growth = cost.microseconds / costs[0].microseconds
+        print(
+            f"{cost.targets:>8}{cost.microseconds:>12.2f}{growth:>10.2f}"
+            f"{cost.request_bytes:>11.0f}{cost.target_bytes:>10.0f}"
+        )
--- a/wigeonspool/load/main.py
+++ b/wigeonspool/load/main.py
@@ -12,6 +12,7 @@
 import uvloop
 
 from wigeonspool.load import control as controls
+from wigeonspool.load import cost as costs
 from wigeonspool.load import decide as decides
 from wigeonspool.load import demo as demos
 from wigeonspool.load import drive as drives
@@ -176,6 +177,17 @@
         )
 
 
+@app.command
+def cost(requests: int = 20_000, repeats: int = 5) -> None:
+    """Measures processor time and memory of a decision, by pool size.
+
+    Args:
+        requests: Requests measured in each run.
+        repeats: Runs of each size; the sizes take turns.
+    """
+    costs.print_costs(costs.measure_sizes(requests, repeats))
+
+
 def main() -> None:
     """Entry point of the binary."""
     app()
