Make two tests give the same verdict on a loaded machine

Cause 1: the fault planted to cut requests in a planned stop was missed in 3 of 7 runs: the stop sometimes met no request in flight. Cause 2: TestHomeMachine raised "AST constructor recursion depth mismatch" in two full runs. Taken for the CPython 3.11 fault in which a finalizer parses code while hypothesis does; collection is held back during these tests. That this was the cause is not proven, since it came up in full runs only. The checks and bounds are as they were.

--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests import check_histories as benches
+from tests import fleet as fleets
 from wigeonspool.core import dispatcher
 from wigeonspool.gateway import service as gateways
 from wigeonspool.gateway import view as views
@@ -46,8 +47,8 @@
 
 
 async def drain_nothing(self: gateways.GatewayService) -> None:
-    """Stops at once, whatever is in flight."""
-    # The HTTP library takes 0 for no bound.
+    """Stops at once, while something is in flight."""
+    await fleets.wait_for(lambda: self._ingress.in_flight > 0)
     # The HTTP library takes 0 for no bound.
     self._callers._shutdown_timeout = 0.001
 
--- a/tests/test_home_machine.py
+++ b/tests/test_home_machine.py
@@ -5,8 +5,9 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import AsyncIterator, Coroutine, Iterator
 import contextlib
+import gc
 import itertools
 from typing import Any
 from unittest import mock
@@ -379,6 +380,19 @@
         self.loop.close()
 
 
+@pytest.fixture(autouse=True)
+def collect_later() -> Iterator[None]:
+    """Holds back garbage collection while hypothesis parses source code.
+
+    A finalizer that parses code meanwhile makes CPython 3.11 raise
+    SystemError: AST constructor recursion depth mismatch.
+    """
+    gc.collect()
+    gc.disable()
+    yield
+    gc.enable()
+
+
 TestHomeMachine = HomeMachine.TestCase
 TestHomeMachine.settings = hypothesis.settings(
     derandomize=True,
