Divide a gateway's pools only where demand or gateways moved

Cause: four times a second a gateway divided every pool of the tables, and each message of members configured all targets anew. At rest over 1,900 pools and 10,000 targets that was the share of a core that docs/CAPACITY.md shows as the gateway's. Ruled out: dividing less often, since slots must follow demand in a crest.

--- a/wigeonspool/gateway/addresses.py
+++ b/wigeonspool/gateway/addresses.py
@@ -38,12 +38,17 @@
         self._view = view
         self._signer = signer
         self._answered = 0
+        self._shape: object = None
+        self._active: set[str] = set()
         self._crews = sharing.Crews(
             settings.requests_per_second, settings.gateways_per_pool
         )
 
     def divide_pools(self, name: str) -> dict[str, dict[str, int]]:
-        """Divides every pool between the gateways that serve it.
+        """Divides the pools whose share may have moved.
+
+        That is every pool after a change of tables or gateways, and else the
+        pools that have demand now or had some at the last call.
 
         Args:
             name: Name of this gateway.
@@ -51,10 +56,25 @@
         Returns:
             By pool, the slots that this gateway may use at each target.
         """
-        gateways = list(self._view.gateways.values())
+        gateways = [
+            gateway
+            for gateway in self._view.gateways.values()
+            if gateway.zone == self._zone
+        ]
+        pools = self._view.tables.pools
+        active = {pool for gateway in gateways for pool in gateway.demand}
+        shape = (
+            self._view.tables.generation,
+            frozenset((g.name, g.draining) for g in gateways),
+        )
+        wanted = active | self._active
+        if shape != self._shape:
+            wanted = set(pools)
+        self._shape = shape
+        self._active = active
         return {
-            pool.name: self._crews.divide(pool, self._zone, gateways, name)
-            for pool in self._view.tables.pools.values()
+            pool: self._crews.divide(pools[pool], self._zone, gateways, name)
+            for pool in wanted & pools.keys()
         }
 
     def answer(self, request: web.BaseRequest) -> web.Response:
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -56,6 +56,7 @@
             zone=settings.zone,
             vm=settings.vm,
         )
+        self._in_force: object = None
         self._log = process.EventLog(self._gateway.name)
 
     async def on_start(self) -> None:
@@ -118,8 +119,11 @@
 
     def _take_view(self) -> None:
         """Puts new tables and members in force."""
-        self._scheduler.core.mark_leaving(self._view.leaving)
-        self._scheduler.configure(list(self._view.tables.pools.values()))
+        in_force = (self._view.tables.generation, self._view.leaving)
+        if in_force != self._in_force:
+            self._in_force = in_force
+            self._scheduler.core.mark_leaving(self._view.leaving)
+            self._scheduler.configure(list(self._view.tables.pools.values()))
         self._share_pools()
         self._report()
 
