Look only at targets whose state is unusual

Cause: a gateway at rest with 10,000 targets built a record of each four times a second for the time line.

--- a/wigeonspool/gateway/watching.py
+++ b/wigeonspool/gateway/watching.py
@@ -7,6 +7,7 @@
 from wigeonspool.gateway import scheduler as schedulers
 from wigeonspool.gateway import statuses
 from wigeonspool.gateway import view as views
+from wigeonspool.model import entities
 from wigeonspool.model import events
 from wigeonspool.process import EventLog
 
@@ -70,17 +71,29 @@
         """Records each change of state since the last call."""
         found: dict[tuple[str, str], SeenState] = {}
         for pool in self._view.tables.pools.values():
-            drained = {t.address for t in pool.targets if t.drained}
             for row in self._scheduler.core.list_targets(pool.name):
-                place = (pool.name, row.address)
-                now = SeenState(row.state, row.health.ejections)
-                if now != USUAL:
-                    found[place] = now
-                before = self._known.get(place, USUAL)
-                for state in list_changes(before, now):
-                    self._record(pool.name, row, state, drained)
+                usual = row.state is USUAL.state and not row.health.ejections
+                if usual and (pool.name, row.address) not in self._known:
+                    continue
+                self._look(pool, row, found)
         self._known = found
 
+    def _look(
+        self,
+        pool: entities.Pool,
+        row: tables.TargetRow,
+        found: dict[tuple[str, str], SeenState],
+    ) -> None:
+        """Records what changed at one target and keeps its state."""
+        place = (pool.name, row.address)
+        now = SeenState(row.state, row.health.ejections)
+        if now != USUAL:
+            found[place] = now
+        drained = {t.address for t in pool.targets if t.drained}
+        before = self._known.get(place, USUAL)
+        for state in list_changes(before, now):
+            self._record(pool.name, row, state, drained)
+
     def _record(
         self,
         pool: str,
