Hold retries to the pool's budget

Cause: `retry_fraction` could be declared and was read nowhere, so a pool whose targets all fail was sent up to three times its demand. Change: each first attempt earns the fraction, each retry of work that may have run costs one, with a burst of 20; what provably did not run needs no budget.

--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -14,6 +14,7 @@
 from wigeonspool.core import health
 from wigeonspool.core import pools
 from wigeonspool.core import quarantine
+from wigeonspool.core import retrying
 from wigeonspool.core import supervision
 from wigeonspool.core import tables
 from wigeonspool.model import entities
@@ -130,6 +131,7 @@
             return [self._refuse(request, reason)]
         request.arrived_at = now
         self._requests[request.request_id] = request
+        retrying.earn_retries(row.retries, row.pool.retry_fraction)
         row.enqueue(request)
         return self._dispatch(now, row)
 
@@ -252,7 +254,7 @@
             request.may_have_run = True
         if self._quarantine.is_refused(now, request.fingerprint):
             return [self._refuse(request, outcomes.Reason.QUARANTINED)]
-        if self._may_retry(now, request, result):
+        if self._may_retry(now, row, request, result):
             request.state = tables.RequestState.QUEUED
             request.target = ""
             row.enqueue(request)
@@ -265,15 +267,24 @@
         return [self._settle(request, failure)]
 
     def _may_retry(
-        self, now: float, request: tables.RequestRow, result: tables.Result
+        self,
+        now: float,
+        row: pools.PoolRow,
+        request: tables.RequestRow,
+        result: tables.Result,
     ) -> bool:
-        """Returns True if a request may be sent once more."""
+        """Returns True if a request may be sent once more.
+
+        What did not run costs nothing and needs no budget.
+        """
         if now >= request.deadline or request.attempts >= MAX_SENDS:
             return False
         if result.kind is tables.ResultKind.NOT_RUN:
             return True
         request.failures += 1
-        return request.idempotent and request.failures < MAX_ATTEMPTS
+        if not request.idempotent or request.failures >= MAX_ATTEMPTS:
+            return False
+        return retrying.spend_retry(row.retries)
 
     def _settle(
         self, request: tables.RequestRow, failure: outcomes.Failure | None
--- a/wigeonspool/core/pools.py
+++ b/wigeonspool/core/pools.py
@@ -8,6 +8,7 @@
 from wigeonspool.core import choosing
 from wigeonspool.core import learning
 from wigeonspool.core import queueing
+from wigeonspool.core import retrying
 from wigeonspool.core import tables
 from wigeonspool.model import entities
 
@@ -33,6 +34,7 @@
         ejected: Addresses of those that are ejected.
         returns: Heap of (time, address) at which targets may serve again.
         overdue: Heap of (time, request id, attempt) at which attempts are slow.
+        retries: Budget of retries.
         suspects: Running attempts of suspects by target address.
     """
 
@@ -49,6 +51,7 @@
         "own_targets",
         "pool",
         "queue",
+        "retries",
         "returns",
         "slots",
         "suspects",
@@ -74,6 +77,7 @@
         self.ejected: set[str] = set()
         self.returns: list[tuple[float, str]] = []
         self.overdue: list[tuple[float, int, int]] = []
+        self.retries = retrying.RetryBudget()
         self.suspects: collections.Counter[str] = collections.Counter()
         self._zone = zone
         self._limits: Mapping[str, int] | None = None
--- a/wigeonspool/model/entities.py
+++ b/wigeonspool/model/entities.py
@@ -35,7 +35,7 @@
         measuring_requests_per_second: Probes allowed over all VMs together.
         measuring_bytes_per_second: Probe bytes allowed over all VMs together.
         max_ejected_fraction: Bound on the targets ejected at once, 0 to 1.
-        retry_fraction: Retries and hedges allowed per first attempt, 0 to 1.
+        retry_fraction: Retries allowed per first attempt, 0 to 1.
     """
 
     name: str
