Prefer other zones of the region before other regions

Cause: a gateway took a target of any other zone alike, so spill crossed regions, which is paid by volume. Change: the group NEAR stands before REMOTE. A gateway takes the zones of the gateways in view, all of its region, as near. Not done: a budget on the link between regions.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -61,3 +61,20 @@
         core.configure([entities.Pool("queue", 4, listed)])
         done = [core.submit(0.0, build_request(i))[0] for i in range(4)]
         assert {send.target for send in done} == {"t1:1"}
+
+
+class TestZones:
+    def test_work_leaves_the_region_last(self) -> None:
+        core = dispatcher.Dispatcher("zone-0")
+        core.set_near_zones(["zone-0", "zone-1"])
+        listed = tuple(
+            entities.Target(f"t{i}:1", zone)
+            for i, zone in enumerate(["far-0", "zone-1", "zone-0"])
+        )
+        core.configure([entities.Pool("queue", 1, listed)])
+        sends = [core.submit(0.0, build_request(i))[0] for i in range(3)]
+        assert [s.target for s in sends if isinstance(s, actions.Send)] == [
+            "t2:1",
+            "t1:1",
+            "t0:1",
+        ]
--- a/wigeonspool/core/choosing.py
+++ b/wigeonspool/core/choosing.py
@@ -14,11 +14,15 @@
 
 
 class Group(enum.IntEnum):
-    """How far a target is from being this gateway's own."""
+    """How far a target is from being this gateway's own.
+
+    NEAR is in another zone of the region; traffic to a REMOTE one is paid.
+    """
 
     OWN = 0
     SHARED = 1
-    REMOTE = 2
+    NEAR = 2
+    REMOTE = 3
 
 
 class TargetIndex:
--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -35,6 +35,7 @@
             zone: Availability zone of the gateway.
         """
         self._zone = zone
+        self._near_zones: frozenset[str] = frozenset()
         self._pools: dict[str, pools.PoolRow] = {}
         self._requests: dict[int, tables.RequestRow] = {}
         self._leaving: frozenset[str] = frozenset()
@@ -49,6 +50,7 @@
             self._pools[name].replace_targets({})
         for name, pool in wanted.items():
             row = self._pools.setdefault(name, pools.PoolRow(pool, self._zone))
+            row.set_near_zones(self._near_zones)
             row.pool = pool
             row.replace_targets(
                 {
@@ -59,6 +61,12 @@
                 }
             )
 
+    def set_near_zones(self, zones: Iterable[str]) -> None:
+        """Takes the availability zones of the gateway's region."""
+        self._near_zones = frozenset(zones)
+        for row in self._pools.values():
+            row.set_near_zones(self._near_zones)
+
     def share(self, pool: str, limits: Mapping[str, int] | None) -> None:
         """Takes the slots that this gateway may use.
 
--- a/wigeonspool/core/pools.py
+++ b/wigeonspool/core/pools.py
@@ -40,6 +40,7 @@
 
     __slots__ = (
         "_limits",
+        "_near_zones",
         "_refresh_at",
         "_running",
         "_used",
@@ -80,6 +81,7 @@
         self.retries = retrying.RetryBudget()
         self.suspects: collections.Counter[str] = collections.Counter()
         self._zone = zone
+        self._near_zones: frozenset[str] = frozenset()
         self._limits: Mapping[str, int] | None = None
         # Attempts in flight of short and of long work, and their means.
         self._running = [0, 0]
@@ -107,10 +109,18 @@
             self.index.place(target)
         self.long_limit = min(self.long_limit or self.slots, self.slots)
 
+    def set_near_zones(self, zones: frozenset[str]) -> None:
+        """Takes the zones of the gateway's region."""
+        if zones != self._near_zones:
+            self._near_zones = zones
+            self.share(self._limits)
+
     def _set_limit(self, target: tables.TargetRow) -> None:
         """Sets the group of a target and the slots to use there."""
         if target.zone != self._zone:
-            target.group = choosing.Group.REMOTE
+            near = target.zone in self._near_zones
+            group = choosing.Group.NEAR if near else choosing.Group.REMOTE
+            target.group = group
             target.limit = target.slots
         elif self._limits is None:
             target.group = choosing.Group.OWN
@@ -173,7 +183,7 @@
         if own is not None:
             return own
         stuck = self._running[1] > 0 and not request.is_long
-        first = choosing.Group.REMOTE
+        first = choosing.Group.NEAR
         if stuck or not self.slots:
             first = choosing.Group.SHARED
         return self.index.choose(avoided, choosing.Group.REMOTE, first)
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -57,6 +57,7 @@
             vm=settings.vm,
         )
         self._in_force: object = None
+        self._near_zones: set[str] = set()
         self._log = process.EventLog(self._gateway.name)
 
     async def on_start(self) -> None:
@@ -124,6 +125,11 @@
             self._in_force = in_force
             self._scheduler.core.mark_leaving(self._view.leaving)
             self._scheduler.configure(list(self._view.tables.pools.values()))
+        # Only gateways of this region are in view.
+        zones = {gateway.zone for gateway in self._view.gateways.values()}
+        if zones != self._near_zones:
+            self._near_zones = zones
+            self._scheduler.core.set_near_zones(zones)
         self._share_pools()
         self._report()
 
--- a/wigeonspool/load/baselines.py
+++ b/wigeonspool/load/baselines.py
@@ -179,7 +179,11 @@
             name: dispatcher.Dispatcher(gateway.zone)
             for name, gateway in self._gateways.items()
         }
-        for core in self.dispatchers.values():
+        regions = {zone.name: zone.region for zone in experiment.zones}
+        for name, core in self.dispatchers.items():
+            home = regions[self._gateways[name].zone]
+            near = [zone for zone, region in regions.items() if region == home]
+            core.set_near_zones(near)
             core.configure([self._pool])
         self.deciders: dict[str, parties.Decider] = dict(self.dispatchers)
 
