--- a/wigeonspool/core/pools.py
+++ b/wigeonspool/core/pools.py
@@ -8,6 +8,7 @@
 from wigeonspool.core import choosing
 from wigeonspool.core import learning
 from wigeonspool.core import queueing
+from wigeonspool.core import retrying
 from wigeonspool.core import tables
 from wigeonspool.model import entities
 
@@ -33,11 +34,13 @@
         ejected: Addresses of those that are ejected.
         returns: Heap of (time, address) at which targets may serve again.
         overdue: Heap of (time, request id, attempt) at which attempts are slow.
+        retries: Budget of retries.
         suspects: Running attempts of suspects by target address.
     """
 
     __slots__ = (
         "_limits",
+        "_near_zones",
         "_refresh_at",
         "_running",
         "_used",
@@ -49,6 +52,7 @@
         "own_targets",
         "pool",
         "queue",
+        "retries",
         "returns",
         "slots",
         "suspects",
@@ -74,8 +78,10 @@
         self.ejected: set[str] = set()
         self.returns: list[tuple[float, str]] = []
         self.overdue: list[tuple[float, int, int]] = []
+        self.retries = retrying.RetryBudget()
         self.suspects: collections.Counter[str] = collections.Counter()
         self._zone = zone
+        self._near_zones: frozenset[str] = frozenset()
         self._limits: Mapping[str, int] | None = None
         # Attempts in flight of short and of long work, and their means.
         self._running = [0, 0]
@@ -103,10 +109,18 @@
             self.index.place(target)
         self.long_limit = min(self.long_limit or self.slots, self.slots)
 
+    def set_near_zones(self, zones: frozenset[str]) -> None:
+        """Takes the zones of the gateway's region."""
+        if zones != self._near_zones:
+            self._near_zones = zones
+            self.share(self._limits)
+
     def _set_limit(self, target: tables.TargetRow) -> None:
         """Sets the group of a target and the slots to use there."""
         if target.zone != self._zone:
-            target.group = choosing.Group.REMOTE
+            near = target.zone in self._near_zones
+            group = choosing.Group.NEAR if near else choosing.Group.REMOTE
+            target.group = group
             target.limit = target.slots
         elif self._limits is None:
             target.group = choosing.Group.OWN
@@ -169,7 +183,7 @@
         if own is not None:
             return own
         stuck = self._running[1] > 0 and not request.is_long
-        first = choosing.Group.REMOTE
+        first = choosing.Group.NEAR
         if stuck or not self.slots:
             first = choosing.Group.SHARED
         return self.index.choose(avoided, choosing.Group.REMOTE, first)
