Import modules rather than names, and build the gateway in three steps

Cause: four modules imported a class by name against the style in use, and the gateway's start was a function of 57 lines. Behaviour is as before; the tests of path, shutdown, crash, time line and answers pass unchanged.

--- a/wigeonspool/gateway/ingress.py
+++ b/wigeonspool/gateway/ingress.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from wigeonspool import process
 from wigeonspool.core import once
 from wigeonspool.gateway import addresses
 from wigeonspool.gateway import answers
@@ -23,7 +24,6 @@
 from wigeonspool.model import events
 from wigeonspool.model import options
 from wigeonspool.model import outcomes
-from wigeonspool.process import EventLog
 from wigeonspool.wire import tokens
 
 PROBLEM_SECONDS: Final = 1.0
@@ -51,7 +51,7 @@
         view: views.FleetView,
         scheduler: schedulers.Scheduler,
         client: egress.Egress,
-        log: EventLog,
+        log: process.EventLog,
         pauses_monitor: pauses.PauseMonitor,
     ) -> None:
         """Prepares the ingress.
--- a/wigeonspool/gateway/link.py
+++ b/wigeonspool/gateway/link.py
@@ -7,12 +7,12 @@
 
 import loguru
 
+from wigeonspool import process
 from wigeonspool.gateway import view as views
 from wigeonspool.model import changes
 from wigeonspool.model import errors
 from wigeonspool.model import events
 from wigeonspool.model import messages
-from wigeonspool.process import EventLog
 from wigeonspool.wire import clocks
 from wigeonspool.wire import senders
 from wigeonspool.wire import streams
@@ -33,7 +33,7 @@
         address: str,
         hello: messages.Hello,
         view: views.FleetView,
-        log: EventLog,
+        log: process.EventLog,
         on_change: Callable[[], None],
         on_suspect: Callable[[messages.Suspect], None],
         build_status: Callable[[str], messages.GatewayStatus],
--- a/wigeonspool/gateway/runner.py
+++ b/wigeonspool/gateway/runner.py
@@ -6,6 +6,7 @@
 import aiohttp
 from aiohttp import web
 
+from wigeonspool import process
 from wigeonspool.core import actions
 from wigeonspool.core import once
 from wigeonspool.core import tables
@@ -16,7 +17,6 @@
 from wigeonspool.model import entities
 from wigeonspool.model import events
 from wigeonspool.model import outcomes
-from wigeonspool.process import EventLog
 
 Ending = once.Answer | outcomes.Failure
 
@@ -43,7 +43,7 @@
         self,
         scheduler: schedulers.Scheduler,
         client: egress.Egress,
-        log: EventLog,
+        log: process.EventLog,
     ) -> None:
         self._scheduler = scheduler
         self._client = client
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -62,6 +62,25 @@
 
     async def on_start(self) -> None:
         """Opens the link to the agent and the callers' port."""
+        self._build_parts()
+        self.add_future(link.keep_following(self._link, RECONNECT_SECONDS))
+        server = listener.CallerServer(self._ingress)
+        self._callers = await process.serve_http(self._gateway.address, server)
+        self._metrics = await process.serve_metrics(
+            self._settings.gateway.metrics[self._index],
+            metrics.GatewayMetrics(
+                self._ingress,
+                self._client,
+                self._scheduler,
+                self._view,
+                self._log.ring,
+            ).publish,
+        )
+        self._log.record(events.Kind.PROCESS_STARTED, vm=self._settings.vm)
+        loguru.logger.info("serving callers on {}", self._gateway.address)
+
+    def _build_parts(self) -> None:
+        """Builds the parts; they need the running event loop."""
         self._view = view.FleetView()
         self._scheduler = scheduler.Scheduler(self._settings.zone)
         self._scheduler.on_suspect = lambda suspect: self._link.send(suspect)
@@ -76,6 +95,13 @@
             self._log,
             self._pauses,
         )
+        self._watcher = watching.TargetWatcher(
+            self._view, self._scheduler, self._log
+        )
+        self._link = self._build_link()
+
+    def _build_link(self) -> link.AgentLink:
+        """Returns the link to the agent, not yet open."""
         hello = proofs.sign_hello(
             messages.Hello(
                 self._gateway.name,
@@ -85,7 +111,7 @@
             ),
             self._settings.token_keys,
         )
-        self._link = link.AgentLink(
+        return link.AgentLink(
             self._settings.agent.listen,
             hello,
             self._view,
@@ -99,24 +125,6 @@
                 self._scheduler,
             ),
         )
-        self.add_future(link.keep_following(self._link, RECONNECT_SECONDS))
-        server = listener.CallerServer(self._ingress)
-        self._callers = await process.serve_http(self._gateway.address, server)
-        self._watcher = watching.TargetWatcher(
-            self._view, self._scheduler, self._log
-        )
-        self._metrics = await process.serve_metrics(
-            self._settings.gateway.metrics[self._index],
-            metrics.GatewayMetrics(
-                self._ingress,
-                self._client,
-                self._scheduler,
-                self._view,
-                self._log.ring,
-            ).publish,
-        )
-        self._log.record(events.Kind.PROCESS_STARTED, vm=self._settings.vm)
-        loguru.logger.info("serving callers on {}", self._gateway.address)
 
     def _take_view(self) -> None:
         """Puts new tables and members in force."""
--- a/wigeonspool/gateway/watching.py
+++ b/wigeonspool/gateway/watching.py
@@ -3,13 +3,13 @@
 import dataclasses
 from typing import Final
 
+from wigeonspool import process
 from wigeonspool.core import tables
 from wigeonspool.gateway import scheduler as schedulers
 from wigeonspool.gateway import statuses
 from wigeonspool.gateway import view as views
 from wigeonspool.model import entities
 from wigeonspool.model import events
-from wigeonspool.process import EventLog
 
 KINDS: Final = {
     tables.TargetState.SERVING: events.Kind.TARGET_RESTORED,
@@ -53,7 +53,7 @@
         self,
         view: views.FleetView,
         scheduler: schedulers.Scheduler,
-        log: EventLog,
+        log: process.EventLog,
     ) -> None:
         """Prepares the watcher.
 
