--- a/wigeonspool/standin/main.py
+++ b/wigeonspool/standin/main.py
@@ -80,6 +80,7 @@
     slots: int = 4,
     seed: int = 1,
     work: Annotated[list[str] | None, cyclopts.Parameter()] = None,
+    connect_ms: float = 1.0,
 ) -> None:
     """Runs some targets in one process.
 
@@ -90,6 +91,7 @@
         slots: Requests that each target runs at once.
         seed: Seed of the service times.
         work: Service time of a path prefix, as /prefix=milliseconds.
+        connect_ms: Time that a new connection needs before its first answer.
     """
     works: list[targets.Work] = []
     for entry in work or []:
@@ -97,14 +99,15 @@
         works.append(targets.Work(prefix, float(service_ms)))
 
     async def run() -> None:
-        group = targets.TargetGroup(
-            [
-                targets.TargetStandin(
-                    f"{LOOPBACK}:{first_port + i}", slots, works, seed + i
-                )
-                for i in range(count)
-            ]
-        )
+        served = [
+            targets.TargetStandin(
+                f"{LOOPBACK}:{first_port + i}", slots, works, seed + i
+            )
+            for i in range(count)
+        ]
+        for standin in served:
+            standin.set_faults(connect_ms=connect_ms)
+        group = targets.TargetGroup(served)
         await group.start()
         await _serve(group.build_app(), control_port, group.stop_crashed())
 
--- a/wigeonspool/standin/target.py
+++ b/wigeonspool/standin/target.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import ctypes
 import dataclasses
 import json
@@ -18,6 +19,7 @@
 from aiohttp import web
 
 SO_ATTACH_FILTER: Final = 26
+KEPT_READINGS: Final = 1024
 CHUNK_BYTES: Final = 64 * 1024
 CALLER: Final = "Wigeonspool-Caller"
 REQUEST: Final = "Wigeonspool-Request"
@@ -39,6 +41,8 @@
             New ones work.
         stalled: No request is answered, on any connection.
         health: What the health endpoint claims, if it is not the truth.
+        health_lag_seconds: Age of what the health endpoint shows.
+        connect_ms: Time that a new connection needs before its first answer.
         cold_until: Until this time on the monotonic clock it is 5 x slower.
     """
 
@@ -49,6 +53,8 @@
     silent: float = 0.0
     stalled: bool = False
     health: str = ""
+    health_lag_seconds: float = 0.0
+    connect_ms: float = 0.0
     cold_until: float = 0.0
 
 
@@ -136,10 +142,14 @@
         self._in_flight = 0
         self._transports: weakref.WeakSet[Any] = weakref.WeakSet()
         self._random = random.Random(seed)
+        self._readings: collections.deque[tuple[float, dict[str, Any]]]
+        self._readings = collections.deque(maxlen=KEPT_READINGS)
+        self._record_health()
 
     def set_faults(self, **changed: Any) -> None:
         """Changes some faults by name."""
         self.faults = dataclasses.replace(self.faults, **changed)
+        self._record_health()
         if "silent" in changed:
             self._silence_connections()
 
@@ -166,7 +176,9 @@
         """Answers one request."""
         if request.path == "/health":
             return self._show_health()
-        self._transports.add(request.transport)
+        if request.transport not in self._transports:
+            self._transports.add(request.transport)
+            await asyncio.sleep(self.faults.connect_ms / 1000)
         if self.faults.stalled:
             await asyncio.sleep(3600)
         if self.faults.failing:
@@ -186,6 +198,7 @@
             body_bytes=size,
         )
         self._in_flight += 1
+        self._record_health()
         try:
             return await self._run(request, run, body)
         except asyncio.CancelledError:
@@ -193,6 +206,7 @@
             raise
         finally:
             self._in_flight -= 1
+            self._record_health()
             run.ended_at = time.time()
 
     async def _run(
@@ -261,12 +275,21 @@
         request.transport.abort()
         raise asyncio.CancelledError
 
+    def _record_health(self) -> None:
+        """Keeps a reading, so that the health endpoint can lag."""
+        state = "draining" if self.faults.draining else "ok"
+        reading = {"state": state, "in_flight": self._in_flight}
+        self._readings.append((time.monotonic(), reading))
+
     def _show_health(self) -> web.Response:
         """Answers the health endpoint, which may mislead."""
         if self.faults.health:
             return web.Response(text=self.faults.health)
-        state = "draining" if self.faults.draining else "ok"
-        document = {"state": state, "in_flight": self._in_flight}
+        shown_at = time.monotonic() - self.faults.health_lag_seconds
+        document = self._readings[0][1]
+        for read_at, reading in self._readings:
+            if read_at <= shown_at:
+                document = reading
         return web.Response(
             body=json.dumps(document).encode(),
             content_type="application/json",
