--- a/examples/control.sh
+++ b/examples/control.sh
@@ -5,13 +5,7 @@
 bin=$1
 shift
 here=$(cd "$(dirname "$0")" && pwd)
-pids=()
-stop_all() {
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-}
-trap stop_all EXIT
-run() { "$bin/$@" & pids+=($!); }
+source "$here/processes.sh"
 
 run wigeonspool-standin store --port 22960
 run wigeonspool-standin vm-list "$here/control/vms.yaml" --port 22961
--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -5,13 +5,7 @@
 set -euo pipefail
 bin=$1
 here=$(cd "$(dirname "$0")" && pwd)
-pids=()
-stop_all() {
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-}
-trap stop_all EXIT
-run() { "$bin/$@" & pids+=($!); }
+source "$here/processes.sh"
 
 run wigeonspool-standin store --port 22900
 run wigeonspool-standin vm-list "$here/demo/vms.yaml" --port 22901
@@ -30,14 +24,6 @@
 run wigeonspool-gateway --settings "$here/demo/vm-2.yaml" --index 1
 stopped=$!
 
-wait_port() {
-  for _ in $(seq 100); do
-    if (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; then return; fi
-    sleep 0.1
-  done
-  echo "port $1 did not open" >&2
-  exit 1
-}
 for port in 22900 22901 21090 21190 21290 21390 21490 21590 \
   22000 22100 22010 22011 22110 22111; do wait_port "$port"; done
 
--- a/examples/overhead.sh
+++ b/examples/overhead.sh
@@ -8,22 +8,7 @@
 bin=$1
 shift
 here=$(cd "$(dirname "$0")" && pwd)
-pids=()
-stop_all() {
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-}
-trap stop_all EXIT
-run() { "$bin/$@" & pids+=($!); }
-
-wait_port() {
-  for _ in $(seq 100); do
-    if (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; then return; fi
-    sleep 0.1
-  done
-  echo "port $1 did not open" >&2
-  exit 1
-}
+source "$here/processes.sh"
 
 run wigeonspool-standin store --port 23900
 run wigeonspool-standin vm-list "$here/overhead/vms.yaml" --port 23901
