Configure a gateway's targets once per change, and drop a result nobody reads

Found in the read-through. A change of the VM list or of the tables configured all targets twice, by mark_leaving and by configure; each now runs for its own change. restore_targets told whether a target serves again and no caller asked. Running them apart showed a fault that the second pass had covered up: mark_leaving gave a removed pool its targets back. It is mended in the dispatcher; TestLeavingTargets fails without it and passes with it.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -78,3 +78,13 @@
             "t1:1",
             "t0:1",
         ]
+
+
+class TestLeavingTargets:
+    def test_removed_pool_gets_no_targets_back(self) -> None:
+        core = dispatcher.Dispatcher("zone-0")
+        listed = (entities.Target("t0:1", "zone-0"),)
+        core.configure([entities.Pool("queue", 4, listed)])
+        core.configure([])
+        core.mark_leaving(["t9:1"])
+        assert core.list_targets("queue") == []
--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -96,7 +96,10 @@
     def mark_leaving(self, addresses: Iterable[str]) -> None:
         """Takes the addresses of all targets that the VM list calls leaving."""
         self._leaving = frozenset(addresses)
-        self.configure([row.pool for row in self._pools.values()])
+        # A pool that was removed has no targets, and gets none back here.
+        self.configure(
+            [row.pool for row in self._pools.values() if row.targets]
+        )
 
     def count_running(self) -> int:
         """Returns the number of requests that are not settled."""
--- a/wigeonspool/core/supervision.py
+++ b/wigeonspool/core/supervision.py
@@ -128,37 +128,30 @@
     heapq.heappush(row.returns, entry)
 
 
-def restore_targets(now: float, row: pools.PoolRow) -> bool:
-    """Lets targets serve again whose time out is over.
-
-    Returns:
-        True if a target serves again.
-    """
-    restored = False
+def restore_targets(now: float, row: pools.PoolRow) -> None:
+    """Lets targets serve again whose time out is over."""
     while row.returns and row.returns[0][0] <= now:
         _, address = heapq.heappop(row.returns)
         target = row.targets.get(address)
         if target is not None:
-            restored |= _restore_target(now, row, target)
-    return restored
+            _restore_target(now, row, target)
 
 
 def _restore_target(
     now: float, row: pools.PoolRow, target: tables.TargetRow
-) -> bool:
+) -> None:
     """Lets a target serve again if its time out is over."""
     row_health = target.health
     if target.state is tables.TargetState.EJECTED:
         if row_health.out_until > now:
-            return False
+            return
     elif target.state is tables.TargetState.DRAINING:
         if not 0.0 < row_health.draining_until <= now:
-            return False
+            return
         row_health.draining_until = 0.0
     else:
-        return False
+        return
     row.ejected.discard(target.address)
     target.state = tables.TargetState.SERVING
     health.end_ejection(row_health)
     row.index.place(target)
-    return True
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -56,7 +56,8 @@
             zone=settings.zone,
             vm=settings.vm,
         )
-        self._in_force: object = None
+        self._generation = 0
+        self._leaving: frozenset[str] = frozenset()
         self._near_zones: set[str] = set()
         self._log = process.EventLog(self._gateway.name)
 
@@ -128,10 +129,11 @@
 
     def _take_view(self) -> None:
         """Puts new tables and members in force."""
-        in_force = (self._view.tables.generation, self._view.leaving)
-        if in_force != self._in_force:
-            self._in_force = in_force
-            self._scheduler.core.mark_leaving(self._view.leaving)
+        if self._view.leaving != self._leaving:
+            self._leaving = self._view.leaving
+            self._scheduler.core.mark_leaving(self._leaving)
+        if self._view.tables.generation != self._generation:
+            self._generation = self._view.tables.generation
             self._scheduler.configure(list(self._view.tables.pools.values()))
         # Only gateways of this region are in view.
         zones = {gateway.zone for gateway in self._view.gateways.values()}
