Move the retry rule and overdue attempts out of the dispatcher

Whether a request may be sent once more stands beside the budget that it is charged to (core/retrying.py), and the heap of attempts that should have ended has a module (core/lateness.py).

--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -7,11 +7,9 @@
 
 import collections
 from collections.abc import Iterable, Mapping
-import heapq
-from typing import Final
 
 from wigeonspool.core import actions
-from wigeonspool.core import health
+from wigeonspool.core import lateness
 from wigeonspool.core import pools
 from wigeonspool.core import quarantine
 from wigeonspool.core import retrying
@@ -20,10 +18,6 @@
 from wigeonspool.model import entities
 from wigeonspool.model import outcomes
 
-MAX_ATTEMPTS: Final = 3
-# Attempts that provably did not run cost a target nothing, so more are made.
-MAX_SENDS: Final = 12
-
 
 class Dispatcher:
     """Holds the tables of one gateway and runs the systems over them."""
@@ -207,7 +201,7 @@
         done: list[actions.Action] = []
         for name in list(self._watched):
             row = self._pools[name]
-            self._note_overdue(now, row)
+            lateness.judge_overdue(now, row, self._requests)
             supervision.restore_targets(now, row)
             if not row.overdue and not row.returns:
                 self._watched.discard(name)
@@ -215,18 +209,6 @@
             done += self._dispatch(now, self._pools[name])
         return done
 
-    def _note_overdue(self, now: float, row: pools.PoolRow) -> None:
-        """Judges targets by attempts that should have ended by now."""
-        while row.overdue and row.overdue[0][0] <= now:
-            _, request_id, attempt = heapq.heappop(row.overdue)
-            request = self._requests.get(request_id)
-            if (
-                request is not None
-                and request.state is tables.RequestState.RUNNING
-                and request.attempts == attempt
-            ):
-                supervision.learn_overdue(now, row, request)
-
     def _release(
         self,
         now: float,
@@ -265,7 +247,7 @@
             request.may_have_run = True
         if self._quarantine.is_refused(now, request.fingerprint):
             return [self._refuse(request, outcomes.Reason.QUARANTINED)]
-        if self._may_retry(now, row, request, result):
+        if retrying.may_retry(now, row.retries, request, result):
             request.state = tables.RequestState.QUEUED
             request.target = ""
             row.enqueue(request)
@@ -277,26 +259,6 @@
         failure = outcomes.doubt(outcomes.Reason.CONNECTION_LOST)
         return [self._settle(request, failure)]
 
-    def _may_retry(
-        self,
-        now: float,
-        row: pools.PoolRow,
-        request: tables.RequestRow,
-        result: tables.Result,
-    ) -> bool:
-        """Returns True if a request may be sent once more.
-
-        What did not run costs nothing and needs no budget.
-        """
-        if now >= request.deadline or request.attempts >= MAX_SENDS:
-            return False
-        if result.kind is tables.ResultKind.NOT_RUN:
-            return True
-        request.failures += 1
-        if not request.idempotent or request.failures >= MAX_ATTEMPTS:
-            return False
-        return retrying.spend_retry(row.retries)
-
     def _settle(
         self, request: tables.RequestRow, failure: outcomes.Failure | None
     ) -> actions.Action:
@@ -367,16 +329,6 @@
         if self._quarantine.is_suspect(request.fingerprint):
             request.suspect = True
             row.suspects[target.address] += 1
-        self._expect_end(now, row, request)
-        return actions.Send(request.request_id, target.address)
-
-    def _expect_end(
-        self, now: float, row: pools.PoolRow, request: tables.RequestRow
-    ) -> None:
-        """Plans a look at an attempt when it should have ended."""
-        median = row.times.find(request.route).median
-        if median:
-            at = now + health.find_slow_seconds(median)
-            entry = (at, request.request_id, request.attempts)
-            heapq.heappush(row.overdue, entry)
+        if lateness.expect_end(now, row, request):
             self._watched.add(row.pool.name)
+        return actions.Send(request.request_id, target.address)
--- a/wigeonspool/core/retrying.py
+++ b/wigeonspool/core/retrying.py
@@ -3,6 +3,11 @@
 import dataclasses
 from typing import Final
 
+from wigeonspool.core import tables
+
+MAX_ATTEMPTS: Final = 3
+# Attempts that provably did not run cost a target nothing, so more are made.
+MAX_SENDS: Final = 12
 # Retries that are allowed beside the fraction, so that a pool with little
 # demand can recover from a crash of a target.
 BURST_RETRIES: Final = 20.0
@@ -38,3 +43,29 @@
         return False
     budget.credit -= 1.0
     return True
+
+
+def may_retry(
+    now: float,
+    budget: RetryBudget,
+    request: tables.RequestRow,
+    result: tables.Result,
+) -> bool:
+    """Returns True if a request may be sent once more, and charges it.
+
+    What did not run costs nothing and needs no budget.
+
+    Args:
+        now: Time on the core's clock, in seconds.
+        budget: Budget of the pool.
+        request: Request whose attempt ended without an answer.
+        result: How it ended.
+    """
+    if now >= request.deadline or request.attempts >= MAX_SENDS:
+        return False
+    if result.kind is tables.ResultKind.NOT_RUN:
+        return True
+    request.failures += 1
+    if not request.idempotent or request.failures >= MAX_ATTEMPTS:
+        return False
+    return spend_retry(budget)
