Explain sampled decisions on the time line

An operator who saw a request at a slow target, or a refusal, could not tell what the gateway had known. For a sampled request the core now tells each decision (core/explaining.py): what it chose and why, up to 8 candidates with state, free slots, group and why each was passed over, targets with a free slot by group, and the times by which it was admitted. Refusals and waits are told too. gateway/explaining.py samples by gateway.explained_fraction (0.01) and records target-chosen, request-queued and request-refused; decisions have a ring of their own, since events of requests push all out in seconds.

Ruled out: an action for the driver, which each driver would have to skip; sampling by a hash of the identity, which lets a caller that repeats one identity have all its requests explained.

--- /dev/null
+++ b/tests/test_explaining.py
@@ -0,0 +1,179 @@
+"""Decisions that are explained, in the core and on the time line."""
+
+import itertools
+
+import pytest
+
+from tests import fleet as fleets
+from wigeonspool import process
+from wigeonspool.core import dispatcher
+from wigeonspool.core import explaining
+from wigeonspool.core import tables
+from wigeonspool.gateway import explaining as recording
+from wigeonspool.model import entities
+from wigeonspool.model import events
+from wigeonspool.model import outcomes
+from wigeonspool.operator import traces
+
+ANSWERED = tables.Result(tables.ResultKind.ANSWERED)
+FAILED = tables.Result(tables.ResultKind.FAILED)
+REFUSED = tables.Result(tables.ResultKind.NOT_RUN, refused=True)
+Verdict = explaining.Verdict
+
+
+class Core:
+    """A dispatcher whose explanations are kept."""
+
+    def __init__(self, *targets: entities.Target, slots: int = 2) -> None:
+        self.told: list[explaining.Explanation] = []
+        self.dispatcher = dispatcher.Dispatcher("here")
+        self.dispatcher.on_explained = self.told.append
+        self.dispatcher.set_near_zones(["here", "near"])
+        self.dispatcher.configure([entities.Pool("queue", slots, targets)])
+        self._numbers = itertools.count(1)
+
+    def submit(
+        self, deadline: float = 9.0, pool: str = "queue", sampled: bool = True
+    ) -> tables.RequestRow:
+        number = next(self._numbers)
+        row = tables.RequestRow(number, pool, "read", deadline, True)
+        row.sampled_as = f"read-{number}" if sampled else ""
+        self.dispatcher.submit(0.5, row)
+        return row
+
+    def finish(self, row: tables.RequestRow, result: tables.Result) -> None:
+        self.dispatcher.finish(0.6, row.request_id, row.target, result)
+
+    def read_verdicts(self) -> dict[str, Verdict]:
+        return {c.address: c.verdict for c in self.told[-1].candidates}
+
+
+def build_own(*names: str) -> list[entities.Target]:
+    return [entities.Target(name, "here") for name in names]
+
+
+class TestExplanation:
+    def test_choice_tells_why_each_other_was_passed_over(self) -> None:
+        drained = entities.Target("drained", "here", drained=True)
+        near = entities.Target("near", "near")
+        core = Core(*build_own("a", "b", "c", "d"), drained, near)
+        # One each at a and b, refused by c, which is taken out, then d.
+        for _ in range(2):
+            core.submit(sampled=False)
+        core.finish(core.submit(sampled=False), REFUSED)
+        assert core.told == []
+        core.submit()
+        told = core.told[-1]
+        assert told.request == "read-4"
+        assert told.choice is explaining.Choice.SENT
+        assert told.why is explaining.Why.MOST_FREE
+        assert told.candidates[0].address == told.target
+        assert core.read_verdicts() == {
+            "a": Verdict.CHOSEN,
+            "b": Verdict.EQUAL,
+            "d": Verdict.EQUAL,
+            "c": Verdict.EJECTED,
+            "drained": Verdict.DRAINING,
+            "near": Verdict.FARTHER,
+        }
+        assert told.groups == ((3, 5), (0, 0), (1, 1), (0, 0))
+
+    def test_retry_tells_of_the_target_that_failed_it(self) -> None:
+        core = Core(*build_own("a", "b"))
+        row = core.submit()
+        first = row.target
+        core.finish(row, FAILED)
+        assert core.told[-1].attempt == 2
+        verdicts = core.read_verdicts()
+        assert verdicts.pop(row.target) is Verdict.CHOSEN
+        assert verdicts == {first: Verdict.FAILED_IT}
+
+    def test_only_target_is_used_again(self) -> None:
+        core = Core(*build_own("a"))
+        core.finish(core.submit(), FAILED)
+        assert core.told[-1].why is explaining.Why.NO_OTHER
+
+    def test_request_that_waits_tells_what_was_full(self) -> None:
+        core = Core(*build_own("a"), slots=1)
+        first = core.submit()
+        core.submit()
+        core.submit(deadline=9.5)
+        assert [t.why for t in core.told] == [
+            explaining.Why.MOST_FREE,
+            explaining.Why.NO_FREE_SLOT,
+            explaining.Why.EARLIER_DEADLINES,
+        ]
+        assert core.read_verdicts() == {"a": Verdict.FULL}
+        core.finish(first, ANSWERED)
+        told = core.told[-1]
+        assert (told.request, told.target) == ("read-2", "a")
+        assert told.waited == pytest.approx(0.1)
+
+    def test_refusals_tell_their_reason(self) -> None:
+        core = Core(*build_own("a"), slots=1)
+        core.submit(pool="none")
+        core.submit(deadline=0.1)
+        core.submit()
+        core.submit()
+        core.dispatcher.refuse_queued(0.7)
+        refused = [t for t in core.told if t.reason is not None]
+        assert [t.reason for t in refused] == [
+            outcomes.Reason.NOT_CONFIGURED,
+            outcomes.Reason.DEADLINE_PASSED,
+            outcomes.Reason.DRAINING,
+        ]
+        assert refused[0].candidates == ()
+        assert refused[2].candidates[0].verdict is Verdict.FULL
+
+    def test_candidates_are_bounded(self) -> None:
+        core = Core(*build_own(*(f"t{i}" for i in range(100))))
+        core.submit()
+        assert len(core.told[0].candidates) == explaining.MAX_CANDIDATES
+        assert core.told[0].groups[0] == (100, 100)
+
+
+class TestSampler:
+    @pytest.mark.parametrize("fraction", [0.0, 0.01, 0.3, 1.0])
+    def test_fraction_is_kept(self, fraction: float) -> None:
+        sampler = recording.Sampler(fraction)
+        taken = sum(sampler.take() for _ in range(100_000))
+        assert taken == pytest.approx(fraction * 100_000, rel=0.1)
+
+
+class TestRing:
+    def test_requests_do_not_push_out_decisions(self) -> None:
+        log = process.EventLog("vm-0-0")
+        log.record_decision(events.Kind.TARGET_CHOSEN, "a", "t", {})
+        for _ in range(events.REQUEST_CAPACITY_EVENTS + 1):
+            log.record(events.Kind.REQUEST_SENT, "b")
+        kept = log.ring.list_events(events.Filter(request="a"))
+        assert [e.kind for e in kept] == [events.Kind.TARGET_CHOSEN]
+
+
+class TestGateway:
+    async def test_decision_of_a_read_is_on_the_time_line(self) -> None:
+        fleet = fleets.Fleet(explained_fraction=1.0)
+        try:
+            await fleet.start(1)
+            target = await fleet.start_target()
+            await fleet.apply(fleet.declare())
+            url = f"http://{fleet.addresses['vm-0']}/queue/1"
+            fields = {"Wigeonspool-Request": "read-1"}
+            async with fleet.session.get(url, headers=fields) as response:
+                assert response.status == 200
+            ring = fleet.gateways["vm-0"]._log.ring
+            found = ring.list_events(events.Filter(request="read-1"))
+        finally:
+            await fleet.stop()
+        assert [e.kind for e in found] == [
+            events.Kind.REQUEST_RECEIVED,
+            events.Kind.TARGET_CHOSEN,
+            events.Kind.REQUEST_SENT,
+            events.Kind.REQUEST_SETTLED,
+        ]
+        assert found[1].target == target.address
+        assert found[1].detail["why"] == "most-free-slots"
+        lines = traces.format_event(found[1]).splitlines()
+        assert len(lines) == 2
+        assert lines[1].startswith(f"    {target.address} ")
+        assert lines[1].endswith(" free: chosen")
--- a/wigeonspool/core/choosing.py
+++ b/wigeonspool/core/choosing.py
@@ -5,6 +5,7 @@
 bucket, so the cost of a choice does not grow with the pool.
 """
 
+from collections.abc import Iterator
 import enum
 from typing import Final
 
@@ -39,7 +40,7 @@
 
     def place(self, target: tables.TargetRow) -> None:
         """Puts a target where it belongs, after any change of its row."""
-        level = _find_level(target)
+        level = find_level(target)
         place = (target.group, level)
         known = self._places.get(target.address)
         if known == place:
@@ -78,8 +79,26 @@
                     fallback = fallback or target
         return fallback
 
+    def iterate(self) -> Iterator[tables.TargetRow]:
+        """Yields all targets, by group and then by free slots."""
+        for buckets in self._buckets:
+            for bucket in reversed(buckets):
+                yield from bucket.values()
 
-def _find_level(target: tables.TargetRow) -> int:
+    def count_groups(self) -> tuple[tuple[int, int], ...]:
+        """Returns targets with a free slot, and all targets, by group."""
+        return tuple(
+            (sum(map(len, buckets[1:])), sum(map(len, buckets)))
+            for buckets in self._buckets
+        )
+
+
+def find_limit(target: tables.TargetRow) -> int:
+    """Returns how many attempts a target may have of this gateway now."""
+    return min(target.limit, target.health.cap)
+
+
+def find_level(target: tables.TargetRow) -> int:
     """Returns the bucket for a target's free slots; 0 takes no work."""
     if target.state is not tables.TargetState.SERVING:
         return 0
--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -6,9 +6,10 @@
 """
 
 import collections
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from wigeonspool.core import actions
+from wigeonspool.core import explaining
 from wigeonspool.core import lateness
 from wigeonspool.core import pools
 from wigeonspool.core import quarantine
@@ -20,7 +21,11 @@
 
 
 class Dispatcher:
-    """Holds the tables of one gateway and runs the systems over them."""
+    """Holds the tables of one gateway and runs the systems over them.
+
+    Attributes:
+        on_explained: Called with each decision on a sampled request.
+    """
 
     def __init__(self, zone: str) -> None:
         """Prepares empty tables.
@@ -36,6 +41,8 @@
         self._waiting: set[str] = set()
         self._watched: set[str] = set()
         self._quarantine = quarantine.QuarantineTable()
+        self.on_explained: Callable[[explaining.Explanation], None]
+        self.on_explained = lambda explanation: None
 
     def configure(self, listed: Iterable[entities.Pool]) -> None:
         """Takes the pools of a new generation; running work goes on."""
@@ -126,19 +133,25 @@
         """
         row = self._pools.get(request.pool)
         if row is None:
-            return [self._refuse(request, outcomes.Reason.NOT_CONFIGURED)]
+            return [self._refuse(now, request, outcomes.Reason.NOT_CONFIGURED)]
         if request.deadline <= now:
-            return [self._refuse(request, outcomes.Reason.DEADLINE_PASSED)]
+            return [self._refuse(now, request, outcomes.Reason.DEADLINE_PASSED)]
         if self._quarantine.is_refused(now, request.fingerprint):
-            return [self._refuse(request, outcomes.Reason.QUARANTINED)]
+            return [self._refuse(now, request, outcomes.Reason.QUARANTINED)]
         if not row.admits(now, request):
             reason = outcomes.Reason.DEADLINE_UNREACHABLE
-            return [self._refuse(request, reason)]
+            return [self._refuse(now, request, reason)]
         request.arrived_at = now
         self._requests[request.request_id] = request
         retrying.earn_retries(row.retries, row.pool.retry_fraction)
         row.enqueue(request)
-        return self._dispatch(now, row)
+        done = self._dispatch(now, row)
+        if request.sampled_as and request.state is tables.RequestState.QUEUED:
+            avoided = self._find_avoided(row, request)
+            self.on_explained(
+                explaining.explain_wait(now, row, request, avoided)
+            )
+        return done
 
     def finish(
         self, now: float, request_id: int, target: str, result: tables.Result
@@ -184,7 +197,7 @@
         request.state = tables.RequestState.SETTLED
         return done + self._dispatch(now, row)
 
-    def refuse_queued(self) -> list[actions.Action]:
+    def refuse_queued(self, now: float) -> list[actions.Action]:
         """Refuses all requests that wait, since this gateway stops."""
         queued = [
             request
@@ -192,7 +205,7 @@
             if request.state is tables.RequestState.QUEUED
         ]
         return [
-            self._refuse(request, outcomes.Reason.DRAINING)
+            self._refuse(now, request, outcomes.Reason.DRAINING)
             for request in queued
         ]
 
@@ -218,11 +231,7 @@
         result: tables.Result | None,
     ) -> None:
         """Frees the slot of an attempt and learns from its result, if any."""
-        row.count_end(request)
-        if request.suspect:
-            request.suspect = False
-            row.suspects[address] -= 1
-            row.suspects += collections.Counter()
+        row.count_end(request, address)
         target = row.targets.get(address)
         if target is None:
             return
@@ -246,7 +255,7 @@
         if result.kind is not tables.ResultKind.NOT_RUN:
             request.may_have_run = True
         if self._quarantine.is_refused(now, request.fingerprint):
-            return [self._refuse(request, outcomes.Reason.QUARANTINED)]
+            return [self._refuse(now, request, outcomes.Reason.QUARANTINED)]
         if retrying.may_retry(now, row.retries, request, result):
             request.state = tables.RequestState.QUEUED
             request.target = ""
@@ -255,7 +264,7 @@
         if result.kind is tables.ResultKind.FAILED:
             return [self._settle(request, None)]
         if result.kind is tables.ResultKind.NOT_RUN:
-            return [self._refuse(request, outcomes.Reason.TARGET_REFUSED)]
+            return [self._refuse(now, request, outcomes.Reason.TARGET_REFUSED)]
         failure = outcomes.doubt(outcomes.Reason.CONNECTION_LOST)
         return [self._settle(request, failure)]
 
@@ -268,9 +277,17 @@
         return actions.Settle(request.request_id, failure)
 
     def _refuse(
-        self, request: tables.RequestRow, reason: outcomes.Reason
+        self,
+        now: float,
+        request: tables.RequestRow,
+        reason: outcomes.Reason,
     ) -> actions.Action:
         """Ends a request that will not be sent any more."""
+        if request.sampled_as:
+            row = self._pools.get(request.pool)
+            self.on_explained(
+                explaining.explain_refusal(now, row, request, reason)
+            )
         failure = (
             outcomes.doubt(reason)
             if request.may_have_run
@@ -288,12 +305,17 @@
                 reason = outcomes.Reason.DEADLINE_UNREACHABLE
                 if request.deadline <= now:
                     reason = outcomes.Reason.DEADLINE_PASSED
-                done.append(self._refuse(request, reason))
+                done.append(self._refuse(now, request, reason))
                 continue
-            target = self._choose(row, request)
+            avoided = self._find_avoided(row, request)
+            target = row.choose(request, avoided)
             if target is None:
                 break
             row.queue.pop(request)
+            if request.sampled_as:
+                self.on_explained(
+                    explaining.explain_send(now, row, request, target, avoided)
+                )
             done.append(self._send(now, row, request, target))
         if row.queue:
             self._waiting.add(row.pool.name)
@@ -301,14 +323,13 @@
             self._waiting.discard(row.pool.name)
         return done
 
-    def _choose(
+    def _find_avoided(
         self, row: pools.PoolRow, request: tables.RequestRow
-    ) -> tables.TargetRow | None:
-        """Returns the target with the most free slots, near ones first."""
-        avoided = request.tried
+    ) -> frozenset[str]:
+        """Returns the targets that a request uses only if there is no other."""
         if self._quarantine.is_suspect(request.fingerprint):
-            avoided = avoided | row.suspects.keys()
-        return row.choose(request, avoided)
+            return request.tried | row.suspects.keys()
+        return request.tried
 
     def _send(
         self,
@@ -318,17 +339,8 @@
         target: tables.TargetRow,
     ) -> actions.Action:
         """Starts an attempt."""
-        row.count_start(request)
-        target.in_flight += 1
-        row.index.place(target)
-        request.state = tables.RequestState.RUNNING
-        request.target = target.address
-        request.sent_at = now
-        request.attempts += 1
-        request.overdue = False
-        if self._quarantine.is_suspect(request.fingerprint):
-            request.suspect = True
-            row.suspects[target.address] += 1
+        request.suspect = self._quarantine.is_suspect(request.fingerprint)
+        row.count_start(now, request, target)
         if lateness.expect_end(now, row, request):
             self._watched.add(row.pool.name)
         return actions.Send(request.request_id, target.address)
--- a/wigeonspool/core/pools.py
+++ b/wigeonspool/core/pools.py
@@ -145,7 +145,7 @@
         if not times.mean:
             return True
         request.expected = times.mean
-        wait = self._predict_wait(times.is_long)
+        wait = self.predict_wait(times.is_long)
         return admission.can_finish(now, request, times.high, wait)
 
     def can_start(self, now: float, request: tables.RequestRow) -> bool:
@@ -153,7 +153,7 @@
         high = self.times.find(request.route).high
         return admission.can_start(now, request, high)
 
-    def _predict_wait(self, is_long: bool) -> float:
+    def predict_wait(self, is_long: bool) -> float:
         """Returns the time until queued work leaves a slot, in seconds."""
         if not self.queue:
             return 0.0
@@ -164,7 +164,11 @@
 
     def peek(self) -> tables.RequestRow | None:
         """Returns the next request that may have a slot."""
-        return self.queue.peek(self._running[1] < max(1, self.long_limit))
+        return self.queue.peek(self.allows_long())
+
+    def allows_long(self) -> bool:
+        """Returns True if long work may have one more slot."""
+        return self._running[1] < max(1, self.long_limit)
 
     def choose(
         self, request: tables.RequestRow, avoided: frozenset[str]
@@ -182,19 +186,42 @@
         own = self.index.choose(avoided, choosing.Group.OWN)
         if own is not None:
             return own
-        stuck = self._running[1] > 0 and not request.is_long
         first = choosing.Group.NEAR
-        if stuck or not self.slots:
+        if self._may_share(request):
             first = choosing.Group.SHARED
         return self.index.choose(avoided, choosing.Group.REMOTE, first)
 
-    def count_start(self, request: tables.RequestRow) -> None:
-        """Counts an attempt that begins."""
-        self._running[request.is_long] += 1
+    def is_open(self, request: tables.RequestRow, group: int) -> bool:
+        """Returns True if a request may use the targets of a group."""
+        return group != choosing.Group.SHARED or self._may_share(request)
 
-    def count_end(self, request: tables.RequestRow) -> None:
-        """Counts an attempt that ended."""
+    def _may_share(self, request: tables.RequestRow) -> bool:
+        """Returns True if a request may use slots of other gateways."""
+        stuck = self._running[1] > 0 and not request.is_long
+        return stuck or not self.slots
+
+    def count_start(
+        self, now: float, request: tables.RequestRow, target: tables.TargetRow
+    ) -> None:
+        """Counts an attempt that begins, in its row and at its target."""
+        self._running[request.is_long] += 1
+        target.in_flight += 1
+        self.index.place(target)
+        request.state = tables.RequestState.RUNNING
+        request.target = target.address
+        request.sent_at = now
+        request.attempts += 1
+        request.overdue = False
+        if request.suspect:
+            self.suspects[target.address] += 1
+
+    def count_end(self, request: tables.RequestRow, address: str) -> None:
+        """Counts an attempt that ended at a target."""
         self._running[request.is_long] -= 1
+        if request.suspect:
+            request.suspect = False
+            self.suspects[address] -= 1
+            self.suspects += collections.Counter()
 
     def refresh(self, now: float) -> None:
         """Brings the slots kept for short work up to date.
--- a/wigeonspool/core/tables.py
+++ b/wigeonspool/core/tables.py
@@ -95,6 +95,7 @@
         suspect: True if its attempt is that of a suspect.
         expected: Service time that its route has taken, in seconds.
         is_long: True if its route takes many times longer than others.
+        sampled_as: Identity under which its decisions are explained, or "".
     """
 
     request_id: int
@@ -116,6 +117,7 @@
     suspect: bool = False
     expected: float = 0.0
     is_long: bool = False
+    sampled_as: str = ""
 
 
 class ResultKind(enum.Enum):
--- a/wigeonspool/gateway/runner.py
+++ b/wigeonspool/gateway/runner.py
@@ -131,6 +131,8 @@
     ) -> Ending | streaming.Streamed:
         """Follows the core's actions until the request ends."""
         answer: once.Answer | None = None
+        if self._scheduler.sampler.take():
+            row.sampled_as = request_id
         try:
             action = await self._scheduler.submit(row)
             while isinstance(action, actions.Send):
--- a/wigeonspool/gateway/scheduler.py
+++ b/wigeonspool/gateway/scheduler.py
@@ -6,6 +6,7 @@
 from wigeonspool.core import actions
 from wigeonspool.core import dispatcher
 from wigeonspool.core import tables
+from wigeonspool.gateway import explaining
 from wigeonspool.model import entities
 from wigeonspool.model import messages
 
@@ -15,6 +16,7 @@
 
     Attributes:
         core: The dispatcher.
+        sampler: Chooses the requests whose decisions are explained.
         on_suspect: Called with each request that was running at a crash.
     """
 
@@ -25,6 +27,7 @@
             zone: Availability zone of the gateway.
         """
         self.core = dispatcher.Dispatcher(zone)
+        self.sampler = explaining.Sampler(0.0)
         self._loop = asyncio.get_running_loop()
         self._pending: dict[int, asyncio.Future[actions.Action]] = {}
         self._last_id = 0
@@ -83,7 +86,7 @@
 
     def refuse_queued(self) -> None:
         """Refuses all requests that wait, since this gateway stops."""
-        self._execute(self.core.refuse_queued())
+        self._execute(self.core.refuse_queued(self._loop.time()))
 
     def tick(self) -> None:
         """Runs the systems that depend on time."""
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -12,6 +12,7 @@
 
 from wigeonspool import process
 from wigeonspool.gateway import egress
+from wigeonspool.gateway import explaining
 from wigeonspool.gateway import ingress
 from wigeonspool.gateway import link
 from wigeonspool.gateway import listener
@@ -85,6 +86,12 @@
         self._view = view.FleetView()
         self._scheduler = scheduler.Scheduler(self._settings.zone)
         self._scheduler.on_suspect = lambda suspect: self._link.send(suspect)
+        self._scheduler.sampler = explaining.Sampler(
+            self._settings.gateway.explained_fraction
+        )
+        self._scheduler.core.on_explained = functools.partial(
+            explaining.record_decision, self._log
+        )
         self._client = egress.Egress()
         self._pauses = pauses.PauseMonitor(time.monotonic())
         self._ingress = ingress.Ingress(
--- a/wigeonspool/load/cost.py
+++ b/wigeonspool/load/cost.py
@@ -2,15 +2,18 @@
 
 import collections
 import dataclasses
+import functools
 import gc
 import statistics
 import time
 import tracemalloc
 from typing import Final
 
+from wigeonspool import process
 from wigeonspool.core import dispatcher
 from wigeonspool.core import routing
 from wigeonspool.core import tables
+from wigeonspool.gateway import explaining
 from wigeonspool.model import entities
 
 TARGETS: Final = (40, 400, 4_000, 10_000)
@@ -44,12 +47,14 @@
 class Bench:
     """A dispatcher under steady load."""
 
-    def __init__(self, targets: int) -> None:
+    def __init__(self, targets: int, explained: float = 0.0) -> None:
         """Fills a pool to its usual load.
 
         Args:
             targets: Targets of the pool; one in five has a route.
+            explained: Part of the requests whose decisions are recorded.
         """
+        self._sampler = explaining.Sampler(explained)
         listed = tuple(
             entities.Target(f"t{i}:1", "ege-1") for i in range(targets)
         )
@@ -60,6 +65,9 @@
         )
         self._path = f"/r{count - 1}/comments?page=2"
         self._core = dispatcher.Dispatcher("ege-1")
+        self._core.on_explained = functools.partial(
+            explaining.record_decision, process.EventLog("bench")
+        )
         self._core.configure([entities.Pool("pool", SLOTS, listed)])
         self._now = 0.0
         self._number = 0
@@ -93,19 +101,24 @@
         row = tables.RequestRow(
             self._number, route.pool, route.name, deadline, route.idempotent
         )
+        if self._sampler.take():
+            row.sampled_as = str(self._number)
         self._core.submit(self._now, row)
         self._running.append((row.request_id, row.target))
 
 
-def measure_sizes(requests: int, repeats: int) -> list[Cost]:
+def measure_sizes(
+    requests: int, repeats: int, explained: float = 0.0
+) -> list[Cost]:
     """Returns the cost of a decision for each number of targets.
 
     Args:
         requests: Requests measured in each run.
         repeats: Runs of each size; the sizes take turns, so that noise of
             the machine meets all of them.
+        explained: Part of the requests whose decisions are recorded.
     """
-    benches = {targets: Bench(targets) for targets in TARGETS}
+    benches = {targets: Bench(targets, explained) for targets in TARGETS}
     times: dict[int, list[float]] = {targets: [] for targets in TARGETS}
     for bench in benches.values():
         bench.fill()
--- a/wigeonspool/load/main.py
+++ b/wigeonspool/load/main.py
@@ -178,14 +178,17 @@
 
 
 @app.command
-def cost(requests: int = 20_000, repeats: int = 5) -> None:
+def cost(
+    requests: int = 20_000, repeats: int = 5, explained: float = 0.0
+) -> None:
     """Measures processor time and memory of a decision, by pool size.
 
     Args:
         requests: Requests measured in each run.
         repeats: Runs of each size; the sizes take turns.
+        explained: Part of the requests whose decisions are recorded.
     """
-    costs.print_costs(costs.measure_sizes(requests, repeats))
+    costs.print_costs(costs.measure_sizes(requests, repeats, explained))
 
 
 def main() -> None:
--- a/wigeonspool/model/events.py
+++ b/wigeonspool/model/events.py
@@ -9,7 +9,12 @@
 from typing import Final
 
 REQUEST_CAPACITY_EVENTS: Final = 4096
+DECISION_CAPACITY_EVENTS: Final = 512
 STATE_CAPACITY_EVENTS: Final = 1024
+# Facts whose names begin so are the candidates of a decision.
+CANDIDATE: Final = "candidate-"
+
+Facts = dict[str, str]
 
 
 class Kind(enum.StrEnum):
@@ -30,6 +35,8 @@
     REQUEST_RECEIVED = "request-received"
     REQUEST_SENT = "request-sent"
     REQUEST_SETTLED = "request-settled"
+    REQUEST_QUEUED = "request-queued"
+    REQUEST_REFUSED = "request-refused"
     TARGET_CHOSEN = "target-chosen"
     TARGET_EJECTED = "target-ejected"
     TARGET_RESTORED = "target-restored"
@@ -71,7 +78,7 @@
     request: str = ""
     target: str = ""
     vm: str = ""
-    detail: dict[str, str] = dataclasses.field(default_factory=dict)
+    detail: Facts = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,25 +117,31 @@
     """Keeps the newest events of a process.
 
     Events of requests are kept apart, since they are so many that they would
-    push out all others within seconds.
+    push out all others within seconds. Explained decisions are sampled, and
+    kept apart from these for the same reason.
 
     Attributes:
         dropped: Events that were forgotten to make room.
     """
 
-    __slots__ = ("_requests", "_states", "dropped")
+    __slots__ = ("_decisions", "_requests", "_states", "dropped")
 
     def __init__(
         self,
         request_capacity: int = REQUEST_CAPACITY_EVENTS,
         state_capacity: int = STATE_CAPACITY_EVENTS,
+        decision_capacity: int = DECISION_CAPACITY_EVENTS,
     ) -> None:
         """Prepares an empty ring.
 
         Args:
             request_capacity: Most events to keep that are about a request.
             state_capacity: Most other events to keep.
+            decision_capacity: Most explained decisions to keep.
         """
+        self._decisions: collections.deque[Event] = collections.deque(
+            maxlen=decision_capacity
+        )
         self._requests: collections.deque[Event] = collections.deque(
             maxlen=request_capacity
         )
@@ -139,14 +152,21 @@
 
     def append(self, event: Event) -> None:
         """Adds an event; the oldest of its sort is dropped if need be."""
-        kept = self._requests if event.request else self._states
+        self._keep(self._requests if event.request else self._states, event)
+
+    def append_decision(self, event: Event) -> None:
+        """Adds an explained decision; the oldest is dropped if need be."""
+        self._keep(self._decisions, event)
+
+    def _keep(self, kept: collections.deque[Event], event: Event) -> None:
+        """Adds an event to those of its sort."""
         if len(kept) == kept.maxlen:
             self.dropped += 1
         kept.append(event)
 
     def list_events(self, wanted: Filter = WANT_ALL) -> list[Event]:
         """Returns the kept events that are wanted, oldest first."""
-        kept = [*self._requests, *self._states]
+        kept = [*self._requests, *self._decisions, *self._states]
         return sorted(
             filter(wanted.matches, kept), key=lambda event: event.stamp
         )
--- a/wigeonspool/model/options.py
+++ b/wigeonspool/model/options.py
@@ -88,6 +88,8 @@
         gateways_per_pool: Least gateways named for a pool and zone.
         requests_per_second: What one gateway process carries; a pool with
             more demand in a zone is given more gateways.
+        explained_fraction: Part of the requests whose decisions are recorded
+            with the candidates they had, 0 to 1.
     """
 
     addresses: list[Address] = ["127.0.0.1:8000"]
@@ -99,6 +101,7 @@
     once_answer_bytes: Annotated[int, pydantic.Field(ge=0)] = 16_000_000
     gateways_per_pool: Annotated[int, pydantic.Field(ge=1)] = 2
     requests_per_second: Annotated[float, pydantic.Field(gt=0)] = 1400.0
+    explained_fraction: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.01
 
 
 class LogOptions(Section):
--- a/wigeonspool/operator/traces.py
+++ b/wigeonspool/operator/traces.py
@@ -26,7 +26,7 @@
 
 
 def format_event(event: events.Event) -> str:
-    """Returns the line that shows an event."""
+    """Returns the line that shows an event, and one for each candidate."""
     parts = [
         f"{_format_time(event.stamp.wall_ms)}+{event.stamp.counter}",
         event.stamp.process,
@@ -34,9 +34,18 @@
         event.request,
         event.target,
         event.vm,
-        *(f"{name}={value}" for name, value in event.detail.items() if value),
+        *(
+            f"{name}={value}"
+            for name, value in event.detail.items()
+            if value and not name.startswith(events.CANDIDATE)
+        ),
     ]
-    return "  ".join(part for part in parts if part)
+    candidates = [
+        f"\n    {value}"
+        for name, value in event.detail.items()
+        if name.startswith(events.CANDIDATE)
+    ]
+    return "  ".join(part for part in parts if part) + "".join(candidates)
 
 
 def iterate_text(line: collecting.TimeLine) -> Iterator[str]:
--- a/wigeonspool/process.py
+++ b/wigeonspool/process.py
@@ -48,6 +48,14 @@
         )
         self.ring.append(event)
 
+    def record_decision(
+        self, kind: events.Kind, request: str, target: str, detail: events.Facts
+    ) -> None:
+        """Adds a decision that is made now, with its reasons."""
+        stamp = self.clock.issue_stamp()
+        event = events.Event(stamp, kind, request, target, detail=detail)
+        self.ring.append_decision(event)
+
     def build_reply(self, wanted: events.Filter) -> messages.EventsReply:
         """Returns the events of this process that are wanted."""
         return messages.EventsReply(
