--- a/examples/first-day/run.sh
+++ b/examples/first-day/run.sh
@@ -37,12 +37,12 @@
 }
 read_queue() {
   curl -s -o /dev/null -w '%{http_code}\n' -H "Wigeonspool-Request: $1" \
-    "http://127.0.0.1:26210/queue/1${2:-}"
+    "http://127.0.0.1:${3:-26210}/queue/1${2:-}"
 }
 start_reads() {
   reads=()
   for i in $(seq "$1"); do
-    read_queue "$2-$i" >"$logs/$2-$i" &
+    read_queue "$2-$i" "" "${3:-26210}" >"$logs/$2-$i" &
     reads+=($!)
   done
 }
@@ -134,6 +134,18 @@
 curl -s -o /dev/null -X POST http://127.0.0.1:26090/restart -d \
   '{"targets": ["127.0.0.1:26000", "127.0.0.1:26001", "127.0.0.1:26002"]}'
 
+title "Why a request went where it went"
+set_faults 26090 '{"slow": 60}'
+start_reads 60 why 26310
+sleep 0.5
+start_reads 60 late 26310
+sleep 2.5
+set_faults 26090 '{"slow": 1}'
+show wigeonspool-timeline 127.0.0.1:26300 --request why-1
+for kind in target-chosen request-queued request-refused; do
+  show wigeonspool-timeline 127.0.0.1:26300 --kind "$kind" --last 1
+done
+
 title "Replace a VM"
 kill -TERM "$stopped"
 sleep 1
