--- a/wigeonspool/core/actions.py
+++ b/wigeonspool/core/actions.py
@@ -16,12 +16,10 @@
     Attributes:
         request_id: Request to send.
         target: Address of the target.
-        hedge: True if another attempt of the request is still running.
     """
 
     request_id: int
     target: str
-    hedge: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
