Read what waits unread before suspecting silence after a pause

A pause of the process past the time at which silence is suspected let the timer run before the broken connection was read, so the crash was taken for a silent connection and not counted. Before: the new test fails (crashed is False). After: it passes; test_crash and test_silence: 22 passed. Conclusion: a timer that runs late gives what waits unread a turn first. A crash whose reset is seen only after the request's deadline stays uncounted.

--- a/tests/test_crash.py
+++ b/tests/test_crash.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+import time
 from typing import Any
 
 from multidict import CIMultiDict
@@ -96,6 +97,36 @@
         assert crashing.count_crashed() == 2
 
 
+class TestPausedGateway:
+    async def test_broken_connection_is_not_taken_for_a_silent_one(
+        self,
+    ) -> None:
+        """The process is paused past the time at which silence is suspected,
+        and the connection breaks meanwhile.
+        """
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            time.sleep(1.1)
+            writer.transport.abort()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = egress.Egress()
+        deadline = asyncio.get_running_loop().time() + 2.0
+        outgoing = egress.Outgoing("GET", "/", CIMultiDict(), None, deadline)
+        attempt = await client.attempt(
+            f"127.0.0.1:{port}", outgoing, True, route="read"
+        )
+        await client.close()
+        server.close()
+        assert attempt.result is not None
+        assert attempt.result.kind is tables.ResultKind.LOST
+        assert attempt.result.crashed
+
+
 class TestGoneTarget:
     async def test_refusal_after_a_broken_send_is_no_proof_of_not_run(
         self,
--- a/wigeonspool/gateway/connections.py
+++ b/wigeonspool/gateway/connections.py
@@ -32,11 +32,18 @@
         suspect_at: Time at which a peer without an answer is suspected, loop
             clock.
         reused: True if the connection had been used before.
+        timer: Timer that runs at that time.
     """
 
     timeout: asyncio.Timeout
     suspect_at: float
     reused: bool = False
+    timer: asyncio.TimerHandle | None = None
+
+    def cancel_suspicion(self) -> None:
+        """Stops the timer, since the answer has begun or the wait ended."""
+        if self.timer is not None:
+            self.timer.cancel()
 
 
 EXCHANGE: Final[contextvars.ContextVar[Exchange]] = contextvars.ContextVar(
--- a/wigeonspool/gateway/egress.py
+++ b/wigeonspool/gateway/egress.py
@@ -22,6 +22,8 @@
     aiohttp.ConnectionTimeoutError,
 )
 WHOLE_ANSWER_BYTES: Final = 256 * 1024
+# A timer that runs later than this was held up by a pause of the process.
+PAUSE_SECONDS: Final = 0.02
 STATUS_UNAVAILABLE: Final = 503
 STATUS_FAILED: Final = 500
 BODILESS_STATUS: Final = frozenset({204, 304})
@@ -203,9 +205,7 @@
         fields = outgoing.fields
         remaining = outgoing.deadline - started_at
         fields[headers.REMAINING_MS] = str(max(0, int(remaining * 1000)))
-        suspected = self._loop.call_at(
-            exchange.suspect_at, self._suspect, exchange, outgoing
-        )
+        self._plan_suspicion(exchange, outgoing)
         try:
             async with exchange.timeout:
                 response = await self._sessions[may_repeat].request(
@@ -216,17 +216,34 @@
                     allow_redirects=False,
                 )
         finally:
-            suspected.cancel()
+            exchange.cancel_suspicion()
         if route:
             self._silence.learn(route, self._loop.time() - started_at)
         return response
 
+    def _plan_suspicion(
+        self, exchange: connections.Exchange, outgoing: Outgoing
+    ) -> None:
+        """Sets the timer that suspects an exchange."""
+        exchange.timer = self._loop.call_at(
+            exchange.suspect_at, self._suspect, exchange, outgoing
+        )
+
     def _suspect(
         self, exchange: connections.Exchange, outgoing: Outgoing
     ) -> None:
-        """Ends an exchange that is without an answer for too long."""
+        """Ends an exchange that is without an answer for too long.
+
+        After a pause of this process the answer, or the end of the
+        connection, may be there unread; it is read first.
+        """
         if exchange.suspect_at >= outgoing.deadline or outgoing.is_spent():
             return
+        now = self._loop.time()
+        if now - exchange.suspect_at > PAUSE_SECONDS:
+            exchange.suspect_at = now + PAUSE_SECONDS
+            self._plan_suspicion(exchange, outgoing)
+            return
         if self._silence.has_budget():
             self._silence.spend()
             exchange.timeout.reschedule(self._loop.time())
