--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -12,7 +12,9 @@
 from wigeonspool.agent import hub
 from wigeonspool.agent import metrics
 from wigeonspool.model import errors
+from wigeonspool.model import inquiries
 from wigeonspool.model import messages
+from wigeonspool.wire import encoding
 from wigeonspool.wire import frames
 from wigeonspool.wire import proofs
 from wigeonspool.wire import senders
@@ -47,7 +49,7 @@
 
 
 def pack_message(message: messages.Message) -> bytes:
-    return frames.pack_frame(messages.encode_message(message))
+    return frames.pack_frame(encoding.encode_message(message))
 
 
 async def read_all(data: bytes, frame_seconds: float = 5.0) -> list[Any]:
@@ -59,7 +61,7 @@
         document = await frames.read_frame(reader, frame_seconds=frame_seconds)
         if document is None:
             return found
-        found.append(messages.decode_message(document))
+        found.append(encoding.decode_message(document))
 
 
 HELLO = messages.Hello("ctl", "operator", "", "")
@@ -100,7 +102,7 @@
     "announced map": (prefix(b"\xdf\xff\xff\xff\xff"), "frame-encoding"),
     "half-sent": (pack_message(HELLO)[:-3], "frame-cut"),
     "half a header": (b"\x00\x00", "frame-cut"),
-    "not a hello": (pack_message(messages.StatusRequest()), "frame-kind"),
+    "not a hello": (pack_message(inquiries.StatusRequest()), "frame-kind"),
     "unknown role": (
         pack_message(dataclasses.replace(HELLO, role="root")),
         "sender-role",
@@ -145,7 +147,7 @@
     @FUZZ
     def test_any_document_gives_wire_errors_only(self, document: Any) -> None:
         with pytest.raises(errors.WireError):
-            messages.decode_message(document)
+            encoding.decode_message(document)
 
     @hypothesis.given(KINDS, strategies.data())
     @FUZZ
@@ -159,10 +161,10 @@
             )
         )
         document = frames.unpack_body(
-            pack({"v": messages.PROTOCOL_VERSION, "k": kind, "b": body})[4:]
+            pack({"v": encoding.PROTOCOL_VERSION, "k": kind, "b": body})[4:]
         )
         try:
-            message = messages.decode_message(document)
+            message = encoding.decode_message(document)
         except errors.WireError:
             return
         assert type(message).__name__ == kind
--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -5,6 +5,7 @@
 from tests import fleet as fleets
 from wigeonspool.agent import gathering
 from wigeonspool.model import entities
+from wigeonspool.model import inquiries
 from wigeonspool.model import messages
 from wigeonspool.operator import sessions
 from wigeonspool.wire import proofs
@@ -23,7 +24,7 @@
 
 class TestGatherer:
     @pytest.mark.parametrize(
-        "question", [messages.EventsRequest(), messages.VmStatusRequest()]
+        "question", [inquiries.EventsRequest(), inquiries.VmStatusRequest()]
     )
     async def test_silent_gateway_is_named_and_hides_nobody(
         self,
@@ -40,7 +41,7 @@
         silent.close()
         assert isinstance(reply, gathering.Reply)
         assert reply.missing == ("vm-0-silent",)
-        if isinstance(reply, messages.EventsReply):
+        if isinstance(reply, inquiries.EventsReply):
             assert set(reply.dropped) == {"vm-0-agent", "vm-0-0"}
         else:
             assert [g.name for g in reply.gateways] == ["vm-0-0"]
@@ -49,7 +50,7 @@
         self, fleet: fleets.Fleet
     ) -> None:
         address = fleet.settings["vm-0"].agent.listen
-        questions = [messages.EventsRequest(), messages.VmStatusRequest()] * 5
+        questions = [inquiries.EventsRequest(), inquiries.VmStatusRequest()] * 5
         replies = await asyncio.gather(
             *(sessions.ask_agent(address, q) for q in questions)
         )
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -15,11 +15,12 @@
 from wigeonspool.gateway import watching
 from wigeonspool.model import errors
 from wigeonspool.model import events
-from wigeonspool.model import messages
+from wigeonspool.model import inquiries
 from wigeonspool.operator import collecting
 from wigeonspool.operator import timeline
 from wigeonspool.operator import traces
 from wigeonspool.wire import clocks
+from wigeonspool.wire import encoding
 from wigeonspool.wire import frames
 
 
@@ -267,10 +268,10 @@
         assert last.counter <= clocks.MAX_COUNTER + len(observed)
         assert last.wall_ms <= now_ms + clocks.MAX_AHEAD_MS
         frames.pack_frame(
-            messages.encode_message(messages.StatusRequest(), last)
+            encoding.encode_message(inquiries.StatusRequest(), last)
         )
 
     @pytest.mark.parametrize("stamp", [None, 1, [1], [1, "a"], {}, [1, 2, 3]])
     def test_bad_stamp_is_a_wire_error(self, stamp: Any) -> None:
         with pytest.raises(errors.FrameEncodingError):
-            messages.read_stamp({"t": stamp})
+            encoding.read_stamp({"t": stamp})
--- a/wigeonspool/agent/gathering.py
+++ b/wigeonspool/agent/gathering.py
@@ -9,13 +9,14 @@
 import dataclasses
 from typing import Final
 
+from wigeonspool.model import inquiries
 from wigeonspool.model import messages
 from wigeonspool.wire import streams
 
 GATHER_SECONDS: Final = 1.0
 
-Question = messages.EventsRequest | messages.VmStatusRequest
-Reply = messages.EventsReply | messages.VmStatusReply
+Question = inquiries.EventsRequest | inquiries.VmStatusRequest
+Reply = inquiries.EventsReply | inquiries.VmStatusReply
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -38,8 +39,8 @@
 
     A reply of another kind is for another question; it changes nothing.
     """
-    if isinstance(first, messages.EventsReply):
-        if not isinstance(second, messages.EventsReply):
+    if isinstance(first, inquiries.EventsReply):
+        if not isinstance(second, inquiries.EventsReply):
             return first
         return dataclasses.replace(
             first,
@@ -47,7 +48,7 @@
             dropped=first.dropped | second.dropped,
             missing=first.missing + second.missing,
         )
-    if not isinstance(second, messages.VmStatusReply):
+    if not isinstance(second, inquiries.VmStatusReply):
         return first
     return dataclasses.replace(
         first,
--- a/wigeonspool/agent/hub.py
+++ b/wigeonspool/agent/hub.py
@@ -13,6 +13,7 @@
 from wigeonspool.agent import metrics
 from wigeonspool.model import errors
 from wigeonspool.model import events
+from wigeonspool.model import inquiries
 from wigeonspool.model import messages
 from wigeonspool.wire import senders
 from wigeonspool.wire import streams
@@ -261,7 +262,7 @@
             self._gatherer.ask(subscriber.stream, message, self._list_links())
         elif isinstance(message, gathering.Reply):
             self._gatherer.take(hello.process, message)
-        elif isinstance(message, messages.StatusRequest):
+        elif isinstance(message, inquiries.StatusRequest):
             subscriber.stream.post(await self._callbacks.describe_fleet())
         else:
             reply = self._callbacks.answer(message)
--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -27,6 +27,7 @@
 from wigeonspool.model import entities
 from wigeonspool.model import errors
 from wigeonspool.model import events
+from wigeonspool.model import inquiries
 from wigeonspool.model import messages
 from wigeonspool.model import options
 from wigeonspool.wire import clocks
@@ -363,12 +364,12 @@
 
     def _answer(self, message: messages.Message) -> messages.Message | None:
         """Answers a question of an operator or of another agent."""
-        if isinstance(message, messages.RegionRequest):
+        if isinstance(message, inquiries.RegionRequest):
             return self._build_members()
-        if isinstance(message, messages.EventsRequest):
+        if isinstance(message, inquiries.EventsRequest):
             return self._log.build_reply(message.wanted)
-        if isinstance(message, messages.VmStatusRequest):
-            return messages.VmStatusReply(
+        if isinstance(message, inquiries.VmStatusRequest):
+            return inquiries.VmStatusReply(
                 (),
                 measured_pools=tuple(sorted(self._feeder.leases.list_held())),
                 store_calls=self._feeder.client.calls,
--- a/wigeonspool/agent/status.py
+++ b/wigeonspool/agent/status.py
@@ -11,6 +11,7 @@
 
 from wigeonspool.model import entities
 from wigeonspool.model import errors
+from wigeonspool.model import inquiries
 from wigeonspool.model import messages
 from wigeonspool.wire import senders
 from wigeonspool.wire import streams
@@ -57,7 +58,7 @@
     stream = await streams.open_stream(address)
     try:
         stream.post(messages.Hello("status", senders.OPERATOR, "", ""))
-        stream.post(messages.RegionRequest())
+        stream.post(inquiries.RegionRequest())
         answer = await stream.receive()
     finally:
         stream.close()
--- a/wigeonspool/gateway/link.py
+++ b/wigeonspool/gateway/link.py
@@ -12,6 +12,7 @@
 from wigeonspool.model import changes
 from wigeonspool.model import errors
 from wigeonspool.model import events
+from wigeonspool.model import inquiries
 from wigeonspool.model import messages
 from wigeonspool.wire import clocks
 from wigeonspool.wire import senders
@@ -36,7 +37,7 @@
         log: process.EventLog,
         on_change: Callable[[], None],
         on_suspect: Callable[[messages.Suspect], None],
-        build_status: Callable[[str], messages.GatewayStatus],
+        build_status: Callable[[str], inquiries.GatewayStatus],
     ) -> None:
         """Prepares the link.
 
@@ -122,11 +123,11 @@
                 self._detector.refresh()
         elif isinstance(message, messages.Suspect):
             self._on_suspect(message)
-        elif isinstance(message, messages.EventsRequest):
+        elif isinstance(message, inquiries.EventsRequest):
             stream.post(self._log.build_reply(message.wanted))
-        elif isinstance(message, messages.VmStatusRequest):
+        elif isinstance(message, inquiries.VmStatusRequest):
             status = self._build_status(message.pool)
-            stream.post(messages.VmStatusReply((status,)))
+            stream.post(inquiries.VmStatusReply((status,)))
 
     def _show_gateways(self) -> None:
         """Puts the gateways of all members in view."""
--- a/wigeonspool/gateway/statuses.py
+++ b/wigeonspool/gateway/statuses.py
@@ -4,7 +4,7 @@
 from wigeonspool.gateway import scheduler as schedulers
 from wigeonspool.gateway import view as views
 from wigeonspool.model import entities
-from wigeonspool.model import messages
+from wigeonspool.model import inquiries
 
 
 def build_status(
@@ -12,7 +12,7 @@
     view: views.FleetView,
     scheduler: schedulers.Scheduler,
     pool: str = "",
-) -> messages.GatewayStatus:
+) -> inquiries.GatewayStatus:
     """Returns the state of a gateway.
 
     Args:
@@ -23,7 +23,7 @@
     """
     pools = [p for p in view.tables.pools.values() if pool in ("", p.name)]
     queued = scheduler.core.count_queued()
-    return messages.GatewayStatus(
+    return inquiries.GatewayStatus(
         name,
         scheduler.core.count_running(),
         tuple(_build_pool(view, scheduler, p, queued[p.name]) for p in pools),
@@ -35,11 +35,11 @@
     scheduler: schedulers.Scheduler,
     pool: entities.Pool,
     queued: int,
-) -> messages.PoolStatus:
+) -> inquiries.PoolStatus:
     """Returns the state of one pool."""
     drained = {t.address for t in pool.targets if t.drained}
     targets = tuple(
-        messages.TargetStatus(
+        inquiries.TargetStatus(
             address=row.address,
             zone=row.zone,
             state=row.state.name.lower(),
@@ -49,7 +49,7 @@
         )
         for row in scheduler.core.list_targets(pool.name)
     )
-    return messages.PoolStatus(pool.name, queued, targets, {})
+    return inquiries.PoolStatus(pool.name, queued, targets, {})
 
 
 def explain_state(
--- a/wigeonspool/operator/collecting.py
+++ b/wigeonspool/operator/collecting.py
@@ -8,7 +8,7 @@
 
 from wigeonspool.model import errors
 from wigeonspool.model import events
-from wigeonspool.model import messages
+from wigeonspool.model import inquiries
 from wigeonspool.operator import sessions
 from wigeonspool.platform import vms
 
@@ -57,18 +57,18 @@
 
 async def _ask(
     agent: str, wanted: events.Filter
-) -> messages.EventsReply | Note:
+) -> inquiries.EventsReply | Note:
     """Returns the events of one VM, or why there are none."""
     try:
-        reply = await sessions.ask_agent(agent, messages.EventsRequest(wanted))
+        reply = await sessions.ask_agent(agent, inquiries.EventsRequest(wanted))
     except errors.AgentUnavailableError as error:
         return Note(agent, str(error))
-    if isinstance(reply, messages.EventsReply):
+    if isinstance(reply, inquiries.EventsReply):
         return reply
     return Note(agent, f"answered with {type(reply).__name__}")
 
 
-def list_notes(reply: messages.EventsReply) -> list[Note]:
+def list_notes(reply: inquiries.EventsReply) -> list[Note]:
     """Returns what may be missing of one VM's events."""
     dropped = [
         Note(name, f"forgot {count} older events")
--- a/wigeonspool/operator/statuses.py
+++ b/wigeonspool/operator/statuses.py
@@ -6,6 +6,7 @@
 from typing import Any, Final
 
 from wigeonspool.model import errors
+from wigeonspool.model import inquiries
 from wigeonspool.model import messages
 from wigeonspool.operator import sessions
 
@@ -25,7 +26,7 @@
     """
 
     heartbeat: messages.Heartbeat
-    gateways: tuple[messages.GatewayStatus, ...]
+    gateways: tuple[inquiries.GatewayStatus, ...]
     missing: tuple[str, ...]
     measured_pools: tuple[str, ...] = ()
     store_calls: int = 0
@@ -106,7 +107,7 @@
     Raises:
         AgentUnavailableError: If it did not answer with the members.
     """
-    answer = await sessions.ask_agent(agent, messages.StatusRequest())
+    answer = await sessions.ask_agent(agent, inquiries.StatusRequest())
     if not isinstance(answer, messages.Members):
         raise errors.AgentUnavailableError(agent, type(answer).__name__)
     return tuple(sorted(answer.heartbeats, key=lambda h: h.vm))
@@ -114,12 +115,12 @@
 
 async def _read_vm(heartbeat: messages.Heartbeat, pool: str) -> VmState:
     """Returns the state of one VM; an agent that is silent is missing."""
-    question = messages.VmStatusRequest(pool)
+    question = inquiries.VmStatusRequest(pool)
     try:
         answer = await sessions.ask_agent(heartbeat.address, question)
     except errors.AgentUnavailableError:
         return VmState(heartbeat, (), (f"{heartbeat.vm}-agent",))
-    if not isinstance(answer, messages.VmStatusReply):
+    if not isinstance(answer, inquiries.VmStatusReply):
         return VmState(heartbeat, (), (f"{heartbeat.vm}-agent",))
     return VmState(
         heartbeat,
@@ -148,7 +149,7 @@
 
 def merge_pools(vms: list[VmState]) -> tuple[PoolState, ...]:
     """Returns the pools as all gateways together see them."""
-    views: dict[str, list[messages.PoolStatus]] = collections.defaultdict(list)
+    views: dict[str, list[inquiries.PoolStatus]] = collections.defaultdict(list)
     for vm in vms:
         for gateway in vm.gateways:
             for pool in gateway.pools:
@@ -164,10 +165,10 @@
 
 
 def _merge_pool(
-    name: str, views: list[messages.PoolStatus], measured_by: tuple[str, ...]
+    name: str, views: list[inquiries.PoolStatus], measured_by: tuple[str, ...]
 ) -> PoolState:
     """Returns one pool as some gateways see it."""
-    targets: dict[str, list[messages.TargetStatus]]
+    targets: dict[str, list[inquiries.TargetStatus]]
     targets = collections.defaultdict(list)
     budgets: collections.Counter[str] = collections.Counter()
     for view in views:
@@ -183,7 +184,7 @@
     )
 
 
-def _merge_target(views: list[messages.TargetStatus]) -> TargetState:
+def _merge_target(views: list[inquiries.TargetStatus]) -> TargetState:
     """Returns one target as some gateways see it."""
     states = collections.Counter(view.state for view in views)
     reasons = dict.fromkeys(view.reason for view in views if view.reason)
--- a/wigeonspool/process.py
+++ b/wigeonspool/process.py
@@ -11,7 +11,7 @@
 import uvloop
 
 from wigeonspool.model import events
-from wigeonspool.model import messages
+from wigeonspool.model import inquiries
 from wigeonspool.wire import clocks
 
 EXIT_INVALID_SETTINGS: Final = 2
@@ -48,9 +48,9 @@
         )
         self.ring.append(event)
 
-    def build_reply(self, wanted: events.Filter) -> messages.EventsReply:
+    def build_reply(self, wanted: events.Filter) -> inquiries.EventsReply:
         """Returns the events of this process that are wanted."""
-        return messages.EventsReply(
+        return inquiries.EventsReply(
             self._process,
             tuple(self.ring.list_events(wanted)),
             {self._process: self.ring.dropped},
--- a/wigeonspool/wire/senders.py
+++ b/wigeonspool/wire/senders.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from wigeonspool.model import errors
+from wigeonspool.model import inquiries
 from wigeonspool.model import messages
 
 AGENT: Final = "agent"
@@ -31,12 +32,12 @@
     messages.Directory: frozenset({AGENT}),
     messages.GatewayReport: frozenset({GATEWAY}),
     messages.Suspect: frozenset({AGENT, GATEWAY, REMOTE}),
-    messages.StatusRequest: frozenset({OPERATOR}),
-    messages.RegionRequest: frozenset({OPERATOR}),
-    messages.VmStatusRequest: frozenset({AGENT, OPERATOR}),
-    messages.VmStatusReply: frozenset({AGENT, GATEWAY}),
-    messages.EventsRequest: frozenset({AGENT, OPERATOR}),
-    messages.EventsReply: frozenset({AGENT, GATEWAY}),
+    inquiries.StatusRequest: frozenset({OPERATOR}),
+    inquiries.RegionRequest: frozenset({OPERATOR}),
+    inquiries.VmStatusRequest: frozenset({AGENT, OPERATOR}),
+    inquiries.VmStatusReply: frozenset({AGENT, GATEWAY}),
+    inquiries.EventsRequest: frozenset({AGENT, OPERATOR}),
+    inquiries.EventsReply: frozenset({AGENT, GATEWAY}),
 }
 
 
--- a/wigeonspool/wire/streams.py
+++ b/wigeonspool/wire/streams.py
@@ -5,6 +5,7 @@
 
 from wigeonspool.model import messages
 from wigeonspool.wire import clocks
+from wigeonspool.wire import encoding
 from wigeonspool.wire import frames
 
 # A peer that leaves more than this unread, besides the largest message that it
@@ -73,8 +74,8 @@
             return None
         self.received_bytes += frames.LENGTH.size + len(body)
         document = frames.unpack_body(body)
-        message = messages.decode_message(document)
-        stamp = messages.read_stamp(document)
+        message = encoding.decode_message(document)
+        stamp = encoding.read_stamp(document)
         if stamp is not None and self._clock is not None:
             self._clock.observe_stamp(stamp)
         return message
@@ -122,7 +123,7 @@
 ) -> bytes:
     """Returns the frame of a message, stamped by the clock of this process."""
     stamp = None if clock is None else clock.issue_stamp()
-    return frames.pack_frame(messages.encode_message(message, stamp))
+    return frames.pack_frame(encoding.encode_message(message, stamp))
 
 
 async def open_stream(
