--- a/wigeonspool/load/main.py
+++ b/wigeonspool/load/main.py
@@ -17,6 +17,7 @@
 from wigeonspool.load import demo as demos
 from wigeonspool.load import drive as drives
 from wigeonspool.load import experiment as experiments
+from wigeonspool.load import report as reports
 from wigeonspool.model import errors
 
 EXIT_BROKEN: Final = 1
@@ -83,6 +84,33 @@
         decides.print_figures(result)
 
 
+@app.command
+def report(
+    files: list[pathlib.Path],
+    *,
+    out: pathlib.Path = pathlib.Path("report.html"),
+    seed: int | None = None,
+    set_: Annotated[list[str], cyclopts.Parameter(name="--set")] | None = None,
+) -> None:
+    """Runs experiments in virtual time and writes one HTML page of them.
+
+    Args:
+        files: YAML files of the experiments.
+        out: Page to write.
+        seed: Seed of all choices, instead of those of the files.
+        set_: field=value pairs that replace fields of every file.
+    """
+    try:
+        listed = [experiments.read_experiment(f, set_ or ()) for f in files]
+        results = [decides.run_experiment(each, seed) for each in listed]
+    except errors.SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_INVALID_SETTINGS)
+    page = reports.build_page(list(zip(listed, results, strict=True)))
+    out.write_text(page, encoding="utf-8")
+    print(f"{len(listed)} experiments written to {out}")
+
+
 @app.command
 def drive(
     experiment: pathlib.Path,
