Tick a gateway when something is due, not a hundred times a second

The core now says when its next tick is due (a queue, a slow attempt, the end of an ejection); the ticker sleeps until then, at most 0.125 s so that pauses are still noticed, and work that comes brings the tick within 10 ms as before. The report and the look for a pause use the same wait.

Ruled out: a longer rest, since a pause counts from 0.25 s on and is measured from the last tick. What changes: at rest a pause may be taken as up to 0.125 s longer than it was, which refuses work rather than running it late.

--- /dev/null
+++ b/tests/test_ticker.py
@@ -0,0 +1,75 @@
+import asyncio
+
+import pytest
+
+from wigeonspool.core import dispatcher
+from wigeonspool.core import health
+from wigeonspool.core import tables
+from wigeonspool.gateway import ticker
+from wigeonspool.model import entities
+
+REFUSED = tables.Result(tables.ResultKind.NOT_RUN, refused=True)
+ANSWERED = tables.Result(tables.ResultKind.ANSWERED)
+
+
+@pytest.fixture
+def resting(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Lets a tick come only if something calls for it."""
+    monkeypatch.setattr(ticker, "REST_SECONDS", 1000.0)
+
+
+@pytest.mark.usefixtures("resting")
+class TestTicker:
+    async def test_work_brings_the_tick_near(self) -> None:
+        ticks = ticker.Ticker()
+        waiting = asyncio.create_task(ticks.wait(float("inf")))
+        await asyncio.sleep(0.05)
+        assert not waiting.done()
+        ticks.hasten()
+        async with asyncio.timeout(5.0):
+            await waiting
+
+    async def test_tick_comes_when_something_is_due(self) -> None:
+        async with asyncio.timeout(5.0):
+            await ticker.Ticker().wait(float("-inf"))
+
+    async def test_work_during_a_tick_does_not_end_the_next_wait(self) -> None:
+        ticks = ticker.Ticker()
+        await ticks.wait(float("-inf"))
+        ticks.hasten()
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(ticks.wait(float("inf")), 0.05)
+
+
+class TestDue:
+    def build(self) -> dispatcher.Dispatcher:
+        core = dispatcher.Dispatcher("z")
+        target = entities.Target("t:1", "z")
+        core.configure([entities.Pool("a", 1, (target,))])
+        return core
+
+    def test_nothing_is_due_at_rest(self) -> None:
+        assert self.build().find_due() == float("inf")
+
+    def test_a_queue_is_due_at_once(self) -> None:
+        core = self.build()
+        for number in range(2):
+            core.submit(0.0, tables.RequestRow(number, "a", "r", 9.0, True))
+        assert core.find_due() == float("-inf")
+
+    def test_the_end_of_an_ejection_is_due(self) -> None:
+        core = self.build()
+        core.submit(1.0, tables.RequestRow(1, "a", "r", 9.0, False))
+        core.finish(1.0, 1, "t:1", REFUSED)
+        core.abandon(1.0, 1)
+        assert core.find_due() == 1.0 + health.EJECTION_SECONDS
+
+    def test_a_look_at_a_slow_attempt_is_due(self) -> None:
+        core = self.build()
+        for number in range(200):
+            now = number / 10
+            core.submit(now, tables.RequestRow(number, "a", "r", 99.0, True))
+            core.finish(now + 0.01, number, "t:1", ANSWERED)
+        core.tick(50.0)
+        core.submit(50.0, tables.RequestRow(999, "a", "r", 99.0, True))
+        assert 50.0 < core.find_due() < 51.0
--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -223,6 +223,15 @@
             done += self._dispatch(now, self._pools[name])
         return done
 
+    def find_due(self) -> float:
+        """Returns by when the next tick should run, on the core's clock."""
+        if self._waiting:
+            return float("-inf")
+        rows = [self._pools[name] for name in self._watched]
+        planned = [row.overdue[0][0] for row in rows if row.overdue]
+        planned += [row.returns[0][0] for row in rows if row.returns]
+        return min(planned, default=float("inf"))
+
     def _note_overdue(self, now: float, row: pools.PoolRow) -> None:
         """Judges targets by attempts that should have ended by now."""
         while row.overdue and row.overdue[0][0] <= now:
--- a/wigeonspool/gateway/link.py
+++ b/wigeonspool/gateway/link.py
@@ -23,7 +23,6 @@
 # Longer than any work of the event loop, shorter than the time in which a
 # change must be in force.
 PAUSE_SECONDS: Final = 2.0
-CHECK_SECONDS: Final = 0.2
 
 
 class AgentLink:
@@ -141,7 +140,8 @@
     def check_pause(self) -> None:
         """Notices that this process stood still, and renews its knowledge.
 
-        Until then the view names no gateway but this one.
+        To be called several times in `PAUSE_SECONDS`. Until knowledge is
+        renewed the view names no gateway but this one.
         """
         gap = self._detector.tick()
         if not gap:
@@ -178,22 +178,6 @@
 
 async def keep_following(link: AgentLink, retry_seconds: float) -> None:
     """Follows the agent for ever; reconnects after a fixed delay."""
-    checks = asyncio.create_task(_check_pauses(link))
-    try:
-        await _reconnect(link, retry_seconds)
-    finally:
-        checks.cancel()
-
-
-async def _check_pauses(link: AgentLink) -> None:
-    """Lets a link notice pauses, for ever."""
-    while True:
-        link.check_pause()
-        await asyncio.sleep(CHECK_SECONDS)
-
-
-async def _reconnect(link: AgentLink, retry_seconds: float) -> None:
-    """Follows the agent for ever."""
     while True:
         try:
             await link.follow()
--- a/wigeonspool/gateway/scheduler.py
+++ b/wigeonspool/gateway/scheduler.py
@@ -6,6 +6,7 @@
 from wigeonspool.core import actions
 from wigeonspool.core import dispatcher
 from wigeonspool.core import tables
+from wigeonspool.gateway import ticker
 from wigeonspool.model import entities
 from wigeonspool.model import messages
 
@@ -15,6 +16,7 @@
 
     Attributes:
         core: The dispatcher.
+        ticker: Tells when to tick.
         on_suspect: Called with each request that was running at a crash.
     """
 
@@ -25,6 +27,7 @@
             zone: Availability zone of the gateway.
         """
         self.core = dispatcher.Dispatcher(zone)
+        self.ticker = ticker.Ticker()
         self._loop = asyncio.get_running_loop()
         self._pending: dict[int, asyncio.Future[actions.Action]] = {}
         self._last_id = 0
@@ -108,6 +111,7 @@
 
     def _execute(self, done: list[actions.Action]) -> None:
         """Hands actions to the coroutines that wait for them."""
+        self.ticker.hasten()
         for action in done:
             future = self._pending.get(action.request_id)
             if future is not None and not future.done():
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -27,7 +27,7 @@
 from wigeonspool.model import options
 from wigeonspool.wire import proofs
 
-TICK_SECONDS: Final = 0.01
+POLL_SECONDS: Final = 0.01
 REPORT_SECONDS: Final = 0.25
 RECONNECT_SECONDS: Final = 0.2
 # A report passes this agent, a feeder and another agent, and then some slack.
@@ -167,11 +167,18 @@
     async def _keep_ticking(self) -> None:
         """Runs what depends on time alone.
 
-        The library's timer would cost several times as much as the tick.
+        One wait serves for all of it: at rest, each wake of the process costs
+        more than what it then does.
         """
+        loop = asyncio.get_running_loop()
+        report_at = loop.time()
         while not self.should_stop:
-            await asyncio.sleep(TICK_SECONDS)
+            due = min(self._scheduler.core.find_due(), report_at)
+            await self._scheduler.ticker.wait(due)
             await self._tick()
+            if loop.time() >= report_at:
+                report_at = loop.time() + REPORT_SECONDS
+                self._report_often()
 
     async def _tick(self) -> None:
         """Runs the systems of the core that depend on time."""
@@ -183,9 +190,9 @@
             self._pauses.end_resume()
         self._scheduler.tick()
 
-    @mode.Service.timer(REPORT_SECONDS)
-    async def _report_often(self) -> None:
+    def _report_often(self) -> None:
         """Reports to the agent and to the time line."""
+        self._link.check_pause()
         self._report()
         self._share_pools()
         self._ingress.demand.clear()
@@ -211,7 +218,7 @@
             quiet_at = self._ingress.worked_at + QUIET_SECONDS
             if not self._count_unfinished() and loop.time() >= quiet_at:
                 break
-            await asyncio.sleep(TICK_SECONDS)
+            await asyncio.sleep(POLL_SECONDS)
         cut = self._count_unfinished()
         if cut:
             loguru.logger.warning("the drain time ended; {} cut", cut)
@@ -236,7 +243,7 @@
             quiet_at = max(told_at, self._ingress.worked_at) + keep_seconds
             if loop.time() >= quiet_at:
                 break
-            await asyncio.sleep(TICK_SECONDS)
+            await asyncio.sleep(POLL_SECONDS)
 
     def _count_unfinished(self) -> int:
         """Returns the requests that would be cut by a stop."""
