--- a/wigeonspool/gateway/scheduler.py
+++ b/wigeonspool/gateway/scheduler.py
@@ -7,6 +7,7 @@
 from wigeonspool.core import dispatcher
 from wigeonspool.core import tables
 from wigeonspool.gateway import explaining
+from wigeonspool.gateway import ticker
 from wigeonspool.model import entities
 from wigeonspool.model import messages
 
@@ -17,6 +18,7 @@
     Attributes:
         core: The dispatcher.
         sampler: Chooses the requests whose decisions are explained.
+        ticker: Tells when to tick.
         on_suspect: Called with each request that was running at a crash.
     """
 
@@ -28,6 +30,7 @@
         """
         self.core = dispatcher.Dispatcher(zone)
         self.sampler = explaining.Sampler(0.0)
+        self.ticker = ticker.Ticker()
         self._loop = asyncio.get_running_loop()
         self._pending: dict[int, asyncio.Future[actions.Action]] = {}
         self._last_id = 0
@@ -111,6 +114,7 @@
 
     def _execute(self, done: list[actions.Action]) -> None:
         """Hands actions to the coroutines that wait for them."""
+        self.ticker.hasten()
         for action in done:
             future = self._pending.get(action.request_id)
             if future is not None and not future.done():
