Let probes move the next trial of a target that is out

A target that drains by its own word or was ejected gets no traffic of its own, so its gateway learned that it was back by a caller's request: after 60 s for a drain, after 0.2 to 5 s for an ejection. The core now takes what a probe of the health endpoint showed. 'Ok' brings one trial forward, after another word or 30 s, and no further one until the target has all its slots; other words put the trial off (drain: 60 s at a time, 300 s in all; ejection: 10 s, 30 s in all) while at least half of the pool serves.

Ruled out: adding the time that a trial was brought forward to the next time out. A planted removal of it changed nothing that the property could see, since times out never get shorter: one trial brought forward already cannot become two.

Also: a target that its operator and itself drained served again once its own word was 60 s old. It stays out as long as the tables say (the new test fails without the guard).

Shown by hypothesis over sequences of words and pauses: never more than one trial more than without probes. With the bound removed it fails.

--- /dev/null
+++ b/tests/test_probing.py
@@ -0,0 +1,228 @@
+import dataclasses
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import pytest
+
+from wigeonspool.core import actions
+from wigeonspool.core import dispatcher
+from wigeonspool.core import health
+from wigeonspool.core import tables
+from wigeonspool.model import entities
+from wigeonspool.model import measurements
+
+OK = measurements.ProbeState.OK
+DRAINING = measurements.ProbeState.DRAINING
+FAILING = measurements.ProbeState.FAILING
+GOOD = tables.Result(tables.ResultKind.ANSWERED)
+LEAVES = tables.Result(tables.ResultKind.NOT_RUN, draining=True)
+REFUSED = tables.Result(tables.ResultKind.NOT_RUN, refused=True)
+
+
+def list_targets(drained: bool = False) -> tuple[entities.Target, ...]:
+    return tuple(
+        entities.Target(f"t{n}:1", "zone-0", drained and n == 0)
+        for n in range(3)
+    )
+
+
+class Scene:
+    """One gateway; target t0 answers as a test says, the others well."""
+
+    def __init__(self) -> None:
+        self.core = dispatcher.Dispatcher("zone-0")
+        self.pool = entities.Pool("queue", 4, list_targets())
+        self.core.configure([self.pool])
+        self.now = 0.0
+        self.ids = 0
+        self.trials: list[float] = []
+
+    @property
+    def target(self) -> tables.TargetRow:
+        return self.core.list_targets("queue")[0]
+
+    def send(self, result: tables.Result) -> None:
+        """Lets one request use each target that may have work."""
+        started = []
+        for _ in range(12):
+            self.ids += 1
+            row = tables.RequestRow(
+                self.ids, "queue", "read", self.now + 1e6, True
+            )
+            started += self.core.submit(self.now, row)
+        for action in started:
+            assert isinstance(action, actions.Send)
+            ends = GOOD
+            if action.target == "t0:1":
+                self.trials.append(self.now)
+                ends = result
+            self.finish(action, ends)
+
+    def finish(self, action: actions.Send, result: tables.Result) -> None:
+        done = self.core.finish(
+            self.now, action.request_id, action.target, result
+        )
+        for next_action in done:
+            if isinstance(next_action, actions.Send):
+                assert next_action.target != "t0:1"
+                self.finish(next_action, GOOD)
+
+    def probe(self, state: measurements.ProbeState) -> None:
+        result = measurements.ProbeResult(0, "queue", "t0:1", state)
+        self.core.take_probe(self.now, result)
+
+    def move(self, seconds: float) -> None:
+        self.now += seconds
+        self.core.tick(self.now)
+
+
+class TestAsking:
+    def test_only_what_is_out_by_itself_is_asked_for(self) -> None:
+        scene = Scene()
+        assert scene.core.list_out(scene.now) == {}
+        scene.send(LEAVES)
+        assert scene.core.list_out(scene.now) == {"queue": ("t0:1",)}
+        drained = dataclasses.replace(scene.pool, targets=list_targets(True))
+        scene.core.configure([drained])
+        assert scene.core.list_out(scene.now) == {}
+
+    def test_short_ejection_is_not_asked_for(self) -> None:
+        scene = Scene()
+        scene.send(REFUSED)
+        assert scene.target.state is tables.TargetState.EJECTED
+        assert scene.core.list_out(scene.now) == {}
+
+
+class TestDrainingByItsWord:
+    def test_target_that_is_back_serves_at_once(self) -> None:
+        scene = Scene()
+        scene.send(LEAVES)
+        scene.move(1.0)
+        scene.probe(DRAINING)
+        scene.move(4.0)
+        scene.probe(OK)
+        scene.move(0.01)
+        scene.send(GOOD)
+        assert scene.trials[-1] == scene.now
+        scene.send(GOOD)
+        scene.send(GOOD)
+        assert scene.target.health == tables.HealthRow(
+            cap=tables.UNLIMITED,
+            out_since=0.0,
+            denied=True,
+            score=scene.target.health.score,
+        )
+
+    def test_endpoint_that_lags_is_not_believed(self) -> None:
+        scene = Scene()
+        scene.send(LEAVES)
+        for _ in range(29):
+            scene.move(1.0)
+            scene.probe(OK)
+        assert scene.target.state is tables.TargetState.DRAINING
+
+    def test_target_that_stays_gets_nothing_new(self) -> None:
+        scene = Scene()
+        scene.send(LEAVES)
+        count = len(scene.trials)
+        for _ in range(290):
+            scene.move(1.0)
+            scene.probe(DRAINING)
+            scene.send(GOOD)
+        assert len(scene.trials) == count
+
+    def test_word_that_never_ends_is_tried_again(self) -> None:
+        scene = Scene()
+        scene.send(LEAVES)
+        count = len(scene.trials)
+        for _ in range(310):
+            scene.move(1.0)
+            scene.probe(DRAINING)
+            scene.send(GOOD)
+        assert len(scene.trials) > count
+        assert scene.target.state is tables.TargetState.SERVING
+
+    def test_without_probes_it_ends_as_ever(self) -> None:
+        scene = Scene()
+        scene.send(LEAVES)
+        scene.move(health.DRAINING_SECONDS - 0.1)
+        assert scene.target.state is tables.TargetState.DRAINING
+        scene.move(0.2)
+        assert scene.target.state is tables.TargetState.SERVING
+
+    def test_word_that_ends_does_not_undo_the_tables(self) -> None:
+        """A target that both its operator and itself drained stays out."""
+        scene = Scene()
+        drained = dataclasses.replace(scene.pool, targets=list_targets(True))
+        scene.send(LEAVES)
+        scene.core.configure([drained])
+        scene.move(health.DRAINING_SECONDS + 0.1)
+        assert scene.target.state is tables.TargetState.DRAINING
+        scene.core.configure([scene.pool])
+        assert scene.target.state is tables.TargetState.SERVING
+
+
+class TestEjected:
+    def test_trial_is_put_off_up_to_a_bound(self) -> None:
+        scene = Scene()
+        scene.send(REFUSED)
+        scene.probe(FAILING)
+        for _ in range(29):
+            scene.move(1.0)
+            scene.probe(FAILING)
+            assert scene.target.state is tables.TargetState.EJECTED
+        scene.move(1.1)
+        assert scene.target.state is tables.TargetState.SERVING
+
+    def test_trial_is_not_put_off_while_half_of_the_pool_is_out(self) -> None:
+        scene = Scene()
+        scene.send(REFUSED)
+        for row in scene.core.list_targets("queue")[1:]:
+            row.state = tables.TargetState.EJECTED
+        scene.probe(FAILING)
+        scene.move(health.EJECTION_SECONDS + 0.01)
+        assert scene.target.state is tables.TargetState.SERVING
+
+
+def count_trials(
+    first: tables.Result,
+    steps: list[tuple[float, measurements.ProbeState | None]],
+    probed: bool,
+) -> list[float]:
+    """Returns the trials of a target that never serves."""
+    scene = Scene()
+    scene.send(first)
+    for passed, state in steps:
+        scene.move(passed)
+        scene.send(first)
+        if probed and state is not None:
+            scene.probe(state)
+            scene.move(0.0)
+            scene.send(first)
+    return scene.trials
+
+
+class TestLies:
+    @pytest.mark.parametrize("first", [LEAVES, REFUSED])
+    @settings(derandomize=True, max_examples=150, deadline=None)
+    @given(
+        steps=strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from([0.05, 0.3, 1.0, 7.0, 20.0]),
+                strategies.sampled_from([None, OK, OK, DRAINING, FAILING]),
+            ),
+            max_size=60,
+        )
+    )
+    def test_no_words_add_more_than_one_trial(
+        self,
+        first: tables.Result,
+        steps: list[tuple[float, measurements.ProbeState | None]],
+    ) -> None:
+        usual = count_trials(first, steps, False)
+        with_probes = count_trials(first, steps, True)
+        # The trial that was brought forward stands in for the next usual one.
+        for later, at in zip(usual, with_probes[1:], strict=False):
+            assert at >= later
+        assert len(with_probes) <= len(usual) + 1
--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -13,11 +13,13 @@
 from wigeonspool.core import actions
 from wigeonspool.core import health
 from wigeonspool.core import pools
+from wigeonspool.core import probing
 from wigeonspool.core import quarantine
 from wigeonspool.core import retrying
 from wigeonspool.core import supervision
 from wigeonspool.core import tables
 from wigeonspool.model import entities
+from wigeonspool.model import measurements
 from wigeonspool.model import outcomes
 
 MAX_ATTEMPTS: Final = 3
@@ -118,6 +120,20 @@
             if request.state is tables.RequestState.QUEUED
         )
 
+    def list_out(self, now: float) -> dict[str, tuple[str, ...]]:
+        """Returns the targets that should be measured, by pool."""
+        out = {
+            name: probing.list_out(now, self._pools[name])
+            for name in self._watched
+        }
+        return {name: addresses for name, addresses in out.items() if addresses}
+
+    def take_probe(self, now: float, result: measurements.ProbeResult) -> None:
+        """Takes the result of a probe; the next tick acts on it."""
+        row = self._pools.get(result.pool)
+        if row is not None:
+            probing.take_result(now, row, result.target, result.state)
+
     def submit(
         self, now: float, request: tables.RequestRow
     ) -> list[actions.Action]:
--- a/wigeonspool/core/health.py
+++ b/wigeonspool/core/health.py
@@ -46,6 +46,7 @@
     if row.cap >= slots:
         row.cap = tables.UNLIMITED
         row.ejections = 0
+        row.spared = False
     else:
         row.cap *= 2
 
@@ -98,6 +99,20 @@
     seconds = min(seconds * 2**doublings, MAX_EJECTION_SECONDS)
     row.out_until = now + seconds
     row.ejections += 1
+    _begin_out(row, now)
+
+
+def begin_draining(row: tables.HealthRow, now: float) -> None:
+    """Takes a target out that said it is leaving."""
+    if not row.draining_until:
+        _begin_out(row, now)
+    row.draining_until = max(row.draining_until, now + DRAINING_SECONDS)
+
+
+def _begin_out(row: tables.HealthRow, now: float) -> None:
+    """Notes that a target goes out; no probe has told of it yet."""
+    row.out_since = now
+    row.denied = False
 
 
 def end_ejection(row: tables.HealthRow) -> None:
--- a/wigeonspool/core/supervision.py
+++ b/wigeonspool/core/supervision.py
@@ -25,7 +25,8 @@
         if row.targets:
             health.begin_cold(known.health)
     known.slots = row.pool.slots
-    if listed.drained or leaving or known.health.draining_until:
+    known.withdrawn = listed.drained or leaving
+    if known.withdrawn or known.health.draining_until:
         known.state = tables.TargetState.DRAINING
         row.ejected.discard(known.address)
     elif known.state is tables.TargetState.DRAINING:
@@ -122,7 +123,7 @@
 ) -> None:
     """Takes out a target that said it is leaving."""
     target.state = tables.TargetState.DRAINING
-    target.health.draining_until = now + health.DRAINING_SECONDS
+    health.begin_draining(target.health, now)
     row.ejected.discard(target.address)
     entry = (target.health.draining_until, target.address)
     heapq.heappush(row.returns, entry)
@@ -149,6 +150,8 @@
         if not 0.0 < row_health.draining_until <= now:
             return
         row_health.draining_until = 0.0
+        if target.withdrawn:
+            return
     else:
         return
     row.ejected.discard(target.address)
--- a/wigeonspool/core/tables.py
+++ b/wigeonspool/core/tables.py
@@ -29,6 +29,9 @@
         ejections: Ejections since it last had all its slots.
         out_until: Deadline of its ejection, on the core's clock.
         draining_until: Deadline of its own word that it is leaving.
+        out_since: When it last went out, on the core's clock.
+        denied: True once a probe showed since then that it does not serve.
+        spared: True if a probe ended a time out, until it has all its slots.
     """
 
     score: float = 0.0
@@ -36,6 +39,9 @@
     ejections: int = 0
     out_until: float = 0.0
     draining_until: float = 0.0
+    out_since: float = 0.0
+    denied: bool = False
+    spared: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,6 +56,7 @@
         group: Place in the order of preference; 0 comes first.
         in_flight: Attempts of this gateway that run there.
         state: Whether it may receive work.
+        withdrawn: True if the tables or the VM list take it out.
         health: What its attempts have shown.
     """
 
@@ -60,6 +67,7 @@
     group: int = 0
     in_flight: int = 0
     state: TargetState = TargetState.SERVING
+    withdrawn: bool = False
     health: HealthRow = dataclasses.field(default_factory=HealthRow)
 
 
