Log a failure that repeats once, and its end

Cause: with the store down and one listed VM not up, two agents wrote 455 lines a minute (examples/outage.sh), 27,000 in an outage of an hour, so the start of it is not found. Now each kind of failure is logged when it begins, and its end with the count. Ruled out: longer retry delays, since a store that is back must be seen within half a second for a change to be in force in 3 s.

--- a/wigeonspool/agent/feeding.py
+++ b/wigeonspool/agent/feeding.py
@@ -7,6 +7,7 @@
 import aiohttp
 import loguru
 
+from wigeonspool import failures
 from wigeonspool import process
 from wigeonspool.agent import configuration
 from wigeonspool.agent import directory as directories
@@ -72,6 +73,7 @@
         )
         self._chosen_from: tuple[object, object] = ((), ())
         self._chosen: set[str] = set()
+        self._failures = failures.FailureLog("leases")
 
     async def run(
         self,
@@ -111,7 +113,9 @@
         try:
             await self.leases.step(self._chosen)
         except errors.StoreError as error:
-            loguru.logger.info("leases: {}", error)
+            self._failures.note(error)
+        else:
+            self._failures.clear()
 
 
 async def _hear_peers(upstreams: upstream_streams.Upstreams) -> None:
--- a/wigeonspool/agent/follower.py
+++ b/wigeonspool/agent/follower.py
@@ -7,6 +7,7 @@
 
 import loguru
 
+from wigeonspool import failures
 from wigeonspool import process
 from wigeonspool.agent import configuration
 from wigeonspool.model import errors
@@ -57,6 +58,7 @@
         self._on_change = on_change
         self._find_rank = find_rank
         self._is_available = True
+        self._failures = failures.FailureLog("store")
         self._reported: events.Kind | None = None
         self._saved_generation = 0
 
@@ -67,7 +69,7 @@
                 await self._follow_once()
             except errors.StoreError as error:
                 self._note_available(False)
-                loguru.logger.info("{}", error)
+                self._failures.note(error)
                 await asyncio.sleep(_draw_delay())
             except errors.ChainBrokenError as error:
                 self._report(events.Kind.CONFIGURATION_DIVERGED, str(error))
@@ -100,6 +102,7 @@
         """
         news = await self._log.read_news(self._state.tables)
         self._note_available(True)
+        self._failures.clear()
         before = self._state.tables.generation
         if news.base is not None:
             self._saved_generation = news.base.tables.generation
--- a/wigeonspool/agent/following.py
+++ b/wigeonspool/agent/following.py
@@ -9,8 +9,8 @@
 from typing import Final
 
 import aiohttp
-import loguru
 
+from wigeonspool import failures
 from wigeonspool.agent import directory as directories
 from wigeonspool.agent import upstreams as upstream_streams
 from wigeonspool.model import errors
@@ -68,6 +68,7 @@
             tuple(settings.agent.peers),
         )
         self.list_reads = 0
+        self._failures = failures.FailureLog("VM list")
 
     @property
     def is_feeding(self) -> bool:
@@ -117,8 +118,9 @@
         try:
             listed = await self._reader.read()
         except errors.VmListError as error:
-            loguru.logger.info("{}", error)
+            self._failures.note(error)
             return
+        self._failures.clear()
         per_region = self._settings.agent.feeders_per_region
         if self.directory.take_list(listed, per_region):
             self._tell_directory()
--- a/wigeonspool/agent/upstreams.py
+++ b/wigeonspool/agent/upstreams.py
@@ -10,8 +10,7 @@
 import dataclasses
 from typing import Final
 
-import loguru
-
+from wigeonspool import failures
 from wigeonspool.agent import hub
 from wigeonspool.agent import members
 from wigeonspool.model import errors
@@ -31,6 +30,7 @@
         address: host:port of it.
         role: Role that this agent opens the stream with.
         mirror: Members that it told of.
+        failures: Logs what goes wrong with its streams.
         directory: What it told of the VM list.
         stream: Open stream, if any.
         task: Keeps the stream open.
@@ -41,6 +41,7 @@
     address: str
     role: str
     mirror: members.Mirror
+    failures: failures.FailureLog
     directory: messages.Directory | None = None
     stream: streams.Stream | None = None
     task: asyncio.Task[None] | None = None
@@ -95,7 +96,8 @@
                 self._drop(address)
         for address, role in roles.items():
             if address not in self._upstreams:
-                upstream = Upstream(address, role, members.Mirror())
+                log = failures.FailureLog(f"feeder {address}")
+                upstream = Upstream(address, role, members.Mirror(), log)
                 upstream.task = loop.create_task(self._keep(upstream))
                 self._upstreams[address] = upstream
 
@@ -122,7 +124,7 @@
             try:
                 await self._follow_stream(upstream)
             except (errors.WireError, OSError, TimeoutError) as error:
-                loguru.logger.info("feeder {}: {!r}", upstream.address, error)
+                upstream.failures.note(error)
             await asyncio.sleep(RETRY_SECONDS)
 
     async def _follow_stream(self, upstream: Upstream) -> None:
@@ -171,6 +173,7 @@
         # Until its first pulse an agent has not told all that it knows.
         if isinstance(message, messages.Pulse):
             self.heard.set()
+        upstream.failures.clear()
         if isinstance(message, messages.Pulse) or self._is_fresh(upstream):
             upstream.heard_at = asyncio.get_running_loop().time()
 
--- a/wigeonspool/gateway/link.py
+++ b/wigeonspool/gateway/link.py
@@ -7,6 +7,7 @@
 
 import loguru
 
+from wigeonspool import failures
 from wigeonspool import process
 from wigeonspool.gateway import view as views
 from wigeonspool.model import changes
@@ -26,7 +27,11 @@
 
 
 class AgentLink:
-    """Follows the agent and tells it of this gateway."""
+    """Follows the agent and tells it of this gateway.
+
+    Attributes:
+        failures: Logs what goes wrong with its streams.
+    """
 
     def __init__(
         self,
@@ -57,6 +62,7 @@
         self._on_suspect = on_suspect
         self._build_status = build_status
         self._stream: streams.Stream | None = None
+        self.failures = failures.FailureLog("agent stream")
         self._members: dict[str, messages.Heartbeat] = {}
         self._detector = clocks.PauseDetector(PAUSE_SECONDS, clocks.read_clock)
         view.watch_pauses(hello.process, self._detector.is_current)
@@ -120,6 +126,7 @@
             # left of a stream from before a pause proves nothing.
             if stream is self._stream:
                 self._detector.refresh()
+                self.failures.clear()
         elif isinstance(message, messages.Suspect):
             self._on_suspect(message)
         elif isinstance(message, inquiries.EventsRequest):
@@ -182,7 +189,7 @@
         try:
             await link.follow()
         except (errors.WireError, OSError, TimeoutError) as error:
-            loguru.logger.info("agent stream ended: {!r}", error)
+            link.failures.note(error)
         except errors.ChainBrokenError as error:
             loguru.logger.warning("the agent differs: {}", error)
         await asyncio.sleep(retry_seconds)
