Measure what faulty targets get, by the time of sending

The share of requests that a failing target gets was required to be at most 1% and was not read. Attempts are now counted by the time at which they are sent, and of them those sent to a target that has a fault then.

--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -116,3 +116,18 @@
         fields = ["seconds=9", "policies=[policy]", f"works={works}"]
         kinds = run("crest", *fields, "steps.1.load=1.6")["policy"]["kinds"]
         assert kinds["short"]["not_run"] < 0.1 * kinds["long"]["not_run"]
+
+
+class TestFastFailure:
+    """A target that fails everything within 0.2 ms."""
+
+    def test_failing_target_gets_next_to_nothing(self) -> None:
+        fields = ["seconds=9", "policies=[policy, two-choices]"]
+        figures = run("fast-failure", *fields)
+        failing = figures["policy"]["windows"]["failing"]
+        assert failing["attempts"] >= failing["offered"] > 0
+        assert 0 < failing["faulty_share"] <= 0.01
+        assert failing["failed"] == 0
+        # Of 14 targets, one with few in flight attracts more than its part.
+        baseline = figures["two-choices"]["windows"]["failing"]
+        assert baseline["faulty_share"] > 1 / 14
--- a/wigeonspool/load/decide.py
+++ b/wigeonspool/load/decide.py
@@ -53,7 +53,7 @@
     print(
         f"{'policy':<12}{'work':<14}{'offered':>8}{'in time':>9}{'late':>7}"
         f"{'not run':>8}{'unknown':>8}{'p50':>9}{'p99':>9}{'p99.9':>9}"
-        f"{'p99/limit':>10}{'refused p99':>12}"
+        f"{'p99/limit':>10}{'refused p99':>12}{'to faulty':>11}"
     )
     for name, figures in result["policies"].items():
         for kind, row in (figures["kinds"] | figures["windows"]).items():
@@ -67,6 +67,7 @@
                 f"{row['p50_ms']:>9.2f}{row['p99_ms']:>9.2f}"
                 f"{row['p99_9_ms']:>9.2f}{ratio:>10.3f}"
                 f"{row['refusal_p99_ms']:>12.2f}"
+                f"{row['faulty_share']:>11.3%}"
             )
     for name, figures in result["policies"].items():
         print(
--- a/wigeonspool/load/harness.py
+++ b/wigeonspool/load/harness.py
@@ -245,6 +245,7 @@
             job.request_id, name, target, job.service, deadline
         )
         zone = self._gateways[name].zone
+        self.tally.record_attempt(now, job, self._servers.has_fault(target))
         self._servers.send(now, job, zone)
 
     def _deliver(
--- a/wigeonspool/load/servers.py
+++ b/wigeonspool/load/servers.py
@@ -61,6 +61,10 @@
         self.crashes = 0
         self.begun = dict.fromkeys(self._targets, 0)
 
+    def has_fault(self, address: str) -> bool:
+        """Returns True if a fault holds at a target now."""
+        return bool(self._targets[address].faults)
+
     def send(self, now: float, job: parties.Job, zone: str) -> None:
         """Sends the attempt of a request from a gateway's zone."""
         attempt = job.attempt
--- a/wigeonspool/load/tally.py
+++ b/wigeonspool/load/tally.py
@@ -38,6 +38,8 @@
         not_run: Requests whose caller was told that they did not run.
         unknown: Requests whose caller was told that they may have run.
         failed: Answers of a target that tell of a failure.
+        attempts: Attempts that were sent to targets.
+        faulty_attempts: Those of them sent to a target that has a fault.
         latencies: Time to a successful answer.
         refusals: Time to a refusal.
     """
@@ -49,6 +51,8 @@
     not_run: int = 0
     unknown: int = 0
     failed: int = 0
+    attempts: int = 0
+    faulty_attempts: int = 0
     latencies: Any = dataclasses.field(default_factory=_create_histogram)
     refusals: Any = dataclasses.field(default_factory=_create_histogram)
 
@@ -75,6 +79,9 @@
             "not_run": self.not_run,
             "unknown": self.unknown,
             "failed": self.failed,
+            "attempts": self.attempts,
+            "faulty_attempts": self.faulty_attempts,
+            "faulty_share": self.faulty_attempts / max(1, self.attempts),
             "p50_ms": read_quantile(self.latencies, 50),
             "p99_ms": read_quantile(self.latencies, 99),
             "p99_9_ms": read_quantile(self.latencies, 99.9),
@@ -121,9 +128,23 @@
 
     def record_offer(self, job: parties.Job) -> None:
         """Counts a request that a caller sends."""
-        for figures in self._list_figures(job):
+        for figures in self._list_figures(job.work, job.sent_at):
             figures.offered += 1
 
+    def record_attempt(
+        self, at: float, job: parties.Job, is_faulty: bool
+    ) -> None:
+        """Counts an attempt by the time at which it was sent.
+
+        Args:
+            at: When it was sent, in seconds.
+            job: Its request.
+            is_faulty: True if its target has a fault then.
+        """
+        for figures in self._list_figures(job.work, at):
+            figures.attempts += 1
+            figures.faulty_attempts += is_faulty
+
     def record_end(
         self, at: float, job: parties.Job, failure: outcomes.Failure | None
     ) -> None:
@@ -139,7 +160,7 @@
             for window in self._experiment.windows:
                 if window.from_s <= at < window.to_s:
                     self.windows[window.name].delivered += 1
-        for figures in self._list_figures(job):
+        for figures in self._list_figures(job.work, job.sent_at):
             if told_not_run:
                 figures.record_refusal(at - job.sent_at)
             elif failure is not None:
@@ -149,15 +170,15 @@
             else:
                 figures.record_answer(at - job.sent_at, at <= job.deadline)
 
-    def _list_figures(self, job: parties.Job) -> list[Figures]:
-        """Returns the figures that a request counts in."""
-        if not self.is_measured(job.sent_at):
+    def _list_figures(self, work: experiments.Work, at: float) -> list[Figures]:
+        """Returns the figures in which what is sent at a time counts."""
+        if not self.is_measured(at):
             return []
-        kind = "long" if job.work.long else "short"
+        kind = "long" if work.long else "short"
         return [self.kinds[kind]] + [
             self.windows[window.name]
             for window in self._experiment.windows
-            if window.from_s <= job.sent_at < window.to_s
+            if window.from_s <= at < window.to_s
         ]
 
     def summarize(self) -> dict[str, Any]:
