Ask for the VM list only if it changed

Cause: a list of 10,200 VMs is read each second by each of 16 feeders, 20.6 MB/s out of the platform and 1.3 MB/s into a feeder (docs/CAPACITY.md). The reader now sends the entity tag of the list that it has; a platform without entity tags is read as before. Ruled out: polling less often, which adds to the lag of the list.

--- /dev/null
+++ b/tests/test_vms.py
@@ -0,0 +1,75 @@
+"""The client of the platform's VM list."""
+
+from collections.abc import AsyncIterator
+
+import aiohttp
+from aiohttp import test_utils
+from aiohttp import web
+import pytest
+import pytest_asyncio
+
+from wigeonspool.model import errors
+from wigeonspool.platform import vms
+from wigeonspool.standin import vms as standins
+
+FIRST = {
+    "name": "vm-0",
+    "zone": "zone-0",
+    "region": "ege",
+    "address": "10.0.0.1:1",
+    "role": "entry",
+    "state": "live",
+}
+
+
+@pytest_asyncio.fixture
+async def session() -> AsyncIterator[aiohttp.ClientSession]:
+    async with aiohttp.ClientSession() as opened:
+        yield opened
+
+
+class TestConditionalReads:
+    async def test_list_is_sent_again_only_when_it_changed(
+        self, session: aiohttp.ClientSession
+    ) -> None:
+        standin = standins.VmListStandin([FIRST])
+        async with test_utils.TestServer(standin.build_app()) as server:
+            reader = vms.VmListReader(
+                session, str(server.make_url("/v1/vms")), 5
+            )
+            first = await reader.read()
+            size = standin.bytes_sent
+            for _ in range(10):
+                assert await reader.read() == first
+            assert (standin.bytes_sent, standin.calls) == (size, 11)
+            await session.post(
+                server.make_url("/vms"), json=FIRST | {"state": "leaving"}
+            )
+            changed = await reader.read()
+            assert [vm.state.value for vm in changed] == ["leaving"]
+            assert await reader.read() == changed
+            assert reader.parsed == 2
+
+    async def test_list_that_breaks_the_schema_is_asked_for_again(
+        self, session: aiohttp.ClientSession
+    ) -> None:
+        standin = standins.VmListStandin([FIRST | {"role": "other"}])
+        async with test_utils.TestServer(standin.build_app()) as server:
+            reader = vms.VmListReader(
+                session, str(server.make_url("/v1/vms")), 5
+            )
+            for _ in range(2):
+                with pytest.raises(errors.VmListError):
+                    await reader.read()
+
+    @pytest.mark.parametrize("status", [200, 304, 503])
+    async def test_answer_without_a_list_is_an_error(
+        self, session: aiohttp.ClientSession, status: int
+    ) -> None:
+        async def answer(_: web.BaseRequest) -> web.Response:
+            return web.Response(status=status)
+
+        async with test_utils.RawTestServer(answer) as server:
+            reader = vms.VmListReader(session, str(server.make_url("/")), 5)
+            with pytest.raises(errors.VmListError):
+                await reader.read()
--- a/wigeonspool/platform/vms.py
+++ b/wigeonspool/platform/vms.py
@@ -1,4 +1,8 @@
-"""Client of the platform's VM list, which lags behind the VMs."""
+"""Client of the platform's VM list, which lags behind the VMs.
+
+The whole list of a large fleet is over a megabyte, and it is read each second.
+A list that names its version by an entity tag is sent only when it changed.
+"""
 
 import hashlib
 from typing import Annotated, Final, Literal
@@ -10,6 +14,7 @@
 from wigeonspool.model import errors
 
 DIGEST_BYTES: Final = 16
+STATUS_NOT_MODIFIED: Final = 304
 
 
 class VmDocument(pydantic.BaseModel):
@@ -50,6 +55,7 @@
         self._url = url
         self._timeout = aiohttp.ClientTimeout(total=timeout_seconds)
         self._digest = b""
+        self._tag = ""
         self._vms: list[entities.Vm] = []
         self.parsed = 0
 
@@ -61,9 +67,14 @@
         """
         try:
             async with self._session.get(
-                self._url, timeout=self._timeout
+                self._url,
+                timeout=self._timeout,
+                headers={"If-None-Match": self._tag} if self._tag else None,
             ) as response:
+                if response.status == STATUS_NOT_MODIFIED and self._tag:
+                    return self._vms
                 body = await response.read()
+                tag = response.headers.get("ETag", "")
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise errors.VmListError(repr(error)) from error
         digest = hashlib.blake2b(body, digest_size=DIGEST_BYTES).digest()
@@ -71,6 +82,7 @@
             self._vms = parse_vms(body)
             self._digest = digest
             self.parsed += 1
+        self._tag = tag
         return self._vms
 
 
--- a/wigeonspool/standin/vms.py
+++ b/wigeonspool/standin/vms.py
@@ -1,6 +1,8 @@
 """Stand-in of the platform's VM list, with a lag that can be set."""
 
 import asyncio
+import hashlib
+import json
 import pathlib
 from typing import Any
 
@@ -13,6 +15,7 @@
 
     Attributes:
         calls: Reads of the list.
+        bytes_sent: Bytes of the lists that were sent.
     """
 
     def __init__(self, vms: list[dict[str, Any]]) -> None:
@@ -26,6 +29,7 @@
         self._lag_seconds = 0.0
         self._down = False
         self.calls = 0
+        self.bytes_sent = 0
 
     def build_app(self) -> web.Application:
         """Returns the HTTP application."""
@@ -35,12 +39,19 @@
         app.router.add_post("/faults", self._set_faults)
         return app
 
-    async def _show(self, _: web.Request) -> web.Response:
-        """Shows the list."""
+    async def _show(self, request: web.Request) -> web.Response:
+        """Shows the list, unless its reader has it already."""
         self.calls += 1
         if self._down:
             return web.Response(status=503)
-        return web.json_response({"vms": list(self._shown.values())})
+        body = json.dumps({"vms": list(self._shown.values())}).encode()
+        tag = f'"{hashlib.blake2b(body, digest_size=16).hexdigest()}"'
+        if request.headers.get("If-None-Match") == tag:
+            return web.Response(status=304, headers={"ETag": tag})
+        self.bytes_sent += len(body)
+        return web.Response(
+            body=body, content_type="application/json", headers={"ETag": tag}
+        )
 
     async def _put(self, request: web.Request) -> web.Response:
         """Adds, changes or (with state "gone") removes a VM."""
