Export how long answered requests take, by pool

Operators could see counts and queues but no latency. The histogram of the metrics library is kept by pool and read into the page when it is scraped. Ruled out: counts of our own with one bisection a request, which would be cheaper but stand beside the library's.

--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -84,11 +84,17 @@
             and 'outcome="answered"' in name
         ]
         assert answered == [3.0]
+        duration = "wigeonspool_gateway_request_duration_seconds"
+        assert before[duration + '_count{pool="queue"}'] == 3
+        assert before[duration + '_bucket{le="+Inf",pool="queue"}'] == 3
+        assert 0 < before[duration + '_sum{pool="queue"}'] < 30
         text = (ROOT / "docs" / "METRICS.md").read_text(encoding="utf-8")
         rows = {name: labels for name, _, labels, _ in ROW.findall(text)}
         for name in before:
             metric, _, rest = name.partition("{")
-            labels = re.findall(r'(\w+)="', rest)
+            # A histogram has several series, one of them by upper bound.
+            metric = re.sub("_(bucket|sum|count)$", "", metric)
+            labels = re.findall(r'(?!le)\b(\w+)="', rest)
             assert sorted(labels) == sorted(
                 re.findall(r"`(\w+)`", rows[metric])
             )
--- a/wigeonspool/gateway/ingress.py
+++ b/wigeonspool/gateway/ingress.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from aiohttp import web
+from aioprometheus import histogram
 
 from wigeonspool import process
 from wigeonspool.core import once
@@ -29,6 +30,22 @@
 PROBLEM_SECONDS: Final = 1.0
 # How long a key that no route serves any more may wait for its home.
 NO_ROUTE_SECONDS: Final = 10.0
+# Upper bounds of the histogram of durations.
+DURATION_SECONDS: Final = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    10.0,
+    60.0,
+)
 
 
 class Ingress:
@@ -37,6 +54,8 @@
     Attributes:
         gateway: This gateway as others see it.
         counts: Requests that ended, by outcome and reason.
+        durations: Seconds from the head of an answered request to the end of
+            its answer, by pool.
         demand: Requests received since the last report, by pool.
         draining: True once the gateway prepares to stop; callers are moved.
         in_flight: Requests received and not ended.
@@ -67,6 +86,7 @@
         """
         self.gateway = gateway
         self.counts: dict[tuple[str, str], int] = {}
+        self.durations: dict[str, histogram.Histogram] = {}
         self.demand: dict[str, int] = {}
         self.draining = False
         self.in_flight = 0
@@ -110,10 +130,13 @@
             self._received += 1
             request_id = f"{self.gateway.name}-{self._received}"
         self.in_flight += 1
-        self.worked_at = self._loop.time()
+        started_at = self._loop.time()
+        self.worked_at = started_at
+        route = None
         try:
             if problem is None:
-                ending = await self._serve_work(request, request_id)
+                route = self._view.routes.find(request.method, request.path)
+                ending = await self._serve_work(request, route, request_id)
             else:
                 ending = self._refuse(request, problem)
             response, failure = await self._tell(request, request_id, ending)
@@ -124,8 +147,18 @@
         finally:
             self.in_flight -= 1
         self.count(request_id, failure)
+        if failure is None and route is not None:
+            self._record_duration(route.pool, self._loop.time() - started_at)
         return response
 
+    def _record_duration(self, pool: str, seconds: float) -> None:
+        """Adds an answered request to the histogram of its pool."""
+        durations = self.durations.get(pool)
+        if durations is None:
+            durations = histogram.Histogram(*DURATION_SECONDS)
+            self.durations[pool] = durations
+        durations.observe(seconds)
+
     def refuse_new_work(self) -> None:
         """Refuses what has not begun; keys already known are still told."""
         self._refusing = True
@@ -141,14 +174,16 @@
         return tell(reason), self._loop.time() + PROBLEM_SECONDS
 
     async def _serve_work(
-        self, request: web.BaseRequest, request_id: str
+        self,
+        request: web.BaseRequest,
+        route: entities.Route | None,
+        request_id: str,
     ) -> tuple[homes.Ending, float]:
-        """Serves a request that belongs to a route.
+        """Serves a request that is proper HTTP.
 
         Returns:
             How it ended, and its deadline on the loop clock.
         """
-        route = self._view.routes.find(request.method, request.path)
         deadline = self._find_deadline(request, route)
         if route is not None:
             self.demand[route.pool] = self.demand.get(route.pool, 0) + 1
--- a/wigeonspool/gateway/metrics.py
+++ b/wigeonspool/gateway/metrics.py
@@ -18,6 +18,11 @@
     "wigeonspool_gateway_requests_total",
     "Requests that ended, by outcome and reason.",
 )
+DURATIONS: Final = aioprometheus.Histogram(
+    "wigeonspool_gateway_request_duration_seconds",
+    "Time from the head of an answered request to the end of its answer.",
+    buckets=ingresses.DURATION_SECONDS,
+)
 RUNNING: Final = aioprometheus.Gauge(
     "wigeonspool_gateway_requests_running", "Requests that have not ended."
 )
@@ -83,6 +88,8 @@
         """Brings all metrics up to date."""
         for (outcome, reason), count in self._ingress.counts.items():
             REQUESTS.set({"outcome": outcome, "reason": reason}, count)
+        for pool, durations in self._ingress.durations.items():
+            DURATIONS.set_value({"pool": pool}, durations)
         CONNECTIONS_SILENT.set({}, self._client.silent)
         RUNNING.set({}, self._scheduler.core.count_running())
         GENERATION.set({}, self._view.tables.generation)
