Pause a test at the function that now stands before the choice

The dispatcher's _choose was split when decisions came to be explained; the test of a pause between the deadline's check and the attempt hooked into it. Nothing else in the test changes.

--- a/tests/test_home.py
+++ b/tests/test_home.py
@@ -435,13 +435,13 @@
     ) -> None:
         gateway = scene.fleet.gateways[scene.home]
         core = gateway._scheduler.core
-        choose = core._choose
+        find = core._find_avoided
 
-        def pause_and_choose(*args: Any) -> Any:
+        def pause_and_find(*args: Any) -> Any:
             time.sleep(0.3)
-            return choose(*args)
+            return find(*args)
 
-        monkeypatch.setattr(core, "_choose", pause_and_choose)
+        monkeypatch.setattr(core, "_find_avoided", pause_and_find)
         told = await scene.send(Wigeonspool_Remaining_Ms="200")
         assert told[:2] == ("not_run", "deadline-passed")
         assert scene.target.runs == []
