--- a/wigeonspool/platform/configuration.py
+++ b/wigeonspool/platform/configuration.py
@@ -15,6 +15,7 @@
 from wigeonspool.model import changes
 from wigeonspool.model import entities
 from wigeonspool.model import errors
+from wigeonspool.platform import records
 from wigeonspool.platform import snapshots
 from wigeonspool.platform import store
 
@@ -206,7 +207,7 @@
         before = change.generation - 1
         head = _encode_head(before) if before else None
         return await self._client.commit(
-            [store.Condition(key), store.Condition(self._head, head)],
+            [records.Condition(key), records.Condition(self._head, head)],
             {key: value, self._head: _encode_head(change.generation)},
         )
 
@@ -251,8 +252,8 @@
         keys = {self._key(c.generation): encode_change(c) for c in missing}
         return await self._client.commit(
             [
-                store.Condition(self._head, head.value if head else None),
-                *(store.Condition(key) for key in keys),
+                records.Condition(self._head, head.value if head else None),
+                *(records.Condition(key) for key in keys),
             ],
             keys | {self._head: _encode_head(tables.generation)},
         )
--- a/wigeonspool/platform/snapshots.py
+++ b/wigeonspool/platform/snapshots.py
@@ -15,6 +15,7 @@
 
 from wigeonspool.model import entities
 from wigeonspool.model import errors
+from wigeonspool.platform import records
 from wigeonspool.platform import store
 
 MANIFESTS: Final = "config/snapshot/"
@@ -172,7 +173,7 @@
             raise problem
         return None
 
-    async def _read(self, entry: store.Entry) -> Saved:
+    async def _read(self, entry: records.Entry) -> Saved:
         """Returns the snapshot of one manifest.
 
         Raises:
--- a/wigeonspool/platform/store.py
+++ b/wigeonspool/platform/store.py
@@ -1,105 +1,22 @@
 """Client of the configuration store, over the etcd v3 HTTP/JSON interface.
 
-Only this module knows the store's protocol. A lost reply leaves a write in
-doubt; callers resolve that by reading.
+Only this module and `records` know the store's protocol. A lost reply leaves a
+write in doubt; callers resolve that by reading.
 """
 
 import asyncio
-import base64
 from collections.abc import AsyncIterator
-import dataclasses
 import json
 from typing import Any, Final
 
 import aiohttp
 
 from wigeonspool.model import errors
+from wigeonspool.platform import records
 
 MAX_VALUE_BYTES: Final = 1024 * 1024
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Entry:
-    """One key of the store.
-
-    Attributes:
-        key: Its name.
-        value: Its bytes.
-        revision: Store revision of its last write.
-        lease: Lease that it is bound to, 0 for none.
-    """
-
-    key: str
-    value: bytes
-    revision: int
-    lease: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Page:
-    """The result of a read of many keys.
-
-    Attributes:
-        entries: Entries in the order asked for.
-        revision: Store revision that the read saw.
-    """
-
-    entries: list[Entry]
-    revision: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Condition:
-    """What must hold for a transaction to write.
-
-    Attributes:
-        key: Key to compare.
-        value: Bytes that it must hold, or None if it must be absent.
-    """
-
-    key: str
-    value: bytes | None = None
-
-
-def _build_compare(condition: Condition) -> dict[str, Any]:
-    """Returns a condition in the form of the protocol."""
-    key = _encode(condition.key.encode())
-    if condition.value is None:
-        return {
-            "key": key,
-            "target": "CREATE",
-            "result": "EQUAL",
-            "create_revision": 0,
-        }
-    return {
-        "key": key,
-        "target": "VALUE",
-        "result": "EQUAL",
-        "value": _encode(condition.value),
-    }
-
-
-def _encode(data: bytes) -> str:
-    """Returns base64 text, as the JSON interface carries bytes."""
-    return base64.b64encode(data).decode("ascii")
-
-
-def _end_of_prefix(prefix: str) -> bytes:
-    """Returns the first key after all keys with a prefix."""
-    raw = prefix.encode()
-    return raw[:-1] + bytes([raw[-1] + 1])
-
-
-def _parse_entry(document: dict[str, Any]) -> Entry:
-    """Returns the entry in a key-value document."""
-    return Entry(
-        key=base64.b64decode(document["key"]).decode(),
-        value=base64.b64decode(document.get("value", "")),
-        revision=int(document.get("mod_revision", 0)),
-        lease=int(document.get("lease", 0)),
-    )
-
-
 class StoreClient:
     """Calls the store; each method is one call of its interface.
 
@@ -143,7 +60,7 @@
 
     async def read_prefix(
         self, prefix: str, after: str = "", limit: int = 0, newest: bool = False
-    ) -> list[Entry]:
+    ) -> list[records.Entry]:
         """Returns the entries with a prefix, in the order of their keys.
 
         Args:
@@ -160,7 +77,7 @@
 
     async def read_page(
         self, prefix: str, after: str = "", limit: int = 0, newest: bool = False
-    ) -> Page:
+    ) -> records.Page:
         """Returns entries as `read_prefix` does, and the revision read.
 
         Raises:
@@ -168,29 +85,29 @@
         """
         start = after.encode() + b"\0" if after else prefix.encode()
         body: dict[str, Any] = {
-            "key": _encode(start),
-            "range_end": _encode(_end_of_prefix(prefix)),
+            "key": records.encode_bytes(start),
+            "range_end": records.encode_bytes(records.find_end(prefix)),
             "limit": limit,
         }
         if newest:
             body |= {"sort_order": "DESCEND", "sort_target": "KEY"}
         answer = await self._call("/v3/kv/range", body)
         revision = int(answer.get("header", {}).get("revision", 0))
-        return Page(
-            [_parse_entry(kv) for kv in answer.get("kvs", [])], revision
+        return records.Page(
+            [records.parse_entry(kv) for kv in answer.get("kvs", [])], revision
         )
 
-    async def read(self, key: str) -> Entry | None:
+    async def read(self, key: str) -> records.Entry | None:
         """Returns the entry of a key, or None if it is absent.
 
         Raises:
             StoreError: If the store could not serve the call.
         """
         answer = await self._call(
-            "/v3/kv/range", {"key": _encode(key.encode())}
+            "/v3/kv/range", {"key": records.encode_bytes(key.encode())}
         )
         kvs = answer.get("kvs", [])
-        return _parse_entry(kvs[0]) if kvs else None
+        return records.parse_entry(kvs[0]) if kvs else None
 
     async def create(self, key: str, value: bytes, lease: int = 0) -> bool:
         """Writes a key if it is absent.
@@ -207,11 +124,11 @@
             StoreUnavailableError: If it is unknown whether the write happened.
             StoreAnswerError: If the answer is not of the protocol.
         """
-        return await self.commit([Condition(key)], {key: value}, lease)
+        return await self.commit([records.Condition(key)], {key: value}, lease)
 
     async def commit(
         self,
-        conditions: list[Condition],
+        conditions: list[records.Condition],
         writes: dict[str, bytes],
         lease: int = 0,
     ) -> bool:
@@ -231,14 +148,16 @@
         """
         puts = [
             {
-                "key": _encode(key.encode()),
-                "value": _encode(value),
+                "key": records.encode_bytes(key.encode()),
+                "value": records.encode_bytes(value),
                 "lease": lease,
             }
             for key, value in writes.items()
         ]
         body = {
-            "compare": [_build_compare(condition) for condition in conditions],
+            "compare": [
+                records.build_compare(condition) for condition in conditions
+            ],
             "success": [{"request_put": put} for put in puts],
         }
         answer = await self._call("/v3/kv/txn", body)
@@ -251,8 +170,8 @@
             StoreError: If the store could not serve the call.
         """
         body = {
-            "key": _encode(start.encode()),
-            "range_end": _encode(end.encode()),
+            "key": records.encode_bytes(start.encode()),
+            "range_end": records.encode_bytes(end.encode()),
         }
         await self._call("/v3/kv/deleterange", body)
 
@@ -262,9 +181,9 @@
         Raises:
             StoreError: If the store could not serve the call.
         """
-        name = _encode(key.encode())
+        name = records.encode_bytes(key.encode())
         body = {
-            "compare": [_build_compare(Condition(key, value))],
+            "compare": [records.build_compare(records.Condition(key, value))],
             "success": [{"request_delete_range": {"key": name}}],
         }
         answer = await self._call("/v3/kv/txn", body)
@@ -298,7 +217,7 @@
 
     async def watch_prefix(
         self, prefix: str, revision: int, idle_seconds: float
-    ) -> AsyncIterator[Entry]:
+    ) -> AsyncIterator[records.Entry]:
         """Yields entries as they are written.
 
         Args:
@@ -312,8 +231,8 @@
         self.calls += 1
         body = {
             "create_request": {
-                "key": _encode(prefix.encode()),
-                "range_end": _encode(_end_of_prefix(prefix)),
+                "key": records.encode_bytes(prefix.encode()),
+                "range_end": records.encode_bytes(records.find_end(prefix)),
                 "start_revision": revision,
             }
         }
@@ -327,7 +246,7 @@
                         "/v3/watch", f"status {response.status}"
                     )
                 async for line in response.content:
-                    for entry in _parse_watch_line(line):
+                    for entry in records.parse_watch_line(line):
                         yield entry
         except TimeoutError:
             return
@@ -337,21 +256,3 @@
             ) from error
         except asyncio.IncompleteReadError as error:
             raise errors.StoreUnavailableError("/v3/watch", "cut") from error
-
-
-def _parse_watch_line(line: bytes) -> list[Entry]:
-    """Returns the written entries in one line of a watch.
-
-    Raises:
-        StoreAnswerError: If the line is not of the protocol.
-    """
-    try:
-        result = json.loads(line).get("result", {})
-        events = result.get("events", [])
-        return [
-            _parse_entry(event["kv"])
-            for event in events
-            if event.get("type", "PUT") == "PUT"
-        ]
-    except (ValueError, KeyError, AttributeError) as error:
-        raise errors.StoreAnswerError("/v3/watch", "bad line") from error
