--- a/wigeonspool/operator/arguments.py
+++ b/wigeonspool/operator/arguments.py
@@ -7,6 +7,7 @@
 import cyclopts
 
 Files = Annotated[list[pathlib.Path], cyclopts.Parameter(negative=())]
+VmList = Annotated[str, cyclopts.Parameter(env_var="WIGEONSPOOL_VM_LIST")]
 AsJson = Annotated[bool, cyclopts.Parameter(name="--json", negative=())]
 
 
@@ -56,6 +57,7 @@
     wait_seconds: float = 10.0
 
 
+DEFAULT_VM_LIST: Final = "http://127.0.0.1:2378/v1/vms"
 DEFAULT_STORE: Final = StoreAddress()
 DEFAULT_AGENT: Final = AgentAddress()
 NO_WAITING: Final = Waiting()
--- a/wigeonspool/operator/ctl.py
+++ b/wigeonspool/operator/ctl.py
@@ -298,9 +298,7 @@
 def drain(
     name: str,
     *,
-    vm_list: Annotated[
-        str, cyclopts.Parameter(env_var="WIGEONSPOOL_VM_LIST")
-    ] = "http://127.0.0.1:2378/v1/vms",
+    vm_list: arguments.VmList = arguments.DEFAULT_VM_LIST,
     where: arguments.StoreAddress = arguments.DEFAULT_STORE,
     whom: arguments.AgentAddress = arguments.DEFAULT_AGENT,
     waiting: arguments.Waiting = arguments.NO_WAITING,
@@ -327,9 +325,7 @@
 def undrain(
     name: str,
     *,
-    vm_list: Annotated[
-        str, cyclopts.Parameter(env_var="WIGEONSPOOL_VM_LIST")
-    ] = "http://127.0.0.1:2378/v1/vms",
+    vm_list: arguments.VmList = arguments.DEFAULT_VM_LIST,
     where: arguments.StoreAddress = arguments.DEFAULT_STORE,
     whom: arguments.AgentAddress = arguments.DEFAULT_AGENT,
     waiting: arguments.Waiting = arguments.NO_WAITING,
--- a/wigeonspool/operator/timeline.py
+++ b/wigeonspool/operator/timeline.py
@@ -9,6 +9,7 @@
 
 from wigeonspool.model import errors
 from wigeonspool.model import events
+from wigeonspool.operator import arguments
 from wigeonspool.operator import collecting
 from wigeonspool.operator import traces
 
@@ -57,9 +58,7 @@
 def show(
     agents: Annotated[list[str] | None, cyclopts.Parameter(negative=())] = None,
     *,
-    vm_list: Annotated[
-        str, cyclopts.Parameter(env_var="WIGEONSPOOL_VM_LIST")
-    ] = "",
+    vm_list: arguments.VmList = "",
     request: str = "",
     target: str = "",
     vm: str = "",
