Take a short answer in one piece where it arrived so

A short answer mostly arrives whole with its head; it was still read through an asynchronous iterator.

--- a/wigeonspool/gateway/egress.py
+++ b/wigeonspool/gateway/egress.py
@@ -252,9 +252,14 @@
     response: exchanges.TargetResponse, bound: int
 ) -> bytes | None:
     """Returns a whole body, or None if it exceeds a bound in bytes."""
+    content = response.content
+    # A short answer usually arrives in one piece.
+    if content.is_eof():
+        whole = content.read_nowait()
+        return whole if len(whole) <= bound else None
     parts: list[bytes] = []
     size = 0
-    async for part in response.content.iter_any():
+    while part := await content.readany():
         parts.append(part)
         size += len(part)
         if size > bound:
