Keep events as entries until they are read

Three events are recorded for each request and hardly any is ever read. Each built two frozen data classes, whose fields are set one by one, and copied its detail. The ring now keeps named tuples; reading the ring builds the events.

--- a/wigeonspool/model/events.py
+++ b/wigeonspool/model/events.py
@@ -4,9 +4,11 @@
 """
 
 import collections
+from collections.abc import Mapping
 import dataclasses
 import enum
-from typing import Final
+import operator
+from typing import Final, NamedTuple
 
 REQUEST_CAPACITY_EVENTS: Final = 4096
 STATE_CAPACITY_EVENTS: Final = 1024
@@ -74,6 +76,39 @@
     detail: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
+class Entry(NamedTuple):
+    """An event as a process keeps it: cheap to make, and seldom read.
+
+    Attributes:
+        wall_ms: Time of its stamp, in milliseconds since the epoch.
+        counter: Counter of its stamp.
+        kind: What happened.
+        request: Identity of the request it is about, or "".
+        target: Address of the target it is about, or "".
+        vm: Name of the VM it is about, or "".
+        detail: Further facts by name, or None.
+    """
+
+    wall_ms: int
+    counter: int
+    kind: Kind
+    request: str
+    target: str
+    vm: str
+    detail: Mapping[str, str] | None
+
+    def build_event(self, process: str) -> Event:
+        """Returns the event, stamped by the process that it happened in."""
+        return Event(
+            Stamp(self.wall_ms, self.counter, process),
+            self.kind,
+            self.request,
+            self.target,
+            self.vm,
+            dict(self.detail or {}),
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Filter:
     """Which events are wanted; an empty field wants all.
@@ -104,6 +139,7 @@
 
 
 WANT_ALL: Final = Filter()
+READING: Final = operator.itemgetter(0, 1)
 
 
 class Ring:
@@ -116,37 +152,39 @@
         dropped: Events that were forgotten to make room.
     """
 
-    __slots__ = ("_requests", "_states", "dropped")
+    __slots__ = ("_process", "_requests", "_states", "dropped")
 
     def __init__(
         self,
+        process: str,
         request_capacity: int = REQUEST_CAPACITY_EVENTS,
         state_capacity: int = STATE_CAPACITY_EVENTS,
     ) -> None:
         """Prepares an empty ring.
 
         Args:
+            process: Name of the process, for the stamps.
             request_capacity: Most events to keep that are about a request.
             state_capacity: Most other events to keep.
         """
-        self._requests: collections.deque[Event] = collections.deque(
+        self._process = process
+        self._requests: collections.deque[Entry] = collections.deque(
             maxlen=request_capacity
         )
-        self._states: collections.deque[Event] = collections.deque(
+        self._states: collections.deque[Entry] = collections.deque(
             maxlen=state_capacity
         )
         self.dropped = 0
 
-    def append(self, event: Event) -> None:
+    def append(self, entry: Entry) -> None:
         """Adds an event; the oldest of its sort is dropped if need be."""
-        kept = self._requests if event.request else self._states
+        kept = self._requests if entry.request else self._states
         if len(kept) == kept.maxlen:
             self.dropped += 1
-        kept.append(event)
+        kept.append(entry)
 
     def list_events(self, wanted: Filter = WANT_ALL) -> list[Event]:
         """Returns the kept events that are wanted, oldest first."""
-        kept = [*self._requests, *self._states]
-        return sorted(
-            filter(wanted.matches, kept), key=lambda event: event.stamp
-        )
+        kept = sorted((*self._requests, *self._states), key=READING)
+        built = (entry.build_event(self._process) for entry in kept)
+        return [event for event in built if wanted.matches(event)]
--- a/wigeonspool/process.py
+++ b/wigeonspool/process.py
@@ -31,7 +31,7 @@
     def __init__(self, process: str) -> None:
         self._process = process
         self.clock = clocks.HybridClock(process)
-        self.ring = events.Ring()
+        self.ring = events.Ring(process)
 
     def record(
         self,
@@ -41,12 +41,22 @@
         vm: str = "",
         detail: Mapping[str, str] | None = None,
     ) -> None:
-        """Adds an event that happens now."""
-        stamp = self.clock.issue_stamp()
-        event = events.Event(
-            stamp, kind, request, target, vm, {**(detail or {})}
+        """Adds an event that happens now.
+
+        Args:
+            kind: What happened.
+            request: Identity of the request it is about, or "".
+            target: Address of the target it is about, or "".
+            vm: Name of the VM it is about, or "".
+            detail: Further facts by name; not changed afterwards.
+        """
+        clock = self.clock
+        clock.advance()
+        self.ring.append(
+            events.Entry(
+                clock.wall_ms, clock.counter, kind, request, target, vm, detail
+            )
         )
-        self.ring.append(event)
 
     def build_reply(self, wanted: events.Filter) -> messages.EventsReply:
         """Returns the events of this process that are wanted."""
--- a/wigeonspool/wire/clocks.py
+++ b/wigeonspool/wire/clocks.py
@@ -11,24 +11,33 @@
 
 
 class HybridClock:
-    """Issues stamps that rise and that follow every stamp observed."""
+    """Issues stamps that rise and that follow every stamp observed.
 
-    __slots__ = ("_counter", "_process", "_wall_ms")
+    Attributes:
+        wall_ms: Milliseconds since the epoch of the latest reading.
+        counter: Orders readings of the same millisecond.
+    """
+
+    __slots__ = ("_process", "counter", "wall_ms")
 
     def __init__(self, process: str) -> None:
         self._process = process
-        self._wall_ms = 0
-        self._counter = 0
+        self.wall_ms = 0
+        self.counter = 0
 
     def issue_stamp(self) -> events.Stamp:
         """Returns a stamp after all that were issued or observed."""
+        self.advance()
+        return events.Stamp(self.wall_ms, self.counter, self._process)
+
+    def advance(self) -> None:
+        """Moves past all readings that were issued or observed."""
         now_ms = time.time_ns() // 1_000_000
-        if now_ms > self._wall_ms:
-            self._wall_ms = now_ms
-            self._counter = 0
+        if now_ms > self.wall_ms:
+            self.wall_ms = now_ms
+            self.counter = 0
         else:
-            self._counter += 1
-        return events.Stamp(self._wall_ms, self._counter, self._process)
+            self.counter += 1
 
     def observe_stamp(self, stamp: events.Stamp) -> None:
         """Moves the clock past a stamp of another process.
@@ -40,9 +49,9 @@
             return
         if not 0 <= stamp.counter < MAX_COUNTER:
             return
-        if (stamp.wall_ms, stamp.counter) > (self._wall_ms, self._counter):
-            self._wall_ms = stamp.wall_ms
-            self._counter = stamp.counter
+        if (stamp.wall_ms, stamp.counter) > (self.wall_ms, self.counter):
+            self.wall_ms = stamp.wall_ms
+            self.counter = stamp.counter
 
 
 def read_clock() -> float:
