Choose the fields that pass on in one walk

A request's fields were copied and then five names removed one by one; an answer's fields were copied three times. Now one walk over the fields chooses them for both directions, and the answer keeps the pairs.

Found on the way: where a message has several Connection fields and the first is close or keep-alive, the names in the others were not taken off.

--- a/wigeonspool/gateway/egress.py
+++ b/wigeonspool/gateway/egress.py
@@ -241,10 +241,10 @@
     if body is None:
         response.close()
         return Attempt(tables.Result(tables.ResultKind.LOST))
-    fields = headers.select_end_to_end(response.headers)
+    fields = headers.list_end_to_end(response.headers)
     if bodiless and "Content-Length" in response.headers:
-        fields["Content-Length"] = response.headers["Content-Length"]
-    answer = once.Answer(response.status, tuple(fields.items()), body)
+        fields.append(("Content-Length", response.headers["Content-Length"]))
+    answer = once.Answer(response.status, tuple(fields), body)
     return Attempt(classify_answer(response), answer=answer)
 
 
--- a/wigeonspool/gateway/headers.py
+++ b/wigeonspool/gateway/headers.py
@@ -1,9 +1,9 @@
 """Names of the HTTP fields that callers, gateways and targets share."""
 
-from collections.abc import Mapping
 from typing import Final
 
 from multidict import CIMultiDict
+from multidict import CIMultiDictProxy
 from multidict import istr
 
 ASSIGNMENT: Final = istr("Wigeonspool-Assignment")
@@ -42,25 +42,32 @@
 )
 
 
-def select_end_to_end(fields: Mapping[str, str]) -> CIMultiDict[str]:
-    """Returns the fields that pass from one hop to the next.
+# What a caller's request does not pass on: those, and what it may not set.
+NOT_FROM_CALLERS: Final = HOP_BY_HOP | {name.lower() for name in GATEWAYS_OWN}
 
-    Fields that the Connection field names belong to the hop too.
+
+def list_end_to_end(
+    fields: CIMultiDictProxy[str], dropped: frozenset[str] = HOP_BY_HOP
+) -> list[tuple[str, str]]:
+    """Returns the fields that pass from one hop to the next, in order.
+
+    Fields that a Connection field names belong to the hop too.
 
     Args:
         fields: Fields of a message; names may occur more than once.
+        dropped: Names in lower case that do not pass in any case.
     """
-    passed = CIMultiDict(
-        [
-            (name, value)
-            for name, value in fields.items()
-            if name.lower() not in HOP_BY_HOP
-        ]
-    )
-    named = fields.get("Connection")
-    if named is None or named.lower() in ("keep-alive", "close"):
-        return passed
-    for value in CIMultiDict(fields).getall("Connection"):
-        for name in value.split(","):
-            passed.popall(name.strip(), None)
-    return passed
+    for value in fields.getall("Connection", ()):
+        named = value.lower()
+        if named not in ("keep-alive", "close"):
+            dropped |= {name.strip() for name in named.split(",")}
+    return [
+        (name, value)
+        for name, value in fields.items()
+        if name.lower() not in dropped
+    ]
+
+
+def select_end_to_end(fields: CIMultiDictProxy[str]) -> CIMultiDict[str]:
+    """Returns the fields that pass from one hop to the next."""
+    return CIMultiDict(list_end_to_end(fields))
--- a/wigeonspool/gateway/incoming.py
+++ b/wigeonspool/gateway/incoming.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 from aiohttp import web
+from multidict import CIMultiDict
 import xxhash
 
 from wigeonspool.gateway import egress
@@ -167,9 +168,9 @@
     deadline: float,
 ) -> egress.Outgoing:
     """Returns what a target gets of a request."""
-    fields = headers.select_end_to_end(request.headers)
-    for name in headers.GATEWAYS_OWN:
-        fields.popall(name, None)
+    fields = CIMultiDict(
+        headers.list_end_to_end(request.headers, headers.NOT_FROM_CALLERS)
+    )
     fields[headers.REQUEST] = request_id
     if isinstance(body, BodyStream) and body.length is not None:
         fields["Content-Length"] = str(body.length)
--- a/wigeonspool/gateway/relay.py
+++ b/wigeonspool/gateway/relay.py
@@ -51,8 +51,8 @@
 
 def build_answer(source: exchanges.TargetResponse, body: bytes) -> once.Answer:
     """Returns an answer that was read whole."""
-    fields = headers.select_end_to_end(source.headers)
-    return once.Answer(source.status, tuple(fields.items()), body)
+    fields = headers.list_end_to_end(source.headers)
+    return once.Answer(source.status, tuple(fields), body)
 
 
 def build_response(
