--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -12,7 +12,9 @@
 from wigeonspool.agent import hub
 from wigeonspool.agent import metrics
 from wigeonspool.model import errors
+from wigeonspool.model import inquiries
 from wigeonspool.model import messages
+from wigeonspool.wire import encoding
 from wigeonspool.wire import frames
 from wigeonspool.wire import proofs
 from wigeonspool.wire import senders
@@ -39,6 +41,9 @@
     max_leaves=20,
 )
 KINDS = strategies.sampled_from(sorted(messages.KINDS))
+# What the codec can carry, and what equals itself.
+strategies.register_type_strategy(int, strategies.integers(-(2**63), 2**64 - 1))
+strategies.register_type_strategy(float, strategies.floats(allow_nan=False))
 
 
 def pack(document: Any) -> bytes:
@@ -47,7 +52,7 @@
 
 
 def pack_message(message: messages.Message) -> bytes:
-    return frames.pack_frame(messages.encode_message(message))
+    return frames.pack_frame(encoding.encode_message(message))
 
 
 async def read_all(data: bytes, frame_seconds: float = 5.0) -> list[Any]:
@@ -59,7 +64,7 @@
         document = await frames.read_frame(reader, frame_seconds=frame_seconds)
         if document is None:
             return found
-        found.append(messages.decode_message(document))
+        found.append(encoding.decode_message(document))
 
 
 HELLO = messages.Hello("ctl", "operator", "", "")
@@ -68,8 +73,11 @@
     messages.Hello("vm-0-9", "gateway", "1", "vm-0"), ["test-key"]
 )
 NESTED = b"\x91" * 1000 + b"\x01"
-DEEP_VERSION = b"\x83\xa1v" + NESTED + b"\xa1k\xa5Hello\xa1b\x80"
-DEEP_KIND = b"\x83\xa1v\x01\xa1k" + NESTED + b"\xa1b\x80"
+DEEP_VERSION = b"\x92\xa5Hello\x91" + NESTED
+DEEP_KIND = b"\x92" + NESTED + b"\x90"
+VERSION = encoding.PROTOCOL_VERSION
+FIELDS = [VERSION, "ctl", "operator", "", ""]
+BAD_HEARTBEAT = ["Heartbeat", ["vm-1", "r", "a:1", "i", 1, 1, [{"name": "g"}]]]
 
 
 def prefix(body: bytes) -> bytes:
@@ -80,27 +88,35 @@
     "too long": (struct.pack(">I", 1 << 31), "frame-too-long"),
     "not msgpack": (prefix(b"\xc1\xc1\xc1"), "frame-encoding"),
     "http": (b"GET / HTTP/1.1\r\nHost: a\r\n\r\n", "frame-too-long"),
-    "not a map": (pack([1, 2]), "frame-encoding"),
+    "not an array": (pack({"v": 1, "k": "Hello", "b": {}}), "frame-encoding"),
+    "too many entries": (pack(["Hello", FIELDS, 1, 1, 1]), "frame-encoding"),
+    "half a stamp": (pack(["Hello", FIELDS, 1]), "frame-encoding"),
+    "stamp of text": (pack(["Hello", FIELDS, "1", "1"]), "frame-encoding"),
     "empty body": (prefix(b""), "frame-encoding"),
     "trailing bytes": (prefix(b"\x80\x80"), "frame-encoding"),
-    "wrong version": (pack({"v": 2, "k": "Hello", "b": {}}), "frame-version"),
-    "version is true": (
-        pack({"v": True, "k": "Hello", "b": {}}),
-        "frame-version",
+    "wrong version": (pack(["Hello", [1, *FIELDS[1:]]]), "frame-version"),
+    "version is true": (pack(["Hello", [True, *FIELDS[1:]]]), "frame-version"),
+    "no version": (pack(["Hello", []]), "frame-version"),
+    "unknown kind": (pack(["Nonsense", []]), "frame-kind"),
+    "missing body": (pack(["Hello"]), "frame-encoding"),
+    "missing field": (pack(["Hello", [VERSION, "a"]]), "frame-encoding"),
+    "fields by name": (pack(["Hello", {"process": "a"}]), "frame-encoding"),
+    "too many fields": (
+        pack(["Hello", [*FIELDS, 0, "", "", "more"]]),
+        "frame-encoding",
     ),
-    "unknown kind": (pack({"v": 1, "k": "Nonsense", "b": {}}), "frame-kind"),
-    "missing body": (pack({"v": 1, "k": "Hello"}), "frame-encoding"),
-    "missing field": (
-        pack({"v": 1, "k": "Hello", "b": {"process": "a"}}),
+    "field of a wrong type": (
+        pack(["Hello", [VERSION, 1, "operator", "", ""]]),
         "frame-encoding",
     ),
+    "inner fields by name": (pack(BAD_HEARTBEAT), "frame-encoding"),
     "nested beyond the codec": (prefix(b"\x91" * 3000), "frame-encoding"),
     "deep version": (prefix(DEEP_VERSION), "frame-version"),
     "deep kind": (prefix(DEEP_KIND), "frame-kind"),
     "announced map": (prefix(b"\xdf\xff\xff\xff\xff"), "frame-encoding"),
     "half-sent": (pack_message(HELLO)[:-3], "frame-cut"),
     "half a header": (b"\x00\x00", "frame-cut"),
-    "not a hello": (pack_message(messages.StatusRequest()), "frame-kind"),
+    "not a hello": (pack_message(inquiries.StatusRequest()), "frame-kind"),
     "unknown role": (
         pack_message(dataclasses.replace(HELLO, role="root")),
         "sender-role",
@@ -145,7 +161,7 @@
     @FUZZ
     def test_any_document_gives_wire_errors_only(self, document: Any) -> None:
         with pytest.raises(errors.WireError):
-            messages.decode_message(document)
+            encoding.decode_message(document)
 
     @hypothesis.given(KINDS, strategies.data())
     @FUZZ
@@ -153,20 +169,24 @@
         self, kind: str, data: strategies.DataObject
     ) -> None:
         names = [f.name for f in dataclasses.fields(messages.KINDS[kind])]
-        body = data.draw(
-            strategies.dictionaries(
-                strategies.sampled_from([*names, "other"]), DOCUMENTS
-            )
-        )
-        document = frames.unpack_body(
-            pack({"v": messages.PROTOCOL_VERSION, "k": kind, "b": body})[4:]
-        )
+        fields = data.draw(strategies.lists(DOCUMENTS, max_size=len(names) + 1))
+        version = [VERSION] if kind == "Hello" else []
+        document = frames.unpack_body(pack([kind, version + fields])[4:])
         try:
-            message = messages.decode_message(document)
+            message = encoding.decode_message(document)
         except errors.WireError:
             return
         assert type(message).__name__ == kind
 
+    @hypothesis.given(KINDS, strategies.data())
+    @FUZZ
+    def test_message_comes_as_it_was_sent(
+        self, kind: str, data: strategies.DataObject
+    ) -> None:
+        message = data.draw(strategies.from_type(messages.KINDS[kind]))
+        document = frames.unpack_body(pack_message(message)[4:])
+        assert encoding.decode_message(document) == message
+
     async def test_frame_that_stalls_is_given_up(self) -> None:
         reader = asyncio.StreamReader()
         reader.feed_data(b"\x00\x00\x00\x09abc")
--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -6,27 +6,28 @@
 """
 
 import collections
-from collections.abc import Iterable, Mapping
-import heapq
-from typing import Final
+from collections.abc import Callable, Iterable, Mapping
 
 from wigeonspool.core import actions
-from wigeonspool.core import health
+from wigeonspool.core import explaining
+from wigeonspool.core import lateness
 from wigeonspool.core import pools
+from wigeonspool.core import probing
 from wigeonspool.core import quarantine
 from wigeonspool.core import retrying
 from wigeonspool.core import supervision
 from wigeonspool.core import tables
 from wigeonspool.model import entities
+from wigeonspool.model import measurements
 from wigeonspool.model import outcomes
 
-MAX_ATTEMPTS: Final = 3
-# Attempts that provably did not run cost a target nothing, so more are made.
-MAX_SENDS: Final = 12
-
 
 class Dispatcher:
-    """Holds the tables of one gateway and runs the systems over them."""
+    """Holds the tables of one gateway and runs the systems over them.
+
+    Attributes:
+        on_explained: Called with each decision on a sampled request.
+    """
 
     def __init__(self, zone: str) -> None:
         """Prepares empty tables.
@@ -41,7 +42,10 @@
         self._leaving: frozenset[str] = frozenset()
         self._waiting: set[str] = set()
         self._watched: set[str] = set()
+        self._unusual: set[tuple[str, str]] = set()
         self._quarantine = quarantine.QuarantineTable()
+        self.on_explained: Callable[[explaining.Explanation], None]
+        self.on_explained = lambda explanation: None
 
     def configure(self, listed: Iterable[entities.Pool]) -> None:
         """Takes the pools of a new generation; running work goes on."""
@@ -49,7 +53,10 @@
         for name in self._pools.keys() - wanted.keys():
             self._pools[name].replace_targets({})
         for name, pool in wanted.items():
-            row = self._pools.setdefault(name, pools.PoolRow(pool, self._zone))
+            row = self._pools.get(name)
+            if row is None:
+                row = pools.PoolRow(pool, self._zone, self._unusual)
+                self._pools[name] = row
             row.set_near_zones(self._near_zones)
             row.pool = pool
             row.replace_targets(
@@ -110,6 +117,10 @@
         row = self._pools.get(pool)
         return list(row.targets.values()) if row else []
 
+    def list_unusual(self) -> list[tuple[entities.Pool, tables.TargetRow]]:
+        """Returns the targets that do not simply serve, with their pools."""
+        return supervision.list_unusual(self._pools, self._unusual)
+
     def count_queued(self) -> collections.Counter[str]:
         """Returns the number of requests that wait for a slot, by pool."""
         return collections.Counter(
@@ -118,6 +129,20 @@
             if request.state is tables.RequestState.QUEUED
         )
 
+    def list_out(self, now: float) -> dict[str, tuple[str, ...]]:
+        """Returns the targets that should be measured, by pool."""
+        out = {
+            name: probing.list_out(now, self._pools[name])
+            for name in self._watched
+        }
+        return {name: addresses for name, addresses in out.items() if addresses}
+
+    def take_probe(self, now: float, result: measurements.ProbeResult) -> None:
+        """Takes the result of a probe; the next tick acts on it."""
+        row = self._pools.get(result.pool)
+        if row is not None:
+            probing.take_result(now, row, result.target, result.state)
+
     def submit(
         self, now: float, request: tables.RequestRow
     ) -> list[actions.Action]:
@@ -132,19 +157,25 @@
         """
         row = self._pools.get(request.pool)
         if row is None:
-            return [self._refuse(request, outcomes.Reason.NOT_CONFIGURED)]
+            return [self._refuse(now, request, outcomes.Reason.NOT_CONFIGURED)]
         if request.deadline <= now:
-            return [self._refuse(request, outcomes.Reason.DEADLINE_PASSED)]
+            return [self._refuse(now, request, outcomes.Reason.DEADLINE_PASSED)]
         if self._quarantine.is_refused(now, request.fingerprint):
-            return [self._refuse(request, outcomes.Reason.QUARANTINED)]
+            return [self._refuse(now, request, outcomes.Reason.QUARANTINED)]
         if not row.admits(now, request):
             reason = outcomes.Reason.DEADLINE_UNREACHABLE
-            return [self._refuse(request, reason)]
+            return [self._refuse(now, request, reason)]
         request.arrived_at = now
         self._requests[request.request_id] = request
         retrying.earn_retries(row.retries, row.pool.retry_fraction)
         row.enqueue(request)
-        return self._dispatch(now, row)
+        done = self._dispatch(now, row)
+        if request.sampled_as and request.state is tables.RequestState.QUEUED:
+            avoided = self._find_avoided(row, request)
+            self.on_explained(
+                explaining.explain_wait(now, row, request, avoided)
+            )
+        return done
 
     def finish(
         self, now: float, request_id: int, target: str, result: tables.Result
@@ -190,7 +221,7 @@
         request.state = tables.RequestState.SETTLED
         return done + self._dispatch(now, row)
 
-    def refuse_queued(self) -> list[actions.Action]:
+    def refuse_queued(self, now: float) -> list[actions.Action]:
         """Refuses all requests that wait, since this gateway stops."""
         queued = [
             request
@@ -198,7 +229,7 @@
             if request.state is tables.RequestState.QUEUED
         ]
         return [
-            self._refuse(request, outcomes.Reason.DRAINING)
+            self._refuse(now, request, outcomes.Reason.DRAINING)
             for request in queued
         ]
 
@@ -207,7 +238,7 @@
         done: list[actions.Action] = []
         for name in list(self._watched):
             row = self._pools[name]
-            self._note_overdue(now, row)
+            lateness.judge_overdue(now, row, self._requests)
             supervision.restore_targets(now, row)
             if not row.overdue and not row.returns:
                 self._watched.discard(name)
@@ -215,17 +246,14 @@
             done += self._dispatch(now, self._pools[name])
         return done
 
-    def _note_overdue(self, now: float, row: pools.PoolRow) -> None:
-        """Judges targets by attempts that should have ended by now."""
-        while row.overdue and row.overdue[0][0] <= now:
-            _, request_id, attempt = heapq.heappop(row.overdue)
-            request = self._requests.get(request_id)
-            if (
-                request is not None
-                and request.state is tables.RequestState.RUNNING
-                and request.attempts == attempt
-            ):
-                supervision.learn_overdue(now, row, request)
+    def find_due(self) -> float:
+        """Returns by when the next tick should run, on the core's clock."""
+        if self._waiting:
+            return float("-inf")
+        rows = [self._pools[name] for name in self._watched]
+        planned = [row.overdue[0][0] for row in rows if row.overdue]
+        planned += [row.returns[0][0] for row in rows if row.returns]
+        return min(planned, default=float("inf"))
 
     def _release(
         self,
@@ -236,11 +264,7 @@
         result: tables.Result | None,
     ) -> None:
         """Frees the slot of an attempt and learns from its result, if any."""
-        row.count_end(request)
-        if request.suspect:
-            request.suspect = False
-            row.suspects[address] -= 1
-            row.suspects += collections.Counter()
+        row.count_end(request, address)
         target = row.targets.get(address)
         if target is None:
             return
@@ -264,8 +288,8 @@
         if result.kind is not tables.ResultKind.NOT_RUN:
             request.may_have_run = True
         if self._quarantine.is_refused(now, request.fingerprint):
-            return [self._refuse(request, outcomes.Reason.QUARANTINED)]
-        if self._may_retry(now, row, request, result):
+            return [self._refuse(now, request, outcomes.Reason.QUARANTINED)]
+        if retrying.may_retry(now, row.retries, request, result):
             request.state = tables.RequestState.QUEUED
             request.target = ""
             row.enqueue(request)
@@ -273,30 +297,10 @@
         if result.kind is tables.ResultKind.FAILED:
             return [self._settle(request, None)]
         if result.kind is tables.ResultKind.NOT_RUN:
-            return [self._refuse(request, outcomes.Reason.TARGET_REFUSED)]
+            return [self._refuse(now, request, outcomes.Reason.TARGET_REFUSED)]
         failure = outcomes.doubt(outcomes.Reason.CONNECTION_LOST)
         return [self._settle(request, failure)]
 
-    def _may_retry(
-        self,
-        now: float,
-        row: pools.PoolRow,
-        request: tables.RequestRow,
-        result: tables.Result,
-    ) -> bool:
-        """Returns True if a request may be sent once more.
-
-        What did not run costs nothing and needs no budget.
-        """
-        if now >= request.deadline or request.attempts >= MAX_SENDS:
-            return False
-        if result.kind is tables.ResultKind.NOT_RUN:
-            return True
-        request.failures += 1
-        if not request.idempotent or request.failures >= MAX_ATTEMPTS:
-            return False
-        return retrying.spend_retry(row.retries)
-
     def _settle(
         self, request: tables.RequestRow, failure: outcomes.Failure | None
     ) -> actions.Action:
@@ -306,9 +310,17 @@
         return actions.Settle(request.request_id, failure)
 
     def _refuse(
-        self, request: tables.RequestRow, reason: outcomes.Reason
+        self,
+        now: float,
+        request: tables.RequestRow,
+        reason: outcomes.Reason,
     ) -> actions.Action:
         """Ends a request that will not be sent any more."""
+        if request.sampled_as:
+            row = self._pools.get(request.pool)
+            self.on_explained(
+                explaining.explain_refusal(now, row, request, reason)
+            )
         failure = (
             outcomes.doubt(reason)
             if request.may_have_run
@@ -326,12 +338,17 @@
                 reason = outcomes.Reason.DEADLINE_UNREACHABLE
                 if request.deadline <= now:
                     reason = outcomes.Reason.DEADLINE_PASSED
-                done.append(self._refuse(request, reason))
+                done.append(self._refuse(now, request, reason))
                 continue
-            target = self._choose(row, request)
+            avoided = self._find_avoided(row, request)
+            target = row.choose(request, avoided)
             if target is None:
                 break
             row.queue.pop(request)
+            if request.sampled_as:
+                self.on_explained(
+                    explaining.explain_send(now, row, request, target, avoided)
+                )
             done.append(self._send(now, row, request, target))
         if row.queue:
             self._waiting.add(row.pool.name)
@@ -339,14 +356,13 @@
             self._waiting.discard(row.pool.name)
         return done
 
-    def _choose(
+    def _find_avoided(
         self, row: pools.PoolRow, request: tables.RequestRow
-    ) -> tables.TargetRow | None:
-        """Returns the target with the most free slots, near ones first."""
-        avoided = request.tried
+    ) -> frozenset[str]:
+        """Returns the targets that a request uses only if there is no other."""
         if self._quarantine.is_suspect(request.fingerprint):
-            avoided = avoided | row.suspects.keys()
-        return row.choose(request, avoided)
+            return request.tried | row.suspects.keys()
+        return request.tried
 
     def _send(
         self,
@@ -356,27 +372,8 @@
         target: tables.TargetRow,
     ) -> actions.Action:
         """Starts an attempt."""
-        row.count_start(request)
-        target.in_flight += 1
-        row.index.place(target)
-        request.state = tables.RequestState.RUNNING
-        request.target = target.address
-        request.sent_at = now
-        request.attempts += 1
-        request.overdue = False
-        if self._quarantine.is_suspect(request.fingerprint):
-            request.suspect = True
-            row.suspects[target.address] += 1
-        self._expect_end(now, row, request)
-        return actions.Send(request.request_id, target.address)
-
-    def _expect_end(
-        self, now: float, row: pools.PoolRow, request: tables.RequestRow
-    ) -> None:
-        """Plans a look at an attempt when it should have ended."""
-        median = row.times.find(request.route).median
-        if median:
-            at = now + health.find_slow_seconds(median)
-            entry = (at, request.request_id, request.attempts)
-            heapq.heappush(row.overdue, entry)
+        request.suspect = self._quarantine.is_suspect(request.fingerprint)
+        row.count_start(now, request, target)
+        if lateness.expect_end(now, row, request):
             self._watched.add(row.pool.name)
+        return actions.Send(request.request_id, target.address)
--- a/wigeonspool/process.py
+++ b/wigeonspool/process.py
@@ -11,7 +11,7 @@
 import uvloop
 
 from wigeonspool.model import events
-from wigeonspool.model import messages
+from wigeonspool.model import inquiries
 from wigeonspool.wire import clocks
 
 EXIT_INVALID_SETTINGS: Final = 2
@@ -50,17 +50,34 @@
             vm: Name of the VM it is about, or "".
             detail: Further facts by name; not changed afterwards.
         """
+        entry = self._stamp(kind, request, target, vm, detail)
+        self.ring.append(entry)
+
+    def record_decision(
+        self, kind: events.Kind, request: str, target: str, detail: events.Facts
+    ) -> None:
+        """Adds a decision that is made now, with its reasons."""
+        entry = self._stamp(kind, request, target, "", detail)
+        self.ring.append_decision(entry)
+
+    def _stamp(
+        self,
+        kind: events.Kind,
+        request: str,
+        target: str,
+        vm: str,
+        detail: Mapping[str, str] | None,
+    ) -> events.Entry:
+        """Returns an event that happens now, as it is kept."""
         clock = self.clock
         clock.advance()
-        self.ring.append(
-            events.Entry(
-                clock.wall_ms, clock.counter, kind, request, target, vm, detail
-            )
+        return events.Entry(
+            clock.wall_ms, clock.counter, kind, request, target, vm, detail
         )
 
-    def build_reply(self, wanted: events.Filter) -> messages.EventsReply:
+    def build_reply(self, wanted: events.Filter) -> inquiries.EventsReply:
         """Returns the events of this process that are wanted."""
-        return messages.EventsReply(
+        return inquiries.EventsReply(
             self._process,
             tuple(self.ring.list_events(wanted)),
             {self._process: self.ring.dropped},
