--- a/wigeonspool/gateway/egress.py
+++ b/wigeonspool/gateway/egress.py
@@ -258,10 +258,10 @@
     if body is None:
         response.close()
         return Attempt(tables.Result(tables.ResultKind.LOST))
-    fields = headers.select_end_to_end(response.headers)
+    fields = headers.list_end_to_end(response.headers)
     if bodiless and "Content-Length" in response.headers:
-        fields["Content-Length"] = response.headers["Content-Length"]
-    answer = once.Answer(response.status, tuple(fields.items()), body)
+        fields.append(("Content-Length", response.headers["Content-Length"]))
+    answer = once.Answer(response.status, tuple(fields), body)
     return Attempt(classify_answer(response), answer=answer)
 
 
@@ -269,9 +269,14 @@
     response: exchanges.TargetResponse, bound: int
 ) -> bytes | None:
     """Returns a whole body, or None if it exceeds a bound in bytes."""
+    content = response.content
+    # A short answer usually arrives in one piece.
+    if content.is_eof():
+        whole = content.read_nowait()
+        return whole if len(whole) <= bound else None
     parts: list[bytes] = []
     size = 0
-    async for part in response.content.iter_any():
+    while part := await content.readany():
         parts.append(part)
         size += len(part)
         if size > bound:
--- a/wigeonspool/process.py
+++ b/wigeonspool/process.py
@@ -31,7 +31,7 @@
     def __init__(self, process: str) -> None:
         self._process = process
         self.clock = clocks.HybridClock(process)
-        self.ring = events.Ring()
+        self.ring = events.Ring(process)
 
     def record(
         self,
@@ -41,20 +41,39 @@
         vm: str = "",
         detail: Mapping[str, str] | None = None,
     ) -> None:
-        """Adds an event that happens now."""
-        stamp = self.clock.issue_stamp()
-        event = events.Event(
-            stamp, kind, request, target, vm, {**(detail or {})}
-        )
-        self.ring.append(event)
+        """Adds an event that happens now.
+
+        Args:
+            kind: What happened.
+            request: Identity of the request it is about, or "".
+            target: Address of the target it is about, or "".
+            vm: Name of the VM it is about, or "".
+            detail: Further facts by name; not changed afterwards.
+        """
+        entry = self._stamp(kind, request, target, vm, detail)
+        self.ring.append(entry)
 
     def record_decision(
         self, kind: events.Kind, request: str, target: str, detail: events.Facts
     ) -> None:
         """Adds a decision that is made now, with its reasons."""
-        stamp = self.clock.issue_stamp()
-        event = events.Event(stamp, kind, request, target, detail=detail)
-        self.ring.append_decision(event)
+        entry = self._stamp(kind, request, target, "", detail)
+        self.ring.append_decision(entry)
+
+    def _stamp(
+        self,
+        kind: events.Kind,
+        request: str,
+        target: str,
+        vm: str,
+        detail: Mapping[str, str] | None,
+    ) -> events.Entry:
+        """Returns an event that happens now, as it is kept."""
+        clock = self.clock
+        clock.advance()
+        return events.Entry(
+            clock.wall_ms, clock.counter, kind, request, target, vm, detail
+        )
 
     def build_reply(self, wanted: events.Filter) -> inquiries.EventsReply:
         """Returns the events of this process that are wanted."""
