--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -12,11 +12,13 @@
 from wigeonspool.core import explaining
 from wigeonspool.core import lateness
 from wigeonspool.core import pools
+from wigeonspool.core import probing
 from wigeonspool.core import quarantine
 from wigeonspool.core import retrying
 from wigeonspool.core import supervision
 from wigeonspool.core import tables
 from wigeonspool.model import entities
+from wigeonspool.model import measurements
 from wigeonspool.model import outcomes
 
 
@@ -40,6 +42,7 @@
         self._leaving: frozenset[str] = frozenset()
         self._waiting: set[str] = set()
         self._watched: set[str] = set()
+        self._unusual: set[tuple[str, str]] = set()
         self._quarantine = quarantine.QuarantineTable()
         self.on_explained: Callable[[explaining.Explanation], None]
         self.on_explained = lambda explanation: None
@@ -50,7 +53,10 @@
         for name in self._pools.keys() - wanted.keys():
             self._pools[name].replace_targets({})
         for name, pool in wanted.items():
-            row = self._pools.setdefault(name, pools.PoolRow(pool, self._zone))
+            row = self._pools.get(name)
+            if row is None:
+                row = pools.PoolRow(pool, self._zone, self._unusual)
+                self._pools[name] = row
             row.set_near_zones(self._near_zones)
             row.pool = pool
             row.replace_targets(
@@ -111,6 +117,10 @@
         row = self._pools.get(pool)
         return list(row.targets.values()) if row else []
 
+    def list_unusual(self) -> list[tuple[entities.Pool, tables.TargetRow]]:
+        """Returns the targets that do not simply serve, with their pools."""
+        return supervision.list_unusual(self._pools, self._unusual)
+
     def count_queued(self) -> collections.Counter[str]:
         """Returns the number of requests that wait for a slot, by pool."""
         return collections.Counter(
@@ -119,6 +129,20 @@
             if request.state is tables.RequestState.QUEUED
         )
 
+    def list_out(self, now: float) -> dict[str, tuple[str, ...]]:
+        """Returns the targets that should be measured, by pool."""
+        out = {
+            name: probing.list_out(now, self._pools[name])
+            for name in self._watched
+        }
+        return {name: addresses for name, addresses in out.items() if addresses}
+
+    def take_probe(self, now: float, result: measurements.ProbeResult) -> None:
+        """Takes the result of a probe; the next tick acts on it."""
+        row = self._pools.get(result.pool)
+        if row is not None:
+            probing.take_result(now, row, result.target, result.state)
+
     def submit(
         self, now: float, request: tables.RequestRow
     ) -> list[actions.Action]:
@@ -222,6 +246,15 @@
             done += self._dispatch(now, self._pools[name])
         return done
 
+    def find_due(self) -> float:
+        """Returns by when the next tick should run, on the core's clock."""
+        if self._waiting:
+            return float("-inf")
+        rows = [self._pools[name] for name in self._watched]
+        planned = [row.overdue[0][0] for row in rows if row.overdue]
+        planned += [row.returns[0][0] for row in rows if row.returns]
+        return min(planned, default=float("inf"))
+
     def _release(
         self,
         now: float,
--- a/wigeonspool/model/events.py
+++ b/wigeonspool/model/events.py
@@ -4,9 +4,11 @@
 """
 
 import collections
+from collections.abc import Mapping
 import dataclasses
 import enum
-from typing import Final
+import operator
+from typing import Final, NamedTuple
 
 REQUEST_CAPACITY_EVENTS: Final = 4096
 DECISION_CAPACITY_EVENTS: Final = 512
@@ -81,6 +83,39 @@
     detail: Facts = dataclasses.field(default_factory=dict)
 
 
+class Entry(NamedTuple):
+    """An event as a process keeps it: cheap to make, and seldom read.
+
+    Attributes:
+        wall_ms: Time of its stamp, in milliseconds since the epoch.
+        counter: Counter of its stamp.
+        kind: What happened.
+        request: Identity of the request it is about, or "".
+        target: Address of the target it is about, or "".
+        vm: Name of the VM it is about, or "".
+        detail: Further facts by name, or None.
+    """
+
+    wall_ms: int
+    counter: int
+    kind: Kind
+    request: str
+    target: str
+    vm: str
+    detail: Mapping[str, str] | None
+
+    def build_event(self, process: str) -> Event:
+        """Returns the event, stamped by the process that it happened in."""
+        return Event(
+            Stamp(self.wall_ms, self.counter, process),
+            self.kind,
+            self.request,
+            self.target,
+            self.vm,
+            dict(self.detail or {}),
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Filter:
     """Which events are wanted; an empty field wants all.
@@ -111,6 +146,7 @@
 
 
 WANT_ALL: Final = Filter()
+READING: Final = operator.itemgetter(0, 1)
 
 
 class Ring:
@@ -124,10 +160,11 @@
         dropped: Events that were forgotten to make room.
     """
 
-    __slots__ = ("_decisions", "_requests", "_states", "dropped")
+    __slots__ = ("_decisions", "_process", "_requests", "_states", "dropped")
 
     def __init__(
         self,
+        process: str,
         request_capacity: int = REQUEST_CAPACITY_EVENTS,
         state_capacity: int = STATE_CAPACITY_EVENTS,
         decision_capacity: int = DECISION_CAPACITY_EVENTS,
@@ -135,38 +172,42 @@
         """Prepares an empty ring.
 
         Args:
+            process: Name of the process, for the stamps.
             request_capacity: Most events to keep that are about a request.
             state_capacity: Most other events to keep.
             decision_capacity: Most explained decisions to keep.
         """
-        self._decisions: collections.deque[Event] = collections.deque(
+        self._process = process
+        self._decisions: collections.deque[Entry] = collections.deque(
             maxlen=decision_capacity
         )
-        self._requests: collections.deque[Event] = collections.deque(
+        self._requests: collections.deque[Entry] = collections.deque(
             maxlen=request_capacity
         )
-        self._states: collections.deque[Event] = collections.deque(
+        self._states: collections.deque[Entry] = collections.deque(
             maxlen=state_capacity
         )
         self.dropped = 0
 
-    def append(self, event: Event) -> None:
+    def append(self, entry: Entry) -> None:
         """Adds an event; the oldest of its sort is dropped if need be."""
-        self._keep(self._requests if event.request else self._states, event)
+        self._keep(self._requests if entry.request else self._states, entry)
 
-    def append_decision(self, event: Event) -> None:
+    def append_decision(self, entry: Entry) -> None:
         """Adds an explained decision; the oldest is dropped if need be."""
-        self._keep(self._decisions, event)
+        self._keep(self._decisions, entry)
 
-    def _keep(self, kept: collections.deque[Event], event: Event) -> None:
+    def _keep(self, kept: collections.deque[Entry], entry: Entry) -> None:
         """Adds an event to those of its sort."""
         if len(kept) == kept.maxlen:
             self.dropped += 1
-        kept.append(event)
+        kept.append(entry)
 
     def list_events(self, wanted: Filter = WANT_ALL) -> list[Event]:
         """Returns the kept events that are wanted, oldest first."""
-        kept = [*self._requests, *self._decisions, *self._states]
-        return sorted(
-            filter(wanted.matches, kept), key=lambda event: event.stamp
+        kept = (*self._requests, *self._decisions, *self._states)
+        built = (
+            entry.build_event(self._process)
+            for entry in sorted(kept, key=READING)
         )
+        return [event for event in built if wanted.matches(event)]
