Choose a target without passing over the places of removed ones

Cause of the growth of a decision's cost with the pool: a bucket of targets with equal free slots was a plain dictionary, from which the first target was taken each time. Such a dictionary keeps the places of what was removed until it is rebuilt, and each look at its first entry passes over them, thousands in a pool of 10,000. A bucket is an OrderedDict now, whose first entry is found at once and in the same order.

No new test: what was slow are no lines of ours, so that a count cannot see it.

--- a/wigeonspool/core/choosing.py
+++ b/wigeonspool/core/choosing.py
@@ -5,6 +5,7 @@
 bucket, so the cost of a choice does not grow with the pool.
 """
 
+import collections
 from collections.abc import Iterator
 import enum
 from typing import Final
@@ -12,6 +13,7 @@
 from wigeonspool.core import tables
 
 LEVELS: Final = 16
+Bucket = collections.OrderedDict[str, tables.TargetRow]
 
 
 class Group(enum.IntEnum):
@@ -33,8 +35,11 @@
 
     def __init__(self) -> None:
         """Prepares empty buckets."""
-        self._buckets: list[list[dict[str, tables.TargetRow]]] = [
-            [{} for _ in range(LEVELS + 1)] for _ in Group
+        # A plain dictionary keeps the places of what was removed from its
+        # front, and each look at its first entry would pass over them.
+        self._buckets: list[list[Bucket]] = [
+            [collections.OrderedDict() for _ in range(LEVELS + 1)]
+            for _ in Group
         ]
         self._places: dict[str, tuple[int, int]] = {}
 
