Look for a target only in the levels that were ever in use

A choice looked at all 16 levels of free slots in each group, though targets of 4 slots use 4. The index keeps the highest level in use by group. The order of choice is the same.

--- a/wigeonspool/core/choosing.py
+++ b/wigeonspool/core/choosing.py
@@ -31,7 +31,7 @@
 class TargetIndex:
     """The targets of a pool, arranged by group and free slots."""
 
-    __slots__ = ("_buckets", "_places")
+    __slots__ = ("_buckets", "_places", "_tops")
 
     def __init__(self) -> None:
         """Prepares empty buckets."""
@@ -42,6 +42,8 @@
             for _ in Group
         ]
         self._places: dict[str, tuple[int, int]] = {}
+        # The highest level that was in use, by group.
+        self._tops = [0 for _ in Group]
 
     def place(self, target: tables.TargetRow) -> None:
         """Puts a target where it belongs, after any change of its row."""
@@ -53,6 +55,8 @@
         if known is not None:
             del self._buckets[known[0]][known[1]][target.address]
         self._places[target.address] = place
+        if level > self._tops[target.group]:
+            self._tops[target.group] = level
         self._buckets[place[0]][place[1]][target.address] = target
 
     def remove(self, address: str) -> None:
@@ -75,8 +79,9 @@
             first: First group to look at.
         """
         fallback: tables.TargetRow | None = None
-        for buckets in self._buckets[first : farthest + 1]:
-            for level in range(LEVELS, 0, -1):
+        for group in range(first, farthest + 1):
+            buckets = self._buckets[group]
+            for level in range(self._tops[group], 0, -1):
                 # At most as many rows are passed over as were tried.
                 for target in buckets[level].values():
                     if target.address not in tried:
