Keep the attempts to look at in the order in which they were sent

Each attempt went into a heap ordered by the time from which it is slow and stayed there for 8 medians, long after it had ended. They stand in a queue by route now, in which those that ended are dropped when they come first, and the limit is that of the route when it is looked at.

--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -238,9 +238,9 @@
         done: list[actions.Action] = []
         for name in list(self._watched):
             row = self._pools[name]
-            lateness.judge_overdue(now, row, self._requests)
+            lateness.judge_overdue(now, row)
             supervision.restore_targets(now, row)
-            if not row.overdue and not row.returns:
+            if not row.sent and not row.returns:
                 self._watched.discard(name)
         for name in list(self._waiting):
             done += self._dispatch(now, self._pools[name])
@@ -251,7 +251,7 @@
         if self._waiting:
             return float("-inf")
         rows = [self._pools[name] for name in self._watched]
-        planned = [row.overdue[0][0] for row in rows if row.overdue]
+        planned = [lateness.find_due(row) for row in rows]
         planned += [row.returns[0][0] for row in rows if row.returns]
         return min(planned, default=float("inf"))
 
@@ -374,6 +374,6 @@
         """Starts an attempt."""
         request.suspect = self._quarantine.is_suspect(request.fingerprint)
         row.count_start(now, request, target)
-        if lateness.expect_end(now, row, request):
+        if lateness.expect_end(row, request):
             self._watched.add(row.pool.name)
         return actions.Send(request.request_id, target.address)
--- a/wigeonspool/core/lateness.py
+++ b/wigeonspool/core/lateness.py
@@ -1,11 +1,13 @@
 """Looks at attempts that should have ended by now.
 
 An attempt that hangs has no result to judge its target by, so each is looked
-at once at the time from which it counts as slow.
+at once at the time from which it counts as slow. Attempts of a route wait for
+that look in the order in which they were sent; those that ended are dropped
+when they come first.
 """
 
-from collections.abc import Mapping
-import heapq
+import collections
+import math
 
 from wigeonspool.core import health
 from wigeonspool.core import pools
@@ -13,13 +15,10 @@
 from wigeonspool.core import tables
 
 
-def expect_end(
-    now: float, row: pools.PoolRow, request: tables.RequestRow
-) -> bool:
+def expect_end(row: pools.PoolRow, request: tables.RequestRow) -> bool:
     """Plans a look at an attempt when it should have ended.
 
     Args:
-        now: Time at which it was sent, on the core's clock, in seconds.
         row: Pool of the request.
         request: Request of the attempt.
 
@@ -29,29 +28,45 @@
     median = row.times.find(request.route).median
     if not median:
         return False
-    at = now + health.find_slow_seconds(median)
-    heapq.heappush(row.overdue, (at, request.request_id, request.attempts))
+    sent = row.sent.get(request.route)
+    if sent is None:
+        sent = row.sent[request.route] = collections.deque()
+    sent.append((request.sent_at, request.attempts, request))
     return True
 
 
-def judge_overdue(
-    now: float,
-    row: pools.PoolRow,
-    requests: Mapping[int, tables.RequestRow],
-) -> None:
+def judge_overdue(now: float, row: pools.PoolRow) -> None:
     """Judges targets by attempts that should have ended by now.
 
     Args:
         now: Time on the core's clock, in seconds.
         row: Pool whose attempts are looked at.
-        requests: Requests that are not settled, by their numbers.
     """
-    while row.overdue and row.overdue[0][0] <= now:
-        _, request_id, attempt = heapq.heappop(row.overdue)
-        request = requests.get(request_id)
-        if (
-            request is not None
-            and request.state is tables.RequestState.RUNNING
-            and request.attempts == attempt
-        ):
-            supervision.learn_overdue(now, row, request)
+    for route, sent in list(row.sent.items()):
+        slow = health.find_slow_seconds(row.times.find(route).median)
+        while sent:
+            sent_at, attempt, request = sent[0]
+            if _is_running(request, attempt):
+                if sent_at + slow > now:
+                    break
+                supervision.learn_overdue(now, row, request)
+            sent.popleft()
+        if not sent:
+            del row.sent[route]
+
+
+def find_due(row: pools.PoolRow) -> float:
+    """Returns by when an attempt may have to be looked at."""
+    return min(
+        (
+            sent[0][0] + health.find_slow_seconds(row.times.find(route).median)
+            for route, sent in row.sent.items()
+        ),
+        default=math.inf,
+    )
+
+
+def _is_running(request: tables.RequestRow, attempt: int) -> bool:
+    """Returns True if an attempt of a request has not ended."""
+    running = request.state is tables.RequestState.RUNNING
+    return running and request.attempts == attempt
--- a/wigeonspool/core/pools.py
+++ b/wigeonspool/core/pools.py
@@ -33,7 +33,8 @@
         own_targets: Targets that this gateway shares with no other.
         ejected: Addresses of those that are ejected.
         returns: Heap of (time, address) at which targets may serve again.
-        overdue: Heap of (time, request id, attempt) at which attempts are slow.
+        sent: Attempts by route as (time, number, request), in the order in
+            which they were sent, to be looked at when they should have ended.
         retries: Budget of retries.
         suspects: Running attempts of suspects by target address.
         unusual: Pool and address of targets that do not simply serve, shared
@@ -50,12 +51,12 @@
         "ejected",
         "index",
         "long_limit",
-        "overdue",
         "own_targets",
         "pool",
         "queue",
         "retries",
         "returns",
+        "sent",
         "slots",
         "suspects",
         "targets",
@@ -87,7 +88,9 @@
         self.own_targets = 0
         self.ejected: set[str] = set()
         self.returns: list[tuple[float, str]] = []
-        self.overdue: list[tuple[float, int, int]] = []
+        self.sent: dict[
+            str, collections.deque[tuple[float, int, tables.RequestRow]]
+        ] = {}
         self.retries = retrying.RetryBudget()
         self.suspects: collections.Counter[str] = collections.Counter()
         self._zone = zone
