Count a crash whose second connection stays silent

Now an attempt whose first send broke is lost by a crash, whatever the second connection does, as it already was if that one was refused. The new test fails without the change (crashed is False).

Also: the ports of target stand-ins have a module of their own.

--- a/tests/test_crash.py
+++ b/tests/test_crash.py
@@ -11,6 +11,7 @@
 from tests import fleet as fleets
 from wigeonspool.core import tables
 from wigeonspool.gateway import egress
+from wigeonspool.standin import groups
 from wigeonspool.standin import target as targets
 
 COUNT = 5
@@ -27,7 +28,7 @@
             for seed in range(COUNT)
         ]
         self.targets = {t.address: t for t in self.members}
-        self.group = targets.TargetGroup(self.members)
+        self.group = groups.TargetGroup(self.members)
         await self.group.start()
         self.closing = asyncio.get_running_loop().create_task(
             self.group.stop_crashed()
@@ -128,6 +129,44 @@
 
 
 class TestGoneTarget:
+    async def test_silence_after_a_broken_send_is_no_proof_of_silence(
+        self,
+    ) -> None:
+        """The kept connection breaks with the request on it; the second one
+        is accepted by a process that has crashed.
+        """
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        writers: list[asyncio.StreamWriter] = []
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writers.append(writer)
+            if len(writers) == 1:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(answer)
+                await reader.readuntil(b"\r\n\r\n")
+                writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = egress.Egress()
+        deadline = asyncio.get_running_loop().time() + 5.0
+        outgoing = egress.Outgoing("GET", "/", CIMultiDict(), None, deadline)
+        results = []
+        for _ in range(2):
+            attempt = await client.attempt(
+                f"127.0.0.1:{port}", outgoing, True, route="read"
+            )
+            results.append(attempt.result)
+        await client.close()
+        server.close()
+        for writer in writers:
+            writer.close()
+        assert len(writers) == 2
+        assert results[0] == tables.Result(tables.ResultKind.ANSWERED)
+        assert results[1] == tables.Result(tables.ResultKind.LOST, crashed=True)
+
     async def test_refusal_after_a_broken_send_is_no_proof_of_not_run(
         self,
     ) -> None:
--- a/wigeonspool/gateway/egress.py
+++ b/wigeonspool/gateway/egress.py
@@ -133,7 +133,11 @@
     async def _open(
         self, address: str, outgoing: Outgoing, may_repeat: bool, route: str
     ) -> exchanges.TargetResponse:
-        """Returns the open answer; tries a fresh connection if it may."""
+        """Returns the open answer; tries a fresh connection if it may.
+
+        Raises:
+            TargetGoneError: If a connection broke and no other one answered.
+        """
         exchange = self._start_exchange(outgoing, may_repeat, route)
         try:
             return await self._send(
@@ -141,9 +145,10 @@
             )
         except CONNECT_ERRORS:
             raise
-        except (aiohttp.ClientError, OSError):
+        except (aiohttp.ClientError, OSError) as error:
             if not exchange.reused:
                 raise
+            was_silent = isinstance(error, TimeoutError)
             self._distrust(address)
             late = self._loop.time() >= outgoing.deadline
             if late or not may_repeat or outgoing.is_spent():
@@ -156,6 +161,11 @@
         except CONNECT_ERRORS as error:
             # The first send may have run, so this is no refusal.
             raise errors.TargetGoneError(address) from error
+        except TimeoutError as error:
+            # A target that crashes may accept a connection as it goes.
+            if was_silent:
+                raise
+            raise errors.TargetGoneError(address) from error
 
     def _start_exchange(
         self, outgoing: Outgoing, may_repeat: bool, route: str
--- a/wigeonspool/model/errors.py
+++ b/wigeonspool/model/errors.py
@@ -235,7 +235,7 @@
 
 
 class TargetGoneError(WigeonspoolError, ConnectionError):
-    """A target broke a connection and then refused a new one."""
+    """A target broke a connection and then answered on no new one."""
 
     code = "target-gone"
 
--- /dev/null
+++ b/wigeonspool/standin/groups.py
@@ -0,0 +1,73 @@
+"""The target stand-ins of one process: their ports, and how faults are set."""
+
+import asyncio
+import dataclasses
+from typing import Any
+
+from aiohttp import web
+
+from wigeonspool.standin import target as targets
+
+
+class TargetGroup:
+    """The targets of one process, and the port that controls them."""
+
+    def __init__(self, members: list[targets.TargetStandin]) -> None:
+        self._targets = {target.address: target for target in members}
+        self._runners: dict[str, web.ServerRunner] = {}
+
+    async def start(self) -> None:
+        """Opens the port of each target."""
+        for target in self._targets.values():
+            await self._open(target)
+
+    async def _open(self, target: targets.TargetStandin) -> None:
+        """Opens the port of one target."""
+        host, _, port = target.address.rpartition(":")
+        server = web.Server(target.serve, handler_cancellation=True)
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port), backlog=512).start()
+        self._runners[target.address] = runner
+
+    async def stop_crashed(self) -> None:
+        """Closes the ports of crashed targets, for ever."""
+        while True:
+            await asyncio.sleep(0.01)
+            for address, target in self._targets.items():
+                if target.crashed and address in self._runners:
+                    await self._runners.pop(address).cleanup()
+
+    def build_app(self) -> web.Application:
+        """Returns the application of the control port."""
+        app = web.Application()
+        app.router.add_post("/faults", self._set_faults)
+        app.router.add_post("/restart", self._restart)
+        app.router.add_get("/runs", self._show_runs)
+        return app
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        """Takes faults for the targets named, or for all."""
+        body: dict[str, Any] = await request.json()
+        chosen = body.pop("targets", list(self._targets))
+        for address in chosen:
+            self._targets[address].set_faults(**body)
+        return web.json_response({"targets": len(chosen)})
+
+    async def _restart(self, request: web.Request) -> web.Response:
+        """Opens the ports of crashed targets again."""
+        for address in (await request.json())["targets"]:
+            target = self._targets[address]
+            target.crashed = False
+            if address not in self._runners:
+                await self._open(target)
+        return web.json_response({})
+
+    async def _show_runs(self, _: web.Request) -> web.Response:
+        """Shows all runs of all targets."""
+        runs = [
+            dataclasses.asdict(run)
+            for target in self._targets.values()
+            for run in target.runs
+        ]
+        return web.json_response({"runs": runs})
--- a/wigeonspool/standin/main.py
+++ b/wigeonspool/standin/main.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 import cyclopts
 
+from wigeonspool.standin import groups
 from wigeonspool.standin import store as stores
 from wigeonspool.standin import target as targets
 from wigeonspool.standin import vms
@@ -107,7 +108,7 @@
         ]
         for standin in served:
             standin.set_faults(connect_ms=connect_ms)
-        group = targets.TargetGroup(served)
+        group = groups.TargetGroup(served)
         await group.start()
         await _serve(group.build_app(), control_port, group.stop_crashed())
 
