--- a/wigeonspool/core/choosing.py
+++ b/wigeonspool/core/choosing.py
@@ -5,6 +5,7 @@
 bucket, so the cost of a choice does not grow with the pool.
 """
 
+import collections
 from collections.abc import Iterator
 import enum
 from typing import Final
@@ -12,6 +13,7 @@
 from wigeonspool.core import tables
 
 LEVELS: Final = 16
+Bucket = collections.OrderedDict[str, tables.TargetRow]
 
 
 class Group(enum.IntEnum):
@@ -29,14 +31,19 @@
 class TargetIndex:
     """The targets of a pool, arranged by group and free slots."""
 
-    __slots__ = ("_buckets", "_places")
+    __slots__ = ("_buckets", "_places", "_tops")
 
     def __init__(self) -> None:
         """Prepares empty buckets."""
-        self._buckets: list[list[dict[str, tables.TargetRow]]] = [
-            [{} for _ in range(LEVELS + 1)] for _ in Group
+        # A plain dictionary keeps the places of what was removed from its
+        # front, and each look at its first entry would pass over them.
+        self._buckets: list[list[Bucket]] = [
+            [collections.OrderedDict() for _ in range(LEVELS + 1)]
+            for _ in Group
         ]
         self._places: dict[str, tuple[int, int]] = {}
+        # The highest level that was in use, by group.
+        self._tops = [0 for _ in Group]
 
     def place(self, target: tables.TargetRow) -> None:
         """Puts a target where it belongs, after any change of its row."""
@@ -48,6 +55,8 @@
         if known is not None:
             del self._buckets[known[0]][known[1]][target.address]
         self._places[target.address] = place
+        if level > self._tops[target.group]:
+            self._tops[target.group] = level
         self._buckets[place[0]][place[1]][target.address] = target
 
     def remove(self, address: str) -> None:
@@ -70,8 +79,9 @@
             first: First group to look at.
         """
         fallback: tables.TargetRow | None = None
-        for buckets in self._buckets[first : farthest + 1]:
-            for level in range(LEVELS, 0, -1):
+        for group in range(first, farthest + 1):
+            buckets = self._buckets[group]
+            for level in range(self._tops[group], 0, -1):
                 # At most as many rows are passed over as were tried.
                 for target in buckets[level].values():
                     if target.address not in tried:
