Repeat no digest in pulses and no unchanged report

A pulse told generation and digest twice a second to each follower, 44 bytes, though both change with the configuration only. It is empty now unless they are new to its reader, who keeps the last whole one of the stream and checks its own history against that at each pulse, as before. A gateway's report that changes nothing goes out each heartbeat_seconds instead of four times a second. Subscriber and Traffic move from the hub to a module of their own.

Ruled out: a pulse right after the greetings, which would need no kept one, since followers take the first pulse for the end of what an agent knows.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -333,6 +333,32 @@
         await fleets.wait_for(lambda: agent._hub.cut_off == 1)
         stream.abort()
 
+    async def test_unchanged_digest_is_not_repeated(
+        self, fleet: fleets.Fleet
+    ) -> None:
+        generation = await fleet.apply(fleet.declare())
+        await fleets.wait_for(lambda: fleet.is_in_force(generation))
+        stream = await open_as(fleet.agent_address("vm-0"), "agent", "vm-9")
+        stream.post(build_heartbeat("vm-9"))
+        first = await self.read_pulse(stream)
+        assert first.generation == generation and first.digest
+        assert await self.read_pulse(stream) == messages.Pulse()
+        changing = asyncio.create_task(fleet.apply(fleet.declare(slots=5)))
+        while (pulse := await self.read_pulse(stream)) == messages.Pulse():
+            pass
+        assert pulse.generation == await changing
+        assert await self.read_pulse(stream) == messages.Pulse()
+        stream.close()
+
+    async def read_pulse(self, stream: streams.Stream) -> messages.Pulse:
+        """Returns the next pulse; a beat keeps the stream open meanwhile."""
+        while True:
+            message = await stream.receive()
+            assert message is not None
+            stream.post(messages.Beat(2, 0))
+            if isinstance(message, messages.Pulse):
+                return message
+
     async def test_silent_subscriber_is_cut_off(
         self, fleet: fleets.Fleet
     ) -> None:
--- a/wigeonspool/agent/hub.py
+++ b/wigeonspool/agent/hub.py
@@ -11,6 +11,7 @@
 from wigeonspool.agent import configuration
 from wigeonspool.agent import gathering
 from wigeonspool.agent import metrics
+from wigeonspool.agent import subscribers
 from wigeonspool.model import errors
 from wigeonspool.model import events
 from wigeonspool.model import inquiries
@@ -23,41 +24,6 @@
 AGENTS: Final = (senders.AGENT, senders.REMOTE)
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class Subscriber:
-    """A process that follows this agent.
-
-    Attributes:
-        hello: What it opened its stream with.
-        stream: Its stream.
-        generation: Newest generation that was sent to it.
-        digest: Digest of the chain of changes there.
-        silent_at: Deadline, on this process's clock, by which it must have
-            sent something.
-        report: Latest report, if it is a gateway.
-    """
-
-    hello: messages.Hello
-    stream: streams.Stream
-    generation: int
-    digest: str
-    silent_at: float
-    report: messages.GatewayReport | None = None
-
-
-@dataclasses.dataclass(slots=True)
-class Traffic:
-    """Bytes exchanged with other VMs, without those of open streams."""
-
-    sent_bytes: int = 0
-    received_bytes: int = 0
-
-    def add(self, stream: streams.Stream) -> None:
-        """Counts a stream that ended."""
-        self.sent_bytes += stream.sent_bytes
-        self.received_bytes += stream.received_bytes
-
-
 @dataclasses.dataclass(slots=True)
 class Callbacks:
     """What the hub asks of the agent.
@@ -114,10 +80,10 @@
         self._silence_seconds = silence_seconds
         self._log = log
         self._server: asyncio.Server | None = None
-        self.subscribers: list[Subscriber] = []
+        self.subscribers: list[subscribers.Subscriber] = []
         self.rejected: dict[str, int] = {}
         self.cut_off = 0
-        self.closed = Traffic()
+        self.closed = subscribers.Traffic()
         self._gatherer = gathering.Gatherer(callbacks.answer)
 
     async def start(self, address: str) -> None:
@@ -182,7 +148,7 @@
         if hello is None:
             return
         self._callbacks.admit(hello)
-        subscriber = Subscriber(
+        subscriber = subscribers.Subscriber(
             hello,
             stream,
             hello.generation,
@@ -226,7 +192,7 @@
         senders.check_sender(hello.role, hello)
         return hello
 
-    def _subscribe(self, subscriber: Subscriber) -> None:
+    def _subscribe(self, subscriber: subscribers.Subscriber) -> None:
         """Tells a new subscriber all that it needs.
 
         Raises:
@@ -238,7 +204,7 @@
         self.subscribers.append(subscriber)
 
     async def _take(
-        self, subscriber: Subscriber, message: messages.Message
+        self, subscriber: subscribers.Subscriber, message: messages.Message
     ) -> None:
         """Takes one message.
 
@@ -269,7 +235,9 @@
             if reply is not None:
                 subscriber.stream.post(reply)
 
-    def _take_beat(self, subscriber: Subscriber, beat: messages.Beat) -> None:
+    def _take_beat(
+        self, subscriber: subscribers.Subscriber, beat: messages.Beat
+    ) -> None:
         """Takes a beat; an agent that is not known must connect anew."""
         hello = subscriber.hello
         if not self._callbacks.take_beat(hello.vm, hello.incarnation, beat):
@@ -283,7 +251,7 @@
             if s.report is not None
         ]
 
-    def _feed(self, subscribers: list[Subscriber]) -> None:
+    def _feed(self, behind: list[subscribers.Subscriber]) -> None:
         """Brings subscribers up to the tables in force.
 
         Each message is packed once for all that hold the same generation.
@@ -293,7 +261,7 @@
         """
         tables = self._state.tables
         packed: dict[tuple[int, str], list[bytes]] = {}
-        for subscriber in subscribers:
+        for subscriber in behind:
             held = (subscriber.generation, subscriber.digest)
             if held not in packed:
                 packed[held] = [
@@ -317,6 +285,19 @@
             if subscriber.hello.role in roles:
                 subscriber.stream.post_frame(data)
 
+    def send_pulse(self, roles: tuple[str, ...], pulse: messages.Pulse) -> None:
+        """Sends a pulse to the subscribers of some roles.
+
+        What a subscriber was told is not repeated to it.
+        """
+        whole = streams.pack_message(pulse, self._log.clock)
+        brief = streams.pack_message(messages.Pulse(), self._log.clock)
+        for subscriber in self.subscribers:
+            if subscriber.hello.role in roles:
+                known = subscriber.pulse == pulse
+                subscriber.pulse = pulse
+                subscriber.stream.post_frame(brief if known else whole)
+
     def cut_off_silent(self) -> None:
         """Drops subscribers that are silent."""
         now = self._now()
--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -275,9 +275,9 @@
             pulse = messages.Pulse(
                 self._state.tables.generation, self._state.tables.digest
             )
-            self._hub.send(NEAR, pulse)
+            self._hub.send_pulse(NEAR, pulse)
             if self._is_remote_due():
-                self._hub.send((senders.REMOTE,), pulse)
+                self._hub.send_pulse((senders.REMOTE,), pulse)
             await self.sleep(self._settings.agent.heartbeat_seconds)
 
     def _is_remote_due(self) -> bool:
--- a/wigeonspool/agent/upstreams.py
+++ b/wigeonspool/agent/upstreams.py
@@ -12,8 +12,8 @@
 
 import loguru
 
-from wigeonspool.agent import hub
 from wigeonspool.agent import members
+from wigeonspool.agent import subscribers
 from wigeonspool.model import errors
 from wigeonspool.model import messages
 from wigeonspool.wire import clocks
@@ -35,6 +35,7 @@
         stream: Open stream, if any.
         task: Keeps the stream open.
         told: What it was last told of this VM.
+        pulse: Its last pulse that had a digest.
         heard_at: When it was last heard, on this process's clock.
     """
 
@@ -45,6 +46,7 @@
     stream: streams.Stream | None = None
     task: asyncio.Task[None] | None = None
     told: messages.Heartbeat | None = None
+    pulse: messages.Pulse = messages.Pulse()
     heard_at: float = float("-inf")
 
 
@@ -81,7 +83,7 @@
         self._take_suspect = take_suspect
         self._upstreams: dict[str, Upstream] = {}
         self.heard = asyncio.Event()
-        self.closed = hub.Traffic()
+        self.closed = subscribers.Traffic()
 
     def follow(self, roles: dict[str, str]) -> None:
         """Starts and ends streams so that exactly some agents are followed.
@@ -138,6 +140,7 @@
             stream = await streams.open_stream(upstream.address, self._clock)
         try:
             upstream.told = None
+            upstream.pulse = messages.Pulse()
             stream.post(self._build_hello(upstream.role))
             upstream.stream = stream
             while True:
@@ -166,11 +169,14 @@
             upstream.directory = message
         elif isinstance(message, messages.Suspect):
             self._take_suspect(message)
+        elif isinstance(message, messages.Pulse):
+            if message.digest:
+                upstream.pulse = message
+            self._take_tables(upstream.pulse)
+            # Until its first pulse an agent has not told all that it knows.
+            self.heard.set()
         else:
             self._take_tables(message)
-        # Until its first pulse an agent has not told all that it knows.
-        if isinstance(message, messages.Pulse):
-            self.heard.set()
         if isinstance(message, messages.Pulse) or self._is_fresh(upstream):
             upstream.heard_at = asyncio.get_running_loop().time()
 
--- a/wigeonspool/gateway/link.py
+++ b/wigeonspool/gateway/link.py
@@ -37,6 +37,7 @@
         on_change: Callable[[], None],
         on_suspect: Callable[[messages.Suspect], None],
         build_status: Callable[[str], inquiries.GatewayStatus],
+        repeat_seconds: float,
     ) -> None:
         """Prepares the link.
 
@@ -48,6 +49,8 @@
             on_change: Called after the view changed.
             on_suspect: Takes a request that crashes targets.
             build_status: Returns the state of a pool, or of all for "".
+            repeat_seconds: A report that changes nothing is sent after this
+                time only.
         """
         self._address = address
         self._hello = hello
@@ -56,6 +59,9 @@
         self._on_change = on_change
         self._on_suspect = on_suspect
         self._build_status = build_status
+        self._repeat_seconds = repeat_seconds
+        self._repeat_at = 0.0
+        self._reported: messages.GatewayReport | None = None
         self._stream: streams.Stream | None = None
         self._members: dict[str, messages.Heartbeat] = {}
         self._detector = clocks.PauseDetector(PAUSE_SECONDS, clocks.read_clock)
@@ -66,6 +72,15 @@
         if self._stream is not None:
             self._stream.post(message)
 
+    def report(self, report: messages.GatewayReport) -> None:
+        """Tells the agent of this gateway, unless it knows that already."""
+        now = asyncio.get_running_loop().time()
+        if report == self._reported and now < self._repeat_at:
+            return
+        self._reported = report
+        self._repeat_at = now + self._repeat_seconds
+        self.send(report)
+
     async def follow(self) -> None:
         """Follows the agent over one stream until that ends.
 
@@ -86,6 +101,7 @@
                 )
             )
             self._stream = stream
+            self._reported = None
             while True:
                 async with asyncio.timeout(SILENCE_SECONDS):
                     message = await stream.receive()
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -125,6 +125,7 @@
                 self._view,
                 self._scheduler,
             ),
+            self._settings.agent.heartbeat_seconds,
         )
 
     def _take_view(self) -> None:
@@ -159,7 +160,7 @@
         gateway = dataclasses.replace(
             self._gateway, draining=self._ingress.draining, demand=demand
         )
-        self._link.send(
+        self._link.report(
             messages.GatewayReport(gateway, self._view.tables.generation)
         )
 
--- a/wigeonspool/model/messages.py
+++ b/wigeonspool/model/messages.py
@@ -97,13 +97,15 @@
 class Pulse:
     """Says that a followed agent lives and has sent all that it knows.
 
+    Without a digest, both fields are as the last pulse on the stream told.
+
     Attributes:
         generation: Generation in force there.
         digest: Digest of the chain of changes there.
     """
 
-    generation: int
-    digest: str
+    generation: int = 0
+    digest: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
