Measure targets that are out, within the lease of their pool

Nobody probed, so the measuring budget was kept by not measuring. Gateways now ask for the targets that are out by their own doing (at once, then each 2 s); wishes go up to the feeders; the holder of the pool's lease asks /health with a client of its own and tells all gateways what changed, and again each 5 s.

The lease and the begin of its term are compared right before the connection is opened and right before the request is sent; a probe that could not leave within 0.25 s of its charge is given up. A term that ended early begins anew with a whole space, since another agent may have spent in between. An answer is read up to 16 fields of 200 bytes and 512 bytes of body; what is longer or breaks off is charged as a whole probe of 8,192 bytes (4,096 before: a proper answer's fields did not provably fit).

Ruled out: flooding wishes to all agents (bytes per node would grow with the targets that are out anywhere); sending at the moment of the charge only (a connection across regions takes 24 ms, and pauses fall in between).

Tests: hypothesis over 1 to 4 agents with leases, handovers, outages, pauses, changed budgets and late or overlapping answers. Planted faults found: late probe, changed budget without a space, early settling, no check before sending, space of a small probe; a pool that comes back has a test of its own, since the search did not meet it. On real sockets: a target that comes back is used, one that stays draining gets nothing, nothing is sent past the lease. The lease tests' scene takes a number of agents; its checks are as before.

--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -77,12 +77,14 @@
 
 
 class Scene:
-    """Two agents that want the same pool."""
+    """Some agents that want the same pool."""
 
-    def __init__(self) -> None:
+    def __init__(self, agents: int = 2) -> None:
         self.clocks = Clocks()
         self.store = stores.StoreStandin()
-        self.clients = [LeaseClient(self.store, self.clocks) for _ in range(2)]
+        self.clients = [
+            LeaseClient(self.store, self.clocks) for _ in range(agents)
+        ]
         self.keepers = [
             leases.LeaseKeeper(client, "/w/", f"vm-{i}", self.clocks.read)
             for i, client in enumerate(self.clients)
--- a/wigeonspool/agent/feeding.py
+++ b/wigeonspool/agent/feeding.py
@@ -12,9 +12,12 @@
 from wigeonspool.agent import directory as directories
 from wigeonspool.agent import follower
 from wigeonspool.agent import leases
+from wigeonspool.agent import measuring
+from wigeonspool.agent import probing
 from wigeonspool.agent import upstreams as upstream_streams
 from wigeonspool.model import entities
 from wigeonspool.model import errors
+from wigeonspool.model import measurements
 from wigeonspool.model import options
 from wigeonspool.platform import configuration as logs
 from wigeonspool.platform import store
@@ -31,6 +34,7 @@
     Attributes:
         client: Client of the store.
         leases: Pools whose measuring budget this agent may spend.
+        prober: Spends these budgets.
     """
 
     def __init__(
@@ -41,6 +45,7 @@
         state: configuration.ConfigurationState,
         event_log: process.EventLog,
         on_change: Callable[[], None],
+        tell: Callable[[measurements.ProbeResult], None],
     ) -> None:
         """Prepares the work.
 
@@ -51,6 +56,7 @@
             state: Tables in force.
             event_log: Events of this process.
             on_change: Called after the tables changed.
+            tell: Tells all gateways of a measured target.
         """
         self._vm = settings.vm
         self._state = state
@@ -70,6 +76,12 @@
         self.leases = leases.LeaseKeeper(
             self.client, settings.store.prefix, identity, clocks.read_clock
         )
+        self.prober = probing.Prober(
+            self.leases.find_term,
+            lambda pool: state.tables.pools.get(pool),
+            clocks.read_clock,
+            tell,
+        )
         self._chosen_from: tuple[object, object] = ((), ())
         self._chosen: set[str] = set()
 
@@ -85,10 +97,14 @@
             upstreams: The agents that are followed.
         """
         keeping = asyncio.create_task(self._keep_leases(directory))
+        probing_task = asyncio.create_task(
+            measuring.keep_measuring(self.prober)
+        )
         try:
             await _hear_peers(upstreams)
             await self._follower.follow()
         finally:
+            probing_task.cancel()
             keeping.cancel()
 
     async def _keep_leases(self, directory: directories.Directory) -> None:
--- a/wigeonspool/agent/hub.py
+++ b/wigeonspool/agent/hub.py
@@ -11,6 +11,7 @@
 from wigeonspool.agent import configuration
 from wigeonspool.agent import gathering
 from wigeonspool.agent import metrics
+from wigeonspool.agent import relays
 from wigeonspool.model import errors
 from wigeonspool.model import events
 from wigeonspool.model import messages
@@ -69,7 +70,7 @@
         take_beat: Takes a beat of the agent of a VM and incarnation; False
             if all must be told again.
         note_report: Called after a gateway reported.
-        take_suspect: Takes a request that crashes targets.
+        pass_on: Takes a message that is passed on through the fleet.
         list_greetings: Returns what a new subscriber of a role is told.
     """
 
@@ -79,7 +80,7 @@
     take_heartbeat: Callable[[messages.Heartbeat], None]
     take_beat: Callable[[str, str, messages.Beat], bool]
     note_report: Callable[[], None]
-    take_suspect: Callable[[messages.Suspect], None]
+    pass_on: Callable[[relays.Passed], None]
     list_greetings: Callable[[str], list[messages.Message]]
 
 
@@ -248,8 +249,8 @@
         if isinstance(message, messages.GatewayReport):
             subscriber.report = message
             self._callbacks.note_report()
-        elif isinstance(message, messages.Suspect):
-            self._callbacks.take_suspect(message)
+        elif isinstance(message, relays.Passed):
+            self._callbacks.pass_on(message)
         elif isinstance(message, messages.Heartbeat):
             if message.vm != hello.vm:
                 raise errors.PeerUnknownError(message.vm)
--- a/wigeonspool/agent/leases.py
+++ b/wigeonspool/agent/leases.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable, Iterable
+import dataclasses
 from typing import Final
 
 import loguru
@@ -43,6 +44,19 @@
     }
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Term:
+    """A time in which an agent may spend a pool's budget.
+
+    Attributes:
+        began_at: When it took the pool, on the holder's clock.
+        deadline: When it must stop, on the same clock.
+    """
+
+    began_at: float
+    deadline: float
+
+
 class LeaseKeeper:
     """Holds one lease of the store and the pools bound to it."""
 
@@ -68,7 +82,8 @@
         self._lease = 0
         self._deadline = float("-inf")
         self._renew_at = float("-inf")
-        self._held: set[str] = set()
+        # When each pool was taken.
+        self._held: dict[str, float] = {}
         self._claim_at: dict[str, float] = {}
 
     def may_act(self, pool: str) -> bool:
@@ -78,6 +93,12 @@
         """
         return pool in self._held and self._now() < self._deadline
 
+    def find_term(self, pool: str) -> Term | None:
+        """Returns the term in which this agent holds a pool, if it does."""
+        if not self.may_act(pool):
+            return None
+        return Term(self._held[pool], self._deadline)
+
     def list_held(self) -> set[str]:
         """Returns the pools whose budget this agent may spend right now."""
         return set(self._held) if self._now() < self._deadline else set()
@@ -95,11 +116,11 @@
         if not self._lease and not wanted:
             return
         await self._renew()
-        for pool in self._held - wanted:
+        for pool in self._held.keys() - wanted:
             await self._release(pool)
         claims = [
             pool
-            for pool in sorted(wanted - self._held)
+            for pool in sorted(wanted - self._held.keys())
             if self._claim_at.get(pool, float("-inf")) <= self._now()
         ]
         for pool in claims[:CLAIMS_PER_STEP]:
@@ -143,11 +164,11 @@
         """
         key = self._prefix + pool
         if await self._client.create(key, self._value(), self._lease):
-            self._held.add(pool)
+            self._held[pool] = self._now()
             return
         entry = await self._client.read(key)
         if entry is not None and entry.value == self._value():
-            self._held.add(pool)
+            self._held[pool] = self._now()
         else:
             self._claim_at[pool] = self._now() + RENEW_SECONDS
 
@@ -158,7 +179,7 @@
             StoreError: If the store could not serve the call; the key then
                 ends with the lease.
         """
-        self._held.discard(pool)
+        self._held.pop(pool, None)
         await self._client.remove_if(self._prefix + pool, self._value())
 
     async def stop(self) -> None:
--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -21,12 +21,13 @@
 from wigeonspool.agent import members
 from wigeonspool.agent import metrics
 from wigeonspool.agent import receiver as receivers
+from wigeonspool.agent import relays
 from wigeonspool.agent import status
-from wigeonspool.agent import suspects
 from wigeonspool.agent import upstreams
 from wigeonspool.model import entities
 from wigeonspool.model import errors
 from wigeonspool.model import events
+from wigeonspool.model import measurements
 from wigeonspool.model import messages
 from wigeonspool.model import options
 from wigeonspool.wire import clocks
@@ -67,14 +68,13 @@
                 take_heartbeat=self._take_heartbeat,
                 take_beat=self._take_beat,
                 note_report=self._note_report,
-                take_suspect=self._take_suspect,
+                pass_on=lambda message: self._relay.take(message),
                 list_greetings=self._list_greetings,
             ),
             silence,
             self._log,
         )
         self._told_generation = 0
-        self._suspects = suspects.SuspectRelay()
         self._beats = 0
 
     async def on_start(self) -> None:
@@ -90,7 +90,7 @@
             settings.agent.silence_seconds,
             self._build_hello,
             receiver.take,
-            self._take_suspect,
+            lambda message: self._relay.take(message),
             self._log.clock,
         )
         self._session = aiohttp.ClientSession()
@@ -101,6 +101,13 @@
             self._state,
             self._log,
             self._put_in_force,
+            self._tell_probe,
+        )
+        self._relay = relays.Relay(
+            self._now,
+            self._send_all,
+            self._upstreams.send,
+            self._want_probes,
         )
         self._following = following.Following(
             settings,
@@ -226,11 +233,21 @@
         if self._find_generation() != self._told_generation:
             self._send_heartbeat()
 
-    def _take_suspect(self, suspect: messages.Suspect) -> None:
-        """Passes on a request that crashes targets."""
-        self._suspects.take(self._now(), suspect, self._pass_on)
+    def _want_probes(self, request: measurements.ProbeRequest) -> None:
+        """Takes a wish for targets to be measured; feeders measure."""
+        if self._following.is_feeding:
+            self._feeder.prober.want(request)
+
+    def _tell_probe(self, result: measurements.ProbeResult) -> None:
+        """Tells all gateways what this agent measured."""
+        self._log.record(
+            events.Kind.TARGET_PROBED,
+            target=result.target,
+            detail={"pool": result.pool, "state": str(result.state)},
+        )
+        self._relay.take(result)
 
-    def _pass_on(self, message: messages.Message) -> None:
+    def _send_all(self, message: messages.Message) -> None:
         """Sends a message to all processes that are connected."""
         self._hub.send((*NEAR, senders.REMOTE), message)
         self._upstreams.send(message)
@@ -372,6 +389,7 @@
                 (),
                 measured_pools=tuple(sorted(self._feeder.leases.list_held())),
                 store_calls=self._feeder.client.calls,
+                spent=self._feeder.prober.list_spending(),
             )
         return None
 
--- a/wigeonspool/agent/upstreams.py
+++ b/wigeonspool/agent/upstreams.py
@@ -14,6 +14,7 @@
 
 from wigeonspool.agent import hub
 from wigeonspool.agent import members
+from wigeonspool.agent import relays
 from wigeonspool.model import errors
 from wigeonspool.model import messages
 from wigeonspool.wire import clocks
@@ -61,7 +62,7 @@
         silence_seconds: float,
         build_hello: Callable[[str], messages.Hello],
         take: Callable[[messages.Message], None],
-        take_suspect: Callable[[messages.Suspect], None],
+        pass_on: Callable[[relays.Passed], None],
         clock: clocks.HybridClock,
     ) -> None:
         """Prepares to follow.
@@ -71,14 +72,14 @@
             build_hello: Returns what opens a stream in a role.
             take: Takes a message that brings tables or a pulse; raises
                 WireError if the stream must be opened anew.
-            take_suspect: Takes a request that crashes targets.
+            pass_on: Takes a message that is passed on through the fleet.
             clock: Clock of this process, which stamps messages.
         """
         self._clock = clock
         self._silence_seconds = silence_seconds
         self._build_hello = build_hello
         self._take_tables = take
-        self._take_suspect = take_suspect
+        self._pass_on = pass_on
         self._upstreams: dict[str, Upstream] = {}
         self.heard = asyncio.Event()
         self.closed = hub.Traffic()
@@ -164,8 +165,8 @@
             upstream.mirror.update(message)
         elif isinstance(message, messages.Directory):
             upstream.directory = message
-        elif isinstance(message, messages.Suspect):
-            self._take_suspect(message)
+        elif isinstance(message, relays.Passed):
+            self._pass_on(message)
         else:
             self._take_tables(message)
         # Until its first pulse an agent has not told all that it knows.
--- a/wigeonspool/core/measuring.py
+++ b/wigeonspool/core/measuring.py
@@ -10,7 +10,7 @@
 from typing import Final
 
 # The request and all that is read of its answer stay below this.
-MAX_PROBE_BYTES: Final = 4096
+MAX_PROBE_BYTES: Final = 8192
 
 
 @dataclasses.dataclass(slots=True)
--- a/wigeonspool/gateway/link.py
+++ b/wigeonspool/gateway/link.py
@@ -12,6 +12,7 @@
 from wigeonspool.model import changes
 from wigeonspool.model import errors
 from wigeonspool.model import events
+from wigeonspool.model import measurements
 from wigeonspool.model import messages
 from wigeonspool.wire import clocks
 from wigeonspool.wire import senders
@@ -36,6 +37,7 @@
         log: process.EventLog,
         on_change: Callable[[], None],
         on_suspect: Callable[[messages.Suspect], None],
+        on_probe: Callable[[measurements.ProbeResult], None],
         build_status: Callable[[str], messages.GatewayStatus],
     ) -> None:
         """Prepares the link.
@@ -47,6 +49,7 @@
             log: Events of this process.
             on_change: Called after the view changed.
             on_suspect: Takes a request that crashes targets.
+            on_probe: Takes what a probe showed of a target.
             build_status: Returns the state of a pool, or of all for "".
         """
         self._address = address
@@ -55,13 +58,19 @@
         self._log = log
         self._on_change = on_change
         self._on_suspect = on_suspect
+        self._on_probe = on_probe
         self._build_status = build_status
         self._stream: streams.Stream | None = None
         self._members: dict[str, messages.Heartbeat] = {}
         self._detector = clocks.PauseDetector(PAUSE_SECONDS, clocks.read_clock)
         view.watch_pauses(hello.process, self._detector.is_current)
 
-    def send(self, message: messages.GatewayReport | messages.Suspect) -> None:
+    def send(
+        self,
+        message: messages.GatewayReport
+        | messages.Suspect
+        | measurements.ProbeRequest,
+    ) -> None:
         """Tells the agent something, if a stream is open."""
         if self._stream is not None:
             self._stream.post(message)
@@ -122,6 +131,8 @@
                 self._detector.refresh()
         elif isinstance(message, messages.Suspect):
             self._on_suspect(message)
+        elif isinstance(message, measurements.ProbeResult):
+            self._on_probe(message)
         elif isinstance(message, messages.EventsRequest):
             stream.post(self._log.build_reply(message.wanted))
         elif isinstance(message, messages.VmStatusRequest):
--- a/wigeonspool/gateway/scheduler.py
+++ b/wigeonspool/gateway/scheduler.py
@@ -7,6 +7,7 @@
 from wigeonspool.core import dispatcher
 from wigeonspool.core import tables
 from wigeonspool.model import entities
+from wigeonspool.model import measurements
 from wigeonspool.model import messages
 
 
@@ -52,6 +53,10 @@
         told = [(suspect.fingerprint, suspect.targets)]
         self.core.merge_suspects(self._loop.time(), told)
 
+    def take_probe(self, result: measurements.ProbeResult) -> None:
+        """Takes what a probe showed of a target."""
+        self.core.take_probe(self._loop.time(), result)
+
     def _tell_suspect(self, fingerprint: int) -> None:
         """Tells of a request that was running when a target crashed."""
         targets = self.core.find_crashes(fingerprint)
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -17,6 +17,7 @@
 from wigeonspool.gateway import listener
 from wigeonspool.gateway import metrics
 from wigeonspool.gateway import pauses
+from wigeonspool.gateway import probing
 from wigeonspool.gateway import scheduler
 from wigeonspool.gateway import statuses
 from wigeonspool.gateway import view
@@ -100,6 +101,7 @@
             self._view, self._scheduler, self._log
         )
         self._link = self._build_link()
+        self._asker = probing.ProbeAsker(self._scheduler, self._link.send)
 
     def _build_link(self) -> link.AgentLink:
         """Returns the link to the agent, not yet open."""
@@ -119,6 +121,7 @@
             self._log,
             self._take_view,
             self._scheduler.take_suspect,
+            self._scheduler.take_probe,
             functools.partial(
                 statuses.build_status,
                 self._gateway.name,
@@ -190,6 +193,7 @@
         self._share_pools()
         self._ingress.demand.clear()
         self._watcher.observe()
+        self._asker.observe(asyncio.get_running_loop().time())
 
     async def drain(self) -> None:
         """Moves callers elsewhere, then finishes what is in flight.
--- a/wigeonspool/model/errors.py
+++ b/wigeonspool/model/errors.py
@@ -234,6 +234,16 @@
         super().__init__(f"change of {size} bytes exceeds {bound} bytes")
 
 
+class ProbeExpiredError(WigeonspoolError):
+    """A probe was late, or its lease lapsed; nothing was sent."""
+
+    code = "probe-expired"
+
+    def __init__(self, target: str) -> None:
+        super().__init__(f"probe of {target} came too late")
+        self.target = target
+
+
 class TargetGoneError(WigeonspoolError, ConnectionError):
     """A target broke a connection and then refused a new one."""
 
--- a/wigeonspool/model/events.py
+++ b/wigeonspool/model/events.py
@@ -34,6 +34,7 @@
     TARGET_EJECTED = "target-ejected"
     TARGET_RESTORED = "target-restored"
     TARGET_DRAINING = "target-draining"
+    TARGET_PROBED = "target-probed"
     REQUEST_QUARANTINED = "request-quarantined"
     CONNECTION_SILENT = "connection-silent"
 
--- a/wigeonspool/model/messages.py
+++ b/wigeonspool/model/messages.py
@@ -13,6 +13,7 @@
 from wigeonspool.model import entities
 from wigeonspool.model import errors
 from wigeonspool.model import events
+from wigeonspool.model import measurements
 
 PROTOCOL_VERSION: Final = 1
 
@@ -261,12 +262,14 @@
         missing: Names of those that did not.
         measured_pools: Pools whose measuring budget the VM may spend.
         store_calls: Calls to the store since the agent started.
+        spent: What the agent spent of measuring budgets.
     """
 
     gateways: tuple[GatewayStatus, ...]
     missing: tuple[str, ...] = ()
     measured_pools: tuple[str, ...] = ()
     store_calls: int = 0
+    spent: tuple[measurements.Spending, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -309,6 +312,8 @@
     | MemberChanges
     | Directory
     | Suspect
+    | measurements.ProbeRequest
+    | measurements.ProbeResult
     | StatusRequest
     | RegionRequest
     | VmStatusRequest
@@ -331,6 +336,8 @@
         MemberChanges,
         Directory,
         Suspect,
+        measurements.ProbeRequest,
+        measurements.ProbeResult,
         StatusRequest,
         RegionRequest,
         VmStatusRequest,
--- a/wigeonspool/standin/target.py
+++ b/wigeonspool/standin/target.py
@@ -21,6 +21,8 @@
 SO_ATTACH_FILTER: Final = 26
 KEPT_READINGS: Final = 1024
 CHUNK_BYTES: Final = 64 * 1024
+# The first lines of a probe and of its answer, and the answer's fields.
+HEAD_BYTES: Final = 200
 CALLER: Final = "Wigeonspool-Caller"
 REQUEST: Final = "Wigeonspool-Request"
 KEY: Final = "Idempotency-Key"
@@ -85,6 +87,21 @@
     body_bytes: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """One request to the health endpoint.
+
+    Attributes:
+        target: Address of the target.
+        at: Wall clock, in seconds.
+        size_bytes: Bytes of the request and of the answer.
+    """
+
+    target: str
+    at: float
+    size_bytes: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Work:
     """How long requests under a path prefix take.
@@ -136,6 +153,7 @@
         self.address = address
         self.faults = Faults()
         self.runs: list[Run] = []
+        self.probes: list[Probe] = []
         self.crashed = False
         self._works = works
         self._slots = asyncio.Semaphore(slots)
@@ -175,7 +193,7 @@
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one request."""
         if request.path == "/health":
-            return self._show_health()
+            return self._show_health(request)
         if request.transport not in self._transports:
             self._transports.add(request.transport)
             await asyncio.sleep(self.faults.connect_ms / 1000)
@@ -281,8 +299,17 @@
         reading = {"state": state, "in_flight": self._in_flight}
         self._readings.append((time.monotonic(), reading))
 
-    def _show_health(self) -> web.Response:
-        """Answers the health endpoint, which may mislead."""
+    def _show_health(self, request: web.BaseRequest) -> web.Response:
+        """Answers the health endpoint and writes that down."""
+        response = self._build_health()
+        body = response.body if isinstance(response.body, bytes) else b""
+        size = len(body) + HEAD_BYTES
+        size += sum(len(n) + len(v) + 4 for n, v in request.raw_headers)
+        self.probes.append(Probe(self.address, time.time(), size))
+        return response
+
+    def _build_health(self) -> web.Response:
+        """Returns what the health endpoint shows, which may mislead."""
         if self.faults.health:
             return web.Response(text=self.faults.health)
         shown_at = time.monotonic() - self.faults.health_lag_seconds
@@ -331,6 +358,7 @@
         app.router.add_post("/faults", self._set_faults)
         app.router.add_post("/restart", self._restart)
         app.router.add_get("/runs", self._show_runs)
+        app.router.add_get("/probes", self._show_probes)
         return app
 
     async def _set_faults(self, request: web.Request) -> web.Response:
@@ -350,6 +378,15 @@
                 await self._open(target)
         return web.json_response({})
 
+    async def _show_probes(self, _: web.Request) -> web.Response:
+        """Shows all requests to the health endpoints of all targets."""
+        probes = [
+            dataclasses.asdict(probe)
+            for target in self._targets.values()
+            for probe in target.probes
+        ]
+        return web.json_response({"probes": probes})
+
     async def _show_runs(self, _: web.Request) -> web.Response:
         """Shows all runs of all targets."""
         runs = [
--- a/wigeonspool/wire/senders.py
+++ b/wigeonspool/wire/senders.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from wigeonspool.model import errors
+from wigeonspool.model import measurements
 from wigeonspool.model import messages
 
 AGENT: Final = "agent"
@@ -31,6 +32,8 @@
     messages.Directory: frozenset({AGENT}),
     messages.GatewayReport: frozenset({GATEWAY}),
     messages.Suspect: frozenset({AGENT, GATEWAY, REMOTE}),
+    measurements.ProbeRequest: frozenset({AGENT, GATEWAY, REMOTE}),
+    measurements.ProbeResult: frozenset({AGENT, REMOTE}),
     messages.StatusRequest: frozenset({OPERATOR}),
     messages.RegionRequest: frozenset({OPERATOR}),
     messages.VmStatusRequest: frozenset({AGENT, OPERATOR}),
