Show what measuring cost, by pool

'ctl status' had a place for the use of budgets at each gateway that nothing filled: gateways measure nothing. The agents that spend tell it now, as requests and bytes since their start beside the budget; a pool that changed hands shows each VM that spent. Metrics of the agents give the same by pool, and the wishes and results that were too many to pass on.

--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -14,6 +14,7 @@
 from tests import fleet as fleets
 from wigeonspool.model import entities
 from wigeonspool.model import errors
+from wigeonspool.model import measurements
 from wigeonspool.model import messages
 from wigeonspool.operator import ctl
 from wigeonspool.operator import differences
@@ -347,6 +348,35 @@
         )
         assert 0 < int(done.out.split("; ")[1].split(" ")[0]) <= calls
 
+    async def test_what_measuring_cost_is_shown(
+        self, operator: Operator
+    ) -> None:
+        fleet = operator.fleet
+        spenders = [a._feeder.prober for a in fleet.agents.values()]
+        target = next(iter(fleet.targets))
+        wish = measurements.ProbeRequest("queue", (target,))
+
+        def check() -> bool:
+            for prober in spenders:
+                prober.want(wish)
+            return any(
+                spent.bytes
+                for prober in spenders
+                for spent in prober.list_spending()
+            )
+
+        await fleets.wait_for(check)
+        done = await operator.run("status", "--json")
+        spent = done.document["pools"][0]["spent"]
+        (row,) = spent.values()
+        assert row["requests"] >= 1
+        assert row["bytes"] >= 100 * row["requests"]
+        done = await operator.run("status")
+        assert (
+            f"  measured by {next(iter(spent))} since its start: " in done.out
+        )
+        assert "budget 10 requests/s, 20000 bytes/s" in done.out
+
     async def test_top_refreshes(self, operator: Operator) -> None:
         done = await operator.run(
             "top", "--count", "3", "--every-seconds", "0.01", "--json"
--- a/wigeonspool/agent/metrics.py
+++ b/wigeonspool/agent/metrics.py
@@ -1,9 +1,12 @@
 """The metrics of an agent, brought up to date when they are read."""
 
+from collections.abc import Iterable
 from typing import Final
 
 import aioprometheus
 
+from wigeonspool.model import measurements
+
 GENERATION: Final = aioprometheus.Gauge(
     "wigeonspool_agent_generation", "Generation of the tables in force."
 )
@@ -31,6 +34,22 @@
 LEASES: Final = aioprometheus.Gauge(
     "wigeonspool_agent_leases", "Measuring budgets that this agent may spend."
 )
+PROBES: Final = aioprometheus.Counter(
+    "wigeonspool_agent_probes_total",
+    "Probes sent on a pool's measuring budget.",
+)
+PROBE_BYTES: Final = aioprometheus.Counter(
+    "wigeonspool_agent_probe_bytes_total",
+    "Bytes of probes and of what was read of their answers, by pool.",
+)
+PROBE_BUDGET: Final = aioprometheus.Gauge(
+    "wigeonspool_agent_probe_budget_per_second",
+    "Budget of a pool that this agent held last, by unit.",
+)
+MEASUREMENTS_DROPPED: Final = aioprometheus.Counter(
+    "wigeonspool_agent_measurements_dropped_total",
+    "Wishes and results of probes that were too many to pass on.",
+)
 PEER_BYTES: Final = aioprometheus.Counter(
     "wigeonspool_agent_peer_bytes_total",
     "Bytes exchanged with other agents, by direction.",
@@ -39,3 +58,14 @@
     "wigeonspool_agent_cut_off_streams_total",
     "Streams closed because their reader was silent or too slow.",
 )
+
+
+def publish_spending(spent: Iterable[measurements.Spending]) -> None:
+    """Brings the metrics of measuring up to date."""
+    for row in spent:
+        pool = {"pool": row.pool}
+        PROBES.set(pool, row.requests)
+        PROBE_BYTES.set(pool, row.bytes)
+        requests = pool | {"unit": "requests"}
+        PROBE_BUDGET.set(requests, row.requests_per_second)
+        PROBE_BUDGET.set(pool | {"unit": "bytes"}, row.bytes_per_second)
--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -163,6 +163,8 @@
         metrics.MEMBERS.set({}, len(self._joined))
         metrics.CUT_OFF.set({}, self._hub.cut_off)
         metrics.LEASES.set({}, len(self._feeder.leases.list_held()))
+        metrics.publish_spending(self._feeder.prober.list_spending())
+        metrics.MEASUREMENTS_DROPPED.set({}, self._relay.count_dropped())
         sent, received = self.count_bytes()
         metrics.PEER_BYTES.set({"direction": "sent"}, sent)
         metrics.PEER_BYTES.set({"direction": "received"}, received)
--- a/wigeonspool/gateway/statuses.py
+++ b/wigeonspool/gateway/statuses.py
@@ -49,7 +49,7 @@
         )
         for row in scheduler.core.list_targets(pool.name)
     )
-    return inquiries.PoolStatus(pool.name, queued, targets, {})
+    return inquiries.PoolStatus(pool.name, queued, targets)
 
 
 def explain_state(
--- a/wigeonspool/model/inquiries.py
+++ b/wigeonspool/model/inquiries.py
@@ -48,13 +48,11 @@
         name: Name of the pool.
         queued: Requests that wait for a slot.
         targets: Its targets.
-        budgets: What was used of each budget since the start, by name.
     """
 
     name: str
     queued: int
     targets: tuple[TargetStatus, ...]
-    budgets: dict[str, float]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wigeonspool/operator/statuses.py
+++ b/wigeonspool/operator/statuses.py
@@ -7,6 +7,7 @@
 
 from wigeonspool.model import errors
 from wigeonspool.model import inquiries
+from wigeonspool.model import measurements
 from wigeonspool.model import messages
 from wigeonspool.operator import sessions
 
@@ -23,6 +24,7 @@
         missing: Processes of the VM that did not answer.
         measured_pools: Pools whose measuring budget it may spend.
         store_calls: Calls to the store since its agent started.
+        spent: What it spent of measuring budgets.
     """
 
     heartbeat: messages.Heartbeat
@@ -30,6 +32,7 @@
     missing: tuple[str, ...]
     measured_pools: tuple[str, ...] = ()
     store_calls: int = 0
+    spent: tuple[measurements.Spending, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,15 +69,15 @@
         name: Name of the pool.
         queued: Requests that wait at all gateways.
         targets: Its targets.
-        budgets: What was used of each budget since the gateways started.
         measured_by: VMs that may spend its measuring budget.
+        spent: What each VM spent of it since its agent started.
     """
 
     name: str
     queued: int
     targets: tuple[TargetState, ...]
-    budgets: dict[str, float]
     measured_by: tuple[str, ...]
+    spent: dict[str, measurements.Spending]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -128,6 +131,7 @@
         answer.missing,
         answer.measured_pools,
         answer.store_calls,
+        answer.spent,
     )
 
 
@@ -154,33 +158,29 @@
         for gateway in vm.gateways:
             for pool in gateway.pools:
                 views[pool.name].append(pool)
-    return tuple(
-        _merge_pool(
-            name,
-            views[name],
-            tuple(vm.heartbeat.vm for vm in vms if name in vm.measured_pools),
-        )
-        for name in sorted(views)
-    )
+    return tuple(_merge_pool(name, views[name], vms) for name in sorted(views))
 
 
 def _merge_pool(
-    name: str, views: list[inquiries.PoolStatus], measured_by: tuple[str, ...]
+    name: str, views: list[inquiries.PoolStatus], vms: list[VmState]
 ) -> PoolState:
-    """Returns one pool as some gateways see it."""
+    """Returns one pool as some gateways see it, and what it cost VMs."""
     targets: dict[str, list[inquiries.TargetStatus]]
     targets = collections.defaultdict(list)
-    budgets: collections.Counter[str] = collections.Counter()
     for view in views:
-        budgets.update(view.budgets)
         for target in view.targets:
             targets[target.address].append(target)
     return PoolState(
         name,
         sum(view.queued for view in views),
         tuple(_merge_target(targets[address]) for address in sorted(targets)),
-        dict(budgets),
-        measured_by,
+        tuple(vm.heartbeat.vm for vm in vms if name in vm.measured_pools),
+        {
+            vm.heartbeat.vm: spending
+            for vm in vms
+            for spending in vm.spent
+            if spending.pool == name
+        },
     )
 
 
@@ -257,11 +257,12 @@
         lines.append(
             f"  measuring budget is held by {', '.join(pool.measured_by)}"
         )
-    if pool.budgets:
-        used = ", ".join(
-            f"{name} {pool.budgets[name]:g}" for name in sorted(pool.budgets)
-        )
-        lines.append(f"  used since start: {used}")
+    lines += [
+        f"  measured by {vm} since its start: {spent.requests} requests,"
+        f" {spent.bytes} bytes; budget {spent.requests_per_second:g}"
+        f" requests/s, {spent.bytes_per_second:g} bytes/s"
+        for vm, spent in sorted(pool.spent.items())
+    ]
     for target in pool.targets:
         if show_all or set(target.states) != {SERVING}:
             lines.append(_format_target(target))
