--- a/wigeonspool/agent/upstreams.py
+++ b/wigeonspool/agent/upstreams.py
@@ -12,6 +12,7 @@
 
 from wigeonspool import failures
 from wigeonspool.agent import members
+from wigeonspool.agent import relays
 from wigeonspool.agent import subscribers
 from wigeonspool.model import errors
 from wigeonspool.model import messages
@@ -64,7 +65,7 @@
         silence_seconds: float,
         build_hello: Callable[[str], messages.Hello],
         take: Callable[[messages.Message], None],
-        take_suspect: Callable[[messages.Suspect], None],
+        pass_on: Callable[[relays.Passed], None],
         clock: clocks.HybridClock,
     ) -> None:
         """Prepares to follow.
@@ -74,14 +75,14 @@
             build_hello: Returns what opens a stream in a role.
             take: Takes a message that brings tables or a pulse; raises
                 WireError if the stream must be opened anew.
-            take_suspect: Takes a request that crashes targets.
+            pass_on: Takes a message that is passed on through the fleet.
             clock: Clock of this process, which stamps messages.
         """
         self._clock = clock
         self._silence_seconds = silence_seconds
         self._build_hello = build_hello
         self._take_tables = take
-        self._take_suspect = take_suspect
+        self._pass_on = pass_on
         self._upstreams: dict[str, Upstream] = {}
         self.heard = asyncio.Event()
         self.closed = subscribers.Traffic()
@@ -169,14 +170,14 @@
             upstream.mirror.update(message)
         elif isinstance(message, messages.Directory):
             upstream.directory = message
-        elif isinstance(message, messages.Suspect):
-            self._take_suspect(message)
         elif isinstance(message, messages.Pulse):
             if message.digest:
                 upstream.pulse = message
             self._take_tables(upstream.pulse)
             # Until its first pulse an agent has not told all that it knows.
             self.heard.set()
+        elif isinstance(message, relays.Passed):
+            self._pass_on(message)
         else:
             self._take_tables(message)
         upstream.failures.clear()
--- a/wigeonspool/gateway/link.py
+++ b/wigeonspool/gateway/link.py
@@ -14,6 +14,7 @@
 from wigeonspool.model import errors
 from wigeonspool.model import events
 from wigeonspool.model import inquiries
+from wigeonspool.model import measurements
 from wigeonspool.model import messages
 from wigeonspool.wire import clocks
 from wigeonspool.wire import senders
@@ -41,6 +42,7 @@
         log: process.EventLog,
         on_change: Callable[[], None],
         on_suspect: Callable[[messages.Suspect], None],
+        on_probe: Callable[[measurements.ProbeResult], None],
         build_status: Callable[[str], inquiries.GatewayStatus],
         repeat_seconds: float,
     ) -> None:
@@ -53,6 +55,7 @@
             log: Events of this process.
             on_change: Called after the view changed.
             on_suspect: Takes a request that crashes targets.
+            on_probe: Takes what a probe showed of a target.
             build_status: Returns the state of a pool, or of all for "".
             repeat_seconds: A report that changes nothing is sent after this
                 time only.
@@ -63,6 +66,7 @@
         self._log = log
         self._on_change = on_change
         self._on_suspect = on_suspect
+        self._on_probe = on_probe
         self._build_status = build_status
         self._repeat_seconds = repeat_seconds
         self._repeat_at = 0.0
@@ -73,7 +77,12 @@
         self._detector = clocks.PauseDetector(PAUSE_SECONDS, clocks.read_clock)
         view.watch_pauses(hello.process, self._detector.is_current)
 
-    def send(self, message: messages.GatewayReport | messages.Suspect) -> None:
+    def send(
+        self,
+        message: messages.GatewayReport
+        | messages.Suspect
+        | measurements.ProbeRequest,
+    ) -> None:
         """Tells the agent something, if a stream is open."""
         if self._stream is not None:
             self._stream.post(message)
@@ -145,6 +154,8 @@
                 self.failures.clear()
         elif isinstance(message, messages.Suspect):
             self._on_suspect(message)
+        elif isinstance(message, measurements.ProbeResult):
+            self._on_probe(message)
         elif isinstance(message, inquiries.EventsRequest):
             stream.post(self._log.build_reply(message.wanted))
         elif isinstance(message, inquiries.VmStatusRequest):
--- a/wigeonspool/model/messages.py
+++ b/wigeonspool/model/messages.py
@@ -10,6 +10,7 @@
 from wigeonspool.model import changes
 from wigeonspool.model import entities
 from wigeonspool.model import inquiries
+from wigeonspool.model import measurements
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -187,6 +188,8 @@
     | MemberChanges
     | Directory
     | Suspect
+    | measurements.ProbeRequest
+    | measurements.ProbeResult
     | inquiries.StatusRequest
     | inquiries.RegionRequest
     | inquiries.VmStatusRequest
@@ -209,6 +212,8 @@
         MemberChanges,
         Directory,
         Suspect,
+        measurements.ProbeRequest,
+        measurements.ProbeResult,
         inquiries.StatusRequest,
         inquiries.RegionRequest,
         inquiries.VmStatusRequest,
--- a/wigeonspool/standin/groups.py
+++ b/wigeonspool/standin/groups.py
@@ -44,6 +44,7 @@
         app.router.add_post("/faults", self._set_faults)
         app.router.add_post("/restart", self._restart)
         app.router.add_get("/runs", self._show_runs)
+        app.router.add_get("/probes", self._show_probes)
         return app
 
     async def _set_faults(self, request: web.Request) -> web.Response:
@@ -71,3 +72,12 @@
             for run in target.runs
         ]
         return web.json_response({"runs": runs})
+
+    async def _show_probes(self, _: web.Request) -> web.Response:
+        """Shows all requests to the health endpoints of all targets."""
+        probes = [
+            dataclasses.asdict(probe)
+            for target in self._targets.values()
+            for probe in target.probes
+        ]
+        return web.json_response({"probes": probes})
