Keep the bound on ejections over all gateways, and hold the rest

A gateway applied the bound to its own targets and rounded down, so one with fewer than three never ejected. The bound is now divided into permits by rank, without a message, and a target without a permit is held: one attempt at a time, only once waiting costs as much as a slow answer.

Ruled out: asking one gateway (messages, a successor), permits alone (most of 16 gateways have none), keeping one attempt at a time as before.

--- /dev/null
+++ b/tests/test_ejection.py
@@ -0,0 +1,140 @@
+"""The pool's bound on ejected targets, over all gateways together."""
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from tests import test_decide
+from wigeonspool.core import pools
+from wigeonspool.core import sharing
+from wigeonspool.core import supervision
+from wigeonspool.core import tables
+from wigeonspool.model import entities
+
+FAILED = tables.Result(tables.ResultKind.FAILED)
+ZONE = "zone-0"
+
+
+def build_pool(targets: int, slots: int, fraction: float) -> entities.Pool:
+    """Returns a pool of targets in one zone."""
+    listed = tuple(entities.Target(f"t{i}:1", ZONE) for i in range(targets))
+    return entities.Pool("p", slots, listed, max_ejected_fraction=fraction)
+
+
+def build_row(pool: entities.Pool) -> pools.PoolRow:
+    """Returns the pool as one gateway holds it."""
+    row = pools.PoolRow(pool, ZONE, set())
+    row.replace_targets(
+        {
+            t.address: supervision.merge_target(row, t, False)
+            for t in pool.targets
+        }
+    )
+    return row
+
+
+def fail(row: pools.PoolRow, address: str, times: int = 3) -> None:
+    """Fails attempts at a target, one after the other."""
+    for number in range(times):
+        request = tables.RequestRow(number, "p", "read", 100.0, True)
+        target = row.targets[address]
+        supervision.learn_result(1.0, row, request, target, FAILED)
+        row.index.place(target)
+
+
+def list_ejected(rows: list[pools.PoolRow]) -> set[str]:
+    """Returns the targets that some gateway ejected."""
+    return {
+        target.address
+        for row in rows
+        for target in row.targets.values()
+        if target.state is tables.TargetState.EJECTED
+    }
+
+
+class TestBound:
+    @settings(derandomize=True, max_examples=150, deadline=None)
+    @given(
+        targets=st.integers(1, 45),
+        slots=st.integers(1, 5),
+        fraction=st.floats(0.0, 1.0),
+        parts=st.lists(
+            st.none() | st.lists(st.floats(0.05, 2.0), min_size=1, max_size=20),
+            min_size=1,
+            max_size=3,
+        ),
+    )
+    def test_all_gateways_together_keep_it(
+        self,
+        targets: int,
+        slots: int,
+        fraction: float,
+        parts: list[list[float] | None],
+    ) -> None:
+        """Even if all targets fail for all, while slots move between them."""
+        pool = build_pool(targets, slots, fraction)
+        rows = [build_row(pool) for _ in range(20)]
+        bound = int(targets * fraction)
+        for step in parts:
+            weights = {str(i): part for i, part in enumerate(step or [])}
+            shares = sharing.divide_slots(pool, ZONE, weights)
+            for index, row in enumerate(rows):
+                slots_of = shares.get(str(index), {})
+                row.share(None if step is None else slots_of)
+            for row in rows:
+                for address in row.targets:
+                    fail(row, address)
+            assert len(list_ejected(rows)) <= bound
+
+    def test_one_gateway_uses_all_of_it(self) -> None:
+        row = build_row(build_pool(14, 4, 0.34))
+        row.share(dict.fromkeys(row.targets, 4))
+        for address in row.targets:
+            fail(row, address)
+        assert len(list_ejected([row])) == 4
+
+
+class TestHold:
+    """A target that may not be ejected."""
+
+    def test_it_gets_nothing_while_others_have_room(self) -> None:
+        row = build_row(build_pool(2, 4, 0.34))
+        fail(row, "t0:1")
+        request = tables.RequestRow(9, "p", "read", 100.0, True)
+        assert not list_ejected([row])
+        for _ in range(8):
+            target = row.choose(request, frozenset())
+            assert target is None or target.address == "t1:1"
+            if target is not None:
+                target.in_flight += 1
+                row.index.place(target)
+        assert target is None
+
+    def test_it_serves_again_after_its_time(self) -> None:
+        row = build_row(build_pool(2, 4, 0.34))
+        fail(row, "t0:1")
+        health = row.targets["t0:1"].health
+        supervision.restore_targets(health.out_until - 0.001, row)
+        assert health.held
+        supervision.restore_targets(health.out_until, row)
+        assert not health.held
+        assert health.cap == 1
+
+
+class TestSmallGateways:
+    """Sixteen gateways, each with one or two targets of its own."""
+
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_failing_target_gets_next_to_nothing(self, seed: int) -> None:
+        fields = ["seconds=9", "policies=[policy]", "gateways.least=16"]
+        figures = test_decide.run("fast-failure", *fields, f"seed={seed}")
+        window = figures["policy"]["windows"]["failing"]
+        assert 0 < window["faulty_share"] <= 0.01
+
+    def test_p99_is_back_after_a_target_became_slow(self) -> None:
+        fields = ["seconds=12", "policies=[policy]", "gateways.least=16"]
+        windows = test_decide.run("slow", *fields)["policy"]["windows"]
+        healthy, slow = windows["healthy"], windows["one-slow"]
+        assert slow["p99_ms"] <= 1.3 * healthy["p99_ms"]
+        assert slow["not_run"] == 0
--- a/wigeonspool/core/choosing.py
+++ b/wigeonspool/core/choosing.py
@@ -17,12 +17,14 @@
     """How far a target is from being this gateway's own.
 
     NEAR is in another zone of the region; traffic to a REMOTE one is paid.
+    RESERVE holds what is held back for its health, wherever it is.
     """
 
     OWN = 0
     SHARED = 1
     NEAR = 2
     REMOTE = 3
+    RESERVE = 4
 
 
 class TargetIndex:
@@ -40,7 +42,8 @@
     def place(self, target: tables.TargetRow) -> None:
         """Puts a target where it belongs, after any change of its row."""
         level = _find_level(target)
-        place = (target.group, level)
+        held = target.health.held
+        place = (Group.RESERVE if held else target.group, level)
         known = self._places.get(target.address)
         if known == place:
             return
--- a/wigeonspool/core/health.py
+++ b/wigeonspool/core/health.py
@@ -3,15 +3,20 @@
 Each bad sign adds to a target's score and each good answer takes some off, so
 that a rare slow answer of a healthy target does no harm. A target whose score
 reaches the limit is ejected; it comes back with one attempt at a time and
-earns its slots again. The pool's bound on ejected targets always holds: a
-target that may not be ejected keeps one attempt at a time instead.
+earns its slots again. The pool's bound on ejected targets always holds, over
+all gateways together: a target that may not be ejected is held instead. It
+gets one attempt at a time, and only while others have no room.
 """
 
+from collections.abc import Sequence
 from typing import Final
 
 from wigeonspool.core import tables
 
 SCORE_LIMIT: Final = 3.0
+# A target of another gateway is held at the first sign, since many gateways
+# would each have to see several.
+OTHERS_SCORE_LIMIT: Final = 1.0
 GOOD_SCORE: Final = -0.25
 SLOW_SCORE: Final = 1.0
 FAILED_SCORE: Final = 1.0
@@ -20,6 +25,10 @@
 # An attempt is slow if it takes this many medians of its route.
 SLOW_RATIO: Final = 8.0
 LEAST_SLOW_SECONDS: Final = 0.02
+# A target on trial must do better: of a target that became ten times slower,
+# half of the answers would pass as good.
+TRIAL_RATIO: Final = 3.0
+LEAST_TRIAL_SECONDS: Final = 0.01
 EJECTION_SECONDS: Final = 0.2
 # A target that sheds is asked again sooner, for it may shed for all pools.
 SHED_SECONDS: Final = 0.02
@@ -40,6 +49,17 @@
     return max(LEAST_SLOW_SECONDS, SLOW_RATIO * median)
 
 
+def find_trial_seconds(median: float) -> float:
+    """Returns the same for a target that was out and must earn its slots.
+
+    Args:
+        median: Median service time of its route, or 0.0 if not known.
+    """
+    if median <= 0.0:
+        return float("inf")
+    return max(LEAST_TRIAL_SECONDS, TRIAL_RATIO * median)
+
+
 def note_good(row: tables.HealthRow, slots: int) -> None:
     """Notes an answer in good time: the cap doubles up to the slots."""
     row.score = max(0.0, row.score + GOOD_SCORE)
@@ -111,6 +131,26 @@
     row.cap = 1
 
 
-def count_allowed_ejections(targets: int, fraction: float) -> int:
-    """Returns how many targets of a pool may be out at once."""
-    return int(targets * fraction)
+def begin_hold(row: tables.HealthRow, now: float) -> None:
+    """Holds a target for as long as an ejection would take."""
+    begin_ejection(row, now)
+    row.held = True
+    row.cap = 0
+
+
+def list_permits(order: Sequence[str], fraction: float) -> frozenset[str]:
+    """Returns the targets that stand for a permit to eject some target.
+
+    Each gateway may eject as many targets as it owns of these. No message is
+    needed to keep the bound, since each has one owner at most.
+
+    Args:
+        order: Addresses of the pool's targets of a zone; neighbors belong to
+            the same gateway.
+        fraction: Bound on the part of them that is out at once.
+    """
+    return frozenset(
+        address
+        for index, address in enumerate(order)
+        if int((index + 1) * fraction) > int(index * fraction)
+    )
--- a/wigeonspool/core/pools.py
+++ b/wigeonspool/core/pools.py
@@ -5,7 +5,9 @@
 from typing import Final
 
 from wigeonspool.core import admission
+from wigeonspool.core import assignments
 from wigeonspool.core import choosing
+from wigeonspool.core import health
 from wigeonspool.core import learning
 from wigeonspool.core import queueing
 from wigeonspool.core import retrying
@@ -30,8 +32,9 @@
         times: Service times of the pool's routes.
         slots: Slots that this gateway may use at its own targets.
         long_limit: How many of them long work may use.
-        own_targets: Targets that this gateway shares with no other.
-        ejected: Addresses of those that are ejected.
+        permits: Ejections that this gateway may hold at once.
+        ejected: Addresses of the targets that use one.
+        impaired: Addresses of own targets that have not all their slots.
         returns: Heap of (time, address) at which targets may serve again.
         overdue: Heap of (time, request id, attempt) at which attempts are slow.
         retries: Budget of retries.
@@ -43,15 +46,18 @@
     __slots__ = (
         "_limits",
         "_near_zones",
+        "_permits",
+        "_permits_pool",
         "_refresh_at",
         "_running",
         "_used",
         "_zone",
         "ejected",
+        "impaired",
         "index",
         "long_limit",
         "overdue",
-        "own_targets",
+        "permits",
         "pool",
         "queue",
         "retries",
@@ -84,8 +90,9 @@
         self.times = learning.PoolTimes()
         self.slots = 0
         self.long_limit = 0
-        self.own_targets = 0
+        self.permits = 0
         self.ejected: set[str] = set()
+        self.impaired: set[str] = set()
         self.returns: list[tuple[float, str]] = []
         self.overdue: list[tuple[float, int, int]] = []
         self.retries = retrying.RetryBudget()
@@ -93,6 +100,8 @@
         self._zone = zone
         self._near_zones: frozenset[str] = frozenset()
         self._limits: Mapping[str, int] | None = None
+        self._permits: frozenset[str] = frozenset()
+        self._permits_pool: entities.Pool | None = None
         # Attempts in flight of short and of long work, and their means.
         self._running = [0, 0]
         self._used = [0.0, 0.0]
@@ -107,6 +116,7 @@
         for address in self.targets.keys() - targets.keys():
             self.index.remove(address)
             self.ejected.discard(address)
+            self.impaired.discard(address)
         self.targets = targets
         self.share(self._limits)
 
@@ -114,14 +124,61 @@
         """Takes the slots that this gateway may use, or None for all."""
         self._limits = limits
         self.slots = 0
-        self.own_targets = 0
         for target in self.targets.values():
             self._set_limit(target)
             if target.group == choosing.Group.OWN:
                 self.slots += target.limit
-                self.own_targets += 1
             self.index.place(target)
         self.long_limit = min(self.long_limit or self.slots, self.slots)
+        self._count_permits()
+        self._release_permits()
+
+    def _count_permits(self) -> None:
+        """Counts the permits to eject of which this gateway is the owner.
+
+        A target shared by two gateways belongs to the one that has most of its
+        slots; nobody else can tell that it has them.
+        """
+        if self._permits_pool is not self.pool:
+            self._permits_pool = self.pool
+            near = (
+                t.address for t in self.pool.targets if t.zone == self._zone
+            )
+            order = assignments.rank_members(self.pool.name, near)
+            fraction = self.pool.max_ejected_fraction
+            self._permits = health.list_permits(order, fraction)
+        limits = self._limits
+        if limits is None:
+            self.permits = len(self._permits)
+            return
+        half = self.pool.slots / 2
+        self.permits = sum(limits.get(a, 0) > half for a in self._permits)
+
+    def _release_permits(self) -> None:
+        """Holds ejected targets whose permits went to another gateway."""
+        kept = [a for a in sorted(self.ejected) if self._is_permitted(a)]
+        for address in self.ejected.difference(kept[: self.permits]):
+            target = self.targets[address]
+            target.state = tables.TargetState.SERVING
+            target.health.held = True
+            target.health.cap = 1
+            self.ejected.discard(address)
+            self.index.place(target)
+
+    def _is_permitted(self, address: str) -> bool:
+        """Returns True if a permit of this gateway may serve for a target.
+
+        Others may use all targets too while they are not divided, so that the
+        permits then hold for the very targets that stand for them.
+        """
+        if self._limits is None:
+            return address in self._permits
+        return self.targets[address].group == choosing.Group.OWN
+
+    def may_eject(self, target: tables.TargetRow) -> bool:
+        """Returns True if the bound allows this gateway to eject a target."""
+        allowed = self._is_permitted(target.address)
+        return allowed and len(self.ejected) < self.permits
 
     def set_near_zones(self, zones: frozenset[str]) -> None:
         """Takes the zones of the gateway's region."""
@@ -198,9 +255,21 @@
             return own
         stuck = self._running[1] > 0 and not request.is_long
         first = choosing.Group.NEAR
-        if stuck or not self.slots:
+        if stuck or self.impaired or not self.slots:
             first = choosing.Group.SHARED
-        return self.index.choose(avoided, choosing.Group.REMOTE, first)
+        other = self.index.choose(avoided, choosing.Group.REMOTE, first)
+        return other or self._choose_held(request, avoided)
+
+    def _choose_held(
+        self, request: tables.RequestRow, avoided: frozenset[str]
+    ) -> tables.TargetRow | None:
+        """Returns a held target, if waiting costs as much as a slow answer."""
+        times = self.times.find(request.route)
+        wait = self._predict_wait(times.is_long)
+        if wait < health.find_slow_seconds(times.median):
+            return None
+        reserve = choosing.Group.RESERVE
+        return self.index.choose(avoided, reserve, reserve)
 
     def count_start(self, request: tables.RequestRow) -> None:
         """Counts an attempt that begins."""
--- a/wigeonspool/core/supervision.py
+++ b/wigeonspool/core/supervision.py
@@ -57,11 +57,17 @@
     if result.refused:
         _take_out(now, row, target)
         return
-    slow = health.find_slow_seconds(row.times.find(request.route).median)
+    median = row.times.find(request.route).median
+    slow = health.find_slow_seconds(median)
+    # The median tells nothing of the way to another region.
+    if target.health.ejections and target.group != choosing.Group.REMOTE:
+        slow = health.find_trial_seconds(median)
     seconds = now - request.sent_at
     score = health.weigh_result(result, seconds, slow)
     if not score:
         health.note_good(target.health, target.slots)
+        if row.impaired and target.health.cap >= target.slots:
+            row.impaired.discard(target.address)
     elif not request.overdue or score != health.SLOW_SCORE:
         _note_bad(now, row, target, score)
         not_run = result.kind is tables.ResultKind.NOT_RUN
@@ -85,19 +91,38 @@
 ) -> None:
     """Notes a bad sign and ejects the target if that is one too many."""
     health.note_bad(target.health, score, target.slots)
-    if not health.is_failing(target.health):
-        return
+    if target.group == choosing.Group.OWN:
+        row.impaired.add(target.address)
     if target.state is not tables.TargetState.SERVING:
         return
-    if target.group == choosing.Group.OWN:
-        allowed = health.count_allowed_ejections(
-            row.own_targets, row.pool.max_ejected_fraction
-        )
-        if len(row.ejected) >= allowed:
-            target.health.cap = 1
-            return
+    if target.health.held:
+        _rest(now, row, target)
+    elif health.is_failing(target.health) and row.may_eject(target):
         row.ejected.add(target.address)
-    _take_out(now, row, target)
+        _take_out(now, row, target)
+    elif health.is_failing(target.health) or _is_borrowed(target):
+        _hold(now, row, target)
+
+
+def _is_borrowed(target: tables.TargetRow) -> bool:
+    """Returns True if a target's slots are those of another gateway."""
+    return target.group == choosing.Group.SHARED
+
+
+def _hold(now: float, row: pools.PoolRow, target: tables.TargetRow) -> None:
+    """Holds a target that may not be ejected."""
+    row.note_unusual(target)
+    health.begin_hold(target.health, now)
+    entry = (target.health.out_until, target.address)
+    heapq.heappush(row.returns, entry)
+    _rest(now, row, target)
+
+
+def _rest(now: float, row: pools.PoolRow, target: tables.TargetRow) -> None:
+    """Lets a held target rest, so that one that fails fast gets little."""
+    target.health.cap = 0
+    entry = (now + health.SHED_SECONDS, target.address)
+    heapq.heappush(row.returns, entry)
 
 
 def _take_out(
@@ -114,6 +139,7 @@
     if target.state is not tables.TargetState.SERVING:
         return
     target.state = tables.TargetState.EJECTED
+    target.health.held = False
     row.note_unusual(target)
     health.begin_ejection(target.health, now, seconds)
     entry = (target.health.out_until, target.address)
@@ -153,8 +179,13 @@
         if not 0.0 < row_health.draining_until <= now:
             return
         row_health.draining_until = 0.0
-    else:
+    elif not row_health.held:
+        return
+    elif row_health.out_until > now:
+        row_health.cap = max(1, row_health.cap)
+        row.index.place(target)
         return
+    row_health.held = False
     row.ejected.discard(target.address)
     target.state = tables.TargetState.SERVING
     health.end_ejection(row_health)
--- a/wigeonspool/core/tables.py
+++ b/wigeonspool/core/tables.py
@@ -29,6 +29,7 @@
         ejections: Ejections since it last had all its slots.
         out_until: Deadline of its ejection, on the core's clock.
         draining_until: Deadline of its own word that it is leaving.
+        held: True if it is out only while other targets have room.
     """
 
     score: float = 0.0
@@ -36,6 +37,7 @@
     ejections: int = 0
     out_until: float = 0.0
     draining_until: float = 0.0
+    held: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/wigeonspool/gateway/statuses.py
+++ b/wigeonspool/gateway/statuses.py
@@ -74,4 +74,6 @@
         return "the target said so"
     if state is tables.TargetState.EJECTED:
         return f"slow or failing (score {row.health.score:.1f})"
+    if row.health.held:
+        return f"held, slow or failing (score {row.health.score:.1f})"
     return ""
