--- a/wigeonspool/core/supervision.py
+++ b/wigeonspool/core/supervision.py
@@ -26,7 +26,8 @@
         if row.targets:
             health.begin_cold(known.health)
     known.slots = row.pool.slots
-    if listed.drained or leaving or known.health.draining_until:
+    known.withdrawn = listed.drained or leaving
+    if known.withdrawn or known.health.draining_until:
         known.state = tables.TargetState.DRAINING
         row.note_unusual(known)
         row.ejected.discard(known.address)
@@ -152,7 +153,7 @@
     """Takes out a target that said it is leaving."""
     target.state = tables.TargetState.DRAINING
     row.note_unusual(target)
-    target.health.draining_until = now + health.DRAINING_SECONDS
+    health.begin_draining(target.health, now)
     row.ejected.discard(target.address)
     entry = (target.health.draining_until, target.address)
     heapq.heappush(row.returns, entry)
@@ -179,6 +180,8 @@
         if not 0.0 < row_health.draining_until <= now:
             return
         row_health.draining_until = 0.0
+        if target.withdrawn:
+            return
     elif not row_health.held:
         return
     elif row_health.out_until > now:
--- a/wigeonspool/core/tables.py
+++ b/wigeonspool/core/tables.py
@@ -30,6 +30,9 @@
         out_until: Deadline of its ejection, on the core's clock.
         draining_until: Deadline of its own word that it is leaving.
         held: True if it is out only while other targets have room.
+        out_since: When it last went out, on the core's clock.
+        denied: True once a probe showed since then that it does not serve.
+        spared: True if a probe ended a time out, until it has all its slots.
     """
 
     score: float = 0.0
@@ -38,6 +41,9 @@
     out_until: float = 0.0
     draining_until: float = 0.0
     held: bool = False
+    out_since: float = 0.0
+    denied: bool = False
+    spared: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,6 +58,7 @@
         group: Place in the order of preference; 0 comes first.
         in_flight: Attempts of this gateway that run there.
         state: Whether it may receive work.
+        withdrawn: True if the tables or the VM list take it out.
         health: What its attempts have shown.
     """
 
@@ -62,6 +69,7 @@
     group: int = 0
     in_flight: int = 0
     state: TargetState = TargetState.SERVING
+    withdrawn: bool = False
     health: HealthRow = dataclasses.field(default_factory=HealthRow)
 
 
@@ -103,6 +111,7 @@
         suspect: True if its attempt is that of a suspect.
         expected: Service time that its route has taken, in seconds.
         is_long: True if its route takes many times longer than others.
+        sampled_as: Identity under which its decisions are explained, or "".
     """
 
     request_id: int
@@ -124,6 +133,7 @@
     suspect: bool = False
     expected: float = 0.0
     is_long: bool = False
+    sampled_as: str = ""
 
 
 class ResultKind(enum.Enum):
--- a/wigeonspool/gateway/incoming.py
+++ b/wigeonspool/gateway/incoming.py
@@ -8,9 +8,11 @@
 
 import aiohttp
 from aiohttp import web
+from multidict import CIMultiDict
 import xxhash
 
 from wigeonspool.gateway import egress
+from wigeonspool.gateway import exchanges
 from wigeonspool.gateway import headers
 from wigeonspool.model import errors
 from wigeonspool.model import outcomes
@@ -162,13 +164,13 @@
 def build_outgoing(
     request: web.BaseRequest,
     request_id: str,
-    body: egress.Body,
+    body: exchanges.Body,
     deadline: float,
 ) -> egress.Outgoing:
     """Returns what a target gets of a request."""
-    fields = headers.select_end_to_end(request.headers)
-    for name in headers.GATEWAYS_OWN:
-        fields.popall(name, None)
+    fields = CIMultiDict(
+        headers.list_end_to_end(request.headers, headers.NOT_FROM_CALLERS)
+    )
     fields[headers.REQUEST] = request_id
     if isinstance(body, BodyStream) and body.length is not None:
         fields["Content-Length"] = str(body.length)
--- a/wigeonspool/gateway/link.py
+++ b/wigeonspool/gateway/link.py
@@ -7,6 +7,7 @@
 
 import loguru
 
+from wigeonspool import failures
 from wigeonspool import process
 from wigeonspool.gateway import view as views
 from wigeonspool.model import changes
@@ -23,11 +24,14 @@
 # Longer than any work of the event loop, shorter than the time in which a
 # change must be in force.
 PAUSE_SECONDS: Final = 2.0
-CHECK_SECONDS: Final = 0.2
 
 
 class AgentLink:
-    """Follows the agent and tells it of this gateway."""
+    """Follows the agent and tells it of this gateway.
+
+    Attributes:
+        failures: Logs what goes wrong with its streams.
+    """
 
     def __init__(
         self,
@@ -58,6 +62,7 @@
         self._on_suspect = on_suspect
         self._build_status = build_status
         self._stream: streams.Stream | None = None
+        self.failures = failures.FailureLog("agent stream")
         self._members: dict[str, messages.Heartbeat] = {}
         self._detector = clocks.PauseDetector(PAUSE_SECONDS, clocks.read_clock)
         view.watch_pauses(hello.process, self._detector.is_current)
@@ -121,6 +126,7 @@
             # left of a stream from before a pause proves nothing.
             if stream is self._stream:
                 self._detector.refresh()
+                self.failures.clear()
         elif isinstance(message, messages.Suspect):
             self._on_suspect(message)
         elif isinstance(message, inquiries.EventsRequest):
@@ -141,7 +147,8 @@
     def check_pause(self) -> None:
         """Notices that this process stood still, and renews its knowledge.
 
-        Until then the view names no gateway but this one.
+        To be called several times in `PAUSE_SECONDS`. Until knowledge is
+        renewed the view names no gateway but this one.
         """
         gap = self._detector.tick()
         if not gap:
@@ -178,27 +185,11 @@
 
 async def keep_following(link: AgentLink, retry_seconds: float) -> None:
     """Follows the agent for ever; reconnects after a fixed delay."""
-    checks = asyncio.create_task(_check_pauses(link))
-    try:
-        await _reconnect(link, retry_seconds)
-    finally:
-        checks.cancel()
-
-
-async def _check_pauses(link: AgentLink) -> None:
-    """Lets a link notice pauses, for ever."""
-    while True:
-        link.check_pause()
-        await asyncio.sleep(CHECK_SECONDS)
-
-
-async def _reconnect(link: AgentLink, retry_seconds: float) -> None:
-    """Follows the agent for ever."""
     while True:
         try:
             await link.follow()
         except (errors.WireError, OSError, TimeoutError) as error:
-            loguru.logger.info("agent stream ended: {!r}", error)
+            link.failures.note(error)
         except errors.ChainBrokenError as error:
             loguru.logger.warning("the agent differs: {}", error)
         await asyncio.sleep(retry_seconds)
