--- a/wigeonspool/agent/upstreams.py
+++ b/wigeonspool/agent/upstreams.py
@@ -11,8 +11,9 @@
 from typing import Final
 
 from wigeonspool import failures
-from wigeonspool.agent import hub
 from wigeonspool.agent import members
+from wigeonspool.agent import relays
+from wigeonspool.agent import subscribers
 from wigeonspool.model import errors
 from wigeonspool.model import messages
 from wigeonspool.wire import clocks
@@ -35,6 +36,7 @@
         stream: Open stream, if any.
         task: Keeps the stream open.
         told: What it was last told of this VM.
+        pulse: Its last pulse that had a digest.
         heard_at: When it was last heard, on this process's clock.
     """
 
@@ -46,6 +48,7 @@
     stream: streams.Stream | None = None
     task: asyncio.Task[None] | None = None
     told: messages.Heartbeat | None = None
+    pulse: messages.Pulse = messages.Pulse()
     heard_at: float = float("-inf")
 
 
@@ -62,7 +65,7 @@
         silence_seconds: float,
         build_hello: Callable[[str], messages.Hello],
         take: Callable[[messages.Message], None],
-        take_suspect: Callable[[messages.Suspect], None],
+        pass_on: Callable[[relays.Passed], None],
         clock: clocks.HybridClock,
     ) -> None:
         """Prepares to follow.
@@ -72,17 +75,17 @@
             build_hello: Returns what opens a stream in a role.
             take: Takes a message that brings tables or a pulse; raises
                 WireError if the stream must be opened anew.
-            take_suspect: Takes a request that crashes targets.
+            pass_on: Takes a message that is passed on through the fleet.
             clock: Clock of this process, which stamps messages.
         """
         self._clock = clock
         self._silence_seconds = silence_seconds
         self._build_hello = build_hello
         self._take_tables = take
-        self._take_suspect = take_suspect
+        self._pass_on = pass_on
         self._upstreams: dict[str, Upstream] = {}
         self.heard = asyncio.Event()
-        self.closed = hub.Traffic()
+        self.closed = subscribers.Traffic()
 
     def follow(self, roles: dict[str, str]) -> None:
         """Starts and ends streams so that exactly some agents are followed.
@@ -140,6 +143,7 @@
             stream = await streams.open_stream(upstream.address, self._clock)
         try:
             upstream.told = None
+            upstream.pulse = messages.Pulse()
             stream.post(self._build_hello(upstream.role))
             upstream.stream = stream
             while True:
@@ -166,13 +170,16 @@
             upstream.mirror.update(message)
         elif isinstance(message, messages.Directory):
             upstream.directory = message
-        elif isinstance(message, messages.Suspect):
-            self._take_suspect(message)
+        elif isinstance(message, messages.Pulse):
+            if message.digest:
+                upstream.pulse = message
+            self._take_tables(upstream.pulse)
+            # Until its first pulse an agent has not told all that it knows.
+            self.heard.set()
+        elif isinstance(message, relays.Passed):
+            self._pass_on(message)
         else:
             self._take_tables(message)
-        # Until its first pulse an agent has not told all that it knows.
-        if isinstance(message, messages.Pulse):
-            self.heard.set()
         upstream.failures.clear()
         if isinstance(message, messages.Pulse) or self._is_fresh(upstream):
             upstream.heard_at = asyncio.get_running_loop().time()
--- a/wigeonspool/core/tables.py
+++ b/wigeonspool/core/tables.py
@@ -29,6 +29,7 @@
         ejections: Ejections since it last had all its slots.
         out_until: Deadline of its ejection, on the core's clock.
         draining_until: Deadline of its own word that it is leaving.
+        held: True if it is out only while other targets have room.
         out_since: When it last went out, on the core's clock.
         denied: True once a probe showed since then that it does not serve.
         spared: True if a probe ended a time out, until it has all its slots.
@@ -39,6 +40,7 @@
     ejections: int = 0
     out_until: float = 0.0
     draining_until: float = 0.0
+    held: bool = False
     out_since: float = 0.0
     denied: bool = False
     spared: bool = False
--- a/wigeonspool/gateway/link.py
+++ b/wigeonspool/gateway/link.py
@@ -14,6 +14,7 @@
 from wigeonspool.model import errors
 from wigeonspool.model import events
 from wigeonspool.model import inquiries
+from wigeonspool.model import measurements
 from wigeonspool.model import messages
 from wigeonspool.wire import clocks
 from wigeonspool.wire import senders
@@ -41,7 +42,9 @@
         log: process.EventLog,
         on_change: Callable[[], None],
         on_suspect: Callable[[messages.Suspect], None],
+        on_probe: Callable[[measurements.ProbeResult], None],
         build_status: Callable[[str], inquiries.GatewayStatus],
+        repeat_seconds: float,
     ) -> None:
         """Prepares the link.
 
@@ -52,7 +55,10 @@
             log: Events of this process.
             on_change: Called after the view changed.
             on_suspect: Takes a request that crashes targets.
+            on_probe: Takes what a probe showed of a target.
             build_status: Returns the state of a pool, or of all for "".
+            repeat_seconds: A report that changes nothing is sent after this
+                time only.
         """
         self._address = address
         self._hello = hello
@@ -60,18 +66,36 @@
         self._log = log
         self._on_change = on_change
         self._on_suspect = on_suspect
+        self._on_probe = on_probe
         self._build_status = build_status
+        self._repeat_seconds = repeat_seconds
+        self._repeat_at = 0.0
+        self._reported: messages.GatewayReport | None = None
         self._stream: streams.Stream | None = None
         self.failures = failures.FailureLog("agent stream")
         self._members: dict[str, messages.Heartbeat] = {}
         self._detector = clocks.PauseDetector(PAUSE_SECONDS, clocks.read_clock)
         view.watch_pauses(hello.process, self._detector.is_current)
 
-    def send(self, message: messages.GatewayReport | messages.Suspect) -> None:
+    def send(
+        self,
+        message: messages.GatewayReport
+        | messages.Suspect
+        | measurements.ProbeRequest,
+    ) -> None:
         """Tells the agent something, if a stream is open."""
         if self._stream is not None:
             self._stream.post(message)
 
+    def report(self, report: messages.GatewayReport) -> None:
+        """Tells the agent of this gateway, unless it knows that already."""
+        now = asyncio.get_running_loop().time()
+        if report == self._reported and now < self._repeat_at:
+            return
+        self._reported = report
+        self._repeat_at = now + self._repeat_seconds
+        self.send(report)
+
     async def follow(self) -> None:
         """Follows the agent over one stream until that ends.
 
@@ -92,6 +116,7 @@
                 )
             )
             self._stream = stream
+            self._reported = None
             while True:
                 async with asyncio.timeout(SILENCE_SECONDS):
                     message = await stream.receive()
@@ -129,6 +154,8 @@
                 self.failures.clear()
         elif isinstance(message, messages.Suspect):
             self._on_suspect(message)
+        elif isinstance(message, measurements.ProbeResult):
+            self._on_probe(message)
         elif isinstance(message, inquiries.EventsRequest):
             stream.post(self._log.build_reply(message.wanted))
         elif isinstance(message, inquiries.VmStatusRequest):
--- a/wigeonspool/gateway/statuses.py
+++ b/wigeonspool/gateway/statuses.py
@@ -49,7 +49,7 @@
         )
         for row in scheduler.core.list_targets(pool.name)
     )
-    return inquiries.PoolStatus(pool.name, queued, targets, {})
+    return inquiries.PoolStatus(pool.name, queued, targets)
 
 
 def explain_state(
@@ -74,4 +74,6 @@
         return "the target said so"
     if state is tables.TargetState.EJECTED:
         return f"slow or failing (score {row.health.score:.1f})"
+    if row.health.held:
+        return f"held, slow or failing (score {row.health.score:.1f})"
     return ""
--- a/wigeonspool/model/messages.py
+++ b/wigeonspool/model/messages.py
@@ -10,6 +10,7 @@
 from wigeonspool.model import changes
 from wigeonspool.model import entities
 from wigeonspool.model import inquiries
+from wigeonspool.model import measurements
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,13 +98,15 @@
 class Pulse:
     """Says that a followed agent lives and has sent all that it knows.
 
+    Without a digest, both fields are as the last pulse on the stream told.
+
     Attributes:
         generation: Generation in force there.
         digest: Digest of the chain of changes there.
     """
 
-    generation: int
-    digest: str
+    generation: int = 0
+    digest: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -185,6 +188,8 @@
     | MemberChanges
     | Directory
     | Suspect
+    | measurements.ProbeRequest
+    | measurements.ProbeResult
     | inquiries.StatusRequest
     | inquiries.RegionRequest
     | inquiries.VmStatusRequest
@@ -207,6 +212,8 @@
         MemberChanges,
         Directory,
         Suspect,
+        measurements.ProbeRequest,
+        measurements.ProbeResult,
         inquiries.StatusRequest,
         inquiries.RegionRequest,
         inquiries.VmStatusRequest,
