--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -6,6 +6,7 @@
 
 from tests import fleet as fleets
 from wigeonspool import process
+from wigeonspool.core import choosing
 from wigeonspool.core import dispatcher
 from wigeonspool.core import explaining
 from wigeonspool.core import tables
@@ -76,7 +77,10 @@
             "drained": Verdict.DRAINING,
             "near": Verdict.FARTHER,
         }
-        assert told.groups == ((3, 5), (0, 0), (1, 1), (0, 0))
+        counts = dict(zip(choosing.Group, told.groups, strict=True))
+        assert counts.pop(choosing.Group.OWN) == (3, 5)
+        assert counts.pop(choosing.Group.NEAR) == (1, 1)
+        assert set(counts.values()) == {(0, 0)}
 
     def test_retry_tells_of_the_target_that_failed_it(self) -> None:
         core = Core(*build_own("a", "b"))
@@ -132,6 +136,17 @@
         assert core.told[0].groups[0] == (100, 100)
 
 
+class TestTargetIndex:
+    def test_held_target_is_found_in_the_reserve_alone(self) -> None:
+        index = choosing.TargetIndex()
+        row = tables.TargetRow("a", "here", slots=2, limit=2)
+        row.health.held = True
+        index.place(row)
+        assert index.choose(frozenset()) is None
+        reserve = choosing.Group.RESERVE
+        assert index.choose(frozenset(), reserve, reserve) is row
+
+
 class TestSampler:
     @pytest.mark.parametrize("fraction", [0.0, 0.01, 0.3, 1.0])
     def test_fraction_is_kept(self, fraction: float) -> None:
--- a/wigeonspool/core/choosing.py
+++ b/wigeonspool/core/choosing.py
@@ -50,16 +50,16 @@
     def place(self, target: tables.TargetRow) -> None:
         """Puts a target where it belongs, after any change of its row."""
         level = find_level(target)
-        held = target.health.held
-        place = (Group.RESERVE if held else target.group, level)
+        group = find_group(target)
+        place = (group, level)
         known = self._places.get(target.address)
         if known == place:
             return
         if known is not None:
             del self._buckets[known[0]][known[1]][target.address]
         self._places[target.address] = place
-        if level > self._tops[target.group]:
-            self._tops[target.group] = level
+        if level > self._tops[group]:
+            self._tops[group] = level
         self._buckets[place[0]][place[1]][target.address] = target
 
     def remove(self, address: str) -> None:
@@ -106,6 +106,11 @@
         )
 
 
+def find_group(target: tables.TargetRow) -> int:
+    """Returns the group in which a target stands now."""
+    return Group.RESERVE if target.health.held else target.group
+
+
 def find_limit(target: tables.TargetRow) -> int:
     """Returns how many attempts a target may have of this gateway now."""
     return min(target.limit, target.health.cap)
--- a/wigeonspool/core/explaining.py
+++ b/wigeonspool/core/explaining.py
@@ -41,6 +41,7 @@
     CHOSEN = "chosen"
     EJECTED = "ejected"
     DRAINING = "draining"
+    HELD = "held-for-its-health"
     FULL = "no-free-slot"
     LIMITED = "limited-after-bad-signs"
     FAILED_IT = "failed-this-request"
@@ -226,7 +227,7 @@
     return tuple(
         Candidate(
             target.address,
-            choosing.Group(target.group),
+            choosing.Group(choosing.find_group(target)),
             target.state,
             max(0, choosing.find_limit(target) - target.in_flight),
             choosing.find_limit(target),
@@ -264,6 +265,8 @@
         return Verdict.EJECTED
     if target.state is tables.TargetState.DRAINING:
         return Verdict.DRAINING
+    if target.health.held:
+        return Verdict.HELD
     if target.in_flight >= choosing.find_limit(target):
         limited = target.health.cap <= target.in_flight < target.limit
         return Verdict.LIMITED if limited else Verdict.FULL
