--- a/wigeonspool/model/events.py
+++ b/wigeonspool/model/events.py
@@ -4,12 +4,19 @@
 """
 
 import collections
+from collections.abc import Mapping
 import dataclasses
 import enum
-from typing import Final
+import operator
+from typing import Final, NamedTuple
 
 REQUEST_CAPACITY_EVENTS: Final = 4096
+DECISION_CAPACITY_EVENTS: Final = 512
 STATE_CAPACITY_EVENTS: Final = 1024
+# Facts whose names begin so are the candidates of a decision.
+CANDIDATE: Final = "candidate-"
+
+Facts = dict[str, str]
 
 
 class Kind(enum.StrEnum):
@@ -30,6 +37,8 @@
     REQUEST_RECEIVED = "request-received"
     REQUEST_SENT = "request-sent"
     REQUEST_SETTLED = "request-settled"
+    REQUEST_QUEUED = "request-queued"
+    REQUEST_REFUSED = "request-refused"
     TARGET_CHOSEN = "target-chosen"
     TARGET_EJECTED = "target-ejected"
     TARGET_RESTORED = "target-restored"
@@ -71,7 +80,40 @@
     request: str = ""
     target: str = ""
     vm: str = ""
-    detail: dict[str, str] = dataclasses.field(default_factory=dict)
+    detail: Facts = dataclasses.field(default_factory=dict)
+
+
+class Entry(NamedTuple):
+    """An event as a process keeps it: cheap to make, and seldom read.
+
+    Attributes:
+        wall_ms: Time of its stamp, in milliseconds since the epoch.
+        counter: Counter of its stamp.
+        kind: What happened.
+        request: Identity of the request it is about, or "".
+        target: Address of the target it is about, or "".
+        vm: Name of the VM it is about, or "".
+        detail: Further facts by name, or None.
+    """
+
+    wall_ms: int
+    counter: int
+    kind: Kind
+    request: str
+    target: str
+    vm: str
+    detail: Mapping[str, str] | None
+
+    def build_event(self, process: str) -> Event:
+        """Returns the event, stamped by the process that it happened in."""
+        return Event(
+            Stamp(self.wall_ms, self.counter, process),
+            self.kind,
+            self.request,
+            self.target,
+            self.vm,
+            dict(self.detail or {}),
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,49 +146,68 @@
 
 
 WANT_ALL: Final = Filter()
+READING: Final = operator.itemgetter(0, 1)
 
 
 class Ring:
     """Keeps the newest events of a process.
 
     Events of requests are kept apart, since they are so many that they would
-    push out all others within seconds.
+    push out all others within seconds. Explained decisions are sampled, and
+    kept apart from these for the same reason.
 
     Attributes:
         dropped: Events that were forgotten to make room.
     """
 
-    __slots__ = ("_requests", "_states", "dropped")
+    __slots__ = ("_decisions", "_process", "_requests", "_states", "dropped")
 
     def __init__(
         self,
+        process: str,
         request_capacity: int = REQUEST_CAPACITY_EVENTS,
         state_capacity: int = STATE_CAPACITY_EVENTS,
+        decision_capacity: int = DECISION_CAPACITY_EVENTS,
     ) -> None:
         """Prepares an empty ring.
 
         Args:
+            process: Name of the process, for the stamps.
             request_capacity: Most events to keep that are about a request.
             state_capacity: Most other events to keep.
+            decision_capacity: Most explained decisions to keep.
         """
-        self._requests: collections.deque[Event] = collections.deque(
+        self._process = process
+        self._decisions: collections.deque[Entry] = collections.deque(
+            maxlen=decision_capacity
+        )
+        self._requests: collections.deque[Entry] = collections.deque(
             maxlen=request_capacity
         )
-        self._states: collections.deque[Event] = collections.deque(
+        self._states: collections.deque[Entry] = collections.deque(
             maxlen=state_capacity
         )
         self.dropped = 0
 
-    def append(self, event: Event) -> None:
+    def append(self, entry: Entry) -> None:
         """Adds an event; the oldest of its sort is dropped if need be."""
-        kept = self._requests if event.request else self._states
+        self._keep(self._requests if entry.request else self._states, entry)
+
+    def append_decision(self, entry: Entry) -> None:
+        """Adds an explained decision; the oldest is dropped if need be."""
+        self._keep(self._decisions, entry)
+
+    def _keep(self, kept: collections.deque[Entry], entry: Entry) -> None:
+        """Adds an event to those of its sort."""
         if len(kept) == kept.maxlen:
             self.dropped += 1
-        kept.append(event)
+        kept.append(entry)
 
     def list_events(self, wanted: Filter = WANT_ALL) -> list[Event]:
         """Returns the kept events that are wanted, oldest first."""
-        kept = [*self._requests, *self._states]
-        return sorted(
-            filter(wanted.matches, kept), key=lambda event: event.stamp
+        kept = (*self._requests, *self._decisions, *self._states)
+        built = (
+            entry.build_event(self._process)
+            for entry in sorted(kept, key=READING)
         )
+        return [event for event in built if wanted.matches(event)]
