Tell callers to send elsewhere while a gateway has no tables yet

It ran nowhere, but a caller gives up on a 404. It is told 503 not-configured now. The new test fails without the change (404).

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -330,3 +330,22 @@
         assert bodies[0][1] == b"abcd"
         assert b"content-encoding: gzip" in bodies[0][0].lower()
         assert b"transfer-encoding" not in bodies[0][0].lower()
+
+
+class TestGatewayWithoutTables:
+    async def test_it_tells_callers_to_send_elsewhere(
+        self, fleet: fleets.Fleet
+    ) -> None:
+        """It has just started, and what has a route it cannot know."""
+        gateway = fleet.gateways["vm-0"]
+        assert gateway._view.tables.generation == 0
+        url = f"http://{fleet.addresses['vm-0']}/queue/1"
+        for method in ("GET", "POST"):
+            async with fleet.session.request(method, url) as response:
+                content = await response.json()
+            assert response.status == 503
+            assert content["outcome"] == "not_run"
+            assert content["reason"] == "not-configured"
+        await fleet.apply(fleet.declare())
+        async with fleet.session.get(f"{url[:-8]}/nowhere") as response:
+            assert (await response.json())["reason"] == "no-route"
--- a/wigeonspool/gateway/ingress.py
+++ b/wigeonspool/gateway/ingress.py
@@ -222,7 +222,12 @@
             BodyUnreadableError: If its body did not arrive; nothing was sent.
         """
         if route is None:
-            return outcomes.refuse(outcomes.Reason.NO_ROUTE)
+            # Before its first tables a gateway cannot say what has no route.
+            known = self._view.tables.generation > 0
+            reason = outcomes.Reason.NO_ROUTE
+            return outcomes.refuse(
+                reason if known else outcomes.Reason.NOT_CONFIGURED
+            )
         if isinstance(deadline, outcomes.Failure):
             return deadline
         if self._refusing:
