--- a/wigeonspool/model/inquiries.py
+++ b/wigeonspool/model/inquiries.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 from wigeonspool.model import events
+from wigeonspool.model import measurements
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,13 +48,11 @@
         name: Name of the pool.
         queued: Requests that wait for a slot.
         targets: Its targets.
-        budgets: What was used of each budget since the start, by name.
     """
 
     name: str
     queued: int
     targets: tuple[TargetStatus, ...]
-    budgets: dict[str, float]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,12 +90,14 @@
         missing: Names of those that did not.
         measured_pools: Pools whose measuring budget the VM may spend.
         store_calls: Calls to the store since the agent started.
+        spent: What the agent spent of measuring budgets.
     """
 
     gateways: tuple[GatewayStatus, ...]
     missing: tuple[str, ...] = ()
     measured_pools: tuple[str, ...] = ()
     store_calls: int = 0
+    spent: tuple[measurements.Spending, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
