Let connections go silent in virtual time

Kept connections are now carried by a fake that asks the detector and the trust in kept connections of real gateways; the trust moves out of the connector into a class without sockets for that. The constant AGE_SECONDS moves with it, so tests/test_silence.py sets it there; the test is otherwise as before.

That an exchange is repeated only on a connection that had been used is not shared yet: it stands in Egress._open and in the carrier.

Attempts are told apart at targets by themselves and not by their request, since a repeated one may run beside the first.

With the detector switched off in a test, reads stay without an answer.

--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from wigeonspool.gateway import silence
 from wigeonspool.load import decide
 from wigeonspool.load import experiment as experiments
 from wigeonspool.load import main
@@ -131,3 +132,28 @@
         # Of 14 targets, one with few in flight attracts more than its part.
         baseline = figures["two-choices"]["windows"]["failing"]
         assert baseline["faulty_share"] > 1 / 14
+
+
+class TestSilent:
+    """A fifth of the open connections go silent for good, three times."""
+
+    FIELDS = ("seconds=8", "policies=[policy]", "warmup_seconds=0")
+
+    def test_silent_connections_are_found_and_reads_answered(self) -> None:
+        figures = run("silent", *self.FIELDS)["policy"]
+        reads = figures["kinds"]["short"]
+        assert figures["suspected"] > 0
+        assert 0 < figures["silence_found_ms"] <= 1000
+        assert reads["answered_in_time"] == reads["offered"]
+        assert figures["runs_twice"] == 0
+        assert figures["refused_but_ran"] == 0
+
+    def test_it_is_the_detector_of_real_gateways_that_finds_them(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        refuse = "has_budget", lambda _: False
+        monkeypatch.setattr(silence.SilenceDetector, *refuse)
+        figures = run("silent", *self.FIELDS)["policy"]
+        reads = figures["kinds"]["short"]
+        assert figures["suspected"] == 0
+        assert reads["answered_in_time"] < reads["offered"]
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -8,7 +8,6 @@
 
 from tests import fleet as fleets
 from tests import lone
-from wigeonspool.gateway import connections
 from wigeonspool.gateway import silence
 from wigeonspool.standin import target as targets
 
@@ -217,7 +216,7 @@
         for _ in range(3):
             assert await bench.read() == "answered"
         assert len(opened) == 1
-        monkeypatch.setattr(connections, "AGE_SECONDS", 0.0)
+        monkeypatch.setattr(silence, "AGE_SECONDS", 0.0)
         for _ in range(3):
             assert await bench.read() == "answered"
         assert len(opened) == 4
--- a/wigeonspool/gateway/connections.py
+++ b/wigeonspool/gateway/connections.py
@@ -14,8 +14,9 @@
 import aiohttp
 import yarl
 
+from wigeonspool.gateway import silence
+
 IDLE_SECONDS: Final = 15.0
-AGE_SECONDS: Final = 60.0
 CONNECT_SECONDS: Final = 1.0
 CONNECT_TIMEOUT: Final = aiohttp.ClientTimeout(
     total=None, sock_connect=CONNECT_SECONDS
@@ -89,12 +90,12 @@
             )
         self._opened_at: weakref.WeakKeyDictionary[Any, float]
         self._opened_at = weakref.WeakKeyDictionary()
-        self._distrusted_until: dict[str, float] = {}
+        self._trust = silence.TrustTable()
         self._peers: dict[str, aiohttp.ClientRequest] = {}
 
     def distrust(self, address: str) -> None:
         """Stops the reuse of all connections to a peer opened before now."""
-        self._distrusted_until[address] = self._loop.time()
+        self._trust.distrust(address, self._loop.time())
 
     async def open(
         self, address: str, exchange: Exchange
@@ -120,8 +121,7 @@
             if opened_at is None:
                 self._opened_at[connection.protocol] = now
                 return connection
-            distrusted_until = self._distrusted_until.get(address, 0.0)
-            if opened_at > max(distrusted_until, now - AGE_SECONDS):
+            if self._trust.is_trusted(address, opened_at, now):
                 exchange.reused = True
                 return connection
             connection.close()
--- a/wigeonspool/gateway/egress.py
+++ b/wigeonspool/gateway/egress.py
@@ -164,8 +164,7 @@
         now = self._loop.time()
         suspect_at = outgoing.deadline
         if may_repeat and route and not outgoing.is_spent():
-            limit = self._silence.find_limit(route, suspect_at - now)
-            suspect_at = min(suspect_at, now + limit)
+            suspect_at = self._silence.find_suspect_at(route, now, suspect_at)
         return connections.Exchange(asyncio.timeout(None), suspect_at)
 
     async def _send(
--- a/wigeonspool/gateway/silence.py
+++ b/wigeonspool/gateway/silence.py
@@ -8,6 +8,7 @@
 
 from typing import Final
 
+AGE_SECONDS: Final = 60.0
 LEAST_SECONDS: Final = 0.25
 MOST_SECONDS: Final = 1.0
 SUSPECT_RATIO: Final = 4.0
@@ -53,6 +54,17 @@
         longest = LONG_WORK_RATIO * peak
         return min(max(limit, longest), max(remaining / 2, longest))
 
+    def find_suspect_at(self, route: str, now: float, deadline: float) -> float:
+        """Returns when an attempt that begins now is suspected.
+
+        Args:
+            route: Route of the request.
+            now: Time in seconds.
+            deadline: Deadline of the request, on the same clock.
+        """
+        limit = self.find_limit(route, deadline - now)
+        return min(deadline, now + limit)
+
     def has_budget(self) -> bool:
         """Returns True if an attempt may be suspected now."""
         return self._budget >= 1.0
@@ -60,3 +72,32 @@
     def spend(self) -> None:
         """Takes one suspicion from the budget."""
         self._budget -= 1.0
+
+
+class TrustTable:
+    """Which kept connections may be used again, by their peers' addresses.
+
+    A connection is not reused past an age limit, nor once another connection
+    to the same peer proved silent or dead after it was opened.
+    """
+
+    __slots__ = ("_distrusted_until",)
+
+    def __init__(self) -> None:
+        """Prepares an empty table."""
+        self._distrusted_until: dict[str, float] = {}
+
+    def distrust(self, address: str, now: float) -> None:
+        """Stops the reuse of all connections to a peer opened before now."""
+        self._distrusted_until[address] = now
+
+    def is_trusted(self, address: str, opened_at: float, now: float) -> bool:
+        """Returns True if a kept connection may be used once more.
+
+        Args:
+            address: host:port of its peer.
+            opened_at: When it was opened, in seconds.
+            now: Time on the same clock.
+        """
+        until = self._distrusted_until.get(address, 0.0)
+        return opened_at > max(until, now - AGE_SECONDS)
--- a/wigeonspool/load/decide.py
+++ b/wigeonspool/load/decide.py
@@ -78,5 +78,7 @@
             f" ({figures['cross_region_fraction']:.3%}),"
             f" ran twice {figures['runs_twice']},"
             f" refused but ran {figures['refused_but_ran']},"
-            f" crashed targets {figures['crashes']}"
+            f" crashed targets {figures['crashes']},"
+            f" suspected connections {figures['suspected']}"
+            f" within {figures['silence_found_ms']:.0f} ms"
         )
--- a/wigeonspool/load/fakes.py
+++ b/wigeonspool/load/fakes.py
@@ -12,6 +12,27 @@
 COLD_SECONDS: Final = 5.0
 
 
+@dataclasses.dataclass(slots=True)
+class Connection:
+    """One connection from a gateway to a target.
+
+    Attributes:
+        pair: Name of the gateway and address of the target.
+        opened_at: When it was opened, in seconds.
+        reused: True if it had been used before.
+        silent_at: When it went silent, or infinity.
+    """
+
+    pair: tuple[str, str]
+    opened_at: float
+    reused: bool = False
+    silent_at: float = float("inf")
+
+    def is_silent(self) -> bool:
+        """Returns True if nothing passes any more."""
+        return self.silent_at < float("inf")
+
+
 @dataclasses.dataclass(slots=True)
 class Attempt:
     """One attempt of a request on its way to a target.
@@ -24,6 +45,8 @@
         deadline: Deadline that travels with it.
         cancelled: True if the gateway no longer wants its result.
         begun: True once it holds a slot.
+        sent_at: When it was sent, in seconds.
+        connection: What carries it.
     """
 
     request_id: int
@@ -33,6 +56,10 @@
     deadline: float
     cancelled: bool = False
     begun: bool = False
+    sent_at: float = 0.0
+    connection: Connection = dataclasses.field(
+        default_factory=lambda: Connection(("", ""), 0.0)
+    )
 
 
 class FakeTarget:
--- a/wigeonspool/load/harness.py
+++ b/wigeonspool/load/harness.py
@@ -12,6 +12,7 @@
 
 from wigeonspool.core import actions
 from wigeonspool.core import tables
+from wigeonspool.load import carrier as carriers
 from wigeonspool.load import experiment as experiments
 from wigeonspool.load import fakes
 from wigeonspool.load import parties
@@ -52,11 +53,18 @@
         self.tally = tallies.Tally(experiment)
         self._network = fakes.FakeNetwork(experiment)
         self._network.is_counting = self.tally.is_measured
+        self._carrier = carriers.Carrier(
+            self._push,
+            self._deliver,
+            seed + 3,
+            fleet.deciders,
+            fleet.keeps_deadlines,
+        )
         self._servers = servers.Servers(
             experiment,
             self._network,
             self._push,
-            self._deliver,
+            self._carrier.deliver,
             seed + 2,
             slots or experiment.targets.slots,
         )
@@ -79,6 +87,8 @@
         self.tally.measuring_bytes = self._servers.measuring_bytes
         self.tally.by_target = self._servers.begun
         self.tally.crashes = self._servers.crashes
+        self.tally.suspected = self._carrier.suspected
+        self.tally.silence_found_ms = self._carrier.found_seconds * 1000
         self.tally.total_bytes = self._network.total_bytes
         self.tally.cross_region_bytes = self._network.cross_region_bytes
         return self.tally
@@ -233,6 +243,7 @@
                 self._settle(now, job, action.failure)
             elif job.attempt is not None:
                 zone = self._gateways[name].zone
+                self._carrier.drop(job.attempt)
                 self._servers.cancel(now, job.attempt, zone)
 
     def _send(
@@ -246,7 +257,7 @@
         )
         zone = self._gateways[name].zone
         self.tally.record_attempt(now, job, self._servers.has_fault(target))
-        self._servers.send(now, job, zone)
+        self._carrier.send(now, job, zone, self._servers)
 
     def _deliver(
         self, now: float, attempt: fakes.Attempt, result: tables.Result
@@ -287,6 +298,8 @@
     def _begin_fault(self, now: float, fault: experiments.Fault) -> None:
         """Begins a fault at its targets, and at gateways of a lost zone."""
         changed = self._servers.begin_fault(now, fault)
+        if fault.kind == "silent":
+            self._carrier.silence(now, fault, changed)
         if fault.kind == "drain":
             at = now + fault.listed_after_s
             tell = self._fleet.mark_leaving
--- a/wigeonspool/load/servers.py
+++ b/wigeonspool/load/servers.py
@@ -10,8 +10,7 @@
 from wigeonspool.load import parties
 
 Push = Callable[[float, Callable[..., None], Any], None]
-Deliver = Callable[[float, fakes.Attempt, tables.Result], None]
-CONNECTIONS_PER_PAIR: Final = 8
+Deliver = Callable[[float, fakes.Attempt, parties.Job, tables.Result], None]
 REPORT_BYTES: Final = 32
 
 
@@ -55,7 +54,7 @@
             )
             for t in parties.list_targets(experiment)
         }
-        self._sources: dict[int, tuple[parties.Job, str]] = {}
+        self._sources: dict[int, tuple[fakes.Attempt, parties.Job, str]] = {}
         self.attempts = 0
         self.measuring_bytes = 0
         self.crashes = 0
@@ -84,6 +83,7 @@
 
     def _stop(self, now: float, attempt: fakes.Attempt) -> None:
         """Frees the slot of a cancelled attempt."""
+        self._sources.pop(id(attempt), None)
         if attempt.begun:
             attempt.begun = False
             target = self._targets[attempt.target]
@@ -96,7 +96,7 @@
         """Takes an attempt at its target."""
         attempt, job, zone = what
         target = self._targets[attempt.target]
-        if self._is_silent(attempt):
+        if attempt.connection.is_silent():
             return
         shed = target.has_fault("shed")
         is_shed = shed is not None and self._chances.random() < shed.fraction
@@ -109,19 +109,10 @@
             at = now + fakes.FAIL_SECONDS
             self._push(at, self._fail, what)
             return
-        self._sources[attempt.request_id] = (job, zone)
+        self._sources[id(attempt)] = what
         target.enqueue(attempt)
         self._begin(now, target)
 
-    def _is_silent(self, attempt: fakes.Attempt) -> bool:
-        """Returns True if the connection of an attempt leads nowhere."""
-        fault = self._targets[attempt.target].has_fault("silent")
-        if fault is None:
-            return False
-        connection = attempt.request_id % CONNECTIONS_PER_PAIR
-        pair = f"{attempt.gateway}/{attempt.target}/{connection}"
-        return random.Random(pair).random() < fault.fraction
-
     def _fail(
         self, now: float, what: tuple[fakes.Attempt, parties.Job, str]
     ) -> None:
@@ -132,18 +123,18 @@
         """Begins what the free slots of a target can take."""
         while (begun := target.begin_next(now)) is not None:
             attempt, end = begun
-            job, zone = self._sources[attempt.request_id]
+            what = self._sources[id(attempt)]
+            job = what[1]
             if end is None:
-                self._answer(
-                    now, (attempt, job, zone), tables.ResultKind.NOT_RUN
-                )
+                del self._sources[id(attempt)]
+                self._answer(now, what, tables.ResultKind.NOT_RUN)
                 continue
             job.runs += 1
             self.begun[target.address] += 1
             if job.work.crashes:
                 self._crash(now, target)
                 return
-            self._push(end, self._complete, (attempt, job, zone))
+            self._push(end, self._complete, what)
 
     def _complete(
         self, now: float, what: tuple[fakes.Attempt, parties.Job, str]
@@ -154,7 +145,7 @@
         if not attempt.begun:
             return
         attempt.begun = False
-        del self._sources[attempt.request_id]
+        del self._sources[id(attempt)]
         target.free_slot(now)
         self._answer(now, what, tables.ResultKind.ANSWERED)
         self._begin(now, target)
@@ -185,10 +176,10 @@
             and kind is tables.ResultKind.NOT_RUN,
         )
         at = self._network.carry(now, target.zone, zone, size, caller=False)
-        self._push(at, self._arrive, (attempt, result))
+        self._push(at, self._arrive, (attempt, job, result))
 
     def _arrive(
-        self, now: float, what: tuple[fakes.Attempt, tables.Result]
+        self, now: float, what: tuple[fakes.Attempt, parties.Job, tables.Result]
     ) -> None:
         """Takes a result at its gateway."""
         self._deliver(now, *what)
@@ -226,9 +217,11 @@
     def _lose(self, now: float, target: fakes.FakeTarget) -> None:
         """Loses all attempts at a target that died."""
         target.lose_all(now)
-        for job, zone in list(self._sources.values()):
-            attempt = job.attempt
-            if attempt is None or attempt.target != target.address:
+        for what in list(self._sources.values()):
+            attempt = what[0]
+            if attempt.target != target.address:
                 continue
             attempt.begun = False
-            self._answer(now, (attempt, job, zone), tables.ResultKind.LOST)
+            del self._sources[id(attempt)]
+            if not attempt.cancelled:
+                self._answer(now, what, tables.ResultKind.LOST)
--- a/wigeonspool/load/tally.py
+++ b/wigeonspool/load/tally.py
@@ -105,6 +105,8 @@
         cross_region_bytes: Those of them that cross regions.
         by_target: Requests that each target began.
         crashes: Targets that a request crashed.
+        suspected: Exchanges that gateways gave up as silent.
+        silence_found_ms: Longest time until a silent connection was found.
     """
 
     def __init__(self, experiment: experiments.Experiment) -> None:
@@ -120,6 +122,8 @@
         self.total_bytes = 0
         self.cross_region_bytes = 0
         self.crashes = 0
+        self.suspected = 0
+        self.silence_found_ms = 0.0
         self.by_target: dict[str, int] = {}
 
     def is_measured(self, sent_at: float) -> bool:
@@ -190,6 +194,8 @@
             "runs_twice": self.runs_twice,
             "refused_but_ran": self.refused_but_ran,
             "crashes": self.crashes,
+            "suspected": self.suspected,
+            "silence_found_ms": self.silence_found_ms,
             "measuring_requests": self.measuring_requests,
             "measuring_bytes": self.measuring_bytes,
             "total_bytes": self.total_bytes,
