--- a/wigeonspool/core/pools.py
+++ b/wigeonspool/core/pools.py
@@ -36,7 +36,8 @@
         ejected: Addresses of the targets that use one.
         impaired: Addresses of own targets that have not all their slots.
         returns: Heap of (time, address) at which targets may serve again.
-        overdue: Heap of (time, request id, attempt) at which attempts are slow.
+        sent: Attempts by route as (time, number, request), in the order in
+            which they were sent, to be looked at when they should have ended.
         retries: Budget of retries.
         suspects: Running attempts of suspects by target address.
         unusual: Pool and address of targets that do not simply serve, shared
@@ -56,12 +57,12 @@
         "impaired",
         "index",
         "long_limit",
-        "overdue",
         "permits",
         "pool",
         "queue",
         "retries",
         "returns",
+        "sent",
         "slots",
         "suspects",
         "targets",
@@ -94,7 +95,9 @@
         self.ejected: set[str] = set()
         self.impaired: set[str] = set()
         self.returns: list[tuple[float, str]] = []
-        self.overdue: list[tuple[float, int, int]] = []
+        self.sent: dict[
+            str, collections.deque[tuple[float, int, tables.RequestRow]]
+        ] = {}
         self.retries = retrying.RetryBudget()
         self.suspects: collections.Counter[str] = collections.Counter()
         self._zone = zone
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -18,6 +18,7 @@
 from wigeonspool.gateway import listener
 from wigeonspool.gateway import metrics
 from wigeonspool.gateway import pauses
+from wigeonspool.gateway import probing
 from wigeonspool.gateway import scheduler
 from wigeonspool.gateway import statuses
 from wigeonspool.gateway import view
@@ -107,6 +108,7 @@
             self._view, self._scheduler, self._log
         )
         self._link = self._build_link()
+        self._asker = probing.ProbeAsker(self._scheduler, self._link.send)
 
     def _build_link(self) -> link.AgentLink:
         """Returns the link to the agent, not yet open."""
@@ -126,12 +128,14 @@
             self._log,
             self._take_view,
             self._scheduler.take_suspect,
+            self._scheduler.take_probe,
             functools.partial(
                 statuses.build_status,
                 self._gateway.name,
                 self._view,
                 self._scheduler,
             ),
+            self._settings.agent.heartbeat_seconds,
         )
 
     def _take_view(self) -> None:
@@ -166,7 +170,7 @@
         gateway = dataclasses.replace(
             self._gateway, draining=self._ingress.draining, demand=demand
         )
-        self._link.send(
+        self._link.report(
             messages.GatewayReport(gateway, self._view.tables.generation)
         )
 
@@ -204,6 +208,7 @@
         self._share_pools()
         self._ingress.demand.clear()
         self._watcher.observe()
+        self._asker.observe(asyncio.get_running_loop().time())
 
     async def drain(self) -> None:
         """Moves callers elsewhere, then finishes what is in flight.
--- a/wigeonspool/wire/senders.py
+++ b/wigeonspool/wire/senders.py
@@ -8,6 +8,7 @@
 
 from wigeonspool.model import errors
 from wigeonspool.model import inquiries
+from wigeonspool.model import measurements
 from wigeonspool.model import messages
 
 AGENT: Final = "agent"
@@ -32,6 +33,8 @@
     messages.Directory: frozenset({AGENT}),
     messages.GatewayReport: frozenset({GATEWAY}),
     messages.Suspect: frozenset({AGENT, GATEWAY, REMOTE}),
+    measurements.ProbeRequest: frozenset({AGENT, GATEWAY, REMOTE}),
+    measurements.ProbeResult: frozenset({AGENT, REMOTE}),
     inquiries.StatusRequest: frozenset({OPERATOR}),
     inquiries.RegionRequest: frozenset({OPERATOR}),
     inquiries.VmStatusRequest: frozenset({AGENT, OPERATOR}),
