Keep buckets of free slots only up to the highest level in use

Cause: a gateway with 1,900 pools and 10,000 targets took 74.1 MiB private instead of 59.4 since buckets became ordered dictionaries: 5 groups of 17 in each pool, nearly all empty. Memory of the dispatcher's rows for 1,900 pools and 9,500 targets (tracemalloc, same run): 29.9 MiB before, 10.7 after. Ruled out: plain dictionaries, whose cost grows with the pool.

--- a/wigeonspool/core/choosing.py
+++ b/wigeonspool/core/choosing.py
@@ -33,19 +33,15 @@
 class TargetIndex:
     """The targets of a pool, arranged by group and free slots."""
 
-    __slots__ = ("_buckets", "_places", "_tops")
+    __slots__ = ("_buckets", "_places")
 
     def __init__(self) -> None:
         """Prepares empty buckets."""
-        # A plain dictionary keeps the places of what was removed from its
-        # front, and each look at its first entry would pass over them.
-        self._buckets: list[list[Bucket]] = [
-            [collections.OrderedDict() for _ in range(LEVELS + 1)]
-            for _ in Group
-        ]
+        # By group and level, up to the highest level that was in use. A plain
+        # dictionary keeps the places of what was removed from its front, and
+        # each look at its first entry would pass over them.
+        self._buckets: list[list[Bucket]] = [[] for _ in Group]
         self._places: dict[str, tuple[int, int]] = {}
-        # The highest level that was in use, by group.
-        self._tops = [0 for _ in Group]
 
     def place(self, target: tables.TargetRow) -> None:
         """Puts a target where it belongs, after any change of its row."""
@@ -58,9 +54,10 @@
         if known is not None:
             del self._buckets[known[0]][known[1]][target.address]
         self._places[target.address] = place
-        if level > self._tops[group]:
-            self._tops[group] = level
-        self._buckets[place[0]][place[1]][target.address] = target
+        buckets = self._buckets[group]
+        while len(buckets) <= level:
+            buckets.append(collections.OrderedDict())
+        buckets[level][target.address] = target
 
     def remove(self, address: str) -> None:
         """Forgets a target."""
@@ -84,7 +81,7 @@
         fallback: tables.TargetRow | None = None
         for group in range(first, farthest + 1):
             buckets = self._buckets[group]
-            for level in range(self._tops[group], 0, -1):
+            for level in range(len(buckets) - 1, 0, -1):
                 # At most as many rows are passed over as were tried.
                 for target in buckets[level].values():
                     if target.address not in tried:
