Name gateways by demand in the harness, as real ones do

Cause: PolicyFleet.name_gateways passed gateways without their demand, so every experiment ran with the least number of gateways, two, whatever its load.

--- a/wigeonspool/load/baselines.py
+++ b/wigeonspool/load/baselines.py
@@ -166,7 +166,7 @@
     def __init__(self, experiment: experiments.Experiment) -> None:
         """Prepares a dispatcher for each gateway."""
         self._gateways = {g.name: g for g in parties.list_gateways(experiment)}
-        self._live = list(self._gateways)
+        self._live = list(self._gateways.values())
         shape = experiment.gateways
         self._crews = sharing.Crews(shape.requests_per_second, shape.least)
         self._pool = entities.Pool(
@@ -189,16 +189,14 @@
 
     def name_gateways(self, zone: str) -> list[tuple[str, float]]:
         """Answers the address question as a gateway does."""
-        gateways = [self._gateways[name] for name in self._live]
-        crew = self._crews.find(parties.POOL, zone, gateways)
+        crew = self._crews.find(parties.POOL, zone, self._live)
         return [(gateway.name, 1.0) for gateway in crew]
 
     def take_beat(
         self, now: float, demand: dict[str, float], live: list[str]
     ) -> None:
         """Gives every gateway the digests of the others."""
-        self._live = live
-        gateways = [
+        self._live = [
             dataclasses.replace(
                 self._gateways[name], demand={parties.POOL: demand[name]}
             )
@@ -206,7 +204,7 @@
         ]
         for name in live:
             zone = self._gateways[name].zone
-            limits = self._crews.divide(self._pool, zone, gateways, name)
+            limits = self._crews.divide(self._pool, zone, self._live, name)
             self.dispatchers[name].share(parties.POOL, limits)
 
     def share_suspects(self, now: float) -> None:
