--- a/examples/first-day/run.sh
+++ b/examples/first-day/run.sh
@@ -2,7 +2,7 @@
 # Runs each command of docs/OPERATING.md against a small fleet on the loopback
 # address and prints it with its output. Takes the directory of the binaries.
 set -uo pipefail
-bin=$1
+bin=$(cd "$1" && pwd)
 logs=$(mktemp -d)
 cp "$(dirname "$0")"/*.yaml "$logs"
 cd "$logs"
