Let one generator read a followed stream, and one rule tell a target's limit

upstreams.py and link.py received, timed out and checked an agent's messages with the same loop; senders.iterate_messages serves both. find_level wrote out what find_limit beside it returns.

--- a/wigeonspool/agent/upstreams.py
+++ b/wigeonspool/agent/upstreams.py
@@ -146,12 +146,9 @@
             upstream.pulse = messages.Pulse()
             stream.post(self._build_hello(upstream.role))
             upstream.stream = stream
-            while True:
-                async with asyncio.timeout(silence):
-                    message = await stream.receive()
-                if message is None:
-                    return
-                senders.check_sender(senders.AGENT, message)
+            async for message in senders.iterate_messages(
+                stream, senders.AGENT, silence
+            ):
                 self._take(upstream, message)
         finally:
             upstream.stream = None
--- a/wigeonspool/core/choosing.py
+++ b/wigeonspool/core/choosing.py
@@ -117,7 +117,7 @@
     """Returns the bucket for a target's free slots; 0 takes no work."""
     if target.state is not tables.TargetState.SERVING:
         return 0
-    limit = min(target.limit, target.health.cap)
+    limit = find_limit(target)
     free = limit - target.in_flight
     if free <= 0:
         return 0
--- a/wigeonspool/gateway/link.py
+++ b/wigeonspool/gateway/link.py
@@ -117,12 +117,9 @@
             )
             self._stream = stream
             self._reported = None
-            while True:
-                async with asyncio.timeout(SILENCE_SECONDS):
-                    message = await stream.receive()
-                if message is None:
-                    return
-                senders.check_sender(senders.AGENT, message)
+            async for message in senders.iterate_messages(
+                stream, senders.AGENT, SILENCE_SECONDS
+            ):
                 self._take(message, stream)
         finally:
             self._stream = None
--- a/wigeonspool/wire/senders.py
+++ b/wigeonspool/wire/senders.py
@@ -4,12 +4,15 @@
 operator's command must not be able to report load.
 """
 
+import asyncio
+from collections.abc import AsyncIterator
 from typing import Final
 
 from wigeonspool.model import errors
 from wigeonspool.model import inquiries
 from wigeonspool.model import measurements
 from wigeonspool.model import messages
+from wigeonspool.wire import streams
 
 AGENT: Final = "agent"
 GATEWAY: Final = "gateway"
@@ -69,3 +72,27 @@
     """
     if role not in SENDERS[type(message)]:
         raise errors.SenderRoleError(role, type(message).__name__)
+
+
+async def iterate_messages(
+    stream: streams.Stream, role: str, silence_seconds: float
+) -> AsyncIterator[messages.Message]:
+    """Yields the messages of a peer until it ends the stream.
+
+    Args:
+        stream: Stream that nothing else reads.
+        role: Role of the peer.
+        silence_seconds: Longest time that it may send nothing.
+
+    Raises:
+        WireError: If the peer broke the protocol or its role.
+        OSError: If the stream failed.
+        TimeoutError: If the peer was silent for too long.
+    """
+    while True:
+        async with asyncio.timeout(silence_seconds):
+            message = await stream.receive()
+        if message is None:
+            return
+        check_sender(role, message)
+        yield message
