--- a/tests/check_histories.py
+++ b/tests/check_histories.py
@@ -35,8 +35,9 @@
 class FleetBench(fleets.Fleet):
     """A fleet whose connections go through pipes and which records itself."""
 
-    def __init__(self) -> None:
+    def __init__(self, doors_piped: bool = True) -> None:
         super().__init__(once_capacity=400, once_answer_bytes=2_000_000)
+        self._doors_piped = doors_piped
         self.history = histories.History()
         self.doors: dict[str, str] = {}
         self.faults = {
@@ -119,7 +120,9 @@
         await gateway.start()
         self.gateways[vm] = gateway
         self.addresses[vm] = settings.gateway.addresses[0]
-        self.doors[self.addresses[vm]] = self._door_pipes[vm].address
+        door = self._door_pipes[vm].address
+        address = self.addresses[vm]
+        self.doors[address] = door if self._doors_piped else address
         self._lives[vm] = histories.Life(
             vm, vm, gateway._gateway.incarnation, time.time()
         )
@@ -297,6 +300,25 @@
             assert gateway._gateway.address == self.addresses[vm]
             await self.start_gateway(vm)
 
+    async def replace_vm(self, vm: str) -> None:
+        """Stops a VM as the platform would: SIGTERM to all its processes."""
+        agent = self.agents.pop(vm)
+        self.list_vm(
+            vm, "zone-0", agent._settings.agent.listen, "entry", "leaving"
+        )
+        self._end_life(vm)
+        address = self.addresses.pop(vm)
+
+        async def stop_agent() -> None:
+            await agent.drain()
+            await agent.stop()
+
+        await asyncio.gather(stop_agent(), self.stop_gateway(vm))
+        self.doors.pop(address)
+        self.settings.pop(vm)
+        self.vms._vms.pop(vm)
+        self.vms._publish(dict(self.vms._vms))
+
     async def plan_drain(self, rng: random.Random) -> None:
         """An operator drains a target and takes that back later."""
         with self._claim(list(self.targets), rng) as address:
--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -36,6 +36,9 @@
 NEAR: Final = (senders.GATEWAY, senders.AGENT)
 # Demand is told this often, in heartbeats; all else at once.
 REPEAT_HEARTBEATS: Final = 10
+DRAIN_POLL_SECONDS: Final = 0.05
+# A report passes this agent, a feeder and another agent, and then some slack.
+HEARTBEATS_TO_TELL: Final = 4
 
 
 class AgentService(process.DrainingService):
@@ -110,6 +113,26 @@
         self._log.record(events.Kind.PROCESS_STARTED, vm=settings.vm)
         loguru.logger.info("listening on {}", settings.agent.listen)
 
+    async def drain(self) -> None:
+        """Tells others of the gateways of this VM until those have stopped.
+
+        Gateways that are asked to stop along with the agent say so first; if
+        none does, only the agent is replaced and nobody needs to be told.
+        """
+        settings = self._settings
+        give_up_at = self._now() + settings.gateway.drain_seconds
+        leave_at = self._now() + (
+            HEARTBEATS_TO_TELL * settings.agent.heartbeat_seconds
+        )
+        loguru.logger.info("draining; gateways are waited for")
+        while self._now() < give_up_at:
+            draining = any(
+                report.gateway.draining for report in self._hub.list_reports()
+            )
+            if not draining and self._now() >= leave_at:
+                break
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
     async def on_stop(self) -> None:
         """Closes ports and streams."""
         self._upstreams.stop()
--- a/wigeonspool/core/assignments.py
+++ b/wigeonspool/core/assignments.py
@@ -34,7 +34,9 @@
         gateways: Live gateways.
         count: Gateways wanted; they lie on different VMs if possible.
     """
-    live = {g.name: g for g in gateways if not g.draining}
+    known = {g.name: g for g in gateways}
+    # If all are leaving, one that still serves is better than none.
+    live = {n: g for n, g in known.items() if not g.draining} or known
     near = {n: g for n, g in live.items() if g.zone == zone}
     candidates = near or live
     ranked = rank_members(f"{pool}/{zone}", candidates)
--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -168,6 +168,18 @@
         request.state = tables.RequestState.SETTLED
         return done + self._dispatch(now, row)
 
+    def refuse_queued(self) -> list[actions.Action]:
+        """Refuses all requests that wait, since this gateway stops."""
+        queued = [
+            request
+            for request in self._requests.values()
+            if request.state is tables.RequestState.QUEUED
+        ]
+        return [
+            self._refuse(request, outcomes.Reason.DRAINING)
+            for request in queued
+        ]
+
     def tick(self, now: float) -> list[actions.Action]:
         """Runs the systems that depend on time alone."""
         done: list[actions.Action] = []
--- a/wigeonspool/gateway/ingress.py
+++ b/wigeonspool/gateway/ingress.py
@@ -38,7 +38,9 @@
         gateway: This gateway as others see it.
         counts: Requests that ended, by outcome and reason.
         demand: Requests received since the last report, by pool.
-        draining: True once the gateway prepares to stop.
+        draining: True once the gateway prepares to stop; callers are moved.
+        in_flight: Requests received and not ended.
+        worked_at: Time of the latest request, loop clock.
         home: Serves the requests that may run at most once.
     """
 
@@ -67,6 +69,9 @@
         self.counts: dict[tuple[str, str], int] = {}
         self.demand: dict[str, int] = {}
         self.draining = False
+        self.in_flight = 0
+        self.worked_at = 0.0
+        self._refusing = False
         self._view = view
         self._log = log
         self._received = 0
@@ -99,6 +104,8 @@
         if request_id is None:
             self._received += 1
             request_id = f"{self.gateway.name}-{self._received}"
+        self.in_flight += 1
+        self.worked_at = self._loop.time()
         try:
             ending = await self._serve_work(request, request_id)
             response, failure = await self._tell(request, request_id, ending)
@@ -106,9 +113,16 @@
             left = outcomes.doubt(outcomes.Reason.CALLER_LEFT)
             self.count(request_id, left)
             raise
+        finally:
+            self.in_flight -= 1
         self.count(request_id, failure)
         return response
 
+    def refuse_new_work(self) -> None:
+        """Refuses what has not begun; keys already known are still told."""
+        self._refusing = True
+        self.home.draining = True
+
     async def _serve_work(
         self, request: web.BaseRequest, request_id: str
     ) -> tuple[homes.Ending, float]:
@@ -159,6 +173,8 @@
             return outcomes.refuse(outcomes.Reason.NO_ROUTE)
         if isinstance(deadline, outcomes.Failure):
             return deadline
+        if self._refusing:
+            return outcomes.refuse(outcomes.Reason.DRAINING)
         body, held = await incoming.read_body(request, deadline)
         outgoing = incoming.build_outgoing(request, request_id, body, deadline)
         # A body that is not held cannot be sent twice.
--- a/wigeonspool/gateway/scheduler.py
+++ b/wigeonspool/gateway/scheduler.py
@@ -53,6 +53,10 @@
         now = self._loop.time()
         self._execute(self.core.abandon(now, request.request_id))
 
+    def refuse_queued(self) -> None:
+        """Refuses all requests that wait, since this gateway stops."""
+        self._execute(self.core.refuse_queued())
+
     def tick(self) -> None:
         """Runs the systems that depend on time."""
         self._execute(self.core.tick(self._loop.time()))
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -30,7 +30,10 @@
 TICK_SECONDS: Final = 0.01
 REPORT_SECONDS: Final = 0.25
 RECONNECT_SECONDS: Final = 0.2
-MOVE_CALLERS_SECONDS: Final = 1.0
+# A report passes this agent, a feeder and another agent, and then some slack.
+HEARTBEATS_TO_TELL: Final = 4
+# Ports close after no request came for this long, so that none is on its way.
+QUIET_SECONDS: Final = 0.25
 
 
 class GatewayService(process.DrainingService):
@@ -151,7 +154,9 @@
     async def drain(self) -> None:
         """Moves callers elsewhere, then finishes what is in flight.
 
-        Takes no longer than the drain setting.
+        What waits in a queue once callers had time to move is refused, so
+        that they can send it elsewhere. Takes no longer than the drain
+        setting.
         """
         loop = asyncio.get_running_loop()
         give_up_at = loop.time() + self._settings.gateway.drain_seconds
@@ -159,12 +164,43 @@
         self._log.record(events.Kind.PROCESS_STOPPING, vm=self._settings.vm)
         loguru.logger.info("draining; callers are told of other gateways")
         self._report()
-        await asyncio.sleep(
-            self._settings.gateway.answer_seconds + MOVE_CALLERS_SECONDS
+        await self._move_callers(give_up_at)
+        self._ingress.refuse_new_work()
+        self._scheduler.refuse_queued()
+        while loop.time() < give_up_at:
+            quiet_at = self._ingress.worked_at + QUIET_SECONDS
+            if not self._count_unfinished() and loop.time() >= quiet_at:
+                break
+            await asyncio.sleep(TICK_SECONDS)
+        cut = self._count_unfinished()
+        if cut:
+            loguru.logger.warning("the drain time ended; {} cut", cut)
+        else:
+            loguru.logger.info("drained")
+
+    async def _move_callers(self, give_up_at: float) -> None:
+        """Waits until no caller keeps an answer that names this gateway.
+
+        Callers that go on to send show that others have not heard yet.
+
+        Args:
+            give_up_at: Time by which this gateway must have stopped.
+        """
+        loop = asyncio.get_running_loop()
+        keep_seconds = self._settings.gateway.answer_seconds
+        told_at = loop.time() + (
+            HEARTBEATS_TO_TELL * self._settings.agent.heartbeat_seconds
         )
-        while self._scheduler.core.count_running() and loop.time() < give_up_at:
+        refuse_at = (loop.time() + give_up_at) / 2
+        while loop.time() < refuse_at:
+            quiet_at = max(told_at, self._ingress.worked_at) + keep_seconds
+            if loop.time() >= quiet_at:
+                break
             await asyncio.sleep(TICK_SECONDS)
-        loguru.logger.info("drained")
+
+    def _count_unfinished(self) -> int:
+        """Returns the requests that would be cut by a stop."""
+        return max(self._ingress.in_flight, self._ingress.home.count_running())
 
     async def on_stop(self) -> None:
         """Closes the ports and connections."""
--- a/wigeonspool/load/resenders.py
+++ b/wigeonspool/load/resenders.py
@@ -15,6 +15,7 @@
 MAX_SENDS: Final = 4
 LIMIT_SECONDS: Final = 1.5
 PATIENCE_SECONDS: Final = (0.2, 2.0)
+CALM_SECONDS: Final = 10.0
 PAUSE_SECONDS: Final = (0.01, 0.3)
 ASK_SECONDS: Final = 0.5
 # Of ten requests, this many ask for an answer of many bytes.
@@ -49,6 +50,7 @@
         doors: Mapping[str, str],
         history: histories.History,
         rng: random.Random,
+        hurried: bool = True,
     ) -> None:
         """Prepares the caller.
 
@@ -58,7 +60,9 @@
             doors: Where to connect, by the address of each gateway.
             history: Where it records what it saw.
             rng: Source of its choices.
+            hurried: True if it grants little time and gives up early.
         """
+        self._hurried = hurried
         self._session = session
         self._name = name
         self._doors = doors
@@ -130,7 +134,7 @@
             key = fields["Idempotency-Key"]
             send = self._record(request, key, number, address)
             work = self._send(request, send, "POST", dict(fields))
-            if self._rng.random() < 0.1:
+            if self._hurried and self._rng.random() < 0.1:
                 twins.add(asyncio.get_running_loop().create_task(work))
                 await asyncio.sleep(0)
                 continue
@@ -160,6 +164,13 @@
         self._history.invocations.append(send)
         return send
 
+    def _choose_limits(self) -> tuple[float, float]:
+        """Returns the time granted and the time waited, in seconds."""
+        if not self._hurried:
+            return (CALM_SECONDS, 2 * CALM_SECONDS)
+        limit = self._rng.choice((0.1, 0.3, LIMIT_SECONDS))
+        return (limit, self._rng.uniform(*PATIENCE_SECONDS))
+
     async def _send(
         self,
         request: Request,
@@ -169,11 +180,10 @@
     ) -> None:
         """Sends once and writes down what came of it."""
         fields["Wigeonspool-Caller"] = self._name
-        limit = self._rng.choice((100, 300, LIMIT_SECONDS * 1000))
-        fields["Wigeonspool-Remaining-Ms"] = str(int(limit))
-        send.deadline = send.started_at + limit / 1000
+        limit, patience = self._choose_limits()
+        fields["Wigeonspool-Remaining-Ms"] = str(int(limit * 1000))
+        send.deadline = send.started_at + limit
         door = self._doors.get(send.gateway, send.gateway)
-        patience = self._rng.uniform(*PATIENCE_SECONDS)
         try:
             async with self._session.request(
                 method,
--- a/wigeonspool/process.py
+++ b/wigeonspool/process.py
@@ -15,6 +15,7 @@
 from wigeonspool.wire import clocks
 
 EXIT_INVALID_SETTINGS: Final = 2
+CLOSE_SECONDS: Final = 0.5
 
 
 class EventLog:
@@ -67,7 +68,7 @@
         The runner that stops it.
     """
     host, _, port = address.rpartition(":")
-    runner = web.ServerRunner(server)
+    runner = web.ServerRunner(server, shutdown_timeout=CLOSE_SECONDS)
     await runner.setup()
     site = web.TCPSite(runner, host, int(port), backlog=1024)
     await site.start()
