--- a/tests/check_histories.py
+++ b/tests/check_histories.py
@@ -21,9 +21,9 @@
 from wigeonspool.model import changes
 from wigeonspool.model import declarations
 from wigeonspool.model import errors
-from wigeonspool.platform import configuration
-from wigeonspool.platform import store as store_client
 from wigeonspool.standin import target as targets
+from wigeonspool.store import configuration
+from wigeonspool.store import store as store_client
 
 VMS = 3
 TARGETS = 4
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -19,11 +19,11 @@
 from wigeonspool.model import declarations
 from wigeonspool.model import entities
 from wigeonspool.model import options
-from wigeonspool.platform import configuration
-from wigeonspool.platform import store as store_client
 from wigeonspool.standin import store as stores
 from wigeonspool.standin import target as targets
 from wigeonspool.standin import vms
+from wigeonspool.store import configuration
+from wigeonspool.store import store as store_client
 
 PREFIX = "/wigeonspool/"
 
--- a/tests/log_fakes.py
+++ b/tests/log_fakes.py
@@ -8,9 +8,9 @@
 from wigeonspool.model import changes
 from wigeonspool.model import entities
 from wigeonspool.model import errors
-from wigeonspool.platform import configuration
-from wigeonspool.platform import store
 from wigeonspool.standin import store as stores
+from wigeonspool.store import configuration
+from wigeonspool.store import store
 
 PREFIX = "/wigeonspool/"
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -15,10 +15,10 @@
 from wigeonspool.model import errors
 from wigeonspool.model import events
 from wigeonspool.model import messages
-from wigeonspool.platform import configuration
-from wigeonspool.platform import snapshots
-from wigeonspool.platform import store as store_client
 from wigeonspool.standin import store as stores
+from wigeonspool.store import configuration
+from wigeonspool.store import snapshots
+from wigeonspool.store import store as store_client
 
 
 def list_ids(count: int, first: int = 0) -> list[str]:
--- a/tests/test_control_bench.py
+++ b/tests/test_control_bench.py
@@ -3,7 +3,7 @@
 from wigeonspool.load import control
 from wigeonspool.load import footprint
 from wigeonspool.model import entities
-from wigeonspool.platform import store
+from wigeonspool.store import store
 
 ROLLUP = """55d0-7ffd ---p 00000000 00:00 0    [rollup]
 Rss:               20480 kB
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -17,7 +17,7 @@
 from wigeonspool.model import errors
 from wigeonspool.model import events
 from wigeonspool.model import messages
-from wigeonspool.platform import vms
+from wigeonspool.store import vms
 from wigeonspool.wire import clocks
 from wigeonspool.wire import proofs
 from wigeonspool.wire import senders
--- a/tests/test_vms.py
+++ b/tests/test_vms.py
@@ -9,8 +9,8 @@
 import pytest_asyncio
 
 from wigeonspool.model import errors
-from wigeonspool.platform import vms
 from wigeonspool.standin import vms as standins
+from wigeonspool.store import vms
 
 FIRST = {
     "name": "vm-0",
--- a/wigeonspool/agent/feeding.py
+++ b/wigeonspool/agent/feeding.py
@@ -20,8 +20,8 @@
 from wigeonspool.model import errors
 from wigeonspool.model import measurements
 from wigeonspool.model import options
-from wigeonspool.platform import configuration as logs
-from wigeonspool.platform import store
+from wigeonspool.store import configuration as logs
+from wigeonspool.store import store
 from wigeonspool.wire import clocks
 
 # A new feeder hears its peers before it reads a store that may be older.
--- a/wigeonspool/agent/follower.py
+++ b/wigeonspool/agent/follower.py
@@ -12,8 +12,8 @@
 from wigeonspool.agent import configuration
 from wigeonspool.model import errors
 from wigeonspool.model import events
-from wigeonspool.platform import configuration as logs
-from wigeonspool.platform import store as stores
+from wigeonspool.store import configuration as logs
+from wigeonspool.store import store as stores
 
 # A watch that went silent is noticed within this time, and a store that comes
 # back within the longest retry delay; both stay well below the time in which a
--- a/wigeonspool/agent/following.py
+++ b/wigeonspool/agent/following.py
@@ -16,7 +16,7 @@
 from wigeonspool.model import errors
 from wigeonspool.model import messages
 from wigeonspool.model import options
-from wigeonspool.platform import vms
+from wigeonspool.store import vms
 from wigeonspool.wire import clocks
 
 # Seeds may know the feeders; the VM list is read if they do not tell so soon.
--- a/wigeonspool/agent/leases.py
+++ b/wigeonspool/agent/leases.py
@@ -15,7 +15,7 @@
 from wigeonspool.core import assignments
 from wigeonspool.model import entities
 from wigeonspool.model import errors
-from wigeonspool.platform import store as stores
+from wigeonspool.store import store as stores
 
 TTL_SECONDS: Final = 9
 MARGIN_SECONDS: Final = 1.0
--- /dev/null
+++ b/wigeonspool/core/weights.py
@@ -0,0 +1,40 @@
+"""Divides the requests of a rule among its shares.
+
+Each request goes to the share that is furthest behind its part, so that the
+parts hold within one request over any span.
+"""
+
+from collections.abc import Sequence
+
+from wigeonspool.model import fleet
+
+
+class ShareRotation:
+    """Remembers how far each share of a rule is behind its part."""
+
+    __slots__ = ("_credits", "_shares")
+
+    def __init__(self, shares: Sequence[fleet.Share], offset: float) -> None:
+        """Prepares a rotation.
+
+        Args:
+            shares: Shares of the rule.
+            offset: 0 to 1; where in the rotation to begin, so that VMs with
+                few requests do not all begin with the same share.
+        """
+        self._shares = tuple(s for s in shares if s.weight > 0)
+        total = sum(share.weight for share in self._shares) or 1.0
+        self._credits = [
+            offset * share.weight / total for share in self._shares
+        ]
+
+    def choose(self) -> str | None:
+        """Returns the service of the next request, or None without shares."""
+        if not self._shares:
+            return None
+        total = sum(share.weight for share in self._shares)
+        for index, share in enumerate(self._shares):
+            self._credits[index] += share.weight / total
+        best = max(range(len(self._shares)), key=self._credits.__getitem__)
+        self._credits[best] -= 1.0
+        return self._shares[best].service
--- a/wigeonspool/gateway/exchanges.py
+++ b/wigeonspool/gateway/exchanges.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any, Final, Protocol
 
 import aiohttp
@@ -22,6 +22,32 @@
 STATUS_SWITCHING: Final = 101
 
 
+class Connection(Protocol):
+    """A connection that one exchange uses at a time.
+
+    Attributes:
+        protocol: The HTTP library's protocol of the connection.
+        transport: Its transport, or None once it is closed.
+    """
+
+    @property
+    def protocol(self) -> client_proto.ResponseHandler | None:
+        """Protocol of the connection."""
+
+    @property
+    def transport(self) -> asyncio.Transport | None:
+        """Transport of the connection."""
+
+    def release(self) -> None:
+        """Gives the connection back after a whole exchange."""
+
+    def close(self) -> None:
+        """Closes the connection."""
+
+
+Accept = Callable[[http.RawResponseMessage], bool]
+
+
 class StreamedBody(Protocol):
     """A body that passes through once.
 
@@ -66,7 +92,7 @@
         method: str,
         message: http.RawResponseMessage,
         content: aiohttp.StreamReader,
-        connection: aiohttp.connector.Connection,
+        connection: Connection,
         writing: asyncio.Task[None] | None,
     ) -> None:
         """Takes an answer whose head has arrived.
@@ -85,7 +111,7 @@
         length = message.headers.get("Content-Length")
         self.content_length = None if length is None else int(length)
         self.content = content
-        self._connection: aiohttp.connector.Connection | None = connection
+        self._connection: Connection | None = connection
         self._writing = writing
         content.on_eof(self.release)
 
@@ -113,11 +139,12 @@
 
 
 async def send_request(
-    connection: aiohttp.connector.Connection,
+    connection: Connection,
     method: str,
     path: str,
     fields: CIMultiDict[str],
     body: Body,
+    accept: Accept = lambda message: True,
 ) -> TargetResponse:
     """Sends a request and waits for the head of its answer.
 
@@ -127,6 +154,8 @@
         path: Path and query.
         fields: All header fields but those that frame the body.
         body: Whole body, or a stream.
+        accept: Tells whether an answer is that of this request; others are
+            read and dropped.
 
     Raises:
         aiohttp.ClientError: If the connection ended or the answer breaks HTTP.
@@ -142,7 +171,7 @@
     writing: asyncio.Task[None] | None = None
     try:
         writing = await _write(protocol, method, path, fields, body)
-        message, content = await _read_head(protocol)
+        message, content = await _read_head(protocol, accept)
     except BaseException:
         if writing is not None:
             writing.cancel()
@@ -201,8 +230,9 @@
 
 async def _read_head(
     protocol: client_proto.ResponseHandler,
+    accept: Accept,
 ) -> tuple[http.RawResponseMessage, Any]:
-    """Returns the head and the body of a final answer.
+    """Returns the head and the body of a final answer that is accepted.
 
     Raises:
         aiohttp.ClientError: If the connection ended or the answer breaks HTTP.
@@ -213,5 +243,8 @@
         except http.HttpProcessingError as error:
             raise aiohttp.ClientPayloadError(repr(error)) from error
         code = message.code
-        if code >= LEAST_FINAL_STATUS or code == STATUS_SWITCHING:
+        if code < LEAST_FINAL_STATUS and code != STATUS_SWITCHING:
+            continue
+        if accept(message):
             return message, content
+        await content.read()
--- a/wigeonspool/gateway/streaming.py
+++ b/wigeonspool/gateway/streaming.py
@@ -35,6 +35,7 @@
     request_id: str,
     source: exchanges.TargetResponse,
     deadline: float,
+    response: web.StreamResponse | None = None,
 ) -> Streamed:
     """Passes an open answer on until it ends or its deadline passes.
 
@@ -46,8 +47,10 @@
         request_id: Identity on the time line.
         source: Open answer of the target; it is closed or released.
         deadline: Time by which the answer must have ended, loop clock.
+        response: Head for the caller, or None for one of this system's own.
     """
-    response = _build_response(request_id, source)
+    if response is None:
+        response = _build_response(request_id, source)
     failure: outcomes.Failure | None = None
     try:
         async with asyncio.timeout_at(deadline):
--- a/wigeonspool/load/control.py
+++ b/wigeonspool/load/control.py
@@ -20,8 +20,8 @@
 from wigeonspool.model import changes
 from wigeonspool.model import entities
 from wigeonspool.model import options
-from wigeonspool.platform import configuration
-from wigeonspool.platform import store
+from wigeonspool.store import configuration
+from wigeonspool.store import store
 
 AGENT_PORT: Final = 7000
 METRICS_PORT: Final = 7001
--- a/wigeonspool/logs.py
+++ b/wigeonspool/logs.py
@@ -7,11 +7,13 @@
 import json
 import logging
 import sys
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import loguru
 
-from wigeonspool.model import options
+if TYPE_CHECKING:
+    # Validated models are slow to import, and an entry VM needs none here.
+    from wigeonspool.model import options
 
 TEXT_FORMAT: Final = "{time:HH:mm:ss.SSS} {level} {extra[part]}: {message}"
 
@@ -31,7 +33,7 @@
         chosen.log(level, "{}", message)
 
 
-def configure_logs(part: str, settings: options.LogOptions) -> None:
+def configure_logs(part: str, settings: "options.LogOptions") -> None:
     """Directs the log of this process to standard error.
 
     Args:
@@ -66,3 +68,16 @@
         line["exception"] = repr(record["exception"].value)
         line["traceback"] = str(message).partition("\n")[2]
     print(json.dumps(line), file=sys.stderr, flush=True)
+
+
+def configure_plain_logs(part: str) -> None:
+    """Directs the log of this process to standard output, as text.
+
+    Args:
+        part: Prefix of each line.
+    """
+    loguru.logger.remove()
+    loguru.logger.configure(extra={"part": part})
+    loguru.logger.add(
+        sys.stdout, format=TEXT_FORMAT, level="INFO", diagnose=False
+    )
--- a/wigeonspool/model/errors.py
+++ b/wigeonspool/model/errors.py
@@ -317,3 +317,40 @@
 
     def __init__(self, name: str) -> None:
         super().__init__(f"no pool has a target at {name!r}")
+
+
+class PlatformFormatError(WigeonspoolError):
+    """What the platform says does not have the form that it documents."""
+
+    code = "platform-format"
+
+    def __init__(self, problem: str) -> None:
+        super().__init__(f"unreadable word of the platform: {problem}")
+
+
+class HistoryGoneError(StoreError):
+    """The store dropped the history after a revision; read all anew."""
+
+    code = "history-gone"
+
+    def __init__(self, revision: int) -> None:
+        super().__init__(f"the store has no history after {revision}")
+
+
+class ConditionFailedError(StoreError):
+    """A key was changed since it was read; nothing was written."""
+
+    code = "condition-failed"
+
+    def __init__(self, keys: tuple[str, ...]) -> None:
+        super().__init__(f"changed since read: {', '.join(keys)}")
+        self.keys = keys
+
+
+class LeaseEndedError(StoreError):
+    """A lease has ended; its keys are gone."""
+
+    code = "lease-ended"
+
+    def __init__(self, lease: int) -> None:
+        super().__init__(f"lease {lease} has ended")
--- a/wigeonspool/operator/collecting.py
+++ b/wigeonspool/operator/collecting.py
@@ -10,7 +10,7 @@
 from wigeonspool.model import events
 from wigeonspool.model import inquiries
 from wigeonspool.operator import sessions
-from wigeonspool.platform import vms
+from wigeonspool.store import vms
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wigeonspool/operator/draining.py
+++ b/wigeonspool/operator/draining.py
@@ -10,7 +10,7 @@
 from wigeonspool.operator import arguments
 from wigeonspool.operator import edits
 from wigeonspool.operator import sessions
-from wigeonspool.platform import vms
+from wigeonspool.store import vms
 
 VM_LIST_SECONDS: Final = 2.0
 
--- a/wigeonspool/operator/edits.py
+++ b/wigeonspool/operator/edits.py
@@ -13,7 +13,7 @@
 from wigeonspool.model import errors
 from wigeonspool.operator import differences
 from wigeonspool.operator import versions
-from wigeonspool.platform import configuration
+from wigeonspool.store import configuration
 
 EDIT_ATTEMPTS: Final = 20
 RETRY_SECONDS: Final = 0.02
--- a/wigeonspool/operator/sessions.py
+++ b/wigeonspool/operator/sessions.py
@@ -9,8 +9,8 @@
 
 from wigeonspool.model import errors
 from wigeonspool.model import messages
-from wigeonspool.platform import configuration
-from wigeonspool.platform import store
+from wigeonspool.store import configuration
+from wigeonspool.store import store
 from wigeonspool.wire import streams
 
 ANSWER_SECONDS: Final = 2.0
--- a/wigeonspool/operator/versions.py
+++ b/wigeonspool/operator/versions.py
@@ -6,7 +6,7 @@
 from wigeonspool.model import entities
 from wigeonspool.model import errors
 from wigeonspool.operator import differences
-from wigeonspool.platform import configuration
+from wigeonspool.store import configuration
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/wigeonspool/platform/changes.py
@@ -0,0 +1,82 @@
+"""Decodes keys of the store into changes of what a VM knows."""
+
+from typing import Final
+
+import msgspec
+
+from wigeonspool.core import knowledge
+from wigeonspool.model import fleet
+from wigeonspool.platform import configuration
+from wigeonspool.platform import entries
+
+CONFIGURATION_KEY: Final = "op/config"
+VM_PREFIX: Final = "vms/"
+
+
+class _Vm(msgspec.Struct, array_like=True):
+    incarnation: str
+    region: str
+    zone: str
+    address: str
+    peer_address: str
+    capacity: float
+
+
+def decode_change(
+    key: str, value: bytes | None, lease: int = 0
+) -> knowledge.Change | None:
+    """Returns what a key tells, or None if it is of no concern here.
+
+    Args:
+        key: Key of the store.
+        value: Its value, or None if it was removed.
+        lease: Lease that holds it, or 0.
+
+    Raises:
+        PlatformFormatError: If the configuration cannot be read.
+    """
+    if key.startswith(entries.PREFIX):
+        identity = key.removeprefix(entries.PREFIX)
+        entry = None
+        if value is not None:
+            entry = entries.decode_entry(identity, value)
+        return knowledge.TargetChange(identity, entry)
+    if key.startswith(VM_PREFIX):
+        name = key.removeprefix(VM_PREFIX)
+        return knowledge.VmChange(name, _decode_vm(name, value), lease)
+    if key == CONFIGURATION_KEY and value is not None:
+        found = configuration.decode_configuration(value)
+        return knowledge.ConfigurationChange(found)
+    return None
+
+
+def _decode_vm(name: str, value: bytes | None) -> fleet.VmEntry | None:
+    """Returns what a VM wrote of itself, or None if it cannot be read."""
+    if value is None:
+        return None
+    try:
+        found = msgspec.msgpack.decode(value, type=_Vm)
+    except (msgspec.MsgspecError, ValueError):
+        return None
+    return fleet.VmEntry(
+        name,
+        found.incarnation,
+        found.region,
+        found.zone,
+        found.address,
+        found.peer_address,
+        found.capacity,
+    )
+
+
+def encode_vm(entry: fleet.VmEntry) -> tuple[str, bytes]:
+    """Returns the key and the value under which a VM registers itself."""
+    found = _Vm(
+        entry.incarnation,
+        entry.region,
+        entry.zone,
+        entry.address,
+        entry.peer_address,
+        entry.capacity,
+    )
+    return VM_PREFIX + entry.name, msgspec.msgpack.encode(found)
--- a/wigeonspool/platform/configuration.py
+++ b/wigeonspool/platform/configuration.py
@@ -1,307 +1,136 @@
-"""The log of configuration changes, kept in the store.
+"""Decodes the operators' configuration into the product's rules."""
 
-A change is created under its generation only if that key is absent and the
-head of the log is the generation before it, so the store arbitrates between
-operators: one writer wins each generation, and a removed old generation
-cannot be taken again.
-"""
-
-import dataclasses
-import json
 from typing import Final
 
-import pydantic
+import msgspec
 
-from wigeonspool.model import changes
-from wigeonspool.model import entities
 from wigeonspool.model import errors
-from wigeonspool.platform import records
-from wigeonspool.platform import snapshots
-from wigeonspool.platform import store
-
-CHANGES: Final = "config/change/"
-HEAD: Final = "config/head"
-WRITE_ATTEMPTS: Final = 5
-READ_ATTEMPTS: Final = 3
-PAGE_CHANGES: Final = 200
-RESTORED_CHANGES: Final = 50
-
-_adapter: Final = pydantic.TypeAdapter(changes.Change)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class News:
-    """What the log holds beyond some tables.
-
-    Attributes:
-        base: Newer snapshot to start from, or None to go on from the tables.
-        changes: Changes that follow, oldest first.
-        revision: Store revision up to which this is all.
-        is_stale: True if the log ends before the tables.
-    """
-
-    base: snapshots.Saved | None
-    changes: list[changes.Change]
-    revision: int
-    is_stale: bool = False
-
+from wigeonspool.model import fleet
+from wigeonspool.platform import texts
 
-def encode_change(change: changes.Change) -> bytes:
-    """Returns the stored form of a change.
-
-    Raises:
-        ChangeTooLargeError: If it exceeds the store's bound on values.
-    """
-    value = _adapter.dump_json(change)
-    if len(value) > store.MAX_VALUE_BYTES:
-        raise errors.ChangeTooLargeError(len(value), store.MAX_VALUE_BYTES)
-    return value
-
-
-def decode_change(value: bytes) -> changes.Change:
-    """Returns the change in a stored value.
-
-    Raises:
-        StoreAnswerError: If the value is not a change.
-    """
-    try:
-        return _adapter.validate_python(json.loads(value))
-    except (ValueError, pydantic.ValidationError) as error:
-        raise errors.StoreAnswerError("change", str(error)) from error
+# Kinds whose requests may run more than once; any other kind runs once.
+REPEATABLE_KINDS: Final = frozenset({"safe", "download"})
+LARGE_KINDS: Final = frozenset({"download"})
+DEFAULT_LIMIT: Final = "30s"
 
 
-def _encode_head(generation: int) -> bytes:
-    """Returns the stored form of the head of the log."""
-    return str(generation).encode()
+class _Part(msgspec.Struct, rename="pascal"):
+    service: str
+    weight: float
 
 
-class ChangeLog:
-    """Reads and extends the log of changes."""
+class _Action(msgspec.Struct, rename="pascal"):
+    # Either one service or several with weights.
+    service: str | None = None
+    weighted_backends: tuple[_Part, ...] = ()
+    # Longest time that a caller is kept waiting.
+    timeout: str = DEFAULT_LIMIT
+    max_attempts: int = 1
 
-    def __init__(self, client: store.StoreClient, prefix: str) -> None:
-        self._client = client
-        self._prefix = prefix + CHANGES
-        self._head = prefix + HEAD
-        self.snapshots = snapshots.SnapshotStore(client, prefix)
 
-    @property
-    def prefix(self) -> str:
-        """Key prefix of the log."""
-        return self._prefix
+class _Match(msgspec.Struct, rename="pascal"):
+    prefix: str
 
-    def _key(self, generation: int) -> str:
-        """Returns the key of a generation; keys sort by generation."""
-        return f"{self._prefix}{generation:016d}"
 
-    async def _read_page(
-        self, generation: int
-    ) -> tuple[list[changes.Change], int]:
-        """Returns all changes after a generation, and the revision read.
+class _Rule(msgspec.Struct, rename="pascal"):
+    match: _Match
+    action: _Action
+    name: str = ""
+    kind: str = ""
+    # Time within which an answer has its full value.
+    slo: str | None = None
+    priority: int = 1
 
-        Raises:
-            StoreError: If the store could not serve a call.
-        """
-        found: list[changes.Change] = []
-        while True:
-            page = await self._client.read_page(
-                self._prefix, after=self._key(generation), limit=PAGE_CHANGES
-            )
-            found += [decode_change(entry.value) for entry in page.entries]
-            if len(page.entries) < PAGE_CHANGES:
-                return found, page.revision
-            generation = found[-1].generation
 
-    async def read_after(self, generation: int) -> list[changes.Change]:
-        """Returns all kept changes after a generation, oldest first.
+class _Listener(msgspec.Struct, rename="pascal"):
+    host: str
+    # The rules of the host.
+    policy: tuple[_Rule, ...] = ()
 
-        Raises:
-            StoreError: If the store could not serve the call.
-        """
-        found, _ = await self._read_page(generation)
-        return found
 
-    async def read_news(self, held: entities.Tables) -> News:
-        """Returns what the log holds beyond some tables.
+class _Upstream(msgspec.Struct, rename="pascal"):
+    name: str
+    health_path: str = "/health"
+    # Over all callers together.
+    max_conns: int = 100
 
-        Args:
-            held: Tables to go on from; empty ones start at a snapshot.
 
-        Raises:
-            StoreError: If the store could not serve a call.
-            ChainBrokenError: If the log and the tables have different changes
-                at one generation.
-        """
-        base: snapshots.Saved | None = None
-        start = held
-        if held.generation == 0:
-            base = await self.snapshots.read_newest()
-            start = held if base is None else base.tables
-        for _ in range(READ_ATTEMPTS):
-            # The change of the held generation is read too: it proves that
-            # the log has not lost or replaced what is in force here.
-            found, revision = await self._read_page(
-                max(0, start.generation - 1)
-            )
-            if not found:
-                return News(base, [], revision, start.generation > 0)
-            if found[0].generation <= start.generation + 1:
-                following = _check_chain(start, found)
-                return News(base, following, revision)
-            base = await self.snapshots.read_newest()
-            if base is not None:
-                start = base.tables
-        raise errors.StoreAnswerError("changes", "generations are missing")
+class _Limits(msgspec.Struct, rename="pascal"):
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 64 * 1024 * 1024
+    header_timeout: str = "5s"
+    idle_timeout: str = "60s"
 
-    async def read_tables(self) -> entities.Tables:
-        """Returns the tables at the head of the log.
 
-        Raises:
-            StoreError: If the store could not serve the call.
-            ChainBrokenError: If the log is not one chain of changes.
-        """
-        news = await self.read_news(entities.EMPTY_TABLES)
-        tables = (
-            entities.EMPTY_TABLES if news.base is None else news.base.tables
-        )
-        for change in news.changes:
-            tables = changes.apply_change(tables, change)
-        return tables
+class _Configuration(msgspec.Struct, rename="pascal"):
+    config_version: int
+    listeners: tuple[_Listener, ...]
+    upstreams: tuple[_Upstream, ...] = ()
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
-    async def propose(self, change: changes.Change) -> None:
-        """Writes a change; returns once it is known to hold its generation.
 
-        Args:
-            change: Change to write, based on the generation before its own.
+_decoder: Final = msgspec.json.Decoder(_Configuration, strict=False)
 
-        Raises:
-            ChangeConflictError: If another change holds the generation.
-            ChangeUnknownError: If the outcome could not be learned.
-            ChangeTooLargeError: If the store cannot hold the change.
-            StoreAnswerError: If the store broke its protocol.
-        """
-        value = encode_change(change)
-        for _ in range(WRITE_ATTEMPTS):
-            # A lost write may have taken effect or may yet do so. Writing it
-            # again is safe, since only one of the two finds the key absent;
-            # reading then tells who holds the generation.
-            try:
-                await self._write(change, value)
-                holder = await self._client.read(self._key(change.generation))
-            except errors.StoreUnavailableError:
-                continue
-            if holder is None:
-                raise errors.ChangeConflictError(
-                    change.generation, "a newer generation", "unknown"
-                )
-            _check_holder(change, decode_change(holder.value))
-            return
-        raise errors.ChangeUnknownError(change.generation, change.change_id)
 
-    async def _write(self, change: changes.Change, value: bytes) -> bool:
-        """Writes a change if the generation before it is the head.
-
-        Raises:
-            StoreError: If the store could not serve the call.
-        """
-        key = self._key(change.generation)
-        before = change.generation - 1
-        head = _encode_head(before) if before else None
-        return await self._client.commit(
-            [records.Condition(key), records.Condition(self._head, head)],
-            {key: value, self._head: _encode_head(change.generation)},
-        )
-
-    async def restore(
-        self,
-        tables: entities.Tables,
-        recent: list[changes.Change],
-        lineage: snapshots.Lineage,
-        writer: str,
-    ) -> bool:
-        """Gives a log that lost its newest changes what is in force.
-
-        Nothing that the log holds is overwritten: if another change has taken
-        one of the generations, nothing is written.
-
-        Args:
-            tables: Tables in force.
-            recent: Changes that led to them, oldest first.
-            lineage: Digests of the generations that led to them.
-            writer: Identity of this writer, unique among all.
-
-        Returns:
-            True if this call wrote.
-
-        Raises:
-            StoreError: If the store could not serve a call.
-        """
-        head = await self._client.read(self._head)
-        kept = await self._client.read_prefix(
-            self._prefix, limit=1, newest=True
-        )
-        newest = decode_change(kept[0].value).generation if kept else 0
-        missing = [c for c in recent if c.generation > newest]
-        if not missing:
-            return False
-        if (
-            missing[0].generation != newest + 1
-            or len(missing) > RESTORED_CHANGES
-        ):
-            await self.snapshots.write(tables, lineage, writer)
-            missing = missing[-1:]
-        keys = {self._key(c.generation): encode_change(c) for c in missing}
-        return await self._client.commit(
-            [
-                records.Condition(self._head, head.value if head else None),
-                *(records.Condition(key) for key in keys),
-            ],
-            keys | {self._head: _encode_head(tables.generation)},
-        )
-
-    async def compact(self, generation: int, kept_changes: int) -> None:
-        """Removes what a snapshot of a generation has made superfluous.
-
-        Args:
-            generation: Generation of the newest snapshot.
-            kept_changes: Changes before it to keep, at least 1.
-
-        Raises:
-            StoreError: If the store could not serve a call.
-        """
-        end = max(0, generation - kept_changes)
-        await self._client.remove_range(self._prefix, self._key(end))
-        await self.snapshots.remove_before(max(0, generation - kept_changes))
-
-
-def _check_holder(change: changes.Change, holder: changes.Change) -> None:
-    """Checks that a change holds its generation.
-
-    Raises:
-        ChangeConflictError: If another one does.
-    """
-    if holder.change_id != change.change_id:
-        raise errors.ChangeConflictError(
-            change.generation, holder.author, holder.change_id
-        )
-
-
-def _check_chain(
-    held: entities.Tables, found: list[changes.Change]
-) -> list[changes.Change]:
-    """Returns the changes after some tables.
+def decode_configuration(value: bytes) -> fleet.Configuration:
+    """Returns the configuration in a value of the store.
 
     Raises:
-        ChainBrokenError: If they are not one chain that goes on from them.
+        PlatformFormatError: If it is not one.
     """
-    digest = held.digest
-    following: list[changes.Change] = []
-    for change in found:
-        if change.generation == held.generation:
-            if change.digest != held.digest:
-                raise errors.ChainBrokenError(change.generation)
-            continue
-        if change.parent != digest:
-            raise errors.ChainBrokenError(change.generation)
-        digest = change.digest
-        following.append(change)
-    return following
+    try:
+        found = _decoder.decode(value)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise errors.PlatformFormatError(f"configuration: {error}") from error
+    return fleet.Configuration(
+        version=found.config_version,
+        hosts=_build_hosts(found.listeners),
+        services={
+            u.name: fleet.Service(u.name, u.health_path, u.max_conns)
+            for u in found.upstreams
+        },
+        limits=fleet.CallerLimits(
+            head_bytes=found.limits.max_header_bytes,
+            body_bytes=found.limits.max_body_bytes,
+            head_seconds=texts.read_seconds(found.limits.header_timeout),
+            idle_seconds=texts.read_seconds(found.limits.idle_timeout),
+        ),
+    )
+
+
+def _build_hosts(
+    listeners: tuple[_Listener, ...],
+) -> dict[str, tuple[fleet.Rule, ...]]:
+    """Returns the rules of each host, the longest prefix first."""
+    hosts: dict[str, list[fleet.Rule]] = {}
+    for listener in listeners:
+        rules = hosts.setdefault(listener.host.lower(), [])
+        rules += [_build_rule(rule) for rule in listener.policy]
+    return {
+        host: tuple(sorted(rules, key=lambda r: len(r.prefix), reverse=True))
+        for host, rules in hosts.items()
+    }
+
+
+def _build_rule(rule: _Rule) -> fleet.Rule:
+    """Returns the product's form of a rule."""
+    action = rule.action
+    shares = tuple(
+        fleet.Share(part.service, part.weight)
+        for part in action.weighted_backends
+    )
+    if action.service:
+        shares = (fleet.Share(action.service, 1.0),)
+    limit = texts.read_seconds(action.timeout)
+    objective = limit if rule.slo is None else texts.read_seconds(rule.slo)
+    return fleet.Rule(
+        name=rule.name,
+        prefix=rule.match.prefix,
+        shares=shares,
+        repeatable=rule.kind in REPEATABLE_KINDS,
+        large=rule.kind in LARGE_KINDS,
+        objective_seconds=objective,
+        limit_seconds=limit,
+        most_targets=max(1, action.max_attempts),
+        priority=rule.priority,
+    )
--- /dev/null
+++ b/wigeonspool/platform/directory.py
@@ -0,0 +1,44 @@
+"""The address question as the platform's callers ask it."""
+
+from collections.abc import Iterable
+from typing import Final, NamedTuple
+
+import msgspec
+import yarl
+
+from wigeonspool.platform import texts
+
+RESOLVE_PATH: Final = "/v1/resolve"
+READY_PATH: Final = "/v1/ready"
+# Callers take no more addresses than this.
+MOST_ADDRESSES: Final = 64
+
+
+class Question(NamedTuple):
+    """Who asks for addresses.
+
+    Attributes:
+        host: Host that the caller wants to reach.
+        region: Region of the caller.
+        zone: Availability zone of the caller.
+    """
+
+    host: str
+    region: str
+    zone: str
+
+
+def read_question(url: yarl.URL) -> Question:
+    """Returns the question in a query; what is left out is ""."""
+    query = url.query
+    return Question(
+        query.get("Name", ""), query.get("Region", ""), query.get("Zone", "")
+    )
+
+
+def write_addresses(addresses: Iterable[str], keep_seconds: float) -> bytes:
+    """Returns the answer: addresses, and how long to keep them."""
+    listed = list(addresses)[:MOST_ADDRESSES]
+    return msgspec.json.encode(
+        {"Addrs": listed, "Ttl": texts.write_seconds(keep_seconds)}
+    )
--- /dev/null
+++ b/wigeonspool/platform/settings.py
@@ -0,0 +1,140 @@
+"""Reads the settings file that the platform gives to each process."""
+
+import os
+import pathlib
+import tomllib
+from typing import Final
+
+import msgspec
+
+from wigeonspool.model import boot
+from wigeonspool.model import errors
+from wigeonspool.platform import texts
+
+PATH_VARIABLE: Final = "WIGEONSPOOL_BOOT"
+
+
+class _Limits(msgspec.Struct, rename="pascal"):
+    cpu_share: float = 1.0
+    cores: float = 1.0
+    link_mbps: float = 1000.0
+    memory_mb: float = 300.0
+
+
+class _Self(msgspec.Struct, rename="pascal"):
+    node: str
+    ip: str
+    zone: str
+    region: str
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Listen(msgspec.Struct, rename="pascal"):
+    # Where callers connect.
+    edge_addr: str
+    # Where the platform asks whether this VM is ready.
+    readiness: str
+    # Where callers ask which VMs to use.
+    directory: str
+    control: str = ""
+
+
+class _Network(msgspec.Struct, rename="pascal"):
+    listen: _Listen
+    port_range: tuple[int, int]
+    # Control addresses of a few VMs; they may be stale.
+    seeds: tuple[str, ...] = ()
+    # Region of each zone.
+    zones: dict[str, str] = {}
+
+
+class _Store(msgspec.Struct, rename="pascal"):
+    address: str
+    min_ttl: str = "1000ms"
+
+
+class _Provider(msgspec.Struct, rename="pascal"):
+    # The field has the same name as the table that it stands in.
+    provider: _Store
+
+
+class _Bounds(msgspec.Struct, rename="pascal"):
+    retry_budget: float = 0.2
+    budget_slack: float = 0.0
+    retry_window: str = "10s"
+    grace: str = "6s"
+    drain: str = "2000ms"
+    config_apply: str = "2000ms"
+    ttl_max: str = msgspec.field(name="ttl_max", default="5s")
+
+
+class _Terms(msgspec.Struct, rename="pascal"):
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+class _File(msgspec.Struct, rename="pascal"):
+    self: _Self
+    network: _Network
+    provider: _Provider
+    terms: _Terms = msgspec.field(default_factory=_Terms)
+
+
+def find_path() -> pathlib.Path:
+    """Returns the path of the settings file.
+
+    Raises:
+        SettingsError: If the environment names none.
+    """
+    path = os.environ.get(PATH_VARIABLE)
+    if not path:
+        raise errors.SettingsError("environment", PATH_VARIABLE, "not set")
+    return pathlib.Path(path)
+
+
+def read_boot(path: pathlib.Path) -> boot.Boot:
+    """Returns what the settings file tells this process.
+
+    Raises:
+        SettingsError: If it cannot be read or lacks what is needed.
+    """
+    try:
+        document = tomllib.loads(path.read_text(encoding="utf-8"))
+        found = msgspec.convert(document, _File, strict=False)
+        return _build_boot(found)
+    except (OSError, ValueError) as error:
+        raise errors.SettingsError(str(path), "", str(error)) from error
+    except errors.PlatformFormatError as error:
+        raise errors.SettingsError(str(path), "", str(error)) from error
+
+
+def _build_boot(found: _File) -> boot.Boot:
+    """Returns the product's form of the settings."""
+    listen = found.network.listen
+    limits = found.self.limits
+    bounds = found.terms.bounds
+    return boot.Boot(
+        vm=found.self.node,
+        ip=found.self.ip,
+        zone=found.self.zone,
+        region=found.self.region,
+        capacity=limits.cpu_share * limits.cores,
+        link_mbps=limits.link_mbps,
+        callers=listen.edge_addr,
+        readiness=listen.readiness,
+        directory=listen.directory,
+        control=listen.control,
+        first_free_port=found.network.port_range[0],
+        seeds=tuple(s for s in found.network.seeds if s != listen.control),
+        regions=dict(found.network.zones),
+        store=found.provider.provider.address,
+        least_lease_seconds=texts.read_seconds(found.provider.provider.min_ttl),
+        bounds=boot.Bounds(
+            retry_fraction=bounds.retry_budget,
+            retry_slack=bounds.budget_slack,
+            retry_window_seconds=texts.read_seconds(bounds.retry_window),
+            grace_seconds=texts.read_seconds(bounds.grace),
+            drain_seconds=texts.read_seconds(bounds.drain),
+            apply_seconds=texts.read_seconds(bounds.config_apply),
+            longest_answer_seconds=texts.read_seconds(bounds.ttl_max),
+        ),
+    )
--- a/wigeonspool/process.py
+++ b/wigeonspool/process.py
@@ -133,6 +133,9 @@
     async def drain(self) -> None:
         """Finishes work in flight; called once, before the stop."""
 
+    async def reload(self) -> None:
+        """Takes new settings; called at each SIGHUP."""
+
 
 async def _run_until_stopped(service: DrainingService) -> None:
     """Runs a service until it stops or a signal asks it to."""
@@ -140,6 +143,15 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    reloads: set[asyncio.Task[None]] = set()
+
+    def reload() -> None:
+        """Starts a reload; its task is kept until it ends."""
+        task = loop.create_task(service.reload())
+        reloads.add(task)
+        task.add_done_callback(reloads.discard)
+
+    loop.add_signal_handler(signal.SIGHUP, reload)
     await service.start()
     crashed = loop.create_task(service.wait_until_stopped())
     asked = loop.create_task(stop.wait())
--- /dev/null
+++ b/wigeonspool/store/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: the configuration store and the VM list."""
--- a/wigeonspool/platform/snapshots.py
+++ b/wigeonspool/store/snapshots.py
@@ -15,8 +15,8 @@
 
 from wigeonspool.model import entities
 from wigeonspool.model import errors
-from wigeonspool.platform import records
-from wigeonspool.platform import store
+from wigeonspool.store import records
+from wigeonspool.store import store
 
 MANIFESTS: Final = "config/snapshot/"
 PARTS: Final = "config/part/"
--- a/wigeonspool/platform/store.py
+++ b/wigeonspool/store/store.py
@@ -12,7 +12,7 @@
 import aiohttp
 
 from wigeonspool.model import errors
-from wigeonspool.platform import records
+from wigeonspool.store import records
 
 MAX_VALUE_BYTES: Final = 1024 * 1024
 
--- /dev/null
+++ b/wigeonspool/vm/__init__.py
@@ -0,0 +1,1 @@
+"""The process of an entry VM on the users' platform."""
--- /dev/null
+++ b/wigeonspool/vm/asking.py
@@ -0,0 +1,288 @@
+"""Asks targets for their load at the moment of choice.
+
+What a target told a tenth of a second ago says little of it now, so a few are
+asked for each request, and the best of them gets it over the connection that
+it answered on.
+"""
+
+import asyncio
+from collections.abc import Collection
+import dataclasses
+import random
+from typing import Final
+
+import aiohttp
+from aiohttp import http
+
+from wigeonspool.core import estimates
+from wigeonspool.core import knowledge
+from wigeonspool.model import border
+from wigeonspool.model import fleet
+from wigeonspool.vm import channels
+from wigeonspool.vm import reach
+
+# A health check takes a round trip and a millisecond; with a new connection,
+# two round trips. Beyond this the target is not fit for work now.
+NEAR_SECONDS: Final = 0.05
+REMOTE_SECONDS: Final = 0.15
+# Once one has answered, others may take this much longer.
+PATIENCE_SECONDS: Final = 0.004
+# A target this little slower than usual is taken without asking others.
+GOOD_STRETCH: Final = 1.6
+
+
+@dataclasses.dataclass(slots=True)
+class Offer:
+    """A target that answered a health check just now.
+
+    Attributes:
+        row: The target.
+        channel: Connection that it answered on.
+        stretch: How many times longer than usual work would take there.
+        asked_at: When it was asked, loop clock.
+        report: What it told.
+    """
+
+    row: knowledge.TargetRow
+    channel: channels.Channel
+    stretch: float
+    asked_at: float
+    report: border.LoadReport
+
+
+@dataclasses.dataclass(slots=True)
+class AskCounts:
+    """What asking cost so far.
+
+    Attributes:
+        asked: Health checks sent.
+        answered: Health checks answered.
+        silent: Kept connections that did not answer.
+    """
+
+    asked: int = 0
+    answered: int = 0
+    silent: int = 0
+
+
+class Asker:
+    """Asks targets, and offers the best of those that answer.
+
+    Attributes:
+        counts: What it cost.
+    """
+
+    def __init__(
+        self,
+        pool: channels.ChannelPool,
+        known: knowledge.Knowledge,
+        words: border.Border,
+        place: reach.Place,
+    ) -> None:
+        """Prepares an asker.
+
+        Args:
+            pool: Connections to targets.
+            known: What is known of targets.
+            words: Protocol of the targets.
+            place: Where this VM is.
+        """
+        self.counts = AskCounts()
+        self._pool = pool
+        self._known = known
+        self._words = words
+        self._place = place
+        self._loop = asyncio.get_running_loop()
+        self._random = random.Random()
+
+    def list_candidates(
+        self, service: str, avoided: Collection[str], large: bool
+    ) -> list[list[knowledge.TargetRow]]:
+        """Returns the targets that may get work, in groups, nearest first.
+
+        Args:
+            service: Service that must run the work.
+            avoided: Identities of targets to leave out.
+            large: True if bytes between zones weigh more than load.
+        """
+        now = self._loop.time()
+        groups: list[list[knowledge.TargetRow]] = [[], [], []]
+        for row in self._known.list_targets(service):
+            if row.entry.state is not fleet.TargetState.SERVING:
+                continue
+            if row.entry.identity in avoided or row.health.out_until > now:
+                continue
+            distance = self._place.measure(row.entry.zone)
+            if distance is reach.Distance.ZONE and not large:
+                distance = reach.Distance.REGION
+            groups[distance.value].append(row)
+        return [group for group in groups if group]
+
+    def pick(
+        self, group: list[knowledge.TargetRow], count: int
+    ) -> list[knowledge.TargetRow]:
+        """Returns some targets of a group at random.
+
+        Those with fewer recent failures go first.
+        """
+        now = self._loop.time()
+        picked = self._random.sample(group, min(len(group), 2 * count))
+        picked.sort(key=lambda row: estimates.read_faults(row.health, now) > 1)
+        return picked[:count]
+
+    async def ask_some(self, rows: list[knowledge.TargetRow]) -> list[Offer]:
+        """Returns the offers of those targets that answer soon, best first."""
+        tasks = [self._loop.create_task(self._ask(row)) for row in rows]
+        offers: list[Offer] = []
+        give_up_at: float | None = None
+        waiting: set[asyncio.Task[Offer | None]] = set(tasks)
+        try:
+            while waiting:
+                seconds = None
+                if give_up_at is not None:
+                    seconds = max(0.0, give_up_at - self._loop.time())
+                done, waiting = await asyncio.wait(
+                    waiting,
+                    timeout=seconds,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if not done:
+                    break
+                offers += [o for task in done if (o := task.result())]
+                if offers and give_up_at is None:
+                    give_up_at = self._loop.time() + PATIENCE_SECONDS
+        except BaseException:
+            self.give_back(offers)
+            for task in tasks:
+                task.add_done_callback(_give_back_late)
+            raise
+        for task in waiting:
+            task.add_done_callback(_give_back_late)
+        offers.sort(key=lambda offer: offer.stretch)
+        return offers
+
+    def give_back(self, offers: list[Offer]) -> None:
+        """Gives back the connections of offers that are not taken."""
+        for offer in offers:
+            offer.channel.release()
+
+    async def _ask(self, row: knowledge.TargetRow) -> Offer | None:
+        """Asks one target; returns None unless it is fit for work."""
+        remote = self._place.measure(row.entry.zone) is reach.Distance.REMOTE
+        seconds = REMOTE_SECONDS if remote else NEAR_SECONDS
+        address = row.entry.address
+        channel = self._pool.take(address)
+        if channel is not None:
+            offer = await self._ask_over(row, channel, seconds)
+            if offer is not None or channel.protocol.is_connected():
+                return offer
+            self.counts.silent += 1
+            self._pool.drop(address)
+        try:
+            channel = await self._pool.open(address)
+        except OSError:
+            estimates.note_unreachable(row.health, self._loop.time())
+            return None
+        offer = await self._ask_over(row, channel, seconds)
+        if offer is None and not channel.protocol.is_connected():
+            estimates.note_unreachable(row.health, self._loop.time())
+        return offer
+
+    async def _ask_over(
+        self,
+        row: knowledge.TargetRow,
+        channel: channels.Channel,
+        seconds: float,
+    ) -> Offer | None:
+        """Asks over one connection, which is closed unless it is offered."""
+        asked_at = self._loop.time()
+        self.counts.asked += 1
+        try:
+            async with asyncio.timeout(seconds):
+                report = await self._exchange(row, channel)
+        except (aiohttp.ClientError, OSError):
+            channel.close()
+            return None
+        except BaseException:
+            channel.close()
+            raise
+        if report is None:
+            channel.close()
+            return None
+        self.counts.answered += 1
+        if report.identity not in ("", row.entry.identity):
+            # The address belongs to another target now.
+            channel.close()
+            estimates.note_unreachable(row.health, self._loop.time())
+            return None
+        estimates.note_reachable(row.health)
+        stretch = self._weigh(row, report, asked_at)
+        return Offer(row, channel, stretch, asked_at, report)
+
+    async def _exchange(
+        self, row: knowledge.TargetRow, channel: channels.Channel
+    ) -> border.LoadReport | None:
+        """Sends a health check; returns None if the answer is not usable.
+
+        Raises:
+            ClientError: If the connection ended or the answer breaks HTTP.
+            OSError: If the connection failed.
+        """
+        protocol = channel.protocol
+        transport = channel.transport
+        service = self._known.configuration
+        path = "/health"
+        if service is not None and row.entry.service in service.services:
+            path = service.services[row.entry.service].health_path
+        if transport is None:
+            return None
+        protocol.set_response_params(
+            read_until_eof=False, auto_decompress=False
+        )
+        head = f"GET {path} HTTP/1.1\r\nHost: {row.entry.address}\r\n\r\n"
+        transport.write(head.encode())
+        try:
+            while True:
+                message, content = await protocol.read()
+                body = await content.read()
+                report = self._words.read_report(message.code, message.headers)
+                # An answer with no load is one that came late, or a refusal.
+                if report.slots or report.identity:
+                    break
+                del body
+        except http.HttpProcessingError as error:
+            raise aiohttp.ClientPayloadError(repr(error)) from error
+        if not channels.note_keep_alive(channel, message.headers):
+            return None
+        return report
+
+    def _weigh(
+        self,
+        row: knowledge.TargetRow,
+        report: border.LoadReport,
+        asked_at: float,
+    ) -> float:
+        """Returns how many times longer than usual work would take."""
+        now = self._loop.time()
+        health = row.health
+        running = report.running + estimates.count_claims(health, asked_at)
+        slots = report.slots or row.entry.slots
+        stretch = estimates.estimate_stretch(
+            running, report.waiting, slots, report.pace
+        )
+        faults = estimates.read_faults(health, now)
+        stretch *= 1.0 + estimates.FAULT_COST * faults
+        if row.cold_until > now:
+            stretch *= estimates.COLD_COST
+        if row.doubted_until or not report.healthy:
+            stretch *= estimates.ILL_COST
+        return stretch
+
+
+def _give_back_late(task: asyncio.Task[Offer | None]) -> None:
+    """Gives back the connection of an offer that came too late."""
+    if task.cancelled() or task.exception() is not None:
+        return
+    offer = task.result()
+    if offer is not None:
+        offer.channel.release()
--- /dev/null
+++ b/wigeonspool/vm/following.py
@@ -0,0 +1,192 @@
+"""Follows a source of knowledge: one bulk read, then watches."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+import loguru
+
+from wigeonspool import failures
+from wigeonspool.core import knowledge
+from wigeonspool.model import errors
+from wigeonspool.model import sources
+
+# All keys: one watch costs one call, whatever it covers.
+ALL: Final = ""
+# Longest time that one watch waits; a silent connection is noticed by then.
+WATCH_SECONDS: Final = 6.0
+# Changes come in bursts, and each return of a watch is a paid call.
+GATHER_SECONDS: Final = 0.3
+FIRST_PAUSE_SECONDS: Final = 0.1
+MOST_PAUSE_SECONDS: Final = 0.6
+# A source that did not answer for this long was away.
+AWAY_SECONDS: Final = 1.0
+
+Decode = Callable[[str, bytes | None, int], knowledge.Change | None]
+
+
+class Intake:
+    """Takes items into what this VM knows, whoever tells of them.
+
+    Attributes:
+        items: Latest item of each key that exists.
+        revision: Revision of the store up to which all changes are known.
+    """
+
+    def __init__(
+        self,
+        known: knowledge.Knowledge,
+        decode: Decode,
+        on_news: Callable[[sources.Item], None],
+    ) -> None:
+        """Prepares an intake.
+
+        Args:
+            known: Tables that change.
+            decode: Decodes keys of the source.
+            on_news: Called with each item that changed the tables.
+        """
+        self.items: dict[str, sources.Item] = {}
+        self.revision = 0
+        self._known = known
+        self._decode = decode
+        self._on_news = on_news
+        self._loop = asyncio.get_running_loop()
+
+    def take(self, page: sources.Page) -> None:
+        """Takes changes; the revision is that of the page from now on."""
+        for item in page.items:
+            self._take_item(item)
+        self.revision = max(self.revision, page.revision)
+
+    def replace(self, items: list[sources.Item], revision: int) -> None:
+        """Takes all keys of the source; keys that are missing are gone."""
+        present = {item.key for item in items}
+        missing = [
+            sources.Item(key, None, revision)
+            for key, item in self.items.items()
+            if key not in present and item.revision <= revision
+        ]
+        self.take(sources.Page((*items, *missing), revision))
+
+    def _take_item(self, item: sources.Item) -> None:
+        """Takes one change."""
+        held = self.items.get(item.key)
+        if held is not None and held.revision >= item.revision:
+            return
+        if item.value is None:
+            self.items.pop(item.key, None)
+        else:
+            self.items[item.key] = item
+        try:
+            change = self._decode(item.key, item.value, item.lease)
+        except errors.PlatformFormatError as error:
+            loguru.logger.error("{} is not in force: {}", item.key, error)
+            return
+        if change is None:
+            return
+        now = self._loop.time()
+        if self._known.apply(now, item.key, item.revision, change):
+            self._on_news(item)
+
+
+class StoreFollower:
+    """Keeps an intake up to date from the store.
+
+    Attributes:
+        synced_at: When the store last confirmed what is known, loop clock.
+    """
+
+    def __init__(
+        self,
+        source: sources.Source,
+        intake: Intake,
+        known: knowledge.Knowledge,
+    ) -> None:
+        """Prepares a follower.
+
+        Args:
+            source: Where knowledge comes from.
+            intake: Takes what is read.
+            known: Told when the store is back after it was away.
+        """
+        self._source = source
+        self._intake = intake
+        self._known = known
+        self._loop = asyncio.get_running_loop()
+        self._failures = failures.FailureLog("store")
+        self._pause = FIRST_PAUSE_SECONDS
+        self._loaded = False
+        self.synced_at = float("-inf")
+
+    async def load(self, stale: bool) -> None:
+        """Reads all keys.
+
+        Args:
+            stale: True to take an older state, which watches then correct.
+
+        Raises:
+            StoreError: If the store could not serve the calls.
+        """
+        items: list[sources.Item] = []
+        after = ""
+        revision: int | None = None
+        while True:
+            page = await self._source.read_range(ALL, after, stale)
+            items += page.items
+            # Pages are read one after the other, so what changed in between
+            # is learned from the first page on.
+            revision = page.revision if revision is None else revision
+            if not page.more or not page.items:
+                break
+            after = page.items[-1].key
+        if stale:
+            self._intake.take(sources.Page(tuple(items), revision))
+        else:
+            self._intake.replace(items, revision)
+        self._loaded = True
+
+    async def step(self) -> None:
+        """Takes the next changes, or pauses after a failure."""
+        began_at = self._loop.time()
+        try:
+            if not self._loaded:
+                await self.load(stale=True)
+            page = await self._source.watch(
+                ALL, self._intake.revision, WATCH_SECONDS
+            )
+        except errors.HistoryGoneError as error:
+            self._failures.note(error)
+            await self._reload()
+            return
+        except errors.StoreError as error:
+            await self._note_failure(error)
+            return
+        self._note_success()
+        self._intake.take(page)
+        if page.items:
+            spent = self._loop.time() - began_at
+            await asyncio.sleep(max(0.0, GATHER_SECONDS - spent))
+
+    async def _reload(self) -> None:
+        """Reads all keys anew, after the history was lost."""
+        try:
+            await self.load(stale=False)
+        except errors.StoreError as error:
+            await self._note_failure(error)
+
+    async def _note_failure(self, error: errors.StoreError) -> None:
+        """Logs a failure and pauses, longer each time."""
+        self._failures.note(error)
+        pause = self._pause
+        self._pause = min(MOST_PAUSE_SECONDS, 2 * pause)
+        await asyncio.sleep(pause)
+
+    def _note_success(self) -> None:
+        """Notes that the store answered."""
+        now = self._loop.time()
+        if self._pause > FIRST_PAUSE_SECONDS:
+            self._known.returned_at = now
+        self._failures.clear()
+        self._pause = FIRST_PAUSE_SECONDS
+        self.synced_at = now
--- /dev/null
+++ b/wigeonspool/vm/main.py
@@ -0,0 +1,24 @@
+"""Command line of the process of an entry VM."""
+
+import sys
+
+from wigeonspool import logs
+from wigeonspool import process
+from wigeonspool.model import errors
+from wigeonspool.platform import settings
+from wigeonspool.vm import service
+
+
+def main() -> None:
+    """Entry point of the binary."""
+    try:
+        chosen = settings.read_boot(settings.find_path())
+    except errors.SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(process.EXIT_INVALID_SETTINGS)
+    logs.configure_plain_logs(f"vm {chosen.vm}")
+    process.run_service(service.VmService(chosen))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/wigeonspool/vm/service.py
@@ -0,0 +1,208 @@
+"""The process of an entry VM: it puts its parts together and stops in order."""
+
+import asyncio
+import gc
+import secrets
+import time
+from typing import Final
+
+from aiohttp import web
+import loguru
+import mode
+
+from wigeonspool import process
+from wigeonspool.core import knowledge
+from wigeonspool.gateway import pauses
+from wigeonspool.model import boot
+from wigeonspool.model import errors
+from wigeonspool.model import fleet
+from wigeonspool.model import sources
+from wigeonspool.platform import border
+from wigeonspool.platform import changes
+from wigeonspool.platform import metadata
+from wigeonspool.platform import settings as settings_files
+from wigeonspool.vm import answering
+from wigeonspool.vm import asking
+from wigeonspool.vm import callers
+from wigeonspool.vm import channels
+from wigeonspool.vm import following
+from wigeonspool.vm import pinging
+from wigeonspool.vm import reach
+from wigeonspool.vm import registering
+from wigeonspool.vm import serving
+
+TICK_SECONDS: Final = 0.1
+DRAIN_POLL_SECONDS: Final = 0.02
+# Part of the grace during which callers may still open connections; what they
+# were told before is forgotten by then.
+ACCEPT_PART: Final = 0.55
+# Part of the grace after which nothing may run any more.
+FINISH_PART: Final = 0.93
+
+
+class VmService(process.DrainingService):
+    """The process of one entry VM."""
+
+    def __init__(self, settings: boot.Boot) -> None:
+        """Prepares the process.
+
+        Args:
+            settings: Settings of the VM.
+        """
+        super().__init__()
+        self._settings = settings
+        self._known = knowledge.Knowledge()
+        self._runners: list[web.ServerRunner] = []
+        self._own = fleet.VmEntry(
+            name=settings.vm,
+            incarnation=secrets.token_hex(4),
+            region=settings.region,
+            zone=settings.zone,
+            address=settings.callers,
+            peer_address=f"{settings.ip}:{settings.first_free_port}",
+            capacity=settings.capacity,
+        )
+
+    async def on_start(self) -> None:
+        """Opens the ports and begins to follow the store."""
+        self._build_parts()
+        host, _, port = self._own.peer_address.rpartition(":")
+        await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self._life, local_addr=(host, int(port))
+        )
+        self._callers = await process.serve_http(
+            self._settings.callers,
+            callers.CallerServer(self._service, self._known),
+        )
+        for address, answer in (
+            (self._settings.directory, self._book.resolve),
+            (self._settings.readiness, self._book.show_ready),
+        ):
+            server = web.Server(answer, access_log=None)
+            self._runners.append(await process.serve_http(address, server))
+        self.add_future(self._follow())
+        gc.collect()
+        gc.freeze()
+        loguru.logger.info("serving callers on {}", self._settings.callers)
+
+    def _build_parts(self) -> None:
+        """Builds the parts; they need the running event loop."""
+        settings = self._settings
+        loop = asyncio.get_running_loop()
+        self._store = metadata.MetadataStore(settings.store)
+        self._intake = following.Intake(
+            self._known, changes.decode_change, self._note_news
+        )
+        self._follower = following.StoreFollower(
+            self._store, self._intake, self._known
+        )
+        self._registration = registering.Registration(
+            self._store, self._own, changes.encode_vm
+        )
+        self._pool = channels.ChannelPool(loop)
+        place = reach.Place(settings.zone, settings.region, settings.regions)
+        self._asker = asking.Asker(
+            self._pool, self._known, border.BORDER, place
+        )
+        self._pauses = pauses.PauseMonitor(time.monotonic())
+        self._service = serving.CallerService(
+            settings, self._known, self._asker, border.BORDER, self._pauses
+        )
+        self._life = pinging.LifeProtocol(self._describe)
+        self._book = answering.AddressBook(
+            settings, self._own, self._known, self._life
+        )
+
+    def _describe(self) -> pinging.Datagram:
+        """Returns what this VM answers to a ping."""
+        return pinging.Datagram(
+            pinging.PONG,
+            0.0,
+            busy=self._busy,
+            leaving=self._book.leaving,
+            ready=self._book.is_ready(),
+        )
+
+    _busy = 0.0
+
+    def _note_news(self, item: sources.Item) -> None:
+        """Logs what changed of what this VM knows."""
+        loguru.logger.info("{} at revision {}", item.key, item.revision)
+
+    async def _follow(self) -> None:
+        """Follows the store, and registers this VM once it knows it."""
+        await self._follower.step()
+        held = self._known.vms.get(self._own.name)
+        lease = self._known.leases.get(self._own.name, 0)
+        self.add_future(self._registration.keep(held, lease))
+        while not self.should_stop:
+            await self._follower.step()
+
+    @mode.Service.task
+    async def _keep_ticking(self) -> None:
+        """Runs what depends on time alone."""
+        loop = asyncio.get_running_loop()
+        used = time.process_time()
+        ping_at = loop.time()
+        while not self.should_stop:
+            await asyncio.sleep(TICK_SECONDS)
+            if self._pauses.tick(time.monotonic()):
+                await self._resume()
+            now = loop.time()
+            for identity in self._known.drop_doubted(now):
+                loguru.logger.info("target {} did not come back", identity)
+            if now < ping_at:
+                continue
+            ping_at = now + pinging.PING_SECONDS
+            self._life.ping()
+            self._pool.drop_idle()
+            spent = time.process_time()
+            self._busy = (spent - used) / (
+                pinging.PING_SECONDS * self._settings.capacity
+            )
+            used = spent
+
+    async def _resume(self) -> None:
+        """Takes up work after this process did not run for a while."""
+        loguru.logger.warning("this process did not run for a while")
+        self._life.forgive()
+        for _ in range(pauses.RESUME_TURNS):
+            await asyncio.sleep(0)
+        self._pauses.end_resume()
+
+    async def reload(self) -> None:
+        """Reads the settings file anew."""
+        try:
+            settings = settings_files.read_boot(settings_files.find_path())
+        except errors.SettingsError as error:
+            loguru.logger.error("settings are left as they were: {}", error)
+            return
+        loguru.logger.info("settings read anew for {}", settings.vm)
+
+    async def drain(self) -> None:
+        """Moves callers elsewhere, then finishes what is in flight."""
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        grace = self._settings.bounds.grace_seconds
+        refuse_at = began_at + grace * ACCEPT_PART
+        finish_at = began_at + grace * FINISH_PART
+        self._book.leaving = True
+        self._service.leaving = True
+        loguru.logger.info("stopping; callers are told of other VMs")
+        await asyncio.sleep(refuse_at - loop.time())
+        await self._close_listener()
+        while loop.time() < finish_at and self._service.in_flight:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        loguru.logger.info("stopped; {} cut", self._service.in_flight)
+
+    async def _close_listener(self) -> None:
+        """Stops taking new connections."""
+        for site in list(self._callers.sites):
+            await site.stop()
+
+    async def on_stop(self) -> None:
+        """Closes the ports and connections."""
+        for runner in (self._callers, *self._runners):
+            await runner.cleanup()
+        self._pool.close()
+        await self._store.close()
--- /dev/null
+++ b/wigeonspool/vm/serving.py
@@ -0,0 +1,368 @@
+"""Serves callers: each request gets one answer, its own or an honest no."""
+
+import asyncio
+import time
+from typing import Final
+
+from aiohttp import web
+from multidict import CIMultiDict
+import xxhash
+
+from wigeonspool.core import attempting
+from wigeonspool.core import estimates
+from wigeonspool.core import knowledge
+from wigeonspool.core import patience
+from wigeonspool.core import weights
+from wigeonspool.gateway import incoming
+from wigeonspool.gateway import pauses
+from wigeonspool.gateway import streaming
+from wigeonspool.model import boot
+from wigeonspool.model import border
+from wigeonspool.model import errors
+from wigeonspool.model import fleet
+from wigeonspool.model import outcomes
+from wigeonspool.vm import asking
+from wigeonspool.vm import attempts
+from wigeonspool.vm import work as works
+
+# Targets asked for one request at a time.
+ASKED_AT_ONCE: Final = 3
+# The pace of a target changes about every 150 ms; asking more often than this
+# finds no new one.
+ASK_AGAIN_SECONDS: Final = 0.02
+# A refused caller comes back when the work of one slot is done, about.
+RETRY_SECONDS: Final = 0.15
+# A VM without knowledge has it after one round trip to the store.
+STARTING_SECONDS: Final = 0.2
+STATUS_NO_RULE: Final = 404
+STATUS_TOO_LARGE: Final = 413
+STATUS_BAD_REQUEST: Final = 400
+
+Ending = works.AttemptResult | outcomes.Failure
+
+
+class CallerService:
+    """Serves the requests that arrive at one VM.
+
+    Attributes:
+        in_flight: Requests received and not answered yet.
+        counts: Requests that ended, by outcome and reason.
+        leaving: True once this VM prepares to stop.
+        worked_at: When the latest request came, loop clock.
+    """
+
+    def __init__(
+        self,
+        settings: boot.Boot,
+        known: knowledge.Knowledge,
+        asker: asking.Asker,
+        words: border.Border,
+        pauses_monitor: pauses.PauseMonitor,
+    ) -> None:
+        """Prepares the service.
+
+        Args:
+            settings: Settings of the VM.
+            known: What is known of rules and targets.
+            asker: Asks targets for their load.
+            words: Protocol of callers and targets.
+            pauses_monitor: Tells how long what is read now has waited.
+        """
+        self.in_flight = 0
+        self.counts: dict[tuple[str, str], int] = {}
+        self.leaving = False
+        self.worked_at = 0.0
+        self._known = known
+        self._asker = asker
+        self._words = words
+        self._pauses = pauses_monitor
+        self._sender = attempts.Sender(words)
+        self._times = patience.UsualTimes()
+        self._allowance = attempting.RetryAllowance(
+            settings.bounds.retry_fraction, settings.bounds.retry_slack
+        )
+        self._rotations: dict[str, weights.ShareRotation] = {}
+        self._version = -1
+        self._offset = xxhash.xxh3_64_intdigest(settings.vm.encode()) / 2**64
+        self._loop = asyncio.get_running_loop()
+
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers one request of a caller."""
+        self.in_flight += 1
+        self.worked_at = self._loop.time()
+        try:
+            response = await self._serve(request)
+        except asyncio.CancelledError:
+            self._count(outcomes.Outcome.UNKNOWN, outcomes.Reason.CALLER_LEFT)
+            raise
+        finally:
+            self.in_flight -= 1
+        if self.leaving:
+            response.force_close()
+        return response
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Returns the response to a request."""
+        work = await self._admit(request)
+        if isinstance(work, outcomes.Failure):
+            return self._build_failure(work)
+        try:
+            async with asyncio.timeout_at(work.deadline):
+                ending = await self._run(work)
+        except TimeoutError:
+            ending = work.fail(outcomes.Reason.DEADLINE_PASSED)
+        if isinstance(ending, outcomes.Failure):
+            return self._build_failure(ending)
+        return await self._build_answer(work, ending)
+
+    async def _admit(
+        self, request: web.BaseRequest
+    ) -> works.Work | outcomes.Failure:
+        """Returns the work of a proper request, or why there is none."""
+        arrived_at = self._loop.time() - self._pauses.find_age(time.monotonic())
+        configuration = self._known.configuration
+        if configuration is None:
+            return outcomes.refuse(outcomes.Reason.NOT_CONFIGURED)
+        if incoming.find_problem(request) is not None:
+            return outcomes.refuse(outcomes.Reason.BAD_REQUEST)
+        host = request.headers.get("Host", "").partition(":")[0].lower()
+        path = request.raw_path.partition("?")[0]
+        rule = configuration.find_rule(host, path)
+        if rule is None:
+            return outcomes.refuse(outcomes.Reason.NO_ROUTE)
+        asked = self._words.read_asked(request.headers)
+        limit = rule.limit_seconds
+        if asked.remaining_seconds is not None:
+            limit = min(limit, asked.remaining_seconds)
+        service = self._choose_service(configuration, host, rule)
+        if service is None:
+            return outcomes.refuse(outcomes.Reason.NO_TARGET)
+        deadline = arrived_at + limit
+        length = request.content_length
+        if length is not None and length > configuration.limits.body_bytes:
+            return outcomes.refuse(outcomes.Reason.BODY_TOO_LARGE)
+        try:
+            body, held = await incoming.read_body(request, deadline)
+        except errors.BodyUnreadableError as error:
+            return outcomes.refuse(
+                outcomes.Reason.DEADLINE_PASSED
+                if error.late
+                else outcomes.Reason.BAD_REQUEST
+            )
+        return works.Work(
+            request,
+            asked.identity,
+            rule,
+            service,
+            body,
+            held,
+            arrived_at,
+            arrived_at + rule.objective_seconds,
+            deadline,
+        )
+
+    def _choose_service(
+        self, configuration: fleet.Configuration, host: str, rule: fleet.Rule
+    ) -> str | None:
+        """Returns the service that runs the next request of a rule."""
+        if configuration.version != self._version:
+            self._version = configuration.version
+            self._rotations.clear()
+        if len(rule.shares) == 1:
+            return rule.shares[0].service
+        name = f"{host}{rule.prefix}"
+        rotation = self._rotations.get(name)
+        if rotation is None:
+            rotation = weights.ShareRotation(rule.shares, self._offset)
+            self._rotations[name] = rotation
+        return rotation.choose()
+
+    async def _run(self, work: works.Work) -> Ending:
+        """Sends a request to targets until one answers it or none may.
+
+        Raises:
+            TimeoutError: If its deadline passed.
+        """
+        self._allowance.earn(work.service, len(self._known.vms))
+        while True:
+            offer = await self._choose(work)
+            if isinstance(offer, outcomes.Failure):
+                return offer
+            result = await self._send(work, offer)
+            if result.ended is works.Ended.ANSWERED:
+                return result
+            if not self._may_send_again(work, result):
+                return self._conclude(work, result)
+
+    async def _send(
+        self, work: works.Work, offer: asking.Offer
+    ) -> works.AttemptResult:
+        """Sends one attempt and learns from how it ends."""
+        row = offer.row
+        started_at = self._loop.time()
+        estimates.claim(row.health, started_at)
+        work.sends += 1
+        # Until there is proof of the contrary, it may run.
+        work.runs += 1
+        work.tried.add(row.entry.identity)
+        result = await self._sender.send(work, offer)
+        now = self._loop.time()
+        if result.ended is works.Ended.NOT_RUN:
+            work.runs -= 1
+            estimates.note_fault(row.health, now, 0.5)
+        elif result.ended is works.Ended.ANSWERED:
+            name = f"{work.rule.prefix}{work.service}"
+            self._times.learn(name, now - started_at, offer.stretch)
+        else:
+            estimates.note_fault(row.health, now)
+        return result
+
+    async def _choose(
+        self, work: works.Work
+    ) -> asking.Offer | outcomes.Failure:
+        """Returns the target to send a request to."""
+        name = f"{work.rule.prefix}{work.service}"
+        usual = self._times.find(name, work.rule.objective_seconds)
+        while True:
+            offer, step = await self._ask_all(work, usual)
+            if step is patience.Step.TAKE and offer is not None:
+                return offer
+            if offer is not None:
+                self._asker.give_back([offer])
+            if step is patience.Step.REFUSE:
+                return work.fail(outcomes.Reason.DEADLINE_UNREACHABLE)
+            await asyncio.sleep(ASK_AGAIN_SECONDS)
+
+    async def _ask_all(
+        self, work: works.Work, usual: float
+    ) -> tuple[asking.Offer | None, patience.Step]:
+        """Asks targets, the nearest first, until one is good enough.
+
+        Returns:
+            The best offer, and what to do with it.
+        """
+        asker = self._asker
+        large = work.rule.large
+        groups = asker.list_candidates(work.service, work.tried, large)
+        if not groups and work.tried:
+            groups = asker.list_candidates(work.service, (), large)
+        best: asking.Offer | None = None
+        step = patience.decide(
+            self._loop.time(),
+            usual,
+            None,
+            work.objective_at,
+            work.deadline,
+            bool(groups),
+        )
+        try:
+            for index, group in enumerate(groups):
+                rest = list(group)
+                while rest and step is patience.Step.ASK:
+                    asked = asker.pick(rest, ASKED_AT_ONCE)
+                    rest = [row for row in rest if row not in asked]
+                    work.asked += len(asked)
+                    offers = await asker.ask_some(asked)
+                    if best is not None:
+                        offers.append(best)
+                    offers.sort(key=lambda offer: offer.stretch)
+                    best = offers[0] if offers else None
+                    asker.give_back(offers[1:])
+                    more = bool(rest) or index + 1 < len(groups)
+                    step = patience.decide(
+                        self._loop.time(),
+                        usual,
+                        None if best is None else best.stretch,
+                        work.objective_at,
+                        work.deadline,
+                        more,
+                    )
+        except BaseException:
+            if best is not None:
+                asker.give_back([best])
+            raise
+        return best, step
+
+    def _may_send_again(
+        self, work: works.Work, result: works.AttemptResult
+    ) -> bool:
+        """Returns True if a request goes to another target, and charges it."""
+        allowed = work.held and attempting.may_send_again(
+            work.rule.repeatable,
+            result.ended is works.Ended.NOT_RUN,
+            work.sends,
+            work.runs,
+            work.rule.most_targets,
+        )
+        if not allowed:
+            return False
+        name = f"{work.rule.prefix}{work.service}"
+        usual = self._times.find(name, work.rule.objective_seconds)
+        room = work.deadline - self._loop.time()
+        if room < usual * attempting.LEAST_ROOM:
+            return False
+        return self._allowance.spend(work.service)
+
+    def _conclude(
+        self, work: works.Work, result: works.AttemptResult
+    ) -> Ending:
+        """Returns the ending of a request that is not sent again."""
+        promises = result.status in self._words.promising
+        if result.ended is works.Ended.FAILED and not promises:
+            return result
+        if result.ended is works.Ended.FAILED:
+            return work.fail(outcomes.Reason.TARGET_FAILED)
+        if result.ended is works.Ended.NOT_RUN:
+            return work.fail(outcomes.Reason.TARGET_REFUSED)
+        return work.fail(outcomes.Reason.CONNECTION_LOST)
+
+    async def _build_answer(
+        self, work: works.Work, result: works.AttemptResult
+    ) -> web.StreamResponse:
+        """Returns the response that carries a target's answer."""
+        self._count(outcomes.Outcome.ANSWERED, result.ended.value)
+        fields = CIMultiDict(result.fields)
+        if result.source is None:
+            return web.Response(
+                status=result.status, headers=fields, body=result.body
+            )
+        response = web.StreamResponse(status=result.status, headers=fields)
+        response.content_length = result.source.content_length
+        if self.leaving:
+            response.force_close()
+        streamed = await streaming.pass_on(
+            work.request, work.identity, result.source, work.deadline, response
+        )
+        return streamed.response
+
+    def _build_failure(self, failure: outcomes.Failure) -> web.Response:
+        """Returns the response that tells of a failure."""
+        self._count(failure.outcome, failure.reason)
+        status = self._find_status(failure)
+        fields: dict[str, str] = {"Content-Type": "text/plain"}
+        if status == self._words.refusal_status:
+            starting = failure.reason is outcomes.Reason.NOT_CONFIGURED
+            seconds = STARTING_SECONDS if starting else RETRY_SECONDS
+            fields.update(self._words.write_retry(seconds))
+        return web.Response(
+            status=status, headers=fields, body=failure.reason.encode()
+        )
+
+    def _find_status(self, failure: outcomes.Failure) -> int:
+        """Returns the status that tells of a failure."""
+        if failure.reason is outcomes.Reason.NO_ROUTE:
+            return STATUS_NO_RULE
+        if failure.reason is outcomes.Reason.BODY_TOO_LARGE:
+            return STATUS_TOO_LARGE
+        if failure.reason is outcomes.Reason.BAD_REQUEST:
+            return STATUS_BAD_REQUEST
+        if failure.outcome is outcomes.Outcome.NOT_RUN:
+            return self._words.refusal_status
+        if failure.reason is outcomes.Reason.DEADLINE_PASSED:
+            return self._words.late_status
+        return self._words.doubt_status
+
+    def _count(self, outcome: str, reason: str) -> None:
+        """Counts a request that ended."""
+        index = (outcome, reason)
+        self.counts[index] = self.counts.get(index, 0) + 1
--- /dev/null
+++ b/wigeonspool/vm/work.py
@@ -0,0 +1,86 @@
+"""One request of a caller while this VM serves it."""
+
+import dataclasses
+import enum
+
+from aiohttp import web
+
+from wigeonspool.gateway import exchanges
+from wigeonspool.model import fleet
+from wigeonspool.model import outcomes
+
+
+@dataclasses.dataclass(slots=True)
+class Work:
+    """A request and what became of it so far.
+
+    Attributes:
+        request: Request of the caller.
+        identity: Identity of the caller's attempt.
+        rule: Rule that it matched.
+        service: Service that runs it.
+        body: Its body.
+        held: True if the body can be sent more than once.
+        arrived_at: When its head was read, loop clock.
+        objective_at: When its answer loses its full value, loop clock.
+        deadline: When the caller or the rule gives up, loop clock.
+        sends: Attempts sent to targets.
+        runs: Attempts of these that may have run.
+        tried: Identities of the targets that had it.
+        asked: Health checks made for it.
+    """
+
+    request: web.BaseRequest
+    identity: str
+    rule: fleet.Rule
+    service: str
+    body: exchanges.Body
+    held: bool
+    arrived_at: float
+    objective_at: float
+    deadline: float
+    sends: int = 0
+    runs: int = 0
+    tried: set[str] = dataclasses.field(default_factory=set)
+    asked: int = 0
+
+    def fail(self, reason: outcomes.Reason) -> outcomes.Failure:
+        """Returns a failure that tells truly whether the request may have run."""
+        tell = outcomes.doubt if self.runs else outcomes.refuse
+        return tell(reason)
+
+
+class Ended(enum.Enum):
+    """How one attempt ended.
+
+    ANSWERED: the target answered with success.
+    FAILED: the target ran it and told of a failure.
+    NOT_RUN: the target proved that it did not run it.
+    LOST: nothing proves whether it ran.
+    """
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    NOT_RUN = "not-run"
+    LOST = "lost"
+
+
+@dataclasses.dataclass(slots=True)
+class AttemptResult:
+    """What one attempt came to.
+
+    Attributes:
+        ended: How it ended.
+        status: Status of the target's answer, or 0.
+        fields: Fields of the answer that pass on.
+        body: Whole body of the answer.
+        source: Open answer, if it is too long to hold.
+        detail: What went wrong, for the log.
+    """
+
+    ended: Ended
+    status: int = 0
+    fields: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+    body: bytes = b""
+    source: exchanges.TargetResponse | None = None
+    detail: str = ""
