Feed what one VM of each region learns to all others

A request whose caller left gave some connections back twice, which failed later health checks; mended.

--- /dev/null
+++ b/wigeonspool/core/feeders.py
@@ -0,0 +1,62 @@
+"""Chooses which VMs follow the store, and whom all others follow.
+
+One VM of each region follows the store unasked. Any other does so too once
+somebody follows it, so that each VM can go by what it reaches itself.
+"""
+
+from collections.abc import Iterable
+from typing import Final
+
+from wigeonspool.core import assignments
+from wigeonspool.model import fleet
+
+# VMs of the own region to try before those of other regions.
+TRIED_IN_REGION: Final = 2
+
+
+def rank_feeders(
+    region: str, vms: Iterable[fleet.VmEntry]
+) -> list[fleet.VmEntry]:
+    """Returns the VMs of a region in the order in which they should feed.
+
+    Larger VMs go first, since feeding costs them a smaller part.
+    """
+    listed = {vm.name: vm for vm in vms if vm.region == region}
+    order = assignments.rank_members(f"feeders/{region}", listed)
+    ranked = [listed[name] for name in order]
+    ranked.sort(key=lambda vm: -min(1.0, vm.capacity))
+    return ranked
+
+
+def list_feeders(
+    own: fleet.VmEntry, vms: Iterable[fleet.VmEntry]
+) -> list[fleet.VmEntry] | None:
+    """Returns the VMs to follow, the best first.
+
+    Args:
+        own: Entry of this VM.
+        vms: All VMs that are known to live, this one among them.
+
+    Returns:
+        The VMs, or None if this VM is the first to follow the store.
+    """
+    listed = list(vms)
+    near = rank_feeders(own.region, listed)
+    is_first = not near or near[0].name == own.name
+    others = sorted({vm.region for vm in listed} - {own.region})
+    far = [rank_feeders(region, listed)[0] for region in others]
+    if is_first:
+        return None
+    tried = [vm for vm in near if vm.name != own.name][:TRIED_IN_REGION]
+    return tried + far
+
+
+def list_fallbacks(
+    own: fleet.VmEntry, vms: Iterable[fleet.VmEntry]
+) -> list[fleet.VmEntry]:
+    """Returns the VMs to follow for one that has lost the store."""
+    listed = [vm for vm in vms if vm.name != own.name]
+    regions = sorted(
+        {vm.region for vm in listed}, key=lambda name: name == own.region
+    )
+    return [rank_feeders(region, listed)[0] for region in regions]
--- a/wigeonspool/vm/asking.py
+++ b/wigeonspool/vm/asking.py
@@ -153,7 +153,7 @@
                     give_up_at = self._loop.time() + PATIENCE_SECONDS
         except BaseException:
             self.give_back(offers)
-            for task in tasks:
+            for task in waiting:
                 task.add_done_callback(_give_back_late)
             raise
         for task in waiting:
--- a/wigeonspool/vm/following.py
+++ b/wigeonspool/vm/following.py
@@ -14,7 +14,7 @@
 # All keys: one watch costs one call, whatever it covers.
 ALL: Final = ""
 # Longest time that one watch waits; a silent connection is noticed by then.
-WATCH_SECONDS: Final = 6.0
+WATCH_SECONDS: Final = 3.0
 # Changes come in bursts, and each return of a watch is a paid call.
 GATHER_SECONDS: Final = 0.3
 FIRST_PAUSE_SECONDS: Final = 0.1
@@ -31,6 +31,8 @@
     Attributes:
         items: Latest item of each key that exists.
         revision: Revision of the store up to which all changes are known.
+        whole_at: Revision at which all keys were last read at once; what
+            changed before that is not known one by one.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         """
         self.items: dict[str, sources.Item] = {}
         self.revision = 0
+        self.whole_at = 0
         self._known = known
         self._decode = decode
         self._on_news = on_news
@@ -68,6 +71,7 @@
             if key not in present and item.revision <= revision
         ]
         self.take(sources.Page((*items, *missing), revision))
+        self.whole_at = self.revision
 
     def _take_item(self, item: sources.Item) -> None:
         """Takes one change."""
@@ -141,11 +145,24 @@
                 break
             after = page.items[-1].key
         if stale:
+            # It may be older than what is known, so nothing is gone.
             self._intake.take(sources.Page(tuple(items), revision))
+            self._intake.whole_at = self._intake.revision
         else:
             self._intake.replace(items, revision)
         self._loaded = True
 
+    def is_failing(self) -> bool:
+        """Returns True if the latest call failed."""
+        return self._pause > FIRST_PAUSE_SECONDS
+
+    async def prepare(self) -> None:
+        """Reads all keys once, or pauses after a failure."""
+        try:
+            await self.load(stale=True)
+        except errors.StoreError as error:
+            await self._note_failure(error)
+
     async def step(self) -> None:
         """Takes the next changes, or pauses after a failure."""
         began_at = self._loop.time()
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -11,6 +11,7 @@
 import mode
 
 from wigeonspool import process
+from wigeonspool.core import feeders
 from wigeonspool.core import knowledge
 from wigeonspool.gateway import pauses
 from wigeonspool.model import boot
@@ -25,19 +26,24 @@
 from wigeonspool.vm import asking
 from wigeonspool.vm import callers
 from wigeonspool.vm import channels
+from wigeonspool.vm import feeding
 from wigeonspool.vm import following
 from wigeonspool.vm import pinging
 from wigeonspool.vm import reach
 from wigeonspool.vm import registering
 from wigeonspool.vm import serving
+from wigeonspool.vm import upstream
 
 TICK_SECONDS: Final = 0.1
+# At its start a VM gives others this long before it follows the store itself.
+START_SECONDS: Final = 0.6
+WATCH_POLL_SECONDS: Final = 0.1
 DRAIN_POLL_SECONDS: Final = 0.02
 # Part of the grace during which callers may still open connections; what they
 # were told before is forgotten by then.
 ACCEPT_PART: Final = 0.55
 # Part of the grace after which nothing may run any more.
-FINISH_PART: Final = 0.93
+FINISH_PART: Final = 0.86
 
 
 class VmService(process.DrainingService):
@@ -80,7 +86,9 @@
         ):
             server = web.Server(answer, access_log=None)
             self._runners.append(await process.serve_http(address, server))
+        await self._feeder.start(self._own.peer_address)
         self.add_future(self._follow())
+        self.add_future(self._keep_upstream())
         gc.collect()
         gc.freeze()
         loguru.logger.info("serving callers on {}", self._settings.callers)
@@ -96,6 +104,13 @@
         self._follower = following.StoreFollower(
             self._store, self._intake, self._known
         )
+        self._feeder = feeding.Feeder(
+            self._intake,
+            lambda: max(self._follower.synced_at, self._upstream.synced_at),
+        )
+        self._upstream = upstream.Upstream(
+            settings.vm, self._intake, self._list_feeders
+        )
         self._registration = registering.Registration(
             self._store, self._own, changes.encode_vm
         )
@@ -126,17 +141,64 @@
     _busy = 0.0
 
     def _note_news(self, item: sources.Item) -> None:
-        """Logs what changed of what this VM knows."""
+        """Logs what changed of what this VM knows, and tells followers."""
+        self._feeder.note(item)
         loguru.logger.info("{} at revision {}", item.key, item.revision)
 
+    def _list_vms(self) -> list[fleet.VmEntry]:
+        """Returns this VM and all that are not known to be away."""
+        others = [
+            vm
+            for vm in self._known.vms.values()
+            if vm.name != self._own.name and self._life.is_live(vm)
+        ]
+        return [self._own, *others]
+
+    def _list_feeders(self) -> list[str]:
+        """Returns whom to follow, the best first; none to use the store."""
+        vms = self._list_vms()
+        listed = feeders.list_feeders(self._own, vms)
+        if listed is None and self._follower.is_failing():
+            listed = feeders.list_fallbacks(self._own, vms)
+        found = [vm.peer_address for vm in listed or ()]
+        if not self._known.vms:
+            found += self._list_seeds()
+        return found
+
+    def _list_seeds(self) -> list[str]:
+        """Returns VMs that may live, for one that knows of no other."""
+        port = self._settings.first_free_port
+        hosts = [seed.rpartition(":")[0] for seed in self._settings.seeds]
+        return [f"{h}:{port}" for h in hosts if h != self._settings.ip]
+
+    def _should_watch(self) -> bool:
+        """Returns True if this VM must follow the store itself."""
+        if self._feeder.subscribers or not self._upstream.is_fresh():
+            return True
+        return feeders.list_feeders(self._own, self._list_vms()) is None
+
     async def _follow(self) -> None:
         """Follows the store, and registers this VM once it knows it."""
-        await self._follower.step()
+        loop = asyncio.get_running_loop()
+        await self._follower.prepare()
         held = self._known.vms.get(self._own.name)
         lease = self._known.leases.get(self._own.name, 0)
         self.add_future(self._registration.keep(held, lease))
+        first = feeders.list_feeders(self._own, self._list_vms()) is None
+        give_up_at = loop.time() + (0.0 if first else START_SECONDS)
+        while loop.time() < give_up_at and not self._upstream.is_fresh():
+            await asyncio.sleep(WATCH_POLL_SECONDS)
+        while not self.should_stop:
+            if self._should_watch():
+                await self._follower.step()
+                self._feeder.tell()
+            else:
+                await asyncio.sleep(WATCH_POLL_SECONDS)
+
+    async def _keep_upstream(self) -> None:
+        """Follows another VM while there is a better one than this."""
         while not self.should_stop:
-            await self._follower.step()
+            await self._upstream.step()
 
     @mode.Service.task
     async def _keep_ticking(self) -> None:
@@ -144,11 +206,16 @@
         loop = asyncio.get_running_loop()
         used = time.process_time()
         ping_at = loop.time()
+        pulse_at = loop.time()
         while not self.should_stop:
             await asyncio.sleep(TICK_SECONDS)
             if self._pauses.tick(time.monotonic()):
                 await self._resume()
             now = loop.time()
+            self._feeder.tell()
+            if now >= pulse_at:
+                pulse_at = now + feeding.PULSE_SECONDS
+                self._feeder.pulse()
             for identity in self._known.drop_doubted(now):
                 loguru.logger.info("target {} did not come back", identity)
             if now < ping_at:
@@ -187,6 +254,7 @@
         refuse_at = began_at + grace * ACCEPT_PART
         finish_at = began_at + grace * FINISH_PART
         self._book.leaving = True
+        self._feeder.close()
         self._service.leaving = True
         loguru.logger.info("stopping; callers are told of other VMs")
         await asyncio.sleep(refuse_at - loop.time())
--- a/wigeonspool/vm/work.py
+++ b/wigeonspool/vm/work.py
@@ -45,7 +45,7 @@
     asked: int = 0
 
     def fail(self, reason: outcomes.Reason) -> outcomes.Failure:
-        """Returns a failure that tells truly whether the request may have run."""
+        """Returns a failure; it tells whether the request may have run."""
         tell = outcomes.doubt if self.runs else outcomes.refuse
         return tell(reason)
 
