Name larger VMs first, log each late or failed request, share retries by who serves

Ruled out: the targets themselves, whose median work is the same. Retries are now allowed by the number of VMs that serve, not of all that are.

--- a/wigeonspool/core/attempting.py
+++ b/wigeonspool/core/attempting.py
@@ -6,8 +6,11 @@
 
 from typing import Final
 
-# Part of the promised fraction that is used; counts of a window lag.
-USED_FRACTION: Final = 0.6
+# Parts of what all VMs may send that this VM counts on; the rest allows for
+# VMs that serve beyond those that are expected, and for counts that lag.
+FRACTION_PART: Final = 0.85
+REFILL_PART: Final = 0.5
+BURST_PART: Final = 0.25
 # Attempts that did not run are limited too, for a full service refuses all.
 MOST_SENDS: Final = 4
 # What is left of the time must allow for this many usual service times.
@@ -15,42 +18,62 @@
 
 
 class RetryAllowance:
-    """What this VM may send beyond first attempts, by service."""
+    """What this VM may send beyond first attempts, by service.
 
-    __slots__ = ("_burst", "_credits", "_fraction", "refused")
+    Attributes:
+        refused: Attempts that the allowance did not cover.
+    """
+
+    __slots__ = ("_burst", "_credits", "_fraction", "_rate", "refused")
 
-    def __init__(self, fraction: float, slack: float) -> None:
+    def __init__(
+        self, fraction: float, slack: float, window_seconds: float, vms: int
+    ) -> None:
         """Prepares the allowance.
 
         Args:
             fraction: Attempts beyond the first, as a part of the requests.
             slack: Attempts allowed beside that in a window, over all VMs.
+            window_seconds: Length of the window.
+            vms: VMs that serve callers at the same time.
         """
-        self._fraction = fraction * USED_FRACTION
-        self._burst = slack
-        self._credits: dict[str, float] = {}
+        share = slack / max(1, vms)
+        self._fraction = fraction * FRACTION_PART
+        self._burst = share * BURST_PART
+        self._rate = share * REFILL_PART / window_seconds
+        self._credits: dict[str, tuple[float, float]] = {}
         self.refused = 0
 
-    def earn(self, service: str, vms: int) -> None:
-        """Adds what one request allows.
+    def earn(self, service: str, now: float) -> None:
+        """Adds what one request to a service allows.
 
         Args:
             service: Service that it goes to.
-            vms: Entry VMs that share the slack.
+            now: Time on the core's clock, in seconds.
         """
-        burst = max(1.0, self._burst / (2 * max(1, vms)))
-        known = self._credits.get(service, burst)
-        self._credits[service] = min(burst, known + self._fraction)
+        credit = self._refill(service, now)
+        most = max(1.0, self._burst)
+        self._credits[service] = (min(most, credit + self._fraction), now)
 
-    def spend(self, service: str) -> bool:
+    def spend(self, service: str, now: float) -> bool:
         """Returns True if one more attempt may be sent, and charges it."""
-        known = self._credits.get(service, 0.0)
-        if known < 1.0:
+        credit = self._refill(service, now)
+        if credit < 1.0:
             self.refused += 1
+            self._credits[service] = (credit, now)
             return False
-        self._credits[service] = known - 1.0
+        self._credits[service] = (credit - 1.0, now)
         return True
 
+    def _refill(self, service: str, now: float) -> float:
+        """Returns what may be sent to a service now."""
+        most = max(1.0, self._burst)
+        known = self._credits.get(service)
+        if known is None:
+            return most
+        credit, at = known
+        return min(most, credit + (now - at) * self._rate)
+
 
 def may_send_again(
     repeatable: bool, not_run: bool, sends: int, runs: int, most_targets: int
--- a/wigeonspool/core/feeders.py
+++ b/wigeonspool/core/feeders.py
@@ -24,7 +24,7 @@
     listed = {vm.name: vm for vm in vms if vm.region == region}
     order = assignments.rank_members(f"feeders/{region}", listed)
     ranked = [listed[name] for name in order]
-    ranked.sort(key=lambda vm: -min(1.0, vm.capacity))
+    ranked.sort(key=lambda vm: -vm.capacity)
     return ranked
 
 
--- a/wigeonspool/core/naming.py
+++ b/wigeonspool/core/naming.py
@@ -21,7 +21,8 @@
 ) -> list[fleet.VmEntry]:
     """Returns VMs in the order in which a zone's callers should use them.
 
-    Those of the zone come first, then those of its region, then the others.
+    Those of the zone come first, then those of its region, then the others;
+    among them larger VMs, which add less to each request.
 
     Args:
         zone: Availability zone of the callers.
@@ -31,7 +32,9 @@
     by_name = {vm.name: vm for vm in vms}
     order = assignments.rank_members(f"callers/{zone}", by_name)
     ranked = [by_name[name] for name in order]
-    ranked.sort(key=lambda vm: (vm.zone != zone, vm.region != region))
+    ranked.sort(
+        key=lambda vm: (vm.zone != zone, vm.region != region, -vm.capacity)
+    )
     return ranked
 
 
--- a/wigeonspool/logs.py
+++ b/wigeonspool/logs.py
@@ -68,16 +68,3 @@
         line["exception"] = repr(record["exception"].value)
         line["traceback"] = str(message).partition("\n")[2]
     print(json.dumps(line), file=sys.stderr, flush=True)
-
-
-def configure_plain_logs(part: str) -> None:
-    """Directs the log of this process to standard output, as text.
-
-    Args:
-        part: Prefix of each line.
-    """
-    loguru.logger.remove()
-    loguru.logger.configure(extra={"part": part})
-    loguru.logger.add(
-        sys.stdout, format=TEXT_FORMAT, level="INFO", diagnose=False
-    )
--- a/wigeonspool/platform/metadata.py
+++ b/wigeonspool/platform/metadata.py
@@ -151,7 +151,8 @@
         """
         document = {"Ttl_time": texts.write_seconds(seconds)}
         _, body = await self._call("POST", "/v1/kv-lease", document=document)
-        return _decode(body, _Lease).lease_id
+        found: _Lease = _decode(body, _Lease)
+        return found.lease_id
 
     async def renew(self, lease: int) -> None:
         """Renews a lease.
@@ -226,7 +227,8 @@
             raise errors.LeaseEndedError(lease)
         if status == STATUS_CONDITION:
             raise errors.ConditionFailedError(tuple(known))
-        return _decode(body, _Written).revision
+        written: _Written = _decode(body, _Written)
+        return written.revision
 
     async def _call(
         self,
--- a/wigeonspool/vm/callers.py
+++ b/wigeonspool/vm/callers.py
@@ -4,10 +4,10 @@
 from typing import Any, Final
 
 from aiohttp import web
-import loguru
 
 from wigeonspool.core import knowledge
 from wigeonspool.model import fleet
+from wigeonspool.vm import journal
 from wigeonspool.vm import serving
 
 # Callers may use a connection again up to its idle limit; the port keeps it
@@ -16,6 +16,8 @@
 LINGER_SECONDS: Final = 1.0
 STATUS_BAD_REQUEST: Final = 400
 
+log = journal.open_part("callers")
+
 
 class CallerProtocol(web.RequestHandler):
     """One connection of a caller."""
@@ -35,7 +37,7 @@
             ConnectionError: If an answer has begun, so that none can follow.
         """
         if status != STATUS_BAD_REQUEST:
-            loguru.logger.opt(exception=exc).error("a request failed")
+            log.opt(exception=exc).error("a request failed")
         if request.writer.output_size > 0:
             raise ConnectionError("an answer has begun")
         response = web.Response(status=status)
--- a/wigeonspool/vm/feeding.py
+++ b/wigeonspool/vm/feeding.py
@@ -5,12 +5,11 @@
 from collections.abc import Callable
 from typing import Final
 
-import loguru
-
 from wigeonspool.model import errors
 from wigeonspool.model import sources
 from wigeonspool.vm import feeds
 from wigeonspool.vm import following
+from wigeonspool.vm import journal
 
 # Followers look elsewhere after three of these without a sign.
 PULSE_SECONDS: Final = 0.5
@@ -19,6 +18,8 @@
 # A follower that leaves this much unread is cut off, and comes back.
 MOST_UNREAD_BYTES: Final = 4 * 1024 * 1024
 
+log = journal.open_part("feed")
+
 
 class Feeder:
     """Serves the VMs that follow this one.
@@ -107,14 +108,14 @@
                 return
             if message.version != feeds.VERSION:
                 raise errors.FrameVersionError(message.version)
-            loguru.logger.info("{} follows this VM", message.vm)
+            log.info("follower joined", follower=message.vm)
             writer.write(feeds.pack(self._greet(message.revision)))
             self.subscribers[writer] = message.vm
             self.pulse()
             while await feeds.read(reader) is not None:
                 pass
         except (errors.WireError, OSError) as error:
-            loguru.logger.info("a follower left: {!r}", error)
+            log.info("follower left", reason=repr(error))
         finally:
             self.subscribers.pop(writer, None)
             writer.transport.abort()
--- a/wigeonspool/vm/feeds.py
+++ b/wigeonspool/vm/feeds.py
@@ -82,7 +82,7 @@
     if document is None:
         return None
     try:
-        found: Message = msgspec.convert(document, Message)  # type: ignore[arg-type]
+        found: Message = msgspec.convert(document, Message)
     except msgspec.ValidationError as error:
         raise errors.FrameEncodingError(str(error)) from error
     return found
--- a/wigeonspool/vm/following.py
+++ b/wigeonspool/vm/following.py
@@ -4,12 +4,11 @@
 from collections.abc import Callable
 from typing import Final
 
-import loguru
-
 from wigeonspool import failures
 from wigeonspool.core import knowledge
 from wigeonspool.model import errors
 from wigeonspool.model import sources
+from wigeonspool.vm import journal
 
 # All keys: one watch costs one call, whatever it covers.
 ALL: Final = ""
@@ -24,6 +23,8 @@
 
 Decode = Callable[[str, bytes | None, int], knowledge.Change | None]
 
+log = journal.open_part("store")
+
 
 class Intake:
     """Takes items into what this VM knows, whoever tells of them.
@@ -85,7 +86,7 @@
         try:
             change = self._decode(item.key, item.value, item.lease)
         except errors.PlatformFormatError as error:
-            loguru.logger.error("{} is not in force: {}", item.key, error)
+            log.error("unreadable", key=item.key, reason=str(error))
             return
         if change is None:
             return
--- /dev/null
+++ b/wigeonspool/vm/journal.py
@@ -0,0 +1,128 @@
+"""The log of an entry VM: JSON lines of bounded volume that never block.
+
+A line holds the time, the level, the part that wrote it, what happened, and
+the facts that decided it, each under a name of its own. What a reader does
+not take in time, or what exceeds the bound, is left out, counted, and the
+count is written once there is room again.
+"""
+
+import logging
+import os
+import sys
+import time
+from typing import Any, Final
+
+import loguru
+import msgspec
+
+from wigeonspool import logs
+
+# At 300 bytes a line this is below 1 Mbit/s.
+LINES_PER_SECOND: Final = 400.0
+BURST_LINES: Final = 1000.0
+# Facts that say where a line comes from; the rest decided what happened.
+PART: Final = "part"
+VM: Final = "vm"
+
+
+class LineWriter:
+    """Writes lines to a file descriptor, without ever waiting for its reader.
+
+    Attributes:
+        left_out: Lines that were not written.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        """Takes a descriptor, which does not block from now on."""
+        self.left_out = 0
+        self._descriptor = descriptor
+        self._credit = BURST_LINES
+        self._credited_at = time.monotonic()
+        self._unwritten = b""
+        self._untold = 0
+        os.set_blocking(descriptor, False)
+
+    def write(self, message: Any) -> None:
+        """Writes one record of the log, or leaves it out."""
+        if not self._earn() or not self._flush():
+            self.left_out += 1
+            self._untold += 1
+            return
+        lines = encode_record(message.record)
+        if self._untold:
+            told = {"event": "lines left out", "count": self._untold}
+            lines = msgspec.json.encode(told) + b"\n" + lines
+            self._untold = 0
+        self._unwritten = lines
+        self._flush()
+
+    def _earn(self) -> bool:
+        """Returns True if the bound allows one more line."""
+        now = time.monotonic()
+        earned = (now - self._credited_at) * LINES_PER_SECOND
+        self._credit = min(BURST_LINES, self._credit + earned)
+        self._credited_at = now
+        if self._credit < 1.0:
+            return False
+        self._credit -= 1.0
+        return True
+
+    def _flush(self) -> bool:
+        """Writes what is left of the last line; returns True if nothing is."""
+        if not self._unwritten:
+            return True
+        try:
+            written = os.write(self._descriptor, self._unwritten)
+        except OSError:
+            # The reader is slow or gone; the line waits for the next one.
+            return False
+        self._unwritten = self._unwritten[written:]
+        return not self._unwritten
+
+
+def encode_record(record: Any) -> bytes:
+    """Returns a record of the log as a line of JSON."""
+    facts = record["extra"]
+    line = {
+        "time": record["time"].isoformat(timespec="milliseconds"),
+        "level": record["level"].name,
+        "vm": facts.get(VM, ""),
+        "part": facts.get(PART, "process"),
+        "event": record["message"],
+    }
+    for name, value in facts.items():
+        if name not in (PART, VM):
+            line[name] = value
+    failure = record["exception"]
+    if failure is not None:
+        line["exception"] = repr(failure.value)
+    return msgspec.json.encode(line, enc_hook=str) + b"\n"
+
+
+def configure(vm: str) -> LineWriter:
+    """Directs the log of this process to standard output.
+
+    Args:
+        vm: Name of the VM, on each line.
+
+    Returns:
+        What writes the lines.
+    """
+    writer = LineWriter(sys.stdout.fileno())
+    loguru.logger.remove()
+    loguru.logger.configure(extra={VM: vm})
+    loguru.logger.add(writer.write, level="INFO", format="{message}")
+    logging.basicConfig(
+        handlers=[logs.LibraryHandler()], level=logging.WARNING, force=True
+    )
+    logging.captureWarnings(True)
+    return writer
+
+
+def open_part(name: str) -> Any:
+    """Returns the logger of a part.
+
+    Args:
+        name: Name of the part, on each of its lines.
+    """
+    return loguru.logger.bind(part=name)
--- a/wigeonspool/vm/main.py
+++ b/wigeonspool/vm/main.py
@@ -2,10 +2,10 @@
 
 import sys
 
-from wigeonspool import logs
 from wigeonspool import process
 from wigeonspool.model import errors
 from wigeonspool.platform import settings
+from wigeonspool.vm import journal
 from wigeonspool.vm import service
 
 
@@ -16,7 +16,7 @@
     except errors.SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(process.EXIT_INVALID_SETTINGS)
-    logs.configure_plain_logs(f"vm {chosen.vm}")
+    journal.configure(chosen.vm)
     process.run_service(service.VmService(chosen))
 
 
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -7,7 +7,6 @@
 from typing import Final
 
 from aiohttp import web
-import loguru
 import mode
 
 from wigeonspool import process
@@ -28,6 +27,7 @@
 from wigeonspool.vm import channels
 from wigeonspool.vm import feeding
 from wigeonspool.vm import following
+from wigeonspool.vm import journal
 from wigeonspool.vm import pinging
 from wigeonspool.vm import reach
 from wigeonspool.vm import registering
@@ -46,6 +46,10 @@
 FINISH_PART: Final = 0.86
 
 
+log = journal.open_part("process")
+belief = journal.open_part("knowledge")
+
+
 class VmService(process.DrainingService):
     """The process of one entry VM."""
 
@@ -91,7 +95,11 @@
         self.add_future(self._keep_upstream())
         gc.collect()
         gc.freeze()
-        loguru.logger.info("serving callers on {}", self._settings.callers)
+        log.info(
+            "started",
+            callers=self._settings.callers,
+            incarnation=self._own.incarnation,
+        )
 
     def _build_parts(self) -> None:
         """Builds the parts; they need the running event loop."""
@@ -143,7 +151,7 @@
     def _note_news(self, item: sources.Item) -> None:
         """Logs what changed of what this VM knows, and tells followers."""
         self._feeder.note(item)
-        loguru.logger.info("{} at revision {}", item.key, item.revision)
+        belief.info("changed", key=item.key, revision=item.revision)
 
     def _list_vms(self) -> list[fleet.VmEntry]:
         """Returns this VM and all that are not known to be away."""
@@ -217,7 +225,7 @@
                 pulse_at = now + feeding.PULSE_SECONDS
                 self._feeder.pulse()
             for identity in self._known.drop_doubted(now):
-                loguru.logger.info("target {} did not come back", identity)
+                belief.info("target did not come back", target=identity)
             if now < ping_at:
                 continue
             ping_at = now + pinging.PING_SECONDS
@@ -231,7 +239,7 @@
 
     async def _resume(self) -> None:
         """Takes up work after this process did not run for a while."""
-        loguru.logger.warning("this process did not run for a while")
+        log.warning("paused")
         self._life.forgive()
         for _ in range(pauses.RESUME_TURNS):
             await asyncio.sleep(0)
@@ -242,9 +250,9 @@
         try:
             settings = settings_files.read_boot(settings_files.find_path())
         except errors.SettingsError as error:
-            loguru.logger.error("settings are left as they were: {}", error)
+            log.error("reload failed; settings stay", reason=str(error))
             return
-        loguru.logger.info("settings read anew for {}", settings.vm)
+        log.info("reloaded", retry_fraction=settings.bounds.retry_fraction)
 
     async def drain(self) -> None:
         """Moves callers elsewhere, then finishes what is in flight."""
@@ -256,12 +264,12 @@
         self._book.leaving = True
         self._feeder.close()
         self._service.leaving = True
-        loguru.logger.info("stopping; callers are told of other VMs")
+        log.info("stopping", in_flight=self._service.in_flight)
         await asyncio.sleep(refuse_at - loop.time())
         await self._close_listener()
         while loop.time() < finish_at and self._service.in_flight:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
-        loguru.logger.info("stopped; {} cut", self._service.in_flight)
+        log.info("stopped", cut=self._service.in_flight)
 
     async def _close_listener(self) -> None:
         """Stops taking new connections."""
--- a/wigeonspool/vm/serving.py
+++ b/wigeonspool/vm/serving.py
@@ -11,6 +11,7 @@
 from wigeonspool.core import attempting
 from wigeonspool.core import estimates
 from wigeonspool.core import knowledge
+from wigeonspool.core import naming
 from wigeonspool.core import patience
 from wigeonspool.core import weights
 from wigeonspool.gateway import incoming
@@ -23,6 +24,7 @@
 from wigeonspool.model import outcomes
 from wigeonspool.vm import asking
 from wigeonspool.vm import attempts
+from wigeonspool.vm import journal
 from wigeonspool.vm import work as works
 
 # Targets asked for one request at a time.
@@ -38,6 +40,8 @@
 STATUS_TOO_LARGE: Final = 413
 STATUS_BAD_REQUEST: Final = 400
 
+log = journal.open_part("requests")
+
 Ending = works.AttemptResult | outcomes.Failure
 
 
@@ -79,7 +83,10 @@
         self._sender = attempts.Sender(words)
         self._times = patience.UsualTimes()
         self._allowance = attempting.RetryAllowance(
-            settings.bounds.retry_fraction, settings.bounds.retry_slack
+            settings.bounds.retry_fraction,
+            settings.bounds.retry_slack,
+            settings.bounds.retry_window_seconds,
+            naming.LEAST_NAMED * max(1, len(settings.regions)),
         )
         self._rotations: dict[str, weights.ShareRotation] = {}
         self._version = -1
@@ -111,6 +118,7 @@
                 ending = await self._run(work)
         except TimeoutError:
             ending = work.fail(outcomes.Reason.DEADLINE_PASSED)
+        self._log_ending(work, ending)
         if isinstance(ending, outcomes.Failure):
             return self._build_failure(ending)
         return await self._build_answer(work, ending)
@@ -183,7 +191,7 @@
         Raises:
             TimeoutError: If its deadline passed.
         """
-        self._allowance.earn(work.service, len(self._known.vms))
+        self._allowance.earn(work.service, self._loop.time())
         while True:
             offer = await self._choose(work)
             if isinstance(offer, outcomes.Failure):
@@ -205,8 +213,10 @@
         # Until there is proof of the contrary, it may run.
         work.runs += 1
         work.tried.add(row.entry.identity)
+        work.note(started_at, "sent", row.entry.identity, offer.stretch)
         result = await self._sender.send(work, offer)
         now = self._loop.time()
+        work.note(now, result.ended.value, row.entry.identity, 0.0)
         if result.ended is works.Ended.NOT_RUN:
             work.runs -= 1
             estimates.note_fault(row.health, now, 0.5)
@@ -301,7 +311,7 @@
         room = work.deadline - self._loop.time()
         if room < usual * attempting.LEAST_ROOM:
             return False
-        return self._allowance.spend(work.service)
+        return self._allowance.spend(work.service, self._loop.time())
 
     def _conclude(
         self, work: works.Work, result: works.AttemptResult
@@ -316,6 +326,33 @@
             return work.fail(outcomes.Reason.TARGET_REFUSED)
         return work.fail(outcomes.Reason.CONNECTION_LOST)
 
+    def _log_ending(self, work: works.Work, ending: Ending) -> None:
+        """Logs how a request ended, and what decided it."""
+        now = self._loop.time()
+        not_run = False
+        if isinstance(ending, outcomes.Failure):
+            outcome: str = ending.reason
+            not_run = ending.outcome is outcomes.Outcome.NOT_RUN
+        elif now > work.objective_at:
+            outcome = ending.ended.value
+        else:
+            return
+        log.info(
+            "ended",
+            request=work.identity,
+            rule=work.rule.name,
+            service=work.service,
+            outcome=outcome,
+            not_run=not_run,
+            version=self._version,
+            after_ms=round((now - work.arrived_at) * 1000),
+            limit_ms=round((work.deadline - work.arrived_at) * 1000),
+            sends=work.sends,
+            runs=work.runs,
+            asked=work.asked,
+            steps=work.steps,
+        )
+
     async def _build_answer(
         self, work: works.Work, result: works.AttemptResult
     ) -> web.StreamResponse:
--- a/wigeonspool/vm/upstream.py
+++ b/wigeonspool/vm/upstream.py
@@ -4,14 +4,13 @@
 from collections.abc import Callable
 from typing import Final
 
-import loguru
-
 from wigeonspool import failures
 from wigeonspool.model import errors
 from wigeonspool.model import sources
 from wigeonspool.vm import feeding
 from wigeonspool.vm import feeds
 from wigeonspool.vm import following
+from wigeonspool.vm import journal
 
 # Round trips between regions take 25 ms.
 CONNECT_SECONDS: Final = 0.4
@@ -22,6 +21,8 @@
 SHUNNED_SECONDS: Final = 2.0
 RETRY_SECONDS: Final = 0.1
 
+log = journal.open_part("feed")
+
 
 class Upstream:
     """The stream to the VM that this one follows.
@@ -133,4 +134,4 @@
         if self.address != address:
             self.address = address
             self._failures.clear()
-            loguru.logger.info("following {}", address)
+            log.info("following", feeder=address)
--- a/wigeonspool/vm/work.py
+++ b/wigeonspool/vm/work.py
@@ -28,6 +28,8 @@
         runs: Attempts of these that may have run.
         tried: Identities of the targets that had it.
         asked: Health checks made for it.
+        steps: What became of it so far, for the log: milliseconds after its
+            arrival, what happened, where, and the stretch of the offer.
     """
 
     request: web.BaseRequest
@@ -43,6 +45,14 @@
     runs: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
     asked: int = 0
+    steps: list[tuple[int, str, str, float]] = dataclasses.field(
+        default_factory=list
+    )
+
+    def note(self, now: float, what: str, target: str, stretch: float) -> None:
+        """Notes a step for the log."""
+        elapsed_ms = round((now - self.arrived_at) * 1000)
+        self.steps.append((elapsed_ms, what, target, round(stretch, 2)))
 
     def fail(self, reason: outcomes.Reason) -> outcomes.Failure:
         """Returns a failure; it tells whether the request may have run."""
