Stand in for the platform's store and targets, and test the path of a VM

43 tests on one event loop: answers that are broken, doubled, unframed or late, at most once, limits, draining, stop, configuration, feeds and outages. One of them failed first: entries that lapsed while the store was away were refused, since what speaks against a target was taken for time that it needs. Ranking and predicted time are apart now.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,7 @@
 import yaml
 
 from tests import fleet as fleets
+from tests import vm_fleet as vm_fleets
 
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 
@@ -37,6 +38,15 @@
     await started.stop()
 
 
+@pytest_asyncio.fixture
+async def vms() -> AsyncIterator[vm_fleets.VmFleet]:
+    """The platform's store, four targets and no entry VM yet."""
+    started = vm_fleets.VmFleet()
+    await started.start()
+    yield started
+    await started.stop()
+
+
 @pytest.fixture
 def runner() -> Iterator[asyncio.Runner]:
     """Runs coroutines of scenario steps, which are plain functions."""
--- /dev/null
+++ b/tests/test_vm_feeds.py
@@ -0,0 +1,132 @@
+"""How entry VMs learn: from the store, from each other, after outages."""
+
+import asyncio
+
+from tests import fleet
+from tests import vm_fleet
+from wigeonspool.vm import service
+
+
+def find_watchers(vms: vm_fleet.VmFleet) -> list[str]:
+    """Returns the VMs that follow the store themselves."""
+    return [name for name, vm in vms.vms.items() if vm._should_watch()]
+
+
+def knows(vm: service.VmService, identity: str) -> bool:
+    """Returns True if a VM knows a target."""
+    return identity in vm._known.rows
+
+
+class TestFeeds:
+    async def test_one_vm_of_a_region_watches_for_all(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        for number in range(4):
+            await vms.start_vm(f"vm-{number}")
+        await fleet.wait_for(lambda: len(find_watchers(vms)) == 1)
+        # What the others began to wait for before ends by itself.
+        await asyncio.sleep(3.2)
+        calls = vms.store.calls["kv-watch"]
+        await vms.start_target("t-5", "reads", "zone-a")
+        await fleet.wait_for(
+            lambda: all(knows(vm, "t-5") for vm in vms.vms.values())
+        )
+        assert vms.store.calls["kv-watch"] - calls <= 3
+
+    async def test_followers_find_another_when_theirs_dies(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        for number in range(4):
+            await vms.start_vm(f"vm-{number}")
+        await fleet.wait_for(lambda: len(find_watchers(vms)) == 1)
+        await vms.kill_vm(find_watchers(vms)[0])
+        await vms.start_target("t-5", "reads", "zone-a")
+        await fleet.wait_for(
+            lambda: all(knows(vm, "t-5") for vm in vms.vms.values())
+        )
+
+    async def test_gone_target_is_gone_for_followers(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        for number in range(3):
+            await vms.start_vm(f"vm-{number}")
+        await fleet.wait_for(lambda: len(find_watchers(vms)) == 1)
+        await vms.store.put("servers/t-1", None)
+        await fleet.wait_for(
+            lambda: not any(knows(vm, "t-1") for vm in vms.vms.values())
+        )
+
+
+class TestOutages:
+    async def test_requests_are_served_while_the_store_is_away(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await vms.start_vm("vm-1")
+        vms.store.faults.down = True
+        await vms.store._notify()
+        await asyncio.sleep(0.5)
+        assert (await vms.send("vm-1", "/read/1"))[0] == 200
+        vms.store.faults.down = False
+        version = await vms.configure([])
+        known = vms.vms["vm-1"]._known
+        await fleet.wait_for(
+            lambda: (
+                known.configuration is not None
+                and known.configuration.version == version
+            )
+        )
+
+    async def test_lapsed_entry_is_used_until_it_should_be_back(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        vms.store.faults.down = True
+        await vms.store._notify()
+        for identity in vms.targets:
+            await vms.store.put(f"servers/{identity}", None)
+        await asyncio.sleep(1.0)
+        vms.store.faults.down = False
+        await fleet.wait_for(lambda: vm._known.rows["t-1"].doubted_until > 0)
+        assert (await vms.send("vm-1", "/read/1"))[0] == 200
+        await vms.register("t-1")
+        await fleet.wait_for(lambda: not knows(vm, "t-2"))
+        assert knows(vm, "t-1")
+
+    async def test_lost_history_is_read_anew(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        vms.store.faults.silent_watches = True
+        await vms.store.put("servers/t-1", None)
+        await vms.start_target("t-5", "reads", "zone-a")
+        vms.store.faults.silent_watches = False
+        await vms.store.forget()
+        await fleet.wait_for(lambda: knows(vm, "t-5"))
+        assert not knows(vm, "t-1")
+
+    async def test_vm_that_is_turned_away_learns_from_another(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await vms.start_vm("vm-1")
+        late = await vms.start_vm("vm-2")
+        watcher, follower = "vm-1", "vm-2"
+        await fleet.wait_for(lambda: len(find_watchers(vms)) == 1)
+        if find_watchers(vms) == ["vm-2"]:
+            watcher, follower = follower, watcher
+            late = vms.vms[follower]
+        assert late._upstream.is_fresh()
+        late._store._url = "http://127.0.0.1:9"
+        await vms.start_target("t-5", "reads", "zone-a")
+        await fleet.wait_for(lambda: knows(vms.vms[follower], "t-5"))
+
+    async def test_lost_lease_is_taken_anew(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        await fleet.wait_for(lambda: b"vms/vm-1" in vms.store.records)
+        lease = vms.store.records[b"vms/vm-1"].lease
+        await vms.store._end_lease(lease)
+        vm._registration._lease = lease
+        task = asyncio.create_task(vm._registration.keep(None, 0))
+        await fleet.wait_for(lambda: b"vms/vm-1" in vms.store.records)
+        task.cancel()
--- /dev/null
+++ b/tests/test_vm_path.py
@@ -0,0 +1,347 @@
+"""The path of a request through an entry VM, with targets that misbehave."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from tests import fleet
+from tests import vm_fleet
+
+
+class TestAnswers:
+    async def test_answer_is_that_of_the_target(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await vms.start_vm("vm-1")
+        status, body, fields = await vms.send(
+            "vm-1", "/read/7?page=2", attempt="one"
+        )
+        (target,) = vms.find_runs("one")
+        run = vms.targets[target].runs[0]
+        assert (status, body) == (200, target.encode())
+        assert fields["X-Response-Seal"] == "seal-one"
+        assert fields["X-Attempt-Id"] == "one"
+        assert (run.method, run.path) == ("GET", "/read/7?page=2")
+        assert 0 < run.remaining_ms <= 1500
+
+    async def test_body_reaches_the_target_unchanged(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await vms.start_vm("vm-1")
+        body = bytes(range(256)) * 20
+        await vms.send("vm-1", "/write/1", "POST", attempt="one", data=body)
+        (target,) = vms.find_runs("one")
+        assert vms.targets[target].runs[0].body == body
+
+    async def test_longest_prefix_wins(self, vms: vm_fleet.VmFleet) -> None:
+        await vms.start_vm("vm-1")
+        longer = vm_fleet.build_rule(
+            "longer", "/read/deep/", "safe", Service="writes"
+        )
+        await vms.configure([*vms.declare(), longer])
+        await vms.wait_ready("vm-1")
+        await vms.send("vm-1", "/read/deep/1", attempt="deep")
+        await vms.send("vm-1", "/read/deeper/1", attempt="deeper")
+        assert vms.find_runs("deep")[0] in ("t-3", "t-4")
+        assert vms.find_runs("deeper")[0] in ("t-1", "t-2")
+
+    async def test_no_rule_is_told(self, vms: vm_fleet.VmFleet) -> None:
+        await vms.start_vm("vm-1")
+        assert (await vms.send("vm-1", "/nothing/1"))[0] == 404
+        assert (await vms.send("vm-1", "/read/1", host="a.example"))[0] == 404
+
+    async def test_no_configuration_is_no_missing_rule(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await vms.store.put("op/config", None)
+        await vms.start_vm("vm-1", wait=False)
+        status, _, fields = await vms.send("vm-1", "/read/1")
+        assert status == 503
+        assert float(fields["Retry-After"]) > 0
+
+    @pytest.mark.parametrize(
+        "fault",
+        ["failing", "lost", "truncated", "unproven", "reset_unframed"],
+    )
+    async def test_broken_answer_is_repeated_where_it_may_be(
+        self, vms: vm_fleet.VmFleet, fault: str
+    ) -> None:
+        await vms.start_vm("vm-1")
+        vms.set_faults("t-1", **{fault: True})
+        for number in range(6):
+            status, body, _ = await vms.send("vm-1", f"/read/{number}")
+            assert (status, body) == (200, b"t-2")
+
+    async def test_second_answer_is_given_to_nobody(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await vms.start_vm("vm-1")
+        vms.set_faults(extra=True)
+        for number in range(12):
+            attempt = f"n-{number}"
+            _, _, fields = await vms.send("vm-1", "/read/1", attempt=attempt)
+            assert fields["X-Attempt-Id"] == attempt
+
+    async def test_answer_without_length_is_whole(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await vms.start_vm("vm-1")
+        vms.set_faults(unframed=True)
+        status, body, _ = await vms.send("vm-1", "/read/1", attempt="one")
+        assert (status, body) == (200, vms.find_runs("one")[0].encode())
+
+    async def test_long_answer_is_passed_on(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await vms.start_vm("vm-1")
+        for target in vms.targets.values():
+            target.body = b"x" * 3_000_000
+        status, body, _ = await vms.send("vm-1", "/read/1")
+        assert (status, len(body)) == (200, 3_000_000)
+
+
+class TestAtMostOnce:
+    @pytest.mark.parametrize(
+        ("fault", "expected"),
+        [
+            ("failing", 500),
+            ("lost", 502),
+            ("truncated", 502),
+            ("unproven", 502),
+            ("reset_unframed", 502),
+        ],
+    )
+    async def test_what_may_have_run_runs_once(
+        self, vms: vm_fleet.VmFleet, fault: str, expected: int
+    ) -> None:
+        await vms.start_vm("vm-1")
+        vms.set_faults("t-3", "t-4", **{fault: True})
+        for number in range(4):
+            attempt = f"w-{number}"
+            status, _, _ = await vms.send(
+                "vm-1", "/write/1", "POST", attempt=attempt, data=b"x"
+            )
+            assert status == expected
+            assert len(vms.find_runs(attempt)) == 1
+
+    async def test_what_did_not_run_is_sent_elsewhere(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await vms.start_vm("vm-1")
+        vms.set_faults("t-3", full=True)
+        for number in range(4):
+            status, _, _ = await vms.send(
+                "vm-1", "/write/1", "POST", attempt=f"w-{number}", data=b"x"
+            )
+            assert status == 200
+            assert vms.find_runs(f"w-{number}") == ["t-4"]
+
+    async def test_refused_has_not_run(self, vms: vm_fleet.VmFleet) -> None:
+        await vms.start_vm("vm-1")
+        vms.set_faults(full=True)
+        status, _, fields = await vms.send(
+            "vm-1", "/write/1", "POST", attempt="one", data=b"x"
+        )
+        assert status == 503
+        assert float(fields["Retry-After"]) > 0
+        assert vms.find_runs("one") == []
+
+    async def test_address_of_another_target_is_not_used(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await vms.start_vm("vm-1")
+        vms.targets["t-3"].identity = "t-9"
+        for number in range(4):
+            status, body, _ = await vms.send(
+                "vm-1", f"/write/{number}", "POST", data=b"x"
+            )
+            assert (status, body) == (200, b"t-4")
+
+
+class TestTimeLimits:
+    async def test_limit_of_the_rule_ends_the_wait(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        short = vm_fleet.build_rule(
+            "short", "/read/", "safe", Service="reads", Timeout="150ms"
+        )
+        await vms.configure([short])
+        await vms.start_vm("vm-1")
+        for target in vms.targets.values():
+            target.service_ms = 5_000
+        status, _, _ = await vms.send("vm-1", "/read/1", attempt="one")
+        assert status == 504
+        (target,) = vms.find_runs("one")
+        assert vms.targets[target].runs[0].remaining_ms <= 150
+        await fleet.wait_for(lambda: vms.targets[target].cancelled == 1)
+
+    async def test_work_ends_once_its_caller_left(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await vms.start_vm("vm-1")
+        for target in vms.targets.values():
+            target.service_ms = 5_000
+        timeout = aiohttp.ClientTimeout(total=0.2)
+        with pytest.raises(TimeoutError):
+            await vms.send("vm-1", "/read/1", attempt="one", timeout=timeout)
+        (target,) = vms.find_runs("one")
+        await fleet.wait_for(lambda: vms.targets[target].cancelled == 1)
+
+    async def test_silent_target_is_left(self, vms: vm_fleet.VmFleet) -> None:
+        await vms.start_vm("vm-1")
+        await vms.send("vm-1", "/read/1")
+        await vms.send("vm-1", "/read/1")
+        vms.set_faults("t-1", mute=True)
+        for _ in range(4):
+            status, body, _ = await vms.send("vm-1", "/read/1")
+            assert (status, body) == (200, b"t-2")
+
+
+class TestChoice:
+    async def test_slow_target_gets_nothing_while_another_is_fast(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await vms.start_vm("vm-1")
+        vms.set_faults("t-1", pace=500)
+        for _ in range(8):
+            assert (await vms.send("vm-1", "/read/1"))[1] == b"t-2"
+        vms.set_faults("t-1", pace=100)
+        vms.set_faults("t-2", pace=500)
+        for _ in range(8):
+            assert (await vms.send("vm-1", "/read/1"))[1] == b"t-1"
+
+    async def test_ill_target_is_used_only_if_there_is_no_other(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await vms.start_vm("vm-1")
+        vms.set_faults("t-1", ill=True)
+        for _ in range(6):
+            assert (await vms.send("vm-1", "/read/1"))[1] == b"t-2"
+        vms.set_faults(ill=True)
+        assert (await vms.send("vm-1", "/read/1"))[0] == 200
+
+    async def test_parts_hold_their_weights(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        parts = [
+            {"Service": "reads", "Weight": 80},
+            {"Service": "writes", "Weight": 20},
+        ]
+        split = vm_fleet.build_rule(
+            "split", "/read/", "safe", WeightedBackends=parts
+        )
+        await vms.configure([split])
+        await vms.start_vm("vm-1")
+        for _ in range(50):
+            assert (await vms.send("vm-1", "/read/1"))[0] == 200
+        counts = {i: len(t.runs) for i, t in vms.targets.items()}
+        assert counts["t-1"] + counts["t-2"] in (39, 40, 41)
+
+
+class TestDraining:
+    async def test_draining_target_gets_no_work(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        await vms.register("t-1", "draining")
+        rows = vm._known.rows
+        await fleet.wait_for(
+            lambda: rows["t-1"].entry.state.value == "draining"
+        )
+        for _ in range(6):
+            assert (await vms.send("vm-1", "/read/1"))[1] == b"t-2"
+
+    async def test_target_without_an_entry_gets_no_work(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        await vms.store.put("servers/t-1", None)
+        await fleet.wait_for(lambda: "t-1" not in vm._known.rows)
+        for _ in range(6):
+            assert (await vms.send("vm-1", "/read/1"))[1] == b"t-2"
+
+    async def test_foreign_entries_harm_nobody(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        for number, value in enumerate((b"", b"\xff", b"[]", b'{"Address":3}')):
+            await vms.store.put(f"servers/x-{number}", value)
+        await vms.start_target("t-5", "reads", "zone-a")
+        await fleet.wait_for(lambda: "t-5" in vm._known.rows)
+        assert set(vm._known.rows) == set(vms.targets)
+
+
+class TestStop:
+    async def test_stop_cuts_no_request(self, vms: vm_fleet.VmFleet) -> None:
+        vm = await vms.start_vm("vm-1")
+        for target in vms.targets.values():
+            target.service_ms = 400
+        running = [
+            asyncio.create_task(vms.send("vm-1", "/read/1")) for _ in range(4)
+        ]
+        await fleet.wait_for(
+            lambda: sum(len(t.runs) for t in vms.targets.values()) == 4
+        )
+        await vm.drain()
+        assert [(await task)[0] for task in running] == [200] * 4
+
+    async def test_stopping_vm_is_not_ready_and_not_named(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        first = await vms.start_vm("vm-1")
+        second = await vms.start_vm("vm-2")
+        await fleet.wait_for(lambda: len(second._known.vms) == 2)
+        named = await vms.resolve("vm-2", "zone-a")
+        assert vms.settings["vm-1"].callers in named
+        stopping = asyncio.create_task(first.drain())
+        await asyncio.sleep(0)
+        url = f"http://{vms.settings['vm-1'].readiness}/v1/ready"
+        async with vms.session.get(url) as response:
+            assert response.status == 503
+        other = [vms.settings["vm-2"].callers]
+
+        async def is_moved() -> bool:
+            return await vms.resolve("vm-2", "zone-a") == other
+
+        while not await is_moved():
+            await asyncio.sleep(0.02)
+        _, _, fields = await vms.send("vm-1", "/read/1")
+        assert fields["Connection"] == "close"
+        await stopping
+
+
+class TestConfiguration:
+    async def test_older_version_changes_nothing(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        vms.version = 1
+        await vms.configure([])
+        vms.version = 30
+        added = vm_fleet.build_rule("new", "/new/", "safe", Service="reads")
+        await vms.configure([*vms.declare(), added])
+        await vms.wait_ready("vm-1")
+        assert (await vms.send("vm-1", "/new/1"))[0] == 200
+        vms.version = 10
+        await vms.configure([])
+        await vms.start_target("t-5", "reads", "zone-a")
+        await fleet.wait_for(lambda: "t-5" in vm._known.rows)
+        assert (await vms.send("vm-1", "/new/1"))[0] == 200
+
+    async def test_unreadable_version_changes_nothing(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        await vms.store.put("op/config", b'{"ConfigVersion": 99}')
+        await vms.start_target("t-5", "reads", "zone-a")
+        await fleet.wait_for(lambda: "t-5" in vm._known.rows)
+        assert (await vms.send("vm-1", "/read/1"))[0] == 200
+
+    async def test_long_body_is_refused(self, vms: vm_fleet.VmFleet) -> None:
+        await vms.start_vm("vm-1")
+        status, _, _ = await vms.send(
+            "vm-1", "/write/1", "POST", attempt="one", data=b"x" * 1_000_001
+        )
+        assert status == 413
+        assert vms.find_runs("one") == []
--- /dev/null
+++ b/tests/vm_fleet.py
@@ -0,0 +1,239 @@
+"""Entry VMs, targets and the platform's store on one event loop."""
+
+import asyncio
+import contextlib
+import itertools
+import json
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from tests import fleet
+from wigeonspool.model import boot
+from wigeonspool.platform.standin import store as stores
+from wigeonspool.platform.standin import target as targets
+from wigeonspool.vm import service
+
+HOST = "shop.example"
+ZONES = {"zone-a": "north", "zone-b": "north", "zone-c": "south"}
+REMAINING_MS = "1500"
+
+
+def build_boot(vm: str, zone: str, store: str, **bounds: float) -> boot.Boot:
+    """Returns the settings of a VM on the loopback address."""
+    allowed: dict[str, float] = {
+        "retry_fraction": 0.2,
+        "retry_slack": 60.0,
+        "retry_window_seconds": 10.0,
+        "grace_seconds": 2.0,
+        "drain_seconds": 2.0,
+        "apply_seconds": 2.0,
+        "longest_answer_seconds": 5.0,
+    }
+    return boot.Boot(
+        vm=vm,
+        ip="127.0.0.1",
+        zone=zone,
+        region=ZONES[zone],
+        capacity=1.0,
+        link_mbps=1000.0,
+        callers=fleet.reserve_address(),
+        readiness=fleet.reserve_address(),
+        directory=fleet.reserve_address(),
+        control="",
+        first_free_port=fleet.reserve_port(),
+        seeds=(),
+        regions=ZONES,
+        store=store,
+        least_lease_seconds=1.0,
+        bounds=boot.Bounds(**(allowed | bounds)),
+    )
+
+
+def build_rule(name: str, prefix: str, kind: str, **action: Any) -> Any:
+    """Returns a rule as operators write it."""
+    chosen = {"Timeout": "1500ms", "MaxAttempts": 2} | action
+    return {
+        "Name": name,
+        "Kind": kind,
+        "Slo": "400ms",
+        "Priority": 1,
+        "Match": {"Prefix": prefix},
+        "Action": chosen,
+    }
+
+
+class VmFleet:
+    """What a test needs to play a small deployment."""
+
+    def __init__(self) -> None:
+        self.store = stores.PlatformStore()
+        self.targets: dict[str, targets.PlatformTarget] = {}
+        self.vms: dict[str, service.VmService] = {}
+        self.settings: dict[str, boot.Boot] = {}
+        self.version = 0
+        self.session: aiohttp.ClientSession
+        self._addresses: dict[str, tuple[str, str, str]] = {}
+        self._attempts = itertools.count(1)
+        self._stack = contextlib.AsyncExitStack()
+
+    async def start(self) -> None:
+        """Starts the store, two targets and a first configuration."""
+        self.session = await self._stack.enter_async_context(
+            aiohttp.ClientSession()
+        )
+        self.store_address = fleet.reserve_address()
+        host, _, port = self.store_address.rpartition(":")
+        runner = web.AppRunner(self.store.build_app(), shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port)).start()
+        self._stack.push_async_callback(runner.cleanup)
+        expiring = asyncio.create_task(self.store.expire_leases())
+        self._stack.callback(expiring.cancel)
+        await self.start_target("t-1", "reads", "zone-a")
+        await self.start_target("t-2", "reads", "zone-a")
+        await self.start_target("t-3", "writes", "zone-a")
+        await self.start_target("t-4", "writes", "zone-a")
+        await self.configure(self.declare())
+
+    async def stop(self) -> None:
+        """Stops everything."""
+        for vm in list(self.vms):
+            await self.kill_vm(vm)
+        for target in self.targets.values():
+            await target.stop()
+        await self._stack.aclose()
+
+    def declare(self) -> list[Any]:
+        """Returns the usual rules."""
+        return [
+            build_rule("read", "/read/", "safe", Service="reads"),
+            build_rule("write", "/write/", "unsafe", Service="writes"),
+        ]
+
+    async def configure(self, rules: list[Any], host: str = HOST) -> int:
+        """Writes a configuration; returns its version."""
+        self.version += 3
+        services = {"reads", "writes", "other"}
+        document = {
+            "ConfigVersion": self.version,
+            "Limits": {
+                "MaxHeaderBytes": 16384,
+                "MaxBodyBytes": 1_000_000,
+                "HeaderTimeout": "3000ms",
+                "IdleTimeout": "15000ms",
+            },
+            "Listeners": [{"Host": host, "Policy": rules}],
+            "Upstreams": [
+                {"Name": n, "HealthPath": "/health", "MaxConns": 100}
+                for n in sorted(services)
+            ],
+        }
+        await self.store.put("op/config", json.dumps(document).encode())
+        return self.version
+
+    async def start_target(
+        self, identity: str, name: str, zone: str, slots: int = 4
+    ) -> targets.PlatformTarget:
+        """Starts a target and registers it."""
+        target = targets.PlatformTarget(identity, slots)
+        address = fleet.reserve_address()
+        await target.start(address)
+        self.targets[identity] = target
+        self._addresses[identity] = (name, zone, address)
+        await self.register(identity)
+        return target
+
+    async def register(self, identity: str, state: str = "ready") -> None:
+        """Writes the entry of a target."""
+        name, zone, address = self._addresses[identity]
+        entry = {
+            "Address": address,
+            "Info": {
+                "Service": name,
+                "ConfigVersion": "v1",
+                "Zone": zone,
+                "Slots": 4,
+            },
+            "Status": {"State": state, "Seq": 1, "Cold_time": "0ms"},
+            "born": 1_700_000_000_000,
+        }
+        key = f"servers/{identity}"
+        await self.store.put(key, json.dumps(entry).encode())
+
+    async def start_vm(
+        self, vm: str, zone: str = "zone-a", wait: bool = True, **bounds: float
+    ) -> service.VmService:
+        """Starts a VM and waits until it is ready."""
+        settings = self.settings.get(vm)
+        if settings is None:
+            settings = build_boot(vm, zone, self.store_address, **bounds)
+            self.settings[vm] = settings
+        started = service.VmService(settings)
+        self.vms[vm] = started
+        await started.start()
+        if wait:
+            await self.wait_ready(vm)
+        return started
+
+    async def wait_ready(self, vm: str) -> None:
+        """Waits until a VM knows rules and targets."""
+        known = self.vms[vm]._known
+        await fleet.wait_for(
+            lambda: (
+                known.configuration is not None
+                and known.configuration.version >= self.version
+                and len(known.rows) >= len(self.targets)
+            )
+        )
+
+    async def kill_vm(self, vm: str) -> None:
+        """Ends a VM at once."""
+        await self.vms.pop(vm).stop()
+
+    async def send(
+        self,
+        vm: str,
+        path: str,
+        method: str = "GET",
+        host: str = HOST,
+        attempt: str = "",
+        **options: Any,
+    ) -> tuple[int, bytes, Any]:
+        """Sends a request; returns status, body and fields of its answer."""
+        attempt = attempt or f"a-{next(self._attempts)}"
+        fields = {
+            "Host": host,
+            "X-Attempt-Id": attempt,
+            "X-Timeout-Remaining": options.pop("remaining", REMAINING_MS),
+        }
+        url = f"http://{self.settings[vm].callers}{path}"
+        async with self.session.request(
+            method, url, headers=fields, **options
+        ) as response:
+            return response.status, await response.read(), response.headers
+
+    async def resolve(self, vm: str, zone: str) -> list[str]:
+        """Asks a VM which addresses to use."""
+        url = f"http://{self.settings[vm].directory}/v1/resolve"
+        query = {"Name": HOST, "Region": ZONES[zone], "Zone": zone}
+        async with self.session.get(url, params=query) as response:
+            assert response.status == 200
+            listed: list[str] = (await response.json())["Addrs"]
+            return listed
+
+    def find_runs(self, attempt: str) -> list[str]:
+        """Returns the targets that ran an attempt."""
+        return [
+            identity
+            for identity, target in self.targets.items()
+            for run in target.runs
+            if run.attempt == attempt
+        ]
+
+    def set_faults(self, *identities: str, **faults: Any) -> None:
+        """Sets faults of some targets, or of all."""
+        for identity in identities or tuple(self.targets):
+            for name, value in faults.items():
+                setattr(self.targets[identity].faults, name, value)
--- a/wigeonspool/core/patience.py
+++ b/wigeonspool/core/patience.py
@@ -6,9 +6,9 @@
 """
 
 import enum
-from typing import Final
+from typing import Final, NamedTuple
 
-# An offer this close to the usual pace is taken without looking further.
+# A target this little slower than usual is taken without asking others.
 GOOD_STRETCH: Final = 1.6
 # Work that starts later than this before its objective is likely late.
 SPARE_RATIO: Final = 1.15
@@ -32,6 +32,18 @@
     REFUSE = "refuse"
 
 
+class Prospect(NamedTuple):
+    """How a target looks.
+
+    Attributes:
+        stretch: How many times longer than usual work would take there.
+        cost: The same with all that speaks against the target, for ranking.
+    """
+
+    stretch: float
+    cost: float
+
+
 class UsualTimes:
     """Service times at the usual pace, by rule and service."""
 
@@ -61,7 +73,7 @@
 def decide(
     now: float,
     usual: float,
-    stretch: float | None,
+    best: Prospect | None,
     objective_at: float,
     deadline: float,
     unasked: bool,
@@ -71,19 +83,22 @@
     Args:
         now: Time on the core's clock, in seconds.
         usual: Time that the work takes at the usual pace.
-        stretch: How much longer it would take at the best offer, or None.
+        best: The best offer so far, or None.
         objective_at: When the answer loses its full value.
         deadline: When the caller gives up.
         unasked: True if some targets were not asked yet.
     """
-    if stretch is not None and stretch <= GOOD_STRETCH:
+    if best is not None and best.cost <= GOOD_STRETCH:
         return Step.TAKE
-    if stretch is not None and now + usual * stretch <= objective_at:
+    if best is not None and now + usual * best.cost <= objective_at:
         return Step.TAKE
     if unasked:
         return Step.ASK
+    if best is not None and now + usual * best.stretch <= objective_at:
+        return Step.TAKE
     if now + usual * SPARE_RATIO < objective_at:
         return Step.WAIT
-    if stretch is None:
+    if best is None:
         return Step.REFUSE
-    return Step.TAKE if now + usual * stretch < deadline else Step.REFUSE
+    in_time = now + usual * best.stretch < deadline
+    return Step.TAKE if in_time else Step.REFUSE
--- a/wigeonspool/model/border.py
+++ b/wigeonspool/model/border.py
@@ -4,13 +4,14 @@
 adapter gives the data path one `Border`, and nothing else knows its names.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 import dataclasses
 import enum
 from typing import NamedTuple
 
 from multidict import CIMultiDict
 from multidict import CIMultiDictProxy
+import yarl
 
 Fields = CIMultiDictProxy[str]
 
@@ -92,3 +93,35 @@
     doubt_status: int
     late_status: int
     promising: frozenset[int]
+
+
+class Question(NamedTuple):
+    """Who asks for addresses.
+
+    Attributes:
+        host: Host that the caller wants to reach.
+        region: Region of the caller.
+        zone: Availability zone of the caller.
+    """
+
+    host: str
+    region: str
+    zone: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Addressing:
+    """The address question of one protocol, as plain functions.
+
+    Attributes:
+        resolve_path: Path of the question.
+        ready_path: Path that tells whether a VM is ready.
+        read_question: Reads the question in a URL.
+        write_addresses: Returns the answer from addresses and the seconds for
+            which callers keep it.
+    """
+
+    resolve_path: str
+    ready_path: str
+    read_question: Callable[[yarl.URL], Question]
+    write_addresses: Callable[[Iterable[str], float], bytes]
--- a/wigeonspool/platform/directory.py
+++ b/wigeonspool/platform/directory.py
@@ -1,11 +1,12 @@
 """The address question as the platform's callers ask it."""
 
 from collections.abc import Iterable
-from typing import Final, NamedTuple
+from typing import Final
 
 import msgspec
 import yarl
 
+from wigeonspool.model import border
 from wigeonspool.platform import texts
 
 RESOLVE_PATH: Final = "/v1/resolve"
@@ -14,24 +15,10 @@
 MOST_ADDRESSES: Final = 64
 
 
-class Question(NamedTuple):
-    """Who asks for addresses.
-
-    Attributes:
-        host: Host that the caller wants to reach.
-        region: Region of the caller.
-        zone: Availability zone of the caller.
-    """
-
-    host: str
-    region: str
-    zone: str
-
-
-def read_question(url: yarl.URL) -> Question:
+def read_question(url: yarl.URL) -> border.Question:
     """Returns the question in a query; what is left out is ""."""
     query = url.query
-    return Question(
+    return border.Question(
         query.get("Name", ""), query.get("Region", ""), query.get("Zone", "")
     )
 
@@ -42,3 +29,11 @@
     return msgspec.json.encode(
         {"Addrs": listed, "Ttl": texts.write_seconds(keep_seconds)}
     )
+
+
+ADDRESSING: Final = border.Addressing(
+    resolve_path=RESOLVE_PATH,
+    ready_path=READY_PATH,
+    read_question=read_question,
+    write_addresses=write_addresses,
+)
--- /dev/null
+++ b/wigeonspool/platform/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins that speak the platform's protocol, for tests and the demo."""
--- a/wigeonspool/vm/answering.py
+++ b/wigeonspool/vm/answering.py
@@ -8,8 +8,8 @@
 from wigeonspool.core import knowledge
 from wigeonspool.core import naming
 from wigeonspool.model import boot
+from wigeonspool.model import border
 from wigeonspool.model import fleet
-from wigeonspool.platform import directory
 from wigeonspool.vm import pinging
 
 # Callers learn within this time that a VM is gone; shorter answers cost more
@@ -28,6 +28,7 @@
         own: fleet.VmEntry,
         known: knowledge.Knowledge,
         life: pinging.LifeProtocol,
+        words: border.Addressing,
     ) -> None:
         """Prepares the book.
 
@@ -36,6 +37,7 @@
             own: Entry of this VM.
             known: What is known of other VMs.
             life: Knows which of them live.
+            words: Protocol of the questions.
         """
         self.leaving = False
         self.questions = 0
@@ -43,6 +45,7 @@
         self._own = own
         self._known = known
         self._life = life
+        self._words = words
         self._loop = asyncio.get_running_loop()
 
     def is_ready(self) -> bool:
@@ -51,21 +54,21 @@
 
     async def show_ready(self, request: web.BaseRequest) -> web.Response:
         """Answers whether this VM is ready."""
-        if request.path != directory.READY_PATH:
+        if request.path != self._words.ready_path:
             return web.Response(status=404)
         return web.Response(status=200 if self.is_ready() else 503)
 
     async def resolve(self, request: web.BaseRequest) -> web.Response:
         """Answers the address question."""
-        if request.path != directory.RESOLVE_PATH:
+        if request.path != self._words.resolve_path:
             return web.Response(status=404)
         self.questions += 1
-        question = directory.read_question(request.url)
+        question = self._words.read_question(request.url)
         chosen = self.choose(question.zone or self._own.zone)
         if not chosen:
             return web.Response(status=503)
         keep = min(KEEP_SECONDS, self._settings.bounds.longest_answer_seconds)
-        body = directory.write_addresses((vm.address for vm in chosen), keep)
+        body = self._words.write_addresses((vm.address for vm in chosen), keep)
         return web.Response(body=body, content_type="application/json")
 
     def choose(self, zone: str) -> list[fleet.VmEntry]:
--- a/wigeonspool/vm/asking.py
+++ b/wigeonspool/vm/asking.py
@@ -16,6 +16,7 @@
 
 from wigeonspool.core import estimates
 from wigeonspool.core import knowledge
+from wigeonspool.core import patience
 from wigeonspool.model import border
 from wigeonspool.model import fleet
 from wigeonspool.vm import channels
@@ -27,8 +28,6 @@
 REMOTE_SECONDS: Final = 0.15
 # Once one has answered, others may take this much longer.
 PATIENCE_SECONDS: Final = 0.004
-# A target this little slower than usual is taken without asking others.
-GOOD_STRETCH: Final = 1.6
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,14 +37,14 @@
     Attributes:
         row: The target.
         channel: Connection that it answered on.
-        stretch: How many times longer than usual work would take there.
+        prospect: How soon it would answer, and what speaks against it.
         asked_at: When it was asked, loop clock.
         report: What it told.
     """
 
     row: knowledge.TargetRow
     channel: channels.Channel
-    stretch: float
+    prospect: patience.Prospect
     asked_at: float
     report: border.LoadReport
 
@@ -158,7 +157,7 @@
             raise
         for task in waiting:
             task.add_done_callback(_give_back_late)
-        offers.sort(key=lambda offer: offer.stretch)
+        offers.sort(key=lambda offer: offer.prospect.cost)
         return offers
 
     def give_back(self, offers: list[Offer]) -> None:
@@ -216,8 +215,8 @@
             estimates.note_unreachable(row.health, self._loop.time())
             return None
         estimates.note_reachable(row.health)
-        stretch = self._weigh(row, report, asked_at)
-        return Offer(row, channel, stretch, asked_at, report)
+        prospect = self._weigh(row, report, asked_at)
+        return Offer(row, channel, prospect, asked_at, report)
 
     async def _exchange(
         self, row: knowledge.TargetRow, channel: channels.Channel
@@ -261,8 +260,8 @@
         row: knowledge.TargetRow,
         report: border.LoadReport,
         asked_at: float,
-    ) -> float:
-        """Returns how many times longer than usual work would take."""
+    ) -> patience.Prospect:
+        """Returns how a target looks, by its report and by its past."""
         now = self._loop.time()
         health = row.health
         running = report.running + estimates.count_claims(health, asked_at)
@@ -270,13 +269,13 @@
         stretch = estimates.estimate_stretch(
             running, report.waiting, slots, report.pace
         )
-        faults = estimates.read_faults(health, now)
-        stretch *= 1.0 + estimates.FAULT_COST * faults
         if row.cold_until > now:
             stretch *= estimates.COLD_COST
+        faults = estimates.read_faults(health, now)
+        cost = stretch * (1.0 + estimates.FAULT_COST * faults)
         if row.doubted_until or not report.healthy:
-            stretch *= estimates.ILL_COST
-        return stretch
+            cost *= estimates.ILL_COST
+        return patience.Prospect(stretch, cost)
 
 
 def _give_back_late(task: asyncio.Task[Offer | None]) -> None:
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -19,6 +19,7 @@
 from wigeonspool.model import sources
 from wigeonspool.platform import border
 from wigeonspool.platform import changes
+from wigeonspool.platform import directory
 from wigeonspool.platform import metadata
 from wigeonspool.platform import settings as settings_files
 from wigeonspool.vm import answering
@@ -133,7 +134,11 @@
         )
         self._life = pinging.LifeProtocol(self._describe)
         self._book = answering.AddressBook(
-            settings, self._own, self._known, self._life
+            settings,
+            self._own,
+            self._known,
+            self._life,
+            directory.ADDRESSING,
         )
 
     def _describe(self) -> pinging.Datagram:
--- a/wigeonspool/vm/serving.py
+++ b/wigeonspool/vm/serving.py
@@ -213,7 +213,9 @@
         # Until there is proof of the contrary, it may run.
         work.runs += 1
         work.tried.add(row.entry.identity)
-        work.note(started_at, "sent", row.entry.identity, offer.stretch)
+        work.note(
+            started_at, "sent", row.entry.identity, offer.prospect.stretch
+        )
         result = await self._sender.send(work, offer)
         now = self._loop.time()
         work.note(now, result.ended.value, row.entry.identity, 0.0)
@@ -222,7 +224,7 @@
             estimates.note_fault(row.health, now, 0.5)
         elif result.ended is works.Ended.ANSWERED:
             name = f"{work.rule.prefix}{work.service}"
-            self._times.learn(name, now - started_at, offer.stretch)
+            self._times.learn(name, now - started_at, offer.prospect.stretch)
         else:
             estimates.note_fault(row.health, now)
         return result
@@ -275,14 +277,14 @@
                     offers = await asker.ask_some(asked)
                     if best is not None:
                         offers.append(best)
-                    offers.sort(key=lambda offer: offer.stretch)
+                    offers.sort(key=lambda offer: offer.prospect.cost)
                     best = offers[0] if offers else None
                     asker.give_back(offers[1:])
                     more = bool(rest) or index + 1 < len(groups)
                     step = patience.decide(
                         self._loop.time(),
                         usual,
-                        None if best is None else best.stretch,
+                        None if best is None else best.prospect,
                         work.objective_at,
                         work.deadline,
                         more,
