Judge targets by what their whole service fails, and ask in bounds

Now only failures beyond those of half of the service count against a target, a patient request asks three at a time beyond 30 checks, and a caller that a target refused may return at once.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -30,8 +30,10 @@
 
 # Below the ports that the system gives to outgoing connections: one of those
 # may take a port between its reservation and its use.
-FIRST_PORT = 10_000
-PORTS = 10_000
+# Workers that run tests side by side have ranges of their own.
+PORTS = 2_000
+WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+FIRST_PORT = 10_000 + WORKER * PORTS
 _offsets = itertools.count(os.getpid() * 97)
 
 
--- /dev/null
+++ b/tests/test_vm_core.py
@@ -0,0 +1,288 @@
+"""Decisions of an entry VM, as pure functions over tables."""
+
+import collections
+
+import pytest
+
+from wigeonspool.core import attempting
+from wigeonspool.core import estimates
+from wigeonspool.core import feeders
+from wigeonspool.core import knowledge
+from wigeonspool.core import naming
+from wigeonspool.core import patience
+from wigeonspool.core import weights
+from wigeonspool.model import fleet
+
+
+def build_vm(
+    name: str, zone: str = "z-1", region: str = "r-1", capacity: float = 1.0
+) -> fleet.VmEntry:
+    return fleet.VmEntry(
+        name, "i", region, zone, f"{name}:1", f"{name}:2", capacity
+    )
+
+
+def build_target(
+    identity: str = "t-1",
+    state: fleet.TargetState = fleet.TargetState.SERVING,
+    born_ms: int = 1,
+    service: str = "s",
+) -> fleet.TargetEntry:
+    return fleet.TargetEntry(
+        identity, service, "10.0.0.1:80", "z-1", 4, state, 0.0, born_ms
+    )
+
+
+class TestNaming:
+    def test_all_name_the_same_vms_of_the_zone(self) -> None:
+        vms = [build_vm(f"vm-{n}", f"z-{n % 3}") for n in range(12)]
+        ranked = naming.rank_vms("z-1", "r-1", vms)
+        again = naming.rank_vms("z-1", "r-1", reversed(vms))
+        assert ranked == again
+        live = {vm.name for vm in vms}
+        named = naming.choose_vms("z-1", ranked, live, 0.0)
+        assert [vm.zone for vm in named] == ["z-1", "z-1"]
+
+    def test_larger_vms_are_named_first(self) -> None:
+        small = [build_vm(f"s-{n}", capacity=0.4) for n in range(9)]
+        large = [build_vm(f"l-{n}", capacity=2.1) for n in range(2)]
+        ranked = naming.rank_vms("z-1", "r-1", [*small, *large])
+        assert {vm.name for vm in ranked[:2]} == {"l-0", "l-1"}
+
+    def test_lost_vm_is_replaced_and_moves_no_other(self) -> None:
+        vms = [build_vm(f"vm-{n}") for n in range(6)]
+        ranked = naming.rank_vms("z-1", "r-1", vms)
+        live = {vm.name for vm in vms}
+        first, second = naming.choose_vms("z-1", ranked, live, 0.0)
+        live.discard(first.name)
+        assert naming.choose_vms("z-1", ranked, live, 0.0)[0] == second
+
+    def test_zone_without_live_vms_uses_its_region(self) -> None:
+        vms = [
+            build_vm("a", "z-1"),
+            build_vm("b", "z-2"),
+            build_vm("c", "z-3", "r-2"),
+        ]
+        ranked = naming.rank_vms("z-1", "r-1", vms)
+        named = naming.choose_vms("z-1", ranked, {"b", "c"}, 0.0, 1)
+        assert [vm.name for vm in named] == ["b"]
+
+    def test_busy_vms_get_company(self) -> None:
+        vms = [build_vm(f"vm-{n}") for n in range(8)]
+        ranked = naming.rank_vms("z-1", "r-1", vms)
+        live = {vm.name for vm in vms}
+        assert len(naming.choose_vms("z-1", ranked, live, 0.5)) == 2
+        assert len(naming.choose_vms("z-1", ranked, live, 1.1)) == 4
+
+
+class TestFeeders:
+    def test_one_vm_of_each_region_is_first(self) -> None:
+        vms = [build_vm(f"vm-{n}", region=f"r-{n % 3}") for n in range(12)]
+        firsts = [vm for vm in vms if feeders.list_feeders(vm, vms) is None]
+        assert sorted(vm.region for vm in firsts) == ["r-0", "r-1", "r-2"]
+
+    def test_others_try_their_region_then_the_rest(self) -> None:
+        vms = [build_vm(f"vm-{n}", region=f"r-{n % 2}") for n in range(8)]
+        own = next(v for v in vms if feeders.list_feeders(v, vms) is not None)
+        listed = feeders.list_feeders(own, vms)
+        assert listed is not None
+        regions = [vm.region for vm in listed]
+        assert own not in listed
+        assert regions[0] == own.region
+        assert regions[-1] != own.region
+
+    def test_vm_that_lost_the_store_goes_to_another_region_first(self) -> None:
+        vms = [build_vm(f"vm-{n}", region=f"r-{n % 2}") for n in range(8)]
+        found = feeders.list_fallbacks(vms[0], vms)
+        assert [vm.region for vm in found] == ["r-1", "r-0"]
+
+
+class TestWeights:
+    @pytest.mark.parametrize("parts", [(90, 10), (50, 50), (1, 2, 3), (7, 0)])
+    def test_parts_hold_within_one_request(self, parts: tuple[int]) -> None:
+        shares = [fleet.Share(f"s-{i}", w) for i, w in enumerate(parts)]
+        rotation = weights.ShareRotation(shares, 0.3)
+        counts: collections.Counter[str | None] = collections.Counter()
+        for total in range(1, 400):
+            counts[rotation.choose()] += 1
+            for share in shares:
+                wanted = total * share.weight / sum(parts)
+                assert abs(counts[share.service] - wanted) <= 1.3
+
+    def test_nothing_is_chosen_without_weight(self) -> None:
+        assert weights.ShareRotation([], 0.0).choose() is None
+
+
+class TestAttempting:
+    def test_all_vms_together_keep_to_the_promise(self) -> None:
+        # 12 VMs, demand that is all repeated if the allowance lets it.
+        fraction, slack, window, vms, rate = 0.2, 64.0, 10.0, 12, 12.0
+        allowances = [
+            attempting.RetryAllowance(fraction, slack, window, vms)
+            for _ in range(vms)
+        ]
+        sent = []
+        for step in range(int(60 * rate)):
+            now = step / rate
+            for allowance in allowances:
+                allowance.earn("s", now)
+                while allowance.spend("s", now):
+                    sent.append(now)
+        for start in range(50):
+            requests = rate * window * vms
+            extra = sum(start <= at < start + window for at in sent)
+            assert extra <= fraction * requests + slack
+        assert len(sent) > 0.1 * rate * vms * 60
+
+    @pytest.mark.parametrize(
+        ("repeatable", "not_run", "sends", "runs", "most", "expected"),
+        [
+            (True, False, 1, 1, 2, True),
+            (True, False, 2, 2, 2, False),
+            (True, False, 1, 1, 1, False),
+            (False, False, 1, 1, 3, False),
+            (False, True, 1, 0, 1, True),
+            (False, True, 2, 1, 3, False),
+            (True, True, 4, 0, 9, False),
+        ],
+    )
+    def test_what_may_be_sent_again(
+        self,
+        repeatable: bool,
+        not_run: bool,
+        sends: int,
+        runs: int,
+        most: int,
+        expected: bool,
+    ) -> None:
+        may = attempting.may_send_again(repeatable, not_run, sends, runs, most)
+        assert may is expected
+
+
+class TestEstimates:
+    def test_full_and_slow_targets_look_longer(self) -> None:
+        idle = estimates.estimate_stretch(0, 0, 4, 1.0)
+        busy = estimates.estimate_stretch(3, 0, 4, 1.0)
+        full = estimates.estimate_stretch(4, 2, 4, 1.0)
+        slow = estimates.estimate_stretch(0, 0, 4, 5.0)
+        assert idle < busy < full < slow
+
+    def test_failures_fade(self) -> None:
+        health = estimates.TargetHealth()
+        estimates.note_fault(health, 0.0)
+        half = estimates.FAULT_HALF_LIFE_SECONDS
+        assert estimates.read_faults(health, half) == pytest.approx(0.5)
+
+    def test_failure_of_all_speaks_against_none(self) -> None:
+        """Pattern: all targets of a service refuse a part of their work."""
+        healths = [estimates.TargetHealth() for _ in range(5)]
+        for health in healths:
+            estimates.note_fault(health, 0.0, 2.0)
+        assert estimates.find_typical_faults(healths, 0.0) == 2.0
+        for health in healths[:4]:
+            health.faults = 0.0
+        assert estimates.find_typical_faults(healths, 0.0) == 0.0
+
+    def test_unreachable_target_is_out_longer_each_time(self) -> None:
+        health = estimates.TargetHealth()
+        outs = []
+        for _ in range(6):
+            estimates.note_unreachable(health, 0.0)
+            outs.append(health.out_until)
+        assert outs == sorted(outs)
+        assert outs[-1] == estimates.MOST_OUT_SECONDS
+        estimates.note_reachable(health)
+        assert health.out_until == 0.0
+
+
+class TestPatience:
+    """Pattern: work takes five times longer on a third of the targets."""
+
+    @pytest.mark.parametrize(
+        ("now", "cost", "unasked", "expected"),
+        [
+            (0.0, 1.2, True, patience.Step.TAKE),
+            (0.0, 5.0, True, patience.Step.ASK),
+            (0.0, 5.0, False, patience.Step.WAIT),
+            (0.35, 5.0, False, patience.Step.TAKE),
+            (0.9, 5.0, False, patience.Step.REFUSE),
+            (0.0, 2.0, True, patience.Step.TAKE),
+            (0.0, None, True, patience.Step.ASK),
+            (0.0, None, False, patience.Step.WAIT),
+            (0.9, None, False, patience.Step.REFUSE),
+        ],
+    )
+    def test_step(
+        self,
+        now: float,
+        cost: float | None,
+        unasked: bool,
+        expected: patience.Step,
+    ) -> None:
+        best = None if cost is None else patience.Prospect(cost, cost)
+        step = patience.decide(now, 0.14, best, 0.4, 1.2, unasked)
+        assert step is expected
+
+    def test_doubts_do_not_refuse_what_would_be_in_time(self) -> None:
+        best = patience.Prospect(1.0, 20.0)
+        step = patience.decide(0.0, 0.14, best, 0.4, 1.2, False)
+        assert step is patience.Step.TAKE
+
+
+class TestKnowledge:
+    def test_old_news_change_nothing(self) -> None:
+        known = knowledge.Knowledge()
+        new = knowledge.TargetChange("t-1", build_target())
+        gone = knowledge.TargetChange("t-1", None)
+        assert known.apply(0.0, "k", 5, new)
+        assert not known.apply(0.0, "k", 4, gone)
+        assert "t-1" in known.rows
+        assert known.apply(0.0, "k", 6, gone)
+        assert not known.apply(0.0, "k", 5, new)
+        assert not known.rows
+
+    def test_another_run_of_a_target_begins_anew(self) -> None:
+        known = knowledge.Knowledge()
+        first = knowledge.TargetChange("t-1", build_target(born_ms=1))
+        known.apply(0.0, "k", 1, first)
+        estimates.note_fault(known.rows["t-1"].health, 0.0)
+        again = knowledge.TargetChange("t-1", build_target(born_ms=2))
+        known.apply(0.0, "k", 2, again)
+        assert known.rows["t-1"].health.faults == 0.0
+
+    def test_target_that_moved_leaves_its_service(self) -> None:
+        known = knowledge.Knowledge()
+        for revision, service in enumerate(("a", "b"), 1):
+            entry = build_target(service=service)
+            known.apply(
+                0.0, "k", revision, knowledge.TargetChange("t-1", entry)
+            )
+        assert not list(known.list_targets("a"))
+        assert len(list(known.list_targets("b"))) == 1
+
+    def test_lapsed_entry_is_kept_for_a_while_after_an_outage(self) -> None:
+        known = knowledge.Knowledge()
+        known.apply(0.0, "k", 1, knowledge.TargetChange("t-1", build_target()))
+        known.returned_at = 10.0
+        known.apply(10.1, "k", 2, knowledge.TargetChange("t-1", None))
+        assert known.rows["t-1"].doubted_until == 12.0
+        assert known.drop_doubted(11.9) == []
+        assert known.drop_doubted(12.0) == ["t-1"]
+
+    def test_draining_target_is_not_kept_after_an_outage(self) -> None:
+        known = knowledge.Knowledge()
+        draining = build_target(state=fleet.TargetState.DRAINING)
+        known.apply(0.0, "k", 1, knowledge.TargetChange("t-1", draining))
+        known.returned_at = 10.0
+        known.apply(10.1, "k", 2, knowledge.TargetChange("t-1", None))
+        assert not known.rows
+
+    def test_configuration_never_goes_back(self) -> None:
+        known = knowledge.Knowledge()
+        for revision, version in enumerate((4, 9, 7), 1):
+            found = fleet.Configuration(version, {}, {}, fleet.CallerLimits())
+            known.apply(
+                0.0, "k", revision, knowledge.ConfigurationChange(found)
+            )
+        assert known.configuration is not None
+        assert known.configuration.version == 9
--- a/wigeonspool/core/estimates.py
+++ b/wigeonspool/core/estimates.py
@@ -5,6 +5,7 @@
 report, and what went wrong there lately, weighs on top.
 """
 
+from collections.abc import Iterable
 import dataclasses
 from typing import Final
 
@@ -50,6 +51,15 @@
     return health.faults * float(0.5 ** (age / FAULT_HALF_LIFE_SECONDS))
 
 
+def find_typical_faults(healths: Iterable[TargetHealth], now: float) -> float:
+    """Returns the weight of recent failures that half of the targets reach.
+
+    What all targets of a service do alike speaks against none of them.
+    """
+    weights = sorted(read_faults(health, now) for health in healths)
+    return weights[len(weights) // 2] if weights else 0.0
+
+
 def note_fault(health: TargetHealth, now: float, weight: float = 1.0) -> None:
     """Notes a failure of a target."""
     health.faults = read_faults(health, now) + weight
--- a/wigeonspool/vm/asking.py
+++ b/wigeonspool/vm/asking.py
@@ -28,6 +28,8 @@
 REMOTE_SECONDS: Final = 0.15
 # Once one has answered, others may take this much longer.
 PATIENCE_SECONDS: Final = 0.004
+# Failures change over seconds, so what is typical is not counted each time.
+TYPICAL_SECONDS: Final = 0.1
 
 
 @dataclasses.dataclass(slots=True)
@@ -93,6 +95,7 @@
         self._place = place
         self._loop = asyncio.get_running_loop()
         self._random = random.Random()
+        self._typical: dict[str, tuple[float, float]] = {}
 
     def list_candidates(
         self, service: str, avoided: Collection[str], large: bool
@@ -126,9 +129,14 @@
         """
         now = self._loop.time()
         picked = self._random.sample(group, min(len(group), 2 * count))
-        picked.sort(key=lambda row: estimates.read_faults(row.health, now) > 1)
+        picked.sort(key=lambda row: self._is_doubtful(row, now))
         return picked[:count]
 
+    def _is_doubtful(self, row: knowledge.TargetRow, now: float) -> bool:
+        """Returns True if a target fails more than others of its service."""
+        typical = self._find_typical_faults(row.entry.service, now)
+        return estimates.read_faults(row.health, now) > typical + 1.0
+
     async def ask_some(self, rows: list[knowledge.TargetRow]) -> list[Offer]:
         """Returns the offers of those targets that answer soon, best first."""
         tasks = [self._loop.create_task(self._ask(row)) for row in rows]
@@ -272,11 +280,22 @@
         if row.cold_until > now:
             stretch *= estimates.COLD_COST
         faults = estimates.read_faults(health, now)
-        cost = stretch * (1.0 + estimates.FAULT_COST * faults)
+        faults -= self._find_typical_faults(row.entry.service, now)
+        cost = stretch * (1.0 + estimates.FAULT_COST * max(0.0, faults))
         if row.doubted_until or not report.healthy:
             cost *= estimates.ILL_COST
         return patience.Prospect(stretch, cost)
 
+    def _find_typical_faults(self, service: str, now: float) -> float:
+        """Returns how much the targets of a service fail alike just now."""
+        typical, until = self._typical.get(service, (0.0, now))
+        if now < until:
+            return typical
+        rows = self._known.list_targets(service)
+        typical = estimates.find_typical_faults((r.health for r in rows), now)
+        self._typical[service] = (typical, now + TYPICAL_SECONDS)
+        return typical
+
 
 def _give_back_late(task: asyncio.Task[Offer | None]) -> None:
     """Gives back the connection of an offer that came too late."""
--- a/wigeonspool/vm/serving.py
+++ b/wigeonspool/vm/serving.py
@@ -32,14 +32,23 @@
 # The pace of a target changes about every 150 ms; asking more often than this
 # finds no new one.
 ASK_AGAIN_SECONDS: Final = 0.02
-# A refused caller comes back when the work of one slot is done, about.
+# Health checks for one request; each costs a part of what it is worth.
+MOST_ASKED: Final = 30
+# A caller that was refused for want of room comes back when the work of one
+# slot is done, about; one whose target refused it may come back at once.
 RETRY_SECONDS: Final = 0.15
+RETRY_SOON_SECONDS: Final = 0.02
 # A VM without knowledge has it after one round trip to the store.
 STARTING_SECONDS: Final = 0.2
 STATUS_NO_RULE: Final = 404
 STATUS_TOO_LARGE: Final = 413
 STATUS_BAD_REQUEST: Final = 400
 
+RETRY_AFTER: Final = {
+    outcomes.Reason.NOT_CONFIGURED: STARTING_SECONDS,
+    outcomes.Reason.TARGET_REFUSED: RETRY_SOON_SECONDS,
+}
+
 log = journal.open_part("requests")
 
 Ending = works.AttemptResult | outcomes.Failure
@@ -258,43 +267,46 @@
         groups = asker.list_candidates(work.service, work.tried, large)
         if not groups and work.tried:
             groups = asker.list_candidates(work.service, (), large)
+        # A request that was patient for long asks a few at a time.
+        stop_at = max(MOST_ASKED, work.asked + ASKED_AT_ONCE)
         best: asking.Offer | None = None
-        step = patience.decide(
-            self._loop.time(),
-            usual,
-            None,
-            work.objective_at,
-            work.deadline,
-            bool(groups),
-        )
+        step = self._decide(work, usual, best, bool(groups))
         try:
-            for index, group in enumerate(groups):
-                rest = list(group)
-                while rest and step is patience.Step.ASK:
-                    asked = asker.pick(rest, ASKED_AT_ONCE)
-                    rest = [row for row in rest if row not in asked]
-                    work.asked += len(asked)
-                    offers = await asker.ask_some(asked)
-                    if best is not None:
-                        offers.append(best)
-                    offers.sort(key=lambda offer: offer.prospect.cost)
-                    best = offers[0] if offers else None
-                    asker.give_back(offers[1:])
-                    more = bool(rest) or index + 1 < len(groups)
-                    step = patience.decide(
-                        self._loop.time(),
-                        usual,
-                        None if best is None else best.prospect,
-                        work.objective_at,
-                        work.deadline,
-                        more,
-                    )
+            while groups and step is patience.Step.ASK:
+                asked = asker.pick(groups[0], ASKED_AT_ONCE)
+                groups = _leave_out(groups, asked)
+                work.asked += len(asked)
+                offers = await asker.ask_some(asked)
+                if best is not None:
+                    offers.append(best)
+                offers.sort(key=lambda offer: offer.prospect.cost)
+                best = offers[0] if offers else None
+                asker.give_back(offers[1:])
+                more = bool(groups) and work.asked < stop_at
+                step = self._decide(work, usual, best, more)
         except BaseException:
             if best is not None:
                 asker.give_back([best])
             raise
         return best, step
 
+    def _decide(
+        self,
+        work: works.Work,
+        usual: float,
+        best: asking.Offer | None,
+        unasked: bool,
+    ) -> patience.Step:
+        """Returns what to do with the best offer so far."""
+        return patience.decide(
+            self._loop.time(),
+            usual,
+            None if best is None else best.prospect,
+            work.objective_at,
+            work.deadline,
+            unasked,
+        )
+
     def _may_send_again(
         self, work: works.Work, result: works.AttemptResult
     ) -> bool:
@@ -380,8 +392,7 @@
         status = self._find_status(failure)
         fields: dict[str, str] = {"Content-Type": "text/plain"}
         if status == self._words.refusal_status:
-            starting = failure.reason is outcomes.Reason.NOT_CONFIGURED
-            seconds = STARTING_SECONDS if starting else RETRY_SECONDS
+            seconds = RETRY_AFTER.get(failure.reason, RETRY_SECONDS)
             fields.update(self._words.write_retry(seconds))
         return web.Response(
             status=status, headers=fields, body=failure.reason.encode()
@@ -405,3 +416,11 @@
         """Counts a request that ended."""
         index = (outcome, reason)
         self.counts[index] = self.counts.get(index, 0) + 1
+
+
+def _leave_out(
+    groups: list[list[knowledge.TargetRow]], asked: list[knowledge.TargetRow]
+) -> list[list[knowledge.TargetRow]]:
+    """Returns groups of targets without those that were asked."""
+    first = [row for row in groups[0] if row not in asked]
+    return [first, *groups[1:]] if first else groups[1:]
