Join an attempt that takes long by a second one where there is room

Cause: a third of the targets change to a pace five times slower while work runs, and some answers are lost; a request was late though others were free. Only what may run more than once, only while a second answer can be in time, only where a target is good at once, within the retry allowance. A first trial sent none: the allowance never held two attempts.

--- a/wigeonspool/core/attempting.py
+++ b/wigeonspool/core/attempting.py
@@ -10,11 +10,18 @@
 # VMs that serve beyond those that are expected, and for counts that lag.
 FRACTION_PART: Final = 0.85
 REFILL_PART: Final = 0.5
-BURST_PART: Final = 0.25
+BURST_PART: Final = 0.4
 # Attempts that did not run are limited too, for a full service refuses all.
 MOST_SENDS: Final = 4
 # What is left of the time must allow for this many usual service times.
 LEAST_ROOM: Final = 1.1
+# An attempt that takes this much longer than usual runs where work is slow now,
+# or its answer is lost; half of all are answered by the usual time.
+LATE_RATIO: Final = 1.5
+# A second attempt is sent only if it can still be in time.
+SECOND_RATIO: Final = 1.15
+# Allowance that is left for requests whose first attempt failed.
+SECOND_RESERVE: Final = 0.5
 
 
 class RetryAllowance:
@@ -55,10 +62,16 @@
         most = max(1.0, self._burst)
         self._credits[service] = (min(most, credit + self._fraction), now)
 
-    def spend(self, service: str, now: float) -> bool:
-        """Returns True if one more attempt may be sent, and charges it."""
+    def spend(self, service: str, now: float, reserve: float = 0.0) -> bool:
+        """Returns True if one more attempt may be sent, and charges it.
+
+        Args:
+            service: Service that it goes to.
+            now: Time on the core's clock, in seconds.
+            reserve: Attempts that must be left for more urgent needs.
+        """
         credit = self._refill(service, now)
-        if credit < 1.0:
+        if credit < 1.0 + reserve:
             self.refused += 1
             self._credits[service] = (credit, now)
             return False
@@ -75,6 +88,24 @@
         return min(most, credit + (now - at) * self._rate)
 
 
+def find_second_at(
+    started_at: float, usual: float, objective_at: float
+) -> float | None:
+    """Returns when a second attempt should join one without an answer.
+
+    Args:
+        started_at: When the first attempt was sent.
+        usual: Time that the work takes at the usual pace.
+        objective_at: When the answer loses its full value.
+
+    Returns:
+        The time, or None if a second attempt would be late as well.
+    """
+    at = started_at + LATE_RATIO * usual
+    latest = objective_at - SECOND_RATIO * usual
+    return at if at <= latest else None
+
+
 def may_send_again(
     repeatable: bool, not_run: bool, sends: int, runs: int, most_targets: int
 ) -> bool:
--- a/wigeonspool/vm/serving.py
+++ b/wigeonspool/vm/serving.py
@@ -205,12 +205,69 @@
             offer = await self._choose(work)
             if isinstance(offer, outcomes.Failure):
                 return offer
-            result = await self._send(work, offer)
+            result = await self._send_watched(work, offer)
             if result.ended is works.Ended.ANSWERED:
                 return result
             if not self._may_send_again(work, result):
                 return self._conclude(work, result)
 
+    async def _send_watched(
+        self, work: works.Work, offer: asking.Offer
+    ) -> works.AttemptResult:
+        """Sends an attempt, and a second one beside it if it takes long.
+
+        Returns:
+            The answer that came first, or the result that came last.
+        """
+        now = self._loop.time()
+        usual = self._find_usual(work)
+        second_at = attempting.find_second_at(now, usual, work.objective_at)
+        if second_at is None or not work.rule.repeatable or not work.held:
+            return await self._send(work, offer)
+        tasks = {self._loop.create_task(self._send(work, offer))}
+        try:
+            done, _ = await asyncio.wait(tasks, timeout=second_at - now)
+            if not done:
+                second = await self._choose_second(work)
+                if second is not None:
+                    work.seconds += 1
+                    sending = self._send(work, second)
+                    tasks.add(self._loop.create_task(sending))
+            return await _await_best(tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    async def _choose_second(self, work: works.Work) -> asking.Offer | None:
+        """Returns where to send a second attempt, or None if nowhere.
+
+        Second attempts must not take room that first attempts need, so only a
+        target that is good at once is used.
+        """
+        if work.runs >= work.rule.most_targets:
+            return None
+        asker = self._asker
+        groups = asker.list_candidates(
+            work.service, work.tried, work.rule.large
+        )
+        if not groups or not self._allowance.spend(
+            work.service, self._loop.time(), attempting.SECOND_RESERVE
+        ):
+            return None
+        asked = asker.pick(groups[0], ASKED_AT_ONCE)
+        work.asked += len(asked)
+        offers = await asker.ask_some(asked)
+        asker.give_back(offers[1:])
+        if offers and offers[0].prospect.cost <= patience.GOOD_STRETCH:
+            return offers[0]
+        asker.give_back(offers[:1])
+        return None
+
+    def _find_usual(self, work: works.Work) -> float:
+        """Returns how long a request takes at the usual pace, in seconds."""
+        name = f"{work.rule.prefix}{work.service}"
+        return self._times.find(name, work.rule.objective_seconds)
+
     async def _send(
         self, work: works.Work, offer: asking.Offer
     ) -> works.AttemptResult:
@@ -242,8 +299,7 @@
         self, work: works.Work
     ) -> asking.Offer | outcomes.Failure:
         """Returns the target to send a request to."""
-        name = f"{work.rule.prefix}{work.service}"
-        usual = self._times.find(name, work.rule.objective_seconds)
+        usual = self._find_usual(work)
         while True:
             offer, step = await self._ask_all(work, usual)
             if step is patience.Step.TAKE and offer is not None:
@@ -320,8 +376,7 @@
         )
         if not allowed:
             return False
-        name = f"{work.rule.prefix}{work.service}"
-        usual = self._times.find(name, work.rule.objective_seconds)
+        usual = self._find_usual(work)
         room = work.deadline - self._loop.time()
         if room < usual * attempting.LEAST_ROOM:
             return False
@@ -364,6 +419,7 @@
             sends=work.sends,
             runs=work.runs,
             asked=work.asked,
+            seconds=work.seconds,
             steps=work.steps,
         )
 
@@ -424,3 +480,18 @@
     """Returns groups of targets without those that were asked."""
     first = [row for row in groups[0] if row not in asked]
     return [first, *groups[1:]] if first else groups[1:]
+
+
+async def _await_best(
+    tasks: set[asyncio.Task[works.AttemptResult]],
+) -> works.AttemptResult:
+    """Returns the first answer of some attempts, or the last result."""
+    waiting = set(tasks)
+    while True:
+        done, waiting = await asyncio.wait(
+            waiting, return_when=asyncio.FIRST_COMPLETED
+        )
+        results = [task.result() for task in done]
+        for result in results:
+            if result.ended is works.Ended.ANSWERED or not waiting:
+                return result
--- a/wigeonspool/vm/work.py
+++ b/wigeonspool/vm/work.py
@@ -28,6 +28,7 @@
         runs: Attempts of these that may have run.
         tried: Identities of the targets that had it.
         asked: Health checks made for it.
+        seconds: Attempts that joined one which took long.
         steps: What became of it so far, for the log: milliseconds after its
             arrival, what happened, where, and the stretch of the offer.
     """
@@ -45,6 +46,7 @@
     runs: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
     asked: int = 0
+    seconds: int = 0
     steps: list[tuple[int, str, str, float]] = dataclasses.field(
         default_factory=list
     )
