Pass on only what the store itself confirmed to a VM

Now a VM tells an age only for what it heard itself, says at once that it lost the store, and a follower may wait a second for a VM that nobody followed before. Both new tests fail without the change.

--- a/tests/test_vm_feeds.py
+++ b/tests/test_vm_feeds.py
@@ -130,3 +130,41 @@
         task = asyncio.create_task(vm._registration.keep(None, 0))
         await fleet.wait_for(lambda: b"vms/vm-1" in vms.store.records)
         task.cancel()
+
+
+class TestLostFeeders:
+    """Pattern: the VMs that all others follow are turned away together."""
+
+    async def test_followers_go_to_the_store_themselves(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        for number, zone in enumerate(("zone-a", "zone-c") * 3):
+            await vms.start_vm(f"vm-{number}", zone)
+        await fleet.wait_for(lambda: len(find_watchers(vms)) == 2)
+        lost = find_watchers(vms)
+        for name in lost:
+            vms.vms[name]._store._url = "http://127.0.0.1:9"
+        vms.store.faults.down = True
+        await vms.store._notify()
+        await asyncio.sleep(0.3)
+        vms.store.faults.down = False
+        # They follow each other now, and none of them hears of the store.
+        await asyncio.sleep(0.5)
+        version = await vms.configure([])
+        others = [vm for name, vm in vms.vms.items() if name not in lost]
+
+        def is_in_force() -> bool:
+            found = [vm._known.configuration for vm in others]
+            return all(c is not None and c.version == version for c in found)
+
+        await fleet.wait_for(is_in_force, vm_fleet.APPLY_SECONDS)
+
+    async def test_vm_without_the_store_is_no_source(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        await fleet.wait_for(lambda: vm._follower.find_synced() > 0)
+        vm._store._url = "http://127.0.0.1:9"
+        vms.store.faults.down = True
+        await vms.store._notify()
+        await fleet.wait_for(lambda: vm._follower.find_synced() < 0)
--- a/tests/vm_fleet.py
+++ b/tests/vm_fleet.py
@@ -18,6 +18,8 @@
 HOST = "shop.example"
 ZONES = {"zone-a": "north", "zone-b": "north", "zone-c": "south"}
 REMAINING_MS = "1500"
+# What the platform promises for a change of the configuration.
+APPLY_SECONDS = 2.0
 
 
 def build_boot(vm: str, zone: str, store: str, **bounds: float) -> boot.Boot:
--- a/wigeonspool/vm/following.py
+++ b/wigeonspool/vm/following.py
@@ -16,10 +16,12 @@
 WATCH_SECONDS: Final = 3.0
 # Changes come in bursts, and each return of a watch is a paid call.
 GATHER_SECONDS: Final = 0.3
+# A store that was not heard of for long is asked to answer at once.
+CONFIRM_SECONDS: Final = 0.05
 FIRST_PAUSE_SECONDS: Final = 0.1
 MOST_PAUSE_SECONDS: Final = 0.6
-# A source that did not answer for this long was away.
-AWAY_SECONDS: Final = 1.0
+# What was confirmed longer ago than this may be out of date.
+STALE_SECONDS: Final = WATCH_SECONDS + 1.0
 
 Decode = Callable[[str, bytes | None, int], knowledge.Change | None]
 
@@ -157,6 +159,13 @@
         """Returns True if the latest call failed."""
         return self._pause > FIRST_PAUSE_SECONDS
 
+    def find_synced(self) -> float:
+        """Returns when the store confirmed what is known, loop clock.
+
+        That is never once a call has failed, until one succeeds again.
+        """
+        return float("-inf") if self.is_failing() else self.synced_at
+
     async def prepare(self) -> None:
         """Reads all keys once, or pauses after a failure."""
         try:
@@ -167,12 +176,12 @@
     async def step(self) -> None:
         """Takes the next changes, or pauses after a failure."""
         began_at = self._loop.time()
+        recent = began_at - self.synced_at < STALE_SECONDS
+        seconds = WATCH_SECONDS if recent else CONFIRM_SECONDS
         try:
             if not self._loaded:
                 await self.load(stale=True)
-            page = await self._source.watch(
-                ALL, self._intake.revision, WATCH_SECONDS
-            )
+            page = await self._source.watch(ALL, self._intake.revision, seconds)
         except errors.HistoryGoneError as error:
             self._failures.note(error)
             await self._reload()
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -113,10 +113,9 @@
         self._follower = following.StoreFollower(
             self._store, self._intake, self._known
         )
-        self._feeder = feeding.Feeder(
-            self._intake,
-            lambda: max(self._follower.synced_at, self._upstream.synced_at),
-        )
+        # Only what the store itself confirmed is told on as fresh: two VMs
+        # that lost it would otherwise take each other's word.
+        self._feeder = feeding.Feeder(self._intake, self._follower.find_synced)
         self._upstream = upstream.Upstream(
             settings.vm, self._intake, self._list_feeders
         )
@@ -203,8 +202,11 @@
             await asyncio.sleep(WATCH_POLL_SECONDS)
         while not self.should_stop:
             if self._should_watch():
+                failing = self._follower.is_failing()
                 await self._follower.step()
                 self._feeder.tell()
+                if self._follower.is_failing() != failing:
+                    self._feeder.pulse()
             else:
                 await asyncio.sleep(WATCH_POLL_SECONDS)
 
--- a/wigeonspool/vm/upstream.py
+++ b/wigeonspool/vm/upstream.py
@@ -15,8 +15,8 @@
 # Round trips between regions take 25 ms.
 CONNECT_SECONDS: Final = 0.4
 SILENT_SECONDS: Final = 3 * feeding.PULSE_SECONDS
-# What a feeder tells is worth nothing once the store is out of its reach.
-STALE_SECONDS: Final = following.WATCH_SECONDS + 1.0
+# A VM that nobody followed before needs this long to hear of the store.
+GRACE_SECONDS: Final = 1.0
 # A feeder that failed is not tried again for this long.
 SHUNNED_SECONDS: Final = 2.0
 RETRY_SECONDS: Final = 0.1
@@ -53,6 +53,7 @@
         self._list_feeders = list_feeders
         self._shunned: dict[str, float] = {}
         self._heard_at = float("-inf")
+        self._patient_until = 0.0
         self._failures = failures.FailureLog("feed")
         self._loop = asyncio.get_running_loop()
 
@@ -61,7 +62,7 @@
         now = self._loop.time()
         return bool(self.address) and (
             now - self._heard_at < SILENT_SECONDS
-            and now - self.synced_at < STALE_SECONDS
+            and now - self.synced_at < following.STALE_SECONDS
         )
 
     async def step(self) -> None:
@@ -101,6 +102,7 @@
                 feeds.VERSION, self._vm, self._intake.revision
             )
             writer.write(feeds.pack(hello))
+            self._patient_until = self._loop.time() + GRACE_SECONDS
             while True:
                 async with asyncio.timeout(SILENT_SECONDS):
                     message = await feeds.read(reader)
@@ -129,7 +131,8 @@
                 self._intake.take(page)
         elif isinstance(message, feeds.Pulse):
             self.synced_at = now - message.age_seconds
-            if message.age_seconds > STALE_SECONDS:
+            is_stale = message.age_seconds > following.STALE_SECONDS
+            if is_stale and now > self._patient_until:
                 raise ConnectionAbortedError("the feeder lost the store")
         if self.address != address:
             self.address = address
