Serve metrics, take changed settings, and test the process as it is started

Settings are read anew at SIGHUP and when the file changed without one; what is invalid is logged and changes nothing.

--- a/Makefile
+++ b/Makefile
@@ -21,8 +21,11 @@
 	$(BIN)/mypy
 	$(BIN)/lint-imports --no-cache
 
+# Tests that start processes run alone, so that these have room.
+WORKERS ?= 4
 test: lint
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(WORKERS) -m "not processes"
+	$(BIN)/python -m pytest -m processes
 
 SECONDS ?= 60
 SEED ?= 1
--- a/tests/test_callers_page.py
+++ b/tests/test_callers_page.py
@@ -10,6 +10,8 @@
 from wigeonspool.gateway import answers
 from wigeonspool.model import outcomes
 
+pytestmark = pytest.mark.processes
+
 PAGE = (pathlib.Path(__file__).parent.parent / "docs/CALLERS.md").read_text()
 BLOCKS = re.findall(r"```sh\n(.*?)```\n```text\n(.*?)```", PAGE, re.DOTALL)
 ROWS = dict(re.findall(r"^\| `([a-z-]+)` \| ([0-9, ]+) \|", PAGE, re.M))
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -43,13 +43,13 @@
 
 
 class TestPage:
-    @pytest.mark.parametrize("part", ["agent", "gateway"])
+    @pytest.mark.parametrize("part", ["agent", "gateway", "vm"])
     def test_page_lists_what_the_process_exports(self, part: str) -> None:
         exported = list_exported(f"wigeonspool.{part}.main")
         assert exported
         assert list_documented(f"wigeonspool_{part}_") == exported
 
-    @pytest.mark.parametrize("part", ["agent", "gateway"])
+    @pytest.mark.parametrize("part", ["agent", "gateway", "vm"])
     def test_names_follow_the_conventions(self, part: str) -> None:
         for name, (kind, doc) in list_exported(
             f"wigeonspool.{part}.main"
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -7,6 +7,7 @@
 import sys
 
 import aiohttp
+import pytest
 import pytest_asyncio
 import yaml
 
@@ -14,6 +15,8 @@
 from tests import test_home
 from wigeonspool.agent import service as agents
 
+pytestmark = pytest.mark.processes
+
 COMMAND = "from wigeonspool.gateway.main import main; main()"
 VM = "vm-alone"
 
--- a/tests/test_vm_core.py
+++ b/tests/test_vm_core.py
@@ -117,10 +117,9 @@
     def test_all_vms_together_keep_to_the_promise(self) -> None:
         # 12 VMs, demand that is all repeated if the allowance lets it.
         fraction, slack, window, vms, rate = 0.2, 64.0, 10.0, 12, 12.0
-        allowances = [
-            attempting.RetryAllowance(fraction, slack, window, vms)
-            for _ in range(vms)
-        ]
+        allowances = [attempting.RetryAllowance() for _ in range(vms)]
+        for allowance in allowances:
+            allowance.set_bounds(fraction, slack, window, vms)
         sent = []
         for step in range(int(60 * rate)):
             now = step / rate
--- /dev/null
+++ b/tests/test_vm_process.py
@@ -0,0 +1,251 @@
+"""An entry VM as the platform starts it: a process with a settings file."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import json
+import os
+import pathlib
+import signal
+import sys
+from typing import Any
+
+import pytest
+import pytest_asyncio
+
+from tests import fleet
+from tests import vm_fleet
+from wigeonspool.model import boot
+from wigeonspool.vm import journal
+
+pytestmark = pytest.mark.processes
+
+SETTINGS = """
+New = "a field that nobody knows"
+[Self]
+Node = "{vm}"
+Ip = "127.0.0.1"
+Zone = "{zone}"
+Region = "north"
+[Self.Limits]
+CpuShare = 0.86
+Cores = 1
+[Network]
+PortRange = [{port}, {port}]
+Seeds = []
+[Network.Listen]
+EdgeAddr = "{callers}"
+Readiness = "{readiness}"
+Directory = "{directory}"
+[Network.Zones]
+zone-a = "north"
+zone-b = "north"
+zone-c = "south"
+[Provider]
+Discovery = "platform"
+[Provider.Provider]
+Address = "{store}"
+MinTtl = "1000ms"
+[Terms.Bounds]
+RetryBudget = 0.2
+BudgetSlack = 60
+RetryWindow = "10s"
+Grace = "{grace}"
+Drain = "2000ms"
+ConfigApply = "2000ms"
+ttl_max = "5s"
+"""
+
+
+def write_settings(path: pathlib.Path, settings: boot.Boot, grace: str) -> None:
+    text = SETTINGS.format(
+        vm=settings.vm,
+        zone=settings.zone,
+        port=settings.first_free_port,
+        callers=settings.callers,
+        readiness=settings.readiness,
+        directory=settings.directory,
+        store=settings.store,
+        grace=grace,
+    )
+    path.write_text(text, encoding="utf-8")
+
+
+class VmProcess:
+    """One process and the lines that it wrote."""
+
+    def __init__(self, vms: vm_fleet.VmFleet, path: pathlib.Path) -> None:
+        self.lines: list[dict[str, Any]] = []
+        self._vms = vms
+        self._path = path
+        self._reading: asyncio.Task[None] | None = None
+        self.process: asyncio.subprocess.Process
+
+    async def start(self) -> None:
+        self.process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "wigeonspool.vm.main"),
+            env=os.environ | {"WIGEONSPOOL_BOOT": str(self._path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self._reading = asyncio.create_task(self._read())
+
+    async def _read(self) -> None:
+        assert self.process.stdout is not None
+        async for line in self.process.stdout:
+            self.lines.append(json.loads(line))
+
+    def tells(self, event: str) -> bool:
+        """Returns True once a line tells of an event."""
+        return any(line["event"] == event for line in self.lines)
+
+    async def is_ready(self, vm: str) -> bool:
+        url = f"http://{self._vms.settings[vm].readiness}/v1/ready"
+        try:
+            async with self._vms.session.get(url) as response:
+                return response.status == 200
+        except OSError:
+            return False
+
+    async def wait_ready(self, vm: str) -> None:
+        async with asyncio.timeout(20):
+            while not await self.is_ready(vm):
+                await asyncio.sleep(0.02)
+
+    async def end(self) -> None:
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+        if self._reading is not None:
+            await self._reading
+
+
+@pytest_asyncio.fixture
+async def vm_process(
+    vms: vm_fleet.VmFleet, tmp_path: pathlib.Path
+) -> AsyncIterator[VmProcess]:
+    settings = vm_fleet.build_boot("vm-1", "zone-a", vms.store_address)
+    vms.settings["vm-1"] = settings
+    path = tmp_path / "local.toml"
+    write_settings(path, settings, "3s")
+    started = VmProcess(vms, path)
+    await started.start()
+    await started.wait_ready("vm-1")
+    yield started
+    await started.end()
+
+
+class TestProcess:
+    async def test_it_serves_and_stops_without_a_cut(
+        self, vms: vm_fleet.VmFleet, vm_process: VmProcess
+    ) -> None:
+        assert (await vms.send("vm-1", "/read/1"))[0] == 200
+        for target in vms.targets.values():
+            target.service_ms = 700
+        running = [
+            asyncio.create_task(vms.send("vm-1", "/read/1")) for _ in range(3)
+        ]
+        await fleet.wait_for(
+            lambda: sum(len(t.runs) for t in vms.targets.values()) >= 4
+        )
+        vm_process.process.send_signal(signal.SIGTERM)
+        assert [(await task)[0] for task in running] == [200] * 3
+        assert await vm_process.process.wait() == 0
+        await vm_process.end()
+        assert vm_process.tells("started")
+        assert vm_process.tells("stopped")
+
+    async def test_settings_are_read_anew_at_a_signal(
+        self, vms: vm_fleet.VmFleet, vm_process: VmProcess
+    ) -> None:
+        vm_process.process.send_signal(signal.SIGHUP)
+        await fleet.wait_for(lambda: vm_process.tells("reloaded"))
+        assert (await vms.send("vm-1", "/read/1"))[0] == 200
+
+    async def test_settings_are_read_anew_without_a_signal(
+        self,
+        vms: vm_fleet.VmFleet,
+        vm_process: VmProcess,
+        tmp_path: pathlib.Path,
+    ) -> None:
+        path = tmp_path / "local.toml"
+        write_settings(path, vms.settings["vm-1"], "5s")
+        await fleet.wait_for(lambda: vm_process.tells("reloaded"))
+        path.write_text("broken = [", encoding="utf-8")
+        failed = "reload failed; settings stay"
+        await fleet.wait_for(lambda: vm_process.tells(failed))
+        assert (await vms.send("vm-1", "/read/1"))[0] == 200
+
+    async def test_failed_request_is_explained_by_its_line(
+        self, vms: vm_fleet.VmFleet, vm_process: VmProcess
+    ) -> None:
+        vms.set_faults(lost=True)
+        status, _, _ = await vms.send(
+            "vm-1", "/write/1", "POST", attempt="one", data=b"x"
+        )
+        assert status == 502
+        await fleet.wait_for(lambda: vm_process.tells("ended"))
+        (line,) = [x for x in vm_process.lines if x["event"] == "ended"]
+        assert line["request"] == "one"
+        assert line["outcome"] == "connection-lost"
+        assert line["not_run"] is False
+        assert line["steps"][-1][1:3] == ["lost", vms.find_runs("one")[0]]
+
+    async def test_invalid_settings_end_it_with_a_reason(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        path = tmp_path / "local.toml"
+        path.write_text("[Self]\nNode = 3\n", encoding="utf-8")
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "wigeonspool.vm.main"),
+            env=os.environ | {"WIGEONSPOOL_BOOT": str(path)},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        _, errors = await process.communicate()
+        assert process.returncode == 2
+        assert str(path).encode() in errors
+
+
+class TestLineWriter:
+    def read_all(self, descriptor: int) -> bytes:
+        os.set_blocking(descriptor, False)
+        parts = []
+        try:
+            while part := os.read(descriptor, 65536):
+                parts.append(part)
+        except BlockingIOError:
+            pass
+        return b"".join(parts)
+
+    def test_reader_that_stops_costs_lines_and_nothing_else(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(journal, "LINES_PER_SECOND", 1e9)
+        reading, writing = os.pipe()
+        writer = journal.LineWriter(writing)
+        monkeypatch.setattr(
+            journal, "encode_record", lambda _: b"x" * 999 + b"\n"
+        )
+        message = type("Message", (), {"record": None})()
+        for _ in range(200):
+            writer.write(message)
+        assert writer.left_out > 0
+        before = self.read_all(reading)
+        assert set(before) <= set(b"x\n")
+        writer.write(message)
+        writer.write(message)
+        after = self.read_all(reading)
+        assert b"lines left out" in after
+        os.close(reading)
+        os.close(writing)
+
+    def test_volume_is_bounded(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        reading, writing = os.pipe()
+        writer = journal.LineWriter(writing)
+        monkeypatch.setattr(journal, "encode_record", lambda _: b"\n")
+        message = type("Message", (), {"record": None})()
+        count = int(journal.BURST_LINES) * 3
+        for _ in range(count):
+            writer.write(message)
+        # What is earned while the loop runs is far below another burst.
+        assert writer.left_out > journal.BURST_LINES
+        os.close(reading)
+        os.close(writing)
--- a/wigeonspool/core/attempting.py
+++ b/wigeonspool/core/attempting.py
@@ -33,10 +33,16 @@
 
     __slots__ = ("_burst", "_credits", "_fraction", "_rate", "refused")
 
-    def __init__(
+    def __init__(self) -> None:
+        """Prepares an allowance of nothing."""
+        self._credits: dict[str, tuple[float, float]] = {}
+        self.refused = 0
+        self.set_bounds(0.0, 0.0, 1.0, 1)
+
+    def set_bounds(
         self, fraction: float, slack: float, window_seconds: float, vms: int
     ) -> None:
-        """Prepares the allowance.
+        """Takes what is promised.
 
         Args:
             fraction: Attempts beyond the first, as a part of the requests.
@@ -48,8 +54,6 @@
         self._fraction = fraction * FRACTION_PART
         self._burst = share * BURST_PART
         self._rate = share * REFILL_PART / window_seconds
-        self._credits: dict[str, tuple[float, float]] = {}
-        self.refused = 0
 
     def earn(self, service: str, now: float) -> None:
         """Adds what one request to a service allows.
--- a/wigeonspool/model/sources.py
+++ b/wigeonspool/model/sources.py
@@ -65,3 +65,15 @@
             HistoryGoneError: If the source forgot what followed the revision.
             StoreError: If the source could not serve the call.
         """
+
+
+class Meter(Protocol):
+    """Counts the calls to a source.
+
+    Attributes:
+        calls: Calls made so far, those that failed too.
+        failures: Calls that failed.
+    """
+
+    calls: int
+    failures: int
--- a/wigeonspool/platform/metadata.py
+++ b/wigeonspool/platform/metadata.py
@@ -81,6 +81,10 @@
             cookie_jar=aiohttp.DummyCookieJar(),
         )
 
+    def move(self, address: str) -> None:
+        """Calls the store at another host:port from now on."""
+        self._url = f"http://{address}"
+
     async def close(self) -> None:
         """Closes all connections."""
         await self._session.close()
--- a/wigeonspool/process.py
+++ b/wigeonspool/process.py
@@ -102,6 +102,21 @@
     return runner
 
 
+def render_metrics(
+    request: web.BaseRequest, publish: Callable[[], None]
+) -> web.Response:
+    """Returns the metrics page of this process.
+
+    Args:
+        request: Request for the page.
+        publish: Brings the metrics up to date.
+    """
+    publish()
+    accepts = request.headers.getall("Accept", [])
+    content, fields = aioprometheus.render(aioprometheus.REGISTRY, accepts)
+    return web.Response(body=content, headers=fields)
+
+
 async def serve_metrics(
     address: str, publish: Callable[[], None]
 ) -> web.ServerRunner:
@@ -119,10 +134,7 @@
         """Answers a scrape."""
         if request.path != "/metrics":
             return web.Response(status=404)
-        publish()
-        accepts = request.headers.getall("Accept", [])
-        content, fields = aioprometheus.render(aioprometheus.REGISTRY, accepts)
-        return web.Response(body=content, headers=fields)
+        return render_metrics(request, publish)
 
     return await serve_http(address, web.Server(show))
 
--- a/wigeonspool/vm/answering.py
+++ b/wigeonspool/vm/answering.py
@@ -1,10 +1,11 @@
 """Answers the address question, and whether this VM is ready."""
 
-import asyncio
+from collections.abc import Callable
 from typing import Final
 
 from aiohttp import web
 
+from wigeonspool import process
 from wigeonspool.core import knowledge
 from wigeonspool.core import naming
 from wigeonspool.model import boot
@@ -15,12 +16,17 @@
 # Callers learn within this time that a VM is gone; shorter answers cost more
 # questions than they save failures.
 KEEP_SECONDS: Final = 1.0
+METRICS_PATH: Final = "/metrics"
 # VMs of a zone that are asked whether they live, beyond those named.
 SPARE_ASKED: Final = 2
 
 
 class AddressBook:
-    """Knows which VMs callers should use."""
+    """Knows which VMs callers should use.
+
+    Attributes:
+        leaving: True once this VM prepares to stop.
+    """
 
     def __init__(
         self,
@@ -29,6 +35,7 @@
         known: knowledge.Knowledge,
         life: pinging.LifeProtocol,
         words: border.Addressing,
+        publish: Callable[[], None] = lambda: None,
     ) -> None:
         """Prepares the book.
 
@@ -38,22 +45,24 @@
             known: What is known of other VMs.
             life: Knows which of them live.
             words: Protocol of the questions.
+            publish: Brings the metrics up to date.
         """
         self.leaving = False
-        self.questions = 0
         self._settings = settings
         self._own = own
         self._known = known
         self._life = life
         self._words = words
-        self._loop = asyncio.get_running_loop()
+        self._publish = publish
 
     def is_ready(self) -> bool:
         """Returns True if this VM can serve callers."""
         return not self.leaving and self._known.configuration is not None
 
     async def show_ready(self, request: web.BaseRequest) -> web.Response:
-        """Answers whether this VM is ready."""
+        """Answers whether this VM is ready, and shows its metrics."""
+        if request.path == METRICS_PATH:
+            return process.render_metrics(request, self._publish)
         if request.path != self._words.ready_path:
             return web.Response(status=404)
         return web.Response(status=200 if self.is_ready() else 503)
@@ -62,7 +71,6 @@
         """Answers the address question."""
         if request.path != self._words.resolve_path:
             return web.Response(status=404)
-        self.questions += 1
         question = self._words.read_question(request.url)
         chosen = self.choose(question.zone or self._own.zone)
         if not chosen:
--- a/wigeonspool/vm/main.py
+++ b/wigeonspool/vm/main.py
@@ -12,12 +12,13 @@
 def main() -> None:
     """Entry point of the binary."""
     try:
-        chosen = settings.read_boot(settings.find_path())
+        path = settings.find_path()
+        chosen = settings.read_boot(path)
     except errors.SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(process.EXIT_INVALID_SETTINGS)
-    journal.configure(chosen.vm)
-    process.run_service(service.VmService(chosen))
+    writer = journal.configure(chosen.vm)
+    process.run_service(service.VmService(chosen, path, writer))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/wigeonspool/vm/metrics.py
@@ -0,0 +1,129 @@
+"""The metrics of an entry VM, brought up to date when they are read."""
+
+from typing import Final
+
+import aioprometheus
+
+from wigeonspool.core import knowledge
+from wigeonspool.model import sources
+from wigeonspool.vm import asking
+from wigeonspool.vm import channels
+from wigeonspool.vm import feeding
+from wigeonspool.vm import journal
+from wigeonspool.vm import serving
+
+# Upper bounds of the histogram of durations, in seconds.
+DURATION_SECONDS: Final = (
+    0.005,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.4,
+    0.8,
+    1.6,
+    3.2,
+    10.0,
+)
+REQUESTS: Final = aioprometheus.Counter(
+    "wigeonspool_vm_requests_total",
+    "Requests that ended, by outcome and reason.",
+)
+RUNNING: Final = aioprometheus.Gauge(
+    "wigeonspool_vm_requests_running", "Requests that have not ended."
+)
+DURATIONS: Final = aioprometheus.Histogram(
+    "wigeonspool_vm_request_duration_seconds",
+    "Time from the head of an answered request to its answer, by service.",
+    buckets=DURATION_SECONDS,
+)
+CHECKS: Final = aioprometheus.Counter(
+    "wigeonspool_vm_health_checks_total",
+    "Health checks sent to targets, by what came of them.",
+)
+CONNECTIONS: Final = aioprometheus.Counter(
+    "wigeonspool_vm_connections_opened_total",
+    "Connections to targets that were begun.",
+)
+RETRIES_REFUSED: Final = aioprometheus.Counter(
+    "wigeonspool_vm_retries_refused_total",
+    "Attempts that the retry allowance did not cover.",
+)
+STORE_CALLS: Final = aioprometheus.Counter(
+    "wigeonspool_vm_store_calls_total", "Calls made to the store."
+)
+STORE_FAILURES: Final = aioprometheus.Counter(
+    "wigeonspool_vm_store_failures_total", "Calls to the store that failed."
+)
+VERSION: Final = aioprometheus.Gauge(
+    "wigeonspool_vm_configuration_version",
+    "Version of the configuration in force; 0 before the first.",
+)
+TARGETS: Final = aioprometheus.Gauge(
+    "wigeonspool_vm_targets", "Targets that are known, by service."
+)
+VMS: Final = aioprometheus.Gauge(
+    "wigeonspool_vm_members", "Entry VMs that are registered."
+)
+FOLLOWERS: Final = aioprometheus.Gauge(
+    "wigeonspool_vm_followers", "VMs that follow this one."
+)
+LINES_LEFT_OUT: Final = aioprometheus.Counter(
+    "wigeonspool_vm_log_lines_left_out_total",
+    "Log lines that exceeded the bound or that nobody read.",
+)
+
+
+class VmMetrics:
+    """Publishes what the parts of a VM count."""
+
+    def __init__(
+        self,
+        service: serving.CallerService,
+        asker: asking.Asker,
+        pool: channels.ChannelPool,
+        known: knowledge.Knowledge,
+        feeder: feeding.Feeder,
+        store: sources.Meter,
+        writer: journal.LineWriter | None,
+    ) -> None:
+        """Takes the parts.
+
+        Args:
+            service: Serves callers.
+            asker: Asks targets for their load.
+            pool: Connections to targets.
+            known: What is known.
+            feeder: Feeds other VMs.
+            store: Counts the calls to the store.
+            writer: Writes the log, if it is directed to standard output.
+        """
+        self._service = service
+        self._asker = asker
+        self._pool = pool
+        self._known = known
+        self._feeder = feeder
+        self._store = store
+        self._writer = writer
+
+    def publish(self) -> None:
+        """Brings the metrics up to date."""
+        for (outcome, reason), count in self._service.counts.items():
+            REQUESTS.set({"outcome": outcome, "reason": reason}, count)
+        RUNNING.set({}, self._service.in_flight)
+        RETRIES_REFUSED.set({}, self._service.retries_refused)
+        counts = self._asker.counts
+        CHECKS.set({"result": "answered"}, counts.answered)
+        CHECKS.set({"result": "failed"}, counts.asked - counts.answered)
+        CONNECTIONS.set({}, self._pool.opened)
+        STORE_CALLS.set({}, self._store.calls)
+        STORE_FAILURES.set({}, self._store.failures)
+        FOLLOWERS.set({}, len(self._feeder.subscribers))
+        VMS.set({}, len(self._known.vms))
+        configuration = self._known.configuration
+        VERSION.set({}, configuration.version if configuration else 0)
+        for name in configuration.services if configuration else ():
+            listed = list(self._known.list_targets(name))
+            TARGETS.set({"service": name}, len(listed))
+        if self._writer is not None:
+            LINES_LEFT_OUT.set({}, self._writer.left_out)
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import pathlib
 import secrets
 import time
 from typing import Final
@@ -29,6 +30,7 @@
 from wigeonspool.vm import feeding
 from wigeonspool.vm import following
 from wigeonspool.vm import journal
+from wigeonspool.vm import metrics
 from wigeonspool.vm import pinging
 from wigeonspool.vm import reach
 from wigeonspool.vm import registering
@@ -39,6 +41,8 @@
 # At its start a VM gives others this long before it follows the store itself.
 START_SECONDS: Final = 0.6
 WATCH_POLL_SECONDS: Final = 0.1
+# The settings file may change without a signal.
+SETTINGS_SECONDS: Final = 1.0
 DRAIN_POLL_SECONDS: Final = 0.02
 # Part of the grace during which callers may still open connections; what they
 # were told before is forgotten by then.
@@ -54,14 +58,24 @@
 class VmService(process.DrainingService):
     """The process of one entry VM."""
 
-    def __init__(self, settings: boot.Boot) -> None:
+    def __init__(
+        self,
+        settings: boot.Boot,
+        path: pathlib.Path | None = None,
+        writer: journal.LineWriter | None = None,
+    ) -> None:
         """Prepares the process.
 
         Args:
             settings: Settings of the VM.
+            path: File that they were read from, which may change.
+            writer: Writes the log.
         """
         super().__init__()
         self._settings = settings
+        self._path = path
+        self._written_at = read_written_at(path)
+        self._writer = writer
         self._known = knowledge.Knowledge()
         self._runners: list[web.ServerRunner] = []
         self._own = fleet.VmEntry(
@@ -138,7 +152,17 @@
             self._known,
             self._life,
             directory.ADDRESSING,
+            metrics.VmMetrics(
+                self._service,
+                self._asker,
+                self._pool,
+                self._known,
+                self._feeder,
+                self._store,
+                self._writer,
+            ).publish,
         )
+        self._service.on_answered = observe_duration
 
     def _describe(self) -> pinging.Datagram:
         """Returns what this VM answers to a ping."""
@@ -253,13 +277,27 @@
         self._pauses.end_resume()
 
     async def reload(self) -> None:
-        """Reads the settings file anew."""
+        """Reads the settings file anew; what is invalid changes nothing."""
+        if self._path is None:
+            return
+        self._written_at = read_written_at(self._path)
         try:
-            settings = settings_files.read_boot(settings_files.find_path())
+            settings = settings_files.read_boot(self._path)
         except errors.SettingsError as error:
             log.error("reload failed; settings stay", reason=str(error))
             return
-        log.info("reloaded", retry_fraction=settings.bounds.retry_fraction)
+        self._settings = settings
+        self._service.apply_bounds(settings.bounds, len(settings.regions))
+        self._store.move(settings.store)
+        log.info("reloaded", store=settings.store, seeds=settings.seeds)
+
+    @mode.Service.task
+    async def _keep_reading_settings(self) -> None:
+        """Takes settings that changed without a signal."""
+        while not self.should_stop:
+            await asyncio.sleep(SETTINGS_SECONDS)
+            if read_written_at(self._path) != self._written_at:
+                await self.reload()
 
     async def drain(self) -> None:
         """Moves callers elsewhere, then finishes what is in flight."""
@@ -289,3 +327,19 @@
             await runner.cleanup()
         self._pool.close()
         await self._store.close()
+
+
+def read_written_at(path: pathlib.Path | None) -> int:
+    """Returns when a file was last written, in nanoseconds; 0 if unknown."""
+    if path is None:
+        return 0
+    try:
+        return path.stat().st_mtime_ns
+    except OSError as error:
+        log.warning("settings file cannot be seen", reason=str(error))
+        return 0
+
+
+def observe_duration(service: str, seconds: float) -> None:
+    """Adds an answered request to the histogram of its service."""
+    metrics.DURATIONS.observe({"service": service}, seconds)
--- a/wigeonspool/vm/serving.py
+++ b/wigeonspool/vm/serving.py
@@ -1,6 +1,7 @@
 """Serves callers: each request gets one answer, its own or an honest no."""
 
 import asyncio
+from collections.abc import Callable
 import time
 from typing import Final
 
@@ -61,7 +62,7 @@
         in_flight: Requests received and not answered yet.
         counts: Requests that ended, by outcome and reason.
         leaving: True once this VM prepares to stop.
-        worked_at: When the latest request came, loop clock.
+        on_answered: Called with the service and the seconds of each answer.
     """
 
     def __init__(
@@ -84,28 +85,42 @@
         self.in_flight = 0
         self.counts: dict[tuple[str, str], int] = {}
         self.leaving = False
-        self.worked_at = 0.0
+        self.on_answered: Callable[[str, float], None] = lambda _, __: None
         self._known = known
         self._asker = asker
         self._words = words
         self._pauses = pauses_monitor
         self._sender = attempts.Sender(words)
         self._times = patience.UsualTimes()
-        self._allowance = attempting.RetryAllowance(
-            settings.bounds.retry_fraction,
-            settings.bounds.retry_slack,
-            settings.bounds.retry_window_seconds,
-            naming.LEAST_NAMED * max(1, len(settings.regions)),
-        )
+        self._allowance = attempting.RetryAllowance()
+        self.apply_bounds(settings.bounds, len(settings.regions))
         self._rotations: dict[str, weights.ShareRotation] = {}
         self._version = -1
         self._offset = xxhash.xxh3_64_intdigest(settings.vm.encode()) / 2**64
         self._loop = asyncio.get_running_loop()
 
+    @property
+    def retries_refused(self) -> int:
+        """Attempts that the retry allowance did not cover."""
+        return self._allowance.refused
+
+    def apply_bounds(self, bounds: boot.Bounds, zones: int) -> None:
+        """Takes what is promised anew.
+
+        Args:
+            bounds: What is promised.
+            zones: Availability zones of the deployment.
+        """
+        self._allowance.set_bounds(
+            bounds.retry_fraction,
+            bounds.retry_slack,
+            bounds.retry_window_seconds,
+            naming.LEAST_NAMED * max(1, zones),
+        )
+
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one request of a caller."""
         self.in_flight += 1
-        self.worked_at = self._loop.time()
         try:
             response = await self._serve(request)
         except asyncio.CancelledError:
@@ -290,7 +305,8 @@
             estimates.note_fault(row.health, now, 0.5)
         elif result.ended is works.Ended.ANSWERED:
             name = f"{work.rule.prefix}{work.service}"
-            self._times.learn(name, now - started_at, offer.prospect.stretch)
+            seconds = now - started_at
+            self._times.learn(name, seconds, offer.prospect.stretch)
         else:
             estimates.note_fault(row.health, now)
         return result
@@ -428,6 +444,7 @@
     ) -> web.StreamResponse:
         """Returns the response that carries a target's answer."""
         self._count(outcomes.Outcome.ANSWERED, result.ended.value)
+        self.on_answered(work.service, self._loop.time() - work.arrived_at)
         fields = CIMultiDict(result.fields)
         if result.source is None:
             return web.Response(
