--- a/tests/test_vm_path.py
+++ b/tests/test_vm_path.py
@@ -239,6 +239,41 @@
         assert counts["t-1"] + counts["t-2"] in (39, 40, 41)
 
 
+class TestLargeAnswers:
+    """Pattern: the targets of a zone are slow while others are not."""
+
+    async def start(self, vms: vm_fleet.VmFleet) -> None:
+        rule = vm_fleet.build_rule(
+            "files", "/read/", "download", Service="reads"
+        )
+        await vms.configure([rule])
+        await vms.start_target("far", "reads", "zone-b")
+        await vms.start_vm("vm-1")
+
+    async def test_they_wait_for_a_target_of_their_zone(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await self.start(vms)
+        vms.set_faults("t-1", "t-2", pace=500)
+        sending = [
+            asyncio.create_task(vms.send("vm-1", "/read/1")) for _ in range(4)
+        ]
+        await asyncio.sleep(0.1)
+        vms.set_faults("t-1", "t-2", pace=100)
+        for status, body, _ in [await task for task in sending]:
+            assert status == 200
+            assert body in (b"t-1", b"t-2")
+
+    async def test_they_leave_a_zone_that_cannot_answer(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await self.start(vms)
+        for identity in ("t-1", "t-2"):
+            await vms.targets[identity].stop()
+        status, body, _ = await vms.send("vm-1", "/read/1")
+        assert (status, body) == (200, b"far")
+
+
 class TestDraining:
     async def test_draining_target_gets_no_work(
         self, vms: vm_fleet.VmFleet
--- a/wigeonspool/vm/serving.py
+++ b/wigeonspool/vm/serving.py
@@ -331,14 +331,37 @@
     ) -> tuple[asking.Offer | None, patience.Step]:
         """Asks targets, the nearest first, until one is good enough.
 
+        Large answers leave their zone only if nobody there can answer in
+        time, since bytes between zones cost more than a wait.
+
         Returns:
             The best offer, and what to do with it.
         """
-        asker = self._asker
         large = work.rule.large
-        groups = asker.list_candidates(work.service, work.tried, large)
+        groups = self._asker.list_candidates(work.service, work.tried, large)
         if not groups and work.tried:
-            groups = asker.list_candidates(work.service, (), large)
+            groups = self._asker.list_candidates(work.service, (), large)
+        if not large:
+            return await self._ask_groups(work, usual, groups)
+        best, step = await self._ask_groups(work, usual, groups[:1])
+        if len(groups) > 1 and (best is None or step is patience.Step.REFUSE):
+            if best is not None:
+                self._asker.give_back([best])
+            return await self._ask_groups(work, usual, groups[1:])
+        return best, step
+
+    async def _ask_groups(
+        self,
+        work: works.Work,
+        usual: float,
+        groups: list[list[knowledge.TargetRow]],
+    ) -> tuple[asking.Offer | None, patience.Step]:
+        """Asks some groups of targets, one after the other.
+
+        Returns:
+            The best offer, and what to do with it.
+        """
+        asker = self._asker
         # A request that was patient for long asks a few at a time.
         stop_at = max(MOST_ASKED, work.asked + ASKED_AT_ONCE)
         best: asking.Offer | None = None
