Find out within a second that a feeder lost the store silently

A VM that others follow now renews its lease twice a second, the cheapest call there is, and gives up its watch when one gets no answer. The new test fails without it. Ruled out: silence between VMs; the log shows pulses all the while.

--- a/tests/test_vm_feeds.py
+++ b/tests/test_vm_feeds.py
@@ -133,7 +133,27 @@
 
 
 class TestLostFeeders:
-    """Pattern: the VMs that all others follow are turned away together."""
+    """Pattern: the VMs that all others follow lose the store together."""
+
+    async def test_silent_cut_of_a_feeder_delays_nothing(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        for number in range(4):
+            await vms.start_vm(f"vm-{number}")
+        await fleet.wait_for(lambda: len(find_watchers(vms)) == 1)
+        (lost,) = find_watchers(vms)
+        await fleet.wait_for(
+            lambda: len(vms.vms[lost]._feeder.subscribers) == 3
+        )
+        vms.links[lost].open.clear()
+        version = await vms.configure([])
+        others = [vm for name, vm in vms.vms.items() if name != lost]
+
+        def is_in_force() -> bool:
+            found = [vm._known.configuration for vm in others]
+            return all(c is not None and c.version == version for c in found)
+
+        await fleet.wait_for(is_in_force, vm_fleet.APPLY_SECONDS)
 
     async def test_followers_go_to_the_store_themselves(
         self, vms: vm_fleet.VmFleet
--- a/tests/vm_fleet.py
+++ b/tests/vm_fleet.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from tests import fleet
+from tests import pipes
 from wigeonspool.model import boot
 from wigeonspool.platform.standin import store as stores
 from wigeonspool.platform.standin import target as targets
@@ -74,6 +75,7 @@
         self.targets: dict[str, targets.PlatformTarget] = {}
         self.vms: dict[str, service.VmService] = {}
         self.settings: dict[str, boot.Boot] = {}
+        self.links: dict[str, pipes.Pipe] = {}
         self.version = 0
         self.session: aiohttp.ClientSession
         self._addresses: dict[str, tuple[str, str, str]] = {}
@@ -170,7 +172,11 @@
         """Starts a VM and waits until it is ready."""
         settings = self.settings.get(vm)
         if settings is None:
-            settings = build_boot(vm, zone, self.store_address, **bounds)
+            link = pipes.Pipe(self.store_address)
+            await link.start()
+            self._stack.push_async_callback(link.stop)
+            self.links[vm] = link
+            settings = build_boot(vm, zone, link.address, **bounds)
             self.settings[vm] = settings
         started = service.VmService(settings)
         self.vms[vm] = started
--- a/wigeonspool/platform/metadata.py
+++ b/wigeonspool/platform/metadata.py
@@ -158,9 +158,13 @@
         found: _Lease = _decode(body, _Lease)
         return found.lease_id
 
-    async def renew(self, lease: int) -> None:
+    async def renew(self, lease: int, seconds: float = CALL_SECONDS) -> None:
         """Renews a lease.
 
+        Args:
+            lease: The lease.
+            seconds: Longest time to wait for the answer.
+
         Raises:
             LeaseEndedError: If it has ended.
             StoreUnavailableError: If no whole answer came in time.
@@ -168,6 +172,7 @@
         status, _ = await self._call(
             "POST",
             f"/v1/kv-keep/{lease}",
+            seconds=seconds,
             expected=(STATUS_OK, STATUS_NOT_FOUND),
         )
         if status == STATUS_NOT_FOUND:
--- a/wigeonspool/vm/feeding.py
+++ b/wigeonspool/vm/feeding.py
@@ -12,7 +12,7 @@
 from wigeonspool.vm import journal
 
 # Followers look elsewhere after three of these without a sign.
-PULSE_SECONDS: Final = 0.5
+PULSE_SECONDS: Final = 0.4
 # Changes that are kept, so that a follower which was away gets only those.
 KEPT_CHANGES: Final = 2000
 # A follower that leaves this much unread is cut off, and comes back.
--- a/wigeonspool/vm/following.py
+++ b/wigeonspool/vm/following.py
@@ -124,6 +124,7 @@
         self._failures = failures.FailureLog("store")
         self._pause = FIRST_PAUSE_SECONDS
         self._loaded = False
+        self._watching: asyncio.Task[sources.Page] | None = None
         self.synced_at = float("-inf")
 
     async def load(self, stale: bool) -> None:
@@ -176,12 +177,12 @@
     async def step(self) -> None:
         """Takes the next changes, or pauses after a failure."""
         began_at = self._loop.time()
-        recent = began_at - self.synced_at < STALE_SECONDS
+        recent = began_at - self.find_synced() < STALE_SECONDS
         seconds = WATCH_SECONDS if recent else CONFIRM_SECONDS
         try:
             if not self._loaded:
                 await self.load(stale=True)
-            page = await self._source.watch(ALL, self._intake.revision, seconds)
+            page = await self._watch(seconds)
         except errors.HistoryGoneError as error:
             self._failures.note(error)
             await self._reload()
@@ -195,6 +196,30 @@
             spent = self._loop.time() - began_at
             await asyncio.sleep(max(0.0, GATHER_SECONDS - spent))
 
+    async def _watch(self, seconds: float) -> sources.Page:
+        """Returns the next changes.
+
+        Raises:
+            StoreError: If the store could not serve the call, or was found out
+                of reach meanwhile.
+        """
+        call = self._source.watch(ALL, self._intake.revision, seconds)
+        watching = asyncio.ensure_future(call)
+        self._watching = watching
+        try:
+            await asyncio.wait((watching,))
+        finally:
+            self._watching = None
+            watching.cancel()
+        if watching.cancelled():
+            raise errors.StoreUnavailableError("watch", "out of reach")
+        return watching.result()
+
+    def give_up(self) -> None:
+        """Ends a watch that waits, since the store is out of reach."""
+        if self._watching is not None:
+            self._watching.cancel()
+
     async def _reload(self) -> None:
         """Reads all keys anew, after the history was lost."""
         try:
--- a/wigeonspool/vm/registering.py
+++ b/wigeonspool/vm/registering.py
@@ -12,7 +12,11 @@
 # after VMs that are gone for good.
 LEASE_SECONDS: Final = 12.0
 RENEW_SECONDS: Final = 4.0
-RETRY_SECONDS: Final = 0.5
+# A VM that others follow must know soon that it lost the store: a silent cut
+# shows only in calls without an answer, and renewals are the cheapest ones.
+CHECK_SECONDS: Final = 0.5
+# A slow store takes a quarter of a second.
+ANSWER_SECONDS: Final = 0.6
 
 
 class Registry(Protocol):
@@ -21,8 +25,8 @@
     async def grant(self, seconds: float) -> int:
         """Returns a new lease."""
 
-    async def renew(self, lease: int) -> None:
-        """Renews a lease."""
+    async def renew(self, lease: int, seconds: float) -> None:
+        """Renews a lease, if the store answers in some seconds."""
 
     async def write(self, key: str, value: bytes, lease: int = 0) -> int:
         """Writes a key under a lease; returns its revision."""
@@ -36,6 +40,8 @@
         registry: Registry,
         entry: fleet.VmEntry,
         encode: Callable[[fleet.VmEntry], tuple[str, bytes]],
+        is_source: Callable[[], bool],
+        on_lost: Callable[[], None],
     ) -> None:
         """Prepares a registration.
 
@@ -43,10 +49,15 @@
             registry: The store.
             entry: What to register.
             encode: Returns key and value of an entry.
+            is_source: Returns True while other VMs rely on this one for what
+                the store tells.
+            on_lost: Called when the store did not answer.
         """
         self._registry = registry
         self._entry = entry
         self._encode = encode
+        self._is_source = is_source
+        self._on_lost = on_lost
         self._lease = 0
         self._failures = failures.FailureLog("registration")
 
@@ -59,19 +70,27 @@
         """
         if held == self._entry:
             self._lease = lease
+        loop = asyncio.get_running_loop()
+        renew_at = loop.time()
         while True:
-            try:
-                await self._step()
-                seconds = RENEW_SECONDS
-                self._failures.clear()
-            except errors.LeaseEndedError as error:
-                self._failures.note(error)
-                self._lease = 0
-                seconds = 0.0
-            except errors.StoreError as error:
-                self._failures.note(error)
-                seconds = RETRY_SECONDS
-            await asyncio.sleep(seconds)
+            if loop.time() >= renew_at or self._is_source():
+                renew_at = loop.time() + await self._renew()
+            await asyncio.sleep(CHECK_SECONDS)
+
+    async def _renew(self) -> float:
+        """Renews the registration; returns after how long to do it again."""
+        try:
+            await self._step()
+        except errors.LeaseEndedError as error:
+            self._failures.note(error)
+            self._lease = 0
+            return 0.0
+        except errors.StoreError as error:
+            self._failures.note(error)
+            self._on_lost()
+            return 0.0
+        self._failures.clear()
+        return RENEW_SECONDS
 
     async def _step(self) -> None:
         """Renews the lease, or takes one and writes the entry under it.
@@ -80,7 +99,7 @@
             StoreError: If the store could not serve a call.
         """
         if self._lease:
-            await self._registry.renew(self._lease)
+            await self._registry.renew(self._lease, ANSWER_SECONDS)
             return
         lease = await self._registry.grant(LEASE_SECONDS)
         key, value = self._encode(self._entry)
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -134,7 +134,11 @@
             settings.vm, self._intake, self._list_feeders
         )
         self._registration = registering.Registration(
-            self._store, self._own, changes.encode_vm
+            self._store,
+            self._own,
+            changes.encode_vm,
+            lambda: bool(self._feeder.subscribers),
+            self._follower.give_up,
         )
         self._pool = channels.ChannelPool(loop)
         place = reach.Place(settings.zone, settings.region, settings.regions)
