Call a store that is down less often, and close ports within the grace

A VM that nobody relies on now waits up to 2 s, since others tell it that the store is back; so does the renewal of a lease. Ports were closed one after the other, up to 0.5 s each.

--- a/wigeonspool/vm/following.py
+++ b/wigeonspool/vm/following.py
@@ -20,6 +20,9 @@
 CONFIRM_SECONDS: Final = 0.05
 FIRST_PAUSE_SECONDS: Final = 0.1
 MOST_PAUSE_SECONDS: Final = 0.6
+# A VM that nobody follows hears from others that the store is back, and each
+# call is paid, also one that fails.
+PATIENT_PAUSE_SECONDS: Final = 2.0
 # What was confirmed longer ago than this may be out of date.
 STALE_SECONDS: Final = WATCH_SECONDS + 1.0
 
@@ -123,6 +126,7 @@
         self._loop = asyncio.get_running_loop()
         self._failures = failures.FailureLog("store")
         self._pause = FIRST_PAUSE_SECONDS
+        self._most_pause = MOST_PAUSE_SECONDS
         self._loaded = False
         self._watching: asyncio.Task[sources.Page] | None = None
         self.synced_at = float("-inf")
@@ -174,8 +178,15 @@
         except errors.StoreError as error:
             await self._note_failure(error)
 
-    async def step(self) -> None:
-        """Takes the next changes, or pauses after a failure."""
+    async def step(self, patient: bool = False) -> None:
+        """Takes the next changes, or pauses after a failure.
+
+        Args:
+            patient: True if others will tell that the store is back.
+        """
+        self._most_pause = (
+            PATIENT_PAUSE_SECONDS if patient else MOST_PAUSE_SECONDS
+        )
         began_at = self._loop.time()
         recent = began_at - self.find_synced() < STALE_SECONDS
         seconds = WATCH_SECONDS if recent else CONFIRM_SECONDS
@@ -231,7 +242,7 @@
         """Logs a failure and pauses, longer each time."""
         self._failures.note(error)
         pause = self._pause
-        self._pause = min(MOST_PAUSE_SECONDS, 2 * pause)
+        self._pause = min(self._most_pause, 2 * pause)
         await asyncio.sleep(pause)
 
     def _note_success(self) -> None:
--- a/wigeonspool/vm/registering.py
+++ b/wigeonspool/vm/registering.py
@@ -15,6 +15,8 @@
 # A VM that others follow must know soon that it lost the store: a silent cut
 # shows only in calls without an answer, and renewals are the cheapest ones.
 CHECK_SECONDS: Final = 0.5
+# Each call is paid, also one that fails.
+RETRY_SECONDS: Final = 2.0
 # A slow store takes a quarter of a second.
 ANSWER_SECONDS: Final = 0.6
 
@@ -97,7 +99,7 @@
         except errors.StoreError as error:
             self._failures.note(error)
             self._on_lost()
-            return 0.0
+            return RETRY_SECONDS
         self._failures.clear()
         return RENEW_SECONDS
 
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -47,6 +47,8 @@
 # Part of the grace during which callers may still open connections; what they
 # were told before is forgotten by then.
 ACCEPT_PART: Final = 0.55
+# Longest time to close the ports once all is answered.
+CLOSE_SECONDS: Final = 0.3
 # Part of the grace after which nothing may run any more.
 FINISH_PART: Final = 0.86
 
@@ -219,7 +221,11 @@
 
     def _should_watch(self) -> bool:
         """Returns True if this VM must follow the store itself."""
-        if self._feeder.subscribers or not self._upstream.is_fresh():
+        return self._is_relied_on() or not self._upstream.is_fresh()
+
+    def _is_relied_on(self) -> bool:
+        """Returns True if others wait for what this VM hears of the store."""
+        if self._feeder.subscribers:
             return True
         return feeders.list_feeders(self._own, self._list_vms()) is None
 
@@ -237,7 +243,7 @@
         while not self.should_stop:
             if self._should_watch():
                 failing = self._follower.is_failing()
-                await self._follower.step()
+                await self._follower.step(not self._is_relied_on())
                 self._feeder.tell()
                 if self._follower.is_failing() != failing:
                     self._feeder.pulse()
@@ -333,8 +339,13 @@
 
     async def on_stop(self) -> None:
         """Closes the ports and connections."""
-        for runner in (self._callers, *self._runners):
-            await runner.cleanup()
+        closing = [r.cleanup() for r in (self._callers, *self._runners)]
+        try:
+            async with asyncio.timeout(CLOSE_SECONDS):
+                await asyncio.gather(*closing)
+        except TimeoutError:
+            log.warning("ports were closed with connections open")
+        self._feeder.close()
         self._pool.close()
         await self._store.close()
 
