--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -221,12 +221,12 @@
 
     def _should_watch(self) -> bool:
         """Returns True if this VM must follow the store itself."""
-        return self._is_relied_on() or not self._upstream.is_fresh()
-
-    def _is_relied_on(self) -> bool:
-        """Returns True if others wait for what this VM hears of the store."""
-        if self._feeder.subscribers:
+        if self._feeder.subscribers or not self._upstream.is_fresh():
             return True
+        return self._is_first()
+
+    def _is_first(self) -> bool:
+        """Returns True if the other VMs of the region follow this one."""
         return feeders.list_feeders(self._own, self._list_vms()) is None
 
     async def _follow(self) -> None:
@@ -236,14 +236,14 @@
         held = self._known.vms.get(self._own.name)
         lease = self._known.leases.get(self._own.name, 0)
         self.add_future(self._registration.keep(held, lease))
-        first = feeders.list_feeders(self._own, self._list_vms()) is None
-        give_up_at = loop.time() + (0.0 if first else START_SECONDS)
+        patience = 0.0 if self._is_first() else START_SECONDS
+        give_up_at = loop.time() + patience
         while loop.time() < give_up_at and not self._upstream.is_fresh():
             await asyncio.sleep(WATCH_POLL_SECONDS)
         while not self.should_stop:
             if self._should_watch():
                 failing = self._follower.is_failing()
-                await self._follower.step(not self._is_relied_on())
+                await self._follower.step(patient=not self._is_first())
                 self._feeder.tell()
                 if self._follower.is_failing() != failing:
                     self._feeder.pulse()
