--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -139,7 +139,7 @@
             self._store,
             self._own,
             changes.encode_vm,
-            lambda: bool(self._feeder.subscribers),
+            self._is_source,
             self._follower.give_up,
         )
         self._pool = channels.ChannelPool(loop)
@@ -225,6 +225,12 @@
             return True
         return self._is_first()
 
+    def _is_source(self) -> bool:
+        """Returns True while others rely on what this VM hears."""
+        return bool(self._feeder.subscribers) and (
+            not self._follower.is_failing()
+        )
+
     def _is_first(self) -> bool:
         """Returns True if the other VMs of the region follow this one."""
         return feeders.list_feeders(self._own, self._list_vms()) is None
