--- a/wigeonspool/vm/metrics.py
+++ b/wigeonspool/vm/metrics.py
@@ -10,6 +10,7 @@
 from wigeonspool.vm import channels
 from wigeonspool.vm import feeding
 from wigeonspool.vm import journal
+from wigeonspool.vm import running
 from wigeonspool.vm import serving
 
 # Upper bounds of the histogram of durations, in seconds.
@@ -80,6 +81,7 @@
     def __init__(
         self,
         service: serving.CallerService,
+        runner: running.Runner,
         asker: asking.Asker,
         pool: channels.ChannelPool,
         known: knowledge.Knowledge,
@@ -91,6 +93,7 @@
 
         Args:
             service: Serves callers.
+            runner: Sends requests to targets.
             asker: Asks targets for their load.
             pool: Connections to targets.
             known: What is known.
@@ -99,6 +102,7 @@
             writer: Writes the log, if it is directed to standard output.
         """
         self._service = service
+        self._runner = runner
         self._asker = asker
         self._pool = pool
         self._known = known
@@ -111,7 +115,7 @@
         for (outcome, reason), count in self._service.counts.items():
             REQUESTS.set({"outcome": outcome, "reason": reason}, count)
         RUNNING.set({}, self._service.in_flight)
-        RETRIES_REFUSED.set({}, self._service.retries_refused)
+        RETRIES_REFUSED.set({}, self._runner.retries_refused)
         counts = self._asker.counts
         CHECKS.set({"result": "answered"}, counts.answered)
         CHECKS.set({"result": "failed"}, counts.asked - counts.answered)
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -34,6 +34,7 @@
 from wigeonspool.vm import pinging
 from wigeonspool.vm import reach
 from wigeonspool.vm import registering
+from wigeonspool.vm import running
 from wigeonspool.vm import serving
 from wigeonspool.vm import upstream
 
@@ -148,8 +149,15 @@
             self._pool, self._known, border.BORDER, place
         )
         self._pauses = pauses.PauseMonitor(time.monotonic())
+        self._runner = running.Runner(
+            settings, self._known, self._asker, border.BORDER
+        )
         self._service = serving.CallerService(
-            settings, self._known, self._asker, border.BORDER, self._pauses
+            settings.vm,
+            self._known,
+            self._runner,
+            border.BORDER,
+            self._pauses,
         )
         self._life = pinging.LifeProtocol(self._describe)
         self._book = answering.AddressBook(
@@ -160,6 +168,7 @@
             directory.ADDRESSING,
             metrics.VmMetrics(
                 self._service,
+                self._runner,
                 self._asker,
                 self._pool,
                 self._known,
@@ -169,7 +178,7 @@
             ).publish,
         )
         self._service.on_answered = observe_duration
-        self._service.on_crash = self._tell_crash
+        self._runner.on_crash = self._tell_crash
 
     async def _tell_crash(self, fingerprint: int, target: str) -> None:
         """Tells all VMs that a target crashed while it ran a request."""
@@ -309,7 +318,7 @@
             log.error("reload failed; settings stay", reason=str(error))
             return
         self._settings = settings
-        self._service.apply_bounds(settings.bounds, len(settings.regions))
+        self._runner.apply_bounds(settings.bounds, len(settings.regions))
         self._store.move(settings.store)
         log.info("reloaded", store=settings.store, seeds=settings.seeds)
 
--- a/wigeonspool/vm/work.py
+++ b/wigeonspool/vm/work.py
@@ -53,6 +53,11 @@
         default_factory=list
     )
 
+    @property
+    def kind(self) -> str:
+        """Name of requests that take about as long as this one."""
+        return f"{self.rule.prefix}{self.service}"
+
     def note(self, now: float, what: str, target: str, stretch: float) -> None:
         """Notes a step for the log."""
         elapsed_ms = round((now - self.arrived_at) * 1000)
