Notice pauses that bring peers near their limit, and split large modules

A standstill of an agent a little shorter than the silence limit was no pause to it, so its timers ran before it read what others had sent, and cut them off: a new test shows that for 0.90 to 0.99 s, and fails without the mend.

--- a/tests/test_control_bench.py
+++ b/tests/test_control_bench.py
@@ -2,6 +2,7 @@
 
 from wigeonspool.load import control
 from wigeonspool.load import footprint
+from wigeonspool.load import tables as load_tables
 from wigeonspool.model import entities
 from wigeonspool.store import store
 
@@ -39,16 +40,16 @@
 
 class TestTables:
     def test_targets_are_spread_over_all_services(self) -> None:
-        tables = control.build_tables(19, 100)
+        tables = load_tables.build_tables(19, 100)
         sizes = {len(pool.targets) for pool in tables.pools.values()}
         assert sizes == {5, 6}
         listed = {t.address for p in tables.pools.values() for t in p.targets}
         assert len(listed) == 100
 
     def test_each_step_stays_below_the_bound_of_the_store(self) -> None:
-        wanted = control.build_tables(1900, 10_000)
+        wanted = load_tables.build_tables(1900, 10_000)
         held = entities.EMPTY_TABLES
-        for tables in control.split_tables(wanted):
+        for tables in load_tables.split_tables(wanted):
             change = control.changes.diff_tables(held, tables, "i", "a", 0.0)
             value = control.configuration.encode_change(change)
             assert len(value) <= store.MAX_VALUE_BYTES
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -367,6 +367,19 @@
         await fleets.wait_for(lambda: agent._hub.cut_off == 1)
         stream.abort()
 
+    @pytest.mark.parametrize("seconds", [0.6, 0.8, 0.9, 0.95, 0.99, 1.2])
+    async def test_own_pause_is_nobodys_silence(
+        self, fleet: fleets.Fleet, seconds: float
+    ) -> None:
+        hubs = [agent._hub for agent in fleet.agents.values()]
+        await fleets.wait_for(lambda: fleet.sees_all(2))
+        for _ in range(4):
+            before = [hub.cut_off for hub in hubs]
+            # Nothing runs meanwhile, so what others sent waits unread.
+            time.sleep(seconds)
+            await asyncio.sleep(0.35)
+            assert [hub.cut_off for hub in hubs] == before
+
 
 class TestStream:
     async def test_slow_reader_of_a_large_message_is_not_cut_off(self) -> None:
--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -20,6 +20,7 @@
 from wigeonspool.agent import hub
 from wigeonspool.agent import members
 from wigeonspool.agent import metrics
+from wigeonspool.agent import publishing
 from wigeonspool.agent import receiver as receivers
 from wigeonspool.agent import relays
 from wigeonspool.agent import status
@@ -82,7 +83,11 @@
         """Opens the ports and begins to follow."""
         settings = self._settings
         self._detector = clocks.PauseDetector(
-            settings.agent.silence_seconds, clocks.read_clock
+            clocks.find_pause_seconds(
+                silence_seconds=settings.agent.silence_seconds,
+                heartbeat_seconds=settings.agent.heartbeat_seconds,
+            ),
+            clocks.read_clock,
         )
         receiver = receivers.TableReceiver(
             self._state, self._log, self._put_in_force
@@ -155,15 +160,13 @@
 
     def _publish_metrics(self) -> None:
         """Brings the metrics up to date."""
-        metrics.GENERATION.set({}, self._state.tables.generation)
-        metrics.GATEWAYS.set({}, len(self._hub.list_reports()))
-        metrics.SUBSCRIBERS.set({}, len(self._hub.subscribers))
-        metrics.EVENTS_DROPPED.set({}, self._log.ring.dropped)
-        metrics.STORE_CALLS.set({}, self._feeder.client.calls)
-        metrics.MEMBERS.set({}, len(self._joined))
-        metrics.CUT_OFF.set({}, self._hub.cut_off)
-        metrics.LEASES.set({}, len(self._feeder.leases.list_held()))
-        metrics.publish_spending(self._feeder.prober.list_spending())
+        publishing.publish(
+            self._state.tables.generation,
+            self._hub,
+            self._log,
+            self._feeder,
+            len(self._joined),
+        )
         metrics.MEASUREMENTS_DROPPED.set({}, self._relay.count_dropped())
         sent, received = self.count_bytes()
         metrics.PEER_BYTES.set({"direction": "sent"}, sent)
@@ -385,16 +388,7 @@
         """Answers a question of an operator or of another agent."""
         if isinstance(message, inquiries.RegionRequest):
             return self._build_members()
-        if isinstance(message, inquiries.EventsRequest):
-            return self._log.build_reply(message.wanted)
-        if isinstance(message, inquiries.VmStatusRequest):
-            return inquiries.VmStatusReply(
-                (),
-                measured_pools=tuple(sorted(self._feeder.leases.list_held())),
-                store_calls=self._feeder.client.calls,
-                spent=self._feeder.prober.list_spending(),
-            )
-        return None
+        return status.answer_question(message, self._log, self._feeder)
 
     async def _describe_fleet(self) -> messages.Members:
         """Returns the VMs of all regions, as one feeder of each knows them."""
--- a/wigeonspool/agent/status.py
+++ b/wigeonspool/agent/status.py
@@ -9,6 +9,8 @@
 
 import loguru
 
+from wigeonspool import process
+from wigeonspool.agent import feeding
 from wigeonspool.model import entities
 from wigeonspool.model import errors
 from wigeonspool.model import inquiries
@@ -65,3 +67,25 @@
     if not isinstance(answer, messages.Members):
         raise errors.FrameKindError(type(answer).__name__)
     return answer.heartbeats
+
+
+def answer_question(
+    message: messages.Message, log: process.EventLog, feeder: feeding.Feeder
+) -> messages.Message | None:
+    """Returns the answer to an operator, or None if it is no question.
+
+    Args:
+        message: What was asked.
+        log: Events of this process.
+        feeder: Does a feeder's work.
+    """
+    if isinstance(message, inquiries.EventsRequest):
+        return log.build_reply(message.wanted)
+    if isinstance(message, inquiries.VmStatusRequest):
+        return inquiries.VmStatusReply(
+            (),
+            measured_pools=tuple(sorted(feeder.leases.list_held())),
+            store_calls=feeder.client.calls,
+            spent=feeder.prober.list_spending(),
+        )
+    return None
--- a/wigeonspool/load/control.py
+++ b/wigeonspool/load/control.py
@@ -17,6 +17,7 @@
 
 from wigeonspool.agent import service as agents
 from wigeonspool.load import footprint
+from wigeonspool.load import tables
 from wigeonspool.model import changes
 from wigeonspool.model import entities
 from wigeonspool.model import options
@@ -29,8 +30,6 @@
 SETTLE_SECONDS: Final = 6.0
 IN_FORCE_SECONDS: Final = 30.0
 POLL_SECONDS: Final = 0.002
-CHANGES_BYTES: Final = 700_000
-POOL_BYTES: Final = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,58 +114,6 @@
     memory: float
 
 
-def build_tables(services: int, targets: int) -> entities.Tables:
-    """Returns tables of some services with their targets spread evenly."""
-    pools: dict[str, entities.Pool] = {}
-    routes: dict[str, entities.Route] = {}
-    for number in range(services):
-        name = f"service-{number:04d}"
-        listed = tuple(
-            entities.Target(f"10.{t >> 16}.{t >> 8 & 255}.{t & 255}:8080", "z")
-            for t in range(number, targets, services)
-        )
-        pools[name] = entities.Pool(name, 4, listed)
-        routes[name] = entities.Route(name, "*", f"/{name}", name, True)
-    return entities.Tables(0, routes, pools)
-
-
-def split_tables(wanted: entities.Tables) -> list[entities.Tables]:
-    """Returns growing tables, each a change below the store's bound more."""
-    sizes = len(wanted.pools) * POOL_BYTES
-    sizes += sum(len(p.targets) for p in wanted.pools.values()) * 64
-    steps = max(1, -(-sizes // CHANGES_BYTES))
-    names = list(wanted.pools)
-    grown: list[entities.Tables] = []
-    for step in range(1, steps + 1):
-        kept = names[: len(names) * step // steps]
-        grown.append(
-            entities.Tables(
-                0,
-                {name: wanted.routes[name] for name in kept},
-                {name: wanted.pools[name] for name in kept},
-            )
-        )
-    return grown
-
-
-async def apply_tables(
-    log: configuration.ChangeLog, wanted: entities.Tables
-) -> int:
-    """Writes tables to the log; returns their generation.
-
-    Raises:
-        WigeonspoolError: If the store refused them.
-    """
-    held = await log.read_tables()
-    for tables in split_tables(wanted):
-        change = changes.diff_tables(
-            held, tables, uuid.uuid4().hex, "load", time.time()
-        )
-        await log.propose(change)
-        held = changes.apply_change(held, change)
-    return held.generation
-
-
 class Fleet:
     """Agents on this event loop, over a platform that others started."""
 
@@ -306,8 +253,8 @@
         private = footprint.read_footprint(os.getpid()).private
         try:
             await fleet.start()
-            wanted = build_tables(platform.services, platform.targets)
-            generation = await apply_tables(fleet.log, wanted)
+            wanted = tables.build_tables(platform.services, platform.targets)
+            generation = await tables.apply_tables(fleet.log, wanted)
             await fleet.wait_in_force(generation)
             await asyncio.sleep(SETTLE_SECONDS)
             before = fleet.read()
@@ -402,8 +349,8 @@
     async with aiohttp.ClientSession() as session:
         client = store.StoreClient(session, platform.store_url, 5.0)
         log = configuration.ChangeLog(client, prefix)
-        wanted = build_tables(platform.services, platform.targets)
-        await apply_tables(log, wanted)
+        wanted = tables.build_tables(platform.services, platform.targets)
+        await tables.apply_tables(log, wanted)
         await asyncio.sleep(SETTLE_SECONDS)
         name = f"{platform.services} services, {platform.targets} targets"
         found.append((name, footprint.read_footprint(pid)))
--- a/wigeonspool/wire/clocks.py
+++ b/wigeonspool/wire/clocks.py
@@ -104,3 +104,19 @@
         """Returns True unless a pause has made knowledge out of date."""
         gap = self._now() - self._ticked_at
         return self._is_refreshed and gap <= self._limit_seconds
+
+
+def find_pause_seconds(
+    silence_seconds: float, heartbeat_seconds: float
+) -> float:
+    """Returns from how long on a standstill of a process is a pause.
+
+    What others sent meanwhile waits unread, so a pause that brings a peer
+    which was heard one heartbeat ago near its limit must be noticed.
+
+    Args:
+        silence_seconds: A peer that is silent for longer is not live.
+        heartbeat_seconds: Time between two signs of a peer.
+    """
+    margin = silence_seconds - 2 * heartbeat_seconds
+    return max(margin, 1.5 * heartbeat_seconds)
