Keep a registration over restarts, and renew one that was taken away

Cause: the entry of a VM held an identity of its run that nobody used, so no restart found its own entry and lease again and paid three calls; a key that the store took away while its lease stood was not written anew. Tests for both fail without the change. The datagram port is closed at a stop.

--- a/tests/test_vm_core.py
+++ b/tests/test_vm_core.py
@@ -17,9 +17,7 @@
 def build_vm(
     name: str, zone: str = "z-1", region: str = "r-1", capacity: float = 1.0
 ) -> fleet.VmEntry:
-    return fleet.VmEntry(
-        name, "i", region, zone, f"{name}:1", f"{name}:2", capacity
-    )
+    return fleet.VmEntry(name, region, zone, f"{name}:1", f"{name}:2", capacity)
 
 
 def build_target(
--- a/tests/test_vm_feeds.py
+++ b/tests/test_vm_feeds.py
@@ -119,17 +119,30 @@
         await vms.start_target("t-5", "reads", "zone-a")
         await fleet.wait_for(lambda: knows(vms.vms[follower], "t-5"))
 
-    async def test_lost_lease_is_taken_anew(
+    async def test_entry_that_was_taken_away_is_written_anew(
         self, vms: vm_fleet.VmFleet
     ) -> None:
-        vm = await vms.start_vm("vm-1")
-        await fleet.wait_for(lambda: b"vms/vm-1" in vms.store.records)
-        lease = vms.store.records[b"vms/vm-1"].lease
-        await vms.store._end_lease(lease)
-        vm._registration._lease = lease
-        task = asyncio.create_task(vm._registration.keep(None, 0))
+        await vms.start_vm("vm-1")
+        records = vms.store.records
+        await fleet.wait_for(lambda: b"vms/vm-1" in records)
+        await vms.store._end_lease(records[b"vms/vm-1"].lease)
+        assert b"vms/vm-1" not in records
+        await fleet.wait_for(lambda: b"vms/vm-1" in records)
+        # The lease may stand though its key is gone.
+        await vms.store.put("vms/vm-1", None)
+        await fleet.wait_for(lambda: b"vms/vm-1" in records)
+
+    async def test_restart_keeps_the_registration(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await vms.start_vm("vm-1")
         await fleet.wait_for(lambda: b"vms/vm-1" in vms.store.records)
-        task.cancel()
+        entry = vms.store.records[b"vms/vm-1"]
+        await vms.kill_vm("vm-1")
+        vm = await vms.start_vm("vm-1")
+        await fleet.wait_for(lambda: vm._registration._lease > 0)
+        assert vm._registration._lease == entry.lease
+        assert vms.store.records[b"vms/vm-1"] is entry
 
 
 class TestLostFeeders:
--- a/wigeonspool/model/fleet.py
+++ b/wigeonspool/model/fleet.py
@@ -143,20 +143,16 @@
 
     Attributes:
         name: Unique name.
-        incarnation: Identity of this run of its process.
         region: Region of its zone.
         zone: Availability zone.
         address: host:port for callers.
         peer_address: host:port for other VMs.
         capacity: What it can carry, in cores.
-        leaving: True if it was asked to stop.
     """
 
     name: str
-    incarnation: str
     region: str
     zone: str
     address: str
     peer_address: str
     capacity: float = 1.0
-    leaving: bool = False
--- a/wigeonspool/platform/changes.py
+++ b/wigeonspool/platform/changes.py
@@ -15,7 +15,6 @@
 
 
 class _Vm(msgspec.Struct, array_like=True):
-    incarnation: str
     region: str
     zone: str
     address: str
@@ -77,7 +76,6 @@
         return None
     return fleet.VmEntry(
         name,
-        found.incarnation,
         found.region,
         found.zone,
         found.address,
@@ -89,7 +87,6 @@
 def encode_vm(entry: fleet.VmEntry) -> tuple[str, bytes]:
     """Returns the key and the value under which a VM registers itself."""
     found = _Vm(
-        entry.incarnation,
         entry.region,
         entry.zone,
         entry.address,
--- a/wigeonspool/vm/asking.py
+++ b/wigeonspool/vm/asking.py
@@ -28,6 +28,8 @@
 REMOTE_SECONDS: Final = 0.15
 # Once one has answered, others may take this much longer.
 PATIENCE_SECONDS: Final = 0.004
+# Until a service is configured; few targets use another.
+DEFAULT_HEALTH_PATH: Final = "/health"
 # Failures change over seconds, so what is typical is not counted each time.
 TYPICAL_SECONDS: Final = 0.1
 
@@ -246,12 +248,9 @@
         """
         protocol = channel.protocol
         transport = channel.transport
-        service = self._known.configuration
-        path = "/health"
-        if service is not None and row.entry.service in service.services:
-            path = service.services[row.entry.service].health_path
         if transport is None:
             return None
+        path = self._find_health_path(row.entry.service)
         protocol.set_response_params(
             read_until_eof=False, auto_decompress=False
         )
@@ -260,18 +259,24 @@
         try:
             while True:
                 message, content = await protocol.read()
-                body = await content.read()
+                await content.read()
                 report = self._words.read_report(message.code, message.headers)
-                # An answer with no load is one that came late, or a refusal.
+                # Any other answer came late and belongs to an earlier request.
                 if report.slots or report.identity:
                     break
-                del body
         except http.HttpProcessingError as error:
             raise aiohttp.ClientPayloadError(repr(error)) from error
         if not channels.note_keep_alive(channel, message.headers):
             return None
         return report
 
+    def _find_health_path(self, service: str) -> str:
+        """Returns the path at which the targets of a service tell of load."""
+        configuration = self._known.configuration
+        if configuration is None or service not in configuration.services:
+            return DEFAULT_HEALTH_PATH
+        return configuration.services[service].health_path
+
     def _weigh(
         self,
         row: knowledge.TargetRow,
--- a/wigeonspool/vm/registering.py
+++ b/wigeonspool/vm/registering.py
@@ -61,6 +61,7 @@
         self._is_source = is_source
         self._on_lost = on_lost
         self._lease = 0
+        self._renew_at = 0.0
         self._failures = failures.FailureLog("registration")
 
     async def tell(self, key: str) -> None:
@@ -82,12 +83,18 @@
         if held == self._entry:
             self._lease = lease
         loop = asyncio.get_running_loop()
-        renew_at = loop.time()
         while True:
-            if loop.time() >= renew_at or self._is_source():
-                renew_at = loop.time() + await self._renew()
+            if loop.time() >= self._renew_at or self._is_source():
+                self._renew_at = float("inf")
+                seconds = await self._renew()
+                self._renew_at = min(self._renew_at, loop.time() + seconds)
             await asyncio.sleep(CHECK_SECONDS)
 
+    def note_lost(self) -> None:
+        """Registers this VM anew, since its entry is gone from the store."""
+        self._lease = 0
+        self._renew_at = 0.0
+
     async def _renew(self) -> float:
         """Renews the registration; returns after how long to do it again."""
         try:
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -81,9 +81,10 @@
         self._writer = writer
         self._known = knowledge.Knowledge()
         self._runners: list[web.ServerRunner] = []
+        self._busy = 0.0
+        self._spent = time.process_time()
         self._own = fleet.VmEntry(
             name=settings.vm,
-            incarnation=secrets.token_hex(4),
             region=settings.region,
             zone=settings.zone,
             address=settings.callers,
@@ -95,7 +96,8 @@
         """Opens the ports and begins to follow the store."""
         self._build_parts()
         host, _, port = self._own.peer_address.rpartition(":")
-        await asyncio.get_running_loop().create_datagram_endpoint(
+        loop = asyncio.get_running_loop()
+        self._datagrams, _ = await loop.create_datagram_endpoint(
             lambda: self._life, local_addr=(host, int(port))
         )
         self._callers = await process.serve_http(
@@ -116,7 +118,7 @@
         log.info(
             "started",
             callers=self._settings.callers,
-            incarnation=self._own.incarnation,
+            incarnation=secrets.token_hex(4),
         )
 
     def _build_parts(self) -> None:
@@ -195,12 +197,13 @@
             ready=self._book.is_ready(),
         )
 
-    _busy = 0.0
-
     def _note_news(self, item: sources.Item) -> None:
         """Logs what changed of what this VM knows, and tells followers."""
         self._feeder.note(item)
         belief.info("changed", key=item.key, revision=item.revision)
+        own_key, _ = changes.encode_vm(self._own)
+        if item.key == own_key and item.value is None:
+            self._registration.note_lost()
 
     def _list_vms(self) -> list[fleet.VmEntry]:
         """Returns this VM and all that are not known to be away."""
@@ -274,30 +277,30 @@
     async def _keep_ticking(self) -> None:
         """Runs what depends on time alone."""
         loop = asyncio.get_running_loop()
-        used = time.process_time()
-        ping_at = loop.time()
-        pulse_at = loop.time()
+        ping_at = pulse_at = loop.time()
         while not self.should_stop:
             await asyncio.sleep(TICK_SECONDS)
             if self._pauses.tick(time.monotonic()):
                 await self._resume()
             now = loop.time()
             self._feeder.tell()
+            for identity in self._known.drop_doubted(now):
+                belief.info("target did not come back", target=identity)
             if now >= pulse_at:
                 pulse_at = now + feeding.PULSE_SECONDS
                 self._feeder.pulse()
-            for identity in self._known.drop_doubted(now):
-                belief.info("target did not come back", target=identity)
-            if now < ping_at:
-                continue
-            ping_at = now + pinging.PING_SECONDS
-            self._life.ping()
-            self._pool.drop_idle()
-            spent = time.process_time()
-            self._busy = (spent - used) / (
-                pinging.PING_SECONDS * self._settings.capacity
-            )
-            used = spent
+            if now >= ping_at:
+                ping_at = now + pinging.PING_SECONDS
+                self._life.ping()
+                self._pool.drop_idle()
+                self._measure_busy()
+
+    def _measure_busy(self) -> None:
+        """Takes what part of its capacity this VM used since last time."""
+        spent = time.process_time()
+        share = (spent - self._spent) / pinging.PING_SECONDS
+        self._spent = spent
+        self._busy = share / self._settings.capacity
 
     async def _resume(self) -> None:
         """Takes up work after this process did not run for a while."""
@@ -361,6 +364,7 @@
         except TimeoutError:
             log.warning("ports were closed with connections open")
         self._feeder.close()
+        self._datagrams.close()
         self._pool.close()
         await self._store.close()
 
