--- a/tests/test_vm_feeds.py
+++ b/tests/test_vm_feeds.py
@@ -1,6 +1,7 @@
 """How entry VMs learn: from the store, from each other, after outages."""
 
 import asyncio
+import dataclasses
 
 from tests import fleet
 from tests import vm_fleet
@@ -104,6 +105,23 @@
         await fleet.wait_for(lambda: knows(vm, "t-5"))
         assert not knows(vm, "t-1")
 
+    async def test_vm_that_starts_without_the_store_learns_from_a_seed(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await vms.start_vm("vm-1")
+        first = vms.settings["vm-1"]
+        vms.store.faults.down = True
+        await vms.store._notify()
+        # Ports are the same on all VMs of a deployment.
+        vms.settings["vm-2"] = dataclasses.replace(
+            vm_fleet.build_boot("vm-2", "zone-a", vms.store_address),
+            ip="127.0.0.2",
+            first_free_port=first.first_free_port,
+            seeds=(f"{first.ip}:1",),
+        )
+        await vms.start_vm("vm-2")
+        assert (await vms.send("vm-2", "/read/1"))[0] == 200
+
     async def test_vm_that_is_turned_away_learns_from_another(
         self, vms: vm_fleet.VmFleet
     ) -> None:
