--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -36,11 +36,7 @@
 from wigeonspool.wire import proofs
 from wigeonspool.wire import senders
 
-# Who is told of members and of the VM list.
-NEAR: Final = (senders.GATEWAY, senders.AGENT)
 DRAIN_POLL_SECONDS: Final = 0.05
-# A report passes this agent, a feeder and another agent, and then some slack.
-HEARTBEATS_TO_TELL: Final = 4
 
 
 class AgentService(process.DrainingService):
@@ -119,7 +115,7 @@
             settings,
             self._session,
             self._upstreams,
-            lambda known: self._hub.send(NEAR, known),
+            lambda known: self._hub.send(senders.NEAR, known),
             self._feeder.run,
         )
         await self._hub.start(settings.agent.listen)
@@ -138,7 +134,7 @@
         settings = self._settings
         give_up_at = self._now() + settings.gateway.drain_seconds
         leave_at = self._now() + (
-            HEARTBEATS_TO_TELL * settings.agent.heartbeat_seconds
+            senders.HEARTBEATS_TO_TELL * settings.agent.heartbeat_seconds
         )
         loguru.logger.info("draining; gateways are waited for")
         while self._now() < give_up_at:
@@ -255,7 +251,7 @@
 
     def _send_all(self, message: messages.Message) -> None:
         """Sends a message to all processes that are connected."""
-        self._hub.send((*NEAR, senders.REMOTE), message)
+        self._hub.send((*senders.NEAR, senders.REMOTE), message)
         self._upstreams.send(message)
 
     def _find_generation(self) -> int:
@@ -297,7 +293,7 @@
             pulse = messages.Pulse(
                 self._state.tables.generation, self._state.tables.digest
             )
-            self._hub.send_pulse(NEAR, pulse)
+            self._hub.send_pulse(senders.NEAR, pulse)
             if self._is_remote_due():
                 self._hub.send_pulse((senders.REMOTE,), pulse)
             await self.sleep(self._settings.agent.heartbeat_seconds)
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -28,12 +28,11 @@
 from wigeonspool.model import messages
 from wigeonspool.model import options
 from wigeonspool.wire import proofs
+from wigeonspool.wire import senders
 
 POLL_SECONDS: Final = 0.01
 REPORT_SECONDS: Final = 0.25
 RECONNECT_SECONDS: Final = 0.2
-# A report passes this agent, a feeder and another agent, and then some slack.
-HEARTBEATS_TO_TELL: Final = 4
 # Ports close after no request came for this long, so that none is on its way.
 QUIET_SECONDS: Final = 0.25
 
@@ -248,7 +247,7 @@
         loop = asyncio.get_running_loop()
         keep_seconds = self._settings.gateway.answer_seconds
         told_at = loop.time() + (
-            HEARTBEATS_TO_TELL * self._settings.agent.heartbeat_seconds
+            senders.HEARTBEATS_TO_TELL * self._settings.agent.heartbeat_seconds
         )
         refuse_at = (loop.time() + give_up_at) / 2
         while loop.time() < refuse_at:
--- a/wigeonspool/wire/senders.py
+++ b/wigeonspool/wire/senders.py
@@ -19,9 +19,13 @@
 OPERATOR: Final = "operator"
 # An agent of another region that wants the tables, but no members.
 REMOTE: Final = "remote"
-# It beats once in so many heartbeats, and may be silent for longer.
+# Who is told of members and of the VM list.
+NEAR: Final = (GATEWAY, AGENT)
+# A remote agent beats once in so many heartbeats, and may be silent for longer.
 REMOTE_BEATS: Final = 4
 REMOTE_SILENCE_FACTOR: Final = 3
+# A report passes its agent, a feeder and another agent, and then some slack.
+HEARTBEATS_TO_TELL: Final = 4
 ROLES: Final = frozenset({AGENT, GATEWAY, OPERATOR, REMOTE})
 
 SENDERS: Final[dict[type[messages.Message], frozenset[str]]] = {
