--- a/tests/vm_fleet.py
+++ b/tests/vm_fleet.py
@@ -12,6 +12,7 @@
 from tests import fleet
 from tests import pipes
 from wigeonspool.model import boot
+from wigeonspool.platform.standin import main as standins
 from wigeonspool.platform.standin import store as stores
 from wigeonspool.platform.standin import target as targets
 from wigeonspool.vm import service
@@ -67,6 +68,29 @@
     }
 
 
+def build_configuration(
+    version: int,
+    rules: list[Any],
+    host: str = HOST,
+    head_time: str = "3000ms",
+) -> dict[str, Any]:
+    """Returns a configuration as operators write it."""
+    return {
+        "ConfigVersion": version,
+        "Limits": {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 1_000_000,
+            "HeaderTimeout": head_time,
+            "IdleTimeout": "15000ms",
+        },
+        "Listeners": [{"Host": host, "Policy": rules}],
+        "Upstreams": [
+            {"Name": n, "HealthPath": "/health", "MaxConns": 100}
+            for n in ("other", "reads", "writes")
+        ],
+    }
+
+
 class VmFleet:
     """What a test needs to play a small deployment."""
 
@@ -119,21 +143,7 @@
     async def configure(self, rules: list[Any], host: str = HOST) -> int:
         """Writes a configuration; returns its version."""
         self.version += 3
-        services = {"reads", "writes", "other"}
-        document = {
-            "ConfigVersion": self.version,
-            "Limits": {
-                "MaxHeaderBytes": 16384,
-                "MaxBodyBytes": 1_000_000,
-                "HeaderTimeout": "3000ms",
-                "IdleTimeout": "15000ms",
-            },
-            "Listeners": [{"Host": host, "Policy": rules}],
-            "Upstreams": [
-                {"Name": n, "HealthPath": "/health", "MaxConns": 100}
-                for n in sorted(services)
-            ],
-        }
+        document = build_configuration(self.version, rules, host)
         await self.store.put("op/config", json.dumps(document).encode())
         return self.version
 
@@ -158,17 +168,7 @@
     async def register(self, identity: str, state: str = "ready") -> None:
         """Writes the entry of a target."""
         name, zone, address = self._addresses[identity]
-        entry = {
-            "Address": address,
-            "Info": {
-                "Service": name,
-                "ConfigVersion": "v1",
-                "Zone": zone,
-                "Slots": 4,
-            },
-            "Status": {"State": state, "Seq": 1, "Cold_time": "0ms"},
-            "born": 1_700_000_000_000,
-        }
+        entry = standins.build_entry(address, name, zone, state)
         key = f"servers/{identity}"
         await self.store.put(key, json.dumps(entry).encode())
 
--- /dev/null
+++ b/wigeonspool/platform/standin/main.py
@@ -0,0 +1,129 @@
+"""Command line of the platform's stand-ins, which tests use."""
+
+import asyncio
+import base64
+import json
+import signal
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+import cyclopts
+
+from wigeonspool.platform.standin import store as stores
+from wigeonspool.platform.standin import target as targets
+
+app = cyclopts.App(
+    name="wigeonspool-platform-standin",
+    help="Small stand-ins for a platform and its targets. Not for use.",
+)
+
+
+async def _wait_for_signal() -> None:
+    """Waits until a signal asks to stop."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await stop.wait()
+
+
+@app.command
+def store(address: str) -> None:
+    """Runs the store; faults are set by POST /faults.
+
+    Args:
+        address: host:port to listen on.
+    """
+
+    async def run() -> None:
+        standin = stores.PlatformStore()
+        expiring = asyncio.create_task(standin.expire_leases())
+        runner = web.AppRunner(standin.build_app(), shutdown_timeout=0.1)
+        await runner.setup()
+        host, _, port = address.rpartition(":")
+        await web.TCPSite(runner, host, int(port)).start()
+        await _wait_for_signal()
+        expiring.cancel()
+        await runner.cleanup()
+
+    asyncio.run(run())
+
+
+@app.command
+def target(
+    address: str, identity: str, service: str, zone: str, store_address: str
+) -> None:
+    """Runs a target that registers itself; POST /faults sets its faults.
+
+    Args:
+        address: host:port to listen on.
+        identity: Identity of the target.
+        service: Service that it belongs to.
+        zone: Availability zone.
+        store_address: host:port of the store.
+    """
+
+    async def run() -> None:
+        standin = targets.PlatformTarget(identity)
+        await standin.start(address)
+        entry = build_entry(address, service, zone)
+        await write_key(store_address, f"servers/{identity}", entry)
+        await _wait_for_signal()
+
+    asyncio.run(run())
+
+
+def build_entry(
+    address: str, service: str, zone: str, state: str = "ready"
+) -> dict[str, Any]:
+    """Returns what a target writes of itself.
+
+    Args:
+        address: host:port of the target.
+        service: Service that it belongs to.
+        zone: Availability zone.
+        state: What it says of itself.
+    """
+    return {
+        "Address": address,
+        "Info": {
+            "Service": service,
+            "ConfigVersion": "v1",
+            "Zone": zone,
+            "Slots": 4,
+        },
+        "Status": {"State": state, "Seq": 1, "Cold_time": "0ms"},
+        "born": 1_700_000_000_000,
+    }
+
+
+async def write_key(address: str, key: str, value: dict[str, Any]) -> None:
+    """Writes a key of the store.
+
+    Args:
+        address: host:port of the store.
+        key: Key to write.
+        value: What it holds, before it is encoded.
+
+    Raises:
+        ClientResponseError: If the store refused it.
+    """
+    encoded = base64.b64encode(json.dumps(value).encode()).decode()
+    row = {"Key": key, "Value": encoded, "LeaseId": 0}
+    document = {"Expected": [], "Writes": [row], "Deletes": []}
+    url = f"http://{address}/v1/kv-txn"
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(url, json=document) as response,
+    ):
+        response.raise_for_status()
+
+
+def main() -> None:
+    """Entry point of the binary."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- a/wigeonspool/platform/standin/target.py
+++ b/wigeonspool/platform/standin/target.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import json
 import socket
 import struct
 from typing import Any, Final
@@ -144,6 +145,10 @@
         if path == "/health":
             self._answer_health(writer)
             return True
+        if path == "/faults":
+            self.faults = dataclasses.replace(self.faults, **json.loads(body))
+            writer.write(build_answer(200, {}, b""))
+            return True
         expected = fields.get("x-target-instance", self.identity)
         attempt = fields.get("x-attempt-id", "")
         if expected != self.identity or self.faults.full or not attempt:
