--- a/wigeonspool/vm/asking.py
+++ b/wigeonspool/vm/asking.py
@@ -28,7 +28,7 @@
 REMOTE_SECONDS: Final = 0.15
 # Once one has answered, others may take this much longer.
 PATIENCE_SECONDS: Final = 0.004
-# Until a service is configured; few targets use another.
+# Until a service is configured; the path that the platform's pages show.
 DEFAULT_HEALTH_PATH: Final = "/health"
 # Failures change over seconds, so what is typical is not counted each time.
 TYPICAL_SECONDS: Final = 0.1
--- a/wigeonspool/vm/channels.py
+++ b/wigeonspool/vm/channels.py
@@ -13,7 +13,8 @@
 
 from wigeonspool.gateway import connections
 
-# Targets close idle connections after about ten seconds unless they say so.
+# For targets that do not tell when they close an idle connection; a health
+# check proves the connection before its use anyway.
 IDLE_SECONDS: Final = 8.0
 # Taken off the idle time that a target announces, in whole seconds.
 IDLE_SLACK_SECONDS: Final = 1.0
--- a/wigeonspool/vm/choosing.py
+++ b/wigeonspool/vm/choosing.py
@@ -11,8 +11,8 @@
 
 # Targets asked for one request at a time.
 ASKED_AT_ONCE: Final = 3
-# The pace of a target changes about every 150 ms; asking more often than this
-# finds no new one.
+# The pace of a target changes several times a second; asking more often than
+# this mostly finds the same one.
 ASK_AGAIN_SECONDS: Final = 0.02
 # Health checks for one request; each costs a part of what it is worth.
 MOST_ASKED: Final = 30
