Divide slots by the demand that gateways will meet

Cause: a digest of demand is a heartbeat old while its division of slots is in force, and callers follow a changed crew over the life of their answers. After the first crest the crew shrinks from ten gateways to three, and the three had a quarter of the slots that their callers soon needed. Now the callers that ask anew within a heartbeat are counted where they go, and a mean of service times no longer rests on its first sample for a hundred more.

--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -26,7 +26,7 @@
         view.gateways = {name: build_gateway(name) for name in ("g0", "g1")}
         signer = tokens.TokenSigner(["key-for-tests"])
         settings = options.GatewayOptions()
-        return addresses.AddressBook(ZONE, settings, view, signer), view
+        return addresses.AddressBook(ZONE, settings, view, signer, 0.5), view
 
     def test_all_pools_are_divided_at_first(self) -> None:
         book, _ = self.build()
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,6 +5,7 @@
 from wigeonspool.core import actions
 from wigeonspool.core import admission
 from wigeonspool.core import dispatcher
+from wigeonspool.core import learning
 from wigeonspool.core import tables
 from wigeonspool.model import entities
 from wigeonspool.model import outcomes
@@ -79,3 +80,13 @@
         failure = outcomes.doubt(outcomes.Reason.DEADLINE_UNREACHABLE)
         done = core.finish(1.1, 2, "t0:1", lost)
         assert done == [actions.Settle(2, failure)]
+
+
+class TestRouteTimes:
+    """What a gateway takes work to last after few answers."""
+
+    def test_the_first_answer_alone_does_not_stand_for_the_next(self) -> None:
+        times = learning.RouteTimes()
+        for seconds in (0.001, 0.020, 0.020, 0.020):
+            times.record(seconds)
+        assert times.mean == pytest.approx(0.01525)
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -68,6 +68,16 @@
         weights = sharing.weigh_gateways("queue", [new], [old, new])
         assert weights == {"g0": 1.0, "g1": 0.05}
 
+    def test_slots_go_ahead_to_where_callers_will_send(self) -> None:
+        # Three of four gateways are named no more; a quarter of the callers
+        # asks anew until the next digest.
+        gateways = build_gateways(4, 1000)
+        crew = gateways[:1]
+        behind = sharing.weigh_gateways("queue", crew, gateways)
+        assert set(behind.values()) == {0.25}
+        ahead = sharing.weigh_gateways("queue", crew, gateways, renewed=0.25)
+        assert ahead == {"g0": 0.5, "g1": 0.25, "g2": 0.25, "g3": 0.25}
+
     def test_noise_moves_no_slots(self) -> None:
         one, two = build_gateways(2, 1000)
         two = dataclasses.replace(two, demand={"queue": 1080.0})
--- a/wigeonspool/core/learning.py
+++ b/wigeonspool/core/learning.py
@@ -32,6 +32,7 @@
     __slots__ = (
         "_count",
         "_kept_until",
+        "_recorded",
         "_samples",
         "high",
         "is_long",
@@ -45,6 +46,7 @@
             1, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
         )
         self._count = 0
+        self._recorded = 0
         self._kept_until = 0.0
         self.mean = 0.0
         self.median = 0.0
@@ -54,13 +56,13 @@
     def record(self, seconds: float) -> None:
         """Takes the service time of one attempt."""
         self._count += 1
+        self._recorded += 1
         # Quantiles of many samples do not need each of them.
         if self._count <= DENSE_SAMPLES or not self._count % SPARSE_STEP:
             self._samples.record_value(max(1, int(seconds * 1e6)))
-        if self.mean:
-            self.mean += (seconds - self.mean) * MEAN_WEIGHT
-        else:
-            self.mean = seconds
+        # The first sample alone would stand for the next hundred.
+        weight = max(MEAN_WEIGHT, 1 / self._recorded)
+        self.mean += (seconds - self.mean) * weight
 
     def refresh(self, now: float) -> None:
         """Reads the quantiles; drops samples that are too old."""
--- a/wigeonspool/core/sharing.py
+++ b/wigeonspool/core/sharing.py
@@ -71,17 +71,21 @@
     pool: str,
     crew: Iterable[entities.Gateway],
     gateways: Iterable[entities.Gateway],
+    renewed: float = 0.0,
 ) -> dict[str, float]:
-    """Returns each gateway's part of a pool, by the demand that it meets.
+    """Returns each gateway's part of a pool, by the demand that it will meet.
 
     Callers keep old answers, so demand follows the crew late; a part that did
-    not follow demand would leave some gateways short of slots meanwhile.
+    not follow demand would leave some gateways short of slots meanwhile. A
+    digest tells of demand that is a heartbeat old while its division holds, so
+    the callers that ask anew within a heartbeat are counted where they go.
     Parts are rounded, so that noise moves no slots.
 
     Args:
         pool: Name of the pool.
         crew: Gateways that callers are told of now.
         gateways: All gateways of the zone.
+        renewed: Part of the callers that ask anew within a heartbeat.
     """
     members = {gateway.name for gateway in crew}
     demand = {g.name: g.demand.get(pool, 0.0) for g in gateways}
@@ -91,7 +95,9 @@
     mean = whole / max(1, len(members))
     weights = {}
     for name, met in demand.items():
-        weight = round(met / mean * STEPS_PER_PART) / STEPS_PER_PART
+        gained = mean if name in members else 0.0
+        expected = met + (gained - met) * renewed
+        weight = round(expected / mean * STEPS_PER_PART) / STEPS_PER_PART
         if name in members:
             weight = max(weight, LEAST_PART)
         if weight:
@@ -102,17 +108,21 @@
 class Crews:
     """Which gateways serve a pool in a zone, by demand."""
 
-    __slots__ = ("_carried", "_kept", "_least")
+    __slots__ = ("_carried", "_kept", "_least", "_renewed")
 
-    def __init__(self, carried: float, least: int) -> None:
+    def __init__(
+        self, carried: float, least: int, renewed: float = 0.0
+    ) -> None:
         """Prepares an empty table.
 
         Args:
             carried: Requests per second that one gateway carries.
             least: Fewest gateways of a pool and zone.
+            renewed: Part of the callers that ask anew within a heartbeat.
         """
         self._carried = carried
         self._least = least
+        self._renewed = min(1.0, renewed)
         self._kept: dict[tuple[str, str], int] = {}
 
     def find(
@@ -151,5 +161,5 @@
         crew = self.find(pool.name, zone, gateways)
         near = [gateway for gateway in gateways if gateway.zone == zone]
         near.sort(key=lambda gateway: gateway.name)
-        weights = weigh_gateways(pool.name, crew, near)
+        weights = weigh_gateways(pool.name, crew, near, self._renewed)
         return divide_slots(pool, zone, weights).get(name, {})
--- a/wigeonspool/gateway/addresses.py
+++ b/wigeonspool/gateway/addresses.py
@@ -24,6 +24,7 @@
         settings: options.GatewayOptions,
         view: views.FleetView,
         signer: tokens.TokenSigner,
+        heartbeat_seconds: float,
     ) -> None:
         """Prepares the book.
 
@@ -32,6 +33,7 @@
             settings: Lifetimes of answers and tokens.
             view: What is known of the fleet.
             signer: Signs assignment tokens.
+            heartbeat_seconds: Time between two digests of demand.
         """
         self._zone = zone
         self._settings = settings
@@ -41,7 +43,9 @@
         self._shape: object = None
         self._active: set[str] = set()
         self._crews = sharing.Crews(
-            settings.requests_per_second, settings.gateways_per_pool
+            settings.requests_per_second,
+            settings.gateways_per_pool,
+            heartbeat_seconds / settings.answer_seconds,
         )
 
     def divide_pools(self, name: str) -> dict[str, dict[str, int]]:
--- a/wigeonspool/gateway/ingress.py
+++ b/wigeonspool/gateway/ingress.py
@@ -101,7 +101,11 @@
         )
         signer = tokens.TokenSigner(settings.token_keys)
         self._addresses = addresses.AddressBook(
-            gateway.zone, settings.gateway, view, signer
+            gateway.zone,
+            settings.gateway,
+            view,
+            signer,
+            settings.agent.heartbeat_seconds,
         )
         self._runner = runners.RequestRunner(scheduler, client, log)
         self._pauses = pauses_monitor
--- a/wigeonspool/load/baselines.py
+++ b/wigeonspool/load/baselines.py
@@ -168,7 +168,11 @@
         self._gateways = {g.name: g for g in parties.list_gateways(experiment)}
         self._live = list(self._gateways.values())
         shape = experiment.gateways
-        self._crews = sharing.Crews(shape.requests_per_second, shape.least)
+        self._crews = sharing.Crews(
+            shape.requests_per_second,
+            shape.least,
+            shape.beat_ms / 1000 / experiment.answer_seconds,
+        )
         self._pool = entities.Pool(
             parties.POOL,
             experiment.targets.slots,
