Open the ports of a VM before its libraries are loaded

Now the ports are opened first, by a module that loads nothing slow; requests and address questions that come before the first read of the store wait for it, 0.4 s at most. What they waited is taken off their time, as after a pause. The collector no longer runs during the start; modules that the VM does not need (events, inquiries, the old gateways' tables) are not loaded by it any more. Ruled out: the first read of the store (12 ms) and the crowd that returns.

--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests import log_fakes
-from wigeonspool import process
+from wigeonspool import eventlog
 from wigeonspool.agent import configuration as states
 from wigeonspool.agent import follower as followers
 from wigeonspool.model import changes
@@ -171,7 +171,7 @@
         client = log_fakes.DirectClient(standin)
         self.log = configuration.ChangeLog(client, log_fakes.PREFIX)
         self.state = states.ConfigurationState()
-        self.events = process.EventLog(name)
+        self.events = eventlog.EventLog(name)
         self.generations: list[int] = []
         self.follower = followers.StoreFollower(
             client,
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests import fleet as fleets
-from wigeonspool import process
+from wigeonspool import eventlog
 from wigeonspool.core import choosing
 from wigeonspool.core import dispatcher
 from wigeonspool.core import explaining
@@ -157,7 +157,7 @@
 
 class TestRing:
     def test_requests_do_not_push_out_decisions(self) -> None:
-        log = process.EventLog("vm-0-0")
+        log = eventlog.EventLog("vm-0-0")
         log.record_decision(events.Kind.TARGET_CHOSEN, "a", "t", {})
         for _ in range(events.REQUEST_CAPACITY_EVENTS + 1):
             log.record(events.Kind.REQUEST_SENT, "b")
--- a/tests/test_home_machine.py
+++ b/tests/test_home_machine.py
@@ -18,7 +18,7 @@
 from multidict import CIMultiDict
 import pytest
 
-from wigeonspool import process
+from wigeonspool import eventlog
 from wigeonspool.core import once
 from wigeonspool.core import tables
 from wigeonspool.gateway import answers
@@ -90,7 +90,7 @@
         self.scheduler.configure([entities.Pool("pool", 1, listed)])
         client: Any = world
         runner = runners.RequestRunner(
-            self.scheduler, client, process.EventLog(name)
+            self.scheduler, client, eventlog.EventLog(name)
         )
         settings = options.GatewayOptions(
             once_capacity=4, once_answer_bytes=30, token_seconds=TOKEN_SECONDS
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -45,7 +45,9 @@
 class TestPage:
     @pytest.mark.parametrize("part", ["agent", "gateway", "vm"])
     def test_page_lists_what_the_process_exports(self, part: str) -> None:
-        exported = list_exported(f"wigeonspool.{part}.main")
+        # A VM opens its ports first, and loads its service only then.
+        module = "service" if part == "vm" else "main"
+        exported = list_exported(f"wigeonspool.{part}.{module}")
         assert exported
         assert list_documented(f"wigeonspool_{part}_") == exported
 
--- a/tests/test_vm_process.py
+++ b/tests/test_vm_process.py
@@ -6,16 +6,24 @@
 import os
 import pathlib
 import signal
+import subprocess
 import sys
 from typing import Any
 
+from aiohttp import web
 import pytest
 import pytest_asyncio
 
 from tests import fleet
 from tests import vm_fleet
+from wigeonspool import listening
+from wigeonspool import process
+from wigeonspool.core import knowledge
 from wigeonspool.model import boot
+from wigeonspool.model import fleet as fleet_model
+from wigeonspool.platform import ports
 from wigeonspool.vm import journal
+from wigeonspool.vm import starting
 
 pytestmark = pytest.mark.processes
 
@@ -194,16 +202,106 @@
     ) -> None:
         path = tmp_path / "local.toml"
         path.write_text("[Self]\nNode = 3\n", encoding="utf-8")
-        process = await asyncio.create_subprocess_exec(
+        ended = await asyncio.create_subprocess_exec(
             *(sys.executable, "-m", "wigeonspool.vm.main"),
             env=os.environ | {"WIGEONSPOOL_BOOT": str(path)},
             stderr=asyncio.subprocess.PIPE,
         )
-        _, errors = await process.communicate()
-        assert process.returncode == 2
+        _, errors = await ended.communicate()
+        assert ended.returncode == 2
         assert str(path).encode() in errors
 
 
+class TestStart:
+    """Callers who connect while the libraries of a process are loaded."""
+
+    def test_ports_open_before_libraries_are_loaded(self) -> None:
+        code = "import sys, wigeonspool.vm.main; print(*sys.modules)"
+        command = [sys.executable, "-c", code]
+        found = subprocess.run(command, capture_output=True, check=True)
+        loaded = found.stdout.decode().split()
+        slow = {"aiohttp", "asyncio", "loguru", "mode", "msgspec", "uvloop"}
+        assert "wigeonspool.listening" in loaded
+        assert not slow & set(loaded)
+
+    async def test_they_wait_and_are_answered(
+        self, vms: vm_fleet.VmFleet, tmp_path: pathlib.Path
+    ) -> None:
+        settings = vm_fleet.build_boot("vm-1", "zone-a", vms.store_address)
+        vms.settings["vm-1"] = settings
+        path = tmp_path / "local.toml"
+        write_settings(path, settings, "3s")
+        started = VmProcess(vms, path)
+        await started.start()
+        host, _, port = settings.callers.rpartition(":")
+        async with asyncio.timeout(10):
+            while True:
+                try:
+                    _, writer = await asyncio.open_connection(host, int(port))
+                    break
+                except ConnectionRefusedError:
+                    await asyncio.sleep(0.002)
+        assert not started.tells("started")
+        writer.close()
+        asked = asyncio.create_task(vms.resolve("vm-1", "zone-a"))
+        status, _, _ = await vms.send("vm-1", "/read/1")
+        assert status == 200
+        assert await asked == [settings.callers]
+        await started.end()
+
+    def test_unreadable_settings_open_no_port(
+        self, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        path = tmp_path / "local.toml"
+        monkeypatch.setenv("WIGEONSPOOL_BOOT", str(path))
+        assert ports.list_ports() == []
+        for text in ("[Network", "Network = 3", "[Network]\nListen = []"):
+            path.write_text(text, encoding="utf-8")
+            assert ports.list_ports() == []
+        path.write_text(
+            '[Network.Listen]\nEdgeAddr = "h:1"\nDirectory = "h:x"\n',
+            encoding="utf-8",
+        )
+        assert ports.list_ports() == ["h:1"]
+
+    async def test_port_that_is_taken_is_told_by_its_server(self) -> None:
+        address = fleet.reserve_address()
+        taken = listening.open_listener(address)
+        opened = listening.Listeners([address])
+        assert list(opened.failures) == [address]
+        with pytest.raises(OSError):
+            server = web.Server(lambda request: web.Response())
+            await process.serve_http(address, server, opened.take(address))
+        taken.close()
+
+
+class TestStartGate:
+    """What arrives before the configuration is known."""
+
+    async def test_it_waits_for_the_first_read(self) -> None:
+        known = knowledge.Knowledge()
+        gate = starting.StartGate(known)
+        waiting = asyncio.create_task(gate.wait())
+        await asyncio.sleep(0.01)
+        gate.note_news()
+        await asyncio.sleep(0.01)
+        assert not waiting.done()
+        known.configuration = fleet_model.Configuration(
+            1, {}, {}, fleet_model.CallerLimits()
+        )
+        gate.note_news()
+        await asyncio.wait_for(waiting, 0.1)
+
+    async def test_it_waits_no_longer_than_the_first_read_takes(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(starting, "FIRST_READ_SECONDS", 0.02)
+        gate = starting.StartGate(knowledge.Knowledge())
+        await asyncio.wait_for(gate.wait(), 0.5)
+        # Whoever comes later is told at once.
+        await asyncio.wait_for(gate.wait(), 0.005)
+
+
 class TestLineWriter:
     def read_all(self, descriptor: int) -> bytes:
         os.set_blocking(descriptor, False)
--- a/wigeonspool/agent/feeding.py
+++ b/wigeonspool/agent/feeding.py
@@ -7,8 +7,8 @@
 import aiohttp
 import loguru
 
+from wigeonspool import eventlog
 from wigeonspool import failures
-from wigeonspool import process
 from wigeonspool.agent import configuration
 from wigeonspool.agent import directory as directories
 from wigeonspool.agent import follower
@@ -44,7 +44,7 @@
         identity: str,
         session: aiohttp.ClientSession,
         state: configuration.ConfigurationState,
-        event_log: process.EventLog,
+        event_log: eventlog.EventLog,
         on_change: Callable[[], None],
         tell: Callable[[measurements.ProbeResult], None],
     ) -> None:
--- a/wigeonspool/agent/follower.py
+++ b/wigeonspool/agent/follower.py
@@ -7,8 +7,8 @@
 
 import loguru
 
+from wigeonspool import eventlog
 from wigeonspool import failures
-from wigeonspool import process
 from wigeonspool.agent import configuration
 from wigeonspool.model import errors
 from wigeonspool.model import events
@@ -33,7 +33,7 @@
         client: stores.StoreClient,
         log: logs.ChangeLog,
         state: configuration.ConfigurationState,
-        event_log: process.EventLog,
+        event_log: eventlog.EventLog,
         writer: str,
         on_change: Callable[[], None],
         find_rank: Callable[[], int | None],
--- a/wigeonspool/agent/hub.py
+++ b/wigeonspool/agent/hub.py
@@ -7,7 +7,7 @@
 
 import loguru
 
-from wigeonspool import process
+from wigeonspool import eventlog
 from wigeonspool.agent import configuration
 from wigeonspool.agent import gathering
 from wigeonspool.agent import metrics
@@ -66,7 +66,7 @@
         state: configuration.ConfigurationState,
         callbacks: Callbacks,
         silence_seconds: float,
-        log: process.EventLog,
+        log: eventlog.EventLog,
     ) -> None:
         """Prepares the hub.
 
--- a/wigeonspool/agent/publishing.py
+++ b/wigeonspool/agent/publishing.py
@@ -1,6 +1,6 @@
 """Publishes what the parts of an agent count."""
 
-from wigeonspool import process
+from wigeonspool import eventlog
 from wigeonspool.agent import feeding
 from wigeonspool.agent import hub
 from wigeonspool.agent import metrics
@@ -9,7 +9,7 @@
 def publish(
     generation: int,
     served: hub.Hub,
-    log: process.EventLog,
+    log: eventlog.EventLog,
     feeder: feeding.Feeder,
     members: int,
 ) -> None:
--- a/wigeonspool/agent/receiver.py
+++ b/wigeonspool/agent/receiver.py
@@ -4,7 +4,7 @@
 
 import loguru
 
-from wigeonspool import process
+from wigeonspool import eventlog
 from wigeonspool.agent import configuration
 from wigeonspool.model import errors
 from wigeonspool.model import events
@@ -17,7 +17,7 @@
     def __init__(
         self,
         state: configuration.ConfigurationState,
-        event_log: process.EventLog,
+        event_log: eventlog.EventLog,
         on_change: Callable[[], None],
     ) -> None:
         """Prepares the receiver.
--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -13,6 +13,7 @@
 import loguru
 import mode
 
+from wigeonspool import eventlog
 from wigeonspool import process
 from wigeonspool.agent import configuration
 from wigeonspool.agent import feeding
@@ -52,7 +53,7 @@
         self._settings = settings
         self._incarnation = secrets.token_hex(8)
         self._sequence = 0
-        self._log = process.EventLog(f"{settings.vm}-agent")
+        self._log = eventlog.EventLog(f"{settings.vm}-agent")
         self._state = configuration.ConfigurationState()
         silence = settings.agent.silence_seconds
         self._members = members.MemberTable(silence)
--- a/wigeonspool/agent/status.py
+++ b/wigeonspool/agent/status.py
@@ -9,7 +9,7 @@
 
 import loguru
 
-from wigeonspool import process
+from wigeonspool import eventlog
 from wigeonspool.agent import feeding
 from wigeonspool.model import entities
 from wigeonspool.model import errors
@@ -70,7 +70,7 @@
 
 
 def answer_question(
-    message: messages.Message, log: process.EventLog, feeder: feeding.Feeder
+    message: messages.Message, log: eventlog.EventLog, feeder: feeding.Feeder
 ) -> messages.Message | None:
     """Returns the answer to an operator, or None if it is no question.
 
--- a/wigeonspool/core/sharing.py
+++ b/wigeonspool/core/sharing.py
@@ -105,6 +105,38 @@
     return weights
 
 
+def choose_gateways(
+    pool: str,
+    zone: str,
+    gateways: Iterable[entities.Gateway],
+    count: int,
+) -> list[entities.Gateway]:
+    """Returns the gateways that serve a pool's callers of a zone.
+
+    They are few, since the best knowledge of a target is one's own count of
+    attempts there, and that is complete only if few send.
+
+    Args:
+        pool: Pool that the caller wants.
+        zone: Availability zone of the caller.
+        gateways: Live gateways.
+        count: Gateways wanted; they lie on different VMs if possible.
+    """
+    known = {g.name: g for g in gateways}
+    # If all are leaving, one that still serves is better than none.
+    live = {n: g for n, g in known.items() if not g.draining} or known
+    near = {n: g for n, g in live.items() if g.zone == zone}
+    candidates = near or live
+    ranked = assignments.rank_members(f"{pool}/{zone}", candidates)
+    chosen: list[entities.Gateway] = []
+    for name in ranked:
+        gateway = candidates[name]
+        if all(other.vm != gateway.vm for other in chosen):
+            chosen.append(gateway)
+    chosen += [candidates[n] for n in ranked if candidates[n] not in chosen]
+    return chosen[:count]
+
+
 class Crews:
     """Which gateways serve a pool in a zone, by demand."""
 
@@ -138,7 +170,7 @@
         kept = self._kept.get((pool, zone), self._least)
         count = count_gateways(demand, self._carried, self._least, kept)
         self._kept[(pool, zone)] = count
-        return assignments.choose_gateways(pool, zone, listed, count)
+        return choose_gateways(pool, zone, listed, count)
 
     def divide(
         self,
--- a/wigeonspool/gateway/explaining.py
+++ b/wigeonspool/gateway/explaining.py
@@ -4,7 +4,7 @@
 import random
 from typing import Final
 
-from wigeonspool import process
+from wigeonspool import eventlog
 from wigeonspool.core import choosing
 from wigeonspool.core import explaining
 from wigeonspool.model import events
@@ -55,7 +55,7 @@
 
 
 def record_decision(
-    log: process.EventLog, explanation: explaining.Explanation
+    log: eventlog.EventLog, explanation: explaining.Explanation
 ) -> None:
     """Records a decision on the time line."""
     log.record_decision(
--- a/wigeonspool/gateway/home.py
+++ b/wigeonspool/gateway/home.py
@@ -21,6 +21,7 @@
 from wigeonspool.gateway import forwarding
 from wigeonspool.gateway import headers
 from wigeonspool.gateway import incoming
+from wigeonspool.gateway import outgoing as outgoings
 from wigeonspool.gateway import proofs
 from wigeonspool.gateway import relay
 from wigeonspool.gateway import runner as runners
@@ -130,7 +131,7 @@
         body = await incoming.read_bounded(
             request, max(limit, now + incoming.LEAST_BODY_SECONDS)
         )
-        outgoing = incoming.build_outgoing(request, request_id, body, limit)
+        outgoing = outgoings.build_outgoing(request, request_id, body, limit)
         if assignment.home != self._gateway.name:
             # What the key stood for first may have run at its home.
             if isinstance(deadline, outcomes.Failure):
@@ -145,7 +146,7 @@
         sent = once.Presentation(
             assignment.caller,
             request.headers[headers.KEY],
-            incoming.digest_request(outgoing),
+            outgoings.digest_request(outgoing),
             assignment.expires_at,
             incoming.read_attempt(request),
         )
@@ -253,7 +254,7 @@
             route,
             outgoing.deadline,
             idempotent=False,
-            fingerprint=incoming.find_fingerprint(outgoing),
+            fingerprint=outgoings.find_fingerprint(outgoing),
         )
         guard = runners.OnceGuard(
             before_send=lambda: self._may_send(index, outgoing.deadline),
--- a/wigeonspool/gateway/incoming.py
+++ b/wigeonspool/gateway/incoming.py
@@ -2,17 +2,12 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-import hashlib
 import re
 from typing import Final
 
 import aiohttp
 from aiohttp import web
-from multidict import CIMultiDict
-import xxhash
 
-from wigeonspool.gateway import egress
-from wigeonspool.gateway import exchanges
 from wigeonspool.gateway import headers
 from wigeonspool.model import errors
 from wigeonspool.model import outcomes
@@ -159,44 +154,3 @@
     text = request.headers.get(headers.ATTEMPT, "")
     is_number = text.isascii() and text.isdecimal()
     return int(text) if is_number and len(text) <= ATTEMPT_DIGITS else 0
-
-
-def build_outgoing(
-    request: web.BaseRequest,
-    request_id: str,
-    body: exchanges.Body,
-    deadline: float,
-) -> egress.Outgoing:
-    """Returns what a target gets of a request."""
-    fields = CIMultiDict(
-        headers.list_end_to_end(request.headers, headers.NOT_FROM_CALLERS)
-    )
-    fields[headers.REQUEST] = request_id
-    if isinstance(body, BodyStream) and body.length is not None:
-        fields["Content-Length"] = str(body.length)
-    return egress.Outgoing(
-        request.method, request.raw_path, fields, body, deadline
-    )
-
-
-def digest_request(outgoing: egress.Outgoing) -> bytes:
-    """Returns a digest of what a request asks for."""
-    digest = hashlib.blake2b(digest_size=16)
-    digest.update(f"{outgoing.method} {outgoing.path}\n".encode())
-    if isinstance(outgoing.body, bytes):
-        digest.update(outgoing.body)
-    return digest.digest()
-
-
-def find_fingerprint(outgoing: egress.Outgoing) -> int:
-    """Returns a number that is equal for resends of the same request.
-
-    It names caller, method, path and a held body; the key and the identity
-    of a resend may be new.
-    """
-    hasher = xxhash.xxh3_64()
-    hasher.update(outgoing.fields.get(headers.CALLER, "").encode())
-    hasher.update(f"\n{outgoing.method} {outgoing.path}\n".encode())
-    if isinstance(outgoing.body, bytes):
-        hasher.update(outgoing.body)
-    return hasher.intdigest()
--- a/wigeonspool/gateway/ingress.py
+++ b/wigeonspool/gateway/ingress.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 from aioprometheus import histogram
 
-from wigeonspool import process
+from wigeonspool import eventlog
 from wigeonspool.core import once
 from wigeonspool.gateway import addresses
 from wigeonspool.gateway import answers
@@ -15,6 +15,7 @@
 from wigeonspool.gateway import headers
 from wigeonspool.gateway import home as homes
 from wigeonspool.gateway import incoming
+from wigeonspool.gateway import outgoing as outgoings
 from wigeonspool.gateway import pauses
 from wigeonspool.gateway import runner as runners
 from wigeonspool.gateway import scheduler as schedulers
@@ -70,7 +71,7 @@
         view: views.FleetView,
         scheduler: schedulers.Scheduler,
         client: egress.Egress,
-        log: process.EventLog,
+        log: eventlog.EventLog,
         pauses_monitor: pauses.PauseMonitor,
     ) -> None:
         """Prepares the ingress.
@@ -237,10 +238,10 @@
         if self._refusing:
             return outcomes.refuse(outcomes.Reason.DRAINING)
         body, held = await incoming.read_body(request, deadline)
-        outgoing = incoming.build_outgoing(request, request_id, body, deadline)
+        outgoing = outgoings.build_outgoing(request, request_id, body, deadline)
         # A body that is not held cannot be sent twice.
         row = self._runner.create_row(
-            route, deadline, held, incoming.find_fingerprint(outgoing)
+            route, deadline, held, outgoings.find_fingerprint(outgoing)
         )
         return await self._runner.run(row, outgoing, request_id, request)
 
--- a/wigeonspool/gateway/link.py
+++ b/wigeonspool/gateway/link.py
@@ -7,8 +7,8 @@
 
 import loguru
 
+from wigeonspool import eventlog
 from wigeonspool import failures
-from wigeonspool import process
 from wigeonspool.gateway import view as views
 from wigeonspool.model import changes
 from wigeonspool.model import errors
@@ -39,7 +39,7 @@
         address: str,
         hello: messages.Hello,
         view: views.FleetView,
-        log: process.EventLog,
+        log: eventlog.EventLog,
         on_change: Callable[[], None],
         on_suspect: Callable[[messages.Suspect], None],
         on_probe: Callable[[measurements.ProbeResult], None],
--- a/wigeonspool/gateway/pauses.py
+++ b/wigeonspool/gateway/pauses.py
@@ -22,11 +22,17 @@
 
     __slots__ = ("_age", "_ticked_at", "pauses")
 
-    def __init__(self, now: float) -> None:
-        """Starts at a time on the monotonic clock, in seconds."""
+    def __init__(self, now: float, age: float = 0.0) -> None:
+        """Starts at a time on the monotonic clock, in seconds.
+
+        Args:
+            now: That time.
+            age: How long data that is read first may have waited; `end_resume`
+                must follow after some turns of the event loop.
+        """
         self.pauses = 0
         self._ticked_at = now
-        self._age = 0.0
+        self._age = age
 
     def tick(self, now: float) -> bool:
         """Takes the time of a tick.
--- a/wigeonspool/gateway/runner.py
+++ b/wigeonspool/gateway/runner.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from wigeonspool import process
+from wigeonspool import eventlog
 from wigeonspool.core import actions
 from wigeonspool.core import once
 from wigeonspool.core import tables
@@ -43,7 +43,7 @@
         self,
         scheduler: schedulers.Scheduler,
         client: egress.Egress,
-        log: process.EventLog,
+        log: eventlog.EventLog,
     ) -> None:
         self._scheduler = scheduler
         self._client = client
--- a/wigeonspool/gateway/service.py
+++ b/wigeonspool/gateway/service.py
@@ -10,6 +10,7 @@
 import loguru
 import mode
 
+from wigeonspool import eventlog
 from wigeonspool import process
 from wigeonspool.gateway import egress
 from wigeonspool.gateway import explaining
@@ -60,7 +61,7 @@
         self._generation = 0
         self._leaving: frozenset[str] = frozenset()
         self._near_zones: set[str] = set()
-        self._log = process.EventLog(self._gateway.name)
+        self._log = eventlog.EventLog(self._gateway.name)
 
     async def on_start(self) -> None:
         """Opens the link to the agent and the callers' port."""
--- a/wigeonspool/gateway/watching.py
+++ b/wigeonspool/gateway/watching.py
@@ -3,7 +3,7 @@
 import dataclasses
 from typing import Final
 
-from wigeonspool import process
+from wigeonspool import eventlog
 from wigeonspool.core import tables
 from wigeonspool.gateway import scheduler as schedulers
 from wigeonspool.gateway import statuses
@@ -53,7 +53,7 @@
         self,
         view: views.FleetView,
         scheduler: schedulers.Scheduler,
-        log: process.EventLog,
+        log: eventlog.EventLog,
     ) -> None:
         """Prepares the watcher.
 
--- a/wigeonspool/load/cost.py
+++ b/wigeonspool/load/cost.py
@@ -9,7 +9,7 @@
 import tracemalloc
 from typing import Final
 
-from wigeonspool import process
+from wigeonspool import eventlog
 from wigeonspool.core import dispatcher
 from wigeonspool.core import routing
 from wigeonspool.core import tables
@@ -66,7 +66,7 @@
         self._path = f"/r{count - 1}/comments?page=2"
         self._core = dispatcher.Dispatcher("ege-1")
         self._core.on_explained = functools.partial(
-            explaining.record_decision, process.EventLog("bench")
+            explaining.record_decision, eventlog.EventLog("bench")
         )
         self._core.configure([entities.Pool("pool", SLOTS, listed)])
         self._now = 0.0
--- a/wigeonspool/platform/settings.py
+++ b/wigeonspool/platform/settings.py
@@ -3,16 +3,14 @@
 import os
 import pathlib
 import tomllib
-from typing import Final
 
 import msgspec
 
 from wigeonspool.model import boot
 from wigeonspool.model import errors
+from wigeonspool.platform import ports
 from wigeonspool.platform import texts
 
-PATH_VARIABLE: Final = "WIGEONSPOOL_BOOT"
-
 
 class _Limits(msgspec.Struct, rename="pascal"):
     cpu_share: float = 1.0
@@ -85,9 +83,11 @@
     Raises:
         SettingsError: If the environment names none.
     """
-    path = os.environ.get(PATH_VARIABLE)
+    path = os.environ.get(ports.PATH_VARIABLE)
     if not path:
-        raise errors.SettingsError("environment", PATH_VARIABLE, "not set")
+        raise errors.SettingsError(
+            "environment", ports.PATH_VARIABLE, "not set"
+        )
     return pathlib.Path(path)
 
 
--- a/wigeonspool/process.py
+++ b/wigeonspool/process.py
@@ -1,8 +1,9 @@
-"""What every process does alike: metrics, events, start and stop."""
+"""What every process does alike: ports, metrics, start and stop."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 import signal
+import socket
 from typing import Final
 
 from aiohttp import web
@@ -10,94 +11,33 @@
 import mode
 import uvloop
 
-from wigeonspool.model import events
-from wigeonspool.model import inquiries
-from wigeonspool.wire import clocks
+from wigeonspool import listening
 
 EXIT_INVALID_SETTINGS: Final = 2
 CLOSE_SECONDS: Final = 0.5
 
 
-class EventLog:
-    """Stamps the events of this process and keeps the newest.
-
-    Attributes:
-        clock: Clock of this process; streams make it follow their peers.
-        ring: The newest events.
-    """
-
-    __slots__ = ("_process", "clock", "ring")
-
-    def __init__(self, process: str) -> None:
-        self._process = process
-        self.clock = clocks.HybridClock(process)
-        self.ring = events.Ring(process)
-
-    def record(
-        self,
-        kind: events.Kind,
-        request: str = "",
-        target: str = "",
-        vm: str = "",
-        detail: Mapping[str, str] | None = None,
-    ) -> None:
-        """Adds an event that happens now.
-
-        Args:
-            kind: What happened.
-            request: Identity of the request it is about, or "".
-            target: Address of the target it is about, or "".
-            vm: Name of the VM it is about, or "".
-            detail: Further facts by name; not changed afterwards.
-        """
-        entry = self._stamp(kind, request, target, vm, detail)
-        self.ring.append(entry)
-
-    def record_decision(
-        self, kind: events.Kind, request: str, target: str, detail: events.Facts
-    ) -> None:
-        """Adds a decision that is made now, with its reasons."""
-        entry = self._stamp(kind, request, target, "", detail)
-        self.ring.append_decision(entry)
-
-    def _stamp(
-        self,
-        kind: events.Kind,
-        request: str,
-        target: str,
-        vm: str,
-        detail: Mapping[str, str] | None,
-    ) -> events.Entry:
-        """Returns an event that happens now, as it is kept."""
-        clock = self.clock
-        clock.advance()
-        return events.Entry(
-            clock.wall_ms, clock.counter, kind, request, target, vm, detail
-        )
-
-    def build_reply(self, wanted: events.Filter) -> inquiries.EventsReply:
-        """Returns the events of this process that are wanted."""
-        return inquiries.EventsReply(
-            self._process,
-            tuple(self.ring.list_events(wanted)),
-            {self._process: self.ring.dropped},
-        )
-
-
-async def serve_http(address: str, server: web.Server) -> web.ServerRunner:
+async def serve_http(
+    address: str, server: web.Server, opened: socket.socket | None = None
+) -> web.ServerRunner:
     """Starts an HTTP server.
 
     Args:
         address: host:port to listen on.
         server: Its handler.
+        opened: The port, if it is open already.
 
     Returns:
         The runner that stops it.
+
+    Raises:
+        OSError: If the port cannot be opened.
     """
-    host, _, port = address.rpartition(":")
     runner = web.ServerRunner(server, shutdown_timeout=CLOSE_SECONDS)
     await runner.setup()
-    site = web.TCPSite(runner, host, int(port), backlog=1024)
+    if opened is None:
+        opened = listening.open_listener(address)
+    site = web.SockSite(runner, opened, backlog=listening.BACKLOG)
     await site.start()
     return runner
 
--- a/wigeonspool/vm/answering.py
+++ b/wigeonspool/vm/answering.py
@@ -12,6 +12,7 @@
 from wigeonspool.model import border
 from wigeonspool.model import fleet
 from wigeonspool.vm import pinging
+from wigeonspool.vm import starting
 
 # Callers learn within this time that a VM is gone; shorter answers cost more
 # questions than they save failures.
@@ -35,6 +36,7 @@
         known: knowledge.Knowledge,
         life: pinging.LifeProtocol,
         words: border.Addressing,
+        gate: starting.StartGate,
         publish: Callable[[], None] = lambda: None,
     ) -> None:
         """Prepares the book.
@@ -45,6 +47,7 @@
             known: What is known of other VMs.
             life: Knows which of them live.
             words: Protocol of the questions.
+            gate: Holds questions until the configuration is first known.
             publish: Brings the metrics up to date.
         """
         self.leaving = False
@@ -53,6 +56,7 @@
         self._known = known
         self._life = life
         self._words = words
+        self._gate = gate
         self._publish = publish
 
     def is_ready(self) -> bool:
@@ -71,6 +75,7 @@
         """Answers the address question."""
         if request.path != self._words.resolve_path:
             return web.Response(status=404)
+        await self._gate.wait()
         question = self._words.read_question(request.url)
         chosen = self.choose(question.zone or self._own.zone)
         if not chosen:
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 import mode
 
+from wigeonspool import listening
 from wigeonspool import process
 from wigeonspool.core import feeders
 from wigeonspool.core import knowledge
@@ -36,6 +37,7 @@
 from wigeonspool.vm import registering
 from wigeonspool.vm import running
 from wigeonspool.vm import serving
+from wigeonspool.vm import starting
 from wigeonspool.vm import upstream
 
 TICK_SECONDS: Final = 0.1
@@ -66,6 +68,7 @@
         settings: boot.Boot,
         path: pathlib.Path | None = None,
         writer: journal.LineWriter | None = None,
+        listeners: listening.Listeners | None = None,
     ) -> None:
         """Prepares the process.
 
@@ -73,12 +76,14 @@
             settings: Settings of the VM.
             path: File that they were read from, which may change.
             writer: Writes the log.
+            listeners: Ports that are open already.
         """
         super().__init__()
         self._settings = settings
         self._path = path
         self._written_at = read_written_at(path)
         self._writer = writer
+        self._listeners = listeners or listening.Listeners()
         self._known = knowledge.Knowledge()
         self._runners: list[web.ServerRunner] = []
         self._busy = 0.0
@@ -95,12 +100,14 @@
     async def on_start(self) -> None:
         """Opens the ports and begins to follow the store."""
         self._build_parts()
+        # Its first read of the store goes on while the ports are taken over.
+        self.add_future(self._follow())
         host, _, port = self._own.peer_address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._datagrams, _ = await loop.create_datagram_endpoint(
             lambda: self._life, local_addr=(host, int(port))
         )
-        self._callers = await process.serve_http(
+        self._callers = await self._serve(
             self._settings.callers,
             callers.CallerServer(self._service, self._known),
         )
@@ -109,18 +116,29 @@
             (self._settings.readiness, self._book.show_ready),
         ):
             server = web.Server(answer, access_log=None)
-            self._runners.append(await process.serve_http(address, server))
+            self._runners.append(await self._serve(address, server))
+        for address, error in self._listeners.failures.items():
+            log.warning("port was opened late", port=address, reason=str(error))
+        self._listeners.close()
         await self._feeder.start(self._own.peer_address)
-        self.add_future(self._follow())
         self.add_future(self._keep_upstream())
-        gc.collect()
+        self.add_future(self._end_resume())
+        # What is loaded stays for good, so no collection need look at it.
         gc.freeze()
+        gc.enable()
         log.info(
             "started",
             callers=self._settings.callers,
             incarnation=secrets.token_hex(4),
         )
 
+    async def _serve(
+        self, address: str, server: web.Server
+    ) -> web.ServerRunner:
+        """Starts a server on its port, which may be open already."""
+        opened = self._listeners.take(address)
+        return await process.serve_http(address, server, opened)
+
     def _build_parts(self) -> None:
         """Builds the parts; they need the running event loop."""
         settings = self._settings
@@ -150,7 +168,11 @@
         self._asker = asking.Asker(
             self._pool, self._known, border.BORDER, place
         )
-        self._pauses = pauses.PauseMonitor(time.monotonic())
+        # Those who connected while the libraries were loaded have waited for
+        # half of that time, on average.
+        waited = (time.monotonic() - self._listeners.opened_at) / 2
+        self._pauses = pauses.PauseMonitor(time.monotonic(), waited)
+        self._gate = starting.StartGate(self._known)
         self._runner = running.Runner(
             settings, self._known, self._asker, border.BORDER
         )
@@ -160,6 +182,7 @@
             self._runner,
             border.BORDER,
             self._pauses,
+            self._gate,
         )
         self._life = pinging.LifeProtocol(self._describe)
         self._book = answering.AddressBook(
@@ -168,6 +191,7 @@
             self._known,
             self._life,
             directory.ADDRESSING,
+            self._gate,
             metrics.VmMetrics(
                 self._service,
                 self._runner,
@@ -200,6 +224,7 @@
     def _note_news(self, item: sources.Item) -> None:
         """Logs what changed of what this VM knows, and tells followers."""
         self._feeder.note(item)
+        self._gate.note_news()
         belief.info("changed", key=item.key, revision=item.revision)
         own_key, _ = changes.encode_vm(self._own)
         if item.key == own_key and item.value is None:
@@ -306,6 +331,10 @@
         """Takes up work after this process did not run for a while."""
         log.warning("paused")
         self._life.forgive()
+        await self._end_resume()
+
+    async def _end_resume(self) -> None:
+        """Takes what is read after some turns to have arrived just then."""
         for _ in range(pauses.RESUME_TURNS):
             await asyncio.sleep(0)
         self._pauses.end_resume()
--- a/wigeonspool/vm/serving.py
+++ b/wigeonspool/vm/serving.py
@@ -20,6 +20,7 @@
 from wigeonspool.vm import journal
 from wigeonspool.vm import replies
 from wigeonspool.vm import running
+from wigeonspool.vm import starting
 from wigeonspool.vm import work as works
 
 log = journal.open_part("requests")
@@ -42,6 +43,7 @@
         runner: running.Runner,
         words: border.Border,
         pauses_monitor: pauses.PauseMonitor,
+        gate: starting.StartGate,
     ) -> None:
         """Prepares the service.
 
@@ -51,6 +53,7 @@
             runner: Sends requests to targets.
             words: Protocol of callers.
             pauses_monitor: Tells how long what is read now has waited.
+            gate: Holds requests until the configuration is first known.
         """
         self.in_flight = 0
         self.counts: dict[tuple[str, str], int] = {}
@@ -60,6 +63,7 @@
         self._runner = runner
         self._words = words
         self._pauses = pauses_monitor
+        self._gate = gate
         self._rotations: dict[str, weights.ShareRotation] = {}
         self._version = -1
         self._offset = xxhash.xxh3_64_intdigest(vm.encode()) / 2**64
@@ -100,6 +104,7 @@
     ) -> works.Work | outcomes.Failure:
         """Returns the work of a proper request, or why there is none."""
         arrived_at = self._loop.time() - self._pauses.find_age(time.monotonic())
+        await self._gate.wait()
         configuration = self._known.configuration
         if configuration is None:
             return outcomes.refuse(outcomes.Reason.NOT_CONFIGURED)
