Let work wait for free targets, and learn what last slots cost

Now a full target is the last resort; what a last slot costs is learned by service; what is late waits for a free and fast target, asking four times less often, unless none is fast; what waits together asks as often as one alone.

--- a/wigeonspool/core/estimates.py
+++ b/wigeonspool/core/estimates.py
@@ -93,7 +93,7 @@
 
 
 def estimate_stretch(
-    running: int, waiting: int, slots: int, pace: float
+    running: int, waiting: int, slots: int, pace: float, last_slot: float = 1.0
 ) -> float:
     """Returns how many times longer than usual a new request would take.
 
@@ -102,9 +102,11 @@
         waiting: Requests that wait there.
         slots: Requests that it runs at once.
         pace: How many times longer than usual work takes there now.
+        last_slot: How many times longer work takes on its last slot.
     """
     slots = max(1, slots)
     over = running + waiting + 1 - slots
     queued = max(0, over) / slots
     crowd = CROWDING * min(running, slots) / slots
-    return pace * (1.0 + crowd + queued)
+    full = last_slot if over >= 0 else 1.0
+    return pace * max(1.0, full) * (1.0 + crowd + queued)
--- a/wigeonspool/vm/asking.py
+++ b/wigeonspool/vm/asking.py
@@ -16,6 +16,7 @@
 
 from wigeonspool.core import estimates
 from wigeonspool.core import knowledge
+from wigeonspool.core import occupancy
 from wigeonspool.core import patience
 from wigeonspool.model import border
 from wigeonspool.model import fleet
@@ -30,6 +31,9 @@
 PATIENCE_SECONDS: Final = 0.004
 # Until a service is configured; the path that the platform's pages show.
 DEFAULT_HEALTH_PATH: Final = "/health"
+# Targets change their pace within this time; where none was fast meanwhile,
+# none will be soon.
+FAST_SECONDS: Final = 0.3
 # Failures change over seconds, so what is typical is not counted each time.
 TYPICAL_SECONDS: Final = 0.1
 
@@ -97,6 +101,8 @@
         self._place = place
         self._loop = asyncio.get_running_loop()
         self._random = random.Random()
+        self._last_slots = occupancy.LastSlots()
+        self._fast_until: dict[str, float] = {}
         self._typical: dict[str, tuple[float, float]] = {}
 
     def list_candidates(
@@ -157,7 +163,8 @@
                 )
                 if not done:
                     break
-                offers += [o for task in done if (o := task.result())]
+                ended = [task for task in tasks if task in done]
+                offers += [o for task in ended if (o := task.result())]
                 if offers and give_up_at is None:
                     give_up_at = self._loop.time() + PATIENCE_SECONDS
         except BaseException:
@@ -167,9 +174,32 @@
             raise
         for task in waiting:
             task.add_done_callback(_give_back_late)
-        offers.sort(key=lambda offer: offer.prospect.cost)
+        offers.sort(key=rank_offer)
         return offers
 
+    def has_fast(self, service: str) -> bool:
+        """Returns True if some target of a service was fast lately."""
+        return self._fast_until.get(service, 0.0) > self._loop.time()
+
+    def learn_last_slot(
+        self, service: str, seconds: float, usual: float, offer: Offer
+    ) -> None:
+        """Takes the time of an answer, if it tells of a target's last slot.
+
+        Args:
+            service: Service of the target.
+            seconds: How long the answer took.
+            usual: How long it takes where slots are free.
+            offer: Offer of the target.
+        """
+        report = offer.report
+        slots = report.slots or offer.row.entry.slots
+        is_last = occupancy.takes_last_slot(
+            report.running, report.waiting, slots
+        )
+        if is_last and report.pace <= occupancy.USUAL_PACE:
+            self._last_slots.learn(service, seconds, usual)
+
     def give_back(self, offers: list[Offer]) -> None:
         """Gives back the connections of offers that are not taken."""
         for offer in offers:
@@ -288,9 +318,11 @@
         health = row.health
         running = report.running + estimates.count_claims(health, asked_at)
         slots = report.slots or row.entry.slots
+        last_slot = self._last_slots.find(row.entry.service)
         stretch = estimates.estimate_stretch(
-            running, report.waiting, slots, report.pace
+            running, report.waiting, slots, report.pace, last_slot
         )
+        full = occupancy.is_full(running, report.waiting, slots, last_slot)
         if row.cold_until > now:
             stretch *= estimates.COLD_COST
         faults = estimates.read_faults(health, now)
@@ -298,7 +330,9 @@
         cost = stretch * (1.0 + estimates.FAULT_COST * max(0.0, faults))
         if row.doubted_until or not report.healthy:
             cost *= estimates.ILL_COST
-        return patience.Prospect(stretch, cost)
+        if report.pace <= occupancy.USUAL_PACE:
+            self._fast_until[row.entry.service] = now + FAST_SECONDS
+        return patience.Prospect(stretch, cost, full)
 
     def _find_typical_faults(self, service: str, now: float) -> float:
         """Returns how much the targets of a service fail alike just now."""
@@ -311,6 +345,11 @@
         return typical
 
 
+def rank_offer(offer: Offer) -> tuple[bool, float]:
+    """Returns what offers are sorted by, the best first."""
+    return offer.prospect.full, offer.prospect.cost
+
+
 def _give_back_late(task: asyncio.Task[Offer | None]) -> None:
     """Gives back the connection of an offer that came too late."""
     if task.cancelled() or task.exception() is not None:
--- a/wigeonspool/vm/choosing.py
+++ b/wigeonspool/vm/choosing.py
@@ -1,6 +1,7 @@
 """Chooses the target of a request by what targets tell at that moment."""
 
 import asyncio
+import collections
 from typing import Final
 
 from wigeonspool.core import knowledge
@@ -33,6 +34,7 @@
         """
         self.times = patience.UsualTimes()
         self._asker = asker
+        self._waiting: collections.Counter[str] = collections.Counter()
         self._loop = asyncio.get_running_loop()
 
     def find_usual(self, work: works.Work) -> float:
@@ -43,20 +45,35 @@
         self, work: works.Work, seconds: float, offer: asking.Offer
     ) -> None:
         """Takes how long an answer took from the target of an offer."""
+        usual = self.find_usual(work)
         self.times.learn(work.kind, seconds, offer.prospect.stretch)
+        self._asker.learn_last_slot(work.service, seconds, usual, offer)
 
     async def choose(self, work: works.Work) -> asking.Offer | outcomes.Failure:
         """Returns the target to send a request to."""
         usual = self.find_usual(work)
-        while True:
-            offer, step = await self._ask_all(work, usual)
-            if step is patience.Step.TAKE and offer is not None:
-                return offer
-            if offer is not None:
-                self._asker.give_back([offer])
-            if step is patience.Step.REFUSE:
-                return work.fail(outcomes.Reason.DEADLINE_UNREACHABLE)
-            await asyncio.sleep(ASK_AGAIN_SECONDS)
+        step, offer = await self._ask_all(work, usual)
+        if step is not patience.Step.WAIT:
+            return _conclude(work, step, offer)
+        self._waiting[work.service] += 1
+        try:
+            while step is patience.Step.WAIT:
+                await asyncio.sleep(self._find_pause(work, usual))
+                step, offer = await self._ask_all(work, usual)
+        finally:
+            self._waiting[work.service] -= 1
+        return _conclude(work, step, offer)
+
+    def _find_pause(self, work: works.Work, usual: float) -> float:
+        """Returns how long a request waits before it asks again."""
+        return patience.find_pause(
+            self._loop.time(),
+            usual,
+            work.objective_at,
+            work.deadline,
+            self._waiting[work.service],
+            ASK_AGAIN_SECONDS,
+        )
 
     async def find_good(self, work: works.Work) -> asking.Offer | None:
         """Returns a target that is good at once, or None.
@@ -73,51 +90,54 @@
         work.asked += len(asked)
         offers = await asker.ask_some(asked)
         asker.give_back(offers[1:])
-        if offers and offers[0].prospect.cost <= patience.GOOD_STRETCH:
+        if offers and patience.is_good(offers[0].prospect):
             return offers[0]
         asker.give_back(offers[:1])
         return None
 
     async def _ask_all(
         self, work: works.Work, usual: float
-    ) -> tuple[asking.Offer | None, patience.Step]:
+    ) -> tuple[patience.Step, asking.Offer | None]:
         """Asks targets, the nearest first, until one is good enough.
 
         Large answers leave their zone only if nobody there can answer in
         time, since bytes between zones cost more than a wait.
 
         Returns:
-            The best offer, and what to do with it.
+            What to do, and the offer to take if that is it.
         """
         large = work.rule.large
         groups = self._asker.list_candidates(work.service, work.tried, large)
         if not groups and work.tried:
             groups = self._asker.list_candidates(work.service, (), large)
-        if not large:
-            return await self._ask_groups(work, usual, groups)
-        best, step = await self._ask_groups(work, usual, groups[:1])
-        if len(groups) > 1 and (best is None or step is patience.Step.REFUSE):
-            if best is not None:
-                self._asker.give_back([best])
-            return await self._ask_groups(work, usual, groups[1:])
-        return best, step
+        if large and len(groups) > 1:
+            near = groups[:1]
+            step, offer = await self._ask_groups(work, usual, near, False)
+            if step is not patience.Step.REFUSE:
+                return step, offer
+            groups = groups[1:]
+        return await self._ask_groups(work, usual, groups, True)
 
     async def _ask_groups(
         self,
         work: works.Work,
         usual: float,
         groups: list[list[knowledge.TargetRow]],
-    ) -> tuple[asking.Offer | None, patience.Step]:
+        may_be_late: bool,
+    ) -> tuple[patience.Step, asking.Offer | None]:
         """Asks some groups of targets, one after the other.
 
         Returns:
-            The best offer, and what to do with it.
+            What to do, and the offer to take if that is it.
         """
         asker = self._asker
-        # A request that was patient for long asks a few at a time.
-        stop_at = max(MOST_ASKED, work.asked + ASKED_AT_ONCE)
+        # Where others wait already, few targets are free; those who wait ask a
+        # few at a time, and so does a request that asked many before.
+        stop_at = work.asked + ASKED_AT_ONCE
+        if not self._waiting[work.service]:
+            stop_at = max(stop_at, MOST_ASKED)
         best: asking.Offer | None = None
-        step = self._decide(work, usual, best, bool(groups))
+        step = self._decide(work, usual, best, bool(groups), may_be_late)
         try:
             while groups and step is patience.Step.ASK:
                 asked = asker.pick(groups[0], ASKED_AT_ONCE)
@@ -126,16 +146,20 @@
                 offers = await asker.ask_some(asked)
                 if best is not None:
                     offers.append(best)
-                offers.sort(key=lambda offer: offer.prospect.cost)
+                offers.sort(key=asking.rank_offer)
                 best = offers[0] if offers else None
                 asker.give_back(offers[1:])
                 more = bool(groups) and work.asked < stop_at
-                step = self._decide(work, usual, best, more)
+                step = self._decide(work, usual, best, more, may_be_late)
         except BaseException:
             if best is not None:
                 asker.give_back([best])
             raise
-        return best, step
+        if step is patience.Step.TAKE:
+            return step, best
+        if best is not None:
+            asker.give_back([best])
+        return step, None
 
     def _decide(
         self,
@@ -143,6 +167,7 @@
         usual: float,
         best: asking.Offer | None,
         unasked: bool,
+        may_be_late: bool,
     ) -> patience.Step:
         """Returns what to do with the best offer so far."""
         return patience.decide(
@@ -152,9 +177,20 @@
             work.objective_at,
             work.deadline,
             unasked,
+            may_be_late,
+            self._asker.has_fast(work.service),
         )
 
 
+def _conclude(
+    work: works.Work, step: patience.Step, offer: asking.Offer | None
+) -> asking.Offer | outcomes.Failure:
+    """Returns the offer to take, or the failure of a request without one."""
+    if step is patience.Step.TAKE and offer is not None:
+        return offer
+    return work.fail(outcomes.Reason.DEADLINE_UNREACHABLE)
+
+
 def _leave_out(
     groups: list[list[knowledge.TargetRow]], asked: list[knowledge.TargetRow]
 ) -> list[list[knowledge.TargetRow]]:
--- a/wigeonspool/vm/running.py
+++ b/wigeonspool/vm/running.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Final
+from typing import Final, Protocol
 
 from wigeonspool.core import attempting
 from wigeonspool.core import estimates
@@ -28,6 +28,15 @@
 Ending = works.AttemptResult | outcomes.Failure
 
 
+class Sending(Protocol):
+    """Sends attempts to targets."""
+
+    async def send(
+        self, work: works.Work, offer: asking.Offer
+    ) -> works.AttemptResult:
+        """Sends a request to the target of an offer."""
+
+
 class Runner:
     """Sends requests to targets.
 
@@ -54,7 +63,7 @@
         self._known = known
         self._asker = asker
         self._words = words
-        self._sender = attempts.Sender(words)
+        self._sender: Sending = attempts.Sender(words)
         self._chooser = choosing.Chooser(asker)
         self._allowance = attempting.RetryAllowance()
         self._checking: set[asyncio.Task[None]] = set()
@@ -80,6 +89,10 @@
         """Attempts that the retry allowance did not cover."""
         return self._allowance.refused
 
+    def replace_sender(self, sender: "Sending") -> None:
+        """Sends attempts in another way, such as to emulated targets."""
+        self._sender = sender
+
     async def run(self, work: works.Work) -> Ending:
         """Sends a request to targets until one answers it or none may.
 
