End slow heads, log what cannot be read, and use or drop what is read

Now a timer runs from the first byte of a head to its last, answers 408 (not run) and closes; a connection that is never used ends after the idle limit. Entries of targets, VMs and suspects that cannot be read are logged with their keys; failures of late health checks too. The shortest lease that the store grants is kept; settings that nothing used are gone; answers that belonged to others are exported; bare figures have names. Both callers' ports end a broken connection by the same code.

It counts requests now, and that there are 50 of them.

--- a/tests/test_vm_path.py
+++ b/tests/test_vm_path.py
@@ -1,12 +1,14 @@
 """The path of a request through an entry VM, with targets that misbehave."""
 
 import asyncio
+import json
 
 import aiohttp
 import pytest
 
 from tests import fleet
 from tests import vm_fleet
+from wigeonspool.vm import callers
 
 
 class TestAnswers:
@@ -235,8 +237,14 @@
         await vms.start_vm("vm-1")
         for _ in range(50):
             assert (await vms.send("vm-1", "/read/1"))[0] == 200
-        counts = {i: len(t.runs) for i, t in vms.targets.items()}
-        assert counts["t-1"] + counts["t-2"] in (39, 40, 41)
+        # A second attempt beside one that takes long stays in its part, so each
+        # request counts once.
+        parted: dict[str, set[str]] = {"reads": set(), "writes": set()}
+        for identity, target in vms.targets.items():
+            part = "reads" if identity in ("t-1", "t-2") else "writes"
+            parted[part].update(run.attempt for run in target.runs)
+        assert len(parted["reads"]) in (39, 40, 41)
+        assert len(parted["reads"]) + len(parted["writes"]) == 50
 
 
 class TestCrashes:
@@ -423,3 +431,79 @@
         )
         assert status == 413
         assert vms.find_runs("one") == []
+
+
+class TestSlowCallers:
+    """Callers that begin a request and do not go on."""
+
+    async def open(
+        self, vms: vm_fleet.VmFleet
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, _, port = vms.settings["vm-1"].callers.rpartition(":")
+        return await asyncio.open_connection(host, int(port))
+
+    async def start(self, vms: vm_fleet.VmFleet) -> None:
+        rules = vms.declare()
+        document = vm_fleet.build_configuration(3, rules, head_time="300ms")
+        vms.version = 3
+        await vms.store.put("op/config", json.dumps(document).encode())
+        await vms.start_vm("vm-1")
+
+    async def test_a_head_must_come_in_its_time(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await self.start(vms)
+        reader, writer = await self.open(vms)
+        writer.write(b"GET /read/1 HTTP/1.1\r\nHost: ")
+        async with asyncio.timeout(1.0):
+            answer = await reader.read()
+        # Nothing of it ran, nor will.
+        assert answer.startswith(b"HTTP/1.1 408 ")
+        writer.close()
+
+    async def test_bytes_that_trickle_in_gain_no_time(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await self.start(vms)
+        reader, writer = await self.open(vms)
+        writer.write(b"GET /read/1 HTTP/1.1\r\n")
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        reading = asyncio.create_task(reader.read())
+        while not reading.done() and loop.time() < began_at + 2.0:
+            writer.write(b"X: y\r\n")
+            await asyncio.sleep(0.05)
+        assert loop.time() < began_at + 1.0
+        assert (await reading).startswith(b"HTTP/1.1 408 ")
+        writer.close()
+
+    async def test_what_is_whole_in_time_is_answered(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await self.start(vms)
+        for target in vms.targets.values():
+            target.service_ms = 500
+        reader, writer = await self.open(vms)
+        head = f"GET /read/1 HTTP/1.1\r\nHost: {vm_fleet.HOST}\r\n"
+        fields = "X-Attempt-Id: one\r\nX-Timeout-Remaining: 1500\r\n\r\n"
+        for _ in range(2):
+            writer.write(head.encode())
+            await asyncio.sleep(0.1)
+            writer.write(fields.encode())
+            # The answer takes longer than a head may, and so does the pause.
+            answer = await reader.readuntil(b"\r\n")
+            assert answer.startswith(b"HTTP/1.1 200 ")
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(0.4)
+            reader._buffer.clear()  # type: ignore[attr-defined]
+        writer.close()
+
+    async def test_a_connection_without_a_request_is_closed(
+        self, vms: vm_fleet.VmFleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(callers, "IDLE_SLACK_SECONDS", -14.8)
+        await self.start(vms)
+        reader, writer = await self.open(vms)
+        async with asyncio.timeout(1.0):
+            assert await reader.read() == b""
+        writer.close()
--- a/tests/vm_fleet.py
+++ b/tests/vm_fleet.py
@@ -31,8 +31,6 @@
         "retry_slack": 60.0,
         "retry_window_seconds": 10.0,
         "grace_seconds": 2.0,
-        "drain_seconds": 2.0,
-        "apply_seconds": 2.0,
         "longest_answer_seconds": 5.0,
     }
     return boot.Boot(
@@ -41,7 +39,6 @@
         zone=zone,
         region=ZONES[zone],
         capacity=1.0,
-        link_mbps=1000.0,
         callers=fleet.reserve_address(),
         readiness=fleet.reserve_address(),
         directory=fleet.reserve_address(),
--- a/wigeonspool/core/estimates.py
+++ b/wigeonspool/core/estimates.py
@@ -20,6 +20,9 @@
 COLD_COST: Final = 2.0
 # A target that says it is ill is the last to be chosen.
 ILL_COST: Final = 20.0
+# Requests sent to one target by one VM between a report and the next; more
+# than its slots and a few.
+MOST_CLAIMS: Final = 16
 FIRST_OUT_SECONDS: Final = 0.25
 MOST_OUT_SECONDS: Final = 3.0
 
@@ -83,8 +86,8 @@
 def claim(health: TargetHealth, now: float) -> None:
     """Notes that a request is sent to a target now."""
     health.claims.append(now)
-    if len(health.claims) > 16:
-        del health.claims[:8]
+    if len(health.claims) > MOST_CLAIMS:
+        del health.claims[: MOST_CLAIMS // 2]
 
 
 def count_claims(health: TargetHealth, since: float) -> int:
--- a/wigeonspool/core/knowledge.py
+++ b/wigeonspool/core/knowledge.py
@@ -55,10 +55,12 @@
     Attributes:
         identity: Identity of the target.
         entry: Its entry, or None if it has none that names a target.
+        problem: What is wrong with an entry that names none, or "".
     """
 
     identity: str
     entry: fleet.TargetEntry | None
+    problem: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wigeonspool/gateway/listener.py
+++ b/wigeonspool/gateway/listener.py
@@ -8,9 +8,9 @@
 
 from wigeonspool.gateway import answers
 from wigeonspool.gateway import ingress as ingresses
+from wigeonspool.gateway import streaming
 from wigeonspool.model import outcomes
 
-LINGER_SECONDS: Final = 1.0
 STATUS_BAD_REQUEST: Final = 400
 
 
@@ -50,11 +50,7 @@
             failure = outcomes.doubt(outcomes.Reason.INTERNAL_ERROR)
             loguru.logger.opt(exception=exc).error("a request failed")
         self._ingress.count("", failure)
-        if request.writer.output_size > 0:
-            raise ConnectionError("an answer has begun")
-        response = answers.build_problem(failure, "")
-        response.force_close()
-        return response
+        return streaming.end_broken(request, answers.build_problem(failure, ""))
 
 
 class CallerServer(web.Server):
@@ -77,5 +73,5 @@
             loop=asyncio.get_running_loop(),
             access_log=None,
             auto_decompress=False,
-            lingering_time=LINGER_SECONDS,
+            lingering_time=streaming.LINGER_SECONDS,
         )
--- a/wigeonspool/gateway/streaming.py
+++ b/wigeonspool/gateway/streaming.py
@@ -14,6 +14,8 @@
 from wigeonspool.gateway import headers
 from wigeonspool.model import outcomes
 
+# What a caller still sends after its answer is read and dropped for this long.
+LINGER_SECONDS: Final = 1.0
 RESET_AT_CLOSE: Final = struct.pack("ii", 1, 0)
 
 
@@ -116,6 +118,24 @@
     return None
 
 
+def end_broken(
+    request: web.BaseRequest, response: web.StreamResponse
+) -> web.StreamResponse:
+    """Returns the last response of a connection that broke.
+
+    Args:
+        request: Request that it broke at.
+        response: What its caller is told.
+
+    Raises:
+        ConnectionError: If an answer has begun, so that none can follow.
+    """
+    if request.writer.output_size > 0:
+        raise ConnectionError("an answer has begun")
+    response.force_close()
+    return response
+
+
 def break_off(request: web.BaseRequest) -> None:
     """Resets a caller's connection, so that no answer on it looks whole."""
     transport = request.transport
--- a/wigeonspool/load/emulation.py
+++ b/wigeonspool/load/emulation.py
@@ -213,7 +213,7 @@
             self._pool, row.entry.address, channels.TargetProtocol(self._loop)
         )
         prospect = self._weigh(row, report, asked_at)
-        return asking.Offer(row, channel, prospect, asked_at, report)
+        return asking.Offer(row, channel, prospect, report)
 
 
 class EmulatedSender:
@@ -305,7 +305,6 @@
             zone=ZONE,
             region=ZONE,
             capacity=1.0,
-            link_mbps=1000.0,
             callers="",
             readiness="",
             directory="",
@@ -315,7 +314,7 @@
             regions=regions,
             store="",
             least_lease_seconds=1.0,
-            bounds=boot.Bounds(0.2, 60.0, 10.0, 6.0, 2.0, 2.0, 5.0),
+            bounds=boot.Bounds(0.2, 60.0, 10.0, 6.0, 5.0),
         )
         words: Any = _Words()
         runner = running.Runner(settings, known, asker, words)
--- a/wigeonspool/model/boot.py
+++ b/wigeonspool/model/boot.py
@@ -14,8 +14,6 @@
         retry_slack: Attempts allowed beside that in each window.
         retry_window_seconds: Length of that window.
         grace_seconds: Time from SIGTERM to SIGKILL.
-        drain_seconds: Time after which a leaving target gets no new work.
-        apply_seconds: Time after which a configuration is in force everywhere.
         longest_answer_seconds: Longest time that callers keep an answer to the
             address question.
     """
@@ -24,8 +22,6 @@
     retry_slack: float
     retry_window_seconds: float
     grace_seconds: float
-    drain_seconds: float
-    apply_seconds: float
     longest_answer_seconds: float
 
 
@@ -39,7 +35,6 @@
         zone: Availability zone.
         region: Region of the zone.
         capacity: Processor time that the VM has, in cores.
-        link_mbps: Bandwidth of the VM's link, in Mbit/s.
         callers: host:port for callers.
         readiness: host:port on which the VM tells whether it is ready.
         directory: host:port of the address question.
@@ -57,7 +52,6 @@
     zone: str
     region: str
     capacity: float
-    link_mbps: float
     callers: str
     readiness: str
     directory: str
--- a/wigeonspool/model/fleet.py
+++ b/wigeonspool/model/fleet.py
@@ -56,12 +56,10 @@
     Attributes:
         name: Name of the service.
         health_path: Path that answers at once with the target's load.
-        most_connections: Connections that one target accepts from all callers.
     """
 
     name: str
     health_path: str
-    most_connections: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wigeonspool/platform/border.py
+++ b/wigeonspool/platform/border.py
@@ -31,6 +31,8 @@
 STATUS_OK: Final = 200
 PROMISING: Final = frozenset({408, STATUS_MISDIRECTED, 429, STATUS_REFUSED})
 USUAL_PACE: Final = 100.0
+# A target that tells of none would seem to take no time at all.
+LEAST_PACE: Final = 0.01
 LOAD_FIELDS: Final = 3
 MOST_DIGITS: Final = 9
 # What callers may not set, since this system sets it itself.
@@ -99,7 +101,7 @@
     if len(numbers) > LOAD_FIELDS:
         pace = numbers[LOAD_FIELDS] / USUAL_PACE
     return border.LoadReport(
-        identity, healthy, running, waiting, slots, max(pace, 0.01)
+        identity, healthy, running, waiting, slots, max(pace, LEAST_PACE)
     )
 
 
--- a/wigeonspool/platform/changes.py
+++ b/wigeonspool/platform/changes.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from wigeonspool.core import knowledge
+from wigeonspool.model import errors
 from wigeonspool.model import fleet
 from wigeonspool.platform import configuration
 from wigeonspool.platform import entries
@@ -33,13 +34,18 @@
         lease: Lease that holds it, or 0.
 
     Raises:
-        PlatformFormatError: If the configuration cannot be read.
+        PlatformFormatError: If a configuration, a VM or a suspect cannot be
+            read; what was known before stays.
     """
     if key.startswith(entries.PREFIX):
         identity = key.removeprefix(entries.PREFIX)
-        entry = None
-        if value is not None:
+        if value is None:
+            return knowledge.TargetChange(identity, None)
+        try:
             entry = entries.decode_entry(identity, value)
+        except errors.PlatformFormatError as error:
+            # It names no target, whatever it named before.
+            return knowledge.TargetChange(identity, None, str(error))
         return knowledge.TargetChange(identity, entry)
     if key.startswith(VM_PREFIX):
         name = key.removeprefix(VM_PREFIX)
@@ -52,13 +58,17 @@
     return None
 
 
-def _decode_suspect(name: str) -> knowledge.SuspectChange | None:
-    """Returns the crash that the rest of a key tells of, if it is one."""
+def _decode_suspect(name: str) -> knowledge.SuspectChange:
+    """Returns the crash that the rest of a key tells of.
+
+    Raises:
+        PlatformFormatError: If it tells of none.
+    """
     text, _, target = name.partition("/")
     try:
         return knowledge.SuspectChange(int(text, 16), target)
-    except ValueError:
-        return None
+    except ValueError as error:
+        raise errors.PlatformFormatError(f"suspect: {error}") from error
 
 
 def write_suspect(fingerprint: int, target: str) -> str:
@@ -67,13 +77,17 @@
 
 
 def _decode_vm(name: str, value: bytes | None) -> fleet.VmEntry | None:
-    """Returns what a VM wrote of itself, or None if it cannot be read."""
+    """Returns what a VM wrote of itself, or None if it has no entry.
+
+    Raises:
+        PlatformFormatError: If it cannot be read.
+    """
     if value is None:
         return None
     try:
         found = msgspec.msgpack.decode(value, type=_Vm)
-    except (msgspec.MsgspecError, ValueError):
-        return None
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise errors.PlatformFormatError(f"entry of a VM: {error}") from error
     return fleet.VmEntry(
         name,
         found.region,
--- a/wigeonspool/platform/configuration.py
+++ b/wigeonspool/platform/configuration.py
@@ -51,8 +51,6 @@
 class _Upstream(msgspec.Struct, rename="pascal"):
     name: str
     health_path: str = "/health"
-    # Over all callers together.
-    max_conns: int = 100
 
 
 class _Limits(msgspec.Struct, rename="pascal"):
@@ -86,7 +84,7 @@
         version=found.config_version,
         hosts=_build_hosts(found.listeners),
         services={
-            u.name: fleet.Service(u.name, u.health_path, u.max_conns)
+            u.name: fleet.Service(u.name, u.health_path)
             for u in found.upstreams
         },
         limits=fleet.CallerLimits(
--- a/wigeonspool/platform/entries.py
+++ b/wigeonspool/platform/entries.py
@@ -40,24 +40,31 @@
 _decoder: Final = msgspec.json.Decoder(_Entry)
 
 
-def decode_entry(identity: str, value: bytes) -> fleet.TargetEntry | None:
-    """Returns what a target registered, or None if it names no target.
+def decode_entry(identity: str, value: bytes) -> fleet.TargetEntry:
+    """Returns what a target registered.
 
     Args:
         identity: Identity of the target, which is the rest of its key.
         value: Value of the key.
+
+    Raises:
+        PlatformFormatError: If it names no target.
     """
     try:
         found = _decoder.decode(value)
         cold_seconds = texts.read_seconds(found.status.cold_time)
-    except (msgspec.MsgspecError, ValueError, errors.PlatformFormatError):
-        return None
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise errors.PlatformFormatError(
+            f"entry of a target: {error}"
+        ) from error
     state = STATES.get(found.status.state)
     host, _, port = found.address.rpartition(":")
-    if state is None or not host or not port.isdecimal():
-        return None
+    if state is None:
+        raise errors.PlatformFormatError(f"state {found.status.state!r}")
+    if not host or not port.isdecimal():
+        raise errors.PlatformFormatError(f"address {found.address!r}")
     if found.info.slots < 1 or not found.info.service:
-        return None
+        raise errors.PlatformFormatError("entry without slots or a service")
     return fleet.TargetEntry(
         identity=identity,
         service=found.info.service,
--- a/wigeonspool/platform/settings.py
+++ b/wigeonspool/platform/settings.py
@@ -15,7 +15,6 @@
 class _Limits(msgspec.Struct, rename="pascal"):
     cpu_share: float = 1.0
     cores: float = 1.0
-    link_mbps: float = 1000.0
     memory_mb: float = 300.0
 
 
@@ -61,8 +60,6 @@
     budget_slack: float = 0.0
     retry_window: str = "10s"
     grace: str = "6s"
-    drain: str = "2000ms"
-    config_apply: str = "2000ms"
     ttl_max: str = msgspec.field(name="ttl_max", default="5s")
 
 
@@ -118,7 +115,6 @@
         zone=found.self.zone,
         region=found.self.region,
         capacity=limits.cpu_share * limits.cores,
-        link_mbps=limits.link_mbps,
         callers=listen.edge_addr,
         readiness=listen.readiness,
         directory=listen.directory,
@@ -133,8 +129,6 @@
             retry_slack=bounds.budget_slack,
             retry_window_seconds=texts.read_seconds(bounds.retry_window),
             grace_seconds=texts.read_seconds(bounds.grace),
-            drain_seconds=texts.read_seconds(bounds.drain),
-            apply_seconds=texts.read_seconds(bounds.config_apply),
             longest_answer_seconds=texts.read_seconds(bounds.ttl_max),
         ),
     )
--- a/wigeonspool/vm/asking.py
+++ b/wigeonspool/vm/asking.py
@@ -21,6 +21,7 @@
 from wigeonspool.model import border
 from wigeonspool.model import fleet
 from wigeonspool.vm import channels
+from wigeonspool.vm import journal
 from wigeonspool.vm import reach
 
 # A health check takes a round trip and a millisecond; with a new connection,
@@ -34,9 +35,14 @@
 # Targets change their pace within this time; where none was fast meanwhile,
 # none will be soon.
 FAST_SECONDS: Final = 0.3
+# A target that failed this much more often than half of its service, by one
+# recent failure, is asked last.
+DOUBTFUL_FAULTS: Final = 1.0
 # Failures change over seconds, so what is typical is not counted each time.
 TYPICAL_SECONDS: Final = 0.1
 
+log = journal.open_part("targets")
+
 
 @dataclasses.dataclass(slots=True)
 class Offer:
@@ -46,14 +52,12 @@
         row: The target.
         channel: Connection that it answered on.
         prospect: How soon it would answer, and what speaks against it.
-        asked_at: When it was asked, loop clock.
         report: What it told.
     """
 
     row: knowledge.TargetRow
     channel: channels.Channel
     prospect: patience.Prospect
-    asked_at: float
     report: border.LoadReport
 
 
@@ -143,7 +147,8 @@
     def _is_doubtful(self, row: knowledge.TargetRow, now: float) -> bool:
         """Returns True if a target fails more than others of its service."""
         typical = self._find_typical_faults(row.entry.service, now)
-        return estimates.read_faults(row.health, now) > typical + 1.0
+        faults = estimates.read_faults(row.health, now)
+        return faults > typical + DOUBTFUL_FAULTS
 
     async def ask_some(self, rows: list[knowledge.TargetRow]) -> list[Offer]:
         """Returns the offers of those targets that answer soon, best first."""
@@ -265,7 +270,7 @@
             return None
         estimates.note_reachable(row.health)
         prospect = self._weigh(row, report, asked_at)
-        return Offer(row, channel, prospect, asked_at, report)
+        return Offer(row, channel, prospect, report)
 
     async def _exchange(
         self, row: knowledge.TargetRow, channel: channels.Channel
@@ -352,7 +357,11 @@
 
 def _give_back_late(task: asyncio.Task[Offer | None]) -> None:
     """Gives back the connection of an offer that came too late."""
-    if task.cancelled() or task.exception() is not None:
+    if task.cancelled():
+        return
+    error = task.exception()
+    if error is not None:
+        log.opt(exception=error).error("a health check failed")
         return
     offer = task.result()
     if offer is not None:
--- a/wigeonspool/vm/feeding.py
+++ b/wigeonspool/vm/feeding.py
@@ -15,6 +15,8 @@
 PULSE_SECONDS: Final = 0.4
 # Changes that are kept, so that a follower which was away gets only those.
 KEPT_CHANGES: Final = 2000
+# What was never confirmed is this old; infinity is no number of the format.
+OLDEST_SECONDS: Final = 1e6
 # A follower that leaves this much unread is cut off, and comes back.
 MOST_UNREAD_BYTES: Final = 4 * 1024 * 1024
 
@@ -86,7 +88,7 @@
     def pulse(self) -> None:
         """Tells all followers that this VM lives, and how fresh it is."""
         age = self._loop.time() - self._find_synced()
-        message = feeds.Pulse(self._intake.revision, min(age, 1e6))
+        message = feeds.Pulse(self._intake.revision, min(age, OLDEST_SECONDS))
         self._post_all(feeds.pack(message))
 
     def _post_all(self, data: bytes) -> None:
--- a/wigeonspool/vm/following.py
+++ b/wigeonspool/vm/following.py
@@ -95,6 +95,8 @@
             return
         if change is None:
             return
+        if isinstance(change, knowledge.TargetChange) and change.problem:
+            log.warning("unreadable", key=item.key, reason=change.problem)
         now = self._loop.time()
         if self._known.apply(now, item.key, item.revision, change):
             self._on_news(item)
--- a/wigeonspool/vm/metrics.py
+++ b/wigeonspool/vm/metrics.py
@@ -69,6 +69,10 @@
 FOLLOWERS: Final = aioprometheus.Gauge(
     "wigeonspool_vm_followers", "VMs that follow this one."
 )
+FOREIGN: Final = aioprometheus.Counter(
+    "wigeonspool_vm_foreign_answers_total",
+    "Answers of targets that belonged to other requests.",
+)
 LINES_LEFT_OUT: Final = aioprometheus.Counter(
     "wigeonspool_vm_log_lines_left_out_total",
     "Log lines that exceeded the bound or that nobody read.",
@@ -120,6 +124,7 @@
         CHECKS.set({"result": "answered"}, counts.answered)
         CHECKS.set({"result": "failed"}, counts.asked - counts.answered)
         CONNECTIONS.set({}, self._pool.opened)
+        FOREIGN.set({}, self._runner.foreign)
         STORE_CALLS.set({}, self._store.calls)
         STORE_FAILURES.set({}, self._store.failures)
         FOLLOWERS.set({}, len(self._feeder.subscribers))
--- a/wigeonspool/vm/registering.py
+++ b/wigeonspool/vm/registering.py
@@ -44,6 +44,7 @@
         encode: Callable[[fleet.VmEntry], tuple[str, bytes]],
         is_source: Callable[[], bool],
         on_lost: Callable[[], None],
+        least_lease_seconds: float = 0.0,
     ) -> None:
         """Prepares a registration.
 
@@ -54,12 +55,14 @@
             is_source: Returns True while other VMs rely on this one for what
                 the store tells.
             on_lost: Called when the store did not answer.
+            least_lease_seconds: Shortest lease that the store grants.
         """
         self._registry = registry
         self._entry = entry
         self._encode = encode
         self._is_source = is_source
         self._on_lost = on_lost
+        self._seconds = max(LEASE_SECONDS, least_lease_seconds)
         self._lease = 0
         self._renew_at = 0.0
         self._failures = failures.FailureLog("registration")
@@ -119,7 +122,7 @@
         if self._lease:
             await self._registry.renew(self._lease, ANSWER_SECONDS)
             return
-        lease = await self._registry.grant(LEASE_SECONDS)
+        lease = await self._registry.grant(self._seconds)
         key, value = self._encode(self._entry)
         await self._registry.write(key, value, lease)
         self._lease = lease
--- a/wigeonspool/vm/running.py
+++ b/wigeonspool/vm/running.py
@@ -29,7 +29,13 @@
 
 
 class Sending(Protocol):
-    """Sends attempts to targets."""
+    """Sends attempts to targets.
+
+    Attributes:
+        foreign: Answers that belonged to other requests.
+    """
+
+    foreign: int
 
     async def send(
         self, work: works.Work, offer: asking.Offer
@@ -93,6 +99,11 @@
         """Sends attempts in another way, such as to emulated targets."""
         self._sender = sender
 
+    @property
+    def foreign(self) -> int:
+        """Answers of targets that belonged to other requests."""
+        return self._sender.foreign
+
     async def run(self, work: works.Work) -> Ending:
         """Sends a request to targets until one answers it or none may.
 
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -162,6 +162,7 @@
             changes.encode_vm,
             self._is_source,
             self._follower.give_up,
+            settings.least_lease_seconds,
         )
         self._pool = channels.ChannelPool(loop)
         place = reach.Place(settings.zone, settings.region, settings.regions)
