--- a/tests/test_vm_core.py
+++ b/tests/test_vm_core.py
@@ -285,6 +285,10 @@
         pause = patience.find_pause(now, 0.14, 0.4, 1.2, waiting, 0.02)
         assert pause == pytest.approx(expected)
 
+    def test_what_is_less_urgent_asks_less_often(self) -> None:
+        pause = patience.find_pause(0.0, 0.14, 0.4, 1.2, 3, 0.02, True)
+        assert pause == pytest.approx(0.18)
+
     def test_doubts_do_not_refuse_what_would_be_in_time(self) -> None:
         best = patience.Prospect(1.0, 20.0)
         step = patience.decide(0.0, 0.14, best, 0.4, 1.2, False)
--- a/tests/test_vm_crest.py
+++ b/tests/test_vm_crest.py
@@ -71,6 +71,18 @@
         assert answered >= 0.75 * figures.offered
 
 
+class TestPriorities:
+    """Requests of two priorities share a service at a crest."""
+
+    @pytest.mark.parametrize("load", [1.05, 1.3])
+    def test_the_more_urgent_are_served_better(self, load: float) -> None:
+        shape = dataclasses.replace(MINDING, priorities=2)
+        steps = [(load * find_capacity(shape), 5.0)]
+        found = emulation.emulate(shape, steps, SEED).by_priority
+        urgent, other = found[0], found[1]
+        assert urgent.payoff > other.payoff
+
+
 class TestUnsafeWork:
     """Requests that may run once only, at a crest."""
 
--- a/wigeonspool/core/patience.py
+++ b/wigeonspool/core/patience.py
@@ -20,6 +20,9 @@
 # Late work asks this much less often, since work that can still be in time is
 # worth several times more.
 LATE_PATIENCE: Final = 4.0
+# Work asks this much less often while something more urgent waits for the same
+# targets, which then meets three of four that become free first.
+URGENT_PATIENCE: Final = 3.0
 # Service time of a rule that was never seen, as a part of its objective.
 FIRST_RATIO: Final = 0.35
 
@@ -142,6 +145,7 @@
     deadline: float,
     waiting: int,
     step_seconds: float,
+    others_urgent: bool = False,
 ) -> float:
     """Returns how long to wait before asking again, in seconds.
 
@@ -155,9 +159,14 @@
         deadline: When the caller gives up.
         waiting: Requests to the service that wait at this VM.
         step_seconds: Time between two questions of this VM.
+        others_urgent: True if something more urgent waits as well.
     """
     late = is_late(now, usual, objective_at)
-    pause = step_seconds * max(1, waiting) * (LATE_PATIENCE if late else 1.0)
+    pause = step_seconds * max(1, waiting)
+    if late:
+        pause *= LATE_PATIENCE
+    if others_urgent:
+        pause *= URGENT_PATIENCE
     until = deadline - LATE_SECONDS if late else objective_at
     last = until - usual * SPARE_RATIO - now
     return max(step_seconds, min(pause, last))
--- a/wigeonspool/load/emulation.py
+++ b/wigeonspool/load/emulation.py
@@ -48,6 +48,7 @@
         vms: Entry VMs that callers use.
         trip: A round trip to a target.
         shed_share: Part of requests that targets refuse without a reason.
+        priorities: Priorities of requests, equally often.
     """
 
     targets: int = 14
@@ -66,6 +67,7 @@
     vms: int = 12
     trip: float = 0.002
     shed_share: float = 0.0
+    priorities: int = 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -258,6 +260,8 @@
             repeatable: True if requests may run more than once.
         """
         self.figures: dict[int, Figures] = collections.defaultdict(Figures)
+        self.by_priority: dict[int, Figures]
+        self.by_priority = collections.defaultdict(Figures)
         self._shape = shape
         self._rng = random.Random(seed)
         self._loop = asyncio.get_running_loop()
@@ -265,17 +269,20 @@
             f"t-{i}": EmulatedTarget(shape, random.Random(f"{seed}/{i}"))
             for i in range(shape.targets)
         }
-        self._rule = fleet.Rule(
-            name="read",
-            prefix="/",
-            shares=(fleet.Share(SERVICE, 1.0),),
-            repeatable=repeatable,
-            large=False,
-            objective_seconds=shape.objective,
-            limit_seconds=shape.limit,
-            most_targets=2,
-            priority=1,
-        )
+        self._rules = [
+            fleet.Rule(
+                name=f"rule-{priority}",
+                prefix=f"/{priority}/",
+                shares=(fleet.Share(SERVICE, 1.0),),
+                repeatable=repeatable,
+                large=False,
+                objective_seconds=shape.objective,
+                limit_seconds=shape.limit,
+                most_targets=2,
+                priority=priority,
+            )
+            for priority in range(shape.priorities)
+        ]
         self._vms = [self._build_vm(i) for i in range(shape.vms)]
         self._number = 0
         self._calls: set[asyncio.Task[None]] = set()
@@ -344,17 +351,21 @@
     async def _call(self, window: int) -> None:
         """Sends one request of a caller, and repeats it once if refused."""
         figures = self.figures[window]
+        rule = self._rng.choice(self._rules)
+        own = self.by_priority[rule.priority]
         figures.offered += 1
+        own.offered += 1
         first_at = self._loop.time()
         seconds = self._draw_work()
         order = self._rng.sample(range(len(self._vms)), 2)
         ended: Any = None
         for index in order:
-            ended = await self._attempt(index, first_at, seconds, figures)
+            ended = await self._attempt(index, rule, first_at, seconds, figures)
             if not isinstance(ended, outcomes.Failure):
                 break
             await asyncio.sleep(0.06)
-        self._count(figures, ended, self._loop.time() - first_at)
+        for counted in (figures, own):
+            self._count(counted, ended, self._loop.time() - first_at)
 
     def _draw_work(self) -> float:
         """Returns how long a request takes at the usual pace."""
@@ -365,7 +376,12 @@
         return seconds
 
     async def _attempt(
-        self, index: int, first_at: float, seconds: float, figures: Figures
+        self,
+        index: int,
+        rule: fleet.Rule,
+        first_at: float,
+        seconds: float,
+        figures: Figures,
     ) -> running.Ending:
         """Sends a request to one VM."""
         runner, sender = self._vms[index]
@@ -375,7 +391,7 @@
         work = works.Work(
             request,
             f"a-{self._number}",
-            self._rule,
+            rule,
             SERVICE,
             b"",
             True,
@@ -434,13 +450,23 @@
         seed: Seed of all that is drawn.
         repeatable: True if requests may run more than once.
     """
+    return emulate(shape, steps, seed, repeatable).figures
+
+
+def emulate(
+    shape: Shape,
+    steps: list[tuple[float, float]],
+    seed: int = 1,
+    repeatable: bool = True,
+) -> Emulation:
+    """Returns an emulation that has played all steps; see `play`."""
 
-    async def work() -> dict[int, Figures]:
+    async def work() -> Emulation:
         """Plays all steps."""
         emulation = Emulation(shape, seed, repeatable)
         for window, (rate, seconds) in enumerate(steps):
             await emulation.offer(rate, seconds, window)
         await emulation.settle()
-        return emulation.figures
+        return emulation
 
     return virtual.run(work())
--- a/wigeonspool/vm/choosing.py
+++ b/wigeonspool/vm/choosing.py
@@ -37,7 +37,8 @@
         """
         self.times = patience.UsualTimes()
         self._asker = asker
-        self._waiting: collections.Counter[str] = collections.Counter()
+        self._waiting: dict[str, collections.Counter[int]]
+        self._waiting = collections.defaultdict(collections.Counter)
         self._loop = asyncio.get_running_loop()
 
     def find_usual(self, work: works.Work) -> float:
@@ -58,24 +59,31 @@
         step, offer = await self._ask_all(work, usual)
         if step is not patience.Step.WAIT:
             return _conclude(work, step, offer)
-        self._waiting[work.service] += 1
+        waiting = self._waiting[work.service]
+        waiting[work.rule.priority] += 1
         try:
             while step is patience.Step.WAIT:
                 await asyncio.sleep(self._find_pause(work, usual))
                 step, offer = await self._ask_all(work, usual)
         finally:
-            self._waiting[work.service] -= 1
+            waiting[work.rule.priority] -= 1
         return _conclude(work, step, offer)
 
     def _find_pause(self, work: works.Work, usual: float) -> float:
         """Returns how long a request waits before it asks again."""
+        waiting = self._waiting[work.service]
+        urgent = any(
+            count and priority < work.rule.priority
+            for priority, count in waiting.items()
+        )
         return patience.find_pause(
             self._loop.time(),
             usual,
             work.objective_at,
             work.deadline,
-            self._waiting[work.service],
+            waiting.total(),
             ASK_AGAIN_SECONDS,
+            urgent,
         )
 
     async def find_good(self, work: works.Work) -> asking.Offer | None:
@@ -137,7 +145,7 @@
         # Where others wait already, few targets are free; those who wait ask a
         # few at a time, and so does a request that asked many before.
         stop_at = work.asked + ASKED_AT_ONCE
-        if not self._waiting[work.service]:
+        if not self._waiting[work.service].total():
             stop_at = max(stop_at, MOST_ASKED)
         best: asking.Offer | None = None
         step = self._decide(work, usual, best, bool(groups), may_be_late)
