--- a/tests/test_vm_process.py
+++ b/tests/test_vm_process.py
@@ -196,7 +196,9 @@
         assert line["event"] == "ended"
         assert line["outcome"] == "connection-lost"
         assert line["not_run"] is False
-        assert line["steps"][-1][1:3] == ["lost", vms.find_runs("one")[0]]
+        lost, refused = line["steps"][-2:]
+        assert lost[1:3] == ["lost", vms.find_runs("one")[0]]
+        assert refused[1] == "may-not-repeat"
 
     async def test_invalid_settings_end_it_with_a_reason(
         self, tmp_path: pathlib.Path
--- a/wigeonspool/vm/running.py
+++ b/wigeonspool/vm/running.py
@@ -176,7 +176,11 @@
         work.note(
             started_at, "sent", row.entry.identity, offer.prospect.stretch
         )
-        result = await self._sender.send(work, offer)
+        try:
+            result = await self._sender.send(work, offer)
+        except asyncio.CancelledError:
+            work.note(self._loop.time(), "no-answer", row.entry.identity, 0.0)
+            raise
         now = self._loop.time()
         work.note(now, result.ended.value, row.entry.identity, 0.0)
         self._learn(work, offer, result, now - started_at)
@@ -233,6 +237,7 @@
         self, work: works.Work, result: works.AttemptResult
     ) -> bool:
         """Returns True if a request goes to another target, and charges it."""
+        now = self._loop.time()
         allowed = work.held and attempting.may_send_again(
             work.rule.repeatable,
             result.ended is works.Ended.NOT_RUN,
@@ -241,12 +246,16 @@
             work.rule.most_targets,
         )
         if not allowed:
+            work.note(now, "may-not-repeat", "", 0.0)
             return False
         usual = self._chooser.find_usual(work)
-        room = work.deadline - self._loop.time()
-        if room < usual * attempting.LEAST_ROOM:
+        if work.deadline - now < usual * attempting.LEAST_ROOM:
+            work.note(now, "no-time-to-repeat", "", 0.0)
+            return False
+        if not self._allowance.spend(work.service, now):
+            work.note(now, "allowance-spent", "", 0.0)
             return False
-        return self._allowance.spend(work.service, self._loop.time())
+        return True
 
     def _conclude(
         self, work: works.Work, result: works.AttemptResult
