--- a/wigeonspool/vm/metrics.py
+++ b/wigeonspool/vm/metrics.py
@@ -136,3 +136,8 @@
             TARGETS.set({"service": name}, len(listed))
         if self._writer is not None:
             LINES_LEFT_OUT.set({}, self._writer.left_out)
+
+
+def observe_duration(service: str, seconds: float) -> None:
+    """Adds an answered request to the histogram of its service."""
+    DURATIONS.observe({"service": service}, seconds)
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -39,6 +39,7 @@
 from wigeonspool.vm import serving
 from wigeonspool.vm import starting
 from wigeonspool.vm import upstream
+from wigeonspool.vm import watching
 
 TICK_SECONDS: Final = 0.1
 # At its start a VM gives others this long before it follows the store itself.
@@ -80,8 +81,7 @@
         """
         super().__init__()
         self._settings = settings
-        self._path = path
-        self._written_at = read_written_at(path)
+        self._file = watching.SettingsFile(path)
         self._writer = writer
         self._listeners = listeners or listening.Listeners()
         self._known = knowledge.Knowledge()
@@ -204,7 +204,7 @@
                 self._writer,
             ).publish,
         )
-        self._service.on_answered = observe_duration
+        self._service.on_answered = metrics.observe_duration
         self._runner.on_crash = self._tell_crash
 
     async def _tell_crash(self, fingerprint: int, target: str) -> None:
@@ -342,11 +342,11 @@
 
     async def reload(self) -> None:
         """Reads the settings file anew; what is invalid changes nothing."""
-        if self._path is None:
+        if self._file.path is None:
             return
-        self._written_at = read_written_at(self._path)
+        self._file.note_read()
         try:
-            settings = settings_files.read_boot(self._path)
+            settings = settings_files.read_boot(self._file.path)
         except errors.SettingsError as error:
             log.error("reload failed; settings stay", reason=str(error))
             return
@@ -360,7 +360,7 @@
         """Takes settings that changed without a signal."""
         while not self.should_stop:
             await asyncio.sleep(SETTINGS_SECONDS)
-            if read_written_at(self._path) != self._written_at:
+            if self._file.is_changed():
                 await self.reload()
 
     async def drain(self) -> None:
@@ -397,19 +397,3 @@
         self._datagrams.close()
         self._pool.close()
         await self._store.close()
-
-
-def read_written_at(path: pathlib.Path | None) -> int:
-    """Returns when a file was last written, in nanoseconds; 0 if unknown."""
-    if path is None:
-        return 0
-    try:
-        return path.stat().st_mtime_ns
-    except OSError as error:
-        log.warning("settings file cannot be seen", reason=str(error))
-        return 0
-
-
-def observe_duration(service: str, seconds: float) -> None:
-    """Adds an answered request to the histogram of its service."""
-    metrics.DURATIONS.observe({"service": service}, seconds)
