--- a/tests/test_vm_crest.py
+++ b/tests/test_vm_crest.py
@@ -6,19 +6,19 @@
 import pytest
 
 from wigeonspool.load import emulation
+from wigeonspool.load import main
+from wigeonspool.load import targets
 from wigeonspool.load import virtual
 
 SEED = 1
 # A good proxy earns nine tenths of what the targets can serve.
 GOOD = 0.9
 
-MINDING = emulation.Shape(
-    targets=14, work=0.18, slow_share=0.3, full_factor=1.6
-)
-EVEN = emulation.Shape(targets=22, work=0.134, objective=0.4, limit=1.2)
+MINDING = targets.Shape(targets=14, work=0.18, slow_share=0.3, full_factor=1.6)
+EVEN = targets.Shape(targets=22, work=0.134, objective=0.4, limit=1.2)
 
 
-def find_capacity(shape: emulation.Shape) -> float:
+def find_capacity(shape: targets.Shape) -> float:
     """Returns the requests a second that fast targets can serve."""
     slots = shape.slots - (1 if shape.full_factor > 1 else 0)
     mean = shape.work * math.exp(shape.spread**2 / 2)
@@ -30,7 +30,7 @@
     """Many users come at once, and go again."""
 
     @pytest.mark.parametrize("shape", [MINDING, EVEN], ids=["minding", "even"])
-    def test_what_fits_is_in_time(self, shape: emulation.Shape) -> None:
+    def test_what_fits_is_in_time(self, shape: targets.Shape) -> None:
         capacity = find_capacity(shape)
         steps = [(0.4 * capacity, 3.0), (0.85 * capacity, 4.0)]
         figures = emulation.play(shape, steps, SEED)
@@ -39,7 +39,7 @@
 
     @pytest.mark.parametrize("shape", [MINDING, EVEN], ids=["minding", "even"])
     def test_too_much_spoils_neither_the_rest_nor_what_follows(
-        self, shape: emulation.Shape
+        self, shape: targets.Shape
     ) -> None:
         capacity = find_capacity(shape)
         load = 1.15
@@ -109,3 +109,37 @@
             return loop.time()
 
         assert virtual.run(work()) == pytest.approx(3600)
+
+
+class TestCommand:
+    def test_it_prints_a_line_a_step(
+        self, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        main.emulate(["30x1", "40x1"], set_=["full_factor=1.6", "targets=9"])
+        head, first, second = capsys.readouterr().out.splitlines()
+        assert head.split()[:2] == ["a", "second"]
+        assert first.split()[0] == "30"
+        assert float(second.split()[2]) > 0.5
+
+    @pytest.mark.parametrize(
+        ("steps", "fields"),
+        [
+            (["30"], []),
+            (["0x3"], []),
+            (["30xinf"], []),
+            (["30x1"], ["nothing=1"]),
+            (["30x1"], ["slots"]),
+            (["30x1"], ["slots=many"]),
+            (["30x1"], ["targets=0"]),
+        ],
+    )
+    def test_bad_input_ends_with_a_reason(
+        self,
+        steps: list[str],
+        fields: list[str],
+        capsys: pytest.CaptureFixture[str],
+    ) -> None:
+        with pytest.raises(SystemExit) as ended:
+            main.emulate(steps, set_=fields)
+        assert ended.value.code == main.EXIT_INVALID_SETTINGS
+        assert "command line" in capsys.readouterr().err
--- a/wigeonspool/load/emulation.py
+++ b/wigeonspool/load/emulation.py
@@ -1,73 +1,30 @@
-"""Emulates targets of a platform for the real path of an entry VM.
+"""Plays demand against the real path of entry VMs, in virtual time.
 
-Targets change their pace many times a second, and some are slower while they
-are nearly full. Each VM asks, chooses, sends and repeats as a process does;
-only connections are left out.
+Each VM asks, chooses, sends and repeats as a process does; connections and
+targets are emulated.
 """
 
 import asyncio
 import collections
+from collections.abc import Iterable
 import dataclasses
+import math
 import random
 from typing import Any
 
+import msgspec
+
 from wigeonspool.core import knowledge
+from wigeonspool.load import targets
 from wigeonspool.load import virtual
 from wigeonspool.model import boot
-from wigeonspool.model import border
+from wigeonspool.model import errors
 from wigeonspool.model import fleet
 from wigeonspool.model import outcomes
-from wigeonspool.vm import asking
-from wigeonspool.vm import channels
-from wigeonspool.vm import reach
 from wigeonspool.vm import running
 from wigeonspool.vm import work as works
 
 SERVICE = "reads"
-ZONE = "zone-a"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Shape:
-    """What is emulated; times in seconds.
-
-    Attributes:
-        targets: Targets of the service.
-        slots: Requests that one runs at once.
-        queue: Requests that wait at one before it refuses more.
-        work: Mean time of a request at the usual pace.
-        spread: Standard deviation of its logarithm.
-        long_share: Part of requests that take `long_factor` times longer.
-        long_factor: How much longer.
-        slow_share: Part of the targets that are slow at any moment.
-        slow_factor: How many times longer work takes there.
-        noise: Mean time until a target's pace is drawn anew.
-        full_factor: How many times longer work takes that takes the last slot.
-        objective: Time in which an answer has its full value.
-        limit: Time after which a caller gives up.
-        vms: Entry VMs that callers use.
-        trip: A round trip to a target.
-        shed_share: Part of requests that targets refuse without a reason.
-        priorities: Priorities of requests, equally often.
-    """
-
-    targets: int = 14
-    slots: int = 4
-    queue: int = 16
-    work: float = 0.19
-    spread: float = 0.3
-    long_share: float = 0.03
-    long_factor: float = 7.0
-    slow_share: float = 0.35
-    slow_factor: float = 5.0
-    noise: float = 0.15
-    full_factor: float = 1.0
-    objective: float = 0.6
-    limit: float = 1.5
-    vms: int = 12
-    trip: float = 0.002
-    shed_share: float = 0.0
-    priorities: int = 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -100,158 +57,12 @@
         return (self.in_time + 0.1 * self.late) / max(1, self.offered)
 
 
-class EmulatedTarget:
-    """One target.
-
-    Attributes:
-        running: Requests that run.
-        waiting: Requests that wait for a slot.
-    """
-
-    def __init__(self, shape: Shape, rng: random.Random) -> None:
-        """Prepares an idle target on the running loop."""
-        self.running = 0
-        self.waiting = 0
-        self._shape = shape
-        self._rng = rng
-        self._slots = asyncio.Semaphore(shape.slots)
-        self._pace = 1.0
-        self._drawn_until = -1.0
-        self._loop = asyncio.get_running_loop()
-
-    def read_pace(self) -> float:
-        """Returns how many times longer than usual work takes now."""
-        now = self._loop.time()
-        while self._drawn_until <= now:
-            slow = self._rng.random() < self._shape.slow_share
-            self._pace = self._shape.slow_factor if slow else 1.0
-            begin = max(self._drawn_until, now - self._shape.noise)
-            self._drawn_until = begin + self._rng.expovariate(
-                1 / self._shape.noise
-            )
-        return self._pace
-
-    async def run(self, seconds: float, deadline: float) -> works.Ended:
-        """Runs a request; returns how it ended.
-
-        Args:
-            seconds: Its time at the usual pace.
-            deadline: When the target gives up on it, loop clock.
-        """
-        shape = self._shape
-        if self._rng.random() < shape.shed_share:
-            return works.Ended.NOT_RUN
-        if self._slots.locked() and self.waiting >= shape.queue:
-            return works.Ended.NOT_RUN
-        self.waiting += 1
-        try:
-            await self._slots.acquire()
-        finally:
-            self.waiting -= 1
-        try:
-            if self._loop.time() >= deadline:
-                return works.Ended.NOT_RUN
-            self.running += 1
-            try:
-                await self._work(seconds, deadline)
-            finally:
-                self.running -= 1
-        finally:
-            self._slots.release()
-        late = self._loop.time() >= deadline
-        return works.Ended.FAILED if late else works.Ended.ANSWERED
-
-    async def _work(self, seconds: float, deadline: float) -> None:
-        """Takes the time that a request takes here now."""
-        factor = self.read_pace()
-        if self.running >= self._shape.slots:
-            factor *= self._shape.full_factor
-        left = deadline - self._loop.time()
-        await asyncio.sleep(min(seconds * factor, left))
-
-
-class EmulatedAsker(asking.Asker):
-    """Asks emulated targets."""
-
-    def __init__(
-        self,
-        known: knowledge.Knowledge,
-        targets: dict[str, EmulatedTarget],
-        shape: Shape,
-        rng: random.Random,
-    ) -> None:
-        """Prepares an asker.
-
-        Args:
-            known: What its VM knows of the targets.
-            targets: The targets by identity.
-            shape: What is emulated.
-            rng: Source of its choices.
-        """
-        pool = channels.ChannelPool(asyncio.get_running_loop())
-        place = reach.Place(ZONE, ZONE, {ZONE: ZONE})
-        words: Any = None
-        super().__init__(pool, known, words, place)
-        self._random = rng
-        self._targets = targets
-        self._shape = shape
-
-    async def _ask(self, row: knowledge.TargetRow) -> asking.Offer | None:
-        """Asks one target."""
-        asked_at = self._loop.time()
-        self.counts.asked += 1
-        target = self._targets[row.entry.identity]
-        await asyncio.sleep(self._shape.trip / 2)
-        report = border.LoadReport(
-            row.entry.identity,
-            True,
-            target.running,
-            target.waiting,
-            self._shape.slots,
-            target.read_pace(),
-        )
-        await asyncio.sleep(self._shape.trip / 2)
-        channel = channels.Channel(
-            self._pool, row.entry.address, channels.TargetProtocol(self._loop)
-        )
-        prospect = self._weigh(row, report, asked_at)
-        return asking.Offer(row, channel, prospect, report)
-
-
-class EmulatedSender:
-    """Sends attempts to emulated targets.
-
-    Attributes:
-        foreign: Answers that belonged to other requests; there are none.
-        seconds: Time of each request at the usual pace, by identity.
-        runs: Targets that ran a request, by identity.
-    """
-
-    def __init__(self, targets: dict[str, EmulatedTarget], trip: float) -> None:
-        """Prepares a sender."""
-        self.foreign = 0
-        self.seconds: dict[str, float] = {}
-        self.runs: collections.Counter[str] = collections.Counter()
-        self._targets = targets
-        self._trip = trip
-
-    async def send(
-        self, work: works.Work, offer: asking.Offer
-    ) -> works.AttemptResult:
-        """Sends one attempt and returns its result."""
-        target = self._targets[offer.row.entry.identity]
-        await asyncio.sleep(self._trip / 2)
-        ended = await target.run(self.seconds[work.identity], work.deadline)
-        if ended is not works.Ended.NOT_RUN:
-            self.runs[work.identity] += 1
-        await asyncio.sleep(self._trip / 2)
-        return works.AttemptResult(ended, 200)
-
-
 class Emulation:
     """Entry VMs, targets and callers of one service."""
 
-    def __init__(self, shape: Shape, seed: int, repeatable: bool) -> None:
+    def __init__(
+        self, shape: targets.Shape, seed: int, repeatable: bool
+    ) -> None:
         """Prepares a run on the running loop.
 
         Args:
@@ -266,7 +77,7 @@
         self._rng = random.Random(seed)
         self._loop = asyncio.get_running_loop()
         self._targets = {
-            f"t-{i}": EmulatedTarget(shape, random.Random(f"{seed}/{i}"))
+            f"t-{i}": targets.Target(shape, random.Random(f"{seed}/{i}"))
             for i in range(shape.targets)
         }
         self._rules = [
@@ -287,7 +98,7 @@
         self._number = 0
         self._calls: set[asyncio.Task[None]] = set()
 
-    def _build_vm(self, index: int) -> tuple[running.Runner, EmulatedSender]:
+    def _build_vm(self, index: int) -> tuple[running.Runner, targets.Sender]:
         """Returns the path of one entry VM."""
         known = knowledge.Knowledge()
         for number, identity in enumerate(self._targets):
@@ -295,7 +106,7 @@
                 identity=identity,
                 service=SERVICE,
                 address=f"10.0.0.{number}:1",
-                zone=ZONE,
+                zone=targets.ZONE,
                 slots=self._shape.slots,
                 state=fleet.TargetState.SERVING,
                 cold_seconds=0.0,
@@ -304,13 +115,15 @@
             change = knowledge.TargetChange(identity, entry)
             known.apply(0.0, identity, 1, change)
         rng = random.Random(self._rng.random())
-        asker = EmulatedAsker(known, self._targets, self._shape, rng)
-        regions = {f"zone-{i}": ZONE for i in range(self._shape.vms // 2)}
+        asker = targets.Asker(known, self._targets, self._shape, rng)
+        regions = {
+            f"zone-{i}": targets.ZONE for i in range(self._shape.vms // 2)
+        }
         settings = boot.Boot(
             vm=f"vm-{index}",
             ip="",
-            zone=ZONE,
-            region=ZONE,
+            zone=targets.ZONE,
+            region=targets.ZONE,
             capacity=1.0,
             callers="",
             readiness="",
@@ -325,7 +138,7 @@
         )
         words: Any = _Words()
         runner = running.Runner(settings, known, asker, words)
-        sender = EmulatedSender(self._targets, self._shape.trip)
+        sender = targets.Sender(self._targets, self._shape.trip)
         runner.replace_sender(sender)
         return runner, sender
 
@@ -437,7 +250,7 @@
 
 
 def play(
-    shape: Shape,
+    shape: targets.Shape,
     steps: list[tuple[float, float]],
     seed: int = 1,
     repeatable: bool = True,
@@ -454,7 +267,7 @@
 
 
 def emulate(
-    shape: Shape,
+    shape: targets.Shape,
     steps: list[tuple[float, float]],
     seed: int = 1,
     repeatable: bool = True,
@@ -470,3 +283,69 @@
         return emulation
 
     return virtual.run(work())
+
+
+def read_shape(fields: Iterable[str]) -> targets.Shape:
+    """Returns the targets that field=value pairs describe.
+
+    Raises:
+        SettingsError: If a pair names no field or no value for it.
+    """
+    wanted: dict[str, str] = {}
+    for pair in fields:
+        name, equals, text = pair.partition("=")
+        if not equals:
+            raise errors.SettingsError("command line", name, "no value")
+        wanted[name] = text
+    known = {field.name for field in dataclasses.fields(targets.Shape)}
+    for name in wanted.keys() - known:
+        raise errors.SettingsError("command line", name, "no such field")
+    try:
+        shape = msgspec.convert(wanted, targets.Shape, strict=False)
+    except msgspec.ValidationError as error:
+        raise errors.SettingsError(
+            "command line", "--set", str(error)
+        ) from error
+    if min(shape.targets, shape.slots, shape.vms - 1, shape.priorities) < 1:
+        raise errors.SettingsError(
+            "command line", "--set", "targets, slots and two VMs are needed"
+        )
+    return shape
+
+
+def read_steps(texts: Iterable[str]) -> list[tuple[float, float]]:
+    """Returns steps of demand, each written as RATExSECONDS.
+
+    Raises:
+        SettingsError: If a step has another form.
+    """
+    steps = []
+    for text in texts:
+        rate, _, seconds = text.partition("x")
+        try:
+            step = (float(rate), float(seconds))
+        except ValueError:
+            step = (0.0, 0.0)
+        if not (0 < step[0] < math.inf and 0 < step[1] < math.inf):
+            raise errors.SettingsError("command line", text, "not like 60x4")
+        steps.append(step)
+    return steps
+
+
+def print_figures(
+    steps: list[tuple[float, float]], figures: dict[int, Figures]
+) -> None:
+    """Prints a line for each step of demand."""
+    print(
+        f"{'a second':>9}{'offered':>9}{'payoff':>8}{'late':>7}{'refused':>9}"
+        f"{'failed':>8}{'checks':>8}{'sends':>7}"
+    )
+    for window, (rate, _) in enumerate(steps):
+        row = figures[window]
+        offered = max(1, row.offered)
+        print(
+            f"{rate:>9.0f}{row.offered:>9}{row.payoff:>8.3f}"
+            f"{row.late / offered:>7.3f}{row.refused / offered:>9.3f}"
+            f"{row.failed / offered:>8.3f}{row.asked / offered:>8.1f}"
+            f"{row.sends / offered:>7.2f}"
+        )
--- a/wigeonspool/load/main.py
+++ b/wigeonspool/load/main.py
@@ -16,6 +16,7 @@
 from wigeonspool.load import decide as decides
 from wigeonspool.load import demo as demos
 from wigeonspool.load import drive as drives
+from wigeonspool.load import emulation
 from wigeonspool.load import experiment as experiments
 from wigeonspool.load import report as reports
 from wigeonspool.model import errors
@@ -84,6 +85,37 @@
         decides.print_figures(result)
 
 
+@app.command
+def emulate(
+    step: list[str],
+    *,
+    seed: int = 1,
+    set_: Annotated[list[str], cyclopts.Parameter(name="--set")] | None = None,
+    json_: Annotated[bool, cyclopts.Parameter(name="--json")] = False,
+) -> None:
+    """Plays demand against the real path of entry VMs, in virtual time.
+
+    Args:
+        step: Requests a second and for how many seconds, such as 60x4; give
+            one or more, which follow one another.
+        seed: Seed of all that is drawn.
+        set_: field=value pairs that replace fields of the emulated targets.
+        json_: Prints JSON instead of a table.
+    """
+    try:
+        shape = emulation.read_shape(set_ or ())
+        steps = emulation.read_steps(step)
+    except errors.SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_INVALID_SETTINGS)
+    figures = emulation.play(shape, steps, seed)
+    if json_:
+        rows = [dataclasses.asdict(each) for each in figures.values()]
+        print(json.dumps(rows))
+    else:
+        emulation.print_figures(steps, figures)
+
+
 @app.command
 def report(
     files: list[pathlib.Path],
