--- a/tests/test_vm_process.py
+++ b/tests/test_vm_process.py
@@ -127,16 +127,24 @@
             await self._reading
 
 
-@pytest_asyncio.fixture
-async def vm_process(
-    vms: vm_fleet.VmFleet, tmp_path: pathlib.Path
-) -> AsyncIterator[VmProcess]:
+async def start_process(
+    vms: vm_fleet.VmFleet, folder: pathlib.Path
+) -> VmProcess:
+    """Starts a VM as a process; it is not ready yet."""
     settings = vm_fleet.build_boot("vm-1", "zone-a", vms.store_address)
     vms.settings["vm-1"] = settings
-    path = tmp_path / "local.toml"
+    path = folder / "local.toml"
     write_settings(path, settings, "3s")
     started = VmProcess(vms, path)
     await started.start()
+    return started
+
+
+@pytest_asyncio.fixture
+async def vm_process(
+    vms: vm_fleet.VmFleet, tmp_path: pathlib.Path
+) -> AsyncIterator[VmProcess]:
+    started = await start_process(vms, tmp_path)
     await started.wait_ready("vm-1")
     yield started
     await started.end()
@@ -230,12 +238,8 @@
     async def test_they_wait_and_are_answered(
         self, vms: vm_fleet.VmFleet, tmp_path: pathlib.Path
     ) -> None:
-        settings = vm_fleet.build_boot("vm-1", "zone-a", vms.store_address)
-        vms.settings["vm-1"] = settings
-        path = tmp_path / "local.toml"
-        write_settings(path, settings, "3s")
-        started = VmProcess(vms, path)
-        await started.start()
+        started = await start_process(vms, tmp_path)
+        settings = vms.settings["vm-1"]
         host, _, port = settings.callers.rpartition(":")
         async with asyncio.timeout(10):
             while True:
