--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -24,6 +24,9 @@
 from wigeonspool.operator import statuses
 from wigeonspool.operator import versions
 
+# Commands have a few seconds for each answer of a fleet in the same process.
+pytestmark = pytest.mark.processes
+
 
 @dataclasses.dataclass(frozen=True)
 class Done:
