--- a/wigeonspool/agent/hub.py
+++ b/wigeonspool/agent/hub.py
@@ -286,11 +286,13 @@
             if subscriber.hello.role in roles:
                 subscriber.stream.post_frame(data)
 
-    def send_pulse(self, roles: tuple[str, ...], pulse: messages.Pulse) -> None:
-        """Sends a pulse to the subscribers of some roles.
+    def send_pulse(self, roles: tuple[str, ...]) -> None:
+        """Tells the subscribers of some roles which tables are in force.
 
         What a subscriber was told is not repeated to it.
         """
+        tables = self._state.tables
+        pulse = messages.Pulse(tables.generation, tables.digest)
         whole = streams.pack_message(pulse, self._log.clock)
         brief = streams.pack_message(messages.Pulse(), self._log.clock)
         for subscriber in self.subscribers:
--- a/wigeonspool/agent/service.py
+++ b/wigeonspool/agent/service.py
@@ -291,12 +291,9 @@
             if changes is not None:
                 self._hub.send((senders.AGENT,), changes)
             self._join_members()
-            pulse = messages.Pulse(
-                self._state.tables.generation, self._state.tables.digest
-            )
-            self._hub.send_pulse(senders.NEAR, pulse)
+            self._hub.send_pulse(senders.NEAR)
             if self._is_remote_due():
-                self._hub.send_pulse((senders.REMOTE,), pulse)
+                self._hub.send_pulse((senders.REMOTE,))
             await self.sleep(self._settings.agent.heartbeat_seconds)
 
     def _is_remote_due(self) -> bool:
