Track unfinished request heads apart from the handler's state

Callers saw status 408 on an idle kept connection that had not begun a request: after an answer that was sent before the whole request body had arrived, and after an empty line behind a body. The head that follows a running request in the same connection had no time limit at all.

Cause: the server inferred from the handler's state whether a head was being read. Any bytes that arrived while no handler ran started the timer of a head, and its expiry closed the connection whatever ran then.

Evidence, before: test_body_after_an_early_answer_is_no_head and test_empty_line_after_a_request_is_no_head got a 408, test_slow_head_behind_a_request_does_not_cut_it got no response in 5 s. test_body_before_the_handler_starts_is_no_head passed before as well: the HTTP library feeds empty data when a handler reads a body, which stopped the timer. All pass now.

The protocol now remembers the body of the last complete head. Bytes are a head only if that body had ended before them, and an expired timer closes the connection only while no request is served on it.

--- a/wigeonspool/vm/caller_server.py
+++ b/wigeonspool/vm/caller_server.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
+import aiohttp
 from aiohttp import web
 
 from wigeonspool.core import cluster_state
@@ -16,6 +17,8 @@
 # open a little longer, so that it does not close while a request arrives.
 IDLE_SLACK_SECONDS: Final = 2.0
 STATUS_BAD_REQUEST: Final = 400
+# Parsers skip empty lines before a request.
+EMPTY_LINE_CHARS: Final = b"\r\n"
 SLOW_HEAD_RESPONSE: Final = (
     b"HTTP/1.1 408 Request Timeout\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
@@ -31,6 +34,8 @@
         "_head_timeout_seconds",
         "_head_timer",
         "_idle_timeout_seconds",
+        "_is_head_pending",
+        "_last_body",
     )
 
     def __init__(
@@ -54,6 +59,10 @@
             limits.idle_timeout_seconds + IDLE_SLACK_SECONDS
         )
         self._head_timer: asyncio.TimerHandle | None = None
+        # True while a head has arrived in part.
+        self._is_head_pending = False
+        # Body of the last request whose head is complete.
+        self._last_body: aiohttp.StreamReader | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the timer for the first request on the connection."""
@@ -62,20 +71,27 @@
 
     def data_received(self, data: bytes) -> None:
         """Passes data to the parser; limits the time for an unfinished head."""
+        if self._force_close or self._close:
+            return
+        follows_body = self._last_body is None or self._last_body.is_eof()
+        request_count = self._request_count
         super().data_received(data)
-        if self._is_reading_head():
-            self._start_head_timer()
-        else:
+        if self._request_count > request_count:
+            _, self._last_body = self._messages[-1]
+            self._is_head_pending = False
             self._stop_timer()
+        elif follows_body and data.strip(EMPTY_LINE_CHARS):
+            self._is_head_pending = True
+            self._start_head_timer()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stops the timer when the connection ends."""
         self._stop_timer()
         super().connection_lost(exc)
 
-    def _is_reading_head(self) -> bool:
-        """Returns True if no request runs and no parsed head is pending."""
-        return self._current_request is None and not self._messages
+    def is_idle(self) -> bool:
+        """Returns True if no request is served and none waits to be served."""
+        return self._waiter is not None and not self._waiter.done()
 
     def _start_head_timer(self) -> None:
         """Limits the time for the rest of a head that arrives in pieces.
@@ -115,13 +131,15 @@
     def _reject_slow_head(self) -> None:
         """Closes a connection whose request head did not arrive in time.
 
-        Sends status 408 first.
+        Sends status 408 first. While an earlier request is being served, the
+        head gets more time, since a close would also cut that request.
         """
         self._head_timer = None
-        if self.transport is not None and self._is_reading_head():
-            log.info(
-                "a head came too slowly", limit_s=self._head_timeout_seconds
-            )
+        if not self.is_idle():
+            self._start_head_timer()
+            return
+        log.info("a head came too slowly", limit_s=self._head_timeout_seconds)
+        if self.transport is not None:
             self.transport.write(SLOW_HEAD_RESPONSE)
         self.force_close()
 
