Do not close a connection for idleness while a head arrives

Callers saw a connection closed without a response in the middle of a request head, if the head began just before the idle timeout.

Cause: the idle timer of the HTTP library sees only whether a handler runs, not whether a part of a head has arrived.

Evidence: test_idle_timeout_does_not_cut_a_head_that_arrives got an end of the connection before; it passes now.

While a head is unfinished, only the time limit of heads applies, which answers with 408.

--- a/tests/test_vm_lost_requests.py
+++ b/tests/test_vm_lost_requests.py
@@ -191,6 +191,19 @@
         connection.writer.write(GET)
         assert (await connection.read_response(b"")).startswith(ANSWER)
 
+    # Guards against an idle timeout that cuts a request as it arrives.
+    async def test_idle_timeout_does_not_cut_a_head_that_arrives(
+        self, connection: Connection
+    ) -> None:
+        protocol = connection.protocol
+        connection.writer.write(GET)
+        await connection.read_response(b"")
+        protocol.data_received(GET[:10])
+        protocol._next_keepalive_close_time = 0.0
+        protocol._process_keepalive()
+        protocol.data_received(GET[10:])
+        assert (await connection.read_response(b"")).startswith(ANSWER)
+
     # Guards against an idle timeout that cuts a request whose head is complete
     # and whose handler has not started.
     async def test_idle_timeout_does_not_cut_a_request(
--- a/wigeonspool/vm/caller_server.py
+++ b/wigeonspool/vm/caller_server.py
@@ -93,6 +93,14 @@
         """Returns True if no request is served and none waits to be served."""
         return self._waiter is not None and not self._waiter.done()
 
+    def _process_keepalive(self) -> None:
+        """Closes a connection that was idle for too long.
+
+        A connection on which a head arrives is left to the timer of that head.
+        """
+        if not self._is_head_pending:
+            super()._process_keepalive()
+
     def _start_head_timer(self) -> None:
         """Limits the time for the rest of a head that arrives in pieces.
 
