Accept a refusal only with the identity of its attempt

What callers saw: a target that wrote a refusal without an attempt identity where the answer of a request was due, such as the refusal of a health check, made the request count as not run. An unsafe request that the target was running was sent to a second target, or its caller was told that it had not run.

Cause: `classify_response` compared the identity only if there was one, and then trusted X-Not-Executed and 421. Of several identities it read the first.

Targets copy the identity into each response, so a response that lacks it, or states several, proves nothing. A response with the identity of the target but no attempt belongs to a health check and is discarded.

--- /dev/null
+++ b/tests/test_target_answers.py
@@ -0,0 +1,261 @@
+"""Responses of targets that are stale, misplaced, endless or malformed."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+import contextlib
+import json
+
+import pytest
+import pytest_asyncio
+
+from tests import fleet
+from tests import vm_fleet
+from wigeonspool.platform.standin import main as standins
+from wigeonspool.platform.standin import target as targets
+
+# Answers one request: its attempt, its number on the target, its connection.
+Script = Callable[[str, int, asyncio.StreamWriter], Awaitable[None]]
+HEALTH_FIELDS = {"X-Instance-Id": "s-1", "X-Instance-Load": "0,0,4,100"}
+
+
+def build_answer(attempt: str, body: bytes = b"ran") -> bytes:
+    """Returns the answer of a target that ran an attempt."""
+    fields = {"X-Attempt-Id": attempt, "X-Response-Seal": f"seal-{attempt}"}
+    return targets.build_response(200, fields, body)
+
+
+def build_refusal(**fields: str) -> bytes:
+    """Returns a refusal; underscores in field names stand for dashes."""
+    named = {name.replace("_", "-"): value for name, value in fields.items()}
+    return targets.build_response(503, {"X-Not-Executed": "1"} | named, b"")
+
+
+class ScriptedTarget:
+    """A target whose bytes a test determines.
+
+    Attributes:
+        identity: Identity of the target.
+        script: Answers a request.
+        health: Answers a health check, which is given by its number.
+        attempts: Attempts that it received, in order.
+        connections: Number of accepted connections.
+        ended: Number of connections that have ended.
+    """
+
+    def __init__(self, identity: str) -> None:
+        self.identity = identity
+        self.address = fleet.reserve_address()
+        self.script: Script = self._run
+        self.health: Callable[[int], bytes] = self._build_health
+        self.attempts: list[str] = []
+        self.health_checks = 0
+        self.connections = 0
+        self.ended = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server
+
+    async def start(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._accept, host, int(port))
+
+    async def stop(self) -> None:
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.ensure_future(self._serve(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                while True:
+                    await self._serve_one(reader, writer)
+        finally:
+            self.ended += 1
+            writer.close()
+
+    async def _serve_one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        fields = dict(
+            line.lower().split(": ", 1) for line in head.split("\r\n")[1:-2]
+        )
+        await reader.readexactly(int(fields.get("content-length", "0")))
+        if head.startswith("GET /health "):
+            self.health_checks += 1
+            writer.write(self.health(self.health_checks))
+            await writer.drain()
+            return
+        attempt = fields.get("x-attempt-id", "")
+        self.attempts.append(attempt)
+        await self.script(attempt, len(self.attempts), writer)
+        await writer.drain()
+
+    async def _run(
+        self, attempt: str, number: int, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(build_answer(attempt))
+
+    def _build_health(self, number: int) -> bytes:
+        fields = HEALTH_FIELDS | {"X-Instance-Id": self.identity}
+        return targets.build_response(200, fields, b"")
+
+
+class Bench:
+    """A VM with scripted targets, for idempotent and other requests."""
+
+    def __init__(self, vms: vm_fleet.VmFleet) -> None:
+        self.vms = vms
+        self.targets: list[ScriptedTarget] = []
+
+    async def start(self, count: int = 1) -> list[ScriptedTarget]:
+        """Starts the VM and some targets, which all serve one service."""
+        other = {"Service": "other"}
+        rules = [
+            vm_fleet.build_rule("safe", "/safe/", "safe", **other),
+            vm_fleet.build_rule("unsafe", "/unsafe/", "unsafe", **other),
+        ]
+        await self.vms.configure([*self.vms.build_default_rules(), *rules])
+        vm = await self.vms.start_vm("vm-1")
+        for number in range(1, count + 1):
+            target = ScriptedTarget(f"s-{number}")
+            await target.start()
+            self.targets.append(target)
+            entry = standins.build_entry(
+                target.address, "other", "zone-a", "ready"
+            )
+            key = f"servers/{target.identity}"
+            await self.vms.store.put(key, json.dumps(entry).encode())
+        await fleet.wait_for(
+            lambda: all(t.identity in vm._cluster.targets for t in self.targets)
+        )
+        return self.targets
+
+    async def stop(self) -> None:
+        for target in self.targets:
+            await target.stop()
+
+    async def send(
+        self, kind: str, attempt: str, remaining: str = "1500"
+    ) -> tuple[int, bytes]:
+        """Sends a request; returns the status and the body."""
+        status, body, _ = await self.vms.send(
+            "vm-1",
+            f"/{kind}/1",
+            "GET" if kind == "safe" else "POST",
+            attempt=attempt,
+            remaining=remaining,
+        )
+        return status, body
+
+    def list_attempts(self) -> list[str]:
+        """Returns the attempts that all targets received."""
+        return [a for target in self.targets for a in target.attempts]
+
+
+@pytest_asyncio.fixture
+async def bench(vms: vm_fleet.VmFleet) -> AsyncIterator[Bench]:
+    """Yields a bench without targets."""
+    started = Bench(vms)
+    yield started
+    await started.stop()
+
+
+class TestRefusalsWithoutIdentity:
+    # Guards against REFUSED and TWICE: a stale refusal without an attempt id
+    # was taken for the refusal of a request that the target ran.
+    @pytest.mark.parametrize(
+        "refusal",
+        [build_refusal(), targets.build_response(421, {}, b"")],
+        ids=["not-executed", "misdirected"],
+    )
+    async def test_it_does_not_prove_that_a_request_did_not_run(
+        self, bench: Bench, refusal: bytes
+    ) -> None:
+        first, second = await bench.start(2)
+
+        async def answer(
+            attempt: str, number: int, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(refusal + build_answer(attempt))
+
+        first.script = second.script = answer
+        status, _ = await bench.send("unsafe", "one")
+        assert status == 502
+        assert bench.list_attempts() == ["one"]
+
+    async def test_an_idempotent_request_is_retried(self, bench: Bench) -> None:
+        first, second = await bench.start(2)
+
+        async def refuse(
+            attempt: str, number: int, writer: asyncio.StreamWriter
+        ) -> None:
+            if len(bench.list_attempts()) == 1:
+                writer.write(build_refusal())
+            else:
+                writer.write(build_answer(attempt))
+
+        first.script = second.script = refuse
+        assert await bench.send("safe", "one") == (200, b"ran")
+        assert bench.list_attempts() == ["one", "one"]
+
+    # Guards against REFUSED: the refusal of a health check arrived where the
+    # answer of a request was due.
+    async def test_refusal_of_a_health_check_is_discarded(
+        self, bench: Bench
+    ) -> None:
+        (target,) = await bench.start()
+
+        async def answer(
+            attempt: str, number: int, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(build_refusal(**HEALTH_FIELDS))
+            writer.write(build_answer(attempt))
+
+        target.script = answer
+        assert await bench.send("unsafe", "one") == (200, b"ran")
+
+    # Guards against REFUSED: the first of several ids decided.
+    @pytest.mark.parametrize("ids", [("one", "two"), ("two", "one")])
+    async def test_refusal_with_several_identities_proves_nothing(
+        self, bench: Bench, ids: tuple[str, str]
+    ) -> None:
+        (target,) = await bench.start()
+        refusal = (
+            "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n"
+            f"X-Attempt-Id: {ids[0]}\r\nX-Attempt-Id: {ids[1]}\r\n\r\n"
+        )
+
+        async def answer(
+            attempt: str, number: int, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(refusal.encode())
+
+        target.script = answer
+        assert (await bench.send("unsafe", "one"))[0] == 502
+        assert bench.list_attempts() == ["one"]
+
+    @pytest.mark.parametrize("identity", ["ONE", "", "one, one"])
+    async def test_refusal_with_another_identity_is_discarded(
+        self, bench: Bench, identity: str
+    ) -> None:
+        (target,) = await bench.start()
+
+        async def answer(
+            attempt: str, number: int, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(build_refusal(X_Attempt_Id=identity))
+            writer.write(build_answer(attempt))
+
+        target.script = answer
+        assert await bench.send("unsafe", "one") == (200, b"ran")
--- a/wigeonspool/platform/http_protocol.py
+++ b/wigeonspool/platform/http_protocol.py
@@ -93,24 +93,28 @@
 ) -> protocols.ResponseClass:
     """Classifies a target's response by what its head proves.
 
-    A response that lacks the seal or the identity of the attempt, or has an
-    encoded body, proves nothing, unless it states that the request was not run.
+    A response proves nothing without the identity of the attempt: an earlier
+    refusal may be repeated on the connection of a request that runs. Neither
+    does one that lacks the seal or has an encoded body, unless it states that
+    the request was not run.
 
     Args:
         status: HTTP status of the response.
         fields: Header fields of the response.
-        identity: Identity of the attempt that was sent to the target.
+        identity: Identity of the attempt that was sent to the target, or "".
     """
-    echoed_identity = fields.get(ATTEMPT_ID)
-    if echoed_identity is not None and echoed_identity != identity:
+    echoed_identities = set(fields.getall(ATTEMPT_ID, ()))
+    if echoed_identities and identity not in echoed_identities:
         return protocols.ResponseClass.MISMATCHED
+    if not echoed_identities and TARGET_ID in fields:
+        # Only responses to health checks, which have no attempt identity,
+        # state the identity of the target.
+        return protocols.ResponseClass.MISMATCHED
+    if not identity or echoed_identities != {identity}:
+        return protocols.ResponseClass.INVALID
     if NOT_EXECUTED in fields or status == STATUS_MISDIRECTED:
         return protocols.ResponseClass.NOT_RUN
-    if (
-        RESPONSE_SEAL not in fields
-        or echoed_identity is None
-        or "Content-Encoding" in fields
-    ):
+    if RESPONSE_SEAL not in fields or "Content-Encoding" in fields:
         return protocols.ResponseClass.INVALID
     if status in SUCCESS_STATUSES:
         return protocols.ResponseClass.ANSWERED
