Send a request at most once over each connection

What callers saw: a request that its only target had refused was sent to it again over the same kept connection. A target that wrote the first refusal once more there got the request declared as not run, or sent again, while it ran it.

Cause: all attempts of a request have one identity, so the identity could not tell the repeated refusal from a response to the second attempt.

Evidence: test_request_is_not_resent_over_the_same_connection failed before: the target got the attempt three times and had run it at the second. It passes now, with two arrivals on two connections.

A request now keeps the connections that it was sent over, and a further attempt to the same target opens a new one, on which nothing earlier can arrive.

--- a/tests/test_target_answers.py
+++ b/tests/test_target_answers.py
@@ -259,3 +259,62 @@
 
         target.script = answer
         assert await bench.send("unsafe", "one") == (200, b"ran")
+
+
+class TestRepeatedRefusals:
+    # Guards against REFUSED: a request was sent twice over one connection, and
+    # the repeated refusal of its first attempt answered the second.
+    async def test_request_is_not_resent_over_the_same_connection(
+        self, bench: Bench
+    ) -> None:
+        (target,) = await bench.start()
+        writers: list[asyncio.StreamWriter] = []
+
+        async def answer(
+            attempt: str, number: int, writer: asyncio.StreamWriter
+        ) -> None:
+            writers.append(writer)
+            if number == 1 or writer is writers[0]:
+                writer.write(build_refusal(X_Attempt_Id=attempt))
+            if number > 1:
+                writer.write(build_answer(attempt))
+
+        target.script = answer
+        assert await bench.send("unsafe", "one") == (200, b"ran")
+        assert target.attempts == ["one", "one"]
+        assert writers[0] is not writers[1]
+
+    async def test_refusal_of_an_earlier_request_is_discarded(
+        self, bench: Bench
+    ) -> None:
+        (target,) = await bench.start()
+
+        async def answer(
+            attempt: str, number: int, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(build_refusal(X_Attempt_Id="earlier"))
+            await asyncio.sleep(0.02)
+            writer.write(build_answer(attempt))
+
+        target.script = answer
+        assert await bench.send("unsafe", "one") == (200, b"ran")
+        assert target.attempts == ["one"]
+
+    async def test_connection_with_a_foreign_response_is_not_reused(
+        self, bench: Bench
+    ) -> None:
+        (target,) = await bench.start()
+
+        async def answer(
+            attempt: str, number: int, writer: asyncio.StreamWriter
+        ) -> None:
+            if number == 1:
+                writer.write(build_refusal(X_Attempt_Id="earlier"))
+                await asyncio.sleep(0.02)
+            writer.write(build_answer(attempt))
+
+        target.script = answer
+        await bench.send("unsafe", "one")
+        await fleet.wait_for(lambda: target.ended == 1)
+        assert await bench.send("unsafe", "two") == (200, b"ran")
+        assert target.connections == 2
--- a/wigeonspool/vm/attempts.py
+++ b/wigeonspool/vm/attempts.py
@@ -47,6 +47,12 @@
         The caller of this function bounds its time. If the call is cancelled,
         the connection is closed, which cancels the request at the target.
         """
+        try:
+            channel = await _find_channel(context, candidate)
+        except OSError as error:
+            return request_context.AttemptResult(
+                request_context.AttemptOutcome.NOT_RUN, detail=repr(error)
+            )
         request = context.request
         fields = self._protocol_adapter.build_target_headers(
             request.headers,
@@ -54,7 +60,6 @@
             candidate.row.entry.identity,
         )
         fields["Host"] = request.headers.get("Host", "")
-        channel = candidate.channel
         try:
             response = await exchanges.send_request(
                 channel,
@@ -131,6 +136,27 @@
         return _build_result(response_class, response.status, fields, body)
 
 
+async def _find_channel(
+    context: request_context.RequestContext,
+    candidate: target_probes.Candidate,
+) -> channels.Channel:
+    """Returns the connection for an attempt.
+
+    A request is sent at most once over each connection. All its attempts have
+    the same identity, so a repeated response to an earlier one would be taken
+    for the response to the next one.
+
+    Raises:
+        OSError: If a new connection is needed and cannot be opened.
+    """
+    channel = candidate.channel
+    if channel in context.used_channels:
+        channel.release()
+        channel = await channel.open_another()
+    context.used_channels.append(channel)
+    return channel
+
+
 def is_chunked(response: exchanges.TargetResponse) -> bool:
     """Returns True if a response uses the chunked transfer coding."""
     return "chunked" in response.headers.get("Transfer-Encoding", "").lower()
--- a/wigeonspool/vm/channels.py
+++ b/wigeonspool/vm/channels.py
@@ -89,6 +89,14 @@
         """True if the connection did not end by a clean close."""
         return self.protocol.was_reset
 
+    async def open_another(self) -> "Channel":
+        """Returns a new channel to the same target.
+
+        Raises:
+            OSError: If the target refuses it or does not reply in time.
+        """
+        return await self._pool.open(self.address)
+
     def release(self) -> None:
         """Releases the connection to the pool for further use."""
         self._pool.release(self)
--- a/wigeonspool/vm/request_context.py
+++ b/wigeonspool/vm/request_context.py
@@ -8,6 +8,7 @@
 from wigeonspool.gateway import exchanges
 from wigeonspool.model import fleet
 from wigeonspool.model import outcomes
+from wigeonspool.vm import channels
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,6 +31,7 @@
         attempts_sent: Number of attempts sent to targets.
         possible_runs: Number of those attempts that may have run.
         tried_targets: Identities of the targets that it was sent to.
+        used_channels: Connections that it was sent over.
         probes_sent: Number of health checks sent for it.
         hedges_sent: Number of hedged requests, sent because an earlier attempt
             took long.
@@ -50,6 +52,9 @@
     attempts_sent: int = 0
     possible_runs: int = 0
     tried_targets: set[str] = dataclasses.field(default_factory=set)
+    used_channels: list[channels.Channel] = dataclasses.field(
+        default_factory=list
+    )
     probes_sent: int = 0
     hedges_sent: int = 0
     steps: list[tuple[int, str, str, float]] = dataclasses.field(
