Bound size and nesting of values of the store before decoding

One entry under servers/ with a field nested 5,000 deep ended each process that reads the list: the decoder raised RecursionError, which is neither MsgspecError nor ValueError. The configuration had the same fault. Size and depth are now checked before the decoder runs, and its RecursionError is a PlatformFormatError too. Unknown fields within the limits stay valid.

--- a/tests/test_store_keys.py
+++ b/tests/test_store_keys.py
@@ -8,6 +8,8 @@
 from wigeonspool.core import cluster_state
 from wigeonspool.model import errors
 from wigeonspool.platform import store_keys
+from wigeonspool.platform import target_entries
+from wigeonspool.platform import value_limits
 
 ENTRY: dict[str, Any] = {
     "Address": "10.0.0.1:80",
@@ -17,6 +19,15 @@
 }
 
 
+NESTED = b"[" * 5000 + b"]" * 5000
+MAX_PROBLEM_CHARS = 400
+
+
+def add_field(document: dict[str, Any], value: bytes) -> bytes:
+    """Returns a JSON document with one more field, given as JSON."""
+    return json.dumps(document).encode()[:-1] + b', "New": ' + value + b"}"
+
+
 def decode(entry: Any) -> cluster_state.TargetChange:
     value = entry if isinstance(entry, bytes) else json.dumps(entry).encode()
     change = store_keys.decode_change("servers/t-1", value)
@@ -52,6 +63,31 @@
         assert change.entry is None
         assert change.problem
 
+    def test_deeply_nested_entry_is_reported_and_registers_no_target(
+        self,
+    ) -> None:
+        # Guards against LOST: such an entry ended each process that read it.
+        change = decode(add_field(ENTRY, NESTED))
+        assert change.entry is None
+        assert "levels" in change.problem
+        assert len(change.problem) < MAX_PROBLEM_CHARS
+
+    def test_entry_above_the_size_limit_is_reported(self) -> None:
+        change = decode(ENTRY | {"New": "x" * target_entries.MAX_ENTRY_BYTES})
+        assert change.entry is None
+        assert "bytes" in change.problem
+
+    def test_unknown_fields_within_the_limits_are_ignored(self) -> None:
+        depth = value_limits.MAX_DEPTH - 1
+        for value in (
+            b"[" * depth + b"]" * depth,
+            b"[" + b",".join([b"[{}]"] * 1000) + b"]",
+            b'"' + b"[" * 1000 + b'"',
+            b'"\\"' + b"[" * 1000 + b'"',
+            b"1" + b"0" * 10_000,
+        ):
+            assert decode(add_field(ENTRY, value)).entry is not None
+
     def test_removed_entry_is_no_problem(self) -> None:
         change = store_keys.decode_change("servers/t-1", None)
         assert change == cluster_state.TargetChange("t-1", None)
@@ -64,6 +100,7 @@
             ("vms/vm-1", b"\x93"),
             ("suspects/xyz/t-1", b""),
             ("op/config", b"{}"),
+            ("op/config", b'{"New": ' + NESTED + b"}"),
         ],
     )
     def test_invalid_value_raises_an_error(
--- a/wigeonspool/platform/configuration.py
+++ b/wigeonspool/platform/configuration.py
@@ -4,10 +4,12 @@
 
 import msgspec
 
-from wigeonspool.model import errors
 from wigeonspool.model import fleet
 from wigeonspool.platform import duration_text
+from wigeonspool.platform import value_limits
 
+# Above the limit of the store on the size of a value.
+MAX_CONFIGURATION_BYTES: Final = 16 * 1024 * 1024
 # Kinds of rules whose requests may run more than once. Requests of any other
 # kind run at most once.
 IDEMPOTENT_KINDS: Final = frozenset({"safe", "download"})
@@ -78,10 +80,9 @@
     Raises:
         PlatformFormatError: If the value is not a valid configuration document.
     """
-    try:
-        document = _decoder.decode(value)
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise errors.PlatformFormatError(f"configuration: {error}") from error
+    document = value_limits.decode_json(
+        _decoder, value, MAX_CONFIGURATION_BYTES
+    )
     return fleet.Configuration(
         version=document.config_version,
         hosts=_build_hosts(document.listeners),
--- a/wigeonspool/platform/target_entries.py
+++ b/wigeonspool/platform/target_entries.py
@@ -11,8 +11,10 @@
 from wigeonspool.model import errors
 from wigeonspool.model import fleet
 from wigeonspool.platform import duration_text
+from wigeonspool.platform import value_limits
 
 PREFIX: Final = "servers/"
+MAX_ENTRY_BYTES: Final = 64 * 1024
 STATES: Final = {
     "ready": fleet.TargetState.SERVING,
     "draining": fleet.TargetState.DRAINING,
@@ -53,13 +55,8 @@
         PlatformFormatError: If the value cannot be decoded, or its state,
             address, service or number of slots is invalid.
     """
-    try:
-        entry = _decoder.decode(value)
-        warmup_seconds = duration_text.parse_seconds(entry.status.cold_time)
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise errors.PlatformFormatError(
-            f"entry of a target: {error}"
-        ) from error
+    entry = value_limits.decode_json(_decoder, value, MAX_ENTRY_BYTES)
+    warmup_seconds = duration_text.parse_seconds(entry.status.cold_time)
     state = STATES.get(entry.status.state)
     host, _, port = entry.address.rpartition(":")
     if state is None:
--- /dev/null
+++ b/wigeonspool/platform/value_limits.py
@@ -0,0 +1,79 @@
+"""Limits on the values of the store, which any of its clients may write.
+
+Size and nesting are checked before a value is decoded, because the decoder
+recurses once per level.
+"""
+
+import re
+import reprlib
+from typing import Any, Final, TypeVar
+
+import msgspec
+
+from wigeonspool.model import errors
+
+# Levels of arrays and objects; documents of the platform have up to seven.
+MAX_DEPTH: Final = 64
+# Longest quotation of an invalid value in an error message or a log line.
+MAX_QUOTE_CHARS: Final = 60
+
+_JSON_STRING: Final = re.compile(rb'"(?:[^"\\]++|\\.)*+"?', re.DOTALL)
+_OPENING: Final = frozenset(b"[{")
+_NOT_BRACKETS: Final = bytes(set(range(256)) - set(b"[]{}"))
+_T = TypeVar("_T")
+
+_quotation: Final = reprlib.Repr()
+_quotation.maxstring = _quotation.maxother = MAX_QUOTE_CHARS
+_quotation.maxlong = MAX_QUOTE_CHARS
+
+
+def quote(value: Any) -> str:
+    """Returns a representation of a value that is short enough for a log."""
+    if isinstance(value, bytes):
+        value = value[:MAX_QUOTE_CHARS]
+    return _quotation.repr(value)
+
+
+def decode_json(
+    decoder: msgspec.json.Decoder[_T], value: bytes, max_bytes: int
+) -> _T:
+    """Decodes a JSON document within the limits of size and nesting.
+
+    Args:
+        decoder: Decoder of the expected type.
+        value: The document.
+        max_bytes: Maximum size of the document.
+
+    Raises:
+        PlatformFormatError: If the document exceeds a limit, is not valid JSON
+            or does not have the expected type.
+    """
+    if len(value) > max_bytes:
+        raise errors.PlatformFormatError(
+            f"{len(value)} bytes exceed the limit of {max_bytes}"
+        )
+    check_json_depth(value)
+    try:
+        return decoder.decode(value)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise errors.PlatformFormatError(
+            f"{error}, in {quote(value)}"
+        ) from error
+
+
+def check_json_depth(value: bytes, max_depth: int = MAX_DEPTH) -> None:
+    """Checks the nesting of a JSON document, which need not be valid JSON.
+
+    Raises:
+        PlatformFormatError: If the document has too many levels.
+    """
+    if value.count(b"[") + value.count(b"{") <= max_depth:
+        return
+    brackets = _JSON_STRING.sub(b"", value).translate(None, _NOT_BRACKETS)
+    depth = 0
+    for bracket in brackets:
+        depth += 1 if bracket in _OPENING else -1
+        if depth > max_depth:
+            raise errors.PlatformFormatError(
+                f"more than {max_depth} levels, in {quote(value)}"
+            )
