--- a/tests/test_store_keys.py
+++ b/tests/test_store_keys.py
@@ -20,6 +20,28 @@
 
 
 NESTED = b"[" * 5000 + b"]" * 5000
+INVALID_ADDRESSES = [
+    "127.0.0.1:99999",
+    "127.0.0.1:65536",
+    "127.0.0.1:0",
+    "127.0.0.1:-1",
+    "127.0.0.1:+1",
+    "127.0.0.1: 80",
+    "127.0.0.1:٣٣",
+    "127.0.0.1:" + "1" * 5000,
+    "127.0.0.1:",
+    "127.0.0.1",
+    ":80",
+    "a..b:80",
+    "localhost:80",
+    "127.0.0.256:80",
+    "127.0.0.1\0:80",
+    "127.0.0.1\r\n:80",
+    "a" * 140 + ":80",
+    "a" * 5000 + ":80",
+    "::1:80",
+    "[::1]:80",
+]
 MAX_PROBLEM_CHARS = 400
 
 
@@ -72,6 +94,17 @@
         assert "levels" in change.problem
         assert len(change.problem) < MAX_PROBLEM_CHARS
 
+    @pytest.mark.parametrize("address", INVALID_ADDRESSES)
+    def test_entry_with_an_invalid_address_registers_no_target(
+        self, address: str
+    ) -> None:
+        # Guards against LOST: a connection to such an address ended requests
+        # with a 500, because its error was no OSError.
+        change = decode(ENTRY | {"Address": address})
+        assert change.entry is None
+        assert "Address" in change.problem
+        assert len(change.problem) < MAX_PROBLEM_CHARS
+
     def test_entry_above_the_size_limit_is_reported(self) -> None:
         change = decode(ENTRY | {"New": "x" * target_entries.MAX_ENTRY_BYTES})
         assert change.entry is None
--- a/wigeonspool/model/errors.py
+++ b/wigeonspool/model/errors.py
@@ -271,6 +271,18 @@
         )
 
 
+class AddressInvalidError(WigeonspoolError, ConnectionError):
+    """An address is not an IPv4 address and a port.
+
+    It counts as a failed connection, since nothing listens there.
+    """
+
+    code = "address-invalid"
+
+    def __init__(self, address: str) -> None:
+        super().__init__(f"{reprlib.repr(address)} is not an IPv4 host:port")
+
+
 class AgentUnavailableError(WigeonspoolError):
     """An agent did not reply to an operator's command."""
 
--- a/wigeonspool/platform/target_entries.py
+++ b/wigeonspool/platform/target_entries.py
@@ -58,15 +58,11 @@
     entry = value_limits.decode_json(_decoder, value, MAX_ENTRY_BYTES)
     warmup_seconds = duration_text.parse_seconds(entry.status.cold_time)
     state = STATES.get(entry.status.state)
-    host, _, port = entry.address.rpartition(":")
     if state is None:
         raise errors.PlatformFormatError(
             f"unknown target state {entry.status.state!r}"
         )
-    if not host or not port.isdecimal():
-        raise errors.PlatformFormatError(
-            f"target address {entry.address!r} is not host:port"
-        )
+    value_limits.check_address("Address", entry.address)
     if entry.info.slots < 1 or not entry.info.service:
         raise errors.PlatformFormatError(
             "target entry has no service or no slots"
--- a/wigeonspool/platform/value_limits.py
+++ b/wigeonspool/platform/value_limits.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from wigeonspool.model import addresses
 from wigeonspool.model import errors
 
 # Levels of arrays and objects; documents of the platform have up to seven.
@@ -77,3 +78,16 @@
             raise errors.PlatformFormatError(
                 f"more than {max_depth} levels, in {quote(value)}"
             )
+
+
+def check_address(field: str, address: str) -> None:
+    """Checks an address `host:port`.
+
+    Raises:
+        PlatformFormatError: If the host is not an IPv4 address or the port is
+            out of range.
+    """
+    try:
+        addresses.split_address(address)
+    except errors.AddressInvalidError as error:
+        raise errors.PlatformFormatError(f"{field}: {error}") from error
--- a/wigeonspool/vm/channels.py
+++ b/wigeonspool/vm/channels.py
@@ -12,6 +12,8 @@
 from aiohttp import client_proto
 
 from wigeonspool.gateway import connections
+from wigeonspool.model import addresses
+from wigeonspool.model import errors
 
 # How long a connection may stay idle if its target does not announce when it
 # closes idle connections. A health check tests the connection before each
@@ -139,10 +141,15 @@
             timeout_seconds: Longest time to wait for the connection.
 
         Raises:
-            OSError: If the target refuses it or does not reply in time.
+            OSError: If the address is invalid, or the target refuses the
+                connection or does not reply in time.
         """
-        host, _, port = address.rpartition(":")
         self.connect_attempts += 1
+        try:
+            host, port = addresses.split_address(address)
+        except errors.AddressInvalidError:
+            self.connect_failures += 1
+            raise
         tcp_socket = connections.open_socket(
             (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", None)
         )
@@ -150,7 +157,7 @@
         tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
             async with asyncio.timeout(timeout_seconds):
-                await self._loop.sock_connect(tcp_socket, (host, int(port)))
+                await self._loop.sock_connect(tcp_socket, (host, port))
                 _, protocol = await self._loop.create_connection(
                     lambda: TargetProtocol(self._loop), sock=tcp_socket
                 )
