Bound the numbers, names and durations of entries

An entry with Slots or born of 10^30 was accepted, although the messages to followers hold integers of 64 bits; a Cold_time of 5,000 digits was infinite; an identity with control characters would become the value of a header field. Each field now has a stated limit, and the error names the field with a shortened value.

--- a/tests/test_store_keys.py
+++ b/tests/test_store_keys.py
@@ -50,6 +50,16 @@
     return json.dumps(document).encode()[:-1] + b', "New": ' + value + b"}"
 
 
+def build_entry(**fields: Any) -> dict[str, Any]:
+    """Returns an entry in which the fields have other values."""
+    return {
+        "Address": fields.get("Address", ENTRY["Address"]),
+        "Info": {k: fields.get(k, v) for k, v in ENTRY["Info"].items()},
+        "Status": {k: fields.get(k, v) for k, v in ENTRY["Status"].items()},
+        "born": fields.get("born", ENTRY["born"]),
+    }
+
+
 def decode(entry: Any) -> cluster_state.TargetChange:
     value = entry if isinstance(entry, bytes) else json.dumps(entry).encode()
     change = store_keys.decode_change("servers/t-1", value)
@@ -105,6 +115,63 @@
         assert "Address" in change.problem
         assert len(change.problem) < MAX_PROBLEM_CHARS
 
+    @pytest.mark.parametrize(
+        ("field", "value"),
+        [
+            ("Slots", 10**30),
+            ("Slots", target_entries.MAX_SLOTS + 1),
+            ("Slots", -1),
+            ("Slots", 1.5),
+            ("Slots", 1e308),
+            ("born", 10**30),
+            ("born", 2**64 - 1),
+            ("born", -1),
+            ("born", 1.5),
+            ("Cold_time", "1" * 5000 + "s"),
+            ("Cold_time", "99999999s"),
+            ("Cold_time", "٣s"),
+            ("Cold_time", "-1s"),
+            ("Cold_time", "nan"),
+            ("Service", ""),
+            ("Service", "x" * 5000),
+            ("Service", "a\0b"),
+            ("Zone", "x" * 5000),
+            ("Zone", "a\nb"),
+            ("State", "x" * 5000),
+        ],
+    )
+    def test_entry_with_a_field_out_of_range_registers_no_target(
+        self, field: str, value: Any
+    ) -> None:
+        # Guards against LOST: a feeder could not encode integers of 2^64 and
+        # more, and a duration of 5,000 digits was infinite.
+        change = decode(build_entry(**{field: value}))
+        assert change.entry is None
+        assert field in change.problem
+        assert len(change.problem) < MAX_PROBLEM_CHARS
+
+    def test_values_at_the_limits_are_accepted(self) -> None:
+        change = decode(
+            build_entry(
+                Slots=target_entries.MAX_SLOTS,
+                born=target_entries.MAX_BORN_MS,
+                Cold_time=f"{target_entries.MAX_COLD_SECONDS}s",
+                Service="é" * 100,
+                Zone="",
+            )
+        )
+        assert change.entry is not None
+
+    @pytest.mark.parametrize("identity", ["", "a b", "a\r\nb", "é", "x" * 201])
+    def test_identity_that_fits_no_header_registers_no_target(
+        self, identity: str
+    ) -> None:
+        value = json.dumps(ENTRY).encode()
+        change = store_keys.decode_change(f"servers/{identity}", value)
+        assert isinstance(change, cluster_state.TargetChange)
+        assert change.entry is None
+        assert "identity" in change.problem
+
     def test_entry_above_the_size_limit_is_reported(self) -> None:
         change = decode(ENTRY | {"New": "x" * target_entries.MAX_ENTRY_BYTES})
         assert change.entry is None
--- a/wigeonspool/platform/target_entries.py
+++ b/wigeonspool/platform/target_entries.py
@@ -10,11 +10,14 @@
 
 from wigeonspool.model import errors
 from wigeonspool.model import fleet
-from wigeonspool.platform import duration_text
 from wigeonspool.platform import value_limits
 
 PREFIX: Final = "servers/"
 MAX_ENTRY_BYTES: Final = 64 * 1024
+MAX_SLOTS: Final = 1_000_000
+# The year 9999; the messages between VMs have integers of 64 bits.
+MAX_BORN_MS: Final = 253_402_300_799_999
+MAX_COLD_SECONDS: Final = 24 * 3600.0
 STATES: Final = {
     "ready": fleet.TargetState.SERVING,
     "draining": fleet.TargetState.DRAINING,
@@ -52,21 +55,24 @@
         value: Value of the key.
 
     Raises:
-        PlatformFormatError: If the value cannot be decoded, or its state,
-            address, service or number of slots is invalid.
+        PlatformFormatError: If the value cannot be decoded, or the identity or
+            a field is invalid.
     """
     entry = value_limits.decode_json(_decoder, value, MAX_ENTRY_BYTES)
-    warmup_seconds = duration_text.parse_seconds(entry.status.cold_time)
     state = STATES.get(entry.status.state)
     if state is None:
         raise errors.PlatformFormatError(
-            f"unknown target state {entry.status.state!r}"
+            f"State: {value_limits.quote(entry.status.state)} is unknown"
         )
+    value_limits.check_identity(identity)
     value_limits.check_address("Address", entry.address)
-    if entry.info.slots < 1 or not entry.info.service:
-        raise errors.PlatformFormatError(
-            "target entry has no service or no slots"
-        )
+    value_limits.check_name("Service", entry.info.service)
+    value_limits.check_name("Zone", entry.info.zone, empty_allowed=True)
+    value_limits.check_range("Slots", entry.info.slots, 1, MAX_SLOTS)
+    value_limits.check_range("born", entry.born, 0, MAX_BORN_MS)
+    warmup_seconds = value_limits.parse_duration(
+        "Cold_time", entry.status.cold_time, MAX_COLD_SECONDS
+    )
     return fleet.TargetEntry(
         identity=identity,
         service=entry.info.service,
--- a/wigeonspool/platform/value_limits.py
+++ b/wigeonspool/platform/value_limits.py
@@ -12,9 +12,12 @@
 
 from wigeonspool.model import addresses
 from wigeonspool.model import errors
+from wigeonspool.platform import duration_text
 
 # Levels of arrays and objects; documents of the platform have up to seven.
 MAX_DEPTH: Final = 64
+# Limit of the store on the size of a key.
+MAX_NAME_BYTES: Final = 200
 # Longest quotation of an invalid value in an error message or a log line.
 MAX_QUOTE_CHARS: Final = 60
 
@@ -91,3 +94,58 @@
         addresses.split_address(address)
     except errors.AddressInvalidError as error:
         raise errors.PlatformFormatError(f"{field}: {error}") from error
+
+
+def check_name(field: str, name: str, empty_allowed: bool = False) -> None:
+    """Checks a name: printable, and at most `MAX_NAME_BYTES` long.
+
+    Raises:
+        PlatformFormatError: If the name is too long or empty, or has control
+            characters.
+    """
+    is_short = len(name.encode(errors="replace")) <= MAX_NAME_BYTES
+    if not is_short or not name.isprintable() or not (name or empty_allowed):
+        raise errors.PlatformFormatError(
+            f"{field}: {quote(name)} is not a name"
+        )
+
+
+def check_identity(identity: str) -> None:
+    """Checks an identity, which is also the value of a header field.
+
+    Raises:
+        PlatformFormatError: If it is not a name of visible ASCII characters.
+    """
+    check_name("identity", identity)
+    if not identity.isascii() or " " in identity:
+        raise errors.PlatformFormatError(
+            f"identity: {quote(identity)} is not visible ASCII"
+        )
+
+
+def check_range(
+    field: str, number: float, minimum: float, maximum: float
+) -> None:
+    """Checks that a number lies between two bounds, inclusive.
+
+    Raises:
+        PlatformFormatError: If the number is out of range or not a number.
+    """
+    if not minimum <= number <= maximum:
+        raise errors.PlatformFormatError(
+            f"{field}: {quote(number)} is not from {minimum} to {maximum}"
+        )
+
+
+def parse_duration(field: str, text: str, max_seconds: float) -> float:
+    """Parses a duration such as `1500ms`; returns seconds.
+
+    Raises:
+        PlatformFormatError: If the text is not a duration, or too long a one.
+    """
+    try:
+        seconds = duration_text.parse_seconds(text)
+    except errors.PlatformFormatError as error:
+        raise errors.PlatformFormatError(f"{field}: {error}") from error
+    check_range(field, seconds, 0.0, max_seconds)
+    return seconds
