Remove a target at once when its entry turns odd after an outage

The protocol says that an unreadable entry names no instance to use. Within two seconds after the store recovered, such an entry was treated like a missing one and the target was used on. A missing entry may have expired because of the outage; an odd one was written.

TestOddEntries::test_odd_entry_names_no_target_after_a_store_outage failed before ('t-1' was listed); the tests of good, odd and good again passed.

--- a/wigeonspool/core/cluster_state.py
+++ b/wigeonspool/core/cluster_state.py
@@ -175,6 +175,11 @@
         row = self.targets.get(change.identity)
         entry = change.entry
         if entry is None:
+            if row is not None and change.problem:
+                # The entry was written and did not expire, so there is no
+                # grace period.
+                self._remove(row)
+                return True
             return self._handle_missing_entry(now, row)
         if row is not None and _is_same_incarnation(row.entry, entry):
             changed = row.entry != entry or row.suspect_until > 0
