Validate the entries of VMs and the keys of suspects

An entry of a VM with an odd port ended the task of periodic work (pings, changes to followers) in int(port) or sendto, or passed the 'except OSError' of the feed client; a NaN capacity breaks the order of VMs; a fingerprint could have any number of digits, also with signs and underscores. All fields are now checked at the border, and the places that split an address do it with model/addresses.py; a ping that cannot be sent is a missed one.

--- a/tests/test_store_keys.py
+++ b/tests/test_store_keys.py
@@ -1,5 +1,6 @@
 """Decoding of store keys, whose values any client of the store may write."""
 
+import dataclasses
 import json
 from typing import Any
 
@@ -7,6 +8,7 @@
 
 from wigeonspool.core import cluster_state
 from wigeonspool.model import errors
+from wigeonspool.model import fleet
 from wigeonspool.platform import store_keys
 from wigeonspool.platform import target_entries
 from wigeonspool.platform import value_limits
@@ -19,6 +21,9 @@
 }
 
 
+VM_ENTRY = fleet.VmEntry(
+    "vm-1", "north", "zone-a", "10.0.0.1:80", "10.0.0.1:81", 0.86
+)
 NESTED = b"[" * 5000 + b"]" * 5000
 INVALID_ADDRESSES = [
     "127.0.0.1:99999",
@@ -209,5 +214,70 @@
         with pytest.raises(errors.PlatformFormatError):
             store_keys.decode_change(key, value)
 
+    @pytest.mark.parametrize(
+        ("field", "value"),
+        [
+            ("address", "10.0.0.1:99999"),
+            ("address", "a..b:80"),
+            ("peer_address", "10.0.0.1:99999"),
+            ("peer_address", "10.0.0.1:x"),
+            ("peer_address", "10.0.0.1\0:1"),
+            ("capacity", float("nan")),
+            ("capacity", float("inf")),
+            ("capacity", float("-inf")),
+            ("capacity", 0.0),
+            ("capacity", -1.0),
+            ("region", "x" * 300),
+            ("zone", "a\nb"),
+        ],
+    )
+    def test_vm_with_an_invalid_field_is_an_error(
+        self, field: str, value: Any
+    ) -> None:
+        # Guards against LOST: an odd port ended the loop that pings VMs.
+        entry = dataclasses.replace(VM_ENTRY, **{field: value})
+        key, encoded = store_keys.encode_vm(entry)
+        with pytest.raises(errors.PlatformFormatError, match=field) as caught:
+            store_keys.decode_change(key, encoded)
+        assert len(str(caught.value)) < MAX_PROBLEM_CHARS
+
+    def test_vm_entry_is_decoded_as_it_was_encoded(self) -> None:
+        change = store_keys.decode_change(*store_keys.encode_vm(VM_ENTRY), 3)
+        assert change == cluster_state.VmChange("vm-1", VM_ENTRY, 3)
+
+    def test_deeply_nested_vm_entry_is_an_error(self) -> None:
+        _, encoded = store_keys.encode_vm(VM_ENTRY)
+        # An array of five fields becomes one of six.
+        nested = b"\x96" + encoded[1:] + b"\x91" * 3000 + b"\x00"
+        with pytest.raises(errors.PlatformFormatError):
+            store_keys.decode_change("vms/vm-1", nested)
+
+    @pytest.mark.parametrize(
+        "name",
+        [
+            "f" * 17 + "/t-1",
+            "f" * 100_000 + "/t-1",
+            "-1/t-1",
+            "0x1/t-1",
+            "1_0/t-1",
+            " 1/t-1",
+            "٣/t-1",
+            "/t-1",
+            "1/",
+            "1",
+            "1/" + "x" * 5000,
+            "1/a\r\nb",
+        ],
+    )
+    def test_invalid_suspect_is_an_error(self, name: str) -> None:
+        with pytest.raises(errors.PlatformFormatError) as caught:
+            store_keys.decode_change(f"suspects/{name}", b"")
+        assert len(str(caught.value)) < MAX_PROBLEM_CHARS
+
+    def test_suspect_is_decoded_from_its_key(self) -> None:
+        key = store_keys.build_suspect_key(2**64 - 1, "t-1")
+        change = store_keys.decode_change(key, b"")
+        assert change == cluster_state.SuspectChange(2**64 - 1, "t-1")
+
     def test_other_prefixes_are_ignored(self) -> None:
         assert store_keys.decode_change("status/x", b"\xff") is None
--- a/wigeonspool/platform/store_keys.py
+++ b/wigeonspool/platform/store_keys.py
@@ -4,6 +4,7 @@
 that VMs write.
 """
 
+import re
 from typing import Final
 
 import msgspec
@@ -13,10 +14,16 @@
 from wigeonspool.model import fleet
 from wigeonspool.platform import configuration
 from wigeonspool.platform import target_entries
+from wigeonspool.platform import value_limits
 
 CONFIGURATION_KEY: Final = "op/config"
 VM_PREFIX: Final = "vms/"
 SUSPECT_PREFIX: Final = "suspects/"
+MAX_VM_BYTES: Final = 4 * 1024
+MIN_CAPACITY_CORES: Final = 1e-3
+MAX_CAPACITY_CORES: Final = 1e5
+# Fingerprints have 64 bits.
+_FINGERPRINT: Final = re.compile("[0-9a-f]{1,16}")
 
 
 class _Vm(msgspec.Struct, array_like=True):
@@ -27,6 +34,9 @@
     capacity: float
 
 
+_vm_decoder: Final = msgspec.msgpack.Decoder(_Vm)
+
+
 def decode_change(
     key: str, value: bytes | None, lease: int = 0
 ) -> cluster_state.Change | None:
@@ -73,13 +83,16 @@
             hexadecimal, a slash, and the identity of the target.
 
     Raises:
-        PlatformFormatError: If the fingerprint is not hexadecimal.
+        PlatformFormatError: If the fingerprint is not a hexadecimal number of
+            64 bits, or the identity is invalid.
     """
     fingerprint_text, _, target = name.partition("/")
-    try:
-        return cluster_state.SuspectChange(int(fingerprint_text, 16), target)
-    except ValueError as error:
-        raise errors.PlatformFormatError(f"suspect: {error}") from error
+    if _FINGERPRINT.fullmatch(fingerprint_text) is None:
+        raise errors.PlatformFormatError(
+            f"suspect: {value_limits.quote(fingerprint_text)} is no fingerprint"
+        )
+    value_limits.check_identity(target)
+    return cluster_state.SuspectChange(int(fingerprint_text, 16), target)
 
 
 def build_suspect_key(fingerprint: int, target: str) -> str:
@@ -96,14 +109,20 @@
     """Returns the entry of a VM, or None if its key was removed.
 
     Raises:
-        PlatformFormatError: If the value cannot be decoded.
+        PlatformFormatError: If the value cannot be decoded, or a field is
+            invalid.
     """
     if value is None:
         return None
-    try:
-        record = msgspec.msgpack.decode(value, type=_Vm)
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise errors.PlatformFormatError(f"entry of a VM: {error}") from error
+    record = value_limits.decode_msgpack(_vm_decoder, value, MAX_VM_BYTES)
+    value_limits.check_identity(name)
+    value_limits.check_name("region", record.region, empty_allowed=True)
+    value_limits.check_name("zone", record.zone, empty_allowed=True)
+    value_limits.check_address("address", record.address)
+    value_limits.check_address("peer_address", record.peer_address)
+    value_limits.check_range(
+        "capacity", record.capacity, MIN_CAPACITY_CORES, MAX_CAPACITY_CORES
+    )
     return fleet.VmEntry(
         name,
         record.region,
--- a/wigeonspool/platform/value_limits.py
+++ b/wigeonspool/platform/value_limits.py
@@ -52,11 +52,50 @@
         PlatformFormatError: If the document exceeds a limit, is not valid JSON
             or does not have the expected type.
     """
+    _check_size(value, max_bytes)
+    check_json_depth(value)
+    return _decode(decoder, value)
+
+
+def decode_msgpack(
+    decoder: msgspec.msgpack.Decoder[_T], value: bytes, max_bytes: int
+) -> _T:
+    """Decodes a msgpack document within a limit of size.
+
+    Args:
+        decoder: Decoder of the expected type.
+        value: The document.
+        max_bytes: Maximum size of the document.
+
+    Raises:
+        PlatformFormatError: If the document is too large or too deeply nested,
+            is not valid msgpack or does not have the expected type.
+    """
+    _check_size(value, max_bytes)
+    return _decode(decoder, value)
+
+
+def _check_size(value: bytes, max_bytes: int) -> None:
+    """Checks the size of a document.
+
+    Raises:
+        PlatformFormatError: If the document is too large.
+    """
     if len(value) > max_bytes:
         raise errors.PlatformFormatError(
             f"{len(value)} bytes exceed the limit of {max_bytes}"
         )
-    check_json_depth(value)
+
+
+def _decode(
+    decoder: msgspec.json.Decoder[_T] | msgspec.msgpack.Decoder[_T],
+    value: bytes,
+) -> _T:
+    """Decodes a document.
+
+    Raises:
+        PlatformFormatError: If the document is invalid or too deeply nested.
+    """
     try:
         return decoder.decode(value)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
--- a/wigeonspool/vm/feed_client.py
+++ b/wigeonspool/vm/feed_client.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from wigeonspool import failure_logs
+from wigeonspool.model import addresses
 from wigeonspool.model import errors
 from wigeonspool.model import key_values
 from wigeonspool.vm import feed_messages
@@ -108,9 +109,9 @@
             OSError: If the connection failed, no message came in time or the
                 data of the feeder is stale.
         """
-        host, _, port = address.rpartition(":")
+        host, port = addresses.split_address(address)
         async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-            reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await asyncio.open_connection(host, port)
         try:
             subscribe = feed_messages.Subscribe(
                 feed_messages.VERSION, self._vm, self._replica.revision
--- a/wigeonspool/vm/peer_liveness.py
+++ b/wigeonspool/vm/peer_liveness.py
@@ -7,11 +7,13 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import dataclasses
 from typing import Any, Final
 
 import msgspec
 
+from wigeonspool.model import addresses
 from wigeonspool.model import fleet
 
 PING_INTERVAL_SECONDS: Final = 0.2
@@ -131,8 +133,9 @@
                 del self.peers[address]
                 continue
             peer.missed_pings += 1
-            host, _, port = address.rpartition(":")
-            self._transport.sendto(data, (host, int(port)))
+            # A ping that cannot be sent is a missed one.
+            with contextlib.suppress(OSError):
+                self._transport.sendto(data, addresses.split_address(address))
 
     def reset_missed(self) -> None:
         """Clears the missed pings of all VMs, after this process was paused."""
