Add a soak of VM processes under faults and planned work

The soak runs real VM processes with kept connections, and injects overlapping stops, signals, pauses, kills, store and target faults and odd entries.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format check-histories
+.PHONY: demo test lint format check-histories soak
 
 $(STAMP): pyproject.toml requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -33,6 +33,12 @@
 check-histories: $(STAMP)
 	@$(BIN)/python -m tests.check_histories --seconds $(SECONDS) --seed $(SEED)
 
+# VM processes under faults and planned work: RUNS seeds from SEED on.
+RUNS ?= 1
+VMS ?= 4
+soak: $(STAMP)
+	@$(BIN)/python -m tests.soak --seed $(SEED) --runs $(RUNS) --seconds $(SECONDS) --vms $(VMS)
+
 format: $(STAMP)
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
--- /dev/null
+++ b/tests/soak/promises.py
@@ -0,0 +1,203 @@
+"""Checks the promises of the platform's pages on the history of a soak."""
+
+from collections.abc import Callable, Iterator
+from typing import Final
+
+from tests.soak import history as histories
+
+STABLE_SECONDS: Final = 3.0
+LOSS_SLACK_SECONDS: Final = 0.2
+# How long after SIGHUP a request counts as sent around that planned work.
+RELOAD_SECONDS: Final = 2.0
+# Requests from kept connections that may be lost outside of planned work.
+MAX_LOST: Final = 3
+# A request that has used this fraction of its time has reached its limit.
+LIMIT_FRACTION: Final = 0.98
+# A stop may cut a request whose target works in the last part of the grace
+# period, if the request was sent in the first part.
+LAST_GRACE_FRACTION: Final = 5 / 6
+FIRST_GRACE_FRACTION: Final = 1 / 2
+# Fraction of the requests that must succeed once all is calm.
+MIN_RECOVERED: Final = 0.25
+NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
+SUCCESS: Final = range(200, 300)
+SERVER_ERRORS: Final = range(500, 600)
+
+
+def find_violations(history: histories.History) -> list[str]:
+    """Returns a line for each broken promise, with its name first."""
+    return [line for check in CHECKS for line in check(history)]
+
+
+def check_mixed(history: histories.History) -> Iterator[str]:
+    """Yields responses that are not the complete ones of their targets."""
+    for attempt in history.attempts.values():
+        if attempt.end is not histories.End.ANSWERED:
+            continue
+        foreign = attempt.echoed not in ("", attempt.identity)
+        targets = {run.target for run in list_runs(history, attempt)}
+        unproven = attempt.status in SUCCESS and not (
+            attempt.sealed and attempt.response.decode() in targets
+        )
+        if foreign or unproven:
+            yield f"MIXED {describe(attempt)} ran at {sorted(targets)}"
+
+
+def check_unasked(history: histories.History) -> Iterator[str]:
+    """Yields runs of requests that no caller sent in that form."""
+    for identity, runs in history.runs.items():
+        attempt = history.attempts.get(identity)
+        for run in runs:
+            if attempt is None or (attempt.method, attempt.path) != (
+                run.method,
+                run.path,
+            ):
+                yield f"UNASKED {identity} as {run.method} {run.path}"
+            elif attempt.body != run.body:
+                yield f"UNASKED {identity} with body {run.body!r}"
+
+
+def check_twice(history: histories.History) -> Iterator[str]:
+    """Yields requests that ran twice though they may run once."""
+    for attempt in history.attempts.values():
+        runs = list_runs(history, attempt)
+        if attempt.method == "POST" and len(runs) > 1:
+            yield f"TWICE {describe(attempt)} at {[r.target for r in runs]}"
+
+
+def check_refused(history: histories.History) -> Iterator[str]:
+    """Yields requests reported as not run that ran."""
+    for attempt in history.attempts.values():
+        runs = list_runs(history, attempt)
+        if (
+            attempt.method == "POST"
+            and attempt.status in NOT_RUN_STATUSES
+            and runs
+        ):
+            yield f"REFUSED {describe(attempt)} ran at {runs[0].target}"
+
+
+def check_lost_at_stops(history: histories.History) -> Iterator[str]:
+    """Yields requests that planned work of their VM cut."""
+    for attempt in history.attempts.values():
+        if _is_excused(history, attempt):
+            continue
+        runs = list_runs(history, attempt)
+        waited = attempt.ended_at - attempt.sent_at > LOSS_SLACK_SECONDS
+        closed = attempt.end is histories.End.CLOSED and (waited or runs)
+        for work in history.disturbances:
+            if work.subject == attempt.vm and _is_cut_by(
+                history, attempt, work
+            ):
+                if closed:
+                    yield f"LOST {describe(attempt)} at {work.kind}"
+                elif work.kind == "term" and _is_replaced(attempt, runs):
+                    yield f"LOST {describe(attempt)} replaced at {work.kind}"
+
+
+def check_lost_requests(history: histories.History) -> Iterator[str]:
+    """Yields more than `MAX_LOST` requests that calm VMs left unanswered."""
+    lost = [
+        attempt
+        for attempt in history.attempts.values()
+        if attempt.end is histories.End.CLOSED
+        and attempt.reused
+        and list_runs(history, attempt)
+        and not _is_excused(history, attempt)
+        and not history.list_disturbances(
+            attempt.vm, attempt.sent_at - STABLE_SECONDS, attempt.ended_at
+        )
+    ]
+    if len(lost) > MAX_LOST:
+        yield f"LOST {len(lost)} requests, first {describe(lost[0])}"
+
+
+def check_own_ends(history: histories.History) -> Iterator[str]:
+    """Yields processes that ended though nothing stopped them."""
+    for vm, code in history.self_ended:
+        yield f"ENDED {vm} with exit code {code}"
+
+
+def check_recovery(history: histories.History) -> Iterator[str]:
+    """Yields a failure to serve once all disturbances have ended."""
+    calm = [
+        a for a in history.attempts.values() if a.sent_at >= history.calm_from
+    ]
+    served = sum(a.status in SUCCESS for a in calm)
+    if served < MIN_RECOVERED * len(calm) or not calm:
+        yield f"RECOVER {served} of {len(calm)} requests were served"
+
+
+def list_runs(
+    history: histories.History, attempt: histories.Attempt
+) -> list[histories.Run]:
+    """Returns the runs of an attempt."""
+    return history.runs.get(attempt.identity, [])
+
+
+def describe(attempt: histories.Attempt) -> str:
+    """Returns an attempt as text."""
+    kept = "kept" if attempt.reused else "new"
+    seconds = attempt.ended_at - attempt.sent_at
+    return (
+        f"{attempt.identity} {attempt.method} to {attempt.vm}, {kept} "
+        f"connection, sent at {attempt.sent_at:.3f}, "
+        f"{attempt.end.value} {attempt.status} after {seconds:.3f} s"
+    )
+
+
+def _is_excused(history: histories.History, attempt: histories.Attempt) -> bool:
+    """Returns True if the time limit or a target ended the attempt."""
+    seconds = attempt.ended_at - attempt.sent_at
+    if seconds >= LIMIT_FRACTION * attempt.limit_seconds:
+        return True
+    return any(
+        history.list_disturbances(run.target, attempt.sent_at, attempt.ended_at)
+        for run in list_runs(history, attempt)
+    )
+
+
+def _is_replaced(attempt: histories.Attempt, runs: list[histories.Run]) -> bool:
+    """Returns True if a failure of the VM stands for a running request."""
+    return bool(runs) and attempt.status in SERVER_ERRORS and not attempt.sealed
+
+
+def _is_cut_by(
+    history: histories.History,
+    attempt: histories.Attempt,
+    work: histories.Disturbance,
+) -> bool:
+    """Returns True if planned work is answerable for the end of an attempt."""
+    if not work.planned or attempt.ended_at < work.started_at:
+        return False
+    if any(
+        not d.planned
+        for d in history.list_disturbances(
+            attempt.vm, attempt.sent_at - STABLE_SECONDS, attempt.ended_at
+        )
+    ):
+        return False
+    if work.kind == "hup":
+        return attempt.sent_at <= work.started_at + RELOAD_SECONDS
+    grace = history.grace_seconds
+    if attempt.sent_at > work.started_at + grace + 1.0:
+        return False
+    sent_early = (
+        attempt.sent_at <= work.started_at + FIRST_GRACE_FRACTION * grace
+    )
+    ended_late = (
+        attempt.ended_at >= work.started_at + LAST_GRACE_FRACTION * grace
+    )
+    return not (sent_early and ended_late)
+
+
+CHECKS: Final[tuple[Callable[[histories.History], Iterator[str]], ...]] = (
+    check_mixed,
+    check_unasked,
+    check_twice,
+    check_refused,
+    check_lost_at_stops,
+    check_lost_requests,
+    check_own_ends,
+    check_recovery,
+)
