Let no single input end a task of an entry VM

A decoder's RecursionError ended the task that follows the store; mode then stopped the whole service. The replica now logs and counts any error of one item and goes on; the loops of the follower, the feed client, the feed server, the registration, the ticks and the settings file survive errors that nobody foresaw, each with a log line. wigeonspool_vm_unreadable_items_total counts the items.

Four tests of tests/test_odd_entries.py failed before with the raised errors.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -6,11 +6,15 @@
 import loguru
 import pytest
 
+from tests import fleet
 from tests import test_store_keys
+from tests import vm_fleet
 from wigeonspool.core import cluster_state
+from wigeonspool.model import errors
 from wigeonspool.model import key_values
 from wigeonspool.platform import store_keys
 from wigeonspool.vm import store_follower
+from wigeonspool.vm import vm_registration
 
 GOOD = json.dumps(test_store_keys.ENTRY).encode()
 RESTARTED = json.dumps(test_store_keys.ENTRY | {"born": 18}).encode()
@@ -84,3 +88,114 @@
         replica.write("servers/t-2", GOOD)
         replica.write("servers/t-2", None)
         assert replica.list_targets() == ["t-2"]
+
+    async def test_unexpected_error_of_a_decoder_costs_one_item(self) -> None:
+        # Guards against LOST: an exception that no decoder foresaw ended the
+        # task that follows the store, and with it the process.
+        replica = Replica()
+
+        def decode(
+            key: str, value: bytes | None, lease: int
+        ) -> cluster_state.Change | None:
+            if value == b"odd":
+                raise RecursionError("x" * 5000)
+            return store_keys.decode_change(key, value, lease)
+
+        replica.replica._decode = decode
+        replica.write("servers/t-1", b"odd")
+        replica.write("servers/t-2", GOOD)
+        assert replica.list_targets() == ["t-2"]
+        assert replica.replica.unreadable_items == 1
+        (line,) = [entry.record["extra"] for entry in replica.lines]
+        assert line["key"] == "servers/t-1"
+        assert len(line["reason"]) < 400
+
+
+class OddStore:
+    """A store whose calls fail in a way that no caller foresees."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    async def read_range(
+        self, prefix: str, after: str = "", stale: bool = False
+    ) -> key_values.Page:
+        """Fails."""
+        self.calls += 1
+        raise RecursionError
+
+    async def watch(
+        self, prefix: str, after: int, wait_seconds: float
+    ) -> key_values.Page:
+        """Fails, first as if the history had expired."""
+        self.calls += 1
+        if self.calls % 2:
+            raise errors.HistoryExpiredError(after)
+        raise KeyError("x")
+
+    async def grant(self, seconds: float) -> int:
+        """Fails."""
+        raise AttributeError
+
+    async def renew(self, lease: int, seconds: float) -> None:
+        """Fails."""
+        raise AttributeError
+
+    async def write(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Fails."""
+        raise OverflowError
+
+
+class TestLoops:
+    # Guard against LOST: an exception of another type ended the tasks.
+    async def test_follower_survives_unexpected_errors(self) -> None:
+        replica = Replica()
+        store = OddStore()
+        follower = store_follower.StoreFollower(
+            store, replica.replica, replica.cluster
+        )
+        await follower.load_once()
+        await follower.poll_changes()
+        follower._loaded = True
+        await follower.poll_changes()
+        await follower.poll_changes()
+        assert follower.is_failing()
+        assert store.calls >= 4
+
+    async def test_registration_survives_unexpected_errors(self) -> None:
+        lost: list[None] = []
+        registration = vm_registration.VmRegistration(
+            OddStore(),
+            test_store_keys.VM_ENTRY,
+            store_keys.encode_vm,
+            lambda: False,
+            lambda: lost.append(None),
+        )
+        assert await registration._renew() == vm_registration.RETRY_SECONDS
+        assert lost
+        registration._lease = 1
+        await registration.write_key("suspects/1/t-1")
+
+    async def test_process_continues_after_an_error_of_a_task(
+        self, vms: vm_fleet.VmFleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        failures = []
+
+        def fail(*arguments: object) -> None:
+            failures.append(arguments)
+            raise OverflowError
+
+        for component, name in (
+            (vm._feeder, "send_changes"),
+            (vm._liveness, "send_pings"),
+            (vm._settings_file, "is_changed"),
+            (vm._feed_client, "_choose_feeder"),
+        ):
+            failures.clear()
+            with monkeypatch.context() as patch:
+                patch.setattr(component, name, fail)
+                await fleet.wait_for(lambda: len(failures) >= 2)
+        await vms.start_target("t-5", "reads", "zone-a")
+        await fleet.wait_for(lambda: "t-5" in vm._cluster.targets)
+        assert not vm.crashed
--- a/wigeonspool/vm/feed_client.py
+++ b/wigeonspool/vm/feed_client.py
@@ -6,7 +6,6 @@
 
 from wigeonspool import failure_logs
 from wigeonspool.model import addresses
-from wigeonspool.model import errors
 from wigeonspool.model import key_values
 from wigeonspool.vm import feed_messages
 from wigeonspool.vm import feed_server
@@ -83,7 +82,9 @@
             return
         try:
             await self._follow(address)
-        except (errors.WireError, OSError) as error:
+        except Exception as error:
+            # Not only errors of the stream: an unforeseen message must not end
+            # the task that follows feeders.
             self._failures.record(error)
             self._avoided_until[address] = (
                 self._loop.time() + AVOID_FAILED_SECONDS
--- a/wigeonspool/vm/feed_server.py
+++ b/wigeonspool/vm/feed_server.py
@@ -145,7 +145,7 @@
             self.send_keepalive()
             while await feed_messages.read_message(reader) is not None:
                 pass
-        except (errors.WireError, OSError) as error:
+        except Exception as error:
             log.info("follower left", reason=repr(error))
         finally:
             self.subscribers.pop(writer, None)
--- a/wigeonspool/vm/metrics.py
+++ b/wigeonspool/vm/metrics.py
@@ -10,6 +10,7 @@
 from wigeonspool.vm import channels
 from wigeonspool.vm import feed_server
 from wigeonspool.vm import request_runner
+from wigeonspool.vm import store_follower
 from wigeonspool.vm import structured_log
 from wigeonspool.vm import target_probes
 
@@ -56,6 +57,10 @@
 STORE_FAILURES: Final = aioprometheus.Counter(
     "wigeonspool_vm_store_failures_total", "Calls to the store that failed."
 )
+UNREADABLE_ITEMS: Final = aioprometheus.Counter(
+    "wigeonspool_vm_unreadable_items_total",
+    "Items of the store that could not be decoded.",
+)
 VERSION: Final = aioprometheus.Gauge(
     "wigeonspool_vm_configuration_version",
     "Version of the configuration in force; 0 before the first.",
@@ -91,6 +96,7 @@
         cluster: cluster_state.ClusterState,
         feeder: feed_server.Feeder,
         store: key_values.CallCounter,
+        replica: store_follower.StoreReplica,
         writer: structured_log.LineWriter | None,
     ) -> None:
         """Stores the components that are read at each update.
@@ -103,6 +109,7 @@
             cluster: Cluster state.
             feeder: Sends changes to other VMs.
             store: Counts the calls to the store.
+            replica: Copy of the keys of the store.
             writer: Writer of the log, or None if the log does not go to
                 standard output.
         """
@@ -113,6 +120,7 @@
         self._cluster = cluster
         self._feeder = feeder
         self._store = store
+        self._replica = replica
         self._writer = writer
 
     def update(self) -> None:
@@ -128,6 +136,7 @@
         MISMATCHED_RESPONSES.set({}, self._runner.mismatched_responses)
         STORE_CALLS.set({}, self._store.calls)
         STORE_FAILURES.set({}, self._store.failures)
+        UNREADABLE_ITEMS.set({}, self._replica.unreadable_items)
         FOLLOWERS.set({}, len(self._feeder.subscribers))
         VMS.set({}, len(self._cluster.vms))
         configuration = self._cluster.configuration
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable, Callable
 import gc
 import pathlib
 import secrets
@@ -95,6 +96,7 @@
         self._http_runners: list[web.ServerRunner] = []
         self._utilization = 0.0
         self._cpu_seconds = time.process_time()
+        self._next_keepalive_at = self._next_ping_at = float("-inf")
         self._own_entry = fleet.VmEntry(
             name=settings.vm,
             region=settings.region,
@@ -227,6 +229,7 @@
                 self._cluster,
                 self._feeder,
                 self._store,
+                self._replica,
                 self._writer,
             ).update,
         )
@@ -339,51 +342,68 @@
             loop.time() < feeder_deadline and not self._feed_client.is_fresh()
         ):
             await asyncio.sleep(FEED_POLL_SECONDS)
-        while not self.should_stop:
-            if self._should_follow_store():
-                was_failing = self._follower.is_failing()
-                await self._follower.poll_changes(
-                    others_report=not self._is_region_feeder()
-                )
-                self._feeder.send_changes()
-                if self._follower.is_failing() != was_failing:
-                    # Sent early, since followers that get stale data change
-                    # the feeder.
-                    self._feeder.send_keepalive()
-            else:
-                await asyncio.sleep(FEED_POLL_SECONDS)
+        await self._repeat(self._poll_store)
+
+    async def _poll_store(self) -> None:
+        """Reads the next changes of the store if this VM must follow it."""
+        if not self._should_follow_store():
+            await asyncio.sleep(FEED_POLL_SECONDS)
+            return
+        was_failing = self._follower.is_failing()
+        await self._follower.poll_changes(
+            others_report=not self._is_region_feeder()
+        )
+        self._feeder.send_changes()
+        if self._follower.is_failing() != was_failing:
+            # Sent early, since followers that get stale data change the feeder.
+            self._feeder.send_keepalive()
 
     async def _run_feed_client(self) -> None:
         """Follows feeders for as long as the process runs."""
+        await self._repeat(self._feed_client.follow_feeder)
+
+    async def _repeat(self, step: Callable[[], Awaitable[None]]) -> None:
+        """Runs a step again and again until the process stops.
+
+        An unexpected error is logged and ends only one run of the step, so
+        that input which no decoder foresees does not end the process.
+        """
         while not self.should_stop:
-            await self._feed_client.follow_feeder()
+            try:
+                await step()
+            except Exception:
+                log.opt(exception=True).error(
+                    "a task failed; it continues", task=step.__name__
+                )
+                await asyncio.sleep(TICK_SECONDS)
 
     @mode.Service.task
     async def _run_ticks(self) -> None:
-        """Runs the periodic work.
+        """Runs the periodic work for as long as the process runs."""
+        await self._repeat(self._tick)
+
+    async def _tick(self) -> None:
+        """Runs the periodic work once.
 
         It detects pauses of this process, sends changes, keepalives and pings
         to other VMs, removes expired targets and idle connections, and measures
         the utilization.
         """
-        loop = asyncio.get_running_loop()
-        next_ping_at = next_keepalive_at = loop.time()
-        while not self.should_stop:
-            await asyncio.sleep(TICK_SECONDS)
-            if self._pause_monitor.tick(time.monotonic()):
-                await self._handle_pause()
-            now = loop.time()
-            self._feeder.send_changes()
-            for identity in self._cluster.remove_expired_targets(now):
-                state_log.info("target did not come back", target=identity)
-            if now >= next_keepalive_at:
-                next_keepalive_at = now + feed_server.KEEPALIVE_SECONDS
-                self._feeder.send_keepalive()
-            if now >= next_ping_at:
-                next_ping_at = now + peer_liveness.PING_INTERVAL_SECONDS
-                self._liveness.send_pings()
-                self._channel_pool.close_expired()
-                self._measure_utilization()
+        await asyncio.sleep(TICK_SECONDS)
+        if self._pause_monitor.tick(time.monotonic()):
+            await self._handle_pause()
+        now = asyncio.get_running_loop().time()
+        self._feeder.send_changes()
+        for identity in self._cluster.remove_expired_targets(now):
+            state_log.info("target did not come back", target=identity)
+        if now >= self._next_keepalive_at:
+            self._next_keepalive_at = now + feed_server.KEEPALIVE_SECONDS
+            self._feeder.send_keepalive()
+        if now >= self._next_ping_at:
+            self._next_ping_at = now + peer_liveness.PING_INTERVAL_SECONDS
+            self._liveness.send_pings()
+            self._channel_pool.close_expired()
+            self._measure_utilization()
 
     def _measure_utilization(self) -> None:
         """Updates the fraction of its capacity that this VM uses.
@@ -442,10 +462,13 @@
     @mode.Service.task
     async def _poll_settings(self) -> None:
         """Reloads the settings file when it changes without a signal."""
-        while not self.should_stop:
-            await asyncio.sleep(SETTINGS_POLL_SECONDS)
-            if self._settings_file.is_changed():
-                await self.reload()
+        await self._repeat(self._check_settings)
+
+    async def _check_settings(self) -> None:
+        """Reloads the settings file if it has changed."""
+        await asyncio.sleep(SETTINGS_POLL_SECONDS)
+        if self._settings_file.is_changed():
+            await self.reload()
 
     async def drain(self) -> None:
         """Moves callers to other VMs, then waits for requests in flight."""
--- a/wigeonspool/vm/store_follower.py
+++ b/wigeonspool/vm/store_follower.py
@@ -28,6 +28,8 @@
 REPORTED_MAX_BACKOFF_SECONDS: Final = 2.0
 # State that the store last confirmed longer ago than this may be out of date.
 STALE_SECONDS: Final = WATCH_SECONDS + 1.0
+# Longest description of an unexpected error in the log.
+MAX_REASON_CHARS: Final = 300
 
 Decode = Callable[[str, bytes | None, int], cluster_state.Change | None]
 
@@ -44,6 +46,7 @@
         revision: Revision of the store up to which all changes are applied.
         snapshot_revision: Value of `revision` after the last read of all keys,
             which does not show the single changes up to then.
+        unreadable_items: Number of items whose value could not be decoded.
     """
 
     def __init__(
@@ -63,6 +66,7 @@
         self.items: dict[str, key_values.KeyValue] = {}
         self.revision = 0
         self.snapshot_revision = 0
+        self.unreadable_items = 0
         self._cluster = cluster
         self._decode = decode
         self._on_change = on_change
@@ -97,17 +101,42 @@
         else:
             self.items[item.key] = item
         try:
-            change = self._decode(item.key, item.value, item.lease)
+            changed = self._apply_value(item)
         except errors.PlatformFormatError as error:
+            self.unreadable_items += 1
             log.error("unreadable", key=item.key, reason=str(error))
             return
-        if change is None:
+        except Exception as error:
+            # Values come from other writers, so an unforeseen one must not end
+            # the task that follows the store.
+            self.unreadable_items += 1
+            log.error("unreadable", key=item.key, reason=_shorten(error))
             return
+        if changed:
+            self._on_change(item)
+
+    def _apply_value(self, item: key_values.KeyValue) -> bool:
+        """Decodes an item and applies it to the cluster state.
+
+        Returns:
+            True if it may have changed the cluster state.
+
+        Raises:
+            PlatformFormatError: If the value cannot be decoded.
+        """
+        change = self._decode(item.key, item.value, item.lease)
+        if change is None:
+            return False
         if isinstance(change, cluster_state.TargetChange) and change.problem:
+            self.unreadable_items += 1
             log.warning("unreadable", key=item.key, reason=change.problem)
         now = self._loop.time()
-        if self._cluster.apply(now, item.key, item.revision, change):
-            self._on_change(item)
+        return self._cluster.apply(now, item.key, item.revision, change)
+
+
+def _shorten(error: Exception) -> str:
+    """Returns the description of an unexpected error, cut for the log."""
+    return repr(error)[:MAX_REASON_CHARS]
 
 
 class StoreFollower:
@@ -188,7 +217,7 @@
         """Reads all keys once; after a failure, logs it and waits."""
         try:
             await self.load(stale=True)
-        except errors.StoreError as error:
+        except Exception as error:
             await self._record_failure(error)
 
     async def poll_changes(self, others_report: bool = False) -> None:
@@ -216,7 +245,9 @@
             self._failures.record(error)
             await self._reload()
             return
-        except errors.StoreError as error:
+        except Exception as error:
+            # Not only errors of the store: an unforeseen reply must not end
+            # the task that follows it.
             await self._record_failure(error)
             return
         self._record_success()
@@ -255,10 +286,10 @@
         """Reads all keys again, after the store discarded needed changes."""
         try:
             await self.load(stale=False)
-        except errors.StoreError as error:
+        except Exception as error:
             await self._record_failure(error)
 
-    async def _record_failure(self, error: errors.StoreError) -> None:
+    async def _record_failure(self, error: Exception) -> None:
         """Logs a failure and waits, with exponential backoff."""
         self._failures.record(error)
         delay = self._backoff_seconds
--- a/wigeonspool/vm/vm_registration.py
+++ b/wigeonspool/vm/vm_registration.py
@@ -78,7 +78,7 @@
             return
         try:
             await self._store.write(key, b"", self._lease)
-        except errors.StoreError as error:
+        except Exception as error:
             self._failures.record(error)
 
     async def keep_registered(
@@ -114,7 +114,9 @@
             self._failures.record(error)
             self._lease = 0
             return 0.0
-        except errors.StoreError as error:
+        except Exception as error:
+            # Not only errors of the store: an unforeseen reply must not end
+            # the registration.
             self._failures.record(error)
             self._on_store_lost()
             return RETRY_SECONDS
