End a crashed process with exit code 1 and a logged reason

A process whose service crashed ended with exit code 0, so that neither the platform nor an operator could tell it from a stop. It now logs the error and exits with EXIT_CRASHED; a stop by a signal or by itself stays 0.

TestExitCode::test_crash_ends_the_process_with_an_error failed before (no SystemExit).

--- a/wigeonspool/process.py
+++ b/wigeonspool/process.py
@@ -4,15 +4,18 @@
 from collections.abc import Callable
 import signal
 import socket
+import sys
 from typing import Final
 
 from aiohttp import web
 import aioprometheus
+import loguru
 import mode
 import uvloop
 
 from wigeonspool import listen_sockets
 
+EXIT_CRASHED: Final = 1
 EXIT_INVALID_SETTINGS: Final = 2
 SHUTDOWN_TIMEOUT_SECONDS: Final = 0.5
 
@@ -131,5 +134,12 @@
 
 
 def run_service(service: DrainableService) -> None:
-    """Runs a service on a new event loop until it has stopped."""
+    """Runs a service on a new event loop until it has stopped.
+
+    Exits with `EXIT_CRASHED` if an error ended the service.
+    """
     uvloop.run(_run_until_stopped(service))
+    if service.crashed:
+        reason = service.crash_reason
+        loguru.logger.error("process was ended by an error: {!r}", reason)
+        sys.exit(EXIT_CRASHED)
