Read the replies of the store item by item, within bounds

One item without a revision cost its whole page, and a nested reply raised RecursionError, which ended the follower. An item that cannot be decoded now costs itself, a log line and a count; its key is not taken for removed after a read of all keys, and pages go on after it. Revisions, leases and AtRev have 63 bits; lease 0 or less is refused, since a key under it would never be removed. Pages that do not advance are an error instead of a loop. A value that is not base64 counts as empty: no value that is read is valid when empty, so an entry names no target and a configuration stays.

--- a/wigeonspool/model/key_values.py
+++ b/wigeonspool/model/key_values.py
@@ -29,11 +29,14 @@
         items: The keys or changes.
         revision: Revision of the store that the page reflects.
         more: True if the range has more keys after this page.
+        unreadable_keys: Keys of items that could not be decoded; "" for an item
+            whose key could not be decoded either.
     """
 
     items: tuple[KeyValue, ...]
     revision: int
     more: bool = False
+    unreadable_keys: tuple[str, ...] = ()
 
 
 class KeyValueSource(Protocol):
--- a/wigeonspool/platform/metadata_store.py
+++ b/wigeonspool/platform/metadata_store.py
@@ -5,8 +5,8 @@
 """
 
 import base64
-from collections.abc import Mapping
-from typing import Any, Final
+from collections.abc import Mapping, Sequence
+from typing import Annotated, Any, Final
 
 import aiohttp
 import msgspec
@@ -26,33 +26,44 @@
 WATCH_SLACK_SECONDS: Final = 1.0
 
 
+# Revisions and lease IDs have 64 bits, also in the messages between VMs.
+_Number = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_Key = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+
+
 class _Item(msgspec.Struct, rename="pascal"):
-    key: str
-    revision: int
+    key: _Key
+    revision: _Number
     # Base64.
     value: str = ""
-    lease_id: int = 0
+    lease_id: _Number = 0
     deleted: bool = False
 
 
+class _KeyOfItem(msgspec.Struct, rename="pascal"):
+    key: _Key
+
+
+# Items are decoded one by one, so that an unreadable one does not cost the
+# others.
 class _Range(msgspec.Struct, rename="pascal"):
-    items: tuple[_Item, ...] = msgspec.field(name="items", default=())
+    items: tuple[msgspec.Raw, ...] = msgspec.field(name="items", default=())
     has_more: bool = False
-    at_rev: int = 0
+    at_rev: _Number = 0
 
 
 class _Events(msgspec.Struct, rename="pascal"):
-    events: tuple[_Item, ...] = msgspec.field(name="events", default=())
-    at_rev: int = 0
+    events: tuple[msgspec.Raw, ...] = msgspec.field(name="events", default=())
+    at_rev: _Number = 0
 
 
 class _Lease(msgspec.Struct, rename="pascal"):
-    lease_id: int = 0
+    lease_id: Annotated[int, msgspec.Meta(ge=1, le=2**63 - 1)]
     ttl_time: str = msgspec.field(name="Ttl_time", default="0ms")
 
 
 class _Written(msgspec.Struct, rename="pascal"):
-    revision: int = 0
+    revision: _Number = 0
 
 
 class MetadataStore:
@@ -111,9 +122,7 @@
             query["AllowStale"] = "1"
         _, body = await self._call("GET", "/v1/kv-range", query)
         reply = _decode(body, _Range)
-        return key_values.Page(
-            tuple(map(_build_item, reply.items)), reply.at_rev, reply.has_more
-        )
+        return _build_page(reply.items, reply.at_rev, reply.has_more)
 
     async def watch(
         self, prefix: str, after: int, wait_seconds: float
@@ -148,9 +157,7 @@
         if status == STATUS_GONE:
             raise errors.HistoryExpiredError(after)
         reply = _decode(body, _Events)
-        return key_values.Page(
-            tuple(map(_build_item, reply.events)), reply.at_rev
-        )
+        return _build_page(reply.events, reply.at_rev)
 
     async def grant(self, ttl_seconds: float) -> int:
         """Creates a lease; returns its ID.
@@ -305,7 +312,7 @@
         return status, response_body
 
 
-def _decode(body: bytes, kind: Any) -> Any:
+def _decode(body: bytes | msgspec.Raw, kind: Any) -> Any:
     """Decodes the body of a reply.
 
     Raises:
@@ -313,10 +320,33 @@
     """
     try:
         return msgspec.json.decode(body, type=kind)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise errors.StoreReplyError(kind.__name__, str(error)) from error
 
 
+def _build_page(
+    raw_items: Sequence[msgspec.Raw], revision: int, more: bool = False
+) -> key_values.Page:
+    """Decodes the items of a reply; leaves out those that cannot be decoded."""
+    items = []
+    unreadable_keys = []
+    for raw_item in raw_items:
+        try:
+            items.append(_build_item(_decode(raw_item, _Item)))
+        except errors.StoreReplyError:
+            unreadable_keys.append(_find_key(raw_item))
+    return key_values.Page(tuple(items), revision, more, tuple(unreadable_keys))
+
+
+def _find_key(raw_item: msgspec.Raw) -> str:
+    """Returns the key of an unreadable item, or "" if that is unreadable."""
+    try:
+        item: _KeyOfItem = _decode(raw_item, _KeyOfItem)
+    except errors.StoreReplyError:
+        return ""
+    return item.key
+
+
 def _build_item(item: _Item) -> key_values.KeyValue:
     """Converts an item of a reply."""
     if item.deleted:
@@ -324,7 +354,7 @@
     try:
         value = base64.b64decode(item.value, validate=True)
     except ValueError:
-        # Another client of the store may have written a value that is not valid
-        # base64. The value then counts as empty.
+        # An empty value is not valid for any key that has a value: an entry
+        # names no target then, and a configuration changes nothing.
         value = b""
     return key_values.KeyValue(item.key, value, item.revision, item.lease_id)
--- a/wigeonspool/vm/store_follower.py
+++ b/wigeonspool/vm/store_follower.py
@@ -76,19 +76,34 @@
         """Applies changes and advances the revision to that of the page."""
         for item in page.items:
             self._apply_item(item)
+        for key in page.unreadable_keys:
+            self.unreadable_items += 1
+            log.error("unreadable", key=key, reason="malformed item")
         self.revision = max(self.revision, page.revision)
 
     def apply_snapshot(
-        self, items: list[key_values.KeyValue], revision: int
+        self,
+        items: list[key_values.KeyValue],
+        revision: int,
+        unreadable_keys: tuple[str, ...] = (),
     ) -> None:
-        """Applies all keys of the store and removes keys that are missing."""
-        present = {item.key for item in items}
+        """Applies all keys of the store and removes keys that are missing.
+
+        Args:
+            items: All keys that could be decoded.
+            revision: Revision of the store that the items reflect.
+            unreadable_keys: Keys of the other items, which stay as they are.
+        """
+        present = {item.key for item in items}.union(unreadable_keys)
         missing = [
             key_values.KeyValue(key, None, revision)
             for key, item in self.items.items()
             if key not in present and item.revision <= revision
         ]
-        self.apply_page(key_values.Page((*items, *missing), revision))
+        page = key_values.Page(
+            (*items, *missing), revision, unreadable_keys=unreadable_keys
+        )
+        self.apply_page(page)
         self.snapshot_revision = self.revision
 
     def _apply_item(self, item: key_values.KeyValue) -> None:
@@ -182,24 +197,34 @@
             StoreError: If the store could not serve the calls.
         """
         items: list[key_values.KeyValue] = []
+        unreadable_keys: tuple[str, ...] = ()
         after = ""
         revision: int | None = None
         while True:
             page = await self._source.read_range(ALL_KEYS_PREFIX, after, stale)
             items += page.items
+            unreadable_keys += page.unreadable_keys
             # Keys may change between the reads of two pages, so watches start
             # at the revision of the first page.
             revision = page.revision if revision is None else revision
-            if not page.more or not page.items:
+            keys = [*(i.key for i in page.items), *page.unreadable_keys]
+            if not page.more or not keys:
                 break
-            after = page.items[-1].key
+            last_key = max(keys) if page.unreadable_keys else keys[-1]
+            if last_key == after:
+                raise errors.StoreReplyError("range", "pages do not advance")
+            after = last_key
         if stale:
             # The state may be older than the replica, so a missing key does not
             # mean that the key was removed.
-            self._replica.apply_page(key_values.Page(tuple(items), revision))
+            self._replica.apply_page(
+                key_values.Page(
+                    tuple(items), revision, unreadable_keys=unreadable_keys
+                )
+            )
             self._replica.snapshot_revision = self._replica.revision
         else:
-            self._replica.apply_snapshot(items, revision)
+            self._replica.apply_snapshot(items, revision, unreadable_keys)
         self._loaded = True
 
     def is_failing(self) -> bool:
