Bound the numbers of messages between VMs

Revisions and leases above 63 bits were taken from a feeder, and an infinite, negative or NaN age counted as fresh data; a frame that holds nil was taken for the end of the stream.

--- a/wigeonspool/vm/feed_messages.py
+++ b/wigeonspool/vm/feed_messages.py
@@ -1,7 +1,7 @@
 """Messages by which a feeder sends changes of the store to its followers."""
 
 import asyncio
-from typing import Any, Final
+from typing import Annotated, Any, Final
 
 import msgspec
 
@@ -12,6 +12,12 @@
 VERSION: Final = 1
 
 
+# Integers of a frame have at most 64 bits.
+_Number = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+# A negative or infinite age would count as fresh or as never confirmed.
+_Age = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+
+
 class Subscribe(msgspec.Struct, array_like=True, tag=0, frozen=True):
     """Opens a feed.
 
@@ -23,7 +29,7 @@
 
     version: int
     vm: str
-    revision: int
+    revision: _Number
 
 
 class WireItem(msgspec.Struct, array_like=True, frozen=True):
@@ -31,8 +37,8 @@
 
     key: str
     value: bytes | None
-    revision: int
-    lease: int = 0
+    revision: _Number
+    lease: _Number = 0
 
 
 class Items(msgspec.Struct, array_like=True, tag=1, frozen=True):
@@ -46,7 +52,7 @@
             were removed.
     """
 
-    revision: int
+    revision: _Number
     items: tuple[WireItem, ...]
     whole: bool
 
@@ -59,8 +65,8 @@
         age_seconds: Time since the store last confirmed the feeder's replica.
     """
 
-    revision: int
-    age_seconds: float
+    revision: _Number
+    age_seconds: _Age
 
 
 Message = Subscribe | Items | Pulse
@@ -80,12 +86,13 @@
         WireError: If the peer violated the protocol.
         OSError: If the connection failed.
     """
-    document: Any = await frames.read_frame(reader)
-    if document is None:
+    body = await frames.read_body(reader)
+    if body is None:
         return None
+    document: Any = frames.unpack_body(body)
     try:
         message: Message = msgspec.convert(document, Message)
-    except msgspec.ValidationError as error:
+    except (msgspec.ValidationError, RecursionError) as error:
         raise errors.FrameEncodingError(str(error)) from error
     return message
 
