Ignore datagrams that are nested or out of range

A nested datagram raised RecursionError in the event loop, and a NaN or infinite utilization became that of the VM and of the mean over all VMs. A datagram of another kind counted as a reply.

--- a/tests/test_peer_liveness.py
+++ b/tests/test_peer_liveness.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import msgspec
 import pytest
 
 from tests import test_store_keys
@@ -48,3 +49,45 @@
             protocol.send_pings()
         assert {to for _, to in transport.sent} == {("10.0.0.2", 2)}
         assert not protocol.is_live(odd_vm)
+
+
+class TestDatagrams:
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"",
+            b"\xc1",
+            b"\x91" * 5000,
+            b"\x93\x01\x00" + b"\x91" * 5000,
+            b"\x96\x01\x00\x00\xc2\xc3" + b"\x91" * 5000 + b"\x00",
+            msgspec.msgpack.encode([1, 0.0, float("nan")]),
+            msgspec.msgpack.encode([1, 0.0, float("inf")]),
+            msgspec.msgpack.encode([1, 0.0, -1.0]),
+            msgspec.msgpack.encode([1, 0.0, 1e300]),
+            msgspec.msgpack.encode([2**64 - 1, 0.0, 0.5]),
+            msgspec.msgpack.encode([2, 0.0, 0.5]),
+            msgspec.msgpack.encode(["1", 0.0, 0.5]),
+        ],
+    )
+    async def test_odd_datagram_changes_nothing(self, data: bytes) -> None:
+        # A NaN utilization would make the mean of all VMs NaN.
+        protocol, transport = build_protocol()
+        vm = build_vm("vm-1", "10.0.0.1:2")
+        protocol.monitor([vm])
+        protocol.send_pings()
+        protocol.datagram_received(data, ("10.0.0.1", 2))
+        peer = protocol.peers[vm.peer_address]
+        assert (peer.missed_pings, peer.utilization) == (1, 0.0)
+        assert len(transport.sent) == 1
+
+    @pytest.mark.parametrize("sent_at", [float("nan"), float("inf"), 1e300])
+    async def test_ping_with_an_odd_time_gets_a_reply(
+        self, sent_at: float
+    ) -> None:
+        protocol, transport = build_protocol()
+        protocol.datagram_received(
+            msgspec.msgpack.encode([0, sent_at]), ("10.0.0.1", 2)
+        )
+        ((data, _),) = transport.sent
+        pong = msgspec.msgpack.decode(data, type=peer_liveness.Datagram)
+        assert pong.kind == peer_liveness.PONG
--- a/wigeonspool/vm/peer_liveness.py
+++ b/wigeonspool/vm/peer_liveness.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
-from typing import Any, Final
+from typing import Annotated, Any, Final, Literal
 
 import msgspec
 
@@ -26,6 +26,10 @@
 PONG: Final = 1
 
 
+# A utilization beyond this is an error, also with the smallest capacity.
+MAX_UTILIZATION: Final = 1000.0
+
+
 class Datagram(msgspec.Struct, array_like=True):
     """The content of one datagram.
 
@@ -37,9 +41,9 @@
         ready: True if the replying VM can serve callers.
     """
 
-    kind: int
+    kind: Literal[0, 1]
     sent_at: float
-    busy: float = 0.0
+    busy: Annotated[float, msgspec.Meta(ge=0, le=MAX_UTILIZATION)] = 0.0
     leaving: bool = False
     ready: bool = True
 
@@ -87,7 +91,7 @@
         """Replies to a ping, or updates the state of the VM that replied."""
         try:
             datagram = msgspec.msgpack.decode(data, type=Datagram)
-        except (msgspec.MsgspecError, ValueError):
+        except (msgspec.MsgspecError, ValueError, RecursionError):
             # Datagrams of other programs may arrive at this port.
             return
         if datagram.kind == PING and self._transport is not None:
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -249,7 +249,7 @@
         return peer_liveness.Datagram(
             peer_liveness.PONG,
             0.0,
-            busy=self._utilization,
+            busy=min(self._utilization, peer_liveness.MAX_UTILIZATION),
             leaving=self._address_service.draining,
             ready=self._address_service.is_ready(),
         )
