Bound the numbers in header fields of targets

What callers saw: one target whose X-Instance-Load or Keep-Alive field held a number of thousands of digits made requests end with a 500, also with sound targets beside it.

Cause: `int` raises ValueError beyond 4,300 digits, and dividing a shorter one by a float raises OverflowError. Neither is among the errors that a health check or an attempt expects.

--- a/wigeonspool/vm/channels.py
+++ b/wigeonspool/vm/channels.py
@@ -22,6 +22,7 @@
 # A round trip between regions takes 25 ms; one lost packet costs 200 ms more.
 CONNECT_TIMEOUT_SECONDS: Final = 0.4
 MAX_IDLE_PER_TARGET: Final = 8
+MAX_KEEP_ALIVE_DIGITS: Final = 6
 
 
 class TargetProtocol(client_proto.ResponseHandler):
@@ -232,6 +233,10 @@
         return False
     _, _, text = fields.get("Keep-Alive", "").partition("timeout=")
     seconds = text.partition(",")[0].strip()
-    if seconds.isdecimal():
+    if (
+        seconds.isascii()
+        and seconds.isdecimal()
+        and len(seconds) <= MAX_KEEP_ALIVE_DIGITS
+    ):
         channel.keep_alive_seconds = int(seconds) - IDLE_SLACK_SECONDS
     return True
