Read Connection fields of targets as lists

What callers saw: nothing in the tests but a reused connection. A target whose response to a health check had "Connection: close, x" got the request over that connection, which it was about to close. Such a request may end with an unknown outcome.

Cause: the field was compared with "close" as a whole.

Evidence: test_connection_that_is_about_to_close_gets_no_request failed before for "close, x" and "x, Close": the request used the connection. It passes now; "Close" alone passed before as well.

--- a/tests/test_target_answers.py
+++ b/tests/test_target_answers.py
@@ -346,3 +346,20 @@
         target.script = answer
         assert await bench.send("unsafe", "one") == (200, b"ran")
         assert await bench.send("unsafe", "two") == (200, b"ran")
+
+    # Guards against a lost answer: a request was sent over a connection that
+    # its target had announced to close.
+    @pytest.mark.parametrize("options", ["Close", "close, x", "x, Close"])
+    async def test_connection_that_is_about_to_close_gets_no_request(
+        self, bench: Bench, options: str
+    ) -> None:
+        (target,) = await bench.start()
+        closing = HEALTH_FIELDS | {"Connection": options}
+
+        def answer_health(number: int) -> bytes:
+            fields = closing if number == 1 else HEALTH_FIELDS
+            return targets.build_response(200, fields, b"")
+
+        target.health = answer_health
+        assert await bench.send("unsafe", "one") == (200, b"ran")
+        assert target.connections == 2
--- a/wigeonspool/vm/channels.py
+++ b/wigeonspool/vm/channels.py
@@ -229,7 +229,7 @@
         False if the target closes the connection after this response.
     """
     channel.exchange_count += 1
-    if fields.get("Connection", "").lower() == "close":
+    if "close" in list_connection_options(fields):
         return False
     _, _, text = fields.get("Keep-Alive", "").partition("timeout=")
     seconds = text.partition(",")[0].strip()
@@ -240,3 +240,9 @@
     ):
         channel.keep_alive_seconds = int(seconds) - IDLE_SLACK_SECONDS
     return True
+
+
+def list_connection_options(fields: Any) -> list[str]:
+    """Returns the options of all Connection fields, in lower case."""
+    options = ",".join(fields.getall("Connection", ()))
+    return [option.strip().lower() for option in options.split(",")]
