Discard responses to requests where a health check's is due

What callers saw: a target repeated the refusal of an earlier request, with a load, on an idle connection. It was taken for the response to the next health check, and the response to that health check for the response to the next request, which ended with a 502 although its target ran it and answered.

Cause: any response with a load counted as one to a health check, also one that bore the identity of an attempt.

Evidence: test_response_to_an_earlier_request_is_discarded got 502 before and gets 200 now.

A health check has no attempt identity, so a response with one is discarded, and counted with the other foreign answers.

--- a/tests/test_target_answers.py
+++ b/tests/test_target_answers.py
@@ -302,6 +302,23 @@
 
 
 class TestHealthChecks:
+    # Guards against REFUSED: a late response to a request, which states a load,
+    # was taken for the response to a health check, and that response for the
+    # response to the next request.
+    async def test_response_to_an_earlier_request_is_discarded(
+        self, bench: Bench
+    ) -> None:
+        (target,) = await bench.start()
+        load = {"X-Instance-Load": "0,0,4,100"}
+        late = build_refusal(X_Attempt_Id="earlier", **load)
+
+        def answer_late(number: int) -> bytes:
+            return late + targets.build_response(503, load, b"")
+
+        target.health = answer_late
+        assert await bench.send("unsafe", "one") == (200, b"ran")
+        assert bench.vms.vms["vm-1"]._prober.counts.mismatched >= 1
+
     # Guards against a 500: one number of a load ended the request.
     @pytest.mark.parametrize(
         "load",
--- a/wigeonspool/model/protocols.py
+++ b/wigeonspool/model/protocols.py
@@ -79,7 +79,8 @@
             target.
         classify_response: Returns what a status and header fields prove about
             the attempt with a given identity.
-        read_load_report: Reads the response to a health check.
+        read_load_report: Reads the response to a health check; None if it is
+            the response to a request.
         build_retry_headers: Returns the header fields that state after how
             many seconds to retry.
         refusal_status: Status of a refusal, which guarantees that the request
@@ -94,7 +95,7 @@
     read_request_metadata: Callable[[Headers], RequestMetadata]
     build_target_headers: Callable[[Headers, float, str], CIMultiDict[str]]
     classify_response: Callable[[int, Headers, str], ResponseClass]
-    read_load_report: Callable[[int, Headers], LoadReport]
+    read_load_report: Callable[[int, Headers], LoadReport | None]
     build_retry_headers: Callable[[float], Mapping[str, str]]
     refusal_status: int
     unknown_outcome_status: int
--- a/wigeonspool/platform/http_protocol.py
+++ b/wigeonspool/platform/http_protocol.py
@@ -125,12 +125,15 @@
 
 def read_load_report(
     status: int, fields: protocols.Headers
-) -> protocols.LoadReport:
+) -> protocols.LoadReport | None:
     """Returns the load that a target reports in a health check response.
 
     A missing or malformed load field counts as a load without slots, and a
-    missing slowdown as 1.
+    missing slowdown as 1. Health checks have no attempt identity, so a
+    response with one belongs to a request, and the result is None.
     """
+    if fields.get(ATTEMPT_ID):
+        return None
     identity = fields.get(TARGET_ID, "")
     texts = fields.get(TARGET_LOAD, "").split(",")
     numbers = [
--- a/wigeonspool/vm/target_probes.py
+++ b/wigeonspool/vm/target_probes.py
@@ -69,12 +69,15 @@
     Attributes:
         sent: Health checks sent.
         answered: Health checks with a valid response.
+        mismatched: Responses to requests that arrived in place of a response
+            to a health check.
         unresponsive_connections: Pooled connections that ended, or on which no
             usable response came in time.
     """
 
     sent: int = 0
     answered: int = 0
+    mismatched: int = 0
     unresponsive_connections: int = 0
 
 
@@ -337,10 +340,12 @@
                 report = self._protocol_adapter.read_load_report(
                     message.code, message.headers
                 )
-                # A response without a load report arrived late and belongs to
-                # an earlier request on this connection.
-                if report.slots or report.identity:
+                if report is not None and (report.slots or report.identity):
                     break
+                # The response arrived late and belongs to an earlier request
+                # on this connection.
+                self.counts.mismatched += 1
+                protocol.force_close()
         except http.HttpProcessingError as error:
             raise aiohttp.ClientPayloadError(repr(error)) from error
         if not channels.record_keep_alive(channel, message.headers):
