Close a connection after a foreign response

What callers saw: nothing so far. A connection on which a response of another request had arrived returned to the pool, although more of them may follow on it.

Evidence: test_connection_with_a_foreign_response_is_not_reused failed before, with both requests on one connection, and passes now.

The request that waits still gets its own response, which its identity shows; then the connection is closed.

--- a/tests/test_target_answers.py
+++ b/tests/test_target_answers.py
@@ -300,6 +300,25 @@
         assert await bench.send("unsafe", "one") == (200, b"ran")
         assert target.attempts == ["one"]
 
+    # Guards against REFUSED: a connection that is out of step stayed in use.
+    async def test_connection_with_a_foreign_response_is_not_reused(
+        self, bench: Bench
+    ) -> None:
+        (target,) = await bench.start()
+
+        async def answer(
+            attempt: str, number: int, writer: asyncio.StreamWriter
+        ) -> None:
+            if number == 1:
+                writer.write(build_refusal(X_Attempt_Id="earlier"))
+                await asyncio.sleep(0.02)
+            writer.write(build_answer(attempt))
+
+        target.script = answer
+        assert await bench.send("unsafe", "one") == (200, b"ran")
+        assert await bench.send("unsafe", "two") == (200, b"ran")
+        assert target.connections == 2
+
 
 class TestHealthChecks:
     # Guards against REFUSED: a late response to a request, which states a load,
--- a/wigeonspool/vm/attempts.py
+++ b/wigeonspool/vm/attempts.py
@@ -68,7 +68,7 @@
                 fields,
                 context.body,
                 lambda message: self._matches_attempt(
-                    message, context.identity
+                    message, context.identity, channel
                 ),
             )
             return await self._read_response(context, response, channel)
@@ -82,15 +82,22 @@
             raise
 
     def _matches_attempt(
-        self, message: http.RawResponseMessage, identity: str
+        self,
+        message: http.RawResponseMessage,
+        identity: str,
+        channel: channels.Channel,
     ) -> bool:
-        """Returns True unless a response is misrouted, and counts those."""
+        """Returns True unless a response belongs to another request.
+
+        Counts those that do. Their connection is not used for other requests.
+        """
         response_class = self._protocol_adapter.classify_response(
             message.code, message.headers, identity
         )
         if response_class is not protocols.ResponseClass.MISMATCHED:
             return True
         self.mismatched_responses += 1
+        channel.protocol.force_close()
         return False
 
     async def _read_response(
