Close a connection that gets data while no response is due

What callers saw: a response without an identity that followed that of a health check made the next request end with a 502. Responses that came on an idle connection stayed in its queue, without a limit, until the connection was next used or had expired.

Cause: the protocol of the HTTP library queues every response that it can parse. The pool looked at the queue only when a connection was acquired or released, not between a health check and its request.

A connection now knows whether a response is due. Data at any other time closes it, and is counted and logged with the target's address. A request is written only after the kernel was asked for data that was not read yet; if there is any, the request uses a new connection.

--- a/tests/test_target_answers.py
+++ b/tests/test_target_answers.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 import contextlib
 import json
+import socket
 
 import pytest
 import pytest_asyncio
@@ -12,6 +13,7 @@
 from tests import vm_fleet
 from wigeonspool.platform.standin import main as standins
 from wigeonspool.platform.standin import target as targets
+from wigeonspool.vm import channels
 
 # Answers one request: its attempt, its number on the target, its connection.
 Script = Callable[[str, int, asyncio.StreamWriter], Awaitable[None]]
@@ -37,6 +39,7 @@
         identity: Identity of the target.
         script: Answers a request.
         health: Answers a health check, which is given by its number.
+        greeting: Bytes that it writes on each new connection.
         attempts: Attempts that it received, in order.
         connections: Number of accepted connections.
         ended: Number of connections that have ended.
@@ -46,7 +49,8 @@
         self.identity = identity
         self.address = fleet.reserve_address()
         self.script: Script = self._run
-        self.health: Callable[[int], bytes] = self._build_health
+        self.health: Callable[[int], bytes] = self.build_health
+        self.greeting = b""
         self.attempts: list[str] = []
         self.health_checks = 0
         self.connections = 0
@@ -75,6 +79,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        writer.write(self.greeting)
         try:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                 while True:
@@ -106,7 +111,8 @@
     ) -> None:
         writer.write(build_answer(attempt))
 
-    def _build_health(self, number: int) -> bytes:
+    def build_health(self, number: int) -> bytes:
+        """Returns a sound answer to a health check."""
         fields = HEALTH_FIELDS | {"X-Instance-Id": self.identity}
         return targets.build_response(200, fields, b"")
 
@@ -399,3 +405,116 @@
         target.health = answer_health
         assert await bench.send("unsafe", "one") == (200, b"ran")
         assert target.connections == 2
+
+
+class TestUnsolicitedData:
+    # Guards against MIXED and REFUSED: bytes on a connection on which no
+    # request waited stayed there until its next use.
+    @pytest.mark.parametrize(
+        "data",
+        [
+            build_refusal(X_Attempt_Id="one"),
+            targets.build_response(503, HEALTH_FIELDS, b""),
+            b"\0",
+        ],
+        ids=["refusal", "health", "garbage"],
+    )
+    async def test_connection_is_closed_at_once(
+        self, bench: Bench, data: bytes
+    ) -> None:
+        (target,) = await bench.start()
+        writers: list[asyncio.StreamWriter] = []
+
+        async def answer(
+            attempt: str, number: int, writer: asyncio.StreamWriter
+        ) -> None:
+            writers.append(writer)
+            writer.write(build_answer(attempt))
+
+        target.script = answer
+        await bench.send("unsafe", "one")
+        await asyncio.sleep(0.02)
+        writers[0].write(data)
+        async with asyncio.timeout(2.0):
+            await fleet.wait_for(lambda: target.ended == 1)
+        pool = bench.vms.vms["vm-1"]._channel_pool
+        assert pool.unsolicited_responses == 1
+        assert await bench.send("unsafe", "two") == (200, b"ran")
+        assert target.connections == 2
+
+    # Guards against memory that grows without bound on an idle connection.
+    async def test_responses_without_end_are_not_buffered(
+        self, bench: Bench
+    ) -> None:
+        (target,) = await bench.start()
+
+        async def answer(
+            attempt: str, number: int, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(build_answer(attempt))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            for _ in range(1_000):
+                writer.write(build_refusal(X_Attempt_Id="earlier") * 100)
+                await writer.drain()
+
+        target.script = answer
+        assert await bench.send("unsafe", "one") == (200, b"ran")
+        async with asyncio.timeout(2.0):
+            await fleet.wait_for(lambda: target.ended == 1)
+
+    # Guards against an unknown outcome: a response that arrived between a
+    # health check and its request was read as that of the request.
+    async def test_request_avoids_a_connection_with_unread_data(
+        self, bench: Bench
+    ) -> None:
+        (target,) = await bench.start()
+        spoiled = targets.build_response(200, {}, b"")
+        target.health = lambda number: (
+            target.build_health(number) + (spoiled if number == 1 else b"")
+        )
+        assert await bench.send("unsafe", "one") == (200, b"ran")
+        assert target.connections == 2
+
+    # Guards against MIXED: a target answered before it got a request.
+    async def test_greeting_of_a_target_is_no_response(
+        self, bench: Bench
+    ) -> None:
+        (target,) = await bench.start()
+        target.greeting = targets.build_response(200, HEALTH_FIELDS, b"")
+        pool = channels.ChannelPool(asyncio.get_running_loop())
+        channel = await pool.open(target.address)
+        await fleet.wait_for(lambda: pool.unsolicited_responses == 1)
+        assert not channel.protocol.begin_exchange()
+
+    # Guards against MIXED: data that the kernel held was read as the response
+    # to the request that was written then.
+    async def test_data_in_the_kernel_makes_a_connection_unusable(self) -> None:
+        pool = channels.ChannelPool(asyncio.get_running_loop())
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            port = server.getsockname()[1]
+            channel = await pool.open(f"127.0.0.1:{port}")
+            peer, _ = server.accept()
+            with peer:
+                peer.sendall(b"H")
+                assert not channel.protocol.begin_exchange()
+                channel.close()
+
+    async def test_extra_bytes_some_time_later_end_the_connection(
+        self, bench: Bench
+    ) -> None:
+        (target,) = await bench.start()
+
+        async def answer(
+            attempt: str, number: int, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(build_answer(attempt))
+            await asyncio.sleep(0.01)
+            writer.write(build_answer(attempt))
+
+        target.script = answer
+        for number in range(4):
+            attempt = f"n-{number}"
+            assert await bench.send("unsafe", attempt) == (200, b"ran")
+            await asyncio.sleep(0.05)
+        assert target.connections == 4
--- a/wigeonspool/vm/attempts.py
+++ b/wigeonspool/vm/attempts.py
@@ -149,17 +149,24 @@
 ) -> channels.Channel:
     """Returns the connection for an attempt.
 
-    A request is sent at most once over each connection. All its attempts have
-    the same identity, so a repeated response to an earlier one would be taken
-    for the response to the next one.
+    A new one is opened if data has arrived on that of the candidate since its
+    health check. A request is sent at most once over each connection: all its
+    attempts have the same identity, so a repeated response to an earlier one
+    would be taken for the response to the next one.
 
     Raises:
-        OSError: If a new connection is needed and cannot be opened.
+        OSError: If a new connection is needed and is not usable either.
     """
     channel = candidate.channel
-    if channel in context.used_channels:
+    if (
+        channel in context.used_channels
+        or not channel.protocol.begin_exchange()
+    ):
         channel.release()
         channel = await channel.open_another()
+        if not channel.protocol.begin_exchange():
+            channel.close()
+            raise ConnectionResetError(f"{channel.address} is not usable")
     context.used_channels.append(channel)
     return channel
 
--- a/wigeonspool/vm/channels.py
+++ b/wigeonspool/vm/channels.py
@@ -6,12 +6,17 @@
 """
 
 import asyncio
+from collections.abc import Callable
+import fcntl
 import socket
+import struct
+import termios
 from typing import Any, Final
 
 from aiohttp import client_proto
 
 from wigeonspool.gateway import connections
+from wigeonspool.vm import structured_log
 
 # How long a connection may stay idle if its target does not announce when it
 # closes idle connections. A health check tests the connection before each
@@ -23,19 +28,72 @@
 CONNECT_TIMEOUT_SECONDS: Final = 0.4
 MAX_IDLE_PER_TARGET: Final = 8
 MAX_KEEP_ALIVE_DIGITS: Final = 6
+# The form in which the kernel returns a number of bytes.
+C_INT: Final = struct.Struct("i")
+
+log = structured_log.get_logger("targets")
 
 
 class TargetProtocol(client_proto.ResponseHandler):
-    """The HTTP library's protocol, which also records how a connection ended.
+    """The HTTP library's protocol, which accepts data only as a response.
 
     Attributes:
         was_reset: True if the connection ended by anything but a clean close.
+        response_due: True from the start of an exchange to its end.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Creates the protocol of one connection."""
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        on_unsolicited: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Creates the protocol of one connection.
+
+        Args:
+            loop: The event loop.
+            on_unsolicited: Called if data arrives while no response is due,
+                after which the connection is closed.
+        """
         super().__init__(loop)
         self.was_reset = False
+        self.response_due = False
+        self._on_unsolicited = on_unsolicited
+
+    def begin_exchange(self) -> bool:
+        """Makes a response due; returns False if the connection is unusable.
+
+        A connection with unread data is unusable, since the data would be read
+        as the response. To be called immediately before a request is written.
+        """
+        if not self.is_connected() or self.should_close:
+            return False
+        if count_unread_bytes(self.transport):
+            return False
+        self.response_due = True
+        return True
+
+    def end_exchange(self) -> None:
+        """Records that the response is complete, so that no data is due."""
+        self.response_due = False
+        self._reject_unsolicited_responses()
+
+    def data_received(self, data: bytes) -> None:
+        """Passes data to the parser; closes if no response is due."""
+        if self.response_due:
+            super().data_received(data)
+            self._reject_unsolicited_responses()
+        elif data:
+            self._reject()
+
+    def _reject_unsolicited_responses(self) -> None:
+        """Closes the connection if it holds a response that is not due."""
+        if not self.response_due and len(self):
+            self._reject()
+
+    def _reject(self) -> None:
+        """Closes the connection and reports data that is no response."""
+        self.abort()
+        self._on_unsolicited()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Records whether the connection was closed cleanly."""
@@ -114,6 +172,8 @@
         connect_attempts: Number of connections that were started, including
             those that failed.
         connect_failures: Number of connections that could not be opened.
+        unsolicited_responses: Number of connections that were closed because
+            data arrived while no response was due.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -122,6 +182,7 @@
         self._idle: dict[str, list[Channel]] = {}
         self.connect_attempts = 0
         self.connect_failures = 0
+        self.unsolicited_responses = 0
 
     def acquire(self, address: str) -> Channel | None:
         """Returns a usable idle channel, or None if one must be opened.
@@ -161,7 +222,10 @@
             async with asyncio.timeout(timeout_seconds):
                 await self._loop.sock_connect(tcp_socket, (host, int(port)))
                 _, protocol = await self._loop.create_connection(
-                    lambda: TargetProtocol(self._loop), sock=tcp_socket
+                    lambda: TargetProtocol(
+                        self._loop, lambda: self._count_unsolicited(address)
+                    ),
+                    sock=tcp_socket,
                 )
         except BaseException as error:
             tcp_socket.close()
@@ -176,6 +240,7 @@
         Closes it instead if it is unusable, or if the pool holds
         `MAX_IDLE_PER_TARGET` channels to its target already.
         """
+        channel.protocol.end_exchange()
         if not is_usable(channel):
             channel.close()
             return
@@ -211,6 +276,20 @@
         for address in list(self._idle):
             self.close_idle(address)
 
+    def _count_unsolicited(self, address: str) -> None:
+        """Counts and logs data that arrived while no response was due."""
+        self.unsolicited_responses += 1
+        log.warning("unsolicited data", target=address)
+
+
+def count_unread_bytes(transport: asyncio.Transport | None) -> int:
+    """Returns how many bytes the kernel holds that were not read yet."""
+    sock = None if transport is None else transport.get_extra_info("socket")
+    if sock is None:
+        return 0
+    count = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(C_INT.size))
+    return int(C_INT.unpack(count)[0])
+
 
 def is_usable(channel: Channel) -> bool:
     """Returns True if a channel is open and holds no unread data."""
--- a/wigeonspool/vm/metrics.py
+++ b/wigeonspool/vm/metrics.py
@@ -73,6 +73,10 @@
     "wigeonspool_vm_foreign_answers_total",
     "Answers of targets that belonged to other requests.",
 )
+UNSOLICITED_RESPONSES: Final = aioprometheus.Counter(
+    "wigeonspool_vm_unsolicited_responses_total",
+    "Connections closed since a target sent data while no response was due.",
+)
 DROPPED_LOG_LINES: Final = aioprometheus.Counter(
     "wigeonspool_vm_log_lines_left_out_total",
     "Log lines that exceeded the bound or that nobody read.",
@@ -128,6 +132,7 @@
         MISMATCHED_RESPONSES.set(
             {}, self._runner.mismatched_responses + counts.mismatched
         )
+        UNSOLICITED_RESPONSES.set({}, self._pool.unsolicited_responses)
         STORE_CALLS.set({}, self._store.calls)
         STORE_FAILURES.set({}, self._store.failures)
         FOLLOWERS.set({}, len(self._feeder.subscribers))
--- a/wigeonspool/vm/target_probes.py
+++ b/wigeonspool/vm/target_probes.py
@@ -325,7 +325,7 @@
         """
         protocol = channel.protocol
         transport = channel.transport
-        if transport is None:
+        if transport is None or not protocol.begin_exchange():
             return None
         path = self._find_health_path(row.entry.service)
         protocol.set_response_params(
@@ -348,6 +348,7 @@
                 protocol.force_close()
         except http.HttpProcessingError as error:
             raise aiohttp.ClientPayloadError(repr(error)) from error
+        protocol.end_exchange()
         if not channels.record_keep_alive(channel, message.headers):
             return None
         return report
