--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -229,7 +229,12 @@
         await asyncio.sleep(self._random.uniform(0.0, 0.5))
         start = self._record("start", vm)
         await self._start_vm(vm)
-        await self._processes[vm].wait_ready(vm)
+        try:
+            await self._processes[vm].wait_ready(vm)
+        except TimeoutError:
+            code = self._processes[vm].process.returncode
+            if code is not None:
+                self.history.self_ended.append((vm, code))
         start.ended_at = self._loop.time()
 
     async def _term(self) -> None:
--- a/wigeonspool/vm/attempts.py
+++ b/wigeonspool/vm/attempts.py
@@ -68,7 +68,7 @@
                 fields,
                 context.body,
                 lambda message: self._matches_attempt(
-                    message, context.identity
+                    message, context.identity, channel
                 ),
             )
             return await self._read_response(context, response, channel)
@@ -82,15 +82,22 @@
             raise
 
     def _matches_attempt(
-        self, message: http.RawResponseMessage, identity: str
+        self,
+        message: http.RawResponseMessage,
+        identity: str,
+        channel: channels.Channel,
     ) -> bool:
-        """Returns True unless a response is misrouted, and counts those."""
+        """Returns True unless a response belongs to another request.
+
+        Counts those that do. Their connection is not used for other requests.
+        """
         response_class = self._protocol_adapter.classify_response(
             message.code, message.headers, identity
         )
         if response_class is not protocols.ResponseClass.MISMATCHED:
             return True
         self.mismatched_responses += 1
+        channel.protocol.force_close()
         return False
 
     async def _read_response(
@@ -142,17 +149,24 @@
 ) -> channels.Channel:
     """Returns the connection for an attempt.
 
-    A request is sent at most once over each connection. All its attempts have
-    the same identity, so a repeated response to an earlier one would be taken
-    for the response to the next one.
+    A new one is opened if data has arrived on that of the candidate since its
+    health check. A request is sent at most once over each connection: all its
+    attempts have the same identity, so a repeated response to an earlier one
+    would be taken for the response to the next one.
 
     Raises:
-        OSError: If a new connection is needed and cannot be opened.
+        OSError: If a new connection is needed and is not usable either.
     """
     channel = candidate.channel
-    if channel in context.used_channels:
+    if (
+        channel in context.used_channels
+        or not channel.protocol.begin_exchange()
+    ):
         channel.release()
         channel = await channel.open_another()
+        if not channel.protocol.begin_exchange():
+            channel.close()
+            raise ConnectionResetError(f"{channel.address} is not usable")
     context.used_channels.append(channel)
     return channel
 
