Refuse requests that a stop would abort

Callers lost requests in a planned stop: requests that waited for a target when the process ended, requests that arrived on open connections shortly before, and retries that began then. The latter two were sent to targets although those could not finish in time.

Cause: a drain moved callers and waited, but nothing limited when a request could still be sent, and nothing answered those that were not sent.

core/drain_policy.py computes the times of a stop from the grace period and the latest time at which a request may be sent, from its baseline time at a slow target. It applies to the first attempt, to retries, to hedged requests and to requests that wait already. Others get a refusal, which names a short delay, and their connection closes, so they go elsewhere. Requests that were sent have until 92% of the grace period instead of 86%.

--- a/tests/test_vm_lost_requests.py
+++ b/tests/test_vm_lost_requests.py
@@ -6,14 +6,17 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+from typing import Any
 
 from aiohttp import web
 import pytest_asyncio
 
 from tests import fleet
+from tests import vm_fleet
 from wigeonspool.core import cluster_state
 from wigeonspool.model import fleet as fleet_model
 from wigeonspool.vm import caller_server
+from wigeonspool.vm import service
 
 HEAD_TIMEOUT_SECONDS = 0.1
 # Longer than the timeout of a head, with room for a slow machine.
@@ -218,3 +221,130 @@
         protocol._process_keepalive()
         loop.call_soon(protocol._process_keepalive)
         assert (await connection.read_response(b"")).startswith(ANSWER)
+
+
+class TestPlannedStop:
+    """A stop answers each request that was read, or lets its target finish."""
+
+    grace_seconds = 2.0
+    remaining_ms = "8000"
+
+    async def start(self, vms: vm_fleet.VmFleet) -> service.VmService:
+        """Starts a VM with rules whose time limits exceed the grace period."""
+        actions = {"Timeout": "8000ms"}
+        rules = [
+            vm_fleet.build_rule(
+                "read", "/read/", "safe", Service="reads", **actions
+            ),
+            vm_fleet.build_rule(
+                "write", "/write/", "unsafe", Service="writes", **actions
+            ),
+        ]
+        await vms.configure(rules)
+        return await vms.start_vm("vm-1", grace_seconds=self.grace_seconds)
+
+    async def send(
+        self,
+        vms: vm_fleet.VmFleet,
+        path: str,
+        attempt: str = "",
+        **options: Any,
+    ) -> tuple[int, bytes, Any]:
+        return await vms.send(
+            "vm-1",
+            path,
+            attempt=attempt,
+            remaining=self.remaining_ms,
+            **options,
+        )
+
+    def count_runs(self, vms: vm_fleet.VmFleet) -> int:
+        return sum(len(target.runs) for target in vms.targets.values())
+
+    async def connect_twice(self, vms: vm_fleet.VmFleet) -> None:
+        """Opens two connections that stay open, with one request on each."""
+        await asyncio.gather(*(self.send(vms, "/read/1") for _ in range(2)))
+
+    async def hold(self, vms: vm_fleet.VmFleet) -> asyncio.Task[Any]:
+        """Sends a request that runs for most of the grace period."""
+        runs = self.count_runs(vms)
+        for target in ("t-3", "t-4"):
+            vms.targets[target].service_ms = 800 * self.grace_seconds
+        task = asyncio.create_task(self.send(vms, "/write/1", method="POST"))
+        await fleet.wait_for(lambda: self.count_runs(vms) > runs)
+        return task
+
+    async def stop(self, vms: vm_fleet.VmFleet) -> None:
+        """Stops the VM as a signal does."""
+        await vms.vms["vm-1"].drain()
+        await vms.kill_vm("vm-1")
+
+    # Guards against a request that waits for a target when the process ends
+    # and whose connection is closed instead of answered.
+    async def test_request_that_waits_for_a_target_is_refused(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm = await self.start(vms)
+        vms.set_faults(mute=True)
+        waiting = [
+            asyncio.create_task(self.send(vms, path, method=method))
+            for path, method in (("/read/1", "GET"), ("/write/1", "POST"))
+        ]
+        await fleet.wait_for(lambda: vm._caller_service.in_flight == 2)
+        await self.stop(vms)
+        for task in waiting:
+            status, reason, fields = await task
+            assert (status, reason) == (503, b"draining")
+            assert fields["Connection"] == "close"
+            assert 0 < float(fields["Retry-After"]) < 0.1
+        assert self.count_runs(vms) == 0
+
+    # Guards against a request that is sent to a target although the process
+    # ends before the target can.
+    async def test_late_request_is_refused_instead_of_cut(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await self.start(vms)
+        for target in ("t-1", "t-2"):
+            vms.targets[target].service_ms = 700
+        await self.connect_twice(vms)
+        held = await self.hold(vms)
+        runs = self.count_runs(vms)
+        stop_task = asyncio.create_task(self.stop(vms))
+        await asyncio.sleep(0.7 * self.grace_seconds)
+        status, reason, _ = await self.send(vms, "/read/2")
+        assert (status, reason) == (503, b"draining")
+        assert self.count_runs(vms) == runs
+        assert (await held)[0] == 200
+        await stop_task
+
+    # Guards against refusals of work that can end before the process does.
+    async def test_short_request_is_served_late_in_a_stop(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await self.start(vms)
+        await self.connect_twice(vms)
+        held = await self.hold(vms)
+        stop_task = asyncio.create_task(self.stop(vms))
+        await asyncio.sleep(0.7 * self.grace_seconds)
+        status, _, fields = await self.send(vms, "/read/2")
+        assert (status, fields["Connection"]) == (200, "close")
+        assert (await held)[0] == 200
+        await stop_task
+
+    # Guards against a retry that starts when the process is about to end, in
+    # place of the failure that the target reported.
+    async def test_failed_request_is_not_retried_at_the_end(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await self.start(vms)
+        for target in vms.targets.values():
+            target.service_ms = 600
+        await self.send(vms, "/read/1")
+        vms.set_faults(failing=True)
+        stop_task = asyncio.create_task(self.stop(vms))
+        await asyncio.sleep(0.45 * self.grace_seconds)
+        status, _, _ = await self.send(vms, "/read/2", attempt="one")
+        assert status == 500
+        assert len(vms.find_targets_that_ran("one")) == 1
+        await stop_task
--- /dev/null
+++ b/wigeonspool/core/drain_policy.py
@@ -0,0 +1,74 @@
+"""Decides until when requests may start while a VM prepares to stop.
+
+A request whose target cannot finish before the process ends would be aborted.
+It is refused instead, so that its caller sends it to another VM at once.
+"""
+
+import dataclasses
+import math
+from typing import Final
+
+# Fraction of the grace period during which requests start as usual. Callers
+# hold addresses that they resolved before the VM began to drain.
+UNRESTRICTED_FRACTION: Final = 0.5
+# Fraction of the grace period during which callers may still open connections.
+# After that, they have discarded those addresses.
+ACCEPT_FRACTION: Final = 0.55
+# Fraction of the grace period after which no request may wait or start.
+START_FRACTION: Final = 0.88
+# Fraction of the grace period after which no request may run any more. The rest
+# is needed to close the connections and to end the process.
+FINISH_FRACTION: Final = 0.92
+# A slow target needs up to this many baseline service times.
+SLOW_TARGET_RATIO: Final = 6.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainSchedule:
+    """Times of a planned stop, on the core's clock in seconds.
+
+    Attributes:
+        unrestricted_until: Until then, requests start as usual.
+        accept_until: Until then, callers may open connections.
+        start_until: After that, no request starts or waits for a target.
+        finish_at: Requests that still run are aborted.
+    """
+
+    unrestricted_until: float
+    accept_until: float
+    start_until: float
+    finish_at: float
+
+
+def build_schedule(started_at: float, grace_seconds: float) -> DrainSchedule:
+    """Returns the schedule of a stop.
+
+    Args:
+        started_at: Time at which the stop was requested.
+        grace_seconds: Time from then until the process is killed.
+    """
+    return DrainSchedule(
+        started_at + grace_seconds * UNRESTRICTED_FRACTION,
+        started_at + grace_seconds * ACCEPT_FRACTION,
+        started_at + grace_seconds * START_FRACTION,
+        started_at + grace_seconds * FINISH_FRACTION,
+    )
+
+
+def find_latest_start(
+    schedule: DrainSchedule | None, baseline_seconds: float, deadline: float
+) -> float:
+    """Returns the latest time at which an attempt may be sent to a target.
+
+    Args:
+        schedule: Schedule of the stop, or None if the VM does not drain.
+        baseline_seconds: Baseline service time of the request.
+        deadline: Time at which its caller gives up. A request that ends before
+            the process in any case may start at any time.
+    """
+    if schedule is None or deadline <= schedule.finish_at:
+        return math.inf
+    ends_in_time = schedule.finish_at - baseline_seconds * SLOW_TARGET_RATIO
+    return max(
+        schedule.unrestricted_until, min(ends_in_time, schedule.start_until)
+    )
--- a/wigeonspool/vm/caller_responses.py
+++ b/wigeonspool/vm/caller_responses.py
@@ -19,7 +19,10 @@
 RETRY_AFTER_STARTUP_SECONDS: Final = 0.2
 # A request that crashes targets stays quarantined for far longer than this.
 RETRY_AFTER_QUARANTINE_SECONDS: Final = 5.0
+# Other VMs can serve the caller at once.
+RETRY_AFTER_DRAINING_SECONDS: Final = 0.02
 RETRY_AFTER_BY_REASON: Final = {
+    outcomes.Reason.DRAINING: RETRY_AFTER_DRAINING_SECONDS,
     outcomes.Reason.QUARANTINED: RETRY_AFTER_QUARANTINE_SECONDS,
     outcomes.Reason.NOT_CONFIGURED: RETRY_AFTER_STARTUP_SECONDS,
     outcomes.Reason.TARGET_REFUSED: RETRY_AFTER_TARGET_REFUSED_SECONDS,
--- a/wigeonspool/vm/caller_service.py
+++ b/wigeonspool/vm/caller_service.py
@@ -5,12 +5,14 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 import time
 
 from aiohttp import web
 import xxhash
 
 from wigeonspool.core import cluster_state
+from wigeonspool.core import drain_policy
 from wigeonspool.core import traffic_split
 from wigeonspool.gateway import exchanges
 from wigeonspool.gateway import incoming_request
@@ -33,7 +35,6 @@
     """Serves the requests that arrive at one VM.
 
     Attributes:
-        in_flight: Requests received and not completed yet.
         counts: Number of completed requests, by outcome and reason.
         draining: True while this VM prepares to stop.
         on_answered: Called for each successful or failed response of a target,
@@ -60,7 +61,6 @@
                 waited while the process did not run.
             gate: Delays requests until the first configuration is loaded.
         """
-        self.in_flight = 0
         self.counts: dict[tuple[str, str], int] = {}
         self.draining = False
         self.on_answered: Callable[[str, float], None] = lambda _, __: None
@@ -72,28 +72,52 @@
         self._rotations: dict[str, traffic_split.WeightedRoundRobin] = {}
         self._configuration_version = -1
         self._rotation_offset = xxhash.xxh3_64_intdigest(vm.encode()) / 2**64
+        # By object identity, since requests are not hashable.
+        self._open_requests: dict[int, web.BaseRequest] = {}
         self._loop = asyncio.get_running_loop()
 
+    @property
+    def in_flight(self) -> int:
+        """Number of requests received and not completed yet."""
+        return len(self._open_requests)
+
+    def begin_drain(self, schedule: drain_policy.DrainSchedule) -> None:
+        """Closes the connection after each response from now on.
+
+        Requests that cannot end in time are refused, also those that wait for
+        a target already.
+
+        Args:
+            schedule: Schedule of the stop.
+        """
+        self.draining = True
+        self._runner.start_limits.apply_schedule(schedule)
+
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serves one request of a caller.
 
         The call is cancelled if the caller disconnects.
         """
-        self.in_flight += 1
+        self._open_requests[id(request)] = request
         try:
             response = await self._serve(request)
         except asyncio.CancelledError:
             self._count(outcomes.Outcome.UNKNOWN, outcomes.Reason.CALLER_LEFT)
             raise
         finally:
-            self.in_flight -= 1
+            del self._open_requests[id(request)]
         if self.draining:
             response.force_close()
         return response
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Runs a request, logs its result and returns the response."""
-        context = await self._build_context(request)
+        context: request_context.RequestContext | outcomes.Failure
+        try:
+            async with self._runner.start_limits.limit_wait(0.0, math.inf):
+                context = await self._build_context(request)
+        except TimeoutError:
+            context = outcomes.build_refusal(outcomes.Reason.DRAINING)
         if isinstance(context, outcomes.Failure):
             self._log_refusal(request, context)
             return self._build_failure(context)
@@ -192,14 +216,18 @@
         """Logs that a request was refused before any attempt, and why."""
         log.info(
             "refused",
-            request=self._protocol_adapter.read_request_metadata(
-                request.headers
-            ).identity,
+            request=self._read_identity(request),
             outcome=failure.reason,
             not_run=True,
             version=self._configuration_version,
         )
 
+    def _read_identity(self, request: web.BaseRequest) -> str:
+        """Returns the caller's id of a request."""
+        return self._protocol_adapter.read_request_metadata(
+            request.headers
+        ).identity
+
     def _log_result(
         self,
         context: request_context.RequestContext,
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -19,6 +19,7 @@
 from wigeonspool.model import vm_settings
 from wigeonspool.vm import attempts
 from wigeonspool.vm import request_context
+from wigeonspool.vm import start_limits
 from wigeonspool.vm import structured_log
 from wigeonspool.vm import target_probes
 from wigeonspool.vm import target_selection
@@ -58,6 +59,8 @@
     Attributes:
         on_crash: Called with the fingerprint of a request and the identity of
             the target that crashed while it ran that request.
+        start_limits: Limits the time until requests are sent while the VM
+            drains.
     """
 
     def __init__(
@@ -76,6 +79,7 @@
             protocol_adapter: Protocol of the targets.
         """
         self.on_crash: Callable[[int, str], Awaitable[None]] = _ignore_crash
+        self.start_limits = start_limits.StartLimits()
         self._cluster = cluster
         self._prober = prober
         self._protocol_adapter = protocol_adapter
@@ -128,7 +132,7 @@
         """
         self._retry_budget.add_tokens(context.service, self._loop.time())
         while True:
-            candidate = await self._selector.select(context)
+            candidate = await self._select(context)
             if isinstance(candidate, outcomes.Failure):
                 return candidate
             result = await self._send_hedged(context, candidate)
@@ -137,6 +141,25 @@
             if not self._may_retry(context, result):
                 return self._build_final_result(context, result)
 
+    async def _select(
+        self, context: request_context.RequestContext
+    ) -> target_probes.Candidate | outcomes.Failure:
+        """Returns the target to send a request to, or a failure.
+
+        A request that could not end before this VM stops is refused.
+        """
+        baseline_seconds = self._selector.find_baseline(context)
+        limits = self.start_limits
+        if limits.may_start(baseline_seconds, context.deadline):
+            try:
+                async with limits.limit_wait(
+                    baseline_seconds, context.deadline
+                ):
+                    return await self._selector.select(context)
+            except TimeoutError:
+                pass
+        return context.build_failure(outcomes.Reason.DRAINING)
+
     async def _send_hedged(
         self,
         context: request_context.RequestContext,
@@ -182,6 +205,9 @@
         """
         if context.possible_runs >= context.rule.max_targets:
             return None
+        baseline_seconds = self._selector.find_baseline(context)
+        if not self.start_limits.may_start(baseline_seconds, context.deadline):
+            return None
         now = self._loop.time()
         reserve = retry_policy.HEDGE_RESERVE_TOKENS
         if not self._retry_budget.consume_token(context.service, now, reserve):
@@ -302,6 +328,9 @@
         ):
             context.record_step(now, "no-time-to-repeat", "", 0.0)
             return False
+        if not self.start_limits.may_start(baseline_seconds, context.deadline):
+            context.record_step(now, "draining", "", 0.0)
+            return False
         if not self._retry_budget.consume_token(context.service, now):
             context.record_step(now, "allowance-spent", "", 0.0)
             return False
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -18,6 +18,7 @@
 from wigeonspool import listen_sockets
 from wigeonspool import process
 from wigeonspool.core import cluster_state
+from wigeonspool.core import drain_policy
 from wigeonspool.core import feeders
 from wigeonspool.gateway import pauses
 from wigeonspool.model import errors
@@ -54,14 +55,8 @@
 # The file is polled since it may change without a signal.
 SETTINGS_POLL_SECONDS: Final = 1.0
 DRAIN_POLL_SECONDS: Final = 0.02
-# Fraction of the grace period during which callers may still open connections.
-# After that, they have discarded the addresses that they resolved before the VM
-# began to drain.
-ACCEPT_FRACTION: Final = 0.55
 # Longest time to close the ports and connections after the VM has drained.
 CLOSE_TIMEOUT_SECONDS: Final = 0.3
-# Fraction of the grace period after which no request may run any more.
-FINISH_FRACTION: Final = 0.86
 
 
 log = structured_log.get_logger("process")
@@ -120,7 +115,7 @@
         )
         self._caller_runner = await self._serve(
             self._settings.callers,
-            caller_server.CallerServer(self._caller_service, self._cluster),
+            self._caller_server,
         )
         for address, handler in (
             (self._settings.directory, self._address_service.resolve),
@@ -211,6 +206,9 @@
             self._pause_monitor,
             self._startup_gate,
         )
+        self._caller_server = caller_server.CallerServer(
+            self._caller_service, self._cluster
+        )
         self._liveness = peer_liveness.LivenessProtocol(self._build_pong)
         self._address_service = address_service.AddressService(
             settings,
@@ -450,17 +448,18 @@
     async def drain(self) -> None:
         """Moves callers to other VMs, then waits for requests in flight."""
         loop = asyncio.get_running_loop()
-        started_at = loop.time()
-        grace = self._settings.bounds.grace_seconds
-        close_at = started_at + grace * ACCEPT_FRACTION
-        deadline = started_at + grace * FINISH_FRACTION
+        schedule = drain_policy.build_schedule(
+            loop.time(), self._settings.bounds.grace_seconds
+        )
         self._address_service.draining = True
         self._feeder.close()
-        self._caller_service.draining = True
+        self._caller_service.begin_drain(schedule)
         log.info("stopping", in_flight=self._caller_service.in_flight)
-        await asyncio.sleep(close_at - loop.time())
+        await asyncio.sleep(schedule.accept_until - loop.time())
         await self._close_listener()
-        while loop.time() < deadline and self._caller_service.in_flight:
+        while (
+            loop.time() < schedule.finish_at and self._caller_service.in_flight
+        ):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         log.info("stopped", cut=self._caller_service.in_flight)
 
