Wait until answers are written before a stop closes connections

Callers that read slowly lost the end of an answer in a planned stop long before the grace period was over. A request could also be read after the last look for requests in flight.

Cause: the drain counted requests whose handler runs. The HTTP library writes a response after the handler has returned, and a request whose head is complete has no handler yet.

Evidence, before: in test_stop_waits_until_an_answer_was_read the drain had ended with most of the answer unread.

The drain now waits for connections instead: those that read a request, serve it or have unsent bytes. Once there are none, all connections stop reading in the same step of the event loop.

--- a/tests/test_vm_lost_requests.py
+++ b/tests/test_vm_lost_requests.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import socket
 from typing import Any
 
 from aiohttp import web
@@ -332,6 +333,35 @@
         assert (await held)[0] == 200
         await stop_task
 
+    # Guards against a request that is read between the last look for running
+    # requests and the close, sent to a target and cut.
+    async def test_request_that_is_read_while_ports_close_is_refused(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm = await self.start(vms)
+        for target in vms.targets.values():
+            target.service_ms = 1500
+        host, _, port = vms.settings["vm-1"].callers.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        server = vm._caller_runner.server
+        assert server is not None
+        await fleet.wait_for(lambda: server.connections)
+        protocol = server.connections[0]
+        drain_task = asyncio.create_task(vm.drain())
+        await asyncio.sleep(0.5 * self.grace_seconds)
+        head = (
+            f"GET /read/1 HTTP/1.1\r\nHost: {vm_fleet.HOST}\r\n"
+            "X-Attempt-Id: one\r\nX-Timeout-Remaining: 8000\r\n\r\n"
+        )
+        await drain_task
+        protocol.data_received(head.encode())
+        await vms.kill_vm("vm-1")
+        async with asyncio.timeout(5.0):
+            response = await reader.read()
+        writer.close()
+        assert vms.find_targets_that_ran("one") == []
+        assert response == b"" or response.startswith(b"HTTP/1.1 503 ")
+
     # Guards against a retry that starts when the process is about to end, in
     # place of the failure that the target reported.
     async def test_failed_request_is_not_retried_at_the_end(
@@ -348,3 +378,44 @@
         assert status == 500
         assert len(vms.find_targets_that_ran("one")) == 1
         await stop_task
+
+    # Guards against an answer that is cut because the process counts a request
+    # as ended before its answer was read.
+    async def test_stop_waits_until_an_answer_was_read(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm = await self.start(vms)
+        body = b"x" * 1_000_000
+        for target in vms.targets.values():
+            target.body = body
+        host, _, port = vms.settings["vm-1"].callers.rpartition(":")
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(client, (host, int(port)))
+        server = vm._caller_runner.server
+        assert server is not None
+        await fleet.wait_for(lambda: server.connections)
+        transport = server.connections[0].transport
+        assert transport is not None
+        transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
+        )
+        head = (
+            f"GET /read/1 HTTP/1.1\r\nHost: {vm_fleet.HOST}\r\n"
+            "X-Attempt-Id: one\r\nX-Timeout-Remaining: 8000\r\n\r\n"
+        )
+        await loop.sock_sendall(client, head.encode())
+        await fleet.wait_for(lambda: vms.find_targets_that_ran("one"))
+        await fleet.wait_for(lambda: vm._caller_service.in_flight == 0)
+        drain_task = asyncio.create_task(vm.drain())
+        await asyncio.sleep(0.7 * self.grace_seconds)
+        assert not drain_task.done()
+        received = b""
+        while len(received) < len(body):
+            chunk = await loop.sock_recv(client, 65536)
+            assert chunk
+            received += chunk
+        client.close()
+        await drain_task
--- a/wigeonspool/vm/caller_server.py
+++ b/wigeonspool/vm/caller_server.py
@@ -93,6 +93,16 @@
         """Returns True if no request is served and none waits to be served."""
         return self._waiter is not None and not self._waiter.done()
 
+    def is_busy(self) -> bool:
+        """Returns True if a request arrives, is served or is being answered."""
+        transport = self.transport
+        return (
+            not self.is_idle()
+            or self._is_head_pending
+            or transport is None
+            or transport.get_write_buffer_size() > 0
+        )
+
     def _process_keepalive(self) -> None:
         """Closes a connection that was idle for too long.
 
@@ -190,6 +200,14 @@
         super().__init__(service.serve, handler_cancellation=True)
         self._cluster = cluster
 
+    def has_busy_connections(self) -> bool:
+        """Returns True if a request or a response is in transfer or served."""
+        return any(
+            connection.is_busy()
+            for connection in self.connections
+            if isinstance(connection, CallerProtocol)
+        )
+
     def __call__(self) -> web.RequestHandler:
         """Returns the protocol of a new connection.
 
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -446,7 +446,10 @@
                 await self.reload()
 
     async def drain(self) -> None:
-        """Moves callers to other VMs, then waits for requests in flight."""
+        """Moves callers to other VMs, then waits for requests in flight.
+
+        No connection reads another request after that.
+        """
         loop = asyncio.get_running_loop()
         schedule = drain_policy.build_schedule(
             loop.time(), self._settings.bounds.grace_seconds
@@ -458,9 +461,11 @@
         await asyncio.sleep(schedule.accept_until - loop.time())
         await self._close_listener()
         while (
-            loop.time() < schedule.finish_at and self._caller_service.in_flight
+            loop.time() < schedule.finish_at
+            and self._caller_server.has_busy_connections()
         ):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+        self._caller_server.pre_shutdown()
         log.info("stopped", cut=self._caller_service.in_flight)
 
     async def _close_listener(self) -> None:
