Log each request that a stop aborts

On-call saw only the number of aborted requests. Each one now has a line with its id. test_request_that_is_cut_is_logged found no line before.

--- a/tests/test_vm_lost_requests.py
+++ b/tests/test_vm_lost_requests.py
@@ -4,12 +4,15 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 import contextlib
 import socket
 from typing import Any
 
 from aiohttp import web
+import loguru
+import msgspec
+import pytest
 import pytest_asyncio
 
 from tests import fleet
@@ -18,6 +21,7 @@
 from wigeonspool.model import fleet as fleet_model
 from wigeonspool.vm import caller_server
 from wigeonspool.vm import service
+from wigeonspool.vm import structured_log
 
 HEAD_TIMEOUT_SECONDS = 0.1
 # Longer than the timeout of a head, with room for a slow machine.
@@ -109,6 +113,21 @@
         yield connection
 
 
+@pytest.fixture(name="log_lines")
+def collect_log_lines() -> Iterator[list[dict[str, Any]]]:
+    """Yields a list that receives each line of the log."""
+    lines: list[dict[str, Any]] = []
+
+    def add_line(message: Any) -> None:
+        lines.append(
+            msgspec.json.decode(structured_log.encode_record(message.record))
+        )
+
+    sink = loguru.logger.add(add_line, level="DEBUG")
+    yield lines
+    loguru.logger.remove(sink)
+
+
 class TestHeadTimer:
     """The time limit of a request head ends no other request."""
 
@@ -419,3 +438,20 @@
             received += chunk
         client.close()
         await drain_task
+
+    # Guards against a request that is cut at the end without a trace.
+    async def test_request_that_is_cut_is_logged(
+        self, vms: vm_fleet.VmFleet, log_lines: list[dict[str, Any]]
+    ) -> None:
+        await self.start(vms)
+        for target in vms.targets.values():
+            target.service_ms = 5000
+        task = asyncio.create_task(self.send(vms, "/read/1", attempt="one"))
+        await fleet.wait_for(lambda: self.count_runs(vms) == 1)
+        await self.stop(vms)
+        with contextlib.suppress(Exception):
+            await task
+        cut = [line for line in log_lines if line["event"] == "cut"]
+        assert [line["request"] for line in cut] == ["one"]
+        (stopped,) = (x for x in log_lines if x["event"] == "stopped")
+        assert stopped["cut"] == 1
--- a/wigeonspool/vm/caller_service.py
+++ b/wigeonspool/vm/caller_service.py
@@ -93,6 +93,12 @@
         self.draining = True
         self._runner.start_limits.apply_schedule(schedule)
 
+    def log_cut(self) -> int:
+        """Logs each open request as aborted; returns their number."""
+        for request in self._open_requests.values():
+            log.warning("cut", request=self._read_identity(request))
+        return len(self._open_requests)
+
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serves one request of a caller.
 
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -466,7 +466,7 @@
         ):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         self._caller_server.pre_shutdown()
-        log.info("stopped", cut=self._caller_service.in_flight)
+        log.info("stopped", cut=self._caller_service.log_cut())
 
     async def _close_listener(self) -> None:
         """Stops accepting new connections of callers."""
