Use the answer of either attempt of a hedged request

Callers got a failure or waited until their deadline although a target had answered: if both attempts of a hedged request ended in the same step of the event loop and the other one had failed, its result could be used. A long answer that was not used stayed open, so its target worked on. An answer that arrived while a target for the hedged request was looked for was held up until then, and the second attempt was sent nevertheless.

Cause: the choice among results returned any result once no attempt was left; the look for a second target was not concurrent with the first attempt.

Results are ranked, results that are not used are closed, and the hedged request is a task of its own from the search for its target on.

--- a/tests/test_vm_lost_requests.py
+++ b/tests/test_vm_lost_requests.py
@@ -20,8 +20,10 @@
 from wigeonspool.core import cluster_state
 from wigeonspool.model import fleet as fleet_model
 from wigeonspool.vm import caller_server
+from wigeonspool.vm import request_context
 from wigeonspool.vm import service
 from wigeonspool.vm import structured_log
+from wigeonspool.vm import target_probes
 
 HEAD_TIMEOUT_SECONDS = 0.1
 # Longer than the timeout of a head, with room for a slow machine.
@@ -455,3 +457,164 @@
         assert [line["request"] for line in cut] == ["one"]
         (stopped,) = (x for x in log_lines if x["event"] == "stopped")
         assert stopped["cut"] == 1
+
+
+class StreamStandin:
+    """An open response; records whether it was closed."""
+
+    def __init__(self) -> None:
+        self.closed = False
+
+    def close(self) -> None:
+        self.closed = True
+
+
+def build_result(
+    outcome: request_context.AttemptOutcome, stream: Any = None
+) -> request_context.AttemptResult:
+    return request_context.AttemptResult(outcome, stream=stream)
+
+
+class ScriptedSender:
+    """Ends the attempts of a request when the test says so."""
+
+    def __init__(self) -> None:
+        self.mismatched_responses = 0
+        self.attempts: list[asyncio.Future[request_context.AttemptResult]] = []
+        self.cancelled = 0
+
+    async def send(
+        self,
+        context: request_context.RequestContext,
+        candidate: target_probes.Candidate,
+    ) -> request_context.AttemptResult:
+        candidate.channel.release()
+        future = asyncio.get_running_loop().create_future()
+        self.attempts.append(future)
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+
+class TestHedgedRequests:
+    """Neither of two attempts that run at the same time is lost."""
+
+    async def start(
+        self, vms: vm_fleet.VmFleet, attempts: int = 2
+    ) -> tuple[service.VmService, ScriptedSender, asyncio.Task[Any]]:
+        """Sends a request and waits until it has this many attempts."""
+        vm = await vms.start_vm("vm-1")
+        vms.set_faults("t-3", "t-4", pace=100)
+        for number in range(3):
+            await vms.send("vm-1", f"/read/{number}")
+        sender = ScriptedSender()
+        vm._request_runner.replace_sender(sender)
+        task = asyncio.create_task(vms.send("vm-1", "/read/1", attempt="one"))
+        await fleet.wait_for(lambda: len(sender.attempts) == attempts)
+        return vm, sender, task
+
+    # Guards against an answer that is dropped since another attempt failed in
+    # the same step of the event loop.
+    @pytest.mark.parametrize("answered", [0, 1])
+    @pytest.mark.parametrize(
+        "outcome",
+        [
+            request_context.AttemptOutcome.FAILED,
+            request_context.AttemptOutcome.NOT_RUN,
+            request_context.AttemptOutcome.UNKNOWN,
+        ],
+    )
+    async def test_answer_wins_over_a_failure_at_the_same_time(
+        self,
+        vms: vm_fleet.VmFleet,
+        answered: int,
+        outcome: request_context.AttemptOutcome,
+    ) -> None:
+        _, sender, task = await self.start(vms)
+        answer = request_context.AttemptResult(
+            request_context.AttemptOutcome.ANSWERED, 200, body=b"answer"
+        )
+        sender.attempts[answered].set_result(answer)
+        sender.attempts[1 - answered].set_result(build_result(outcome))
+        async with asyncio.timeout(5.0):
+            status, body, _ = await task
+        assert (status, body) == (200, b"answer")
+        assert len(sender.attempts) == 2
+
+    # Guards against a long answer that nobody reads and whose target works on.
+    async def test_second_long_answer_is_closed(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm, sender, task = await self.start(vms)
+        streams = [StreamStandin(), StreamStandin()]
+        used: list[Any] = []
+
+        async def end(
+            context: request_context.RequestContext,
+            result: request_context.AttemptResult,
+        ) -> web.StreamResponse:
+            used.append(result.stream)
+            return web.Response()
+
+        vm._caller_service._build_response = end  # type: ignore[method-assign]
+        for attempt, stream in zip(sender.attempts, streams, strict=True):
+            attempt.set_result(
+                build_result(request_context.AttemptOutcome.ANSWERED, stream)
+            )
+        await task
+        assert [stream.closed for stream in streams].count(True) == 1
+        assert not used[0].closed
+
+    # Guards against an attempt that runs on after another one was answered.
+    async def test_slower_attempt_is_cancelled(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        _, sender, task = await self.start(vms)
+        sender.attempts[0].set_result(
+            build_result(request_context.AttemptOutcome.FAILED)
+        )
+        await asyncio.sleep(0.05)
+        assert not task.done()
+        sender.attempts[1].set_result(
+            request_context.AttemptResult(
+                request_context.AttemptOutcome.ANSWERED, 200
+            )
+        )
+        assert (await task)[0] == 200
+        assert sender.cancelled == 0
+
+    # Guards against an answer that is held up, and a second attempt that is
+    # sent, while a target for that attempt is still being looked for.
+    async def test_answer_ends_the_search_for_a_second_target(
+        self, vms: vm_fleet.VmFleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        for number in range(3):
+            await vms.send("vm-1", f"/read/{number}")
+        sender = ScriptedSender()
+        vm._request_runner.replace_sender(sender)
+        selector = vm._request_runner._selector
+        find = selector.find_fast_target
+        is_searching = asyncio.Event()
+        may_go_on = asyncio.Event()
+
+        async def find_slowly(context: Any) -> Any:
+            is_searching.set()
+            await may_go_on.wait()
+            return await find(context)
+
+        monkeypatch.setattr(selector, "find_fast_target", find_slowly)
+        task = asyncio.create_task(vms.send("vm-1", "/read/1"))
+        async with asyncio.timeout(5.0):
+            await is_searching.wait()
+            sender.attempts[0].set_result(
+                request_context.AttemptResult(
+                    request_context.AttemptOutcome.ANSWERED, 200
+                )
+            )
+            assert (await task)[0] == 200
+        may_go_on.set()
+        await asyncio.sleep(0.05)
+        assert len(sender.attempts) == 1
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Final, Protocol
 
 from wigeonspool.core import cluster_state
@@ -33,6 +33,7 @@
 log = structured_log.get_logger("requests")
 
 RequestResult = request_context.AttemptResult | outcomes.Failure
+AttemptTask = asyncio.Task[request_context.AttemptResult | None]
 
 
 class SenderProtocol(Protocol):
@@ -181,19 +182,29 @@
             or not context.replayable
         ):
             return await self._send(context, candidate)
-        tasks = {self._loop.create_task(self._send(context, candidate))}
+        first = self._send(context, candidate)
+        tasks: list[AttemptTask] = [self._loop.create_task(first)]
+        best: request_context.AttemptResult | None = None
         try:
             done, _ = await asyncio.wait(tasks, timeout=hedge_at - now)
             if not done:
-                hedge_candidate = await self._select_hedge_target(context)
-                if hedge_candidate is not None:
-                    context.hedges_sent += 1
-                    hedge_attempt = self._send(context, hedge_candidate)
-                    tasks.add(self._loop.create_task(hedge_attempt))
-            return await _wait_for_best(tasks)
+                hedge = self._send_hedge(context)
+                tasks.append(self._loop.create_task(hedge))
+            best = await _wait_for_best(tasks)
+            return best
         finally:
             for task in tasks:
-                task.cancel()
+                _discard_attempt(task, best)
+
+    async def _send_hedge(
+        self, context: request_context.RequestContext
+    ) -> request_context.AttemptResult | None:
+        """Sends a hedged request; returns None if it is not sent."""
+        candidate = await self._select_hedge_target(context)
+        if candidate is None:
+            return None
+        context.hedges_sent += 1
+        return await self._send(context, candidate)
 
     async def _select_hedge_target(
         self, context: request_context.RequestContext
@@ -366,18 +377,51 @@
 
 
 async def _wait_for_best(
-    tasks: set[asyncio.Task[request_context.AttemptResult]],
+    tasks: Sequence[AttemptTask],
 ) -> request_context.AttemptResult:
-    """Returns the first successful result, or the last one if none succeeds."""
+    """Returns the first successful result, or the best one if none succeeds.
+
+    The response of a target that failed is better than no response.
+
+    Args:
+        tasks: Attempts; at least one of them has a result.
+    """
+    results: list[request_context.AttemptResult] = []
     pending = set(tasks)
-    while True:
+    while pending:
         done, pending = await asyncio.wait(
             pending, return_when=asyncio.FIRST_COMPLETED
         )
-        results = [task.result() for task in done]
-        for result in results:
-            if (
-                result.outcome is request_context.AttemptOutcome.ANSWERED
-                or not pending
-            ):
-                return result
+        results += [result for task in done if (result := task.result())]
+        results.sort(key=_rank_result)
+        if (
+            results
+            and results[0].outcome is request_context.AttemptOutcome.ANSWERED
+        ):
+            break
+    return results[0]
+
+
+def _rank_result(result: request_context.AttemptResult) -> int:
+    """Returns the sort key of the result of an attempt; the best is first."""
+    if result.outcome is request_context.AttemptOutcome.ANSWERED:
+        return 0
+    return 1 if result.outcome is request_context.AttemptOutcome.FAILED else 2
+
+
+def _discard_attempt(
+    task: AttemptTask, used: request_context.AttemptResult | None
+) -> None:
+    """Cancels an attempt, or closes its response if it is not used.
+
+    Args:
+        task: The attempt.
+        used: Result that is used, or None.
+    """
+    if task.cancel() or task.cancelled() or task.exception() is not None:
+        return
+    result = task.result()
+    if result is None or result is used:
+        return
+    if result.stream is not None:
+        result.stream.close()
