--- a/tests/test_vm_lost_requests.py
+++ b/tests/test_vm_lost_requests.py
@@ -4,16 +4,26 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 import contextlib
+import socket
+from typing import Any
 
 from aiohttp import web
+import loguru
+import msgspec
+import pytest
 import pytest_asyncio
 
 from tests import fleet
+from tests import vm_fleet
 from wigeonspool.core import cluster_state
 from wigeonspool.model import fleet as fleet_model
 from wigeonspool.vm import caller_server
+from wigeonspool.vm import request_context
+from wigeonspool.vm import service
+from wigeonspool.vm import structured_log
+from wigeonspool.vm import target_probes
 
 HEAD_TIMEOUT_SECONDS = 0.1
 # Longer than the timeout of a head, with room for a slow machine.
@@ -105,6 +115,21 @@
         yield connection
 
 
+@pytest.fixture(name="log_lines")
+def collect_log_lines() -> Iterator[list[dict[str, Any]]]:
+    """Yields a list that receives each line of the log."""
+    lines: list[dict[str, Any]] = []
+
+    def add_line(message: Any) -> None:
+        lines.append(
+            msgspec.json.decode(structured_log.encode_record(message.record))
+        )
+
+    sink = loguru.logger.add(add_line, level="DEBUG")
+    yield lines
+    loguru.logger.remove(sink)
+
+
 class TestHeadTimer:
     """The time limit of a request head ends no other request."""
 
@@ -218,3 +243,378 @@
         protocol._process_keepalive()
         loop.call_soon(protocol._process_keepalive)
         assert (await connection.read_response(b"")).startswith(ANSWER)
+
+
+class TestPlannedStop:
+    """A stop answers each request that was read, or lets its target finish."""
+
+    grace_seconds = 2.0
+    remaining_ms = "8000"
+
+    async def start(self, vms: vm_fleet.VmFleet) -> service.VmService:
+        """Starts a VM with rules whose time limits exceed the grace period."""
+        actions = {"Timeout": "8000ms"}
+        rules = [
+            vm_fleet.build_rule(
+                "read", "/read/", "safe", Service="reads", **actions
+            ),
+            vm_fleet.build_rule(
+                "write", "/write/", "unsafe", Service="writes", **actions
+            ),
+        ]
+        await vms.configure(rules)
+        return await vms.start_vm("vm-1", grace_seconds=self.grace_seconds)
+
+    async def send(
+        self,
+        vms: vm_fleet.VmFleet,
+        path: str,
+        attempt: str = "",
+        **options: Any,
+    ) -> tuple[int, bytes, Any]:
+        return await vms.send(
+            "vm-1",
+            path,
+            attempt=attempt,
+            remaining=self.remaining_ms,
+            **options,
+        )
+
+    def count_runs(self, vms: vm_fleet.VmFleet) -> int:
+        return sum(len(target.runs) for target in vms.targets.values())
+
+    async def connect_twice(self, vms: vm_fleet.VmFleet) -> None:
+        """Opens two connections that stay open, with one request on each."""
+        await asyncio.gather(*(self.send(vms, "/read/1") for _ in range(2)))
+
+    async def hold(self, vms: vm_fleet.VmFleet) -> asyncio.Task[Any]:
+        """Sends a request that runs for most of the grace period."""
+        runs = self.count_runs(vms)
+        for target in ("t-3", "t-4"):
+            vms.targets[target].service_ms = 800 * self.grace_seconds
+        task = asyncio.create_task(self.send(vms, "/write/1", method="POST"))
+        await fleet.wait_for(lambda: self.count_runs(vms) > runs)
+        return task
+
+    async def stop(self, vms: vm_fleet.VmFleet) -> None:
+        """Stops the VM as a signal does."""
+        await vms.vms["vm-1"].drain()
+        await vms.kill_vm("vm-1")
+
+    # Guards against a request that waits for a target when the process ends
+    # and whose connection is closed instead of answered.
+    async def test_request_that_waits_for_a_target_is_refused(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm = await self.start(vms)
+        vms.set_faults(mute=True)
+        waiting = [
+            asyncio.create_task(self.send(vms, path, method=method))
+            for path, method in (("/read/1", "GET"), ("/write/1", "POST"))
+        ]
+        await fleet.wait_for(lambda: vm._caller_service.in_flight == 2)
+        await self.stop(vms)
+        for task in waiting:
+            status, reason, fields = await task
+            assert (status, reason) == (503, b"draining")
+            assert fields["Connection"] == "close"
+            assert 0 < float(fields["Retry-After"]) < 0.1
+        assert self.count_runs(vms) == 0
+
+    # Guards against a request that is sent to a target although the process
+    # ends before the target can.
+    async def test_late_request_is_refused_instead_of_cut(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await self.start(vms)
+        for target in ("t-1", "t-2"):
+            vms.targets[target].service_ms = 700
+        await self.connect_twice(vms)
+        held = await self.hold(vms)
+        runs = self.count_runs(vms)
+        stop_task = asyncio.create_task(self.stop(vms))
+        await asyncio.sleep(0.7 * self.grace_seconds)
+        status, reason, _ = await self.send(vms, "/read/2")
+        assert (status, reason) == (503, b"draining")
+        assert self.count_runs(vms) == runs
+        assert (await held)[0] == 200
+        await stop_task
+
+    # Guards against refusals of work that can end before the process does.
+    async def test_short_request_is_served_late_in_a_stop(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await self.start(vms)
+        await self.connect_twice(vms)
+        held = await self.hold(vms)
+        stop_task = asyncio.create_task(self.stop(vms))
+        await asyncio.sleep(0.7 * self.grace_seconds)
+        status, _, fields = await self.send(vms, "/read/2")
+        assert (status, fields["Connection"]) == (200, "close")
+        assert (await held)[0] == 200
+        await stop_task
+
+    # Guards against a request that is read between the last look for running
+    # requests and the close, sent to a target and cut.
+    async def test_request_that_is_read_while_ports_close_is_refused(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm = await self.start(vms)
+        for target in vms.targets.values():
+            target.service_ms = 1500
+        host, _, port = vms.settings["vm-1"].callers.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        server = vm._caller_runner.server
+        assert server is not None
+        await fleet.wait_for(lambda: server.connections)
+        protocol = server.connections[0]
+        drain_task = asyncio.create_task(vm.drain())
+        await asyncio.sleep(0.5 * self.grace_seconds)
+        head = (
+            f"GET /read/1 HTTP/1.1\r\nHost: {vm_fleet.HOST}\r\n"
+            "X-Attempt-Id: one\r\nX-Timeout-Remaining: 8000\r\n\r\n"
+        )
+        await drain_task
+        protocol.data_received(head.encode())
+        await vms.kill_vm("vm-1")
+        async with asyncio.timeout(5.0):
+            response = await reader.read()
+        writer.close()
+        assert vms.find_targets_that_ran("one") == []
+        assert response == b"" or response.startswith(b"HTTP/1.1 503 ")
+
+    # Guards against a retry that starts when the process is about to end, in
+    # place of the failure that the target reported.
+    async def test_failed_request_is_not_retried_at_the_end(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await self.start(vms)
+        for target in vms.targets.values():
+            target.service_ms = 600
+        await self.send(vms, "/read/1")
+        vms.set_faults(failing=True)
+        stop_task = asyncio.create_task(self.stop(vms))
+        await asyncio.sleep(0.45 * self.grace_seconds)
+        status, _, _ = await self.send(vms, "/read/2", attempt="one")
+        assert status == 500
+        assert len(vms.find_targets_that_ran("one")) == 1
+        await stop_task
+
+    # Guards against an answer that is cut because the process counts a request
+    # as ended before its answer was read.
+    async def test_stop_waits_until_an_answer_was_read(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm = await self.start(vms)
+        body = b"x" * 1_000_000
+        for target in vms.targets.values():
+            target.body = body
+        host, _, port = vms.settings["vm-1"].callers.rpartition(":")
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(client, (host, int(port)))
+        server = vm._caller_runner.server
+        assert server is not None
+        await fleet.wait_for(lambda: server.connections)
+        transport = server.connections[0].transport
+        assert transport is not None
+        transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
+        )
+        head = (
+            f"GET /read/1 HTTP/1.1\r\nHost: {vm_fleet.HOST}\r\n"
+            "X-Attempt-Id: one\r\nX-Timeout-Remaining: 8000\r\n\r\n"
+        )
+        await loop.sock_sendall(client, head.encode())
+        await fleet.wait_for(lambda: vms.find_targets_that_ran("one"))
+        await fleet.wait_for(lambda: vm._caller_service.in_flight == 0)
+        drain_task = asyncio.create_task(vm.drain())
+        await asyncio.sleep(0.7 * self.grace_seconds)
+        assert not drain_task.done()
+        received = b""
+        while len(received) < len(body):
+            chunk = await loop.sock_recv(client, 65536)
+            assert chunk
+            received += chunk
+        client.close()
+        await drain_task
+
+    # Guards against a request that is cut at the end without a trace.
+    async def test_request_that_is_cut_is_logged(
+        self, vms: vm_fleet.VmFleet, log_lines: list[dict[str, Any]]
+    ) -> None:
+        await self.start(vms)
+        for target in vms.targets.values():
+            target.service_ms = 5000
+        task = asyncio.create_task(self.send(vms, "/read/1", attempt="one"))
+        await fleet.wait_for(lambda: self.count_runs(vms) == 1)
+        await self.stop(vms)
+        with contextlib.suppress(Exception):
+            await task
+        cut = [line for line in log_lines if line["event"] == "cut"]
+        assert [line["request"] for line in cut] == ["one"]
+        (stopped,) = (x for x in log_lines if x["event"] == "stopped")
+        assert stopped["cut"] == 1
+
+
+class StreamStandin:
+    """An open response; records whether it was closed."""
+
+    def __init__(self) -> None:
+        self.closed = False
+
+    def close(self) -> None:
+        self.closed = True
+
+
+def build_result(
+    outcome: request_context.AttemptOutcome, stream: Any = None
+) -> request_context.AttemptResult:
+    return request_context.AttemptResult(outcome, stream=stream)
+
+
+class ScriptedSender:
+    """Ends the attempts of a request when the test says so."""
+
+    def __init__(self) -> None:
+        self.mismatched_responses = 0
+        self.attempts: list[asyncio.Future[request_context.AttemptResult]] = []
+        self.cancelled = 0
+
+    async def send(
+        self,
+        context: request_context.RequestContext,
+        candidate: target_probes.Candidate,
+    ) -> request_context.AttemptResult:
+        candidate.channel.release()
+        future = asyncio.get_running_loop().create_future()
+        self.attempts.append(future)
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+
+class TestHedgedRequests:
+    """Neither of two attempts that run at the same time is lost."""
+
+    async def start(
+        self, vms: vm_fleet.VmFleet, attempts: int = 2
+    ) -> tuple[service.VmService, ScriptedSender, asyncio.Task[Any]]:
+        """Sends a request and waits until it has this many attempts."""
+        vm = await vms.start_vm("vm-1")
+        vms.set_faults("t-3", "t-4", pace=100)
+        for number in range(3):
+            await vms.send("vm-1", f"/read/{number}")
+        sender = ScriptedSender()
+        vm._request_runner.replace_sender(sender)
+        task = asyncio.create_task(vms.send("vm-1", "/read/1", attempt="one"))
+        await fleet.wait_for(lambda: len(sender.attempts) == attempts)
+        return vm, sender, task
+
+    # Guards against an answer that is dropped since another attempt failed in
+    # the same step of the event loop.
+    @pytest.mark.parametrize("answered", [0, 1])
+    @pytest.mark.parametrize(
+        "outcome",
+        [
+            request_context.AttemptOutcome.FAILED,
+            request_context.AttemptOutcome.NOT_RUN,
+            request_context.AttemptOutcome.UNKNOWN,
+        ],
+    )
+    async def test_answer_wins_over_a_failure_at_the_same_time(
+        self,
+        vms: vm_fleet.VmFleet,
+        answered: int,
+        outcome: request_context.AttemptOutcome,
+    ) -> None:
+        _, sender, task = await self.start(vms)
+        answer = request_context.AttemptResult(
+            request_context.AttemptOutcome.ANSWERED, 200, body=b"answer"
+        )
+        sender.attempts[answered].set_result(answer)
+        sender.attempts[1 - answered].set_result(build_result(outcome))
+        async with asyncio.timeout(5.0):
+            status, body, _ = await task
+        assert (status, body) == (200, b"answer")
+        assert len(sender.attempts) == 2
+
+    # Guards against a long answer that nobody reads and whose target works on.
+    async def test_second_long_answer_is_closed(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm, sender, task = await self.start(vms)
+        streams = [StreamStandin(), StreamStandin()]
+        used: list[Any] = []
+
+        async def end(
+            context: request_context.RequestContext,
+            result: request_context.AttemptResult,
+        ) -> web.StreamResponse:
+            used.append(result.stream)
+            return web.Response()
+
+        vm._caller_service._build_response = end  # type: ignore[method-assign]
+        for attempt, stream in zip(sender.attempts, streams, strict=True):
+            attempt.set_result(
+                build_result(request_context.AttemptOutcome.ANSWERED, stream)
+            )
+        await task
+        assert [stream.closed for stream in streams].count(True) == 1
+        assert not used[0].closed
+
+    # Guards against an attempt that runs on after another one was answered.
+    async def test_slower_attempt_is_cancelled(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        _, sender, task = await self.start(vms)
+        sender.attempts[0].set_result(
+            build_result(request_context.AttemptOutcome.FAILED)
+        )
+        await asyncio.sleep(0.05)
+        assert not task.done()
+        sender.attempts[1].set_result(
+            request_context.AttemptResult(
+                request_context.AttemptOutcome.ANSWERED, 200
+            )
+        )
+        assert (await task)[0] == 200
+        assert sender.cancelled == 0
+
+    # Guards against an answer that is held up, and a second attempt that is
+    # sent, while a target for that attempt is still being looked for.
+    async def test_answer_ends_the_search_for_a_second_target(
+        self, vms: vm_fleet.VmFleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        for number in range(3):
+            await vms.send("vm-1", f"/read/{number}")
+        sender = ScriptedSender()
+        vm._request_runner.replace_sender(sender)
+        selector = vm._request_runner._selector
+        find = selector.find_fast_target
+        is_searching = asyncio.Event()
+        may_go_on = asyncio.Event()
+
+        async def find_slowly(context: Any) -> Any:
+            is_searching.set()
+            await may_go_on.wait()
+            return await find(context)
+
+        monkeypatch.setattr(selector, "find_fast_target", find_slowly)
+        task = asyncio.create_task(vms.send("vm-1", "/read/1"))
+        async with asyncio.timeout(5.0):
+            await is_searching.wait()
+            sender.attempts[0].set_result(
+                request_context.AttemptResult(
+                    request_context.AttemptOutcome.ANSWERED, 200
+                )
+            )
+            assert (await task)[0] == 200
+        may_go_on.set()
+        await asyncio.sleep(0.05)
+        assert len(sender.attempts) == 1
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Final, Protocol
 
 from wigeonspool.core import cluster_state
@@ -19,6 +19,7 @@
 from wigeonspool.model import vm_settings
 from wigeonspool.vm import attempts
 from wigeonspool.vm import request_context
+from wigeonspool.vm import start_limits
 from wigeonspool.vm import structured_log
 from wigeonspool.vm import target_probes
 from wigeonspool.vm import target_selection
@@ -32,6 +33,7 @@
 log = structured_log.get_logger("requests")
 
 RequestResult = request_context.AttemptResult | outcomes.Failure
+AttemptTask = asyncio.Task[request_context.AttemptResult | None]
 
 
 class SenderProtocol(Protocol):
@@ -58,6 +60,8 @@
     Attributes:
         on_crash: Called with the fingerprint of a request and the identity of
             the target that crashed while it ran that request.
+        start_limits: Limits the time until requests are sent while the VM
+            drains.
     """
 
     def __init__(
@@ -76,6 +80,7 @@
             protocol_adapter: Protocol of the targets.
         """
         self.on_crash: Callable[[int, str], Awaitable[None]] = _ignore_crash
+        self.start_limits = start_limits.StartLimits()
         self._cluster = cluster
         self._prober = prober
         self._protocol_adapter = protocol_adapter
@@ -128,7 +133,7 @@
         """
         self._retry_budget.add_tokens(context.service, self._loop.time())
         while True:
-            candidate = await self._selector.select(context)
+            candidate = await self._select(context)
             if isinstance(candidate, outcomes.Failure):
                 return candidate
             result = await self._send_hedged(context, candidate)
@@ -137,6 +142,25 @@
             if not self._may_retry(context, result):
                 return self._build_final_result(context, result)
 
+    async def _select(
+        self, context: request_context.RequestContext
+    ) -> target_probes.Candidate | outcomes.Failure:
+        """Returns the target to send a request to, or a failure.
+
+        A request that could not end before this VM stops is refused.
+        """
+        baseline_seconds = self._selector.find_baseline(context)
+        limits = self.start_limits
+        if limits.may_start(baseline_seconds, context.deadline):
+            try:
+                async with limits.limit_wait(
+                    baseline_seconds, context.deadline
+                ):
+                    return await self._selector.select(context)
+            except TimeoutError:
+                pass
+        return context.build_failure(outcomes.Reason.DRAINING)
+
     async def _send_hedged(
         self,
         context: request_context.RequestContext,
@@ -158,19 +182,29 @@
             or not context.replayable
         ):
             return await self._send(context, candidate)
-        tasks = {self._loop.create_task(self._send(context, candidate))}
+        first = self._send(context, candidate)
+        tasks: list[AttemptTask] = [self._loop.create_task(first)]
+        best: request_context.AttemptResult | None = None
         try:
             done, _ = await asyncio.wait(tasks, timeout=hedge_at - now)
             if not done:
-                hedge_candidate = await self._select_hedge_target(context)
-                if hedge_candidate is not None:
-                    context.hedges_sent += 1
-                    hedge_attempt = self._send(context, hedge_candidate)
-                    tasks.add(self._loop.create_task(hedge_attempt))
-            return await _wait_for_best(tasks)
+                hedge = self._send_hedge(context)
+                tasks.append(self._loop.create_task(hedge))
+            best = await _wait_for_best(tasks)
+            return best
         finally:
             for task in tasks:
-                task.cancel()
+                _discard_attempt(task, best)
+
+    async def _send_hedge(
+        self, context: request_context.RequestContext
+    ) -> request_context.AttemptResult | None:
+        """Sends a hedged request; returns None if it is not sent."""
+        candidate = await self._select_hedge_target(context)
+        if candidate is None:
+            return None
+        context.hedges_sent += 1
+        return await self._send(context, candidate)
 
     async def _select_hedge_target(
         self, context: request_context.RequestContext
@@ -182,6 +216,9 @@
         """
         if context.possible_runs >= context.rule.max_targets:
             return None
+        baseline_seconds = self._selector.find_baseline(context)
+        if not self.start_limits.may_start(baseline_seconds, context.deadline):
+            return None
         now = self._loop.time()
         reserve = retry_policy.HEDGE_RESERVE_TOKENS
         if not self._retry_budget.consume_token(context.service, now, reserve):
@@ -302,6 +339,9 @@
         ):
             context.record_step(now, "no-time-to-repeat", "", 0.0)
             return False
+        if not self.start_limits.may_start(baseline_seconds, context.deadline):
+            context.record_step(now, "draining", "", 0.0)
+            return False
         if not self._retry_budget.consume_token(context.service, now):
             context.record_step(now, "allowance-spent", "", 0.0)
             return False
@@ -337,18 +377,51 @@
 
 
 async def _wait_for_best(
-    tasks: set[asyncio.Task[request_context.AttemptResult]],
+    tasks: Sequence[AttemptTask],
 ) -> request_context.AttemptResult:
-    """Returns the first successful result, or the last one if none succeeds."""
+    """Returns the first successful result, or the best one if none succeeds.
+
+    The response of a target that failed is better than no response.
+
+    Args:
+        tasks: Attempts; at least one of them has a result.
+    """
+    results: list[request_context.AttemptResult] = []
     pending = set(tasks)
-    while True:
+    while pending:
         done, pending = await asyncio.wait(
             pending, return_when=asyncio.FIRST_COMPLETED
         )
-        results = [task.result() for task in done]
-        for result in results:
-            if (
-                result.outcome is request_context.AttemptOutcome.ANSWERED
-                or not pending
-            ):
-                return result
+        results += [result for task in done if (result := task.result())]
+        results.sort(key=_rank_result)
+        if (
+            results
+            and results[0].outcome is request_context.AttemptOutcome.ANSWERED
+        ):
+            break
+    return results[0]
+
+
+def _rank_result(result: request_context.AttemptResult) -> int:
+    """Returns the sort key of the result of an attempt; the best is first."""
+    if result.outcome is request_context.AttemptOutcome.ANSWERED:
+        return 0
+    return 1 if result.outcome is request_context.AttemptOutcome.FAILED else 2
+
+
+def _discard_attempt(
+    task: AttemptTask, used: request_context.AttemptResult | None
+) -> None:
+    """Cancels an attempt, or closes its response if it is not used.
+
+    Args:
+        task: The attempt.
+        used: Result that is used, or None.
+    """
+    if task.cancel() or task.cancelled() or task.exception() is not None:
+        return
+    result = task.result()
+    if result is None or result is used:
+        return
+    if result.stream is not None:
+        result.stream.close()
