Bound the fields of a configuration

Weights could be NaN, infinite or negative (with strict=False also from strings), limits of heads beyond what the HTTP parser holds, durations of 5,000 digits infinite, and a health path could hold line breaks.

--- a/wigeonspool/platform/configuration.py
+++ b/wigeonspool/platform/configuration.py
@@ -1,11 +1,12 @@
 """Decodes the configuration that operators write into the product's rules."""
 
+import re
 from typing import Final
 
 import msgspec
 
+from wigeonspool.model import errors
 from wigeonspool.model import fleet
-from wigeonspool.platform import duration_text
 from wigeonspool.platform import value_limits
 
 # Above the limit of the store on the size of a value.
@@ -14,6 +15,16 @@
 # kind run at most once.
 IDEMPOTENT_KINDS: Final = frozenset({"safe", "download"})
 LARGE_RESPONSE_KINDS: Final = frozenset({"download"})
+MAX_VERSION: Final = 2**63 - 1
+MAX_WEIGHT: Final = 1e9
+MAX_PRIORITY: Final = 1_000_000
+MAX_ATTEMPTS: Final = 1_000_000
+# The HTTP parser holds the limits of a head in 32 bits.
+MAX_HEADER_BYTES: Final = 2**31 - 1
+MAX_BODY_BYTES: Final = 2**63 - 1
+MAX_PATH_CHARS: Final = 4096
+MAX_TIMEOUT_SECONDS: Final = 24 * 3600.0
+_PATH: Final = re.compile(f"/[!-~]{{0,{MAX_PATH_CHARS}}}")
 DEFAULT_TIMEOUT: Final = "30s"
 
 
@@ -83,22 +94,52 @@
     document = value_limits.decode_json(
         _decoder, value, MAX_CONFIGURATION_BYTES
     )
+    value_limits.check_range(
+        "ConfigVersion", document.config_version, 0, MAX_VERSION
+    )
     return fleet.Configuration(
         version=document.config_version,
         hosts=_build_hosts(document.listeners),
-        services={
-            u.name: fleet.Service(u.name, u.health_path)
-            for u in document.upstreams
-        },
-        limits=fleet.CallerLimits(
-            max_head_bytes=document.limits.max_header_bytes,
-            max_body_bytes=document.limits.max_body_bytes,
-            head_timeout_seconds=duration_text.parse_seconds(
-                document.limits.header_timeout
-            ),
-            idle_timeout_seconds=duration_text.parse_seconds(
-                document.limits.idle_timeout
-            ),
+        services={u.name: _build_service(u) for u in document.upstreams},
+        limits=_build_limits(document.limits),
+    )
+
+
+def _build_service(upstream: _Upstream) -> fleet.Service:
+    """Converts an upstream of the platform into a service.
+
+    Raises:
+        PlatformFormatError: If its name or health path is invalid.
+    """
+    value_limits.check_name("Name", upstream.name)
+    if _PATH.fullmatch(upstream.health_path) is None:
+        raise errors.PlatformFormatError(
+            f"HealthPath: {value_limits.quote(upstream.health_path)}"
+            " is not a path"
+        )
+    return fleet.Service(upstream.name, upstream.health_path)
+
+
+def _build_limits(limits: _Limits) -> fleet.CallerLimits:
+    """Converts the limits on callers' requests.
+
+    Raises:
+        PlatformFormatError: If a limit is out of range.
+    """
+    value_limits.check_range(
+        "MaxHeaderBytes", limits.max_header_bytes, 1, MAX_HEADER_BYTES
+    )
+    value_limits.check_range(
+        "MaxBodyBytes", limits.max_body_bytes, 0, MAX_BODY_BYTES
+    )
+    return fleet.CallerLimits(
+        max_head_bytes=limits.max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        head_timeout_seconds=value_limits.parse_duration(
+            "HeaderTimeout", limits.header_timeout, MAX_TIMEOUT_SECONDS
+        ),
+        idle_timeout_seconds=value_limits.parse_duration(
+            "IdleTimeout", limits.idle_timeout, MAX_TIMEOUT_SECONDS
         ),
     )
 
@@ -109,7 +150,7 @@
     """Returns the rules by host in lower case, the longest prefix first.
 
     Raises:
-        PlatformFormatError: If a duration is malformed.
+        PlatformFormatError: If a field is out of range.
     """
     hosts: dict[str, list[fleet.Rule]] = {}
     for listener in listeners:
@@ -128,20 +169,28 @@
     without a latency objective has its timeout as the objective.
 
     Raises:
-        PlatformFormatError: If a duration is malformed.
+        PlatformFormatError: If a field is out of range.
     """
     action = rule.action
+    value_limits.check_range("Priority", rule.priority, 0, MAX_PRIORITY)
+    value_limits.check_range(
+        "MaxAttempts", action.max_attempts, 0, MAX_ATTEMPTS
+    )
+    for backend in action.weighted_backends:
+        value_limits.check_range("Weight", backend.weight, 0.0, MAX_WEIGHT)
     weighted_services = tuple(
         fleet.WeightedService(backend.service, backend.weight)
         for backend in action.weighted_backends
     )
     if action.service:
         weighted_services = (fleet.WeightedService(action.service, 1.0),)
-    limit_seconds = duration_text.parse_seconds(action.timeout)
+    limit_seconds = value_limits.parse_duration(
+        "Timeout", action.timeout, MAX_TIMEOUT_SECONDS
+    )
     objective_seconds = (
         limit_seconds
         if rule.slo is None
-        else duration_text.parse_seconds(rule.slo)
+        else value_limits.parse_duration("Slo", rule.slo, MAX_TIMEOUT_SECONDS)
     )
     return fleet.Rule(
         name=rule.name,
