Validate the settings file of a VM within stated limits

A nested file raised RecursionError, also before the libraries are loaded; a port out of range OverflowError; NaN, infinite and negative numbers, and ports and durations of any size were accepted. A reload of such a file now leaves the settings, and a start with one ends with exit code 2. A seed that cannot be used is left to the feed client, which tries the next one.

--- a/wigeonspool/listen_sockets.py
+++ b/wigeonspool/listen_sockets.py
@@ -34,12 +34,13 @@
             addresses: host:port of each socket.
         """
         self.opened_at = time.monotonic()
-        self.failures: dict[str, OSError] = {}
+        self.failures: dict[str, Exception] = {}
         self._sockets: dict[str, socket.socket] = {}
         for address in addresses:
             try:
                 self._sockets[address] = open_listen_socket(address)
-            except OSError as error:
+            except (OSError, ValueError, OverflowError) as error:
+                # An invalid address raises the last two.
                 self.failures[address] = error
 
     def pop_socket(self, address: str) -> socket.socket | None:
@@ -68,7 +69,7 @@
         listen_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listen_socket.bind((host, int(port)))
         listen_socket.listen(LISTEN_BACKLOG)
-    except OSError:
+    except BaseException:
         listen_socket.close()
         raise
     listen_socket.setblocking(False)
--- a/wigeonspool/model/fleet.py
+++ b/wigeonspool/model/fleet.py
@@ -8,6 +8,11 @@
 from collections.abc import Mapping
 import dataclasses
 import enum
+from typing import Final
+
+# Range of the capacity of a VM.
+MIN_CAPACITY_CORES: Final = 1e-3
+MAX_CAPACITY_CORES: Final = 1e5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wigeonspool/platform/ports.py
+++ b/wigeonspool/platform/ports.py
@@ -23,7 +23,7 @@
     try:
         with open(os.environ.get(SETTINGS_PATH_VARIABLE, ""), "rb") as file:
             document = tomllib.load(file)
-    except (OSError, ValueError):
+    except (OSError, ValueError, RecursionError):
         # `settings` fails to read the file for the same reason and reports it.
         return []
     table: Any = document
--- a/wigeonspool/platform/settings.py
+++ b/wigeonspool/platform/settings.py
@@ -3,13 +3,24 @@
 import os
 import pathlib
 import tomllib
+from typing import Final
 
 import msgspec
 
+from wigeonspool.model import addresses
 from wigeonspool.model import errors
+from wigeonspool.model import fleet
 from wigeonspool.model import vm_settings
-from wigeonspool.platform import duration_text
 from wigeonspool.platform import ports
+from wigeonspool.platform import value_limits
+
+MAX_FILE_BYTES: Final = 1024 * 1024
+# Longest description of a problem in the file.
+MAX_PROBLEM_CHARS: Final = 400
+MAX_RETRY_FRACTION: Final = 1000.0
+MAX_RETRY_SLACK: Final = 1e9
+MIN_SECONDS: Final = 0.001
+MAX_SECONDS: Final = 24 * 3600.0
 
 
 class _Limits(msgspec.Struct, rename="pascal"):
@@ -99,24 +110,32 @@
             or a field has an invalid value.
     """
     try:
-        document = tomllib.loads(path.read_text(encoding="utf-8"))
+        with path.open("rb") as file:
+            content = file.read(MAX_FILE_BYTES + 1)
+        if len(content) > MAX_FILE_BYTES:
+            raise errors.PlatformFormatError(f"above {MAX_FILE_BYTES} bytes")
+        document = tomllib.loads(content.decode("utf-8"))
         parsed = msgspec.convert(document, _File, strict=False)
         return _build_settings(parsed)
-    except (OSError, ValueError) as error:
-        raise errors.SettingsError(str(path), "", str(error)) from error
-    except errors.PlatformFormatError as error:
-        raise errors.SettingsError(str(path), "", str(error)) from error
+    except (
+        OSError,
+        ValueError,
+        RecursionError,
+        errors.PlatformFormatError,
+    ) as error:
+        problem = str(error)[:MAX_PROBLEM_CHARS]
+        raise errors.SettingsError(str(path), "", problem) from error
 
 
 def _build_settings(parsed: _File) -> vm_settings.VmSettings:
     """Converts the parsed file into the settings of a VM.
 
     Raises:
-        PlatformFormatError: If a duration is malformed.
+        PlatformFormatError: If a field is invalid.
     """
     listen = parsed.network.listen
     limits = parsed.self.limits
-    bounds = parsed.terms.bounds
+    _check_fields(parsed)
     return vm_settings.VmSettings(
         vm=parsed.self.node,
         ip=parsed.self.ip,
@@ -131,16 +150,71 @@
         seeds=tuple(s for s in parsed.network.seeds if s != listen.control),
         regions=dict(parsed.network.zones),
         store=parsed.provider.provider.address,
-        min_lease_seconds=duration_text.parse_seconds(
-            parsed.provider.provider.min_ttl
+        min_lease_seconds=value_limits.parse_duration(
+            "MinTtl", parsed.provider.provider.min_ttl, MAX_SECONDS
+        ),
+        bounds=_build_bounds(parsed.terms.bounds),
+    )
+
+
+def _check_fields(parsed: _File) -> None:
+    """Checks the names, addresses and numbers of this VM.
+
+    The same limits apply to the entry with which it registers.
+
+    Raises:
+        PlatformFormatError: If a field is invalid.
+    """
+    own = parsed.self
+    listen = parsed.network.listen
+    first_port, last_port = parsed.network.port_range
+    value_limits.check_identity(own.node)
+    value_limits.check_name("Zone", own.zone, empty_allowed=True)
+    value_limits.check_name("Region", own.region, empty_allowed=True)
+    value_limits.check_address("EdgeAddr", listen.edge_addr)
+    value_limits.check_address("Readiness", listen.readiness)
+    value_limits.check_address("Directory", listen.directory)
+    value_limits.check_address("Ip, PortRange", f"{own.ip}:{first_port}")
+    value_limits.check_range(
+        "PortRange", last_port, first_port, addresses.MAX_PORT
+    )
+    value_limits.check_address("Address", parsed.provider.provider.address)
+    value_limits.check_range("CpuShare", own.limits.cpu_share, 0.0, 1.0)
+    value_limits.check_range(
+        "CpuShare * Cores",
+        own.limits.cpu_share * own.limits.cores,
+        fleet.MIN_CAPACITY_CORES,
+        fleet.MAX_CAPACITY_CORES,
+    )
+
+
+def _build_bounds(bounds: _Bounds) -> vm_settings.DeploymentLimits:
+    """Converts the limits that the deployment guarantees.
+
+    Raises:
+        PlatformFormatError: If a limit is out of range.
+    """
+    value_limits.check_range(
+        "RetryBudget", bounds.retry_budget, 0.0, MAX_RETRY_FRACTION
+    )
+    value_limits.check_range(
+        "BudgetSlack", bounds.budget_slack, 0.0, MAX_RETRY_SLACK
+    )
+    window_seconds = value_limits.parse_duration(
+        "RetryWindow", bounds.retry_window, MAX_SECONDS
+    )
+    # Rates are computed for each second of the window.
+    value_limits.check_range(
+        "RetryWindow", window_seconds, MIN_SECONDS, MAX_SECONDS
+    )
+    return vm_settings.DeploymentLimits(
+        retry_fraction=bounds.retry_budget,
+        retry_slack=bounds.budget_slack,
+        retry_window_seconds=window_seconds,
+        grace_seconds=value_limits.parse_duration(
+            "Grace", bounds.grace, MAX_SECONDS
         ),
-        bounds=vm_settings.DeploymentLimits(
-            retry_fraction=bounds.retry_budget,
-            retry_slack=bounds.budget_slack,
-            retry_window_seconds=duration_text.parse_seconds(
-                bounds.retry_window
-            ),
-            grace_seconds=duration_text.parse_seconds(bounds.grace),
-            max_address_ttl_seconds=duration_text.parse_seconds(bounds.ttl_max),
+        max_address_ttl_seconds=value_limits.parse_duration(
+            "ttl_max", bounds.ttl_max, MAX_SECONDS
         ),
     )
--- a/wigeonspool/platform/store_keys.py
+++ b/wigeonspool/platform/store_keys.py
@@ -20,8 +20,6 @@
 VM_PREFIX: Final = "vms/"
 SUSPECT_PREFIX: Final = "suspects/"
 MAX_VM_BYTES: Final = 4 * 1024
-MIN_CAPACITY_CORES: Final = 1e-3
-MAX_CAPACITY_CORES: Final = 1e5
 # Fingerprints have 64 bits.
 _FINGERPRINT: Final = re.compile("[0-9a-f]{1,16}")
 
@@ -121,7 +119,10 @@
     value_limits.check_address("address", record.address)
     value_limits.check_address("peer_address", record.peer_address)
     value_limits.check_range(
-        "capacity", record.capacity, MIN_CAPACITY_CORES, MAX_CAPACITY_CORES
+        "capacity",
+        record.capacity,
+        fleet.MIN_CAPACITY_CORES,
+        fleet.MAX_CAPACITY_CORES,
     )
     return fleet.VmEntry(
         name,
