Forward only heads that a caller can be sent

What callers saw: a target's response with a control character in a header field ended the caller's connection without an answer. A response with status 101 was forwarded as such, as were 600 and 999.

Cause: the parser accepts these characters and statuses. The server library refuses to write such a field only when it sends the head, after the request's handler has returned, and then closes the connection.

Evidence: in TestMalformedResponses, the case control ended with "Server disconnected" before, and the cases upgrade, 101, 600 and 999 forwarded their status. The request gets 502 now, and an idempotent one is retried like after any response that proves nothing.

--- a/tests/test_target_answers.py
+++ b/tests/test_target_answers.py
@@ -518,3 +518,80 @@
             assert await bench.send("unsafe", attempt) == (200, b"ran")
             await asyncio.sleep(0.05)
         assert target.connections == 4
+
+
+def answer_with(data: bytes) -> Script:
+    """Returns a script that answers with data; {} stands for the attempt."""
+
+    async def answer(
+        attempt: str, number: int, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(data.replace(b"{}", attempt.encode()))
+
+    return answer
+
+
+SEALED = b"X-Attempt-Id: {}\r\nX-Response-Seal: seal\r\n"
+
+
+class TestMalformedResponses:
+    # Guards against a 500 and a closed connection: what the server library
+    # refuses to write, or the parser to read, ended the request.
+    @pytest.mark.parametrize(
+        "head",
+        [
+            b"HTTP/1.1 999 Odd\r\nContent-Length: 0\r\n",
+            b"HTTP/1.1 600 Odd\r\nContent-Length: 0\r\n",
+            b"HTTP/1.1 1000 Odd\r\nContent-Length: 0\r\n",
+            b"HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n",
+            b"HTTP/1.1 101 Odd\r\nUpgrade: x\r\nConnection: upgrade\r\n",
+            b"HTTP/1.1 101 Odd\r\nContent-Length: 0\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: " + b"9" * 5_000 + b"\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n",
+            b"HTTP/1.1 200 OK\r\nX-A: a\x00b\r\nContent-Length: 0\r\n",
+            b"HTTP/1.1 200 OK\r\nX-A: a\rb\r\nContent-Length: 0\r\n",
+            b"HTTP/1.1 204 No Content\r\nContent-Length: 3\r\n",
+            b"HTTP/1.1 304 Not Modified\r\nContent-Length: 3\r\n",
+            b"HTTP/1.1 205 Reset\r\nContent-Length: 3\r\n",
+        ],
+        ids=[
+            "999",
+            "600",
+            "1000",
+            "000",
+            "upgrade",
+            "101",
+            "digits",
+            "negative",
+            "lengths",
+            "nul",
+            "cr",
+            "204",
+            "304",
+            "205",
+        ],
+    )
+    async def test_caller_gets_a_complete_response(
+        self, bench: Bench, head: bytes
+    ) -> None:
+        (target,) = await bench.start()
+        body = b"" if head.endswith(b" 0\r\n") else b"abc"
+        target.script = answer_with(head + SEALED + b"\r\n" + body)
+        status, _ = await bench.send("unsafe", "one", remaining="500")
+        assert status in (204, 304, 205, 502, 504)
+        assert target.attempts == ["one"]
+
+    @pytest.mark.parametrize(
+        "field",
+        [b"X-A: a\xff", b"X-A: a\x01\x7f", b"X-A: a\r\n b", b"X\xff: a"],
+        ids=["latin", "control", "folded", "name"],
+    )
+    async def test_odd_field_costs_at_most_that_response(
+        self, bench: Bench, field: bytes
+    ) -> None:
+        (target,) = await bench.start()
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n" + field + b"\r\n"
+        target.script = answer_with(head + SEALED + b"\r\nran")
+        status, body = await bench.send("unsafe", "one", remaining="500")
+        assert (status, body) == (200, b"ran") or status == 502
--- a/wigeonspool/vm/attempts.py
+++ b/wigeonspool/vm/attempts.py
@@ -1,6 +1,7 @@
 """Sends one attempt over a probed connection and classifies its response."""
 
 import asyncio
+import re
 from typing import Final
 
 import aiohttp
@@ -15,6 +16,10 @@
 
 # A longer response body is streamed to the caller as it arrives.
 MAX_BUFFERED_BYTES: Final = 1024 * 1024
+# Statuses of final responses. No connection of a caller changes its protocol.
+FINAL_STATUSES: Final = range(200, 600)
+# Characters that the HTTP library refuses to write in a header field.
+FORBIDDEN_CHARACTERS: Final = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
 
 class AttemptSender:
@@ -112,8 +117,9 @@
         stream; a failure that is too long is returned without its body.
 
         Raises:
-            ClientError: If the response is not complete.
+            ClientError: If the response is not complete or cannot be forwarded.
         """
+        _check_forwardable(response)
         response_class = self._protocol_adapter.classify_response(
             response.status, response.headers, context.identity
         )
@@ -171,6 +177,23 @@
     return channel
 
 
+def _check_forwardable(response: exchanges.TargetResponse) -> None:
+    """Checks that the head of a response can be sent to a caller.
+
+    Raises:
+        ClientPayloadError: If it cannot.
+    """
+    if response.status not in FINAL_STATUSES:
+        raise aiohttp.ClientPayloadError(
+            f"status {response.status} is not that of a final response"
+        )
+    for name, value in response.headers.items():
+        if FORBIDDEN_CHARACTERS.search(name + value):
+            raise aiohttp.ClientPayloadError(
+                f"field {name!r} has the invalid value {value!r}"
+            )
+
+
 def is_chunked(response: exchanges.TargetResponse) -> bool:
     """Returns True if a response uses the chunked transfer coding."""
     return "chunked" in response.headers.get("Transfer-Encoding", "").lower()
