End the wait for a body whose chunks are invalid

What callers saw: a response whose body held an invalid chunk in a later packet than its head made the request wait until its deadline, and end with a 504, with no retry of an idempotent request.

Cause: on a parse error the HTTP library closes the connection and fails the wait for the next head. The wait for the body of the current response goes on, since the parser has already forgotten that body.

The connection fails the body itself as soon as the parser has failed.

--- a/tests/test_target_answers.py
+++ b/tests/test_target_answers.py
@@ -595,3 +595,25 @@
         target.script = answer_with(head + SEALED + b"\r\nran")
         status, body = await bench.send("unsafe", "one", remaining="500")
         assert (status, body) == (200, b"ran") or status == 502
+
+    # Guards against a request that hangs, or ends with a 500: an invalid chunk
+    # ended the connection, but not the wait for the body.
+    @pytest.mark.parametrize("delay_seconds", [0.0, 0.02])
+    @pytest.mark.parametrize("chunk", [b"ZZ\r\n", b"-5\r\nabc", b"f" * 40])
+    async def test_invalid_chunk_leaves_the_outcome_unknown(
+        self, bench: Bench, chunk: bytes, delay_seconds: float
+    ) -> None:
+        (target,) = await bench.start()
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + SEALED
+
+        async def answer(
+            attempt: str, number: int, writer: asyncio.StreamWriter
+        ) -> None:
+            data = head.replace(b"{}", attempt.encode())
+            writer.write(data + b"\r\n3\r\nran\r\n")
+            await asyncio.sleep(delay_seconds)
+            writer.write(chunk)
+
+        target.script = answer
+        status, body = await bench.send("unsafe", "one")
+        assert (status, body) == (502, b"connection-lost")
--- a/wigeonspool/vm/channels.py
+++ b/wigeonspool/vm/channels.py
@@ -13,6 +13,7 @@
 import termios
 from typing import Any, Final
 
+import aiohttp
 from aiohttp import client_proto
 
 from wigeonspool.gateway import connections
@@ -81,10 +82,18 @@
         """Passes data to the parser; closes if no response is due."""
         if self.response_due:
             super().data_received(data)
+            self._fail_body()
             self._reject_unsolicited_responses()
         elif data:
             self._reject()
 
+    def _fail_body(self) -> None:
+        """Ends the wait for a body if the parser failed in the middle of it."""
+        error = self.exception()
+        body = self._payload
+        if error is not None and body is not None and not body.is_eof():
+            body.set_exception(aiohttp.ClientPayloadError(repr(error)), error)
+
     def _reject_unsolicited_responses(self) -> None:
         """Closes the connection if it holds a response that is not due."""
         if not self.response_due and len(self):
