Let the target stand-in of the platform leave and decline

A stand-in target can state in all its responses that it leaves, and can refuse requests with the time for which it wants none; health checks go on. POST /faults sets both, GET /arrivals returns the requests that reached it with their times. A target can start again under the same identity with a later start (--started-at-ms, VmFleet.replace_target).

--- a/tests/vm_fleet.py
+++ b/tests/vm_fleet.py
@@ -113,6 +113,7 @@
         self.version = 0
         self.session: aiohttp.ClientSession
         self._registrations: dict[str, tuple[str, str, str]] = {}
+        self._started_at_ms: dict[str, int] = {}
         self._attempts = itertools.count(1)
         self._stack = contextlib.AsyncExitStack()
 
@@ -175,10 +176,31 @@
         target.faults = targets.TargetFaults()
         await target.start(self._registrations[identity][2])
 
+    async def replace_target(self, identity: str) -> targets.PlatformTarget:
+        """Crashes a target and starts a new one under its identity.
+
+        The new target has the address of the old one and a later start.
+        """
+        await self.targets[identity].stop()
+        target = targets.PlatformTarget(identity)
+        await target.start(self._registrations[identity][2])
+        self.targets[identity] = target
+        started_at_ms = self._started_at_ms.get(
+            identity, standins.FIRST_START_MS
+        )
+        self._started_at_ms[identity] = started_at_ms + 1
+        await self.register(identity)
+        return target
+
     async def register(self, identity: str, state: str = "ready") -> None:
         """Writes the entry of a target to the store."""
         service_name, zone, address = self._registrations[identity]
-        entry = standins.build_entry(address, service_name, zone, state)
+        started_at_ms = self._started_at_ms.get(
+            identity, standins.FIRST_START_MS
+        )
+        entry = standins.build_entry(
+            address, service_name, zone, state, started_at_ms
+        )
         key = f"servers/{identity}"
         await self.store.put(key, json.dumps(entry).encode())
 
--- a/wigeonspool/platform/standin/main.py
+++ b/wigeonspool/platform/standin/main.py
@@ -4,7 +4,7 @@
 import base64
 import json
 import signal
-from typing import Any
+from typing import Any, Final
 
 import aiohttp
 from aiohttp import web
@@ -13,6 +13,9 @@
 from wigeonspool.platform.standin import store as stores
 from wigeonspool.platform.standin import target as targets
 
+# A start of a target that names no other time, in Unix milliseconds.
+FIRST_START_MS: Final = 1_700_000_000_000
+
 app = cyclopts.App(
     name="wigeonspool-platform-standin",
     help="Small stand-ins for a platform and its targets. Not for use.",
@@ -52,9 +55,18 @@
 
 @app.command
 def target(
-    address: str, identity: str, service: str, zone: str, store_address: str
+    address: str,
+    identity: str,
+    service: str,
+    zone: str,
+    store_address: str,
+    *,
+    started_at_ms: int = FIRST_START_MS,
 ) -> None:
-    """Runs a target that registers itself; POST /faults sets its faults.
+    """Runs a target that registers itself.
+
+    POST /faults sets its faults, GET /arrivals returns the requests that
+    reached it.
 
     Args:
         address: host:port to listen on.
@@ -62,12 +74,14 @@
         service: Service that it belongs to.
         zone: Availability zone.
         store_address: host:port of the store.
+        started_at_ms: Start that its entry states, in Unix milliseconds; a new
+            start under the same identity has a later one.
     """
 
     async def run() -> None:
         standin = targets.PlatformTarget(identity)
         await standin.start(address)
-        entry = build_entry(address, service, zone)
+        entry = build_entry(address, service, zone, started_at_ms=started_at_ms)
         await write_key(store_address, f"servers/{identity}", entry)
         await _wait_for_signal()
 
@@ -75,7 +89,11 @@
 
 
 def build_entry(
-    address: str, service: str, zone: str, state: str = "ready"
+    address: str,
+    service: str,
+    zone: str,
+    state: str = "ready",
+    started_at_ms: int = FIRST_START_MS,
 ) -> dict[str, Any]:
     """Returns the entry with which a target registers itself.
 
@@ -84,6 +102,7 @@
         service: Service that the target belongs to.
         zone: Availability zone.
         state: State that the target reports: "ready" or "draining".
+        started_at_ms: Start of the target, in Unix milliseconds.
     """
     return {
         "Address": address,
@@ -94,7 +113,7 @@
             "Slots": 4,
         },
         "Status": {"State": state, "Seq": 1, "Cold_time": "0ms"},
-        "born": 1_700_000_000_000,
+        "born": started_at_ms,
     }
 
 
--- a/wigeonspool/platform/standin/target.py
+++ b/wigeonspool/platform/standin/target.py
@@ -6,16 +6,23 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import json
 import socket
 import struct
+import time
 from typing import Any, Final
 
 BASELINE_PERCENT: Final = 100
 # SO_LINGER with a timeout of 0 s: closing the socket sends a reset.
 LINGER_RESET: Final = struct.pack("ii", 1, 0)
+# Arrivals that a target records; older ones are dropped.
+MAX_ARRIVALS: Final = 20_000
+HEALTH_PATH: Final = "/health"
+FAULTS_PATH: Final = "/faults"
+ARRIVALS_PATH: Final = "/arrivals"
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,6 +45,11 @@
         reset_unframed: Like `unframed`, but resets the connection at the end.
         mute: Reads requests, including health checks, and never responds.
         crashing: Crashes when it has run a request.
+        leaving: States in all responses, also in those to health checks and in
+            refusals, that it leaves; it keeps serving.
+        declining_seconds: Refuses all requests as not run and states that it
+            wants none for so many seconds, or None to accept requests. Health
+            checks are answered as usual.
     """
 
     pace: int = BASELINE_PERCENT
@@ -52,6 +64,8 @@
     reset_unframed: bool = False
     mute: bool = False
     crashing: bool = False
+    leaving: bool = False
+    declining_seconds: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,6 +88,24 @@
     remaining_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request that reached a target, also one that it refused.
+
+    Attributes:
+        at: Time of the arrival, in seconds of the monotonic clock, which all
+            processes of a machine share.
+        attempt: Identity of the caller's attempt, or "" in a health check.
+        path: Path and query.
+        status: Status of a refusal, or 0 if the request was not refused.
+    """
+
+    at: float
+    attempt: str
+    path: str
+    status: int
+
+
 class PlatformTarget:
     """A target that can fail in the ways of `TargetFaults`.
 
@@ -81,6 +113,8 @@
         identity: Identity of the target.
         faults: Faults that apply now.
         runs: Requests that it ran, in the order of their start.
+        arrivals: Requests and health checks that reached it, the latest
+            `MAX_ARRIVALS` of them.
         cancelled: Number of runs that were cancelled because the connection
             closed.
         health_checks: Number of health checks that it answered.
@@ -98,6 +132,8 @@
         self.identity = identity
         self.faults = TargetFaults()
         self.runs: list[Run] = []
+        self.arrivals: collections.deque[Arrival]
+        self.arrivals = collections.deque(maxlen=MAX_ARRIVALS)
         self.cancelled = 0
         self.health_checks = 0
         self.service_ms = 5.0
@@ -149,24 +185,66 @@
         if self.faults.mute:
             await reader.read()
             return False
-        if path == "/health":
-            self._respond_health(writer)
-            return True
-        if path == "/faults":
-            self.faults = dataclasses.replace(self.faults, **json.loads(body))
-            writer.write(build_response(200, {}, b""))
+        if path in (FAULTS_PATH, ARRIVALS_PATH):
+            self._respond_control(path, body, writer)
             return True
-        expected = fields.get("x-target-instance", self.identity)
         attempt = fields.get("x-attempt-id", "")
-        if expected != self.identity or self.faults.full or not attempt:
-            status = 421 if expected != self.identity else 503
-            header_fields = {"X-Not-Executed": "1", "X-Attempt-Id": attempt}
-            writer.write(build_response(status, header_fields, b""))
+        status = 0 if path == HEALTH_PATH else self._find_refusal(fields)
+        self.arrivals.append(Arrival(time.monotonic(), attempt, path, status))
+        if path == HEALTH_PATH:
+            self._respond_health(writer)
+            return True
+        if status:
+            self._respond_refusal(status, attempt, writer)
             return True
         remaining_ms = int(fields.get("x-timeout-remaining", "0"))
         self.runs.append(Run(attempt, method, path, body, remaining_ms))
         return await self._run(attempt, reader, writer)
 
+    def _respond_control(
+        self, path: str, body: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        """Sets the faults, or returns the arrivals, as a test asked."""
+        data = b""
+        if path == FAULTS_PATH:
+            self.faults = dataclasses.replace(self.faults, **json.loads(body))
+        else:
+            rows = [dataclasses.asdict(arrival) for arrival in self.arrivals]
+            data = json.dumps(rows).encode()
+        writer.write(build_response(200, {}, data))
+
+    def _find_refusal(self, fields: dict[str, str]) -> int:
+        """Returns the status of the refusal of a request, or 0 to run it."""
+        faults = self.faults
+        if fields.get("x-target-instance", self.identity) != self.identity:
+            return 421
+        declines = faults.full or faults.declining_seconds is not None
+        if declines or not fields.get("x-attempt-id"):
+            return 503
+        return 0
+
+    def _respond_refusal(
+        self, status: int, attempt: str, writer: asyncio.StreamWriter
+    ) -> None:
+        """Responds to a request that does not run."""
+        header_fields = {"X-Not-Executed": "1", "X-Attempt-Id": attempt}
+        seconds = self.faults.declining_seconds
+        if status == 503 and seconds is not None:
+            header_fields["Retry-After"] = str(seconds)
+        writer.write(self._build_response(status, header_fields, b""))
+
+    def _build_response(
+        self,
+        status: int,
+        header_fields: dict[str, str],
+        body: bytes,
+        framed: bool = True,
+    ) -> bytes:
+        """Returns a response that states whether the target leaves."""
+        if self.faults.leaving:
+            header_fields = header_fields | {"Server-Leaving": "1"}
+        return build_response(status, header_fields, body, framed)
+
     def _respond_health(self, writer: asyncio.StreamWriter) -> None:
         """Responds to a health check with the load and the health."""
         self.health_checks += 1
@@ -175,9 +253,8 @@
             "X-Instance-Id": self.identity,
             "X-Instance-Load": load,
         }
-        writer.write(
-            build_response(503 if self.faults.ill else 200, header_fields, b"")
-        )
+        status = 503 if self.faults.ill else 200
+        writer.write(self._build_response(status, header_fields, b""))
 
     async def _run(
         self,
@@ -224,7 +301,7 @@
             return False
         if faults.unproven:
             del header_fields["X-Response-Seal"]
-        data = build_response(
+        data = self._build_response(
             500 if faults.failing else 200, header_fields, self.body
         )
         if faults.truncated:
@@ -232,9 +309,8 @@
             writer.close()
             return False
         if faults.unframed or faults.reset_unframed:
-            writer.write(
-                build_response(200, header_fields, self.body, framed=False)
-            )
+            data = self._build_response(200, header_fields, self.body, False)
+            writer.write(data)
             return self._end_unframed(writer)
         writer.write(data)
         if faults.extra:
