Emulate targets that decline requests, from a YAML file

wigeonspool-load emulate reads its settings and load steps from a file (--file), with typed errors that name the file, line and field. A share of the emulated targets can decline requests for a time; each target records the requests and health checks that reach it, by VM.

experiments/targets-that-decline.yaml is the first such file, so tests/test_decide.py leaves it to tests/test_vm_declining_targets.py, which reads it with its own schema and checks its name and content.

--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -29,8 +29,11 @@
 
 
 # overhead.yaml does not run in virtual time; test_drive.py checks it.
+# targets-that-decline.yaml is an emulation; test_vm_declining_targets.py checks
+# it in the same way.
 VIRTUAL_TIME_FILES = sorted(
-    set(FOLDER.glob("*.yaml")) - {FOLDER / "overhead.yaml"}
+    set(FOLDER.glob("*.yaml"))
+    - {FOLDER / "overhead.yaml", FOLDER / "targets-that-decline.yaml"}
 )
 
 
--- a/wigeonspool/load/emulated_targets.py
+++ b/wigeonspool/load/emulated_targets.py
@@ -8,9 +8,12 @@
 import asyncio
 import collections
 import dataclasses
+import math
 import random
 from typing import Any
 
+import pydantic
+
 from wigeonspool.core import cluster_state
 from wigeonspool.model import protocols
 from wigeonspool.vm import channels
@@ -45,8 +48,16 @@
         trip: Round-trip time between an entry VM and a target.
         shed_share: Fraction of the requests that targets refuse at random.
         priorities: Number of priorities, which requests have equally often.
+        decline_share: Fraction of the targets that decline requests for a time.
+        decline_at: Begin of that time, from the begin of the emulation.
+        decline_seconds: Length of that time.
+        retry_after: How long a declining target states that it wants no
+            requests, each time that it refuses one.
     """
 
+    # Unknown fields of a file are errors.
+    __pydantic_config__ = pydantic.ConfigDict(extra="forbid")
+
     targets: int = 14
     slots: int = 4
     queue: int = 16
@@ -64,6 +75,46 @@
     trip: float = 0.002
     shed_share: float = 0.0
     priorities: int = 1
+    decline_share: float = 0.0
+    decline_at: float = 0.0
+    decline_seconds: float = 0.0
+    retry_after: float = 2.0
+
+    def __post_init__(self) -> None:
+        """Checks the ranges of the settings.
+
+        Raises:
+            ValueError: If a value is negative or not finite, a share is above
+                1, the slowdown never changes, or there are too few targets,
+                slots, VMs or priorities.
+        """
+        for field in dataclasses.fields(self):
+            value = getattr(self, field.name)
+            if not 0 <= value < math.inf:
+                raise ValueError(f"{field.name}={value} is out of range")
+            if field.name.endswith("_share") and value > 1:
+                raise ValueError(f"{field.name}={value} is above 1")
+        if not self.noise:
+            raise ValueError("noise=0 is out of range")
+        if min(self.targets, self.slots, self.vms - 1, self.priorities) < 1:
+            raise ValueError("targets, slots and two VMs are needed")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request or health check that reached an emulated target.
+
+    Attributes:
+        at: Time of the arrival, loop clock.
+        vm: Name of the VM that sent it.
+        health_check: True if it is a health check.
+        declined: True if the target refused it since it declines requests.
+    """
+
+    at: float
+    vm: str
+    health_check: bool
+    declined: bool
 
 
 class EmulatedTarget:
@@ -72,12 +123,26 @@
     Attributes:
         running: Number of requests that hold a slot.
         waiting: Number of requests that wait for a slot.
+        arrivals: Requests and health checks that reached it.
     """
 
-    def __init__(self, settings: EmulationSettings, rng: random.Random) -> None:
-        """Creates an idle target on the running event loop."""
+    def __init__(
+        self,
+        settings: EmulationSettings,
+        rng: random.Random,
+        declines: bool = False,
+    ) -> None:
+        """Creates an idle target on the running event loop.
+
+        Args:
+            settings: Settings of the emulation.
+            rng: Source of its random choices.
+            declines: True if it declines requests for the time in the settings.
+        """
         self.running = 0
         self.waiting = 0
+        self.arrivals: list[Arrival] = []
+        self._declines = declines
         self._settings = settings
         self._rng = rng
         self._slots = asyncio.Semaphore(settings.slots)
@@ -97,6 +162,22 @@
             )
         return self._slowdown
 
+    def record_arrival(self, vm: str, health_check: bool) -> bool:
+        """Records a request or health check; returns True if it is declined.
+
+        Health checks are not declined.
+
+        Args:
+            vm: Name of the VM that sent it.
+            health_check: True if it is a health check.
+        """
+        now = self._loop.time()
+        begin = self._settings.decline_at
+        is_time = begin <= now < begin + self._settings.decline_seconds
+        declined = self._declines and is_time and not health_check
+        self.arrivals.append(Arrival(now, vm, health_check, declined))
+        return declined
+
     async def run(
         self, service_seconds: float, deadline: float
     ) -> request_context.AttemptOutcome:
@@ -160,6 +241,7 @@
         targets: dict[str, EmulatedTarget],
         settings: EmulationSettings,
         rng: random.Random,
+        vm: str,
     ) -> None:
         """Creates a prober.
 
@@ -168,12 +250,14 @@
             targets: Emulated targets by identity.
             settings: Settings of the emulation.
             rng: Source of its random choices.
+            vm: Name of its VM.
         """
         pool = channels.ChannelPool(asyncio.get_running_loop())
         vm_locality = locality.VmLocality(ZONE, ZONE, {ZONE: ZONE})
         protocol_adapter: Any = None
         super().__init__(pool, cluster, protocol_adapter, vm_locality)
         self._random = rng
+        self._vm = vm
         self._targets = targets
         self._settings = settings
 
@@ -188,6 +272,7 @@
         self.counts.sent += 1
         target = self._targets[row.entry.identity]
         await asyncio.sleep(self._settings.trip / 2)
+        target.record_arrival(self._vm, health_check=True)
         report = protocols.LoadReport(
             row.entry.identity,
             True,
@@ -215,19 +300,24 @@
     """
 
     def __init__(
-        self, targets: dict[str, EmulatedTarget], round_trip_seconds: float
+        self,
+        targets: dict[str, EmulatedTarget],
+        settings: EmulationSettings,
+        vm: str,
     ) -> None:
         """Creates a sender.
 
         Args:
             targets: Emulated targets by identity.
-            round_trip_seconds: Round-trip time to a target.
+            settings: Settings of the emulation.
+            vm: Name of its VM.
         """
         self.mismatched_responses = 0
         self.service_seconds: dict[str, float] = {}
         self.runs: collections.Counter[str] = collections.Counter()
         self._targets = targets
-        self._round_trip_seconds = round_trip_seconds
+        self._settings = settings
+        self._vm = vm
 
     async def send(
         self,
@@ -236,11 +326,13 @@
     ) -> request_context.AttemptResult:
         """Sends one attempt and returns its result."""
         target = self._targets[candidate.row.entry.identity]
-        await asyncio.sleep(self._round_trip_seconds / 2)
-        outcome = await target.run(
-            self.service_seconds[context.identity], context.deadline
-        )
+        await asyncio.sleep(self._settings.trip / 2)
+        outcome = request_context.AttemptOutcome.NOT_RUN
+        if not target.record_arrival(self._vm, health_check=False):
+            outcome = await target.run(
+                self.service_seconds[context.identity], context.deadline
+            )
         if outcome is not request_context.AttemptOutcome.NOT_RUN:
             self.runs[context.identity] += 1
-        await asyncio.sleep(self._round_trip_seconds / 2)
+        await asyncio.sleep(self._settings.trip / 2)
         return request_context.AttemptResult(outcome, 200)
--- a/wigeonspool/load/emulation.py
+++ b/wigeonspool/load/emulation.py
@@ -10,7 +10,7 @@
 import dataclasses
 import math
 import random
-from typing import Any
+from typing import Any, Final
 
 import msgspec
 
@@ -25,6 +25,7 @@
 from wigeonspool.vm import request_runner
 
 SERVICE = "reads"
+DEFAULT_SETTINGS: Final = emulated_targets.EmulationSettings()
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,10 +58,27 @@
         return (self.in_time + 0.1 * self.late) / max(1, self.offered)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndedRequest:
+    """A caller's request that has ended.
+
+    Attributes:
+        sent_at: When its caller sent it first, from the begin of the emulation.
+        in_time: True if it got a response within its objective.
+        refused: True if it ended as not run.
+    """
+
+    sent_at: float
+    in_time: bool
+    refused: bool
+
+
 class Emulation:
     """Entry VMs, targets and callers of one service.
 
     Attributes:
+        targets: Emulated targets by identity.
+        ended: Requests that have ended, in the order of their end.
         counts: Counts by index of the load step in which a request was sent.
         counts_by_priority: Counts by priority of the request; health checks,
             attempts and runs are not counted here.
@@ -87,9 +105,11 @@
         self._settings = settings
         self._rng = random.Random(seed)
         self._loop = asyncio.get_running_loop()
-        self._targets = {
+        self.ended: list[EndedRequest] = []
+        declining_count = round(settings.decline_share * settings.targets)
+        self.targets = {
             f"t-{i}": emulated_targets.EmulatedTarget(
-                settings, random.Random(f"{seed}/{i}")
+                settings, random.Random(f"{seed}/{i}"), i < declining_count
             )
             for i in range(settings.targets)
         }
@@ -116,7 +136,7 @@
     ) -> tuple[request_runner.RequestRunner, emulated_targets.EmulatedSender]:
         """Returns the request runner and the sender of one entry VM."""
         cluster = cluster_state.ClusterState()
-        for number, identity in enumerate(self._targets):
+        for number, identity in enumerate(self.targets):
             entry = fleet.TargetEntry(
                 identity=identity,
                 service=SERVICE,
@@ -131,7 +151,7 @@
             cluster.apply(0.0, identity, 1, change)
         rng = random.Random(self._rng.random())
         prober = emulated_targets.EmulatedProber(
-            cluster, self._targets, self._settings, rng
+            cluster, self.targets, self._settings, rng, f"vm-{index}"
         )
         regions = {
             f"zone-{i}": emulated_targets.ZONE
@@ -159,7 +179,7 @@
             vm, cluster, prober, protocol_adapter
         )
         sender = emulated_targets.EmulatedSender(
-            self._targets, self._settings.trip
+            self.targets, self._settings, f"vm-{index}"
         )
         runner.replace_sender(sender)
         return runner, sender
@@ -204,10 +224,10 @@
             if not isinstance(result, outcomes.Failure):
                 break
             await asyncio.sleep(0.06)
+        seconds = self._loop.time() - first_sent_at
         for counts in (step_counts, priority_counts):
-            self._count_result(
-                counts, result, self._loop.time() - first_sent_at
-            )
+            self._count_result(counts, result, seconds)
+        self._record_end(first_sent_at, result, seconds)
 
     def _draw_service_seconds(self) -> float:
         """Returns a random service time, without slowdown, in seconds."""
@@ -285,6 +305,20 @@
         else:
             counts.late += 1
 
+    def _record_end(
+        self,
+        sent_at: float,
+        result: request_runner.RequestResult,
+        seconds: float,
+    ) -> None:
+        """Records the end of a request that took a number of seconds."""
+        in_time = refused = False
+        if isinstance(result, outcomes.Failure):
+            refused = result.outcome is outcomes.Outcome.NOT_RUN
+        elif result.outcome is request_context.AttemptOutcome.ANSWERED:
+            in_time = seconds <= self._settings.objective
+        self.ended.append(EndedRequest(sent_at, in_time, refused))
+
 
 class _ProtocolAdapterStub:
     """A protocol adapter with the one attribute that a runner reads."""
@@ -334,47 +368,34 @@
 
 def read_settings(
     assignments: Iterable[str],
+    settings: emulated_targets.EmulationSettings = DEFAULT_SETTINGS,
 ) -> emulated_targets.EmulationSettings:
-    """Returns the settings that field=value pairs describe.
+    """Returns settings with the fields that field=value pairs replace.
+
+    Args:
+        assignments: field=value pairs.
+        settings: Settings in which they replace fields.
 
     Raises:
         SettingsError: If a pair has no value, its field does not exist or its
-            value is invalid, or if there are too few targets, slots, VMs or
-            priorities.
+            value is invalid or out of range.
     """
-    values: dict[str, str] = {}
+    values: dict[str, Any] = dataclasses.asdict(settings)
     for assignment in assignments:
         name, equals, text = assignment.partition("=")
         if not equals:
             raise errors.SettingsError("command line", name, "no value")
+        if name not in values:
+            raise errors.SettingsError("command line", name, "no such field")
         values[name] = text
-    field_names = {
-        field.name
-        for field in dataclasses.fields(emulated_targets.EmulationSettings)
-    }
-    for name in values.keys() - field_names:
-        raise errors.SettingsError("command line", name, "no such field")
     try:
-        settings = msgspec.convert(
+        return msgspec.convert(
             values, emulated_targets.EmulationSettings, strict=False
         )
     except msgspec.ValidationError as error:
         raise errors.SettingsError(
             "command line", "--set", str(error)
         ) from error
-    if (
-        min(
-            settings.targets,
-            settings.slots,
-            settings.vms - 1,
-            settings.priorities,
-        )
-        < 1
-    ):
-        raise errors.SettingsError(
-            "command line", "--set", "targets, slots and two VMs are needed"
-        )
-    return settings
 
 
 def read_steps(texts: Iterable[str]) -> list[tuple[float, float]]:
--- a/wigeonspool/load/main.py
+++ b/wigeonspool/load/main.py
@@ -17,6 +17,7 @@
 from wigeonspool.load import demo as demos
 from wigeonspool.load import drive as drives
 from wigeonspool.load import emulation
+from wigeonspool.load import emulation_experiment
 from wigeonspool.load import experiment as experiments
 from wigeonspool.load import report as reports
 from wigeonspool.model import errors
@@ -87,9 +88,10 @@
 
 @app.command
 def emulate(
-    step: list[str],
+    step: list[str] | None = None,
     *,
-    seed: int = 1,
+    file: pathlib.Path | None = None,
+    seed: int | None = None,
     set_: Annotated[list[str], cyclopts.Parameter(name="--set")] | None = None,
     json_: Annotated[bool, cyclopts.Parameter(name="--json")] = False,
 ) -> None:
@@ -97,22 +99,25 @@
 
     Args:
         step: Requests a second and for how many seconds, such as 60x4; give
-            one or more, which follow one another.
-        seed: Seed of all random choices.
+            one or more, which follow one another, instead of those of the file.
+        file: YAML file of the emulation.
+        seed: Seed of all random choices, instead of that of the file.
         set_: field=value pairs that replace settings of the emulation.
         json_: Prints JSON instead of a table.
     """
     try:
-        settings = emulation.read_settings(set_ or ())
-        steps = emulation.read_steps(step)
+        experiment = emulation_experiment.build_experiment(
+            file, step or (), set_ or (), seed
+        )
     except errors.SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_INVALID_SETTINGS)
-    results = emulation.run_load_steps(settings, steps, seed)
+    results = emulation_experiment.run_experiment(experiment).counts
     if json_:
         rows = [dataclasses.asdict(each) for each in results.values()]
         print(json.dumps(rows))
     else:
+        steps = emulation_experiment.list_load_steps(experiment)
         emulation.print_counts(steps, results)
 
 
