Keep to what targets say of themselves

Callers saw requests end on targets that had stated in their responses that they leave, and 503 with a pause was answered by further requests and health checks: only the registered state of a target counted, and a pause was read by nothing.

The notice is read once, from the head of each response that belongs to its attempt or health check. A target that leaves gets nothing more until its next start; one that declines gets nothing until the end that it stated, then a number of requests that doubles every 0.1 s, begun at a moment that differs by VM. If all targets leave or decline too long, a request is refused at once with a time to return. Declining is not counted as a failure of the target.

--- a/wigeonspool/model/outcomes.py
+++ b/wigeonspool/model/outcomes.py
@@ -25,7 +25,8 @@
     """Why a request failed.
 
     In these names, HOME is the gateway that owns an idempotency key, ANSWER is
-    a target's response, and SILENT means that nothing arrived in time.
+    a target's response, SILENT means that nothing arrived in time, and DECLINE
+    that a target stated that it wants no requests.
     """
 
     NO_ROUTE = "no-route"
@@ -38,6 +39,7 @@
     QUARANTINED = "quarantined"
     TARGET_REFUSED = "target-refused"
     TARGET_SHED = "target-shed"
+    TARGETS_DECLINE = "targets-decline"
     TARGET_FAILED = "target-failed"
     CONNECTION_LOST = "connection-lost"
     CONNECTION_SILENT = "connection-silent"
@@ -66,10 +68,13 @@
         outcome: NOT_RUN only if the request did not run on any target and
             never will.
         reason: Cause of the failure.
+        retry_at: Time at which the caller should retry, on the clock of the
+            event loop, or None if it follows from the reason.
     """
 
     outcome: Outcome
     reason: Reason
+    retry_at: float | None = None
 
 
 def build_refusal(reason: Reason) -> Failure:
--- a/wigeonspool/model/protocols.py
+++ b/wigeonspool/model/protocols.py
@@ -68,6 +68,21 @@
     slowdown: float
 
 
+class TargetNotice(NamedTuple):
+    """What a target states about itself in a response.
+
+    Attributes:
+        leaving: True if the target leaves and must get no more requests.
+        retry_after_seconds: How long the target wants no requests, or None if
+            it does not state that.
+        problem: Which value is invalid and was ignored, or "".
+    """
+
+    leaving: bool
+    retry_after_seconds: float | None
+    problem: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProtocolAdapter:
     """Functions and statuses of one protocol between callers and targets.
@@ -80,6 +95,8 @@
         classify_response: Returns what a status and header fields prove about
             the attempt with a given identity.
         read_load_report: Reads the response to a health check.
+        read_notice: Reads from the status and header fields of a response what
+            the target states about itself.
         build_retry_headers: Returns the header fields that state after how
             many seconds to retry.
         refusal_status: Status of a refusal, which guarantees that the request
@@ -95,6 +112,7 @@
     build_target_headers: Callable[[Headers, float, str], CIMultiDict[str]]
     classify_response: Callable[[int, Headers, str], ResponseClass]
     read_load_report: Callable[[int, Headers], LoadReport]
+    read_notice: Callable[[int, Headers], TargetNotice]
     build_retry_headers: Callable[[float], Mapping[str, str]]
     refusal_status: int
     unknown_outcome_status: int
--- a/wigeonspool/platform/http_protocol.py
+++ b/wigeonspool/platform/http_protocol.py
@@ -1,5 +1,6 @@
 """Header fields and status codes of requests in the platform's protocol."""
 
+import re
 from typing import Final
 
 from multidict import CIMultiDict
@@ -22,7 +23,14 @@
 # optionally, the slowdown in percent.
 TARGET_LOAD: Final = istr("X-Instance-Load")
 TARGET_ID: Final = istr("X-Instance-Id")
-RETRY_AFTER: Final = "Retry-After"
+RETRY_AFTER: Final = istr("Retry-After")
+# A target that leaves sends it in all its responses.
+LEAVING: Final = istr("Server-Leaving")
+LEAVING_VALUE: Final = "1"
+# Seconds with an optional fraction. The longest value is about 30 years.
+RETRY_AFTER_PATTERN: Final = re.compile(r"[0-9]{1,9}(\.[0-9]{0,30})?")
+# Longest part of an invalid value that is reported.
+MAX_REPORTED_LENGTH: Final = 64
 
 SUCCESS_STATUSES: Final = range(200, 300)
 STATUS_MISDIRECTED: Final = 421
@@ -140,6 +148,32 @@
     )
 
 
+def read_notice(
+    status: int, fields: protocols.Headers
+) -> protocols.TargetNotice:
+    """Returns what a target states about itself in a response.
+
+    The time without requests counts only in a refusal. A date or another value
+    that is not a number of seconds is ignored.
+    """
+    problems = []
+    leaving_text = fields.get(LEAVING)
+    if leaving_text not in (None, LEAVING_VALUE):
+        problems.append(f"{LEAVING}: {leaving_text[:MAX_REPORTED_LENGTH]}")
+    retry_after_seconds = None
+    retry_text = fields.get(RETRY_AFTER) if status == STATUS_REFUSED else None
+    if retry_text is not None:
+        if RETRY_AFTER_PATTERN.fullmatch(retry_text):
+            retry_after_seconds = float(retry_text)
+        else:
+            problems.append(
+                f"{RETRY_AFTER}: {retry_text[:MAX_REPORTED_LENGTH]}"
+            )
+    return protocols.TargetNotice(
+        leaving_text == LEAVING_VALUE, retry_after_seconds, ", ".join(problems)
+    )
+
+
 def build_retry_headers(seconds: float) -> dict[str, str]:
     """Returns the header fields that state after how many seconds to retry."""
     return {RETRY_AFTER: f"{seconds:.3f}"}
@@ -150,6 +184,7 @@
     build_target_headers=build_target_headers,
     classify_response=classify_response,
     read_load_report=read_load_report,
+    read_notice=read_notice,
     build_retry_headers=build_retry_headers,
     refusal_status=STATUS_REFUSED,
     unknown_outcome_status=STATUS_UNKNOWN_OUTCOME,
--- a/wigeonspool/platform/standin/target.py
+++ b/wigeonspool/platform/standin/target.py
@@ -38,6 +38,9 @@
         reset_unframed: Like `unframed`, but resets the connection at the end.
         mute: Reads requests, including health checks, and never responds.
         crashing: Crashes when it has run a request.
+        leaving: States in all responses that it leaves.
+        declining_seconds: Refuses requests as not run and states that it wants
+            none for this time, or None.
     """
 
     pace: int = BASELINE_PERCENT
@@ -52,6 +55,8 @@
     reset_unframed: bool = False
     mute: bool = False
     crashing: bool = False
+    leaving: bool = False
+    declining_seconds: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -158,15 +163,24 @@
             return True
         expected = fields.get("x-target-instance", self.identity)
         attempt = fields.get("x-attempt-id", "")
-        if expected != self.identity or self.faults.full or not attempt:
+        declining = self.faults.declining_seconds
+        refused = self.faults.full or declining is not None
+        if expected != self.identity or refused or not attempt:
             status = 421 if expected != self.identity else 503
             header_fields = {"X-Not-Executed": "1", "X-Attempt-Id": attempt}
+            if status == 503 and declining is not None:
+                header_fields["Retry-After"] = str(declining)
+            header_fields |= self._list_notice_fields()
             writer.write(build_response(status, header_fields, b""))
             return True
         remaining_ms = int(fields.get("x-timeout-remaining", "0"))
         self.runs.append(Run(attempt, method, path, body, remaining_ms))
         return await self._run(attempt, reader, writer)
 
+    def _list_notice_fields(self) -> dict[str, str]:
+        """Returns the header fields that are in all responses."""
+        return {"Server-Leaving": "1"} if self.faults.leaving else {}
+
     def _respond_health(self, writer: asyncio.StreamWriter) -> None:
         """Responds to a health check with the load and the health."""
         self.health_checks += 1
@@ -174,7 +188,7 @@
         header_fields = {
             "X-Instance-Id": self.identity,
             "X-Instance-Load": load,
-        }
+        } | self._list_notice_fields()
         writer.write(
             build_response(503 if self.faults.ill else 200, header_fields, b"")
         )
@@ -215,7 +229,7 @@
         header_fields = {
             "X-Attempt-Id": attempt,
             "X-Response-Seal": f"seal-{attempt}",
-        }
+        } | self._list_notice_fields()
         if faults.crashing:
             self.crash()
             return False
--- a/wigeonspool/vm/attempts.py
+++ b/wigeonspool/vm/attempts.py
@@ -11,6 +11,7 @@
 from wigeonspool.model import protocols
 from wigeonspool.vm import channels
 from wigeonspool.vm import request_context
+from wigeonspool.vm import target_notices
 from wigeonspool.vm import target_probes
 
 # A longer response body is streamed to the caller as it arrives.
@@ -25,13 +26,19 @@
             requests.
     """
 
-    def __init__(self, protocol_adapter: protocols.ProtocolAdapter) -> None:
+    def __init__(
+        self,
+        protocol_adapter: protocols.ProtocolAdapter,
+        notices: target_notices.NoticeRecorder,
+    ) -> None:
         """Creates a sender.
 
         Args:
             protocol_adapter: Protocol of the targets.
+            notices: Records what targets state about themselves.
         """
         self.mismatched_responses = 0
+        self._notices = notices
         self._protocol_adapter = protocol_adapter
         self._loop = asyncio.get_running_loop()
 
@@ -66,7 +73,10 @@
                     message, context.identity
                 ),
             )
-            return await self._read_response(context, response, channel)
+            notice = self._read_notice(context, candidate, response)
+            result = await self._read_response(context, response, channel)
+            result.declined = is_declined(notice, result.outcome)
+            return result
         except (aiohttp.ClientError, OSError) as error:
             channel.close()
             return request_context.AttemptResult(
@@ -76,6 +86,26 @@
             channel.close()
             raise
 
+    def _read_notice(
+        self,
+        context: request_context.RequestContext,
+        candidate: target_probes.Candidate,
+        response: exchanges.TargetResponse,
+    ) -> protocols.TargetNotice:
+        """Records what a target states about itself in the head of a response.
+
+        The connection to a target that leaves is closed after the response.
+        """
+        notice = self._notices.read(
+            candidate.row.entry,
+            context.identity,
+            response.status,
+            response.headers,
+        )
+        if notice.leaving:
+            candidate.channel.protocol.force_close()
+        return notice
+
     def _matches_attempt(
         self, message: http.RawResponseMessage, identity: str
     ) -> bool:
@@ -131,6 +161,17 @@
         return _build_result(response_class, response.status, fields, body)
 
 
+def is_declined(
+    notice: protocols.TargetNotice, outcome: request_context.AttemptOutcome
+) -> bool:
+    """Returns True if a target refused a request because it wants none now."""
+    if notice.retry_after_seconds is not None:
+        return True
+    return notice.leaving and (
+        outcome is request_context.AttemptOutcome.NOT_RUN
+    )
+
+
 def is_chunked(response: exchanges.TargetResponse) -> bool:
     """Returns True if a response uses the chunked transfer coding."""
     return "chunked" in response.headers.get("Transfer-Encoding", "").lower()
--- a/wigeonspool/vm/caller_responses.py
+++ b/wigeonspool/vm/caller_responses.py
@@ -52,7 +52,9 @@
 
 
 def build_failure(
-    failure: outcomes.Failure, protocol_adapter: protocols.ProtocolAdapter
+    failure: outcomes.Failure,
+    protocol_adapter: protocols.ProtocolAdapter,
+    now: float,
 ) -> web.Response:
     """Returns the response that reports a failure.
 
@@ -61,11 +63,14 @@
     Args:
         failure: Outcome and reason of the request.
         protocol_adapter: Protocol of the caller.
+        now: Current time, loop clock.
     """
     status = find_status(failure, protocol_adapter)
     fields: dict[str, str] = {"Content-Type": "text/plain"}
     if status == protocol_adapter.refusal_status:
         seconds = RETRY_AFTER_BY_REASON.get(failure.reason, RETRY_AFTER_SECONDS)
+        if failure.retry_at is not None:
+            seconds = max(0.0, failure.retry_at - now)
         fields.update(protocol_adapter.build_retry_headers(seconds))
     return web.Response(
         status=status, headers=fields, body=failure.reason.encode()
--- a/wigeonspool/vm/caller_service.py
+++ b/wigeonspool/vm/caller_service.py
@@ -270,7 +270,9 @@
     def _build_failure(self, failure: outcomes.Failure) -> web.Response:
         """Counts a failure and returns the response that reports it."""
         self._count(failure.outcome, failure.reason)
-        return caller_responses.build_failure(failure, self._protocol_adapter)
+        return caller_responses.build_failure(
+            failure, self._protocol_adapter, self._loop.time()
+        )
 
     def _count(self, outcome: str, reason: str) -> None:
         """Counts a completed request."""
--- a/wigeonspool/vm/metrics.py
+++ b/wigeonspool/vm/metrics.py
@@ -5,6 +5,7 @@
 import aioprometheus
 
 from wigeonspool.core import cluster_state
+from wigeonspool.model import fleet
 from wigeonspool.model import key_values
 from wigeonspool.vm import caller_service
 from wigeonspool.vm import channels
@@ -63,6 +64,26 @@
 TARGETS: Final = aioprometheus.Gauge(
     "wigeonspool_vm_targets", "Targets that are known, by service."
 )
+LEAVING_TARGETS: Final = aioprometheus.Gauge(
+    "wigeonspool_vm_targets_leaving",
+    "Targets that stated that they leave, by service.",
+)
+DECLINING_TARGETS: Final = aioprometheus.Gauge(
+    "wigeonspool_vm_targets_declining",
+    "Targets that want no requests now, by service.",
+)
+DECLINE_SECONDS_LEFT: Final = aioprometheus.Gauge(
+    "wigeonspool_vm_decline_seconds_left",
+    "Longest time for which a target still wants no requests.",
+)
+TARGET_NOTICES: Final = aioprometheus.Counter(
+    "wigeonspool_vm_target_notices_total",
+    "Statements of targets about themselves, by kind.",
+)
+WITHHELD_ATTEMPTS: Final = aioprometheus.Counter(
+    "wigeonspool_vm_attempts_withheld_total",
+    "Attempts not sent since their target had just declined.",
+)
 VMS: Final = aioprometheus.Gauge(
     "wigeonspool_vm_members", "Entry VMs that are registered."
 )
@@ -135,9 +156,31 @@
         for name in configuration.services if configuration else ():
             targets = list(self._cluster.list_targets(name))
             TARGETS.set({"service": name}, len(targets))
+            self._update_notices(name, [row.entry for row in targets])
+        self._update_notice_counts()
         if self._writer is not None:
             DROPPED_LOG_LINES.set({}, self._writer.dropped_lines)
 
+    def _update_notices(
+        self, service: str, entries: list[fleet.TargetEntry]
+    ) -> None:
+        """Sets how many targets of a service leave or decline requests."""
+        notices = self._prober.notices
+        labels = {"service": service}
+        leaving = sum(notices.is_leaving(entry) for entry in entries)
+        seconds = [notices.find_declined_seconds(entry) for entry in entries]
+        LEAVING_TARGETS.set(labels, leaving)
+        DECLINING_TARGETS.set(labels, sum(left > 0 for left in seconds))
+        DECLINE_SECONDS_LEFT.set(labels, max(seconds, default=0.0))
+
+    def _update_notice_counts(self) -> None:
+        """Sets the counters of what targets stated about themselves."""
+        counts = self._prober.notices.counts
+        TARGET_NOTICES.set({"kind": "leaving"}, counts.leaving)
+        TARGET_NOTICES.set({"kind": "declined"}, counts.declined)
+        TARGET_NOTICES.set({"kind": "ignored"}, counts.ignored)
+        WITHHELD_ATTEMPTS.set({}, counts.withheld)
+
 
 def observe_duration(service: str, seconds: float) -> None:
     """Adds a request with a target response to the histogram of its service."""
--- a/wigeonspool/vm/request_context.py
+++ b/wigeonspool/vm/request_context.py
@@ -75,14 +75,22 @@
         elapsed_ms = round((now - self.arrived_at) * 1000)
         self.steps.append((elapsed_ms, event, target, round(slowdown, 2)))
 
-    def build_failure(self, reason: outcomes.Reason) -> outcomes.Failure:
-        """Returns a failure that states whether the request may have run."""
-        build_outcome = (
-            outcomes.build_unknown_outcome
+    def build_failure(
+        self, reason: outcomes.Reason, retry_at: float | None = None
+    ) -> outcomes.Failure:
+        """Returns a failure that states whether the request may have run.
+
+        Args:
+            reason: Cause of the failure.
+            retry_at: Time at which the caller should retry, loop clock, or None
+                if it follows from the reason.
+        """
+        outcome = (
+            outcomes.Outcome.UNKNOWN
             if self.possible_runs
-            else outcomes.build_refusal
+            else outcomes.Outcome.NOT_RUN
         )
-        return build_outcome(reason)
+        return outcomes.Failure(outcome, reason, retry_at)
 
 
 class AttemptOutcome(enum.Enum):
@@ -92,12 +100,15 @@
     FAILED: the target ran the request and reported a failure.
     NOT_RUN: the target proved that it did not run the request.
     UNKNOWN: nothing proves whether the request ran.
+    WITHHELD: the attempt was not sent, since its target had just stated that it
+        wants no requests.
     """
 
     ANSWERED = "answered"
     FAILED = "failed"
     NOT_RUN = "not-run"
     UNKNOWN = "lost"
+    WITHHELD = "withheld"
 
 
 @dataclasses.dataclass(slots=True)
@@ -112,6 +123,8 @@
             too long to buffer.
         stream: Open response, if its body is too long to buffer.
         detail: Description of the error, or "".
+        declined: True if the target refused the request because it wants none
+            now, which is no sign of a fault.
     """
 
     outcome: AttemptOutcome
@@ -120,3 +133,4 @@
     body: bytes = b""
     stream: exchanges.TargetResponse | None = None
     detail: str = ""
+    declined: bool = False
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -79,7 +79,9 @@
         self._cluster = cluster
         self._prober = prober
         self._protocol_adapter = protocol_adapter
-        self._sender: SenderProtocol = attempts.AttemptSender(protocol_adapter)
+        self._sender: SenderProtocol = attempts.AttemptSender(
+            protocol_adapter, prober.notices
+        )
         self._selector = target_selection.TargetSelector(prober)
         self._retry_budget = retry_policy.ServiceRetryBudget()
         self._crash_checks: set[asyncio.Task[None]] = set()
@@ -132,6 +134,8 @@
             if isinstance(candidate, outcomes.Failure):
                 return candidate
             result = await self._send_hedged(context, candidate)
+            if result.outcome is request_context.AttemptOutcome.WITHHELD:
+                continue
             if result.outcome is request_context.AttemptOutcome.ANSWERED:
                 return result
             if not self._may_retry(context, result):
@@ -193,8 +197,14 @@
         context: request_context.RequestContext,
         candidate: target_probes.Candidate,
     ) -> request_context.AttemptResult:
-        """Sends one attempt and updates the estimates from its result."""
+        """Sends one attempt and updates the estimates from its result.
+
+        The attempt is withheld if the target has stated since its health check
+        that it wants no requests.
+        """
         row = candidate.row
+        if not self._prober.notices.may_send(row.entry):
+            return self._withhold(context, candidate)
         started_at = self._loop.time()
         estimates.record_reservation(row.health, started_at)
         context.attempts_sent += 1
@@ -216,6 +226,19 @@
         self._record_result(context, candidate, result, now - started_at)
         return result
 
+    def _withhold(
+        self,
+        context: request_context.RequestContext,
+        candidate: target_probes.Candidate,
+    ) -> request_context.AttemptResult:
+        """Releases the connection of an attempt that must not be sent."""
+        outcome = request_context.AttemptOutcome.WITHHELD
+        identity = candidate.row.entry.identity
+        context.record_step(self._loop.time(), outcome.value, identity, 0.0)
+        self._prober.notices.counts.withheld += 1
+        self._prober.release_candidates([candidate])
+        return request_context.AttemptResult(outcome)
+
     def _record_result(
         self,
         context: request_context.RequestContext,
@@ -242,9 +265,13 @@
             return
         if result.outcome is request_context.AttemptOutcome.NOT_RUN:
             context.possible_runs -= 1
-            estimates.record_failure(row.health, now, NOT_RUN_FAILURE_WEIGHT)
+            if not result.declined:
+                estimates.record_failure(
+                    row.health, now, NOT_RUN_FAILURE_WEIGHT
+                )
             return
-        estimates.record_failure(row.health, now)
+        if not result.declined:
+            estimates.record_failure(row.health, now)
         if result.outcome is request_context.AttemptOutcome.UNKNOWN:
             self._start_crash_check(context.fingerprint, row.entry)
 
@@ -328,7 +355,9 @@
         if result.outcome is request_context.AttemptOutcome.FAILED:
             return context.build_failure(outcomes.Reason.TARGET_FAILED)
         if result.outcome is request_context.AttemptOutcome.NOT_RUN:
-            return context.build_failure(outcomes.Reason.TARGET_REFUSED)
+            return self._selector.find_decline(context) or (
+                context.build_failure(outcomes.Reason.TARGET_REFUSED)
+            )
         return context.build_failure(outcomes.Reason.CONNECTION_LOST)
 
 
@@ -339,16 +368,23 @@
 async def _wait_for_best(
     tasks: set[asyncio.Task[request_context.AttemptResult]],
 ) -> request_context.AttemptResult:
-    """Returns the first successful result, or the last one if none succeeds."""
+    """Returns the first successful result, or the last one if none succeeds.
+
+    An attempt that was withheld counts only if no other one was sent.
+    """
     pending = set(tasks)
-    while True:
+    last: request_context.AttemptResult | None = None
+    while pending:
         done, pending = await asyncio.wait(
             pending, return_when=asyncio.FIRST_COMPLETED
         )
-        results = [task.result() for task in done]
-        for result in results:
-            if (
-                result.outcome is request_context.AttemptOutcome.ANSWERED
-                or not pending
-            ):
+        for result in [task.result() for task in done]:
+            if result.outcome is request_context.AttemptOutcome.ANSWERED:
                 return result
+            is_withheld = (
+                result.outcome is request_context.AttemptOutcome.WITHHELD
+            )
+            if last is None or not is_withheld:
+                last = result
+    assert last is not None
+    return last
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -192,6 +192,7 @@
             self._cluster,
             http_protocol.HTTP_PROTOCOL,
             vm_locality,
+            settings.vm,
         )
         # Callers that connected while the libraries were loaded have waited
         # for half of that time on average.
--- a/wigeonspool/vm/target_probes.py
+++ b/wigeonspool/vm/target_probes.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Collection
 import dataclasses
+import math
 import random
 from typing import Final
 
@@ -23,6 +24,7 @@
 from wigeonspool.vm import channels
 from wigeonspool.vm import locality
 from wigeonspool.vm import structured_log
+from wigeonspool.vm import target_notices
 
 # A health check takes one round trip and a millisecond, or two round trips with
 # a new connection. A target that takes longer is not fit for requests now.
@@ -83,6 +85,7 @@
 
     Attributes:
         counts: Counters of health checks.
+        notices: Records what targets state about themselves.
     """
 
     def __init__(
@@ -91,6 +94,7 @@
         cluster: cluster_state.ClusterState,
         protocol_adapter: protocols.ProtocolAdapter,
         vm_locality: locality.VmLocality,
+        vm: str = "",
     ) -> None:
         """Creates a prober.
 
@@ -99,8 +103,10 @@
             cluster: Cluster state, with the targets and their health.
             protocol_adapter: Protocol of the targets.
             vm_locality: Zone and region of this VM.
+            vm: Name of this VM.
         """
         self.counts = ProbeCounts()
+        self.notices = target_notices.NoticeRecorder(vm, pool, protocol_adapter)
         self._pool = pool
         self._cluster = cluster
         self._protocol_adapter = protocol_adapter
@@ -132,12 +138,40 @@
                 continue
             if row.entry.identity in excluded or row.health.ejected_until > now:
                 continue
+            if not self.notices.may_admit(row.entry):
+                continue
             distance = self._vm_locality.find_distance(row.entry.zone)
             if distance is locality.Distance.ZONE and not large_responses:
                 distance = locality.Distance.REGION
             groups[distance.value].append(row)
         return [group for group in groups if group]
 
+    def find_wanted_at(self, service: str) -> float | None:
+        """Returns when a target of a service will first want a request.
+
+        An ejected target gets none before the end of its ejection.
+
+        Returns:
+            The time on the loop clock, infinity if all its targets leave, or
+            None if one of them wants requests now or all are ejected.
+        """
+        now = self._loop.time()
+        reachable = []
+        ejected_until = math.inf
+        for row in self._cluster.list_targets(service):
+            if row.entry.state is not fleet.TargetState.SERVING:
+                continue
+            if row.health.ejected_until <= now:
+                reachable.append(row.entry)
+            elif not self.notices.is_leaving(row.entry):
+                ejected_until = min(ejected_until, row.health.ejected_until)
+        wanted_at = self.notices.find_wanted_at(reachable)
+        return None if wanted_at is None else min(wanted_at, ejected_until)
+
+    def draw_fraction(self) -> float:
+        """Returns a random number from 0 to 1."""
+        return self._random.random()
+
     def sample_targets(
         self, group: list[cluster_state.TargetRow], count: int
     ) -> list[cluster_state.TargetRow]:
@@ -164,8 +198,13 @@
         """Probes targets concurrently; returns the candidates, best first.
 
         Once one target has replied, the others have `EXTRA_WAIT_SECONDS`.
+        Targets that want no requests by now are left out.
         """
-        tasks = [self._loop.create_task(self._probe(row)) for row in rows]
+        tasks = [
+            self._loop.create_task(self._probe(row))
+            for row in rows
+            if self.notices.admit(row.entry)
+        ]
         candidates: list[Candidate] = []
         stop_at: float | None = None
         pending: set[asyncio.Task[Candidate | None]] = set(tasks)
@@ -233,7 +272,16 @@
     def release_candidates(self, candidates: list[Candidate]) -> None:
         """Releases the connections of candidates that are not used."""
         for candidate in candidates:
-            candidate.channel.release()
+            self.notices.put_back(candidate.row.entry, candidate.channel)
+
+    def drop_unwilling(self, candidates: list[Candidate]) -> list[Candidate]:
+        """Returns the candidates that still want requests, in their order.
+
+        Releases the connections of the others.
+        """
+        willing = [c for c in candidates if self.notices.may_send(c.row.entry)]
+        self.release_candidates([c for c in candidates if c not in willing])
+        return willing
 
     async def is_reachable(self, address: str) -> bool:
         """Returns True if a target accepts a new connection."""
@@ -263,6 +311,8 @@
             candidate = await self._probe_over(row, channel, timeout_seconds)
             if candidate is not None or channel.protocol.is_connected():
                 return candidate
+            if not self.notices.may_send(row.entry):
+                return None
             self.counts.unresponsive_connections += 1
             self._pool.close_idle(address)
         try:
@@ -271,7 +321,11 @@
             estimates.record_unreachable(row.health, self._loop.time())
             return None
         candidate = await self._probe_over(row, channel, timeout_seconds)
-        if candidate is None and not channel.protocol.is_connected():
+        if (
+            candidate is None
+            and not channel.protocol.is_connected()
+            and self.notices.may_send(row.entry)
+        ):
             estimates.record_unreachable(row.health, self._loop.time())
         return candidate
 
@@ -284,8 +338,13 @@
         """Probes a target over one connection.
 
         Closes the connection and returns None if it fails, or if the response
-        is late, unusable or from another target than the expected one.
+        is late, unusable or from another target than the expected one. Also
+        returns None if the target wants no requests, before or after the
+        response.
         """
+        if not self.notices.may_send(row.entry):
+            self.notices.put_back(row.entry, channel)
+            return None
         probed_at = self._loop.time()
         self.counts.sent += 1
         try:
@@ -307,6 +366,9 @@
             estimates.record_unreachable(row.health, self._loop.time())
             return None
         estimates.record_reachable(row.health)
+        if not self.notices.may_send(row.entry):
+            self.notices.put_back(row.entry, channel)
+            return None
         estimate = self._estimate(row, report, probed_at)
         return Candidate(row, channel, estimate, report)
 
@@ -333,6 +395,7 @@
         try:
             while True:
                 message, content = await protocol.read()
+                self._read_notice(row, message)
                 await content.read()
                 report = self._protocol_adapter.read_load_report(
                     message.code, message.headers
@@ -341,12 +404,34 @@
                 # an earlier request on this connection.
                 if report.slots or report.identity:
                     break
+                if not self.notices.may_send(row.entry):
+                    break
         except http.HttpProcessingError as error:
             raise aiohttp.ClientPayloadError(repr(error)) from error
         if not channels.record_keep_alive(channel, message.headers):
             return None
         return report
 
+    def _read_notice(
+        self, row: cluster_state.TargetRow, message: http.RawResponseMessage
+    ) -> None:
+        """Records what a target states about itself in a health check response.
+
+        Ignores late responses to earlier requests, and responses of other
+        targets that use the address now.
+        """
+        report = self._protocol_adapter.read_load_report(
+            message.code, message.headers
+        )
+        response_class = self._protocol_adapter.classify_response(
+            message.code, message.headers, ""
+        )
+        if (
+            report.identity in ("", row.entry.identity)
+            and response_class is not protocols.ResponseClass.MISMATCHED
+        ):
+            self.notices.read(row.entry, "", message.code, message.headers)
+
     def _find_health_path(self, service: str) -> str:
         """Returns the path at which the targets of a service report load."""
         configuration = self._cluster.configuration
--- a/wigeonspool/vm/target_selection.py
+++ b/wigeonspool/vm/target_selection.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from wigeonspool.core import cluster_state
+from wigeonspool.core import target_notices
 from wigeonspool.core import waiting_policy
 from wigeonspool.model import outcomes
 from wigeonspool.vm import request_context
@@ -75,14 +76,15 @@
         """Returns the target to send a request to, or a failure.
 
         Probes targets repeatedly until one is good enough. Returns a failure
-        if no target can respond by the deadline.
+        if no target can respond by the deadline, or if none of them will want
+        the request in time for its objective.
         """
         baseline_seconds = self.find_baseline(context)
         step, candidate = await self._probe_nearest_first(
             context, baseline_seconds
         )
         if step is not waiting_policy.Step.WAIT:
-            return _build_selection(context, step, candidate)
+            return self._build_selection(context, step, candidate)
         queued = self._queued_by_priority[context.service]
         queued[context.rule.priority] += 1
         try:
@@ -95,7 +97,47 @@
                 )
         finally:
             queued[context.rule.priority] -= 1
-        return _build_selection(context, step, candidate)
+        return self._build_selection(context, step, candidate)
+
+    def find_decline(
+        self, context: request_context.RequestContext
+    ) -> outcomes.Failure | None:
+        """Returns the refusal of a request that no target wants now, or None.
+
+        It states when a target will want the request, at a time that differs
+        between requests.
+        """
+        wanted_at = self._prober.find_wanted_at(context.service)
+        if wanted_at is None:
+            return None
+        now = self._loop.time()
+        retry_at = target_notices.find_retry_at(
+            now, wanted_at, self._prober.draw_fraction()
+        )
+        context.record_step(now, "all-decline", "", 0.0)
+        return context.build_failure(outcomes.Reason.TARGETS_DECLINE, retry_at)
+
+    def _is_wanted_too_late(
+        self, context: request_context.RequestContext, baseline_seconds: float
+    ) -> bool:
+        """Returns True if no target will want a request by its objective."""
+        wanted_at = self._prober.find_wanted_at(context.service)
+        return wanted_at is not None and waiting_policy.is_late(
+            wanted_at, baseline_seconds, context.objective_at
+        )
+
+    def _build_selection(
+        self,
+        context: request_context.RequestContext,
+        step: waiting_policy.Step,
+        candidate: target_probes.Candidate | None,
+    ) -> target_probes.Candidate | outcomes.Failure:
+        """Returns the candidate to use, or a failure if there is none."""
+        if step is waiting_policy.Step.SEND and candidate is not None:
+            return candidate
+        return self.find_decline(context) or context.build_failure(
+            outcomes.Reason.DEADLINE_UNREACHABLE
+        )
 
     def _find_probe_delay(
         self, context: request_context.RequestContext, baseline_seconds: float
@@ -165,6 +207,8 @@
             groups = self._prober.list_target_groups(
                 context.service, (), large_responses
             )
+        if not groups and self._is_wanted_too_late(context, baseline_seconds):
+            return waiting_policy.Step.REFUSE, None
         if large_responses and len(groups) > 1:
             nearest_groups = groups[:1]
             step, candidate = await self._probe_groups(
@@ -216,6 +260,7 @@
                 if best is not None:
                     candidates.append(best)
                 candidates.sort(key=target_probes.rank_candidate)
+                candidates = prober.drop_unwilling(candidates)
                 best = candidates[0] if candidates else None
                 prober.release_candidates(candidates[1:])
                 has_more = bool(groups) and context.probes_sent < max_probes
@@ -258,17 +303,6 @@
     return PROBE_BATCH_SIZE if context.probes_sent else FIRST_PROBE_COUNT
 
 
-def _build_selection(
-    context: request_context.RequestContext,
-    step: waiting_policy.Step,
-    candidate: target_probes.Candidate | None,
-) -> target_probes.Candidate | outcomes.Failure:
-    """Returns the candidate to use, or a failure if there is none."""
-    if step is waiting_policy.Step.SEND and candidate is not None:
-        return candidate
-    return context.build_failure(outcomes.Reason.DEADLINE_UNREACHABLE)
-
-
 def _remove_probed(
     groups: list[list[cluster_state.TargetRow]],
     probed: list[cluster_state.TargetRow],
