--- a/wigeonspool/vm/attempts.py
+++ b/wigeonspool/vm/attempts.py
@@ -12,6 +12,7 @@
 from wigeonspool.model import protocols
 from wigeonspool.vm import channels
 from wigeonspool.vm import request_context
+from wigeonspool.vm import target_notices
 from wigeonspool.vm import target_probes
 
 # A longer response body is streamed to the caller as it arrives.
@@ -30,13 +31,19 @@
             requests.
     """
 
-    def __init__(self, protocol_adapter: protocols.ProtocolAdapter) -> None:
+    def __init__(
+        self,
+        protocol_adapter: protocols.ProtocolAdapter,
+        notices: target_notices.NoticeRecorder,
+    ) -> None:
         """Creates a sender.
 
         Args:
             protocol_adapter: Protocol of the targets.
+            notices: Records what targets state about themselves.
         """
         self.mismatched_responses = 0
+        self._notices = notices
         self._protocol_adapter = protocol_adapter
         self._loop = asyncio.get_running_loop()
 
@@ -58,6 +65,12 @@
             return request_context.AttemptResult(
                 request_context.AttemptOutcome.NOT_RUN, detail=repr(error)
             )
+        if not self._notices.may_send(candidate.row.entry):
+            # The target stated so while a connection was opened.
+            channel.close()
+            return request_context.AttemptResult(
+                request_context.AttemptOutcome.NOT_RUN, declined=True
+            )
         request = context.request
         fields = self._protocol_adapter.build_target_headers(
             request.headers,
@@ -76,7 +89,10 @@
                     message, context.identity, channel
                 ),
             )
-            return await self._read_response(context, response, channel)
+            notice = self._read_notice(context, candidate, response)
+            result = await self._read_response(context, response, channel)
+            result.declined = is_declined(notice, result.outcome)
+            return result
         except (aiohttp.ClientError, OSError) as error:
             channel.close()
             return request_context.AttemptResult(
@@ -86,6 +102,26 @@
             channel.close()
             raise
 
+    def _read_notice(
+        self,
+        context: request_context.RequestContext,
+        candidate: target_probes.Candidate,
+        response: exchanges.TargetResponse,
+    ) -> protocols.TargetNotice:
+        """Records what a target states about itself in the head of a response.
+
+        The connection to a target that leaves is closed after the response.
+        """
+        notice = self._notices.read(
+            candidate.row.entry,
+            context.identity,
+            response.status,
+            response.headers,
+        )
+        if notice.leaving:
+            candidate.channel.protocol.force_close()
+        return notice
+
     def _matches_attempt(
         self,
         message: http.RawResponseMessage,
@@ -194,6 +230,17 @@
             )
 
 
+def is_declined(
+    notice: protocols.TargetNotice, outcome: request_context.AttemptOutcome
+) -> bool:
+    """Returns True if a target refused a request because it wants none now."""
+    if notice.retry_after_seconds is not None:
+        return True
+    return notice.leaving and (
+        outcome is request_context.AttemptOutcome.NOT_RUN
+    )
+
+
 def is_chunked(response: exchanges.TargetResponse) -> bool:
     """Returns True if a response uses the chunked transfer coding."""
     return "chunked" in response.headers.get("Transfer-Encoding", "").lower()
