Turn unexpected exceptions into typed failures with the request's id

Callers got a 500, which does not say whether the request ran, and the log had the exception without the id of the request. An exception in one of several concurrent health checks or attempts also failed requests that another target could serve.

Cause: exceptions other than the expected ones passed through probes, attempts and the service up to the HTTP library.

Evidence, before: test_error_before_sending_is_a_refusal and test_error_after_sending_leaves_the_outcome_unknown got a 500, and so did test_error_of_one_health_check_costs_that_target_only and test_error_of_one_attempt_counts_as_a_failure_of_its_target, where another target was fine.

An exception of a health check or of an attempt counts as a failure of its target. Any other one ends in CallerService.serve as a failure that states whether the request may have run: 503 if it was not sent, else 502. All are logged with the request or the target and counted by stage in wigeonspool_vm_unexpected_errors_total.

--- a/tests/test_vm_lost_requests.py
+++ b/tests/test_vm_lost_requests.py
@@ -9,6 +9,7 @@
 import socket
 from typing import Any
 
+import aiohttp
 from aiohttp import web
 import loguru
 import msgspec
@@ -21,6 +22,7 @@
 from wigeonspool.model import fleet as fleet_model
 from wigeonspool.vm import caller_server
 from wigeonspool.vm import request_context
+from wigeonspool.vm import request_runner
 from wigeonspool.vm import service
 from wigeonspool.vm import structured_log
 from wigeonspool.vm import target_probes
@@ -459,6 +461,128 @@
         assert stopped["cut"] == 1
 
 
+class TestUnexpectedErrors:
+    """An error that no code expects ends one request, with an answer."""
+
+    def find_error(
+        self, log_lines: list[dict[str, Any]], event: str
+    ) -> dict[str, Any]:
+        (line,) = (line for line in log_lines if line["event"] == event)
+        return line
+
+    # Guards against a request that ends by an error before it was sent, with
+    # a status that does not say so and without a trace of its id.
+    async def test_error_before_sending_is_a_refusal(
+        self,
+        vms: vm_fleet.VmFleet,
+        log_lines: list[dict[str, Any]],
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        monkeypatch.setattr(vm._cluster.suspects, "is_refused", fail)
+        status, reason, _ = await vms.send(
+            "vm-1", "/write/1", "POST", attempt="one"
+        )
+        assert (status, reason) == (503, b"internal-error")
+        assert vms.find_targets_that_ran("one") == []
+        line = self.find_error(log_lines, "a request failed")
+        assert (line["request"], line["not_run"]) == ("one", True)
+        assert "RecursionError" in line["exception"]
+        counts = vm._caller_service.counts
+        assert counts["not_run", "internal-error"] == 1
+        assert vm._caller_service.error_count == 1
+
+    # Guards against an error after a request was sent that tells the caller
+    # that it was not run, or nothing.
+    async def test_error_after_sending_leaves_the_outcome_unknown(
+        self, vms: vm_fleet.VmFleet, log_lines: list[dict[str, Any]]
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        vm._caller_service.on_answered = fail
+        status, reason, _ = await vms.send(
+            "vm-1", "/write/1", "POST", attempt="one"
+        )
+        assert (status, reason) == (502, b"internal-error")
+        line = self.find_error(log_lines, "a request failed")
+        assert (line["request"], line["not_run"]) == ("one", False)
+
+    # Guards against callers that disconnect and count as errors of a VM.
+    async def test_caller_that_leaves_is_no_error(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+
+        def disconnect(*_: Any) -> None:
+            (connection,) = vm._caller_server.connections
+            assert connection.transport is not None
+            connection.transport.abort()
+            raise ConnectionResetError
+
+        vm._caller_service.on_answered = disconnect
+        with pytest.raises(aiohttp.ClientError):
+            await vms.send("vm-1", "/write/1", "POST")
+        counts = vm._caller_service.counts
+        await fleet.wait_for(lambda: ("unknown", "caller-left") in counts)
+        assert vm._caller_service.error_count == 0
+
+    # Guards against a target whose address cannot be used and that fails
+    # requests that another target can serve.
+    async def test_error_of_one_health_check_costs_that_target_only(
+        self, vms: vm_fleet.VmFleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        address = vm._cluster.targets["t-1"].entry.address
+        connect = vm._channel_pool.open
+
+        async def connect_others(other: str, *limits: float) -> Any:
+            if other == address:
+                fail()
+            return await connect(other, *limits)
+
+        monkeypatch.setattr(vm._channel_pool, "open", connect_others)
+        for number in range(10):
+            status, body, _ = await vms.send("vm-1", f"/read/{number}")
+            assert (status, body) == (200, b"t-2")
+        assert vm._prober.counts.errors > 0
+
+    # Guards against a request that is not retried since its first attempt
+    # ended by an error in this program.
+    async def test_error_of_one_attempt_counts_as_a_failure_of_its_target(
+        self, vms: vm_fleet.VmFleet, log_lines: list[dict[str, Any]]
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        sender = vm._request_runner._sender
+        vm._request_runner.replace_sender(FailingOnceSender(sender))
+        assert (await vms.send("vm-1", "/read/1", attempt="one"))[0] == 200
+        line = self.find_error(log_lines, "an attempt failed")
+        assert line["request"] == "one"
+        assert vm._request_runner.error_count == 1
+
+
+def fail(*_: Any) -> Any:
+    raise RecursionError("maximum recursion depth exceeded")
+
+
+class FailingOnceSender:
+    """Fails the first attempt by an error and passes the others on."""
+
+    def __init__(self, sender: request_runner.SenderProtocol) -> None:
+        self.mismatched_responses = 0
+        self._sender = sender
+        self._has_failed = False
+
+    async def send(
+        self,
+        context: request_context.RequestContext,
+        candidate: target_probes.Candidate,
+    ) -> request_context.AttemptResult:
+        if not self._has_failed:
+            self._has_failed = True
+            candidate.channel.close()
+            fail()
+        return await self._sender.send(context, candidate)
+
+
 class StreamStandin:
     """An open response; records whether it was closed."""
 
--- a/wigeonspool/vm/caller_server.py
+++ b/wigeonspool/vm/caller_server.py
@@ -170,14 +170,17 @@
     ) -> web.StreamResponse:
         """Returns the last response on a connection after an error.
 
-        Logs the error, except for a malformed request of the caller.
+        Logs the error, except for a malformed request of the caller and for a
+        connection that was closed.
 
         Raises:
             ConnectionError: If a response has been started, so that no other
                 one can be sent.
         """
-        if status != STATUS_BAD_REQUEST:
-            log.opt(exception=exc).error("a request failed")
+        if status != STATUS_BAD_REQUEST and not isinstance(
+            exc, ConnectionError
+        ):
+            log.opt(exception=exc).error("a connection failed")
         return streaming.build_final_response(
             request, web.Response(status=status)
         )
--- a/wigeonspool/vm/caller_service.py
+++ b/wigeonspool/vm/caller_service.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import math
 import time
 
@@ -31,11 +32,25 @@
 log = structured_log.get_logger("requests")
 
 
+@dataclasses.dataclass(slots=True)
+class OpenRequest:
+    """A request that has no response yet.
+
+    Attributes:
+        request: Request of the caller.
+        context: Its state, or None until it has been validated.
+    """
+
+    request: web.BaseRequest
+    context: request_context.RequestContext | None = None
+
+
 class CallerService:
     """Serves the requests that arrive at one VM.
 
     Attributes:
         counts: Number of completed requests, by outcome and reason.
+        error_count: Number of requests that ended by an unexpected exception.
         draining: True while this VM prepares to stop.
         on_answered: Called for each successful or failed response of a target,
             with the service and the duration of the request in seconds.
@@ -62,6 +77,7 @@
             gate: Delays requests until the first configuration is loaded.
         """
         self.counts: dict[tuple[str, str], int] = {}
+        self.error_count = 0
         self.draining = False
         self.on_answered: Callable[[str, float], None] = lambda _, __: None
         self._cluster = cluster
@@ -73,7 +89,7 @@
         self._configuration_version = -1
         self._rotation_offset = xxhash.xxh3_64_intdigest(vm.encode()) / 2**64
         # By object identity, since requests are not hashable.
-        self._open_requests: dict[int, web.BaseRequest] = {}
+        self._open_requests: dict[int, OpenRequest] = {}
         self._loop = asyncio.get_running_loop()
 
     @property
@@ -95,8 +111,8 @@
 
     def log_cut(self) -> int:
         """Logs each open request as aborted; returns their number."""
-        for request in self._open_requests.values():
-            log.warning("cut", request=self._read_identity(request))
+        for served in self._open_requests.values():
+            log.warning("cut", request=self._read_identity(served.request))
         return len(self._open_requests)
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -104,20 +120,57 @@
 
         The call is cancelled if the caller disconnects.
         """
-        self._open_requests[id(request)] = request
+        served = OpenRequest(request)
+        self._open_requests[id(request)] = served
         try:
-            response = await self._serve(request)
+            response = await self._serve(served)
         except asyncio.CancelledError:
             self._count(outcomes.Outcome.UNKNOWN, outcomes.Reason.CALLER_LEFT)
             raise
+        except Exception as error:
+            if isinstance(error, ConnectionError) and _has_left(request):
+                self._count(
+                    outcomes.Outcome.UNKNOWN, outcomes.Reason.CALLER_LEFT
+                )
+                raise
+            response = self._handle_error(served, error)
         finally:
             del self._open_requests[id(request)]
         if self.draining:
             response.force_close()
         return response
 
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+    def _handle_error(
+        self, served: OpenRequest, error: Exception
+    ) -> web.StreamResponse:
+        """Returns the response to a request that ended by an exception.
+
+        Raises:
+            ConnectionError: If a response has begun, so that the connection is
+                reset instead.
+        """
+        context = served.context
+        reason = outcomes.Reason.INTERNAL_ERROR
+        failure = (
+            outcomes.build_refusal(reason)
+            if context is None
+            else context.build_failure(reason)
+        )
+        self.error_count += 1
+        log.opt(exception=error).error(
+            "a request failed",
+            request=self._read_identity(served.request),
+            not_run=failure.outcome is outcomes.Outcome.NOT_RUN,
+        )
+        response = self._build_failure(failure)
+        if served.request.writer.output_size > 0:
+            streaming.reset_connection(served.request)
+            raise ConnectionError("a response has already begun") from error
+        return response
+
+    async def _serve(self, served: OpenRequest) -> web.StreamResponse:
         """Runs a request, logs its result and returns the response."""
+        request = served.request
         context: request_context.RequestContext | outcomes.Failure
         try:
             async with self._runner.start_limits.limit_wait(0.0, math.inf):
@@ -127,6 +180,7 @@
         if isinstance(context, outcomes.Failure):
             self._log_refusal(request, context)
             return self._build_failure(context)
+        served.context = context
         try:
             async with asyncio.timeout_at(context.deadline):
                 result = await self._runner.run(context)
@@ -312,6 +366,11 @@
         self.counts[key] = self.counts.get(key, 0) + 1
 
 
+def _has_left(request: web.BaseRequest) -> bool:
+    """Returns True if the connection of a request is closed."""
+    return request.transport is None or request.transport.is_closing()
+
+
 def fingerprint_request(
     request: web.BaseRequest, host: str, body: exchanges.Body
 ) -> int:
--- a/wigeonspool/vm/metrics.py
+++ b/wigeonspool/vm/metrics.py
@@ -46,6 +46,10 @@
     "wigeonspool_vm_connections_opened_total",
     "Connections to targets that were begun.",
 )
+UNEXPECTED_ERRORS: Final = aioprometheus.Counter(
+    "wigeonspool_vm_unexpected_errors_total",
+    "Requests, attempts and health checks that this program failed.",
+)
 RETRIES_REFUSED: Final = aioprometheus.Counter(
     "wigeonspool_vm_retries_refused_total",
     "Attempts that the retry allowance did not cover.",
@@ -124,6 +128,12 @@
         counts = self._prober.counts
         HEALTH_CHECKS.set({"result": "answered"}, counts.answered)
         HEALTH_CHECKS.set({"result": "failed"}, counts.sent - counts.answered)
+        for stage, count in (
+            ("request", self._service.error_count),
+            ("attempt", self._runner.error_count),
+            ("health_check", counts.errors),
+        ):
+            UNEXPECTED_ERRORS.set({"stage": stage}, count)
         CONNECTIONS.set({}, self._pool.connect_attempts)
         MISMATCHED_RESPONSES.set({}, self._runner.mismatched_responses)
         STORE_CALLS.set({}, self._store.calls)
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -60,6 +60,7 @@
     Attributes:
         on_crash: Called with the fingerprint of a request and the identity of
             the target that crashed while it ran that request.
+        error_count: Number of attempts that ended by an unexpected exception.
         start_limits: Limits the time until requests are sent while the VM
             drains.
     """
@@ -80,6 +81,7 @@
             protocol_adapter: Protocol of the targets.
         """
         self.on_crash: Callable[[int, str], Awaitable[None]] = _ignore_crash
+        self.error_count = 0
         self.start_limits = start_limits.StartLimits()
         self._cluster = cluster
         self._prober = prober
@@ -248,6 +250,16 @@
                 self._loop.time(), "no-answer", row.entry.identity, 0.0
             )
             raise
+        except Exception as error:
+            self.error_count += 1
+            log.opt(exception=error).error(
+                "an attempt failed",
+                request=context.identity,
+                target=row.entry.identity,
+            )
+            result = request_context.AttemptResult(
+                request_context.AttemptOutcome.UNKNOWN, detail=repr(error)
+            )
         now = self._loop.time()
         context.record_step(now, result.outcome.value, row.entry.identity, 0.0)
         self._record_result(context, candidate, result, now - started_at)
--- a/wigeonspool/vm/target_probes.py
+++ b/wigeonspool/vm/target_probes.py
@@ -71,11 +71,13 @@
         answered: Health checks with a valid response.
         unresponsive_connections: Pooled connections that ended, or on which no
             usable response came in time.
+        errors: Health checks that ended by an unexpected exception.
     """
 
     sent: int = 0
     answered: int = 0
     unresponsive_connections: int = 0
+    errors: int = 0
 
 
 class TargetProber:
@@ -165,7 +167,7 @@
 
         Once one target has replied, the others have `EXTRA_WAIT_SECONDS`.
         """
-        tasks = [self._loop.create_task(self._probe(row)) for row in rows]
+        tasks = [self._loop.create_task(self._try_probe(row)) for row in rows]
         candidates: list[Candidate] = []
         stop_at: float | None = None
         pending: set[asyncio.Task[Candidate | None]] = set(tasks)
@@ -244,6 +246,20 @@
         channel.release()
         return True
 
+    async def _try_probe(
+        self, row: cluster_state.TargetRow
+    ) -> Candidate | None:
+        """Probes one target; an unexpected exception counts as its failure."""
+        try:
+            return await self._probe(row)
+        except Exception as error:
+            self.counts.errors += 1
+            log.opt(exception=error).error(
+                "a health check failed", target=row.entry.identity
+            )
+            estimates.record_unreachable(row.health, self._loop.time())
+            return None
+
     async def _probe(self, row: cluster_state.TargetRow) -> Candidate | None:
         """Probes one target; returns None unless it replies in time.
 
@@ -415,10 +431,6 @@
     """Releases the connection of a candidate that replied too late."""
     if task.cancelled():
         return
-    error = task.exception()
-    if error is not None:
-        log.opt(exception=error).error("a health check failed")
-        return
     candidate = task.result()
     if candidate is not None:
         candidate.channel.release()
