Handle signals from the first moment of a process on

A VM that got SIGHUP while it loaded its libraries ended by itself, and callers that had connected meanwhile were disconnected. The same happened at a SIGTERM in that time, which is meant to be an orderly stop.

Cause: the ports open before the libraries are loaded, but the signals had their default action until then.

Handlers that only record signals are installed first. The recorded signals take effect once the service has started, and the grace period counts from the signal. A reload also waits for the start, since it needs the components of the service.

--- a/tests/test_vm_process.py
+++ b/tests/test_vm_process.py
@@ -298,6 +298,81 @@
         used_socket.close()
 
 
+class TestSignals:
+    """Signals that arrive in any state end no request and no process."""
+
+    async def wait_listening(self, vms: vm_fleet.VmFleet) -> None:
+        """Waits until the process has begun to load its libraries."""
+        host, _, port = vms.settings["vm-1"].callers.rpartition(":")
+        async with asyncio.timeout(10):
+            while True:
+                try:
+                    _, writer = await asyncio.open_connection(host, int(port))
+                    break
+                except ConnectionRefusedError:
+                    await asyncio.sleep(0.002)
+        writer.close()
+
+    # Guards against a process that a change of its settings ends while it
+    # starts.
+    async def test_reload_during_a_start_ends_no_process(
+        self, vms: vm_fleet.VmFleet, tmp_path: pathlib.Path
+    ) -> None:
+        starting = await start_process(vms, tmp_path)
+        await self.wait_listening(vms)
+        assert not starting.has_logged("started")
+        starting.process.send_signal(signal.SIGHUP)
+        assert (await vms.send("vm-1", "/read/1"))[0] == 200
+        await fleet.wait_for(lambda: starting.has_logged("reloaded"))
+        await starting.stop()
+
+    # Guards against a stop that closes the connections of early callers.
+    async def test_stop_during_a_start_answers_early_callers(
+        self, vms: vm_fleet.VmFleet, tmp_path: pathlib.Path
+    ) -> None:
+        starting = await start_process(vms, tmp_path)
+        await self.wait_listening(vms)
+        request = asyncio.create_task(vms.send("vm-1", "/read/1"))
+        await asyncio.sleep(0.01)
+        assert not starting.has_logged("started")
+        starting.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(10):
+            status, _, fields = await request
+            # A slow machine may start too late to serve it.
+            assert status in (200, 503)
+            assert fields["Connection"] == "close"
+            assert await starting.process.wait() == 0
+        await starting.stop()
+        assert starting.has_logged("stopped")
+
+    # Guards against a request that is cut since signals arrive during a stop.
+    async def test_repeated_signals_do_not_shorten_a_stop(
+        self, vms: vm_fleet.VmFleet, vm_process: VmProcess
+    ) -> None:
+        for target in vms.targets.values():
+            target.service_ms = 800
+        requests = [
+            asyncio.create_task(vms.send("vm-1", "/read/1")) for _ in range(3)
+        ]
+        await fleet.wait_for(
+            lambda: sum(len(t.runs) for t in vms.targets.values()) >= 3
+        )
+        for signal_number in (
+            signal.SIGHUP,
+            signal.SIGTERM,
+            signal.SIGHUP,
+            signal.SIGTERM,
+            signal.SIGINT,
+        ):
+            vm_process.process.send_signal(signal_number)
+            await asyncio.sleep(0.05)
+        assert [(await task)[0] for task in requests] == [200] * 3
+        assert await vm_process.process.wait() == 0
+        await vm_process.stop()
+        (line,) = (x for x in vm_process.lines if x["event"] == "stopped")
+        assert line["cut"] == 0
+
+
 class TestStartupGate:
     """Requests arrive before the first configuration is loaded."""
 
--- a/wigeonspool/process.py
+++ b/wigeonspool/process.py
@@ -2,8 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
-import signal
 import socket
+import time
 from typing import Final
 
 from aiohttp import web
@@ -11,6 +11,7 @@
 import mode
 import uvloop
 
+from wigeonspool import early_signals
 from wigeonspool import listen_sockets
 
 EXIT_INVALID_SETTINGS: Final = 2
@@ -88,7 +89,14 @@
 
 
 class DrainableService(mode.Service):
-    """A service that finishes its work before it stops."""
+    """A service that finishes its work before it stops.
+
+    Attributes:
+        stop_requested_at: When a signal to stop arrived, on the clock of the
+            event loop in seconds, or None.
+    """
+
+    stop_requested_at: float | None = None
 
     async def drain(self) -> None:
         """Finishes work in flight; called once, on a signal, before `stop`."""
@@ -97,26 +105,46 @@
         """Applies changed settings; called at each SIGHUP."""
 
 
-async def _run_until_stopped(service: DrainableService) -> None:
+async def _run_until_stopped(
+    service: DrainableService, early: early_signals.EarlySignals | None
+) -> None:
     """Runs a service until it stops by itself, or until SIGTERM or SIGINT.
 
     These signals drain the service and then stop it; SIGHUP reloads its
-    settings.
+    settings. Signals that arrive before the service has started take effect
+    then.
     """
     loop = asyncio.get_running_loop()
     stop_requested = asyncio.Event()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop_requested.set)
+    started = asyncio.Event()
     reloads: set[asyncio.Task[None]] = set()
 
-    def reload() -> None:
+    def request_stop(age_seconds: float = 0.0) -> None:
+        """Records the time of the first signal to stop."""
+        if not stop_requested.is_set():
+            service.stop_requested_at = loop.time() - age_seconds
+            stop_requested.set()
+
+    async def reload() -> None:
+        """Reloads the settings once the service has started."""
+        await started.wait()
+        await service.reload()
+
+    def request_reload() -> None:
         """Starts a reload and holds a reference to its task until it ends."""
-        task = loop.create_task(service.reload())
+        task = loop.create_task(reload())
         reloads.add(task)
         task.add_done_callback(reloads.discard)
 
-    loop.add_signal_handler(signal.SIGHUP, reload)
+    for signal_number in early_signals.STOP_SIGNALS:
+        loop.add_signal_handler(signal_number, request_stop)
+    loop.add_signal_handler(early_signals.RELOAD_SIGNAL, request_reload)
+    if early is not None and early.stop_requested_at is not None:
+        request_stop(time.monotonic() - early.stop_requested_at)
+    if early is not None and early.reload_requested:
+        request_reload()
     await service.start()
+    started.set()
     stopped = loop.create_task(service.wait_until_stopped())
     stop_signal = loop.create_task(stop_requested.wait())
     await asyncio.wait(
@@ -130,6 +158,13 @@
     stop_signal.cancel()
 
 
-def run_service(service: DrainableService) -> None:
-    """Runs a service on a new event loop until it has stopped."""
-    uvloop.run(_run_until_stopped(service))
+def run_service(
+    service: DrainableService, early: early_signals.EarlySignals | None = None
+) -> None:
+    """Runs a service on a new event loop until it has stopped.
+
+    Args:
+        service: The service.
+        early: Signals that arrived before, or None if none were recorded.
+    """
+    uvloop.run(_run_until_stopped(service, early))
--- a/wigeonspool/vm/main.py
+++ b/wigeonspool/vm/main.py
@@ -7,25 +7,31 @@
 import gc
 import sys
 
+from wigeonspool import early_signals
 from wigeonspool import listen_sockets
 from wigeonspool.platform import ports
 
 
 def main() -> None:
     """Entry point of the binary."""
+    signals = early_signals.EarlySignals()
     # Objects created by loading modules are never garbage, so collections
     # during the start are useless; `VmService.on_start` enables them again.
     gc.disable()
-    run(listen_sockets.ListenSockets(ports.list_ports()))
+    run(listen_sockets.ListenSockets(ports.list_ports()), signals)
 
 
-def run(listeners: listen_sockets.ListenSockets) -> None:
+def run(
+    listeners: listen_sockets.ListenSockets,
+    signals: early_signals.EarlySignals | None = None,
+) -> None:
     """Loads the libraries and runs the process on open ports.
 
     Exits if the settings are invalid.
 
     Args:
         listeners: Sockets that listen already.
+        signals: Signals that arrived before, if they were recorded.
     """
     # Imported here, after the ports are open, because the imports take longer
     # than all other steps of a start.
@@ -42,7 +48,9 @@
         print(error, file=sys.stderr)
         sys.exit(process.EXIT_INVALID_SETTINGS)
     writer = structured_log.configure(vm_settings.vm)
-    process.run_service(service.VmService(vm_settings, path, writer, listeners))
+    process.run_service(
+        service.VmService(vm_settings, path, writer, listeners), signals
+    )
 
 
 if __name__ == "__main__":
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -451,8 +451,10 @@
         No connection reads another request after that.
         """
         loop = asyncio.get_running_loop()
+        requested_at = self.stop_requested_at
         schedule = drain_policy.build_schedule(
-            loop.time(), self._settings.bounds.grace_seconds
+            loop.time() if requested_at is None else requested_at,
+            self._settings.bounds.grace_seconds,
         )
         self._address_service.draining = True
         self._feeder.close()
