Test stops and changes in each state of a request

Fixed-step tests for requests that arrive, wait, run or are being answered when a stop begins, for changes of the configuration and of targets while a request runs, and for kept connections.

--- a/tests/test_vm_lost_requests.py
+++ b/tests/test_vm_lost_requests.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Iterator
 import contextlib
+import json
 import socket
 from typing import Any
 
@@ -19,6 +20,7 @@
 from tests import fleet
 from tests import vm_fleet
 from wigeonspool.core import cluster_state
+from wigeonspool.gateway import streaming
 from wigeonspool.model import fleet as fleet_model
 from wigeonspool.vm import caller_server
 from wigeonspool.vm import request_context
@@ -742,3 +744,297 @@
         may_go_on.set()
         await asyncio.sleep(0.05)
         assert len(sender.attempts) == 1
+
+
+class RawCaller:
+    """A connection to a VM on which a test writes bytes as it likes."""
+
+    def __init__(self, vms: vm_fleet.VmFleet) -> None:
+        self._vms = vms
+        self.reader: asyncio.StreamReader
+        self.writer: asyncio.StreamWriter
+
+    async def open(self) -> None:
+        host, _, port = self._vms.settings["vm-1"].callers.rpartition(":")
+        self.reader, self.writer = await asyncio.open_connection(
+            host, int(port)
+        )
+
+    async def read_response(self) -> tuple[int, bytes]:
+        """Returns the status and the body of the next response."""
+        async with asyncio.timeout(10.0):
+            head = await self.reader.readuntil(b"\r\n\r\n")
+            length = 0
+            for line in head.lower().split(b"\r\n"):
+                if line.startswith(b"content-length: "):
+                    length = int(line.partition(b" ")[2])
+            body = await self.reader.readexactly(length)
+        return int(head.split(b" ")[1]), body
+
+
+def build_head(
+    method: str, path: str, attempt: str, length: int | None = 0, more: str = ""
+) -> bytes:
+    """Returns the head of a request with a long time limit."""
+    if length is not None:
+        more = f"Content-Length: {length}\r\n{more}"
+    return (
+        f"{method} {path} HTTP/1.1\r\nHost: {vm_fleet.HOST}\r\n"
+        f"X-Attempt-Id: {attempt}\r\nX-Timeout-Remaining: 8000\r\n"
+        f"{more}\r\n"
+    ).encode()
+
+
+class TestStopInEachState:
+    """SIGTERM reaches a VM while a request is in one of its states."""
+
+    grace_seconds = 2.0
+    pause_seconds = 0.3
+
+    async def start(
+        self, vms: vm_fleet.VmFleet
+    ) -> tuple[service.VmService, RawCaller]:
+        vm = await vms.start_vm("vm-1", grace_seconds=self.grace_seconds)
+        caller = RawCaller(vms)
+        await caller.open()
+        return vm, caller
+
+    async def stop(
+        self, vms: vm_fleet.VmFleet, drain_task: asyncio.Task[None]
+    ) -> None:
+        await drain_task
+        await vms.kill_vm("vm-1")
+
+    # Guards against a request that is cut since it arrived in part.
+    @pytest.mark.parametrize("split_at", [20, -5])
+    async def test_request_that_arrives_is_served(
+        self, vms: vm_fleet.VmFleet, split_at: int
+    ) -> None:
+        vm, caller = await self.start(vms)
+        data = build_head("POST", "/write/1", "one", len(BODY)) + BODY
+        caller.writer.write(data[:split_at])
+        await asyncio.sleep(0.05)
+        drain_task = asyncio.create_task(vm.drain())
+        await asyncio.sleep(self.pause_seconds)
+        caller.writer.write(data[split_at:])
+        status, _ = await caller.read_response()
+        assert status == 200
+        assert len(vms.find_targets_that_ran("one")) == 1
+        await self.stop(vms, drain_task)
+
+    # Guards against a waiting request that is refused although a target
+    # becomes free in time.
+    async def test_request_that_waits_is_served(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm, caller = await self.start(vms)
+        vms.set_faults("t-3", "t-4", mute=True)
+        caller.writer.write(build_head("POST", "/write/1", "one"))
+        await fleet.wait_for(lambda: vm._caller_service.in_flight == 1)
+        drain_task = asyncio.create_task(vm.drain())
+        await asyncio.sleep(self.pause_seconds)
+        vms.set_faults("t-3", "t-4", mute=False)
+        status, _ = await caller.read_response()
+        assert status == 200
+        await self.stop(vms, drain_task)
+
+    # Guards against a running request that is cut as soon as ports close.
+    async def test_request_that_runs_is_served(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm, caller = await self.start(vms)
+        for target in vms.targets.values():
+            target.service_ms = 1300
+        caller.writer.write(build_head("POST", "/write/1", "one"))
+        await fleet.wait_for(lambda: vms.find_targets_that_ran("one"))
+        drain_task = asyncio.create_task(vm.drain())
+        status, _ = await caller.read_response()
+        assert status == 200
+        await self.stop(vms, drain_task)
+
+    # Guards against a long answer that ends early.
+    async def test_long_answer_is_passed_on(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm, caller = await self.start(vms)
+        body = bytes(range(256)) * 16 * 1024
+        for target in vms.targets.values():
+            target.body = body
+        caller.writer.write(build_head("GET", "/read/1", "one"))
+        await fleet.wait_for(lambda: vms.find_targets_that_ran("one"))
+        drain_task = asyncio.create_task(vm.drain())
+        await asyncio.sleep(2 * self.pause_seconds)
+        assert await caller.read_response() == (200, body)
+        await self.stop(vms, drain_task)
+
+
+class TestChangesUnderWay:
+    """A change of the cluster state ends no request that is under way."""
+
+    async def start(
+        self, vms: vm_fleet.VmFleet
+    ) -> tuple[service.VmService, asyncio.Task[Any]]:
+        """Starts a VM and a request that runs for a while."""
+        vm = await vms.start_vm("vm-1")
+        for target in vms.targets.values():
+            target.service_ms = 1200
+        task = asyncio.create_task(
+            vms.send("vm-1", "/write/1", "POST", attempt="one")
+        )
+        await fleet.wait_for(lambda: vms.find_targets_that_ran("one"))
+        return vm, task
+
+    async def check(
+        self, vms: vm_fleet.VmFleet, task: asyncio.Task[Any]
+    ) -> None:
+        assert not task.done()
+        status, _, _ = await task
+        assert status == 200
+        assert len(vms.find_targets_that_ran("one")) == 1
+
+    # Guards against a request that is cut with its rule.
+    async def test_rule_is_dropped(self, vms: vm_fleet.VmFleet) -> None:
+        vm, task = await self.start(vms)
+        version = await vms.configure(vms.build_default_rules()[:1])
+        cluster = vm._cluster
+        await fleet.wait_for(
+            lambda: (
+                cluster.configuration
+                and (cluster.configuration.version == version)
+            )
+        )
+        assert (await vms.send("vm-1", "/write/2", "POST"))[0] == 404
+        await self.check(vms, task)
+
+    # Guards against a request that is cut as its rule moves to a service.
+    async def test_rule_moves(self, vms: vm_fleet.VmFleet) -> None:
+        vm, task = await self.start(vms)
+        rules = [
+            vm_fleet.build_rule("write", "/write/", "unsafe", Service="reads")
+        ]
+        version = await vms.configure(rules)
+        cluster = vm._cluster
+        await fleet.wait_for(
+            lambda: (
+                cluster.configuration
+                and (cluster.configuration.version == version)
+            )
+        )
+        await self.check(vms, task)
+
+    # Guards against a request that is cut since its target leaves.
+    async def test_target_drains(self, vms: vm_fleet.VmFleet) -> None:
+        vm, task = await self.start(vms)
+        (identity,) = vms.find_targets_that_ran("one")
+        await vms.register(identity, "draining")
+        rows = vm._cluster.targets
+        await fleet.wait_for(
+            lambda: rows[identity].entry.state.value == "draining"
+        )
+        await self.check(vms, task)
+
+    # Guards against a request that is cut since the entry of its target is
+    # removed, and when it is written again.
+    async def test_entry_is_removed_and_comes_back(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm, task = await self.start(vms)
+        (identity,) = vms.find_targets_that_ran("one")
+        targets = vm._cluster.targets
+        await vms.store.put(f"servers/{identity}", None)
+        await fleet.wait_for(lambda: identity not in targets)
+        await vms.register(identity)
+        await fleet.wait_for(lambda: identity in targets)
+        await self.check(vms, task)
+        for target in vms.targets.values():
+            target.service_ms = 5
+        for number in range(4):
+            status, _, _ = await vms.send("vm-1", f"/write/{number}", "POST")
+            assert status == 200
+
+    # Guards against requests that are cut by new limits of a configuration.
+    async def test_limits_change(self, vms: vm_fleet.VmFleet) -> None:
+        vm, task = await self.start(vms)
+        vms.version += 3
+        document = vm_fleet.build_configuration(
+            vms.version, vms.build_default_rules(), header_timeout="50ms"
+        )
+        document["Limits"]["IdleTimeout"] = "50ms"
+        await vms.store.put("op/config", json.dumps(document).encode())
+        await vms.wait_ready("vm-1")
+        await self.check(vms, task)
+        assert vm._caller_service.error_count == 0
+
+
+class TestKeptConnections:
+    """Each request on a kept connection gets a response."""
+
+    # Guards against a request that is read and never answered since an
+    # earlier one on its connection offered to change the protocol.
+    async def test_request_after_an_offer_to_upgrade_is_answered(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await vms.start_vm("vm-1")
+        caller = RawCaller(vms)
+        await caller.open()
+        offer = "Connection: Upgrade\r\nUpgrade: websocket\r\n"
+        caller.writer.write(
+            build_head("GET", "/read/1", "one", None, more=offer)
+        )
+        head = await caller.reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(ANSWER)
+        if b"connection: close" in head.lower():
+            return
+        caller.writer.write(build_head("GET", "/read/1", "two"))
+        await caller.reader.readexactly(len(b"t-1"))
+        status, _ = await caller.read_response()
+        assert status == 200
+
+    # Guards against requests that are lost if several arrive at once.
+    async def test_pipelined_requests_are_answered_in_order(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await vms.start_vm("vm-1")
+        caller = RawCaller(vms)
+        await caller.open()
+        count = 20
+        caller.writer.write(
+            b"".join(
+                build_head("GET", "/read/1", f"a-{number}")
+                for number in range(count)
+            )
+        )
+        for number in range(count):
+            status, body = await caller.read_response()
+            assert status == 200
+            assert [body.decode()] == vms.find_targets_that_ran(f"a-{number}")
+
+    # Guards against an error within a long answer that looks complete, or
+    # leaves no trace.
+    async def test_error_within_a_long_answer_resets_the_connection(
+        self,
+        vms: vm_fleet.VmFleet,
+        log_lines: list[dict[str, Any]],
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        for target in vms.targets.values():
+            target.body = b"x" * 2_000_000
+
+        async def break_off(
+            source: Any, response: web.StreamResponse, deadline: float
+        ) -> None:
+            await response.write(b"x" * 1000)
+            fail()
+
+        monkeypatch.setattr(streaming, "_copy_body", break_off)
+        caller = RawCaller(vms)
+        await caller.open()
+        caller.writer.write(build_head("GET", "/read/1", "one"))
+        with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+            await caller.read_response()
+        await fleet.wait_for(lambda: vm._caller_service.error_count == 1)
+        (line,) = (
+            line for line in log_lines if line["event"] == "a request failed"
+        )
+        assert (line["request"], line["not_run"]) == ("one", False)
