--- a/tests/test_vm_lost_requests.py
+++ b/tests/test_vm_lost_requests.py
@@ -20,6 +20,7 @@
 from tests import fleet
 from tests import vm_fleet
 from wigeonspool.core import cluster_state
+from wigeonspool.core import drain_policy
 from wigeonspool.gateway import streaming
 from wigeonspool.model import fleet as fleet_model
 from wigeonspool.vm import caller_server
@@ -745,6 +746,34 @@
         await asyncio.sleep(0.05)
         assert len(sender.attempts) == 1
 
+    # Guards against a second attempt that starts when the process is about to
+    # end.
+    async def test_no_second_attempt_is_sent_at_the_end_of_a_stop(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        for target in vms.targets.values():
+            target.service_ms = 60
+        for number in range(3):
+            await vms.send("vm-1", f"/read/{number}")
+        sender = ScriptedSender()
+        vm._request_runner.replace_sender(sender)
+        task = asyncio.create_task(vms.send("vm-1", "/read/1"))
+        await fleet.wait_for(lambda: len(sender.attempts) == 1)
+        now = asyncio.get_running_loop().time()
+        # Nothing that takes 60 ms may start any more.
+        schedule = drain_policy.DrainSchedule(now, now, now, now + 0.03)
+        vm._caller_service.begin_drain(schedule)
+        await asyncio.sleep(0.5)
+        assert len(sender.attempts) == 1
+        assert sender.cancelled == 0
+        sender.attempts[0].set_result(
+            request_context.AttemptResult(
+                request_context.AttemptOutcome.ANSWERED, 200
+            )
+        )
+        assert (await task)[0] == 200
+
 
 class RawCaller:
     """A connection to a VM on which a test writes bytes as it likes."""
