Bound what is buffered of a response and of those before it

What callers saw: a response without a length was buffered until it ended, whatever its size; one without an end filled the memory of the process until the deadline of its request. So did the body of a foreign response, and foreign or informational responses without end held the request until its deadline.

Cause: the body of a response without a Content-Length, and that of a foreign response, were read with `read()`, which lifts the limit at which the library stops reading from the connection.

A body is buffered up to 1 MiB. A longer one of a success is streamed, and what ends by a reset or an invalid chunk resets the caller's connection too; a longer one of a failure is dropped, as before for those with a length. At most 32 responses, each of at most 1 MiB, may precede a response.

--- a/tests/test_target_answers.py
+++ b/tests/test_target_answers.py
@@ -5,7 +5,9 @@
 import contextlib
 import json
 import socket
+import tracemalloc
 
+import aiohttp
 import pytest
 import pytest_asyncio
 
@@ -39,6 +41,7 @@
         identity: Identity of the target.
         script: Answers a request.
         health: Answers a health check, which is given by its number.
+        after_health: Writes further data after the answer to a health check.
         greeting: Bytes that it writes on each new connection.
         attempts: Attempts that it received, in order.
         connections: Number of accepted connections.
@@ -50,6 +53,9 @@
         self.address = fleet.reserve_address()
         self.script: Script = self._run
         self.health: Callable[[int], bytes] = self.build_health
+        self.after_health: Callable[[asyncio.StreamWriter], Awaitable[None]] = (
+            asyncio.StreamWriter.drain
+        )
         self.greeting = b""
         self.attempts: list[str] = []
         self.health_checks = 0
@@ -99,7 +105,7 @@
         if head.startswith("GET /health "):
             self.health_checks += 1
             writer.write(self.health(self.health_checks))
-            await writer.drain()
+            await self.after_health(writer)
             return
         attempt = fields.get("x-attempt-id", "")
         self.attempts.append(attempt)
@@ -617,3 +623,145 @@
         target.script = answer
         status, body = await bench.send("unsafe", "one")
         assert (status, body) == (502, b"connection-lost")
+
+
+def write_endlessly(head: bytes, block: bytes) -> Script:
+    """Returns a script that writes blocks until the connection closes."""
+
+    async def answer(
+        attempt: str, number: int, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(head.replace(b"{}", attempt.encode()))
+        while True:
+            writer.write(block)
+            await writer.drain()
+
+    return answer
+
+
+MEGABYTE = 1024 * 1024
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+UNFRAMED = b"HTTP/1.1 200 OK\r\n"
+FOREIGN = b"X-Attempt-Id: other\r\nX-Response-Seal: seal\r\n\r\n"
+CHUNK = b"1000\r\n" + b"x" * 4096 + b"\r\n"
+# Most that the buffers of this process hold of one response: those of the
+# parser, of the body, and of the connection to the caller.
+MAX_HELD_BYTES = 8 * MEGABYTE
+
+
+class TestResponsesWithoutEnd:
+    # Guards against memory and time without bound: a response never ended.
+    @pytest.mark.parametrize(
+        ("head", "block"),
+        [
+            (b"HTTP/1.1 200 ", b"x" * 4096),
+            (b"HTTP/1.1 200 OK\r\nX-A: ", b"x" * 4096),
+            (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n" * 512),
+            (b"", b"x" * 4096),
+            (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
+            (b"", b"HTTP/1.1 103 Hints\r\nX-A: b\r\n\r\n" * 100),
+            (b"", build_refusal(X_Attempt_Id="other") * 100),
+            (CHUNKED + FOREIGN, CHUNK),
+            (UNFRAMED + FOREIGN, b"x" * 4096),
+            (CHUNKED + SEALED + b"\r\n0\r\n", b"A: b\r\n" * 512),
+        ],
+        ids=[
+            "reason",
+            "field",
+            "fields",
+            "garbage",
+            "continue",
+            "hints",
+            "refusals",
+            "foreign-chunks",
+            "foreign-bytes",
+            "trailers",
+        ],
+    )
+    async def test_connection_is_closed_long_before_the_deadline(
+        self, bench: Bench, head: bytes, block: bytes
+    ) -> None:
+        (target,) = await bench.start()
+        target.script = write_endlessly(head, block)
+        tracemalloc.start()
+        try:
+            status, body = await bench.send("unsafe", "one", remaining="9000")
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert (status, body) == (502, b"connection-lost")
+        assert peak < 2 * MAX_HELD_BYTES
+        await fleet.wait_for(lambda: target.ended == 1)
+
+    # Guards against memory without bound: a body without a length was buffered
+    # until it ended.
+    @pytest.mark.parametrize(
+        ("head", "block"),
+        [(CHUNKED, CHUNK), (UNFRAMED, b"x" * 4096)],
+        ids=["chunks", "bytes"],
+    )
+    async def test_long_body_without_a_length_is_streamed(
+        self, bench: Bench, head: bytes, block: bytes
+    ) -> None:
+        (target,) = await bench.start()
+        blocks = 16 * MEGABYTE // 4096
+
+        async def answer(
+            attempt: str, number: int, writer: asyncio.StreamWriter
+        ) -> None:
+            fields = SEALED.replace(b"{}", attempt.encode())
+            writer.write(head + fields + b"\r\n")
+            for _ in range(blocks):
+                writer.write(block)
+                await writer.drain()
+            if head is CHUNKED:
+                writer.write(b"0\r\n\r\n")
+            writer.close()
+
+        target.script = answer
+        tracemalloc.start()
+        try:
+            url = f"http://{bench.vms.settings['vm-1'].callers}/unsafe/1"
+            fields = {"Host": vm_fleet.HOST, "X-Attempt-Id": "one"}
+            received = 0
+            async with bench.vms.session.post(url, headers=fields) as response:
+                assert response.status == 200
+                async for data in response.content.iter_any():
+                    received += len(data)
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert received == blocks * 4096
+        assert peak < MAX_HELD_BYTES
+
+    # Guards against MIXED: a long body that ended by a reset looked complete.
+    async def test_long_body_that_ends_by_a_reset_is_not_complete(
+        self, bench: Bench
+    ) -> None:
+        (target,) = await bench.start()
+
+        async def answer(
+            attempt: str, number: int, writer: asyncio.StreamWriter
+        ) -> None:
+            fields = SEALED.replace(b"{}", attempt.encode())
+            writer.write(UNFRAMED + fields + b"\r\n" + b"x" * 2 * MEGABYTE)
+            await writer.drain()
+            await asyncio.sleep(0.1)
+            targets.reset(writer)
+
+        target.script = answer
+        with contextlib.suppress(aiohttp.ClientError):
+            status, _ = await bench.send("unsafe", "one")
+            assert status == 502
+
+    # Guards against MIXED: a long body with an invalid chunk looked complete.
+    async def test_long_body_with_an_invalid_chunk_is_not_complete(
+        self, bench: Bench
+    ) -> None:
+        (target,) = await bench.start()
+        target.script = answer_with(
+            CHUNKED + SEALED + b"\r\n" + CHUNK * 512 + b"ZZ\r\n"
+        )
+        with contextlib.suppress(aiohttp.ClientError):
+            status, _ = await bench.send("unsafe", "one")
+            assert status == 502
--- a/wigeonspool/gateway/exchanges.py
+++ b/wigeonspool/gateway/exchanges.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, Final, Protocol
 
 import aiohttp
@@ -18,6 +18,10 @@
 HEAD: Final = "HEAD"
 # Requests of other methods declare an empty body with a Content-Length of 0.
 BODILESS_METHODS: Final = frozenset({"GET", HEAD, "OPTIONS", "TRACE"})
+# Informational and foreign responses that may precede a response.
+MAX_DISCARDED_RESPONSES: Final = 32
+# Longest body of a foreign response that is read in order to discard it.
+MAX_DISCARDED_BYTES: Final = 1024 * 1024
 MIN_FINAL_STATUS: Final = 200
 STATUS_SWITCHING: Final = 101
 
@@ -76,6 +80,8 @@
         headers: Header fields.
         content: Body as it arrives.
         content_length: Value of Content-Length, in bytes, or None.
+        read_chunk: Returns the next part of a body that is streamed, or b"" at
+            its end; raises a ClientError if the body is not complete.
     """
 
     __slots__ = (
@@ -85,6 +91,7 @@
         "content_length",
         "headers",
         "method",
+        "read_chunk",
         "reason",
         "status",
     )
@@ -114,6 +121,7 @@
         length = message.headers.get("Content-Length")
         self.content_length = None if length is None else int(length)
         self.content = content
+        self.read_chunk: Callable[[], Awaitable[bytes]] = content.readany
         self._connection: Connection | None = connection
         self._body_task = body_task
         content.on_eof(self.release)
@@ -243,10 +251,10 @@
     """Returns the head and body of the first accepted final response.
 
     Raises:
-        aiohttp.ClientError: If the connection ended or the response is not
-            valid HTTP.
+        aiohttp.ClientError: If the connection ended, the response is not valid
+            HTTP, or too much precedes it.
     """
-    while True:
+    for _ in range(MAX_DISCARDED_RESPONSES + 1):
         try:
             message, content = await protocol.read()
         except http.HttpProcessingError as error:
@@ -256,4 +264,36 @@
             continue
         if accept(message):
             return message, content
-        await content.read()
+        _, complete = await read_limited(content, MAX_DISCARDED_BYTES)
+        if not complete:
+            raise aiohttp.ClientPayloadError(
+                f"foreign response of more than {MAX_DISCARDED_BYTES} bytes"
+            )
+    raise aiohttp.ClientPayloadError(
+        f"more than {MAX_DISCARDED_RESPONSES} responses precede the response"
+    )
+
+
+async def read_limited(
+    content: aiohttp.StreamReader, max_bytes: int
+) -> tuple[bytes, bool]:
+    """Reads a body until it ends or exceeds a limit.
+
+    Args:
+        content: Body.
+        max_bytes: Limit in bytes; the last read may exceed it by the size of
+            the library's buffer.
+
+    Returns:
+        What was read, and True if that is the complete body.
+
+    Raises:
+        aiohttp.ClientError: If the body is not valid HTTP or was cut off.
+    """
+    body = bytearray()
+    while len(body) <= max_bytes:
+        chunk = await content.readany()
+        if not chunk:
+            return bytes(body), True
+        body += chunk
+    return bytes(body), False
--- a/wigeonspool/gateway/streaming.py
+++ b/wigeonspool/gateway/streaming.py
@@ -107,7 +107,7 @@
     loop = asyncio.get_running_loop()
     while True:
         try:
-            chunk = await source.content.readany()
+            chunk = await source.read_chunk()
         except (aiohttp.ClientError, OSError) as error:
             if isinstance(error, TimeoutError):
                 raise
--- a/wigeonspool/vm/attempts.py
+++ b/wigeonspool/vm/attempts.py
@@ -1,6 +1,7 @@
 """Sends one attempt over a probed connection and classifies its response."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 import re
 from typing import Final
 
@@ -127,26 +128,25 @@
             channel.protocol.force_close()
         fields = headers.list_end_to_end(response.headers)
         length = response.content_length
-        if length is not None and length > MAX_BUFFERED_BYTES:
-            if response_class is protocols.ResponseClass.ANSWERED:
-                return request_context.AttemptResult(
-                    request_context.AttemptOutcome.ANSWERED,
-                    response.status,
-                    fields,
-                    stream=response,
-                )
+        body, is_complete = b"", False
+        if length is None or length <= MAX_BUFFERED_BYTES:
+            body, is_complete = await exchanges.read_limited(
+                response.content, MAX_BUFFERED_BYTES
+            )
+        if is_complete:
+            _check_ending(response, channel)
+            response.release()
+            return _build_result(response_class, response.status, fields, body)
+        if response_class is not protocols.ResponseClass.ANSWERED:
             response.close()
             return _build_result(response_class, response.status, fields, b"")
-        body = await response.content.read()
-        # A body without framing ends with the connection, so only a clean close
-        # shows that the body is complete.
-        has_no_framing = length is None and not is_chunked(response)
-        if has_no_framing and channel.was_reset:
-            raise aiohttp.ClientPayloadError(
-                "connection reset before the end of the response body"
-            )
-        response.release()
-        return _build_result(response_class, response.status, fields, body)
+        response.read_chunk = _stream_body(response, channel, body)
+        return request_context.AttemptResult(
+            request_context.AttemptOutcome.ANSWERED,
+            response.status,
+            fields,
+            stream=response,
+        )
 
 
 async def _find_channel(
@@ -194,6 +194,47 @@
             )
 
 
+def _check_ending(
+    response: exchanges.TargetResponse, channel: channels.Channel
+) -> None:
+    """Checks that the end of a body is not just that of its connection.
+
+    A body without framing ends with the connection, so only a clean close
+    shows that the body is complete.
+
+    Raises:
+        ClientPayloadError: If the connection was reset.
+    """
+    has_framing = response.content_length is not None or is_chunked(response)
+    if not has_framing and channel.was_reset:
+        raise aiohttp.ClientPayloadError(
+            "connection reset before the end of the response body"
+        )
+
+
+def _stream_body(
+    response: exchanges.TargetResponse, channel: channels.Channel, start: bytes
+) -> Callable[[], Awaitable[bytes]]:
+    """Returns the function that reads the parts of a long body.
+
+    Args:
+        response: Response whose body is too long to buffer.
+        channel: Its connection.
+        start: What was read of the body.
+    """
+
+    async def read_chunk() -> bytes:
+        nonlocal start
+        chunk, start = start, b""
+        if not chunk:
+            chunk = await response.content.readany()
+        if not chunk:
+            _check_ending(response, channel)
+        return chunk
+
+    return read_chunk
+
+
 def is_chunked(response: exchanges.TargetResponse) -> bool:
     """Returns True if a response uses the chunked transfer coding."""
     return "chunked" in response.headers.get("Transfer-Encoding", "").lower()
