Close a connection on which data makes no progress

What callers saw: a target that wrote line breaks without end before a head, or an endless size or extension of a chunk, held the request until its deadline, which ended with a 504 and without a retry.

Cause: the parser skips or reads over such data without keeping it, so none of its limits applies.

Evidence: the cases newlines, extension and chunk-size of TestResponsesWithoutEnd got 504 before and get 502 at once now.

A connection fails after 512 KiB that complete neither a head nor a part of a body.

--- a/tests/test_target_answers.py
+++ b/tests/test_target_answers.py
@@ -654,6 +654,7 @@
     @pytest.mark.parametrize(
         ("head", "block"),
         [
+            (b"", b"\r\n" * 4096),
             (b"HTTP/1.1 200 ", b"x" * 4096),
             (b"HTTP/1.1 200 OK\r\nX-A: ", b"x" * 4096),
             (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n" * 512),
@@ -663,9 +664,12 @@
             (b"", build_refusal(X_Attempt_Id="other") * 100),
             (CHUNKED + FOREIGN, CHUNK),
             (UNFRAMED + FOREIGN, b"x" * 4096),
+            (CHUNKED + SEALED + b"\r\n5;", b"x" * 4096),
+            (CHUNKED + SEALED + b"\r\n", b"0" * 4096),
             (CHUNKED + SEALED + b"\r\n0\r\n", b"A: b\r\n" * 512),
         ],
         ids=[
+            "newlines",
             "reason",
             "field",
             "fields",
@@ -675,6 +679,8 @@
             "refusals",
             "foreign-chunks",
             "foreign-bytes",
+            "extension",
+            "chunk-size",
             "trailers",
         ],
     )
--- a/wigeonspool/vm/channels.py
+++ b/wigeonspool/vm/channels.py
@@ -29,6 +29,9 @@
 CONNECT_TIMEOUT_SECONDS: Final = 0.4
 MAX_IDLE_PER_TARGET: Final = 8
 MAX_KEEP_ALIVE_DIGITS: Final = 6
+# Most data in a row that completes neither a head nor a part of a body. The
+# parser bounds what it keeps of such data, but not how much may come.
+MAX_UNPRODUCTIVE_BYTES: Final = 512 * 1024
 # The form in which the kernel returns a number of bytes.
 C_INT: Final = struct.Struct("i")
 
@@ -59,6 +62,7 @@
         self.was_reset = False
         self.response_due = False
         self._on_unsolicited = on_unsolicited
+        self._unproductive_bytes = 0
 
     def begin_exchange(self) -> bool:
         """Makes a response due; returns False if the connection is unusable.
@@ -71,6 +75,7 @@
         if count_unread_bytes(self.transport):
             return False
         self.response_due = True
+        self._unproductive_bytes = 0
         return True
 
     def end_exchange(self) -> None:
@@ -81,12 +86,35 @@
     def data_received(self, data: bytes) -> None:
         """Passes data to the parser; closes if no response is due."""
         if self.response_due:
+            body, progress = self._payload, self._measure_progress()
             super().data_received(data)
+            if self._payload is body and self._measure_progress() == progress:
+                self._limit_unproductive_data(len(data))
+            else:
+                self._unproductive_bytes = 0
             self._fail_body()
             self._reject_unsolicited_responses()
         elif data:
             self._reject()
 
+    def _measure_progress(self) -> tuple[int, int]:
+        """Returns how many heads are queued, and the bytes of the body."""
+        body = self._payload
+        return len(self), 0 if body is None else body.total_bytes
+
+    def _limit_unproductive_data(self, size: int) -> None:
+        """Fails the exchange if too much data has made no progress."""
+        self._unproductive_bytes += size
+        if self._unproductive_bytes > MAX_UNPRODUCTIVE_BYTES:
+            count = self._unproductive_bytes
+            self.set_exception(
+                aiohttp.ClientPayloadError(
+                    f"{count} bytes are no part of a response"
+                )
+            )
+            if self.transport is not None:
+                self.transport.abort()
+
     def _fail_body(self) -> None:
         """Ends the wait for a body if the parser failed in the middle of it."""
         error = self.exception()
