Bound the body of a response to a health check

What callers saw: nothing in the tests. Within the 50 ms of one health check, a target could make this process buffer what it managed to send.

Cause: the body was read with `read()`, which buffers without a limit.

More than 64 KiB of a body end the health check and close its connection.

--- a/tests/test_target_answers.py
+++ b/tests/test_target_answers.py
@@ -771,3 +771,41 @@
         with contextlib.suppress(aiohttp.ClientError):
             status, _ = await bench.send("unsafe", "one")
             assert status == 502
+
+    # Guards against memory without bound at health checks.
+    @pytest.mark.parametrize(
+        ("head", "block"),
+        [
+            (b"", b"\r\n" * 4096),
+            (CHUNKED + b"X-Instance-Load: 0,0,4\r\n\r\n", CHUNK),
+            (CHUNKED + b"\r\n", CHUNK),
+            (
+                UNFRAMED + b"Content-Length: 1000000000000000000\r\n\r\n",
+                b"x" * 4096,
+            ),
+        ],
+        ids=["newlines", "chunks", "no-load", "length"],
+    )
+    async def test_endless_response_to_a_health_check_is_cut_off(
+        self, bench: Bench, head: bytes, block: bytes
+    ) -> None:
+        (target,) = await bench.start()
+        written = 0
+
+        def answer_health(number: int) -> bytes:
+            return head
+
+        async def write(writer: asyncio.StreamWriter) -> None:
+            nonlocal written
+            with contextlib.suppress(OSError):
+                while not writer.is_closing():
+                    writer.write(block)
+                    written += len(block)
+                    await writer.drain()
+
+        target.health = answer_health
+        target.after_health = write
+        status, _ = await bench.send("unsafe", "one", remaining="100")
+        assert status == 503
+        assert target.attempts == []
+        assert written < MAX_HELD_BYTES * target.connections
--- a/wigeonspool/vm/target_probes.py
+++ b/wigeonspool/vm/target_probes.py
@@ -18,6 +18,7 @@
 from wigeonspool.core import estimates
 from wigeonspool.core import last_slots
 from wigeonspool.core import waiting_policy
+from wigeonspool.gateway import exchanges
 from wigeonspool.model import fleet
 from wigeonspool.model import protocols
 from wigeonspool.vm import channels
@@ -30,6 +31,8 @@
 REMOTE_TIMEOUT_SECONDS: Final = 0.15
 # Time that the other targets have to reply after the first one has replied.
 EXTRA_WAIT_SECONDS: Final = 0.004
+# Longest body of a response to a health check, which needs none.
+MAX_BODY_BYTES: Final = 64 * 1024
 # Path for services that are not configured yet, as the documentation of the
 # platform shows it.
 DEFAULT_HEALTH_PATH: Final = "/health"
@@ -336,7 +339,11 @@
         try:
             while True:
                 message, content = await protocol.read()
-                await content.read()
+                _, complete = await exchanges.read_limited(
+                    content, MAX_BODY_BYTES
+                )
+                if not complete:
+                    return None
                 report = self._protocol_adapter.read_load_report(
                     message.code, message.headers
                 )
