Accept no transfer coding but chunked from a target

What callers saw: a response with "Transfer-Encoding: chunked, gzip" or "xchunked" that ended by a reset looked complete, with status 200 and the bytes that had arrived.

Cause: the field was searched for "chunked". The parser does not unframe such a body and reads it up to the end of the connection, and the check for a reset was left out, since the body seemed to have a framing.

Any other coding leaves the outcome unknown: a body that is still encoded is not that of the target.

--- a/tests/test_target_answers.py
+++ b/tests/test_target_answers.py
@@ -809,3 +809,37 @@
         assert status == 503
         assert target.attempts == []
         assert written < MAX_HELD_BYTES * target.connections
+
+
+class TestTransferCodings:
+    # Guards against MIXED: a body that ended by a reset looked complete, since
+    # it named the chunked coding without being framed by it.
+    @pytest.mark.parametrize(
+        "coding", [b"chunked, gzip", b"xchunked", b"gzip", b"identity"]
+    )
+    async def test_other_coding_than_chunked_leaves_the_outcome_unknown(
+        self, bench: Bench, coding: bytes
+    ) -> None:
+        (target,) = await bench.start()
+
+        async def answer(
+            attempt: str, number: int, writer: asyncio.StreamWriter
+        ) -> None:
+            fields = SEALED.replace(b"{}", attempt.encode())
+            fields += b"Transfer-Encoding: " + coding + b"\r\n"
+            writer.write(UNFRAMED + fields + b"\r\n3\r\nran\r\n")
+            await asyncio.sleep(0.05)
+            targets.reset(writer)
+
+        target.script = answer
+        assert (await bench.send("unsafe", "one"))[0] == 502
+
+    async def test_coding_in_another_letter_case_is_read(
+        self, bench: Bench
+    ) -> None:
+        (target,) = await bench.start()
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n"
+        target.script = answer_with(
+            head + SEALED + b"\r\n3\r\nran\r\n0\r\n\r\n"
+        )
+        assert await bench.send("unsafe", "one") == (200, b"ran")
--- a/wigeonspool/vm/attempts.py
+++ b/wigeonspool/vm/attempts.py
@@ -187,6 +187,11 @@
         raise aiohttp.ClientPayloadError(
             f"status {response.status} is not that of a final response"
         )
+    codings = response.headers.getall("Transfer-Encoding", [])
+    if codings and not is_chunked(response):
+        raise aiohttp.ClientPayloadError(
+            f"transfer codings {codings} are not supported"
+        )
     for name, value in response.headers.items():
         if FORBIDDEN_CHARACTERS.search(name + value):
             raise aiohttp.ClientPayloadError(
@@ -236,8 +241,9 @@
 
 
 def is_chunked(response: exchanges.TargetResponse) -> bool:
-    """Returns True if a response uses the chunked transfer coding."""
-    return "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    """Returns True if a response uses the chunked transfer coding only."""
+    codings = response.headers.getall("Transfer-Encoding", [])
+    return [coding.strip().lower() for coding in codings] == ["chunked"]
 
 
 def _build_result(
