Keep a response that other bytes follow in the same packet

What callers saw: a target that wrote bytes which are no response right after a complete one made the request end with a 502, or not be sent at all if the response was that to a health check.

Cause: the parser raises an error for its whole input, and drops the responses that it had found in front of the invalid bytes.

Evidence: in TestBytesAfterResponses, six of eight cases got 503 before, and the one after a foreign response 502. All get 200 now.

The first heads of a packet are passed to the parser one at a time, so that a response is queued before the parser sees what follows it. The connection is closed after it, as before.

--- a/tests/test_target_answers.py
+++ b/tests/test_target_answers.py
@@ -811,6 +811,40 @@
         assert written < MAX_HELD_BYTES * target.connections
 
 
+class TestBytesAfterResponses:
+    # Guards against a lost answer: bytes that follow a complete response in the
+    # same packet made the parser drop the response.
+    @pytest.mark.parametrize("body", [b"", b"ran"], ids=["empty", "body"])
+    @pytest.mark.parametrize(
+        "extra", [b"\0\1\2", b"x" * 10_000, b"HTTP/1.1 2", b"0\r\n\r\n"]
+    )
+    async def test_complete_response_is_forwarded(
+        self, bench: Bench, body: bytes, extra: bytes
+    ) -> None:
+        (target,) = await bench.start()
+        target.health = lambda number: target.build_health(number) + extra
+        length = b"Content-Length: %d\r\n\r\n" % len(body)
+        target.script = answer_with(UNFRAMED + SEALED + length + body + extra)
+        for number in range(3):
+            result = await bench.send("unsafe", f"n-{number}")
+            assert result == (200, body)
+        assert len(target.attempts) == 3
+
+    async def test_response_after_a_foreign_one_is_forwarded(
+        self, bench: Bench
+    ) -> None:
+        (target,) = await bench.start()
+
+        async def answer(
+            attempt: str, number: int, writer: asyncio.StreamWriter
+        ) -> None:
+            refusal = build_refusal(X_Attempt_Id="earlier")
+            writer.write(refusal + build_answer(attempt) + b"\0\1\2")
+
+        target.script = answer
+        assert await bench.send("unsafe", "one") == (200, b"ran")
+
+
 class TestTransferCodings:
     # Guards against MIXED: a body that ended by a reset looked complete, since
     # it named the chunked coding without being framed by it.
--- a/wigeonspool/vm/channels.py
+++ b/wigeonspool/vm/channels.py
@@ -32,6 +32,10 @@
 # Most data in a row that completes neither a head nor a part of a body. The
 # parser bounds what it keeps of such data, but not how much may come.
 MAX_UNPRODUCTIVE_BYTES: Final = 512 * 1024
+# Heads in one packet that are parsed one at a time: those of a response, and of
+# some that belong to other requests.
+MAX_SEPARATE_HEADS: Final = 4
+HEAD_END: Final = b"\r\n\r\n"
 # The form in which the kernel returns a number of bytes.
 C_INT: Final = struct.Struct("i")
 
@@ -87,7 +91,7 @@
         """Passes data to the parser; closes if no response is due."""
         if self.response_due:
             body, progress = self._payload, self._measure_progress()
-            super().data_received(data)
+            self._parse(data)
             if self._payload is body and self._measure_progress() == progress:
                 self._limit_unproductive_data(len(data))
             else:
@@ -97,6 +101,26 @@
         elif data:
             self._reject()
 
+    def _parse(self, data: bytes) -> None:
+        """Passes data to the parser, a head apart from what follows it.
+
+        The parser returns nothing if any of its input is invalid. A response
+        must not get lost because of the bytes that follow it.
+        """
+        for _ in range(MAX_SEPARATE_HEADS):
+            if not data or not self._is_reading_head():
+                break
+            head, end, data = data.partition(HEAD_END)
+            super().data_received(head + end)
+            if not self.is_connected():
+                return
+        # The library also passes empty data, which resumes the parser.
+        super().data_received(data)
+
+    def _is_reading_head(self) -> bool:
+        """Returns True if no body is being read."""
+        return self._payload is None or self._payload.is_eof()
+
     def _measure_progress(self) -> tuple[int, int]:
         """Returns how many heads are queued, and the bytes of the body."""
         body = self._payload
