Add repeated, unnamed and endless responses to the stand-in target

`repeating` writes the last refusal on a connection once more before each response, `unnamed` leaves the attempt out of refusals, and `endless` sends a body that never ends.

TestFaultyStandins sends 160 requests that may run once while targets become full and free: none may run twice, and none that got a 503 may have run.

--- a/tests/test_target_answers.py
+++ b/tests/test_target_answers.py
@@ -877,3 +877,57 @@
             head + SEALED + b"\r\n3\r\nran\r\n0\r\n\r\n"
         )
         assert await bench.send("unsafe", "one") == (200, b"ran")
+
+
+class TestFaultyStandins:
+    """Requests to stand-ins that repeat refusals while they are full at times.
+
+    A 503 states that a request has not run and never will.
+    """
+
+    # Guards against REFUSED and TWICE.
+    @pytest.mark.parametrize("unnamed", [False, True])
+    async def test_refused_requests_did_not_run_and_no_other_ran_twice(
+        self, vms: vm_fleet.VmFleet, unnamed: bool
+    ) -> None:
+        await vms.start_vm("vm-1")
+        vms.set_faults(repeating=True, unnamed=unnamed)
+
+        async def alternate() -> None:
+            while True:
+                for identity in ("t-3", "t-4", "t-3"):
+                    full = vms.targets[identity].faults.full
+                    vms.set_faults(identity, full=not full)
+                    await asyncio.sleep(0.007)
+
+        async def send(caller: int) -> dict[str, int]:
+            statuses = {}
+            for number in range(40):
+                attempt = f"w-{caller}-{number}"
+                statuses[attempt], _, _ = await vms.send(
+                    "vm-1", "/write/1", "POST", attempt=attempt, data=b"x"
+                )
+            return statuses
+
+        alternating = asyncio.create_task(alternate())
+        results = await asyncio.gather(*(send(caller) for caller in range(4)))
+        alternating.cancel()
+        for statuses in results:
+            for attempt, status in statuses.items():
+                runs = len(vms.find_targets_that_ran(attempt))
+                assert runs <= 1, attempt
+                assert status != 503 or runs == 0, attempt
+        answered = [s for statuses in results for s in statuses.values()]
+        assert answered.count(200) >= 40
+
+    # Guards against a held request: a body without end was buffered until the
+    # deadline.
+    async def test_endless_body_never_looks_complete(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await vms.start_vm("vm-1")
+        vms.set_faults("t-3", "t-4", endless=True)
+        with pytest.raises(aiohttp.ClientError):
+            await vms.send("vm-1", "/write/1", "POST", attempt="one")
+        (target,) = vms.find_targets_that_ran("one")
+        assert target in ("t-3", "t-4")
--- a/wigeonspool/platform/standin/target.py
+++ b/wigeonspool/platform/standin/target.py
@@ -16,6 +16,7 @@
 BASELINE_PERCENT: Final = 100
 # SO_LINGER with a timeout of 0 s: closing the socket sends a reset.
 LINGER_RESET: Final = struct.pack("ii", 1, 0)
+ENDLESS_BLOCK: Final = bytes(65_536)
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,6 +39,10 @@
         reset_unframed: Like `unframed`, but resets the connection at the end.
         mute: Reads requests, including health checks, and never responds.
         crashing: Crashes when it has run a request.
+        repeating: Sends the last refusal on a connection once more before each
+            response.
+        unnamed: Leaves the identity of the attempt out of refusals.
+        endless: Sends response bodies that never end.
     """
 
     pace: int = BASELINE_PERCENT
@@ -52,6 +57,9 @@
     reset_unframed: bool = False
     mute: bool = False
     crashing: bool = False
+    repeating: bool = False
+    unnamed: bool = False
+    endless: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,6 +114,7 @@
         self._running = 0
         self._server: asyncio.Server | None = None
         self._open_writers: set[asyncio.StreamWriter] = set()
+        self._refusals: dict[asyncio.StreamWriter, bytes] = {}
 
     async def start(self, address: str) -> None:
         """Starts to listen on host:port."""
@@ -134,6 +143,7 @@
                     pass
         finally:
             self._open_writers.discard(writer)
+            self._refusals.pop(writer, None)
             writer.close()
 
     async def _serve_one(
@@ -160,16 +170,32 @@
         attempt = fields.get("x-attempt-id", "")
         if expected != self.identity or self.faults.full or not attempt:
             status = 421 if expected != self.identity else 503
-            header_fields = {"X-Not-Executed": "1", "X-Attempt-Id": attempt}
-            writer.write(build_response(status, header_fields, b""))
+            self._refuse(status, attempt, writer)
             return True
         remaining_ms = int(fields.get("x-timeout-remaining", "0"))
         self.runs.append(Run(attempt, method, path, body, remaining_ms))
         return await self._run(attempt, reader, writer)
 
+    def _refuse(
+        self, status: int, attempt: str, writer: asyncio.StreamWriter
+    ) -> None:
+        """Responds that a request was not run."""
+        header_fields = {"X-Not-Executed": "1", "X-Attempt-Id": attempt}
+        if self.faults.unnamed:
+            del header_fields["X-Attempt-Id"]
+        self._repeat_refusal(writer)
+        self._refusals[writer] = build_response(status, header_fields, b"")
+        writer.write(self._refusals[writer])
+
+    def _repeat_refusal(self, writer: asyncio.StreamWriter) -> None:
+        """Sends the last refusal on a connection again, as a fault."""
+        if self.faults.repeating:
+            writer.write(self._refusals.get(writer, b""))
+
     def _respond_health(self, writer: asyncio.StreamWriter) -> None:
         """Responds to a health check with the load and the health."""
         self.health_checks += 1
+        self._repeat_refusal(writer)
         load = f"{self._running},0,{self._slots},{self.faults.pace}"
         header_fields = {
             "X-Instance-Id": self.identity,
@@ -204,6 +230,9 @@
             disconnect.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await disconnect
+        self._repeat_refusal(writer)
+        if self.faults.endless:
+            await self._respond_endlessly(attempt, writer)
         return self._respond(attempt, writer)
 
     def _respond(self, attempt: str, writer: asyncio.StreamWriter) -> bool:
@@ -241,6 +270,23 @@
             writer.write(data)
         return True
 
+    async def _respond_endlessly(
+        self, attempt: str, writer: asyncio.StreamWriter
+    ) -> None:
+        """Sends a body without a length until the connection closes.
+
+        Raises:
+            OSError: When it has closed.
+        """
+        header_fields = {
+            "X-Attempt-Id": attempt,
+            "X-Response-Seal": f"seal-{attempt}",
+        }
+        writer.write(build_response(200, header_fields, b"", framed=False))
+        while True:
+            writer.write(ENDLESS_BLOCK)
+            await writer.drain()
+
     def _end_unframed(self, writer: asyncio.StreamWriter) -> bool:
         """Ends a response without a length; returns False."""
         if self.faults.reset_unframed:
