--- a/tests/test_target_answers.py
+++ b/tests/test_target_answers.py
@@ -5,7 +5,9 @@
 import contextlib
 import json
 import socket
+import tracemalloc
 
+import aiohttp
 import pytest
 import pytest_asyncio
 
@@ -39,6 +41,7 @@
         identity: Identity of the target.
         script: Answers a request.
         health: Answers a health check, which is given by its number.
+        after_health: Writes further data after the answer to a health check.
         greeting: Bytes that it writes on each new connection.
         attempts: Attempts that it received, in order.
         connections: Number of accepted connections.
@@ -50,6 +53,9 @@
         self.address = fleet.reserve_address()
         self.script: Script = self._run
         self.health: Callable[[int], bytes] = self.build_health
+        self.after_health: Callable[[asyncio.StreamWriter], Awaitable[None]] = (
+            asyncio.StreamWriter.drain
+        )
         self.greeting = b""
         self.attempts: list[str] = []
         self.health_checks = 0
@@ -99,7 +105,7 @@
         if head.startswith("GET /health "):
             self.health_checks += 1
             writer.write(self.health(self.health_checks))
-            await writer.drain()
+            await self.after_health(writer)
             return
         attempt = fields.get("x-attempt-id", "")
         self.attempts.append(attempt)
@@ -617,3 +623,311 @@
         target.script = answer
         status, body = await bench.send("unsafe", "one")
         assert (status, body) == (502, b"connection-lost")
+
+
+def write_endlessly(head: bytes, block: bytes) -> Script:
+    """Returns a script that writes blocks until the connection closes."""
+
+    async def answer(
+        attempt: str, number: int, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(head.replace(b"{}", attempt.encode()))
+        while True:
+            writer.write(block)
+            await writer.drain()
+
+    return answer
+
+
+MEGABYTE = 1024 * 1024
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+UNFRAMED = b"HTTP/1.1 200 OK\r\n"
+FOREIGN = b"X-Attempt-Id: other\r\nX-Response-Seal: seal\r\n\r\n"
+CHUNK = b"1000\r\n" + b"x" * 4096 + b"\r\n"
+# Most that the buffers of this process hold of one response: those of the
+# parser, of the body, and of the connection to the caller.
+MAX_HELD_BYTES = 8 * MEGABYTE
+
+
+class TestResponsesWithoutEnd:
+    # Guards against memory and time without bound: a response never ended.
+    @pytest.mark.parametrize(
+        ("head", "block"),
+        [
+            (b"", b"\r\n" * 4096),
+            (b"HTTP/1.1 200 ", b"x" * 4096),
+            (b"HTTP/1.1 200 OK\r\nX-A: ", b"x" * 4096),
+            (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n" * 512),
+            (b"", b"x" * 4096),
+            (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
+            (b"", b"HTTP/1.1 103 Hints\r\nX-A: b\r\n\r\n" * 100),
+            (b"", build_refusal(X_Attempt_Id="other") * 100),
+            (CHUNKED + FOREIGN, CHUNK),
+            (UNFRAMED + FOREIGN, b"x" * 4096),
+            (CHUNKED + SEALED + b"\r\n5;", b"x" * 4096),
+            (CHUNKED + SEALED + b"\r\n", b"0" * 4096),
+            (CHUNKED + SEALED + b"\r\n0\r\n", b"A: b\r\n" * 512),
+        ],
+        ids=[
+            "newlines",
+            "reason",
+            "field",
+            "fields",
+            "garbage",
+            "continue",
+            "hints",
+            "refusals",
+            "foreign-chunks",
+            "foreign-bytes",
+            "extension",
+            "chunk-size",
+            "trailers",
+        ],
+    )
+    async def test_connection_is_closed_long_before_the_deadline(
+        self, bench: Bench, head: bytes, block: bytes
+    ) -> None:
+        (target,) = await bench.start()
+        target.script = write_endlessly(head, block)
+        tracemalloc.start()
+        try:
+            status, body = await bench.send("unsafe", "one", remaining="9000")
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert (status, body) == (502, b"connection-lost")
+        assert peak < 2 * MAX_HELD_BYTES
+        await fleet.wait_for(lambda: target.ended == 1)
+
+    # Guards against memory without bound: a body without a length was buffered
+    # until it ended.
+    @pytest.mark.parametrize(
+        ("head", "block"),
+        [(CHUNKED, CHUNK), (UNFRAMED, b"x" * 4096)],
+        ids=["chunks", "bytes"],
+    )
+    async def test_long_body_without_a_length_is_streamed(
+        self, bench: Bench, head: bytes, block: bytes
+    ) -> None:
+        (target,) = await bench.start()
+        blocks = 16 * MEGABYTE // 4096
+
+        async def answer(
+            attempt: str, number: int, writer: asyncio.StreamWriter
+        ) -> None:
+            fields = SEALED.replace(b"{}", attempt.encode())
+            writer.write(head + fields + b"\r\n")
+            for _ in range(blocks):
+                writer.write(block)
+                await writer.drain()
+            if head is CHUNKED:
+                writer.write(b"0\r\n\r\n")
+            writer.close()
+
+        target.script = answer
+        tracemalloc.start()
+        try:
+            url = f"http://{bench.vms.settings['vm-1'].callers}/unsafe/1"
+            fields = {"Host": vm_fleet.HOST, "X-Attempt-Id": "one"}
+            received = 0
+            async with bench.vms.session.post(url, headers=fields) as response:
+                assert response.status == 200
+                async for data in response.content.iter_any():
+                    received += len(data)
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert received == blocks * 4096
+        assert peak < MAX_HELD_BYTES
+
+    # Guards against MIXED: a long body that ended by a reset looked complete.
+    async def test_long_body_that_ends_by_a_reset_is_not_complete(
+        self, bench: Bench
+    ) -> None:
+        (target,) = await bench.start()
+
+        async def answer(
+            attempt: str, number: int, writer: asyncio.StreamWriter
+        ) -> None:
+            fields = SEALED.replace(b"{}", attempt.encode())
+            writer.write(UNFRAMED + fields + b"\r\n" + b"x" * 2 * MEGABYTE)
+            await writer.drain()
+            await asyncio.sleep(0.1)
+            targets.reset(writer)
+
+        target.script = answer
+        with contextlib.suppress(aiohttp.ClientError):
+            status, _ = await bench.send("unsafe", "one")
+            assert status == 502
+
+    # Guards against MIXED: a long body with an invalid chunk looked complete.
+    async def test_long_body_with_an_invalid_chunk_is_not_complete(
+        self, bench: Bench
+    ) -> None:
+        (target,) = await bench.start()
+        target.script = answer_with(
+            CHUNKED + SEALED + b"\r\n" + CHUNK * 512 + b"ZZ\r\n"
+        )
+        with contextlib.suppress(aiohttp.ClientError):
+            status, _ = await bench.send("unsafe", "one")
+            assert status == 502
+
+    # Guards against memory without bound at health checks.
+    @pytest.mark.parametrize(
+        ("head", "block"),
+        [
+            (b"", b"\r\n" * 4096),
+            (CHUNKED + b"X-Instance-Load: 0,0,4\r\n\r\n", CHUNK),
+            (CHUNKED + b"\r\n", CHUNK),
+            (
+                UNFRAMED + b"Content-Length: 1000000000000000000\r\n\r\n",
+                b"x" * 4096,
+            ),
+        ],
+        ids=["newlines", "chunks", "no-load", "length"],
+    )
+    async def test_endless_response_to_a_health_check_is_cut_off(
+        self, bench: Bench, head: bytes, block: bytes
+    ) -> None:
+        (target,) = await bench.start()
+        written = 0
+
+        def answer_health(number: int) -> bytes:
+            return head
+
+        async def write(writer: asyncio.StreamWriter) -> None:
+            nonlocal written
+            with contextlib.suppress(OSError):
+                while not writer.is_closing():
+                    writer.write(block)
+                    written += len(block)
+                    await writer.drain()
+
+        target.health = answer_health
+        target.after_health = write
+        status, _ = await bench.send("unsafe", "one", remaining="100")
+        assert status == 503
+        assert target.attempts == []
+        assert written < MAX_HELD_BYTES * target.connections
+
+
+class TestBytesAfterResponses:
+    # Guards against a lost answer: bytes that follow a complete response in the
+    # same packet made the parser drop the response.
+    @pytest.mark.parametrize("body", [b"", b"ran"], ids=["empty", "body"])
+    @pytest.mark.parametrize(
+        "extra", [b"\0\1\2", b"x" * 10_000, b"HTTP/1.1 2", b"0\r\n\r\n"]
+    )
+    async def test_complete_response_is_forwarded(
+        self, bench: Bench, body: bytes, extra: bytes
+    ) -> None:
+        (target,) = await bench.start()
+        target.health = lambda number: target.build_health(number) + extra
+        length = b"Content-Length: %d\r\n\r\n" % len(body)
+        target.script = answer_with(UNFRAMED + SEALED + length + body + extra)
+        for number in range(3):
+            result = await bench.send("unsafe", f"n-{number}")
+            assert result == (200, body)
+        assert len(target.attempts) == 3
+
+    async def test_response_after_a_foreign_one_is_forwarded(
+        self, bench: Bench
+    ) -> None:
+        (target,) = await bench.start()
+
+        async def answer(
+            attempt: str, number: int, writer: asyncio.StreamWriter
+        ) -> None:
+            refusal = build_refusal(X_Attempt_Id="earlier")
+            writer.write(refusal + build_answer(attempt) + b"\0\1\2")
+
+        target.script = answer
+        assert await bench.send("unsafe", "one") == (200, b"ran")
+
+
+class TestTransferCodings:
+    # Guards against MIXED: a body that ended by a reset looked complete, since
+    # it named the chunked coding without being framed by it.
+    @pytest.mark.parametrize(
+        "coding", [b"chunked, gzip", b"xchunked", b"gzip", b"identity"]
+    )
+    async def test_other_coding_than_chunked_leaves_the_outcome_unknown(
+        self, bench: Bench, coding: bytes
+    ) -> None:
+        (target,) = await bench.start()
+
+        async def answer(
+            attempt: str, number: int, writer: asyncio.StreamWriter
+        ) -> None:
+            fields = SEALED.replace(b"{}", attempt.encode())
+            fields += b"Transfer-Encoding: " + coding + b"\r\n"
+            writer.write(UNFRAMED + fields + b"\r\n3\r\nran\r\n")
+            await asyncio.sleep(0.05)
+            targets.reset(writer)
+
+        target.script = answer
+        assert (await bench.send("unsafe", "one"))[0] == 502
+
+    async def test_coding_in_another_letter_case_is_read(
+        self, bench: Bench
+    ) -> None:
+        (target,) = await bench.start()
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n"
+        target.script = answer_with(
+            head + SEALED + b"\r\n3\r\nran\r\n0\r\n\r\n"
+        )
+        assert await bench.send("unsafe", "one") == (200, b"ran")
+
+
+class TestFaultyStandins:
+    """Requests to stand-ins that repeat refusals while they are full at times.
+
+    A 503 states that a request has not run and never will.
+    """
+
+    # Guards against REFUSED and TWICE.
+    @pytest.mark.parametrize("unnamed", [False, True])
+    async def test_refused_requests_did_not_run_and_no_other_ran_twice(
+        self, vms: vm_fleet.VmFleet, unnamed: bool
+    ) -> None:
+        await vms.start_vm("vm-1")
+        vms.set_faults(repeating=True, unnamed=unnamed)
+
+        async def alternate() -> None:
+            while True:
+                for identity in ("t-3", "t-4", "t-3"):
+                    full = vms.targets[identity].faults.full
+                    vms.set_faults(identity, full=not full)
+                    await asyncio.sleep(0.007)
+
+        async def send(caller: int) -> dict[str, int]:
+            statuses = {}
+            for number in range(40):
+                attempt = f"w-{caller}-{number}"
+                statuses[attempt], _, _ = await vms.send(
+                    "vm-1", "/write/1", "POST", attempt=attempt, data=b"x"
+                )
+            return statuses
+
+        alternating = asyncio.create_task(alternate())
+        results = await asyncio.gather(*(send(caller) for caller in range(4)))
+        alternating.cancel()
+        for statuses in results:
+            for attempt, status in statuses.items():
+                runs = len(vms.find_targets_that_ran(attempt))
+                assert runs <= 1, attempt
+                assert status != 503 or runs == 0, attempt
+        answered = [s for statuses in results for s in statuses.values()]
+        assert answered.count(200) >= 40
+
+    # Guards against a held request: a body without end was buffered until the
+    # deadline.
+    async def test_endless_body_never_looks_complete(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await vms.start_vm("vm-1")
+        vms.set_faults("t-3", "t-4", endless=True)
+        with pytest.raises(aiohttp.ClientError):
+            await vms.send("vm-1", "/write/1", "POST", attempt="one")
+        (target,) = vms.find_targets_that_ran("one")
+        assert target in ("t-3", "t-4")
--- a/wigeonspool/platform/standin/target.py
+++ b/wigeonspool/platform/standin/target.py
@@ -23,6 +23,7 @@
 HEALTH_PATH: Final = "/health"
 FAULTS_PATH: Final = "/faults"
 ARRIVALS_PATH: Final = "/arrivals"
+ENDLESS_BLOCK: Final = bytes(65_536)
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,6 +51,10 @@
         declining_seconds: Refuses all requests as not run and states that it
             wants none for so many seconds, or None to accept requests. Health
             checks are answered as usual.
+        repeating: Sends the last refusal on a connection once more before each
+            response.
+        unnamed: Leaves the identity of the attempt out of refusals.
+        endless: Sends response bodies that never end.
     """
 
     pace: int = BASELINE_PERCENT
@@ -66,6 +71,9 @@
     crashing: bool = False
     leaving: bool = False
     declining_seconds: float | None = None
+    repeating: bool = False
+    unnamed: bool = False
+    endless: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,6 +150,7 @@
         self._running = 0
         self._server: asyncio.Server | None = None
         self._open_writers: set[asyncio.StreamWriter] = set()
+        self._refusals: dict[asyncio.StreamWriter, bytes] = {}
 
     async def start(self, address: str) -> None:
         """Starts to listen on host:port."""
@@ -170,6 +179,7 @@
                     pass
         finally:
             self._open_writers.discard(writer)
+            self._refusals.pop(writer, None)
             writer.close()
 
     async def _serve_one(
@@ -231,7 +241,12 @@
         seconds = self.faults.declining_seconds
         if status == 503 and seconds is not None:
             header_fields["Retry-After"] = str(seconds)
-        writer.write(self._build_response(status, header_fields, b""))
+        if self.faults.unnamed:
+            del header_fields["X-Attempt-Id"]
+        self._repeat_refusal(writer)
+        refusal = self._build_response(status, header_fields, b"")
+        self._refusals[writer] = refusal
+        writer.write(refusal)
 
     def _build_response(
         self,
@@ -245,9 +260,15 @@
             header_fields = header_fields | {"Server-Leaving": "1"}
         return build_response(status, header_fields, body, framed)
 
+    def _repeat_refusal(self, writer: asyncio.StreamWriter) -> None:
+        """Sends the last refusal on a connection again, as a fault."""
+        if self.faults.repeating:
+            writer.write(self._refusals.get(writer, b""))
+
     def _respond_health(self, writer: asyncio.StreamWriter) -> None:
         """Responds to a health check with the load and the health."""
         self.health_checks += 1
+        self._repeat_refusal(writer)
         load = f"{self._running},0,{self._slots},{self.faults.pace}"
         header_fields = {
             "X-Instance-Id": self.identity,
@@ -281,6 +302,9 @@
             disconnect.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await disconnect
+        self._repeat_refusal(writer)
+        if self.faults.endless:
+            await self._respond_endlessly(attempt, writer)
         return self._respond(attempt, writer)
 
     def _respond(self, attempt: str, writer: asyncio.StreamWriter) -> bool:
@@ -317,6 +341,23 @@
             writer.write(data)
         return True
 
+    async def _respond_endlessly(
+        self, attempt: str, writer: asyncio.StreamWriter
+    ) -> None:
+        """Sends a body without a length until the connection closes.
+
+        Raises:
+            OSError: When it has closed.
+        """
+        header_fields = {
+            "X-Attempt-Id": attempt,
+            "X-Response-Seal": f"seal-{attempt}",
+        }
+        writer.write(build_response(200, header_fields, b"", framed=False))
+        while True:
+            writer.write(ENDLESS_BLOCK)
+            await writer.drain()
+
     def _end_unframed(self, writer: asyncio.StreamWriter) -> bool:
         """Ends a response without a length; returns False."""
         if self.faults.reset_unframed:
