Check for a notice of the target right before the write

An attempt for which a connection has to be opened first could still reach a target that had stated meanwhile that it leaves or wants no requests. The sender now checks right before it writes; a withheld attempt counts neither as sent nor as run. Without the check the new test saw the target run the request; it passes now.

A request that all targets had declined was charged for one more retry than it sent: the new test saw 2 of 4 tokens left instead of 3, and passes now.

A response with an attempt identity in place of a health check's is told by read_load_report, so that what it states is not taken for the target's word on its own behalf. The test for that used a target whose connections always differed; which target a request chose then was left to chance, so only the first three health checks do that now, and their number is checked too.

--- a/tests/test_vm_target_notices.py
+++ b/tests/test_vm_target_notices.py
@@ -159,14 +159,16 @@
 
         def respond_after_another(writer: asyncio.StreamWriter) -> None:
             fields = {"X-Attempt-Id": "other", "Server-Leaving": "1"}
-            writer.write(targets.build_response(200, fields, b""))
+            if target.health_checks < 3:
+                writer.write(targets.build_response(200, fields, b""))
             respond(writer)
 
         monkeypatch.setattr(target, "_respond_health", respond_after_another)
         vm = await vms.start_vm("vm-1")
         await send_many(vms, 30)
-        assert target.runs
+        assert vm._prober.counts.mismatched == 3
         assert vm._prober.notices.counts.leaving == 0
+        assert target.runs
 
     async def test_idle_connections_are_closed(
         self, vms: vm_fleet.VmFleet
@@ -240,6 +242,46 @@
         assert {(s, b) for s, b, _ in answers} == {(200, b"t-2")}
         assert not vms.targets["t-1"].runs
 
+    # Failure: a target that leaves while a connection for an attempt is opened
+    # still gets the request.
+    async def test_notice_is_checked_right_before_the_write(
+        self, vms: vm_fleet.VmFleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        notices = vm._prober.notices
+        sender = vm._request_runner._sender
+        send = sender.send
+        results = []
+
+        async def send_after_notice(context: Any, candidate: Any) -> Any:
+            if candidate.row.entry.identity == "t-1":
+                notice = protocols.TargetNotice(True, None, "")
+                notices.record(candidate.row.entry, "other", notice)
+            result = await send(context, candidate)
+            results.append((context.attempts_sent, result.outcome.value))
+            return result
+
+        monkeypatch.setattr(sender, "send", send_after_notice)
+        while not notices.counts.withheld:
+            assert (await vms.send("vm-1", "/read/1"))[:2] == (200, b"t-2")
+        assert not vms.targets["t-1"].runs
+        # A withheld attempt does not count against the limit of attempts.
+        assert results[-2:] == [(1, "withheld"), (1, "answered")]
+
+    # Failure: requests that all targets declined use up the retry budget.
+    async def test_no_retry_is_charged_once_all_targets_declined(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        vms.set_faults("t-3", "t-4", declining_seconds=1000.0)
+        budget = vm._request_runner._retry_budget
+        answer = await vms.send("vm-1", "/write/1", "POST", data=b"x")
+        tokens, _ = budget._tokens["writes"]
+        assert answer[1] == b"targets-decline"
+        assert vm._prober.notices.counts.declined == 2
+        # The second attempt was charged; a third one had no target.
+        assert tokens == pytest.approx(budget._burst - 1.0, abs=0.5)
+
 
 async def _serve_head(
     serve: Any,
--- a/wigeonspool/model/protocols.py
+++ b/wigeonspool/model/protocols.py
@@ -94,7 +94,8 @@
             target.
         classify_response: Returns what a status and header fields prove about
             the attempt with a given identity.
-        read_load_report: Reads the response to a health check.
+        read_load_report: Reads the response to a health check; None if it is
+            the response to a request.
         read_notice: Reads from the status and header fields of a response what
             the target states about itself.
         build_retry_headers: Returns the header fields that state after how
@@ -111,7 +112,7 @@
     read_request_metadata: Callable[[Headers], RequestMetadata]
     build_target_headers: Callable[[Headers, float, str], CIMultiDict[str]]
     classify_response: Callable[[int, Headers, str], ResponseClass]
-    read_load_report: Callable[[int, Headers], LoadReport]
+    read_load_report: Callable[[int, Headers], LoadReport | None]
     read_notice: Callable[[int, Headers], TargetNotice]
     build_retry_headers: Callable[[float], Mapping[str, str]]
     refusal_status: int
--- a/wigeonspool/platform/http_protocol.py
+++ b/wigeonspool/platform/http_protocol.py
@@ -47,6 +47,8 @@
 # A target that reports 0 percent would seem to need no time at all.
 MIN_SLOWDOWN: Final = 0.01
 MIN_LOAD_FIELDS: Final = 3
+# Longer numbers than this are no load that a target can have.
+MAX_LOAD_DIGITS: Final = 6
 MAX_REMAINING_TIME_DIGITS: Final = 9
 # Fields of a caller's request that are not forwarded: those of the connection,
 # and those that this system sets itself.
@@ -127,15 +129,24 @@
 
 def read_load_report(
     status: int, fields: protocols.Headers
-) -> protocols.LoadReport:
+) -> protocols.LoadReport | None:
     """Returns the load that a target reports in a health check response.
 
     A missing or malformed load field counts as a load without slots, and a
-    missing slowdown as 1.
+    missing slowdown as 1. Health checks have no attempt identity, so a
+    response with one belongs to a request, and the result is None.
     """
+    if fields.get(ATTEMPT_ID):
+        return None
     identity = fields.get(TARGET_ID, "")
     texts = fields.get(TARGET_LOAD, "").split(",")
-    numbers = [int(text) for text in texts if text.strip().isdecimal()]
+    numbers = [
+        int(text)
+        for text in texts
+        if text.isascii()
+        and text.strip().isdecimal()
+        and len(text.strip()) <= MAX_LOAD_DIGITS
+    ]
     healthy = status == STATUS_OK
     if len(numbers) != len(texts) or len(numbers) < MIN_LOAD_FIELDS:
         return protocols.LoadReport(identity, healthy, 0, 0, 0, 1.0)
--- a/wigeonspool/vm/attempts.py
+++ b/wigeonspool/vm/attempts.py
@@ -49,7 +49,8 @@
     ) -> request_context.AttemptResult:
         """Sends a request to a candidate and returns the result.
 
-        A connection that fails gives a result with an unknown outcome.
+        A connection that fails gives a result with an unknown outcome. The
+        attempt is withheld if the target wants no requests any more.
 
         The caller of this function bounds its time. If the call is cancelled,
         the connection is closed, which cancels the request at the target.
@@ -63,6 +64,11 @@
         fields["Host"] = request.headers.get("Host", "")
         channel = candidate.channel
         try:
+            if not self._notices.may_send(candidate.row.entry):
+                channel.close()
+                return request_context.AttemptResult(
+                    request_context.AttemptOutcome.WITHHELD
+                )
             response = await exchanges.send_request(
                 channel,
                 request.method,
--- a/wigeonspool/vm/metrics.py
+++ b/wigeonspool/vm/metrics.py
@@ -146,7 +146,9 @@
         HEALTH_CHECKS.set({"result": "answered"}, counts.answered)
         HEALTH_CHECKS.set({"result": "failed"}, counts.sent - counts.answered)
         CONNECTIONS.set({}, self._pool.connect_attempts)
-        MISMATCHED_RESPONSES.set({}, self._runner.mismatched_responses)
+        MISMATCHED_RESPONSES.set(
+            {}, self._runner.mismatched_responses + counts.mismatched
+        )
         STORE_CALLS.set({}, self._store.calls)
         STORE_FAILURES.set({}, self._store.failures)
         FOLLOWERS.set({}, len(self._feeder.subscribers))
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -204,6 +204,7 @@
         """
         row = candidate.row
         if not self._prober.notices.may_send(row.entry):
+            self._prober.release_candidates([candidate])
             return self._withhold(context, candidate)
         started_at = self._loop.time()
         estimates.record_reservation(row.health, started_at)
@@ -221,6 +222,10 @@
                 self._loop.time(), "no-answer", row.entry.identity, 0.0
             )
             raise
+        if result.outcome is request_context.AttemptOutcome.WITHHELD:
+            context.attempts_sent -= 1
+            context.possible_runs -= 1
+            return self._withhold(context, candidate)
         now = self._loop.time()
         context.record_step(now, result.outcome.value, row.entry.identity, 0.0)
         self._record_result(context, candidate, result, now - started_at)
@@ -231,12 +236,11 @@
         context: request_context.RequestContext,
         candidate: target_probes.Candidate,
     ) -> request_context.AttemptResult:
-        """Releases the connection of an attempt that must not be sent."""
+        """Records that an attempt must not be sent, and returns its result."""
         outcome = request_context.AttemptOutcome.WITHHELD
         identity = candidate.row.entry.identity
         context.record_step(self._loop.time(), outcome.value, identity, 0.0)
         self._prober.notices.counts.withheld += 1
-        self._prober.release_candidates([candidate])
         return request_context.AttemptResult(outcome)
 
     def _record_result(
@@ -329,6 +333,8 @@
         ):
             context.record_step(now, "no-time-to-repeat", "", 0.0)
             return False
+        if self._selector.is_wanted_too_late(context):
+            return False
         if not self._retry_budget.consume_token(context.service, now):
             context.record_step(now, "allowance-spent", "", 0.0)
             return False
--- a/wigeonspool/vm/target_probes.py
+++ b/wigeonspool/vm/target_probes.py
@@ -71,12 +71,15 @@
     Attributes:
         sent: Health checks sent.
         answered: Health checks with a valid response.
+        mismatched: Responses to requests that arrived in place of a response
+            to a health check.
         unresponsive_connections: Pooled connections that ended, or on which no
             usable response came in time.
     """
 
     sent: int = 0
     answered: int = 0
+    mismatched: int = 0
     unresponsive_connections: int = 0
 
 
@@ -400,12 +403,14 @@
                 report = self._protocol_adapter.read_load_report(
                     message.code, message.headers
                 )
-                # A response without a load report arrived late and belongs to
-                # an earlier request on this connection.
-                if report.slots or report.identity:
+                if report is not None and (report.slots or report.identity):
                     break
-                if not self.notices.may_send(row.entry):
+                if report is not None and not self.notices.may_send(row.entry):
                     break
+                # The response arrived late and belongs to an earlier request
+                # on this connection.
+                self.counts.mismatched += 1
+                protocol.force_close()
         except http.HttpProcessingError as error:
             raise aiohttp.ClientPayloadError(repr(error)) from error
         if not channels.record_keep_alive(channel, message.headers):
@@ -423,13 +428,7 @@
         report = self._protocol_adapter.read_load_report(
             message.code, message.headers
         )
-        response_class = self._protocol_adapter.classify_response(
-            message.code, message.headers, ""
-        )
-        if (
-            report.identity in ("", row.entry.identity)
-            and response_class is not protocols.ResponseClass.MISMATCHED
-        ):
+        if report is not None and report.identity in ("", row.entry.identity):
             self.notices.read(row.entry, "", message.code, message.headers)
 
     def _find_health_path(self, service: str) -> str:
--- a/wigeonspool/vm/target_selection.py
+++ b/wigeonspool/vm/target_selection.py
@@ -117,13 +117,13 @@
         context.record_step(now, "all-decline", "", 0.0)
         return context.build_failure(outcomes.Reason.TARGETS_DECLINE, retry_at)
 
-    def _is_wanted_too_late(
-        self, context: request_context.RequestContext, baseline_seconds: float
+    def is_wanted_too_late(
+        self, context: request_context.RequestContext
     ) -> bool:
         """Returns True if no target will want a request by its objective."""
         wanted_at = self._prober.find_wanted_at(context.service)
         return wanted_at is not None and waiting_policy.is_late(
-            wanted_at, baseline_seconds, context.objective_at
+            wanted_at, self.find_baseline(context), context.objective_at
         )
 
     def _build_selection(
@@ -207,7 +207,7 @@
             groups = self._prober.list_target_groups(
                 context.service, (), large_responses
             )
-        if not groups and self._is_wanted_too_late(context, baseline_seconds):
+        if not groups and self.is_wanted_too_late(context):
             return waiting_policy.Step.REFUSE, None
         if large_responses and len(groups) > 1:
             nearest_groups = groups[:1]
