--- a/wigeonspool/vm/target_notices.py
+++ b/wigeonspool/vm/target_notices.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 import dataclasses
 import datetime
+import math
 import time
 
 from wigeonspool.core import target_notices
@@ -143,7 +144,7 @@
                 "target declines requests",
                 target=entry.identity,
                 service=entry.service,
-                until=format_time(now, until),
+                until=self.format_time(until),
                 seconds=round(until - now, 3),
                 request=request,
             )
@@ -197,14 +198,10 @@
         else:
             channel.release()
 
-
-def format_time(now: float, at: float) -> str:
-    """Returns a time of the loop clock as UTC text for the log.
-
-    Args:
-        now: Current time of the loop clock.
-        at: The time, less than 10,000 years from now.
-    """
-    seconds = time.time() + at - now
-    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
-    return moment.isoformat(timespec="milliseconds")
+    def format_time(self, at: float) -> str:
+        """Returns a time of the loop clock as UTC text, or "" for infinity."""
+        if math.isinf(at):
+            return ""
+        seconds = time.time() + at - self._loop.time()
+        moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+        return moment.isoformat(timespec="milliseconds")
--- a/wigeonspool/vm/target_selection.py
+++ b/wigeonspool/vm/target_selection.py
@@ -9,6 +9,7 @@
 from wigeonspool.core import waiting_policy
 from wigeonspool.model import outcomes
 from wigeonspool.vm import request_context
+from wigeonspool.vm import structured_log
 from wigeonspool.vm import target_probes
 
 # Targets probed first for a request: if two thirds of the targets are fast, at
@@ -23,6 +24,8 @@
 # value.
 MAX_PROBES: Final = 30
 
+log = structured_log.get_logger("requests")
+
 
 class TargetSelector:
     """Selects targets for requests and schedules repeated health checks.
@@ -115,6 +118,13 @@
             now, wanted_at, self._prober.draw_fraction()
         )
         context.record_step(now, "all-decline", "", 0.0)
+        log.debug(
+            "no target wants the request",
+            request=context.identity,
+            service=context.service,
+            until=self._prober.notices.format_time(wanted_at),
+            retry_at=self._prober.notices.format_time(retry_at),
+        )
         return context.build_failure(outcomes.Reason.TARGETS_DECLINE, retry_at)
 
     def is_wanted_too_late(
@@ -275,6 +285,10 @@
             return step, best
         if best is not None:
             prober.release_candidates([best])
+        elif step is waiting_policy.Step.WAIT and self.is_wanted_too_late(
+            context
+        ):
+            return waiting_policy.Step.REFUSE, None
         return step, None
 
     def _decide(
