Close the connection over which a leaving target has responded

The connection was taken from the candidate, which need not be the one that the attempt used once attempts may open another one.

--- a/wigeonspool/vm/attempts.py
+++ b/wigeonspool/vm/attempts.py
@@ -79,7 +79,14 @@
                     message, context.identity
                 ),
             )
-            notice = self._read_notice(context, candidate, response)
+            notice = self._notices.read(
+                candidate.row.entry,
+                context.identity,
+                response.status,
+                response.headers,
+            )
+            if notice.leaving:
+                channel.protocol.force_close()
             result = await self._read_response(context, response, channel)
             result.declined = is_declined(notice, result.outcome)
             return result
@@ -92,26 +99,6 @@
             channel.close()
             raise
 
-    def _read_notice(
-        self,
-        context: request_context.RequestContext,
-        candidate: target_probes.Candidate,
-        response: exchanges.TargetResponse,
-    ) -> protocols.TargetNotice:
-        """Records what a target states about itself in the head of a response.
-
-        The connection to a target that leaves is closed after the response.
-        """
-        notice = self._notices.read(
-            candidate.row.entry,
-            context.identity,
-            response.status,
-            response.headers,
-        )
-        if notice.leaving:
-            candidate.channel.protocol.force_close()
-        return notice
-
     def _matches_attempt(
         self, message: http.RawResponseMessage, identity: str
     ) -> bool:
