Close connections that become idle after their target said it leaves

A connection that was opened to see whether a target crashed, or on which a health check was answered too late for its request, went back to the pool of a target that had stated meanwhile that it leaves, and stayed open for up to 8 s. Both new tests waited in vain for 3 s before and pass now: connections are put back with a look at the notices of their target. The limit of the test of idle connections is 3 s as well, below the time after which idle connections expire anyway.

--- a/tests/test_vm_target_notices.py
+++ b/tests/test_vm_target_notices.py
@@ -179,7 +179,46 @@
         assert target._open_writers
         vms.set_faults("t-1", leaving=True)
         await send_until_notice(vms)
-        await fleet.wait_for(lambda: not target._open_writers)
+        await fleet.wait_for(lambda: not target._open_writers, 3.0)
+
+    # Failure: a connection that was opened or used while the notice arrived
+    # stays open.
+    async def test_connections_that_become_idle_later_are_closed(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        row = vm._cluster.targets["t-1"]
+        late = await vm._prober.probe_targets([row])
+        notice = protocols.TargetNotice(True, None, "")
+        vm._prober.notices.record(row.entry, "other", notice)
+        assert await vm._prober.is_reachable(row.entry)
+        vm._prober.release_candidates(late)
+        target = vms.targets["t-1"]
+        await fleet.wait_for(lambda: not target._open_writers, 3.0)
+
+    # Failure: the connection of a target whose health check ended late stays
+    # open.
+    async def test_connection_of_a_late_candidate_is_closed(
+        self, vms: vm_fleet.VmFleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        prober = vm._prober
+        rows = [vm._cluster.targets[name] for name in ("t-1", "t-2")]
+        probe = prober._probe
+
+        async def probe_late(row: Any) -> Any:
+            candidate = await probe(row)
+            if row is rows[0]:
+                await asyncio.sleep(0.1)
+            return candidate
+
+        monkeypatch.setattr(prober, "_probe", probe_late)
+        prober.release_candidates(await prober.probe_targets(rows))
+        notice = protocols.TargetNotice(True, None, "")
+        prober.notices.record(rows[0].entry, "other", notice)
+        target = vms.targets["t-1"]
+        assert target._open_writers
+        await fleet.wait_for(lambda: not target._open_writers, 3.0)
 
     async def test_running_requests_end_as_they_are(
         self, vms: vm_fleet.VmFleet
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -292,7 +292,7 @@
     ) -> None:
         """Records and reports a crash if a target accepts no connection."""
         await asyncio.sleep(CRASH_CHECK_DELAY_SECONDS)
-        if await self._prober.is_reachable(entry.address):
+        if await self._prober.is_reachable(entry):
             return
         now = self._loop.time()
         self._cluster.suspects.record_crash(now, fingerprint, entry.identity)
--- a/wigeonspool/vm/target_probes.py
+++ b/wigeonspool/vm/target_probes.py
@@ -234,10 +234,10 @@
         except BaseException:
             self.release_candidates(candidates)
             for task in pending:
-                task.add_done_callback(_release_late)
+                task.add_done_callback(self._release_late)
             raise
         for task in pending:
-            task.add_done_callback(_release_late)
+            task.add_done_callback(self._release_late)
         candidates.sort(key=rank_candidate)
         return candidates
 
@@ -277,6 +277,18 @@
         for candidate in candidates:
             self.notices.put_back(candidate.row.entry, candidate.channel)
 
+    def _release_late(self, task: asyncio.Task[Candidate | None]) -> None:
+        """Releases the connection of a candidate that replied too late."""
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            log.opt(exception=error).error("a health check failed")
+            return
+        candidate = task.result()
+        if candidate is not None:
+            self.release_candidates([candidate])
+
     def drop_unwilling(self, candidates: list[Candidate]) -> list[Candidate]:
         """Returns the candidates that still want requests, in their order.
 
@@ -286,13 +298,13 @@
         self.release_candidates([c for c in candidates if c not in willing])
         return willing
 
-    async def is_reachable(self, address: str) -> bool:
+    async def is_reachable(self, entry: fleet.TargetEntry) -> bool:
         """Returns True if a target accepts a new connection."""
         try:
-            channel = await self._pool.open(address)
+            channel = await self._pool.open(entry.address)
         except OSError:
             return False
-        channel.release()
+        self.notices.put_back(entry, channel)
         return True
 
     async def _probe(self, row: cluster_state.TargetRow) -> Candidate | None:
@@ -493,16 +505,3 @@
 def rank_candidate(candidate: Candidate) -> tuple[bool, float]:
     """Returns the sort key of a candidate; the best one sorts first."""
     return candidate.estimate.full, candidate.estimate.cost
-
-
-def _release_late(task: asyncio.Task[Candidate | None]) -> None:
-    """Releases the connection of a candidate that replied too late."""
-    if task.cancelled():
-        return
-    error = task.exception()
-    if error is not None:
-        log.opt(exception=error).error("a health check failed")
-        return
-    candidate = task.result()
-    if candidate is not None:
-        candidate.channel.release()
