--- a/wigeonspool/vm/attempts.py
+++ b/wigeonspool/vm/attempts.py
@@ -55,7 +55,8 @@
     ) -> request_context.AttemptResult:
         """Sends a request to a candidate and returns the result.
 
-        A connection that fails gives a result with an unknown outcome.
+        A connection that fails gives a result with an unknown outcome. The
+        attempt is withheld if the target wants no requests any more.
 
         The caller of this function bounds its time. If the call is cancelled,
         the connection is closed, which cancels the request at the target.
@@ -66,12 +67,6 @@
             return request_context.AttemptResult(
                 request_context.AttemptOutcome.NOT_RUN, detail=repr(error)
             )
-        if not self._notices.may_send(candidate.row.entry):
-            # The target stated so while a connection was opened.
-            channel.close()
-            return request_context.AttemptResult(
-                request_context.AttemptOutcome.NOT_RUN, declined=True
-            )
         request = context.request
         fields = self._protocol_adapter.build_target_headers(
             request.headers,
@@ -80,6 +75,11 @@
         )
         fields["Host"] = request.headers.get("Host", "")
         try:
+            if not self._notices.may_send(candidate.row.entry):
+                channel.close()
+                return request_context.AttemptResult(
+                    request_context.AttemptOutcome.WITHHELD
+                )
             response = await exchanges.send_request(
                 channel,
                 request.method,
@@ -90,7 +90,14 @@
                     message, context.identity, channel
                 ),
             )
-            notice = self._read_notice(context, candidate, response)
+            notice = self._notices.read(
+                candidate.row.entry,
+                context.identity,
+                response.status,
+                response.headers,
+            )
+            if notice.leaving:
+                channel.protocol.force_close()
             result = await self._read_response(context, response, channel)
             result.declined = is_declined(notice, result.outcome)
             return result
@@ -103,26 +110,6 @@
             channel.close()
             raise
 
-    def _read_notice(
-        self,
-        context: request_context.RequestContext,
-        candidate: target_probes.Candidate,
-        response: exchanges.TargetResponse,
-    ) -> protocols.TargetNotice:
-        """Records what a target states about itself in the head of a response.
-
-        The connection to a target that leaves is closed after the response.
-        """
-        notice = self._notices.read(
-            candidate.row.entry,
-            context.identity,
-            response.status,
-            response.headers,
-        )
-        if notice.leaving:
-            candidate.channel.protocol.force_close()
-        return notice
-
     def _matches_attempt(
         self,
         message: http.RawResponseMessage,
