Test VMs in virtual time on targets that decline requests

The emulated targets state in their responses how long they want no requests, and the sender and the prober of the emulation pass that to the recorder that the real ones use. Probes keep to it as the real ones do.

--- a/wigeonspool/load/emulated_targets.py
+++ b/wigeonspool/load/emulated_targets.py
@@ -16,9 +16,11 @@
 
 from wigeonspool.core import cluster_state
 from wigeonspool.model import protocols
+from wigeonspool.vm import attempts
 from wigeonspool.vm import channels
 from wigeonspool.vm import locality
 from wigeonspool.vm import request_context
+from wigeonspool.vm import target_notices
 from wigeonspool.vm import target_probes
 
 ZONE = "zone-a"
@@ -162,9 +164,12 @@
             )
         return self._slowdown
 
-    def record_arrival(self, vm: str, health_check: bool) -> bool:
-        """Records a request or health check; returns True if it is declined.
+    def record_arrival(
+        self, vm: str, health_check: bool
+    ) -> protocols.TargetNotice:
+        """Records a request or health check; returns the target's notice.
 
+        A request is declined if the notice states a time without requests.
         Health checks are not declined.
 
         Args:
@@ -176,7 +181,8 @@
         is_time = begin <= now < begin + self._settings.decline_seconds
         declined = self._declines and is_time and not health_check
         self.arrivals.append(Arrival(now, vm, health_check, declined))
-        return declined
+        seconds = self._settings.retry_after if declined else None
+        return protocols.TargetNotice(False, seconds, "")
 
     async def run(
         self, service_seconds: float, deadline: float
@@ -255,7 +261,7 @@
         pool = channels.ChannelPool(asyncio.get_running_loop())
         vm_locality = locality.VmLocality(ZONE, ZONE, {ZONE: ZONE})
         protocol_adapter: Any = None
-        super().__init__(pool, cluster, protocol_adapter, vm_locality)
+        super().__init__(pool, cluster, protocol_adapter, vm_locality, vm)
         self._random = rng
         self._vm = vm
         self._targets = targets
@@ -266,13 +272,17 @@
     ) -> target_probes.Candidate | None:
         """Probes one target; an emulated target always replies.
 
+        Returns None if the target wants no requests, before or after its reply.
+
         The load is read after half of the round trip, as at a real target.
         """
+        if not self.notices.may_send(row.entry):
+            return None
         probed_at = self._loop.time()
         self.counts.sent += 1
         target = self._targets[row.entry.identity]
         await asyncio.sleep(self._settings.trip / 2)
-        target.record_arrival(self._vm, health_check=True)
+        notice = target.record_arrival(self._vm, health_check=True)
         report = protocols.LoadReport(
             row.entry.identity,
             True,
@@ -282,6 +292,9 @@
             target.read_slowdown(),
         )
         await asyncio.sleep(self._settings.trip / 2)
+        self.notices.record(row.entry, "", notice)
+        if not self.notices.may_send(row.entry):
+            return None
         channel = channels.Channel(
             self._pool, row.entry.address, channels.TargetProtocol(self._loop)
         )
@@ -304,6 +317,7 @@
         targets: dict[str, EmulatedTarget],
         settings: EmulationSettings,
         vm: str,
+        notices: target_notices.NoticeRecorder,
     ) -> None:
         """Creates a sender.
 
@@ -311,6 +325,7 @@
             targets: Emulated targets by identity.
             settings: Settings of the emulation.
             vm: Name of its VM.
+            notices: Records what targets state about themselves.
         """
         self.mismatched_responses = 0
         self.service_seconds: dict[str, float] = {}
@@ -318,6 +333,7 @@
         self._targets = targets
         self._settings = settings
         self._vm = vm
+        self._notices = notices
 
     async def send(
         self,
@@ -328,11 +344,15 @@
         target = self._targets[candidate.row.entry.identity]
         await asyncio.sleep(self._settings.trip / 2)
         outcome = request_context.AttemptOutcome.NOT_RUN
-        if not target.record_arrival(self._vm, health_check=False):
+        notice = target.record_arrival(self._vm, health_check=False)
+        if notice.retry_after_seconds is None:
             outcome = await target.run(
                 self.service_seconds[context.identity], context.deadline
             )
         if outcome is not request_context.AttemptOutcome.NOT_RUN:
             self.runs[context.identity] += 1
         await asyncio.sleep(self._settings.trip / 2)
-        return request_context.AttemptResult(outcome, 200)
+        self._notices.record(candidate.row.entry, context.identity, notice)
+        return request_context.AttemptResult(
+            outcome, 200, declined=attempts.is_declined(notice, outcome)
+        )
--- a/wigeonspool/load/emulation.py
+++ b/wigeonspool/load/emulation.py
@@ -179,7 +179,7 @@
             vm, cluster, prober, protocol_adapter
         )
         sender = emulated_targets.EmulatedSender(
-            self.targets, self._settings, f"vm-{index}"
+            self.targets, self._settings, f"vm-{index}", prober.notices
         )
         runner.replace_sender(sender)
         return runner, sender
