--- a/tests/test_vm_process.py
+++ b/tests/test_vm_process.py
@@ -16,6 +16,7 @@
 import pytest_asyncio
 
 from tests import fleet
+from tests import test_odd_entries
 from tests import vm_fleet
 from wigeonspool import listen_sockets
 from wigeonspool import process
@@ -215,6 +216,34 @@
         assert lost_step[1:3] == ["lost", vms.find_targets_that_ran("one")[0]]
         assert refusal_step[1] == "may-not-repeat"
 
+    async def test_odd_entries_do_not_end_the_process(
+        self, vms: vm_fleet.VmFleet, vm_process: VmProcess
+    ) -> None:
+        # Guards against LOST: the first nested entry ended the process, with
+        # exit code 0.
+        odd_entries = test_odd_entries.build_odd_entries()
+        for number, odd_entry in enumerate(odd_entries):
+            await vms.store.put(f"servers/odd-{number}", odd_entry)
+            assert (await vms.send("vm-1", "/read/1"))[0] == 200
+
+        def list_unreadable() -> list[str]:
+            return sorted(
+                line["key"]
+                for line in vm_process.lines
+                if line["event"] == "unreadable"
+            )
+
+        await fleet.wait_for(lambda: len(list_unreadable()) >= len(odd_entries))
+        assert list_unreadable() == sorted(
+            f"servers/odd-{number}" for number in range(len(odd_entries))
+        )
+        address = vms.settings["vm-1"].readiness
+        async with vms.session.get(f"http://{address}/metrics") as response:
+            metrics = await response.text()
+        count = f"wigeonspool_vm_unreadable_items_total {len(odd_entries)}"
+        assert count in metrics
+        assert vm_process.process.returncode is None
+
     async def test_invalid_settings_end_the_process_with_an_error(
         self, tmp_path: pathlib.Path
     ) -> None:
