Bound the size of a reply of the store and follow no redirect

A body without end was collected until the call timed out, and a redirect sent a call to another place. The first is a StoreReplyError beyond 16 MiB (a page has about 1 MB), the second a store that is unavailable.

Both tests of tests/test_metadata_store.py::TestBodies failed before.

--- a/tests/test_metadata_store.py
+++ b/tests/test_metadata_store.py
@@ -172,6 +172,50 @@
                 store_keys.decode_change(key, b"")
 
 
+class TestBodies:
+    async def test_reply_without_end_is_an_error_of_the_store(self) -> None:
+        # Such a reply filled the memory until the call timed out.
+        sent_bytes = 0
+
+        async def serve(request: web.BaseRequest) -> web.StreamResponse:
+            nonlocal sent_bytes
+            response = web.StreamResponse()
+            await response.prepare(request)
+            while True:
+                await response.write(b"x" * 65536)
+                sent_bytes += 65536
+
+        address = fleet.reserve_address()
+        host, _, port = address.rpartition(":")
+        runner = web.ServerRunner(web.Server(serve), shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port)).start()
+        client = metadata_store.MetadataStore(address)
+        with pytest.raises(errors.StoreReplyError):
+            await client.read_range("")
+        await client.close()
+        await runner.cleanup()
+        # Some more wait in the buffers of the sockets.
+        assert sent_bytes < 2 * metadata_store.MAX_REPLY_BYTES
+
+    async def test_redirect_is_an_unavailable_store(self) -> None:
+        async def serve(request: web.BaseRequest) -> web.StreamResponse:
+            if request.path == "/x":
+                return web.Response(body=b'{"AtRev": 3}')
+            return web.Response(status=302, headers={"Location": "/x"})
+
+        address = fleet.reserve_address()
+        host, _, port = address.rpartition(":")
+        runner = web.ServerRunner(web.Server(serve))
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port)).start()
+        client = metadata_store.MetadataStore(address)
+        with pytest.raises(errors.StoreUnavailableError, match="302"):
+            await client.read_range("")
+        await client.close()
+        await runner.cleanup()
+
+
 class TestPages:
     def build_follower(
         self, store: metadata_store.MetadataStore
--- a/wigeonspool/platform/metadata_store.py
+++ b/wigeonspool/platform/metadata_store.py
@@ -22,6 +22,8 @@
 STATUS_PRECONDITION_FAILED: Final = 412
 # A healthy store replies within milliseconds, a slow one within a few hundred.
 CALL_TIMEOUT_SECONDS: Final = 2.0
+# A page has at most about 1 MB.
+MAX_REPLY_BYTES: Final = 16 * 1024 * 1024
 # How much later than the end of its waiting time a watch may reply.
 WATCH_SLACK_SECONDS: Final = 1.0
 
@@ -287,6 +289,7 @@
         Raises:
             StoreUnavailableError: If no complete reply came in time, or its
                 status is not accepted.
+            StoreReplyError: If the reply exceeds `MAX_REPLY_BYTES`.
         """
         self.calls += 1
         body = None if document is None else msgspec.json.encode(document)
@@ -300,9 +303,13 @@
                 data=body,
                 headers=fields,
                 timeout=timeout,
+                allow_redirects=False,
             ) as response:
-                response_body = await response.read()
+                response_body = await _read_body(response, path)
                 status = response.status
+        except errors.StoreReplyError:
+            self.failures += 1
+            raise
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self.failures += 1
             raise errors.StoreUnavailableError(path, repr(error)) from error
@@ -312,6 +319,20 @@
         return status, response_body
 
 
+async def _read_body(response: aiohttp.ClientResponse, path: str) -> bytes:
+    """Returns the body of a reply.
+
+    Raises:
+        StoreReplyError: If the body exceeds `MAX_REPLY_BYTES`.
+    """
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > MAX_REPLY_BYTES:
+            raise errors.StoreReplyError(path, "the reply is too large")
+    return bytes(body)
+
+
 def _decode(body: bytes | msgspec.Raw, kind: Any) -> Any:
     """Decodes the body of a reply.
 
