--- a/wigeonspool/vm/target_probes.py
+++ b/wigeonspool/vm/target_probes.py
@@ -71,12 +71,15 @@
     Attributes:
         sent: Health checks sent.
         answered: Health checks with a valid response.
+        mismatched: Responses to requests that arrived in place of a response
+            to a health check.
         unresponsive_connections: Pooled connections that ended, or on which no
             usable response came in time.
     """
 
     sent: int = 0
     answered: int = 0
+    mismatched: int = 0
     unresponsive_connections: int = 0
 
 
@@ -231,10 +234,10 @@
         except BaseException:
             self.release_candidates(candidates)
             for task in pending:
-                task.add_done_callback(_release_late)
+                task.add_done_callback(self._release_late)
             raise
         for task in pending:
-            task.add_done_callback(_release_late)
+            task.add_done_callback(self._release_late)
         candidates.sort(key=rank_candidate)
         return candidates
 
@@ -274,6 +277,18 @@
         for candidate in candidates:
             self.notices.put_back(candidate.row.entry, candidate.channel)
 
+    def _release_late(self, task: asyncio.Task[Candidate | None]) -> None:
+        """Releases the connection of a candidate that replied too late."""
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            log.opt(exception=error).error("a health check failed")
+            return
+        candidate = task.result()
+        if candidate is not None:
+            self.release_candidates([candidate])
+
     def drop_unwilling(self, candidates: list[Candidate]) -> list[Candidate]:
         """Returns the candidates that still want requests, in their order.
 
@@ -283,13 +298,13 @@
         self.release_candidates([c for c in candidates if c not in willing])
         return willing
 
-    async def is_reachable(self, address: str) -> bool:
+    async def is_reachable(self, entry: fleet.TargetEntry) -> bool:
         """Returns True if a target accepts a new connection."""
         try:
-            channel = await self._pool.open(address)
+            channel = await self._pool.open(entry.address)
         except OSError:
             return False
-        channel.release()
+        self.notices.put_back(entry, channel)
         return True
 
     async def _probe(self, row: cluster_state.TargetRow) -> Candidate | None:
@@ -400,12 +415,14 @@
                 report = self._protocol_adapter.read_load_report(
                     message.code, message.headers
                 )
-                # A response without a load report arrived late and belongs to
-                # an earlier request on this connection.
-                if report.slots or report.identity:
+                if report is not None and (report.slots or report.identity):
                     break
-                if not self.notices.may_send(row.entry):
+                if report is not None and not self.notices.may_send(row.entry):
                     break
+                # The response arrived late and belongs to an earlier request
+                # on this connection.
+                self.counts.mismatched += 1
+                protocol.force_close()
         except http.HttpProcessingError as error:
             raise aiohttp.ClientPayloadError(repr(error)) from error
         if not channels.record_keep_alive(channel, message.headers):
@@ -423,13 +440,7 @@
         report = self._protocol_adapter.read_load_report(
             message.code, message.headers
         )
-        response_class = self._protocol_adapter.classify_response(
-            message.code, message.headers, ""
-        )
-        if (
-            report.identity in ("", row.entry.identity)
-            and response_class is not protocols.ResponseClass.MISMATCHED
-        ):
+        if report is not None and report.identity in ("", row.entry.identity):
             self.notices.read(row.entry, "", message.code, message.headers)
 
     def _find_health_path(self, service: str) -> str:
@@ -494,16 +505,3 @@
 def rank_candidate(candidate: Candidate) -> tuple[bool, float]:
     """Returns the sort key of a candidate; the best one sorts first."""
     return candidate.estimate.full, candidate.estimate.cost
-
-
-def _release_late(task: asyncio.Task[Candidate | None]) -> None:
-    """Releases the connection of a candidate that replied too late."""
-    if task.cancelled():
-        return
-    error = task.exception()
-    if error is not None:
-        log.opt(exception=error).error("a health check failed")
-        return
-    candidate = task.result()
-    if candidate is not None:
-        candidate.channel.release()
