Let targets of the soak leave and decline requests

The soak checks that a target that states that it leaves gets no request sent later than two seconds after, and that one that declines gets at most two of one VM. Both checks find violations planted into a history.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -31,6 +31,9 @@
 # Targets are given this long after a report before they end.
 DRAIN_SECONDS: Final = 2.0
 RELOAD_SECONDS: Final = 2.0
+REFUSAL_STATUSES: Final = frozenset({421, 503})
+# Shortest and longest time for which a target asks for no requests.
+DECLINED_SECONDS: Final = (0.2, 3.0)
 SETTLE_SECONDS: Final = 4.0
 CALM_SECONDS: Final = 2.0
 TARGET_FAULTS: Final[tuple[dict[str, Any], ...]] = (
@@ -94,6 +97,8 @@
             self._crash_target,
             self._drain_target,
             self._harm_target,
+            self._leave_target,
+            self._decline_requests,
             self._configure,
             self._write_odd_entry,
         )
@@ -176,16 +181,27 @@
                 for line in process.lines
                 if line.get("level") in ("ERROR", "CRITICAL")
             ]
-        for identity, target in self._world.targets.items():
-            for run in target.runs:
-                self.history.runs.setdefault(run.attempt, []).append(
-                    histories.Run(identity, run.method, run.path, run.body)
-                )
+        for target in self._world.targets.values():
+            self._collect(target)
         for pipe in self._pipes.values():
             await pipe.stop()
         await self._world.stop()
         return errors
 
+    def _collect(self, target: targets.PlatformTarget) -> None:
+        """Records what reached one start of a target."""
+        for run in target.runs:
+            self.history.runs.setdefault(run.attempt, []).append(
+                histories.Run(target.identity, run.method, run.path, run.body)
+            )
+        self.history.arrivals += [
+            histories.Arrival(
+                target.identity, a.at, a.attempt, a.status in REFUSAL_STATUSES
+            )
+            for a in target.arrivals
+            if a.attempt in self.history.attempts
+        ]
+
     async def _disturb(self, until: float) -> None:
         """Injects one disturbance after the other."""
         while self._loop.time() < until:
@@ -371,6 +387,40 @@
             self._world.targets[identity].faults = targets.TargetFaults()
             fault.ended_at = self._loop.time()
 
+    async def _leave_target(self) -> None:
+        """Lets a target state that it leaves, and starts it again later."""
+        with self._reserve(sorted(self._world.targets)) as identity:
+            if identity is None:
+                return
+            target = self._world.targets[identity]
+            started_at = self._loop.time()
+            target.faults.leaving = True
+            await asyncio.sleep(self._random.uniform(1.0, 2.0) * DRAIN_SECONDS)
+            self.history.notices.append(
+                histories.Notice(identity, started_at, self._loop.time(), None)
+            )
+            fault = self._record("end", identity)
+            successor = await self._world.replace_target(identity)
+            successor.service_ms = target.service_ms
+            self._collect(target)
+            fault.ended_at = self._loop.time()
+
+    async def _decline_requests(self) -> None:
+        """Lets a target decline requests for a while."""
+        with self._reserve(sorted(self._world.targets)) as identity:
+            if identity is None:
+                return
+            seconds = self._random.uniform(*DECLINED_SECONDS)
+            started_at = self._loop.time()
+            self._world.set_faults(identity, declining_seconds=seconds)
+            await asyncio.sleep(self._random.uniform(0.3, MAX_FAULT_SECONDS))
+            self._world.set_faults(identity, declining_seconds=None)
+            self.history.notices.append(
+                histories.Notice(
+                    identity, started_at, self._loop.time(), seconds
+                )
+            )
+
     async def _configure(self) -> None:
         """Writes a new configuration with the same rules."""
         self._world.version += 3
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -95,6 +95,41 @@
     body: bytes
 
 
+@dataclasses.dataclass(slots=True)
+class Arrival:
+    """An attempt that reached a target, also one that the target refused.
+
+    Attributes:
+        target: Identity of the target.
+        at: When it arrived.
+        attempt: Identity of the attempt.
+        refused: True if the target refused it.
+    """
+
+    target: str
+    at: float
+    attempt: str
+    refused: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Notice:
+    """A time in which a target states something in its responses.
+
+    Attributes:
+        target: Identity of the target.
+        started_at: When it began to state it.
+        ended_at: When it stopped, or when its process ended.
+        declined_seconds: For how long each refusal asks for no requests, or
+            None if the target states that it leaves.
+    """
+
+    target: str
+    started_at: float
+    ended_at: float
+    declined_seconds: float | None
+
+
 @dataclasses.dataclass(slots=True)
 class History:
     """Everything that the checks need.
@@ -103,6 +138,8 @@
         grace_seconds: Time from SIGTERM to SIGKILL.
         attempts: Attempts by identity.
         runs: Runs by identity of the attempt.
+        arrivals: Attempts that reached targets.
+        notices: What targets stated.
         disturbances: All faults and planned work.
         self_ended: VMs whose process ended without a signal, with its exit
             code.
@@ -112,6 +149,8 @@
     grace_seconds: float
     attempts: dict[str, Attempt] = dataclasses.field(default_factory=dict)
     runs: dict[str, list[Run]] = dataclasses.field(default_factory=dict)
+    arrivals: list[Arrival] = dataclasses.field(default_factory=list)
+    notices: list[Notice] = dataclasses.field(default_factory=list)
     disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
     self_ended: list[tuple[str, int]] = dataclasses.field(default_factory=list)
     calm_from: float = float("inf")
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -19,6 +19,12 @@
 FIRST_GRACE_FRACTION: Final = 1 / 2
 # Fraction of the requests that must succeed once all is calm.
 MIN_RECOVERED: Final = 0.25
+# A target that states that it leaves gets no request sent later than this.
+DRAIN_SECONDS: Final = 2.0
+# From this time after a refusal until its end, a target gets at most
+# `MAX_DECLINED` requests of one VM.
+DECLINE_SLACK_SECONDS: Final = 0.5
+MAX_DECLINED: Final = 2
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 SUCCESS: Final = range(200, 300)
 SERVER_ERRORS: Final = range(500, 600)
@@ -128,6 +134,58 @@
         yield f"RECOVER {served} of {len(calm)} requests were served"
 
 
+def check_leaving(history: histories.History) -> Iterator[str]:
+    """Yields requests that a VM sent to a target that leaves."""
+    for notice in history.notices:
+        if notice.declined_seconds is not None:
+            continue
+        for vm, arrivals in _group_arrivals(history, notice).items():
+            answered = [
+                history.attempts[a.attempt].ended_at
+                for a in arrivals
+                if history.attempts[a.attempt].sent_at >= notice.started_at
+                and history.attempts[a.attempt].sealed
+            ]
+            known_at = min(answered, default=float("inf"))
+            if history.list_disturbances(vm, known_at, notice.ended_at):
+                continue
+            for arrival in arrivals:
+                attempt = history.attempts[arrival.attempt]
+                if attempt.sent_at > known_at + DRAIN_SECONDS:
+                    yield f"DRAIN {describe(attempt)} ran at {notice.target}"
+
+
+def check_declines(history: histories.History) -> Iterator[str]:
+    """Yields targets that got requests which they had declined."""
+    for notice in history.notices:
+        if notice.declined_seconds is None:
+            continue
+        for vm, arrivals in _group_arrivals(history, notice).items():
+            for refused in (a.at for a in arrivals if a.refused):
+                end = refused + notice.declined_seconds
+                start = refused + DECLINE_SLACK_SECONDS
+                count = sum(start < a.at < end for a in arrivals)
+                disturbed = history.list_disturbances(vm, refused, end)
+                if count > MAX_DECLINED and not disturbed:
+                    yield f"BUDGET {vm} sent {count} to {notice.target}"
+
+
+def _group_arrivals(
+    history: histories.History, notice: histories.Notice
+) -> dict[str, list[histories.Arrival]]:
+    """Returns by VM what reached a target from the start of a notice on."""
+    groups: dict[str, list[histories.Arrival]] = {}
+    end = notice.ended_at + (notice.declined_seconds or 0.0)
+    for arrival in history.arrivals:
+        if (
+            arrival.target == notice.target
+            and notice.started_at <= arrival.at <= end
+        ):
+            vm = history.attempts[arrival.attempt].vm
+            groups.setdefault(vm, []).append(arrival)
+    return groups
+
+
 def list_runs(
     history: histories.History, attempt: histories.Attempt
 ) -> list[histories.Run]:
@@ -198,6 +256,8 @@
     check_refused,
     check_lost_at_stops,
     check_lost_requests,
+    check_leaving,
+    check_declines,
     check_own_ends,
     check_recovery,
 )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -156,6 +156,45 @@
         assert find_names(history) == ["LOST"]
 
 
+class TestNotices:
+    """Violations planted into what reaches targets that state something."""
+
+    def plant(
+        self, seconds: float | None, *times: float, refused: bool
+    ) -> histories.History:
+        """Returns a history in which attempts reach t-1 at some times."""
+        history = build_history(build_attempt(), "t-1")
+        history.notices.append(histories.Notice("t-1", 200.0, 210.0, seconds))
+        for number, at in enumerate(times):
+            identity = f"late-{number}"
+            history.attempts[identity] = build_attempt(
+                method="GET",
+                identity=identity,
+                echoed=identity,
+                sent_at=at,
+                ended_at=at + 0.1,
+            )
+            history.runs[identity] = [
+                histories.Run("t-1", "GET", "/write/1", b"x")
+            ]
+            history.arrivals.append(
+                histories.Arrival("t-1", at, identity, refused)
+            )
+        return history
+
+    def test_request_to_a_target_that_leaves_is_found(self) -> None:
+        history = self.plant(None, 201.0, 203.0, refused=False)
+        assert not find_names(history)
+        history = self.plant(None, 201.0, 203.2, refused=False)
+        assert find_names(history) == ["DRAIN"]
+
+    def test_third_request_that_was_declined_is_found(self) -> None:
+        times = (201.0, 201.1, 201.6, 201.7)
+        assert not find_names(self.plant(1.0, *times, refused=True))
+        history = self.plant(1.0, *times, 201.8, refused=True)
+        assert find_names(history) == ["BUDGET"]
+
+
 class TestProcesses:
     """Violations planted into the life of processes."""
 
