End a stop before the grace period does

A VM that had to abort a request could be killed before it had closed its connections: it closed them for a fixed time after the drain, whatever was left of the grace period.

The schedule of a stop now has a time by which all connections are closed, at 97% of the grace period.

--- a/tests/test_drain_policy.py
+++ b/tests/test_drain_policy.py
@@ -21,6 +21,7 @@
             SCHEDULE.accept_until,
             SCHEDULE.start_until,
             SCHEDULE.finish_at,
+            SCHEDULE.close_by,
             STARTED_AT + GRACE_SECONDS,
         ]
         assert times == sorted(set(times))
--- a/tests/test_vm_lost_requests.py
+++ b/tests/test_vm_lost_requests.py
@@ -446,6 +446,21 @@
         client.close()
         await drain_task
 
+    # Guards against a process that is killed since connections close too late.
+    async def test_stop_ends_within_the_grace_period(
+        self, vms: vm_fleet.VmFleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(service, "CLOSE_TIMEOUT_SECONDS", 10.0)
+        monkeypatch.setattr(self, "grace_seconds", 4.0)
+        await self.start(vms)
+        for target in vms.targets.values():
+            target.service_ms = 7000
+        task = asyncio.create_task(self.send(vms, "/read/1"))
+        await fleet.wait_for(lambda: self.count_runs(vms) == 1)
+        async with asyncio.timeout(self.grace_seconds):
+            await self.stop(vms)
+        task.cancel()
+
     # Guards against a request that is cut at the end without a trace.
     async def test_request_that_is_cut_is_logged(
         self, vms: vm_fleet.VmFleet, log_lines: list[dict[str, Any]]
@@ -762,7 +777,9 @@
         await fleet.wait_for(lambda: len(sender.attempts) == 1)
         now = asyncio.get_running_loop().time()
         # Nothing that takes 60 ms may start any more.
-        schedule = drain_policy.DrainSchedule(now, now, now, now + 0.03)
+        schedule = drain_policy.DrainSchedule(
+            now, now, now, now + 0.03, now + 1.0
+        )
         vm._caller_service.begin_drain(schedule)
         await asyncio.sleep(0.5)
         assert len(sender.attempts) == 1
--- a/wigeonspool/core/drain_policy.py
+++ b/wigeonspool/core/drain_policy.py
@@ -16,9 +16,11 @@
 ACCEPT_FRACTION: Final = 0.55
 # Fraction of the grace period after which no request may wait or start.
 START_FRACTION: Final = 0.88
-# Fraction of the grace period after which no request may run any more. The rest
-# is needed to close the connections and to end the process.
+# Fraction of the grace period after which no request may run any more.
 FINISH_FRACTION: Final = 0.92
+# Fraction of the grace period after which all connections must be closed. The
+# process needs the rest to end.
+CLOSE_FRACTION: Final = 0.97
 # A slow target needs up to this many baseline service times.
 SLOW_TARGET_RATIO: Final = 6.0
 
@@ -32,12 +34,14 @@
         accept_until: Until then, callers may open connections.
         start_until: After that, no request starts or waits for a target.
         finish_at: Requests that still run are aborted.
+        close_by: All connections must be closed.
     """
 
     unrestricted_until: float
     accept_until: float
     start_until: float
     finish_at: float
+    close_by: float
 
 
 def build_schedule(started_at: float, grace_seconds: float) -> DrainSchedule:
@@ -52,6 +56,7 @@
         started_at + grace_seconds * ACCEPT_FRACTION,
         started_at + grace_seconds * START_FRACTION,
         started_at + grace_seconds * FINISH_FRACTION,
+        started_at + grace_seconds * CLOSE_FRACTION,
     )
 
 
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import gc
+import math
 import pathlib
 import secrets
 import time
@@ -88,6 +89,7 @@
         self._listeners = listeners or listen_sockets.ListenSockets()
         self._cluster = cluster_state.ClusterState()
         self._http_runners: list[web.ServerRunner] = []
+        self._close_by = math.inf
         self._utilization = 0.0
         self._cpu_seconds = time.process_time()
         self._own_entry = fleet.VmEntry(
@@ -456,6 +458,7 @@
             loop.time() if requested_at is None else requested_at,
             self._settings.bounds.grace_seconds,
         )
+        self._close_by = schedule.close_by
         self._address_service.draining = True
         self._feeder.close()
         self._caller_service.begin_drain(schedule)
@@ -480,8 +483,9 @@
         cleanups = [
             r.cleanup() for r in (self._caller_runner, *self._http_runners)
         ]
+        close_by = asyncio.get_running_loop().time() + CLOSE_TIMEOUT_SECONDS
         try:
-            async with asyncio.timeout(CLOSE_TIMEOUT_SECONDS):
+            async with asyncio.timeout_at(min(close_by, self._close_by)):
                 await asyncio.gather(*cleanups)
         except TimeoutError:
             log.warning("ports were closed with connections open")
