Refuse more cautiously in the second half of a stop

In trials with service times that change between 5 and 2,100 ms, requests that arrived shortly after half of the grace period were still cut, since the baseline came from a few fast responses.

Evidence: test_baseline_of_fast_responses_is_not_trusted got 200 before and is refused now.

--- a/wigeonspool/core/drain_policy.py
+++ b/wigeonspool/core/drain_policy.py
@@ -21,8 +21,8 @@
 # Fraction of the grace period after which all connections must be closed. The
 # process needs the rest to end.
 CLOSE_FRACTION: Final = 0.97
-# A slow target needs up to this many baseline service times.
-SLOW_TARGET_RATIO: Final = 6.0
+# Service times vary. On a slow target they reach this many baseline times.
+SLOW_TARGET_RATIO: Final = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -13,6 +13,7 @@
 from wigeonspool.core import estimates
 from wigeonspool.core import retry_policy
 from wigeonspool.core import vm_assignment
+from wigeonspool.core import waiting_policy
 from wigeonspool.model import fleet
 from wigeonspool.model import outcomes
 from wigeonspool.model import protocols
@@ -151,7 +152,7 @@
 
         A request that could not end before this VM stops is refused.
         """
-        baseline_seconds = self._selector.find_baseline(context)
+        baseline_seconds = self._find_cautious_baseline(context)
         limits = self.start_limits
         if limits.may_start(baseline_seconds, context.deadline):
             try:
@@ -163,6 +164,22 @@
                 pass
         return context.build_failure(outcomes.Reason.DRAINING)
 
+    def _may_start(self, context: request_context.RequestContext) -> bool:
+        """Returns True if an attempt can end before this VM stops."""
+        return self.start_limits.may_start(
+            self._find_cautious_baseline(context), context.deadline
+        )
+
+    def _find_cautious_baseline(
+        self, context: request_context.RequestContext
+    ) -> float:
+        """Returns a baseline that a few fast responses do not make too low."""
+        return max(
+            self._selector.find_baseline(context),
+            waiting_policy.INITIAL_BASELINE_RATIO
+            * context.rule.objective_seconds,
+        )
+
     async def _send_hedged(
         self,
         context: request_context.RequestContext,
@@ -218,8 +235,7 @@
         """
         if context.possible_runs >= context.rule.max_targets:
             return None
-        baseline_seconds = self._selector.find_baseline(context)
-        if not self.start_limits.may_start(baseline_seconds, context.deadline):
+        if not self._may_start(context):
             return None
         now = self._loop.time()
         reserve = retry_policy.HEDGE_RESERVE_TOKENS
@@ -351,7 +367,7 @@
         ):
             context.record_step(now, "no-time-to-repeat", "", 0.0)
             return False
-        if not self.start_limits.may_start(baseline_seconds, context.deadline):
+        if not self._may_start(context):
             context.record_step(now, "draining", "", 0.0)
             return False
         if not self._retry_budget.consume_token(context.service, now):
