--- a/tests/test_vm_lost_requests.py
+++ b/tests/test_vm_lost_requests.py
@@ -345,7 +345,7 @@
         assert (await held)[0] == 200
         await stop_task
 
-    # Guards against refusals of work that can end before the process does.
+    # Guards against refusals of work that ends before the process in any case.
     async def test_short_request_is_served_late_in_a_stop(
         self, vms: vm_fleet.VmFleet
     ) -> None:
@@ -354,11 +354,26 @@
         held = await self.hold(vms)
         stop_task = asyncio.create_task(self.stop(vms))
         await asyncio.sleep(0.7 * self.grace_seconds)
-        status, _, fields = await self.send(vms, "/read/2")
+        status, _, fields = await vms.send("vm-1", "/read/2", remaining="300")
         assert (status, fields["Connection"]) == (200, "close")
         assert (await held)[0] == 200
         await stop_task
 
+    # Guards against a request that is cut since other requests were faster.
+    async def test_baseline_of_fast_responses_is_not_trusted(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await self.start(vms)
+        await self.connect_twice(vms)
+        held = await self.hold(vms)
+        runs = self.count_runs(vms)
+        stop_task = asyncio.create_task(self.stop(vms))
+        await asyncio.sleep(0.6 * self.grace_seconds)
+        assert (await self.send(vms, "/read/2"))[0] == 503
+        assert self.count_runs(vms) == runs
+        assert (await held)[0] == 200
+        await stop_task
+
     # Guards against a request that is read between the last look for running
     # requests and the close, sent to a target and cut.
     async def test_request_that_is_read_while_ports_close_is_refused(
@@ -446,6 +461,21 @@
         client.close()
         await drain_task
 
+    # Guards against a process that is killed since connections close too late.
+    async def test_stop_ends_within_the_grace_period(
+        self, vms: vm_fleet.VmFleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(service, "CLOSE_TIMEOUT_SECONDS", 10.0)
+        monkeypatch.setattr(self, "grace_seconds", 4.0)
+        await self.start(vms)
+        for target in vms.targets.values():
+            target.service_ms = 7000
+        task = asyncio.create_task(self.send(vms, "/read/1"))
+        await fleet.wait_for(lambda: self.count_runs(vms) == 1)
+        async with asyncio.timeout(self.grace_seconds):
+            await self.stop(vms)
+        task.cancel()
+
     # Guards against a request that is cut at the end without a trace.
     async def test_request_that_is_cut_is_logged(
         self, vms: vm_fleet.VmFleet, log_lines: list[dict[str, Any]]
@@ -762,7 +792,9 @@
         await fleet.wait_for(lambda: len(sender.attempts) == 1)
         now = asyncio.get_running_loop().time()
         # Nothing that takes 60 ms may start any more.
-        schedule = drain_policy.DrainSchedule(now, now, now, now + 0.03)
+        schedule = drain_policy.DrainSchedule(
+            now, now, now, now + 0.03, now + 1.0
+        )
         vm._caller_service.begin_drain(schedule)
         await asyncio.sleep(0.5)
         assert len(sender.attempts) == 1
