Do not reuse a gateway's connection on which data has arrived

What callers saw: a target wrote a refusal once more on a kept connection. The gateway read it as the response to the next request and reported that one as not run, while the target ran it.

Cause: the connector of the HTTP library hands out a pooled connection as long as it is open. What arrived while it was idle stays in its queue and is read first. Responses in this protocol do not state their request, so nothing else tells them apart.

A pooled connection that holds data, in the queue or in the kernel, is closed instead. A response that is still on its way when the next request is written cannot be told apart by this.

--- a/tests/test_target_answers.py
+++ b/tests/test_target_answers.py
@@ -8,11 +8,14 @@
 import tracemalloc
 
 import aiohttp
+from multidict import CIMultiDict
 import pytest
 import pytest_asyncio
 
 from tests import fleet
 from tests import vm_fleet
+from wigeonspool.core import tables
+from wigeonspool.gateway import egress
 from wigeonspool.platform.standin import main as standins
 from wigeonspool.platform.standin import target as targets
 from wigeonspool.vm import channels
@@ -931,3 +934,52 @@
             await vms.send("vm-1", "/write/1", "POST", attempt="one")
         (target,) = vms.find_targets_that_ran("one")
         assert target in ("t-3", "t-4")
+
+
+class TestGatewayConnections:
+    """Targets of a gateway, whose responses do not state the request."""
+
+    # Guards against REFUSED: a refusal that a target wrote once more on an idle
+    # connection was read as the response to the next request.
+    async def test_repeated_refusal_is_not_the_response_to_the_next_request(
+        self,
+    ) -> None:
+        refusal = (
+            b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n"
+            b"Wigeonspool-Outcome: not_run\r\n\r\n"
+        )
+        heads = []
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+                while True:
+                    heads.append(await reader.readuntil(b"\r\n\r\n"))
+                    if len(heads) == 1:
+                        writer.write(refusal)
+                        await asyncio.sleep(0.02)
+                        writer.write(refusal)
+                    else:
+                        writer.write(b"HTTP/1.1 200 OK\r\n")
+                        writer.write(b"Content-Length: 2\r\n\r\nok")
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        client = egress.Egress()
+        kinds = []
+        for path in ("/a", "/b"):
+            deadline = asyncio.get_running_loop().time() + 5.0
+            outgoing = egress.OutgoingRequest(
+                "GET", path, CIMultiDict(), None, deadline
+            )
+            attempt = await client.send_attempt(
+                address, outgoing, may_retry_connection=True
+            )
+            assert attempt.result is not None
+            kinds.append(attempt.result.kind)
+            await asyncio.sleep(0.1)
+        await client.close()
+        server.close()
+        assert kinds == [tables.ResultKind.NOT_RUN, tables.ResultKind.ANSWERED]
--- a/wigeonspool/gateway/connections.py
+++ b/wigeonspool/gateway/connections.py
@@ -7,7 +7,10 @@
 
 import asyncio
 import dataclasses
+import fcntl
 import socket
+import struct
+import termios
 from typing import Any, Final
 import weakref
 
@@ -26,6 +29,8 @@
 TCP_USER_TIMEOUT_MS: Final = 1000
 TCP_KEEPALIVE_IDLE_SECONDS: Final = 1
 TCP_KEEPALIVE_INTERVAL_SECONDS: Final = 1
+# The form in which the kernel returns a number of bytes.
+C_INT: Final = struct.Struct("i")
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,6 +71,15 @@
     return sock
 
 
+def count_unread_bytes(transport: asyncio.Transport | None) -> int:
+    """Returns how many bytes the kernel holds that were not read yet."""
+    sock = None if transport is None else transport.get_extra_info("socket")
+    if sock is None:
+        return 0
+    count = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(C_INT.size))
+    return int(C_INT.unpack(count)[0])
+
+
 class TargetConnector(aiohttp.TCPConnector):
     """A connector that reuses connections as `ReusePolicy` allows."""
 
@@ -126,7 +140,10 @@
             if opened_at is None:
                 self._opened_at[connection.protocol] = now
                 return connection
-            if self._reuse_policy.is_reusable(address, opened_at, now):
+            is_reusable = self._reuse_policy.is_reusable(
+                address, opened_at, now
+            )
+            if is_reusable and not _holds_data(connection):
                 exchange.reused = True
                 return connection
             connection.close()
@@ -142,3 +159,14 @@
         peer_request = aiohttp.ClientRequest("GET", url, loop=self._loop)
         self._peer_requests[address] = peer_request
         return peer_request
+
+
+def _holds_data(connection: aiohttp.connector.Connection) -> bool:
+    """Returns True if data has arrived on an idle connection.
+
+    It would be read as the response to the next request.
+    """
+    protocol = connection.protocol
+    if protocol is None or protocol.should_close:
+        return True
+    return count_unread_bytes(connection.transport) > 0
--- a/wigeonspool/vm/channels.py
+++ b/wigeonspool/vm/channels.py
@@ -7,10 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
-import fcntl
 import socket
-import struct
-import termios
 from typing import Any, Final
 
 import aiohttp
@@ -36,8 +33,6 @@
 # some that belong to other requests.
 MAX_SEPARATE_HEADS: Final = 4
 HEAD_END: Final = b"\r\n\r\n"
-# The form in which the kernel returns a number of bytes.
-C_INT: Final = struct.Struct("i")
 
 log = structured_log.get_logger("targets")
 
@@ -76,7 +71,7 @@
         """
         if not self.is_connected() or self.should_close:
             return False
-        if count_unread_bytes(self.transport):
+        if connections.count_unread_bytes(self.transport):
             return False
         self.response_due = True
         self._unproductive_bytes = 0
@@ -343,15 +338,6 @@
         log.warning("unsolicited data", target=address)
 
 
-def count_unread_bytes(transport: asyncio.Transport | None) -> int:
-    """Returns how many bytes the kernel holds that were not read yet."""
-    sock = None if transport is None else transport.get_extra_info("socket")
-    if sock is None:
-        return 0
-    count = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(C_INT.size))
-    return int(C_INT.unpack(count)[0])
-
-
 def is_usable(channel: Channel) -> bool:
     """Returns True if a channel is open and holds no unread data."""
     protocol = channel.protocol
