Keep the notices of a start when an earlier start responds late

What callers saw: requests went to a target that had stated that it declines requests or leaves, if a late response of its earlier start arrived after that.

Cause: the table held one start for each identity. A notice of another start, also of an earlier one, replaced what the current start had stated. A response to an attempt carries the entry that the attempt was sent to, so notices of an earlier start do arrive after those of a later one.

Evidence: TestDecline.test_late_notice_of_an_earlier_start_does_not_end_it failed before (the declining start could be sent to) and passes now.

Why the fix works: notices are kept by identity and start, so no start can replace those of another. The bound on their number and the order in which they are dropped are unchanged.

--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -200,6 +200,19 @@
         assert table.may_send(11.0, build_entry(started_at_ms=2_000))
         assert table.admit(11.0, build_entry(started_at_ms=2_000))
 
+    # Failure: a late response of the start before makes a VM forget what the
+    # new start of a target stated.
+    def test_late_notice_of_an_earlier_start_does_not_end_it(self) -> None:
+        table = target_notices.NoticeTable("vm-1")
+        old_start = build_entry(started_at_ms=1_000)
+        new_start = build_entry(started_at_ms=2_000)
+        table.record_declined(10.0, new_start, 20.0)
+        table.record_leaving(11.0, old_start)
+        table.record_problem(11.0, old_start, "Retry-After: soon")
+        assert not table.may_send(12.0, new_start)
+        assert not table.is_leaving(new_start)
+        assert table.is_leaving(old_start)
+
     def test_end_of_the_decline_does_not_undo_leaving(self) -> None:
         table = target_notices.NoticeTable("vm-1")
         entry = build_entry()
--- a/wigeonspool/core/target_notices.py
+++ b/wigeonspool/core/target_notices.py
@@ -30,7 +30,8 @@
 MAX_RETRY_SPREAD_SECONDS: Final = 2.0
 # If all targets of a service leave, others register within a few heartbeats.
 REPLACEMENT_SECONDS: Final = 0.3
-# Targets whose notices are kept; the oldest notices are dropped first.
+# Starts of targets whose notices are kept; the oldest notices are dropped
+# first.
 MAX_TARGETS: Final = 4096
 
 # Start of a target: its time, and its address if the time is unknown.
@@ -41,7 +42,6 @@
     """The notices of one start of a target.
 
     Attributes:
-        start: Start of the target that the notices belong to.
         leaving: True once the target stated that it leaves.
         declined_until: Time until which it wants no requests, on the core's
             clock.
@@ -56,18 +56,15 @@
         "leaving",
         "problem",
         "returns_at",
-        "start",
     )
 
-    def __init__(self, start: Start, spread: float) -> None:
+    def __init__(self, spread: float) -> None:
         """Creates the state of a target without notices.
 
         Args:
-            start: Start of the target.
             spread: Position of this VM among those that return to the target,
                 from 0 to 1.
         """
-        self.start = start
         self.leaving = False
         self.declined_until = -math.inf
         self.returns_at = -math.inf
@@ -142,18 +139,17 @@
                 that declined.
         """
         self._vm = vm
-        self._targets: dict[str, TargetNotices] = {}
+        # By identity and start: a response to a request that was sent to an
+        # earlier start may arrive after notices of a later one.
+        self._starts: dict[tuple[str, Start], TargetNotices] = {}
 
     def __len__(self) -> int:
-        """Returns the number of targets with notices."""
-        return len(self._targets)
+        """Returns the number of starts of targets with notices."""
+        return len(self._starts)
 
     def find(self, entry: fleet.TargetEntry) -> TargetNotices | None:
         """Returns the notices of the start that an entry describes, if any."""
-        notices = self._targets.get(entry.identity)
-        if notices is None or notices.start != find_start(entry):
-            return None
-        return notices
+        return self._starts.get((entry.identity, find_start(entry)))
 
     def may_send(self, now: float, entry: fleet.TargetEntry) -> bool:
         """Returns True unless a target leaves or declines requests."""
@@ -239,24 +235,21 @@
         """Returns the notices of a start, which are created if needed."""
         notices = self.find(entry)
         if notices is None:
-            self._targets.pop(entry.identity, None)
-            if len(self._targets) >= MAX_TARGETS:
+            if len(self._starts) >= MAX_TARGETS:
                 self._drop_oldest(now)
-            start = find_start(entry)
-            spread = find_spread(self._vm, entry.identity)
-            notices = TargetNotices(start, spread)
-            self._targets[entry.identity] = notices
+            notices = TargetNotices(find_spread(self._vm, entry.identity))
+            self._starts[entry.identity, find_start(entry)] = notices
         return notices
 
     def _drop_oldest(self, now: float) -> None:
         """Drops notices without effect, or the oldest if all have one."""
         over = [
-            identity
-            for identity, notices in self._targets.items()
+            start
+            for start, notices in self._starts.items()
             if notices.is_over(now)
         ]
-        for identity in over or [next(iter(self._targets))]:
-            del self._targets[identity]
+        for start in over or [next(iter(self._starts))]:
+            del self._starts[start]
 
 
 def find_start(entry: fleet.TargetEntry) -> Start:
