Parse responses to a gateway as strictly as those to a VM

What callers saw: an invalid chunk in a later packet than its head made a request through a gateway wait until its deadline, like at an entry VM.

Evidence: TestGatewayConnections.test_invalid_chunk_leaves_the_outcome_ unknown got no result within its 20 s before, and gets an unknown outcome at once now.

The part of the protocol that copes with invalid data moves, unchanged, to `gateway/response_protocol.py`; the connections of gateways and of entry VMs both use it.

--- a/tests/test_target_answers.py
+++ b/tests/test_target_answers.py
@@ -983,3 +983,33 @@
         await client.close()
         server.close()
         assert kinds == [tables.ResultKind.NOT_RUN, tables.ResultKind.ANSWERED]
+
+    # Guards against a request that hangs until its deadline: an invalid chunk
+    # ended the connection, but not the wait for the body.
+    async def test_invalid_chunk_leaves_the_outcome_unknown(self) -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 500 No\r\nTransfer-Encoding: chunked\r\n")
+            writer.write(b"\r\n3\r\nran\r\n")
+            await asyncio.sleep(0.02)
+            writer.write(b"ZZ\r\n")
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        client = egress.Egress()
+        started_at = asyncio.get_running_loop().time()
+        outgoing = egress.OutgoingRequest(
+            "POST", "/a", CIMultiDict(), b"", started_at + 20.0
+        )
+        attempt = await client.send_attempt(
+            address, outgoing, may_retry_connection=False
+        )
+        assert attempt.result is not None
+        assert attempt.result.kind is tables.ResultKind.LOST
+        assert asyncio.get_running_loop().time() < started_at + 10.0
+        await client.close()
+        server.close()
--- a/wigeonspool/gateway/connections.py
+++ b/wigeonspool/gateway/connections.py
@@ -8,6 +8,7 @@
 import asyncio
 import dataclasses
 import fcntl
+import functools
 import socket
 import struct
 import termios
@@ -15,9 +16,11 @@
 import weakref
 
 import aiohttp
+from aiohttp import client_proto
 import yarl
 
 from wigeonspool.gateway import connection_health
+from wigeonspool.gateway import response_protocol
 
 KEEPALIVE_IDLE_SECONDS: Final = 15.0
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
@@ -103,6 +106,7 @@
                 ttl_dns_cache=None,
                 socket_factory=open_socket,
             )
+        self._factory = functools.partial(_create_protocol, loop=self._loop)
         self._opened_at: weakref.WeakKeyDictionary[Any, float]
         self._opened_at = weakref.WeakKeyDictionary()
         self._reuse_policy = connection_health.ReusePolicy()
@@ -170,3 +174,10 @@
     if protocol is None or protocol.should_close:
         return True
     return count_unread_bytes(connection.transport) > 0
+
+
+def _create_protocol(
+    loop: asyncio.AbstractEventLoop,
+) -> client_proto.ResponseHandler:
+    """Returns the protocol of a new connection."""
+    return response_protocol.ResponseProtocol(loop)
--- a/wigeonspool/vm/channels.py
+++ b/wigeonspool/vm/channels.py
@@ -10,10 +10,8 @@
 import socket
 from typing import Any, Final
 
-import aiohttp
-from aiohttp import client_proto
-
 from wigeonspool.gateway import connections
+from wigeonspool.gateway import response_protocol
 from wigeonspool.vm import structured_log
 
 # How long a connection may stay idle if its target does not announce when it
@@ -26,19 +24,12 @@
 CONNECT_TIMEOUT_SECONDS: Final = 0.4
 MAX_IDLE_PER_TARGET: Final = 8
 MAX_KEEP_ALIVE_DIGITS: Final = 6
-# Most data in a row that completes neither a head nor a part of a body. The
-# parser bounds what it keeps of such data, but not how much may come.
-MAX_UNPRODUCTIVE_BYTES: Final = 512 * 1024
-# Heads in one packet that are parsed one at a time: those of a response, and of
-# some that belong to other requests.
-MAX_SEPARATE_HEADS: Final = 4
-HEAD_END: Final = b"\r\n\r\n"
 
 log = structured_log.get_logger("targets")
 
 
-class TargetProtocol(client_proto.ResponseHandler):
-    """The HTTP library's protocol, which accepts data only as a response.
+class TargetProtocol(response_protocol.ResponseProtocol):
+    """A protocol that accepts data only as a response.
 
     Attributes:
         was_reset: True if the connection ended by anything but a clean close.
@@ -61,7 +52,6 @@
         self.was_reset = False
         self.response_due = False
         self._on_unsolicited = on_unsolicited
-        self._unproductive_bytes = 0
 
     def begin_exchange(self) -> bool:
         """Makes a response due; returns False if the connection is unusable.
@@ -74,7 +64,6 @@
         if connections.count_unread_bytes(self.transport):
             return False
         self.response_due = True
-        self._unproductive_bytes = 0
         return True
 
     def end_exchange(self) -> None:
@@ -85,62 +74,11 @@
     def data_received(self, data: bytes) -> None:
         """Passes data to the parser; closes if no response is due."""
         if self.response_due:
-            body, progress = self._payload, self._measure_progress()
-            self._parse(data)
-            if self._payload is body and self._measure_progress() == progress:
-                self._limit_unproductive_data(len(data))
-            else:
-                self._unproductive_bytes = 0
-            self._fail_body()
+            super().data_received(data)
             self._reject_unsolicited_responses()
         elif data:
             self._reject()
 
-    def _parse(self, data: bytes) -> None:
-        """Passes data to the parser, a head apart from what follows it.
-
-        The parser returns nothing if any of its input is invalid. A response
-        must not get lost because of the bytes that follow it.
-        """
-        for _ in range(MAX_SEPARATE_HEADS):
-            if not data or not self._is_reading_head():
-                break
-            head, end, data = data.partition(HEAD_END)
-            super().data_received(head + end)
-            if not self.is_connected():
-                return
-        # The library also passes empty data, which resumes the parser.
-        super().data_received(data)
-
-    def _is_reading_head(self) -> bool:
-        """Returns True if no body is being read."""
-        return self._payload is None or self._payload.is_eof()
-
-    def _measure_progress(self) -> tuple[int, int]:
-        """Returns how many heads are queued, and the bytes of the body."""
-        body = self._payload
-        return len(self), 0 if body is None else body.total_bytes
-
-    def _limit_unproductive_data(self, size: int) -> None:
-        """Fails the exchange if too much data has made no progress."""
-        self._unproductive_bytes += size
-        if self._unproductive_bytes > MAX_UNPRODUCTIVE_BYTES:
-            count = self._unproductive_bytes
-            self.set_exception(
-                aiohttp.ClientPayloadError(
-                    f"{count} bytes are no part of a response"
-                )
-            )
-            if self.transport is not None:
-                self.transport.abort()
-
-    def _fail_body(self) -> None:
-        """Ends the wait for a body if the parser failed in the middle of it."""
-        error = self.exception()
-        body = self._payload
-        if error is not None and body is not None and not body.is_eof():
-            body.set_exception(aiohttp.ClientPayloadError(repr(error)), error)
-
     def _reject_unsolicited_responses(self) -> None:
         """Closes the connection if it holds a response that is not due."""
         if not self.response_due and len(self):
