Refuse queued requests as soon as all targets decline

What callers saw: some requests were refused only long after all targets had stated that they want none.

Cause: a queued request looked at the notices only at its next health checks.

Evidence: TestChoice.test_queued_request_is_refused_once_all_targets_decline failed before (`deadline-passed` at the deadline instead of `targets-decline`) and passes now. Requests still wait up to their objective if a target will want them by then.

Why the fix works: a new notice after which no target of the service wants a request wakes the requests queued for it, and each one that no target will want by its objective is refused. The others go on waiting without a health check.

--- a/tests/test_vm_target_notices.py
+++ b/tests/test_vm_target_notices.py
@@ -307,6 +307,42 @@
         # A withheld attempt does not count against the limit of attempts.
         assert results[-2:] == [(1, "withheld"), (1, "answered")]
 
+    # Failure: a request that waits for a target is held until its next health
+    # checks, though all targets have declined meanwhile.
+    @pytest.mark.parametrize("leaving_count", [0, 1])
+    async def test_queued_request_is_refused_once_all_targets_decline(
+        self,
+        vms: vm_fleet.VmFleet,
+        monkeypatch: pytest.MonkeyPatch,
+        leaving_count: int,
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        notices = vm._prober.notices
+        selector = vm._request_runner._selector
+        queued = selector._queued_by_priority["reads"]
+        entries = [vm._cluster.targets[name].entry for name in ("t-1", "t-2")]
+
+        def find_long_delay(*arguments: Any) -> float:
+            del arguments
+            return 30.0
+
+        def decline(seconds: float) -> None:
+            notice = protocols.TargetNotice(False, seconds, "")
+            for entry in entries[leaving_count:]:
+                notices.record(entry, "other", notice)
+
+        monkeypatch.setattr(selector, "_find_probe_delay", find_long_delay)
+        if leaving_count:
+            notices.record(
+                entries[0], "other", protocols.TargetNotice(True, None, "")
+            )
+        decline(0.1)
+        waiting = asyncio.create_task(vms.send("vm-1", "/read/1"))
+        await fleet.wait_for(lambda: queued.total())
+        decline(1000.0)
+        answer = await waiting
+        assert answer[:2] == (503, b"targets-decline")
+
     # Failure: requests that all targets declined use up the retry budget.
     async def test_no_retry_is_charged_once_all_targets_declined(
         self, vms: vm_fleet.VmFleet
--- a/wigeonspool/vm/target_notices.py
+++ b/wigeonspool/vm/target_notices.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 import dataclasses
 import datetime
 import math
@@ -43,6 +43,8 @@
 
     Attributes:
         counts: Counters of notices.
+        on_unwilling: Called with the service of a target that has just stated
+            that it leaves or declines requests.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
             protocol_adapter: Protocol of the targets.
         """
         self.counts = NoticeCounts()
+        self.on_unwilling: Callable[[str], None] = lambda service: None
         self._table = target_notices.NoticeTable(vm)
         self._pool = pool
         self._protocol_adapter = protocol_adapter
@@ -133,6 +136,7 @@
                 started_at_ms=entry.started_at_ms,
                 request=request,
             )
+            self.on_unwilling(entry.service)
 
     def _record_declined(
         self, now: float, entry: fleet.TargetEntry, request: str, until: float
@@ -148,6 +152,7 @@
                 seconds=round(until - now, 3),
                 request=request,
             )
+            self.on_unwilling(entry.service)
 
     def may_send(self, entry: fleet.TargetEntry) -> bool:
         """Returns True unless a target leaves or declines requests."""
--- a/wigeonspool/vm/target_selection.py
+++ b/wigeonspool/vm/target_selection.py
@@ -44,7 +44,10 @@
         self._prober = prober
         self._queued_by_priority: dict[str, collections.Counter[int]]
         self._queued_by_priority = collections.defaultdict(collections.Counter)
+        # Set once no target of a service wants requests, and then replaced.
+        self._unwanted: dict[str, asyncio.Event] = {}
         self._loop = asyncio.get_running_loop()
+        prober.notices.on_unwilling = self._wake_if_unwanted
 
     def find_baseline(self, context: request_context.RequestContext) -> float:
         """Returns the baseline service time of a request, in seconds."""
@@ -92,9 +95,7 @@
         queued[context.rule.priority] += 1
         try:
             while step is waiting_policy.Step.WAIT:
-                await asyncio.sleep(
-                    self._find_probe_delay(context, baseline_seconds)
-                )
+                await self._wait_to_probe(context, baseline_seconds)
                 step, candidate = await self._probe_nearest_first(
                     context, baseline_seconds
                 )
@@ -102,6 +103,33 @@
             queued[context.rule.priority] -= 1
         return self._build_selection(context, step, candidate)
 
+    async def _wait_to_probe(
+        self, context: request_context.RequestContext, baseline_seconds: float
+    ) -> None:
+        """Waits before the next health checks for a queued request.
+
+        Returns early once no target will want the request by its objective.
+        """
+        delay_seconds = self._find_probe_delay(context, baseline_seconds)
+        try:
+            async with asyncio.timeout(delay_seconds):
+                is_wanted = True
+                while is_wanted:
+                    unwanted = self._unwanted.setdefault(
+                        context.service, asyncio.Event()
+                    )
+                    await unwanted.wait()
+                    is_wanted = not self.is_wanted_too_late(context)
+        except TimeoutError:
+            pass
+
+    def _wake_if_unwanted(self, service: str) -> None:
+        """Wakes the queued requests to a service if no target wants any."""
+        if service not in self._unwanted:
+            return
+        if self._prober.find_wanted_at(service) is not None:
+            self._unwanted.pop(service).set()
+
     def find_decline(
         self, context: request_context.RequestContext
     ) -> outcomes.Failure | None:
