Write the head of a request before its streamed body arrives

What callers saw: a target could receive a request longer after the caller gave up, or after the target stated that it leaves or declines requests, if the caller sent a long body slowly. The target also got more time than was left.

Cause: the HTTP library holds a head back until the first part of the body is written. For a body that is streamed, that is when the caller sends it. The notices of the target, the connection and the remaining time are checked before.

Evidence: TestStreamedBodies.test_head_does_not_wait_for_the_body failed before (no head within 5 s) and passes now.

Why the fix works: the head is written in the same step of the event loop in which these checks are made, as for the other bodies.

--- a/wigeonspool/gateway/exchanges.py
+++ b/wigeonspool/gateway/exchanges.py
@@ -226,6 +226,9 @@
             await writer.write(body, drain=False)
         writer.set_eof()
         return None
+    # The library holds the head back until the first part of the body, which
+    # may come long after the target and the remaining time were checked.
+    writer.send_headers()
     return loop.create_task(_write_streamed_body(protocol, writer, body))
 
 
