Keep the first attempt if the search for a hedge target fails

What callers saw: status 502 in place of the answer of a target that was at work, after an unexpected exception beside it.

Cause: an exception in the search for the target of a hedged request ended the whole request, and the first attempt was cancelled with it. No input is known that raises one there; it is the class of fault for which attempts and health checks already have such a handler.

Evidence: TestHedgedRequests. test_error_in_the_search_does_not_end_the_first_attempt failed before (the first attempt was cancelled and "a request failed" was logged) and passes now.

Why the fix works: the exception is counted and logged like that of an attempt, and the hedged request is not sent.

--- a/tests/test_vm_lost_requests.py
+++ b/tests/test_vm_lost_requests.py
@@ -746,6 +746,40 @@
         await asyncio.sleep(0.05)
         assert len(sender.attempts) == 1
 
+    # Guards against an attempt that is cancelled while its target is at work,
+    # since an error ended the search for a second target.
+    async def test_error_in_the_search_does_not_end_the_first_attempt(
+        self, vms: vm_fleet.VmFleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        for number in range(3):
+            await vms.send("vm-1", f"/read/{number}")
+        runner = vm._request_runner
+        sender = ScriptedSender()
+        runner.replace_sender(sender)
+        is_searching = asyncio.Event()
+
+        async def find_with_error(*arguments: Any) -> Any:
+            del arguments
+            is_searching.set()
+            fail()
+
+        monkeypatch.setattr(
+            runner._selector, "find_fast_target", find_with_error
+        )
+        task = asyncio.create_task(vms.send("vm-1", "/read/1"))
+        async with asyncio.timeout(5.0):
+            await is_searching.wait()
+            await asyncio.sleep(0.05)
+            assert sender.cancelled == 0
+            sender.attempts[0].set_result(
+                request_context.AttemptResult(
+                    request_context.AttemptOutcome.ANSWERED, 200
+                )
+            )
+            assert (await task)[0] == 200
+        assert runner.error_count == 1
+
     # Guards against a second attempt that starts when the process is about to
     # end.
     async def test_no_second_attempt_is_sent_at_the_end_of_a_stop(
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -212,8 +212,16 @@
     async def _send_hedge(
         self, context: request_context.RequestContext
     ) -> request_context.AttemptResult | None:
-        """Sends a hedged request; returns None if it is not sent."""
-        candidate = await self._select_hedge_target(context)
+        """Sends a hedged request; returns None if it is not sent.
+
+        An unexpected exception in the search for its target must not end the
+        first attempt, which runs.
+        """
+        try:
+            candidate = await self._select_hedge_target(context)
+        except Exception as error:
+            self._record_error(context, "", error)
+            return None
         if candidate is None:
             return None
         context.hedges_sent += 1
@@ -269,12 +277,7 @@
             )
             raise
         except Exception as error:
-            self.error_count += 1
-            log.opt(exception=error).error(
-                "an attempt failed",
-                request=context.identity,
-                target=row.entry.identity,
-            )
+            self._record_error(context, row.entry.identity, error)
             result = request_context.AttemptResult(
                 request_context.AttemptOutcome.UNKNOWN, detail=repr(error)
             )
@@ -287,6 +290,24 @@
         self._record_result(context, candidate, result, now - started_at)
         return result
 
+    def _record_error(
+        self,
+        context: request_context.RequestContext,
+        target: str,
+        error: Exception,
+    ) -> None:
+        """Counts and logs an unexpected exception of an attempt.
+
+        Args:
+            context: The request.
+            target: Identity of the target, or "" if none was selected yet.
+            error: The exception.
+        """
+        self.error_count += 1
+        log.opt(exception=error).error(
+            "an attempt failed", request=context.identity, target=target
+        )
+
     def _withhold(
         self,
         context: request_context.RequestContext,
