Reject a request whose identity cannot be forwarded

What callers saw: a request whose `X-Attempt-Id` holds bytes that are not UTF-8 ran at a target under another identity, and ended with 504 at its deadline.

Cause: the HTTP library leaves such bytes out when it writes a header field, so the target got and returned an identity that no caller had sent. Its response counted as that of another request, which is discarded.

Evidence: TestKeptConnections.test_identity_that_cannot_be_forwarded_is_rejected failed before (504 at the deadline) and passes now (400, and no target ran it).

Why the fix works: an identity with characters that are not printable is a bad request, as it is for the path. The bytes in question are read as such characters.

--- a/tests/test_vm_lost_requests.py
+++ b/tests/test_vm_lost_requests.py
@@ -1053,6 +1053,19 @@
         status, _ = await caller.read_response()
         assert status == 200
 
+    # Guards against a request that a target runs under another identity, so
+    # that its response is taken for that of another request.
+    async def test_identity_that_cannot_be_forwarded_is_rejected(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await vms.start_vm("vm-1")
+        caller = RawCaller(vms)
+        await caller.open()
+        head = build_head("GET", "/read/1", "a-1")
+        caller.writer.write(head.replace(b": a-1", b": a-1\xff"))
+        assert (await caller.read_response())[0] == 400
+        assert not any(target.runs for target in vms.targets.values())
+
     # Guards against requests that are lost if several arrive at once.
     async def test_pipelined_requests_are_answered_in_order(
         self, vms: vm_fleet.VmFleet
--- a/wigeonspool/vm/caller_service.py
+++ b/wigeonspool/vm/caller_service.py
@@ -212,6 +212,9 @@
         caller_fields = self._protocol_adapter.read_request_metadata(
             request.headers
         )
+        if not caller_fields.identity.isprintable():
+            # Bytes that are not UTF-8 would be left out when it is forwarded.
+            return outcomes.build_refusal(outcomes.Reason.BAD_REQUEST)
         limit_seconds = rule.limit_seconds
         if caller_fields.remaining_seconds is not None:
             limit_seconds = min(limit_seconds, caller_fields.remaining_seconds)
