Reject requests without an identity

What callers saw: a request without `X-Attempt-Id` ended with 502, and each one counted as a failure of every target that it was sent to.

Cause: targets reject such a request. Since a response proves nothing without the identity of its attempt, the outcome became unknown, which raises the failure score of the target, starts a crash check and is retried.

Why the fix works: the request is answered as a target would answer it, before it is sent to any.

--- a/tests/test_vm_lost_requests.py
+++ b/tests/test_vm_lost_requests.py
@@ -1066,6 +1066,20 @@
         assert (await caller.read_response())[0] == 400
         assert not any(target.runs for target in vms.targets.values())
 
+    # Guards against requests without an identity that count as failures of the
+    # targets, which reject them.
+    async def test_request_without_an_identity_is_rejected(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        caller = RawCaller(vms)
+        await caller.open()
+        head = build_head("GET", "/read/1", "")
+        caller.writer.write(head.replace(b"X-Attempt-Id: \r\n", b""))
+        assert (await caller.read_response())[0] == 400
+        rows = vm._cluster.targets.values()
+        assert [row.health.failures for row in rows] == [0.0] * len(rows)
+
     # Guards against requests that are lost if several arrive at once.
     async def test_pipelined_requests_are_answered_in_order(
         self, vms: vm_fleet.VmFleet
--- a/wigeonspool/vm/caller_service.py
+++ b/wigeonspool/vm/caller_service.py
@@ -212,7 +212,9 @@
         caller_fields = self._protocol_adapter.read_request_metadata(
             request.headers
         )
-        if not caller_fields.identity.isprintable():
+        identity = caller_fields.identity
+        if not identity or not identity.isprintable():
+            # Without an identity, no response can be matched with the request.
             # Bytes that are not UTF-8 would be left out when it is forwarded.
             return outcomes.build_refusal(outcomes.Reason.BAD_REQUEST)
         limit_seconds = rule.limit_seconds
@@ -240,7 +242,7 @@
             return outcomes.build_refusal(outcomes.Reason.QUARANTINED)
         return request_context.RequestContext(
             request,
-            caller_fields.identity,
+            identity,
             rule,
             service,
             body,
