--- a/wigeonspool/vm/caller_service.py
+++ b/wigeonspool/vm/caller_service.py
@@ -212,6 +212,11 @@
         caller_fields = self._protocol_adapter.read_request_metadata(
             request.headers
         )
+        identity = caller_fields.identity
+        if not identity or not identity.isprintable():
+            # Without an identity, no response can be matched with the request.
+            # Bytes that are not UTF-8 would be left out when it is forwarded.
+            return outcomes.build_refusal(outcomes.Reason.BAD_REQUEST)
         limit_seconds = rule.limit_seconds
         if caller_fields.remaining_seconds is not None:
             limit_seconds = min(limit_seconds, caller_fields.remaining_seconds)
@@ -237,7 +242,7 @@
             return outcomes.build_refusal(outcomes.Reason.QUARANTINED)
         return request_context.RequestContext(
             request,
-            caller_fields.identity,
+            identity,
             rule,
             service,
             body,
