--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,4 +1,8 @@
-"""Command line of the soak: `make soak SEED=1 SECONDS=60`."""
+"""Command line of the soak: `make soak SEED=1 SECONDS=60`.
+
+Soaks that run at the same time need port ranges of their own, which
+PYTEST_XDIST_WORKER=gw1, gw2 and so on selects.
+"""
 
 import argparse
 import asyncio
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -46,7 +46,8 @@
             attempt.sealed and attempt.response.decode() in targets
         )
         if foreign or unproven:
-            yield f"MIXED {describe(attempt)} ran at {sorted(targets)}"
+            ran_at = sorted(targets)
+            yield f"wrong-response {describe(attempt)} ran at {ran_at}"
 
 
 def check_unasked(history: histories.History) -> Iterator[str]:
@@ -58,9 +59,9 @@
                 run.method,
                 run.path,
             ):
-                yield f"UNASKED {identity} as {run.method} {run.path}"
+                yield f"changed-request {identity} as {run.method} {run.path}"
             elif attempt.body != run.body:
-                yield f"UNASKED {identity} with body {run.body!r}"
+                yield f"changed-request {identity} with body {run.body!r}"
 
 
 def check_twice(history: histories.History) -> Iterator[str]:
@@ -68,7 +69,7 @@
     for attempt in history.attempts.values():
         runs = list_runs(history, attempt)
         if attempt.method == "POST" and len(runs) > 1:
-            yield f"TWICE {describe(attempt)} at {[r.target for r in runs]}"
+            yield f"second-run {describe(attempt)} at {[r.target for r in runs]}"
 
 
 def check_refused(history: histories.History) -> Iterator[str]:
@@ -80,7 +81,7 @@
             and attempt.status in NOT_RUN_STATUSES
             and runs
         ):
-            yield f"REFUSED {describe(attempt)} ran at {runs[0].target}"
+            yield f"false-refusal {describe(attempt)} ran at {runs[0].target}"
 
 
 def check_lost_at_stops(history: histories.History) -> Iterator[str]:
@@ -96,9 +97,10 @@
                 history, attempt, work
             ):
                 if closed:
-                    yield f"LOST {describe(attempt)} at {work.kind}"
+                    yield f"lost-request {describe(attempt)} at {work.kind}"
                 elif work.kind == "term" and _is_replaced(attempt, runs):
-                    yield f"LOST {describe(attempt)} replaced at {work.kind}"
+                    failure = f"{describe(attempt)} replaced at {work.kind}"
+                    yield f"lost-request {failure}"
 
 
 def check_lost_requests(history: histories.History) -> Iterator[str]:
@@ -115,13 +117,13 @@
         )
     ]
     if len(lost) > MAX_LOST:
-        yield f"LOST {len(lost)} requests, first {describe(lost[0])}"
+        yield f"lost-request {len(lost)} requests, first {describe(lost[0])}"
 
 
 def check_own_ends(history: histories.History) -> Iterator[str]:
     """Yields processes that ended though nothing stopped them."""
     for vm, code in history.self_ended:
-        yield f"ENDED {vm} with exit code {code}"
+        yield f"process-ended {vm} with exit code {code}"
 
 
 def check_recovery(history: histories.History) -> Iterator[str]:
@@ -131,7 +133,7 @@
     ]
     served = sum(a.status in SUCCESS for a in calm)
     if served < MIN_RECOVERED * len(calm) or not calm:
-        yield f"RECOVER {served} of {len(calm)} requests were served"
+        yield f"no-recovery {served} of {len(calm)} requests were served"
 
 
 def check_leaving(history: histories.History) -> Iterator[str]:
@@ -152,7 +154,8 @@
             for arrival in arrivals:
                 attempt = history.attempts[arrival.attempt]
                 if attempt.sent_at > known_at + DRAIN_SECONDS:
-                    yield f"DRAIN {describe(attempt)} ran at {notice.target}"
+                    request = describe(attempt)
+                    yield f"sent-to-leaving {request} ran at {notice.target}"
 
 
 def check_declines(history: histories.History) -> Iterator[str]:
@@ -167,7 +170,8 @@
                 count = sum(start < a.at < end for a in arrivals)
                 disturbed = history.list_disturbances(vm, refused, end)
                 if count > MAX_DECLINED and not disturbed:
-                    yield f"BUDGET {vm} sent {count} to {notice.target}"
+                    target = notice.target
+                    yield f"sent-to-declining {vm} sent {count} to {target}"
 
 
 def _group_arrivals(
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -10,8 +10,8 @@
 
 
 class TestInvalidAddresses:
-    # Guards against LOST: OverflowError, UnicodeError and ValueError passed
-    # the `except OSError` of attempts and probes.
+    # Guards against lost requests: OverflowError, UnicodeError and ValueError
+    # passed the `except OSError` of attempts and probes.
     @pytest.mark.parametrize("address", test_store_keys.INVALID_ADDRESSES)
     async def test_connection_to_an_invalid_address_fails(
         self, address: str
--- a/tests/test_feed_messages.py
+++ b/tests/test_feed_messages.py
@@ -45,8 +45,8 @@
     async def test_odd_message_is_an_error_of_the_stream(
         self, body: bytes
     ) -> None:
-        # Guards against LOST: a feeder could not pass on what it had received,
-        # and a feeder with a negative age counted as fresh forever.
+        # Guards against lost requests: a feeder could not pass on what it had
+        # received, and a feeder with a negative age counted as fresh forever.
         with pytest.raises(errors.WireError):
             await feed_messages.read_message(build_reader(body))
 
--- a/tests/test_metadata_store.py
+++ b/tests/test_metadata_store.py
@@ -105,7 +105,7 @@
         store: metadata_store.MetadataStore,
         body: bytes,
     ) -> None:
-        # Guards against LOST: a RecursionError ended the follower.
+        # Guards against lost requests: a RecursionError ended the follower.
         server.reply(body)
         with pytest.raises(errors.StoreReplyError):
             await store.read_range("")
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -93,8 +93,8 @@
         assert replica.list_targets() == ["t-2"]
 
     async def test_unexpected_error_of_a_decoder_costs_one_item(self) -> None:
-        # Guards against LOST: an exception that no decoder foresaw ended the
-        # task that follows the store, and with it the process.
+        # Guards against lost requests: an exception that no decoder foresaw
+        # ended the task that follows the store, and with it the process.
         replica = Replica()
 
         def decode(
@@ -150,7 +150,7 @@
 
 
 class TestLoops:
-    # Guard against LOST: an exception of another type ended the tasks.
+    # Guard against lost requests: an exception of another type ended the tasks.
     async def test_follower_survives_unexpected_errors(self) -> None:
         replica = Replica()
         store = OddStore()
@@ -230,8 +230,8 @@
 
 
 class TestFleet:
-    # Guard against LOST: one odd entry ended each process that read the list,
-    # or requests got a 500.
+    # Guard against lost requests: one odd entry ended each process that read
+    # the list, or requests got a 500.
     @pytest.mark.parametrize("vm_count", [1, 3])
     async def test_odd_entries_cost_no_request_and_no_follower(
         self, vms: vm_fleet.VmFleet, vm_count: int
--- a/tests/test_peer_liveness.py
+++ b/tests/test_peer_liveness.py
@@ -41,7 +41,8 @@
     async def test_invalid_address_does_not_end_the_pings(
         self, address: str
     ) -> None:
-        # Guards against LOST: `int(port)` ended the task of periodic work.
+        # Guards against lost requests: `int(port)` ended the task of periodic
+        # work.
         protocol, transport = build_protocol()
         odd_vm = build_vm("vm-1", address)
         protocol.monitor([odd_vm, build_vm("vm-2", "10.0.0.2:2")])
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -92,7 +92,8 @@
 
 class TestReplica:
     async def test_odd_configuration_leaves_the_old_one(self) -> None:
-        # Guards against LOST: a nested configuration ended each process.
+        # Guards against lost requests: a nested configuration ended each
+        # process.
         replica = test_odd_entries.Replica()
         replica.write("op/config", build("", None))
         active = replica.cluster.configuration
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -134,8 +134,8 @@
     async def test_odd_file_leaves_the_settings(
         self, vms: vm_fleet.VmFleet, tmp_path: pathlib.Path
     ) -> None:
-        # Guards against LOST: a RecursionError ended the task that polls the
-        # file, and with it the process.
+        # Guards against lost requests: a RecursionError ended the task that
+        # polls the file, and with it the process.
         vm: service.VmService = await vms.start_vm("vm-1")
         path = tmp_path / "local.toml"
         vm._settings_file = settings_file.SettingsFile(path)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -51,8 +51,8 @@
         return lines
 
     def test_crash_ends_the_process_with_an_error(self) -> None:
-        # Guards against LOST that nobody sees: a process whose service crashed
-        # ended with exit code 0.
+        # Guards against lost requests that nobody sees: a process whose service
+        # crashed ended with exit code 0.
         lines: list[Any] = []
         handler = loguru.logger.add(lines.append, level="ERROR")
         with pytest.raises(SystemExit) as caught:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -85,20 +85,20 @@
         self, fields: dict[str, object]
     ) -> None:
         history = build_history(build_attempt(**fields), "t-1")
-        assert find_names(history) == ["MIXED"]
+        assert find_names(history) == ["wrong-response"]
 
     def test_changed_request_is_found(self) -> None:
         history = build_history(build_attempt(), "t-1")
         history.runs["a-1"][0].body = b"y"
-        assert find_names(history) == ["UNASKED"]
+        assert find_names(history) == ["changed-request"]
 
     def test_second_run_is_found(self) -> None:
         history = build_history(build_attempt(), "t-1", "t-2")
-        assert find_names(history) == ["TWICE"]
+        assert find_names(history) == ["second-run"]
 
     def test_false_refusal_is_found(self) -> None:
         attempt = build_attempt(status=503, sealed=False, response=b"")
-        assert find_names(build_history(attempt, "t-1")) == ["REFUSED"]
+        assert find_names(build_history(attempt, "t-1")) == ["false-refusal"]
         assert not find_names(build_history(attempt))
 
 
@@ -118,18 +118,18 @@
     def test_request_cut_by_planned_work_is_found(self, kind: str) -> None:
         history = build_history(build_closed(), "t-1")
         self.plant(history, kind, "vm-1", at=99.9)
-        assert find_names(history) == ["LOST"]
+        assert find_names(history) == ["lost-request"]
 
     def test_cut_before_the_request_was_passed_on_is_found(self) -> None:
         history = build_history(build_closed())
         self.plant(history, "term", "vm-1", at=99.0)
-        assert find_names(history) == ["LOST"]
+        assert find_names(history) == ["lost-request"]
 
     def test_answer_in_place_of_a_target_at_work_is_found(self) -> None:
         attempt = build_attempt(status=502, sealed=False, response=b"")
         history = build_history(attempt, "t-1")
         self.plant(history, "term", "vm-1", at=99.9)
-        assert find_names(history) == ["LOST"]
+        assert find_names(history) == ["lost-request"]
 
     def test_fault_of_the_vm_or_the_target_excuses_a_cut(self) -> None:
         for kind, subject in (("pause", "vm-1"), ("crash", "t-1")):
@@ -153,7 +153,7 @@
             history.runs[identity] = [
                 histories.Run("t-1", "POST", "/write/1", b"x")
             ]
-        assert find_names(history) == ["LOST"]
+        assert find_names(history) == ["lost-request"]
 
 
 class TestNotices:
@@ -186,13 +186,13 @@
         history = self.plant(None, 201.0, 203.0, refused=False)
         assert not find_names(history)
         history = self.plant(None, 201.0, 203.2, refused=False)
-        assert find_names(history) == ["DRAIN"]
+        assert find_names(history) == ["sent-to-leaving"]
 
     def test_third_request_that_was_declined_is_found(self) -> None:
         times = (201.0, 201.1, 201.6, 201.7)
         assert not find_names(self.plant(1.0, *times, refused=True))
         history = self.plant(1.0, *times, 201.8, refused=True)
-        assert find_names(history) == ["BUDGET"]
+        assert find_names(history) == ["sent-to-declining"]
 
 
 class TestProcesses:
@@ -201,14 +201,14 @@
     def test_process_that_ends_by_itself_is_found(self) -> None:
         history = build_history(build_attempt(), "t-1")
         history.self_ended.append(("vm-1", 0))
-        assert find_names(history) == ["ENDED"]
+        assert find_names(history) == ["process-ended"]
 
     def test_fleet_that_does_not_recover_is_found(self) -> None:
         history = build_history(build_attempt(), "t-1")
         for attempt in history.attempts.values():
             attempt.status = 502
             attempt.sealed = False
-        assert find_names(history) == ["RECOVER"]
+        assert find_names(history) == ["no-recovery"]
 
 
 class TestShortSoak:
--- a/tests/test_store_keys.py
+++ b/tests/test_store_keys.py
@@ -103,7 +103,8 @@
     def test_deeply_nested_entry_is_reported_and_registers_no_target(
         self,
     ) -> None:
-        # Guards against LOST: such an entry ended each process that read it.
+        # Guards against lost requests: such an entry ended each process that
+        # read it.
         change = decode(add_field(ENTRY, NESTED))
         assert change.entry is None
         assert "levels" in change.problem
@@ -113,8 +114,8 @@
     def test_entry_with_an_invalid_address_registers_no_target(
         self, address: str
     ) -> None:
-        # Guards against LOST: a connection to such an address ended requests
-        # with a 500, because its error was no OSError.
+        # Guards against lost requests: a connection to such an address ended
+        # requests with a 500, because its error was no OSError.
         change = decode(ENTRY | {"Address": address})
         assert change.entry is None
         assert "Address" in change.problem
@@ -148,8 +149,8 @@
     def test_entry_with_a_field_out_of_range_registers_no_target(
         self, field: str, value: Any
     ) -> None:
-        # Guards against LOST: a feeder could not encode integers of 2^64 and
-        # more, and a duration of 5,000 digits was infinite.
+        # Guards against lost requests: a feeder could not encode integers of
+        # 2^64 and more, and a duration of 5,000 digits was infinite.
         change = decode(build_entry(**{field: value}))
         assert change.entry is None
         assert field in change.problem
@@ -234,7 +235,8 @@
     def test_vm_with_an_invalid_field_is_an_error(
         self, field: str, value: Any
     ) -> None:
-        # Guards against LOST: an odd port ended the loop that pings VMs.
+        # Guards against lost requests: an odd port ended the loop that pings
+        # VMs.
         entry = dataclasses.replace(VM_ENTRY, **{field: value})
         key, encoded = store_keys.encode_vm(entry)
         with pytest.raises(errors.PlatformFormatError, match=field) as caught:
--- a/tests/test_target_answers.py
+++ b/tests/test_target_answers.py
@@ -187,8 +187,8 @@
 
 
 class TestRefusalsWithoutIdentity:
-    # Guards against REFUSED and TWICE: a stale refusal without an attempt id
-    # was taken for the refusal of a request that the target ran.
+    # Guards against false refusals and second runs: a stale refusal without an
+    # attempt id was taken for the refusal of a request that the target ran.
     @pytest.mark.parametrize(
         "refusal",
         [build_refusal(), targets.build_response(421, {}, b"")],
@@ -224,8 +224,8 @@
         assert await bench.send("safe", "one") == (200, b"ran")
         assert bench.list_attempts() == ["one", "one"]
 
-    # Guards against REFUSED: the refusal of a health check arrived where the
-    # answer of a request was due.
+    # Guards against false refusals: the refusal of a health check arrived where
+    # the answer of a request was due.
     async def test_refusal_of_a_health_check_is_discarded(
         self, bench: Bench
     ) -> None:
@@ -240,7 +240,7 @@
         target.script = answer
         assert await bench.send("unsafe", "one") == (200, b"ran")
 
-    # Guards against REFUSED: the first of several ids decided.
+    # Guards against false refusals: the first of several ids decided.
     @pytest.mark.parametrize("ids", [("one", "two"), ("two", "one")])
     async def test_refusal_with_several_identities_proves_nothing(
         self, bench: Bench, ids: tuple[str, str]
@@ -277,8 +277,9 @@
 
 
 class TestRepeatedRefusals:
-    # Guards against REFUSED: a request was sent twice over one connection, and
-    # the repeated refusal of its first attempt answered the second.
+    # Guards against false refusals: a request was sent twice over one
+    # connection, and the repeated refusal of its first attempt answered the
+    # second.
     async def test_request_is_not_resent_over_the_same_connection(
         self, bench: Bench
     ) -> None:
@@ -315,7 +316,8 @@
         assert await bench.send("unsafe", "one") == (200, b"ran")
         assert target.attempts == ["one"]
 
-    # Guards against REFUSED: a connection that is out of step stayed in use.
+    # Guards against false refusals: a connection that is out of step stayed in
+    # use.
     async def test_connection_with_a_foreign_response_is_not_reused(
         self, bench: Bench
     ) -> None:
@@ -336,9 +338,9 @@
 
 
 class TestHealthChecks:
-    # Guards against REFUSED: a late response to a request, which states a load,
-    # was taken for the response to a health check, and that response for the
-    # response to the next request.
+    # Guards against false refusals: a late response to a request, which states
+    # a load, was taken for the response to a health check, and that response
+    # for the response to the next request.
     async def test_response_to_an_earlier_request_is_discarded(
         self, bench: Bench
     ) -> None:
@@ -417,8 +419,8 @@
 
 
 class TestUnsolicitedData:
-    # Guards against MIXED and REFUSED: bytes on a connection on which no
-    # request waited stayed there until its next use.
+    # Guards against wrong responses and false refusals: bytes on a connection
+    # on which no request waited stayed there until its next use.
     @pytest.mark.parametrize(
         "data",
         [
@@ -485,7 +487,7 @@
         assert await bench.send("unsafe", "one") == (200, b"ran")
         assert target.connections == 2
 
-    # Guards against MIXED: a target answered before it got a request.
+    # Guards against wrong responses: a target answered before it got a request.
     async def test_greeting_of_a_target_is_no_response(
         self, bench: Bench
     ) -> None:
@@ -496,8 +498,8 @@
         await fleet.wait_for(lambda: pool.unsolicited_responses == 1)
         assert not channel.protocol.begin_exchange()
 
-    # Guards against MIXED: data that the kernel held was read as the response
-    # to the request that was written then.
+    # Guards against wrong responses: data that the kernel held was read as the
+    # response to the request that was written then.
     async def test_data_in_the_kernel_makes_a_connection_unusable(self) -> None:
         pool = channels.ChannelPool(asyncio.get_running_loop())
         with socket.create_server(("127.0.0.1", 0)) as server:
@@ -743,7 +745,8 @@
         assert received == blocks * 4096
         assert peak < MAX_HELD_BYTES
 
-    # Guards against MIXED: a long body that ended by a reset looked complete.
+    # Guards against wrong responses: a long body that ended by a reset looked
+    # complete.
     async def test_long_body_that_ends_by_a_reset_is_not_complete(
         self, bench: Bench
     ) -> None:
@@ -763,7 +766,8 @@
             status, _ = await bench.send("unsafe", "one")
             assert status == 502
 
-    # Guards against MIXED: a long body with an invalid chunk looked complete.
+    # Guards against wrong responses: a long body with an invalid chunk looked
+    # complete.
     async def test_long_body_with_an_invalid_chunk_is_not_complete(
         self, bench: Bench
     ) -> None:
@@ -849,8 +853,8 @@
 
 
 class TestTransferCodings:
-    # Guards against MIXED: a body that ended by a reset looked complete, since
-    # it named the chunked coding without being framed by it.
+    # Guards against wrong responses: a body that ended by a reset looked
+    # complete, since it named the chunked coding without being framed by it.
     @pytest.mark.parametrize(
         "coding", [b"chunked, gzip", b"xchunked", b"gzip", b"identity"]
     )
@@ -888,7 +892,7 @@
     A 503 states that a request has not run and never will.
     """
 
-    # Guards against REFUSED and TWICE.
+    # Guards against false refusals and second runs.
     @pytest.mark.parametrize("unnamed", [False, True])
     async def test_refused_requests_did_not_run_and_no_other_ran_twice(
         self, vms: vm_fleet.VmFleet, unnamed: bool
@@ -939,8 +943,8 @@
 class TestGatewayConnections:
     """Targets of a gateway, whose responses do not state the request."""
 
-    # Guards against REFUSED: a refusal that a target wrote once more on an idle
-    # connection was read as the response to the next request.
+    # Guards against false refusals: a refusal that a target wrote once more on
+    # an idle connection was read as the response to the next request.
     async def test_repeated_refusal_is_not_the_response_to_the_next_request(
         self,
     ) -> None:
--- a/tests/test_vm_process.py
+++ b/tests/test_vm_process.py
@@ -219,8 +219,8 @@
     async def test_odd_entries_do_not_end_the_process(
         self, vms: vm_fleet.VmFleet, vm_process: VmProcess
     ) -> None:
-        # Guards against LOST: the first nested entry ended the process, with
-        # exit code 0.
+        # Guards against lost requests: the first nested entry ended the
+        # process, with exit code 0.
         odd_entries = test_odd_entries.build_odd_entries()
         for number, odd_entry in enumerate(odd_entries):
             await vms.store.put(f"servers/odd-{number}", odd_entry)
