--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -69,7 +69,8 @@
     for attempt in history.attempts.values():
         runs = list_runs(history, attempt)
         if attempt.method == "POST" and len(runs) > 1:
-            yield f"second-run {describe(attempt)} at {[r.target for r in runs]}"
+            ran_at = [run.target for run in runs]
+            yield f"second-run {describe(attempt)} at {ran_at}"
 
 
 def check_refused(history: histories.History) -> Iterator[str]:
--- a/wigeonspool/platform/metadata_store.py
+++ b/wigeonspool/platform/metadata_store.py
@@ -375,7 +375,7 @@
     try:
         value = base64.b64decode(item.value, validate=True)
     except ValueError:
-        # An empty value is not valid for any key that has a value: an entry
-        # names no target then, and a configuration changes nothing.
+        # An empty value is neither a valid entry nor a valid configuration, so
+        # the decoder of the key reports it.
         value = b""
     return key_values.KeyValue(item.key, value, item.revision, item.lease_id)
--- a/wigeonspool/vm/caller_server.py
+++ b/wigeonspool/vm/caller_server.py
@@ -58,6 +58,7 @@
         self._idle_timeout_seconds = (
             limits.idle_timeout_seconds + IDLE_SLACK_SECONDS
         )
+        # Also limits the time until the first request.
         self._head_timer: asyncio.TimerHandle | None = None
         # True while a head has arrived in part.
         self._is_head_pending = False
--- a/wigeonspool/vm/caller_service.py
+++ b/wigeonspool/vm/caller_service.py
@@ -173,6 +173,7 @@
         request = served.request
         context: request_context.RequestContext | outcomes.Failure
         try:
+            # Neither its service time nor its deadline is known yet.
             async with self._runner.start_limits.limit_wait(0.0, math.inf):
                 context = await self._build_context(request)
         except TimeoutError:
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -31,11 +31,13 @@
 # request failed.
 NOT_RUN_FAILURE_WEIGHT: Final = 0.5
 
+# Of the results of a hedged request, the one with the lowest rank is used.
 RESULT_RANKS: Final = {
     request_context.AttemptOutcome.ANSWERED: 0,
     request_context.AttemptOutcome.FAILED: 1,
     request_context.AttemptOutcome.WITHHELD: 3,
 }
+# Rank of refusals and of results that leave the outcome unknown.
 OTHER_RESULT_RANK: Final = 2
 
 log = structured_log.get_logger("requests")
--- a/wigeonspool/vm/target_notices.py
+++ b/wigeonspool/vm/target_notices.py
@@ -1,7 +1,7 @@
 """Records what targets state about themselves in their responses.
 
-The notices are read from every response that belongs to its request, before
-its body: of attempts and of health checks.
+The notices are read from each response to an attempt or a health check, before
+its body, unless the response states that it belongs to another request.
 """
 
 import asyncio
