Give the tests of endless responses the deadline that they state

The tests send a request with 9 s left, but the rule limited it to 1.5 s, so they checked less than their name says: a connection that is closed after 1.5 s by the deadline gives 504 instead of 502. The checks are unchanged.

--- a/tests/test_target_answers.py
+++ b/tests/test_target_answers.py
@@ -135,7 +135,7 @@
 
     async def start(self, count: int = 1) -> list[ScriptedTarget]:
         """Starts the VM and some targets, which all serve one service."""
-        other = {"Service": "other"}
+        other = {"Service": "other", "Timeout": "9000ms"}
         rules = [
             vm_fleet.build_rule("safe", "/safe/", "safe", **other),
             vm_fleet.build_rule("unsafe", "/unsafe/", "unsafe", **other),
