Log and count the use of the retry budget by service and cause

There was one counter of refusals for all services; extra attempts stood in debug lines only.

No decision changes.

--- a/tests/test_vm_core.py
+++ b/tests/test_vm_core.py
@@ -123,6 +123,9 @@
         assert traffic_split.WeightedRoundRobin([], 0.0).choose() is None
 
 
+CAUSE = retry_policy.ExtraAttemptCause.REFUSED
+
+
 class TestRetryBudget:
     def test_all_vms_together_stay_within_the_retry_limit(self) -> None:
         # 12 VMs that retry as often as their budgets allow.
@@ -135,7 +138,7 @@
             now = step / rate
             for budget in budgets:
                 budget.add_tokens("s", now)
-                while budget.consume_token("s", now):
+                while budget.consume_token("s", now, CAUSE):
                     sent.append(now)
         for start in range(50):
             requests = rate * window * vms
--- a/tests/test_vm_target_notices.py
+++ b/tests/test_vm_target_notices.py
@@ -354,7 +354,7 @@
     ) -> None:
         vm = await vms.start_vm("vm-1")
         vms.set_faults("t-3", "t-4", declining_seconds=1000.0)
-        budget = vm._request_runner._retry_budget
+        budget = vm._request_runner.retry_budget
         answer = await vms.send("vm-1", "/write/1", "POST", data=b"x")
         tokens, _ = budget._tokens["writes"]
         assert answer[1] == b"targets-decline"
--- a/wigeonspool/vm/metrics.py
+++ b/wigeonspool/vm/metrics.py
@@ -1,5 +1,6 @@
 """The metrics of an entry VM, updated at each scrape."""
 
+import asyncio
 from typing import Final
 
 import aioprometheus
@@ -56,6 +57,22 @@
     "wigeonspool_vm_retries_refused_total",
     "Attempts that the retry allowance did not cover.",
 )
+BUDGETED_REQUESTS: Final = aioprometheus.Counter(
+    "wigeonspool_vm_budgeted_requests_total",
+    "Requests that added to the retry budget, by service.",
+)
+EXTRA_ATTEMPTS: Final = aioprometheus.Counter(
+    "wigeonspool_vm_extra_attempts_total",
+    "Attempts beyond the first of a request, by service and cause.",
+)
+DENIED_ATTEMPTS: Final = aioprometheus.Counter(
+    "wigeonspool_vm_extra_attempts_denied_total",
+    "Attempts that the retry budget did not allow, by service.",
+)
+RETRY_TOKENS: Final = aioprometheus.Gauge(
+    "wigeonspool_vm_retry_tokens",
+    "Extra attempts that the retry budget allows now, by service.",
+)
 STORE_CALLS: Final = aioprometheus.Counter(
     "wigeonspool_vm_store_calls_total", "Calls made to the store."
 )
@@ -157,7 +174,7 @@
         for (outcome, reason), count in self._service.counts.items():
             REQUESTS.set({"outcome": outcome, "reason": reason}, count)
         RUNNING.set({}, self._service.in_flight)
-        RETRIES_REFUSED.set({}, self._runner.retries_refused)
+        self._update_retries()
         counts = self._prober.counts
         HEALTH_CHECKS.set({"result": "answered"}, counts.answered)
         HEALTH_CHECKS.set({"result": "failed"}, counts.sent - counts.answered)
@@ -187,6 +204,19 @@
         if self._writer is not None:
             DROPPED_LOG_LINES.set({}, self._writer.dropped_lines)
 
+    def _update_retries(self) -> None:
+        """Sets what was used of the retry budget, by service."""
+        budget = self._runner.retry_budget
+        now = asyncio.get_running_loop().time()
+        for service, use in budget.uses.items():
+            labels = {"service": service}
+            BUDGETED_REQUESTS.set(labels, use.requests)
+            for cause, count in use.extra_attempts.items():
+                EXTRA_ATTEMPTS.set(labels | {"cause": cause.value}, count)
+            DENIED_ATTEMPTS.set(labels, use.denied)
+            RETRY_TOKENS.set(labels, budget.count_tokens(service, now))
+        RETRIES_REFUSED.set({}, sum(u.denied for u in budget.uses.values()))
+
     def _update_notices(
         self, service: str, entries: list[fleet.TargetEntry]
     ) -> None:
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -71,6 +71,7 @@
         on_crash: Called with the fingerprint of a request and the identity of
             the target that crashed while it ran that request.
         error_count: Number of attempts that ended by an unexpected exception.
+        retry_budget: Limits attempts beyond the first of each request.
         start_limits: Limits the time until requests are sent while the VM
             drains.
     """
@@ -92,6 +93,7 @@
         """
         self.on_crash: Callable[[int, str], Awaitable[None]] = _ignore_crash
         self.error_count = 0
+        self.retry_budget = retry_policy.ServiceRetryBudget()
         self.start_limits = start_limits.StartLimits()
         self._cluster = cluster
         self._prober = prober
@@ -100,7 +102,6 @@
             protocol_adapter, prober.notices
         )
         self._selector = target_selection.TargetSelector(prober)
-        self._retry_budget = retry_policy.ServiceRetryBudget()
         self._crash_checks: set[asyncio.Task[None]] = set()
         self._loop = asyncio.get_running_loop()
         self.apply_limits(settings.bounds, len(settings.regions))
@@ -114,18 +115,13 @@
             limits: Limits of the deployment.
             zone_count: Number of availability zones of the deployment.
         """
-        self._retry_budget.set_limits(
+        self.retry_budget.set_limits(
             limits.retry_fraction,
             limits.retry_slack,
             limits.retry_window_seconds,
             vm_assignment.MIN_ASSIGNED_VMS * max(1, zone_count),
         )
 
-    @property
-    def retries_refused(self) -> int:
-        """Number of attempts that the retry budget did not cover."""
-        return self._retry_budget.refused
-
     def replace_sender(self, sender: "SenderProtocol") -> None:
         """Replaces the sender, for example by one for emulated targets."""
         self._sender = sender
@@ -145,7 +141,7 @@
         Returns:
             The response to forward, or the failure to report to the caller.
         """
-        self._retry_budget.add_tokens(context.service, self._loop.time())
+        self.retry_budget.add_tokens(context.service, self._loop.time())
         while True:
             candidate = await self._select(context)
             if isinstance(candidate, outcomes.Failure):
@@ -260,7 +256,10 @@
             return None
         now = self._loop.time()
         reserve = retry_policy.HEDGE_RESERVE_TOKENS
-        if not self._retry_budget.consume_token(context.service, now, reserve):
+        cause = retry_policy.ExtraAttemptCause.HEDGED
+        if not self.retry_budget.consume_token(
+            context.service, now, cause, reserve
+        ):
             return None
         return await self._selector.find_fast_target(context)
 
@@ -433,7 +432,12 @@
             return False
         if self._selector.is_wanted_too_late(context):
             return False
-        if not self._retry_budget.consume_token(context.service, now):
+        cause = (
+            retry_policy.ExtraAttemptCause.REFUSED
+            if result.outcome is request_context.AttemptOutcome.NOT_RUN
+            else retry_policy.ExtraAttemptCause.FAILED
+        )
+        if not self.retry_budget.consume_token(context.service, now, cause):
             context.record_step(now, "allowance-spent", "", 0.0)
             return False
         return True
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -42,6 +42,7 @@
 from wigeonspool.vm import metrics
 from wigeonspool.vm import peer_liveness
 from wigeonspool.vm import request_runner
+from wigeonspool.vm import retry_log
 from wigeonspool.vm import settings_file
 from wigeonspool.vm import startup_gate
 from wigeonspool.vm import store_follower
@@ -203,6 +204,7 @@
         self._request_runner = request_runner.RequestRunner(
             settings, self._cluster, self._prober, http_protocol.HTTP_PROTOCOL
         )
+        self._retry_log = retry_log.RetryLog(self._request_runner.retry_budget)
         self._caller_service = caller_service.CallerService(
             settings.vm,
             self._cluster,
@@ -387,8 +389,8 @@
         """Runs the periodic work once.
 
         It detects pauses of this process, sends changes, keepalives and pings
-        to other VMs, removes expired targets and idle connections, and measures
-        the utilization.
+        to other VMs, removes expired targets and idle connections, logs the use
+        of the retry budget, and measures the utilization.
         """
         await asyncio.sleep(TICK_SECONDS)
         if self._pause_monitor.tick(time.monotonic()):
@@ -404,6 +406,7 @@
             self._next_ping_at = now + peer_liveness.PING_INTERVAL_SECONDS
             self._liveness.send_pings()
             self._channel_pool.close_expired()
+            self._retry_log.write_if_due()
             self._measure_utilization()
 
     def _measure_utilization(self) -> None:
