Share the retry budget without presuming the number of VMs

Cause: each VM kept a twelfth of the slack, for two VMs in each of six zones, whatever the number that serve. A start filled the budget anew.

Change: tokens are earned by requests alone and expire; parts of tokens are drawn, so that the sum does not depend on how requests are spread; the slack is held by the first two registered VMs of each zone, while their lease lasts; a process starts without tokens. The class of the budget has a module of its own, and the runner no longer knows the number of zones. Tests wait until a VM may retry, since it may not right after its start.

--- a/wigeonspool/core/cluster_state.py
+++ b/wigeonspool/core/cluster_state.py
@@ -103,6 +103,7 @@
     Attributes:
         configuration: Active configuration, or None before the first.
         vms: Entry VMs by name.
+        vm_changes: Number of changes of `vms` so far.
         leases: Leases of the VM entries, by VM name.
         targets: Targets by identity.
         suspects: Requests that were running when a target crashed.
@@ -113,6 +114,7 @@
     def __init__(self) -> None:
         self.configuration: fleet.Configuration | None = None
         self.vms: dict[str, fleet.VmEntry] = {}
+        self.vm_changes = 0
         self.leases: dict[str, int] = {}
         self.targets: dict[str, TargetRow] = {}
         self.suspects = quarantine.QuarantineTable()
@@ -157,6 +159,7 @@
 
     def _apply_vm(self, change: VmChange) -> bool:
         """Stores or removes the entry of a VM."""
+        self.vm_changes += 1
         if change.entry is None:
             self.leases.pop(change.name, None)
             return self.vms.pop(change.name, None) is not None
--- a/wigeonspool/load/emulation.py
+++ b/wigeonspool/load/emulation.py
@@ -182,6 +182,9 @@
             self.targets, self._settings, f"vm-{index}", prober.notices
         )
         runner.replace_sender(sender)
+        runner.retry_budget.set_slack_share(
+            1.0 / self._settings.vms, self._loop.time()
+        )
         return runner, sender
 
     async def send_load(self, rate: float, seconds: float, step: int) -> None:
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -12,7 +12,7 @@
 from wigeonspool.core import cluster_state
 from wigeonspool.core import estimates
 from wigeonspool.core import retry_policy
-from wigeonspool.core import vm_assignment
+from wigeonspool.core import shared_retry_budget
 from wigeonspool.core import waiting_policy
 from wigeonspool.model import fleet
 from wigeonspool.model import outcomes
@@ -93,7 +93,9 @@
         """
         self.on_crash: Callable[[int, str], Awaitable[None]] = _ignore_crash
         self.error_count = 0
-        self.retry_budget = retry_policy.ServiceRetryBudget()
+        self.retry_budget = shared_retry_budget.ServiceRetryBudget(
+            prober.draw_fraction
+        )
         self.start_limits = start_limits.StartLimits()
         self._cluster = cluster
         self._prober = prober
@@ -104,22 +106,14 @@
         self._selector = target_selection.TargetSelector(prober)
         self._crash_checks: set[asyncio.Task[None]] = set()
         self._loop = asyncio.get_running_loop()
-        self.apply_limits(settings.bounds, len(settings.regions))
-
-    def apply_limits(
-        self, limits: vm_settings.DeploymentLimits, zone_count: int
-    ) -> None:
-        """Sets the limits of the retry budget; used tokens stay used.
+        self.apply_limits(settings.bounds)
 
-        Args:
-            limits: Limits of the deployment.
-            zone_count: Number of availability zones of the deployment.
-        """
+    def apply_limits(self, limits: vm_settings.DeploymentLimits) -> None:
+        """Sets the limits of the retry budget; used tokens stay used."""
         self.retry_budget.set_limits(
             limits.retry_fraction,
             limits.retry_slack,
             limits.retry_window_seconds,
-            vm_assignment.MIN_ASSIGNED_VMS * max(1, zone_count),
         )
 
     def replace_sender(self, sender: "SenderProtocol") -> None:
@@ -256,7 +250,7 @@
             return None
         now = self._loop.time()
         reserve = retry_policy.HEDGE_RESERVE_TOKENS
-        cause = retry_policy.ExtraAttemptCause.HEDGED
+        cause = shared_retry_budget.ExtraAttemptCause.HEDGED
         if not self.retry_budget.consume_token(
             context.service, now, cause, reserve
         ):
@@ -433,9 +427,9 @@
         if self._selector.is_wanted_too_late(context):
             return False
         cause = (
-            retry_policy.ExtraAttemptCause.REFUSED
+            shared_retry_budget.ExtraAttemptCause.REFUSED
             if result.outcome is request_context.AttemptOutcome.NOT_RUN
-            else retry_policy.ExtraAttemptCause.FAILED
+            else shared_retry_budget.ExtraAttemptCause.FAILED
         )
         if not self.retry_budget.consume_token(context.service, now, cause):
             context.record_step(now, "allowance-spent", "", 0.0)
--- a/wigeonspool/vm/retry_log.py
+++ b/wigeonspool/vm/retry_log.py
@@ -4,7 +4,7 @@
 import dataclasses
 from typing import Final
 
-from wigeonspool.core import retry_policy
+from wigeonspool.core import shared_retry_budget
 from wigeonspool.vm import structured_log
 
 INTERVAL_SECONDS: Final = 2.0
@@ -15,10 +15,10 @@
 class RetryLog:
     """Logs the use of a retry budget at regular intervals."""
 
-    def __init__(self, budget: retry_policy.ServiceRetryBudget) -> None:
+    def __init__(self, budget: shared_retry_budget.ServiceRetryBudget) -> None:
         """Creates a log of a budget that was not used so far."""
         self._budget = budget
-        self._logged: dict[str, retry_policy.RetryUse] = {}
+        self._logged: dict[str, shared_retry_budget.RetryUse] = {}
         self._loop = asyncio.get_running_loop()
         self._logged_at = self._loop.time()
 
@@ -33,7 +33,7 @@
             return
         self._logged_at = now
         for service, use in self._budget.uses.items():
-            logged = self._logged.get(service, retry_policy.RetryUse())
+            logged = self._logged.get(service, shared_retry_budget.RetryUse())
             extra = {
                 cause.value: count - logged.extra_attempts[cause]
                 for cause, count in use.extra_attempts.items()
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -44,6 +44,7 @@
 from wigeonspool.vm import request_runner
 from wigeonspool.vm import retry_log
 from wigeonspool.vm import settings_file
+from wigeonspool.vm import slack_share
 from wigeonspool.vm import startup_gate
 from wigeonspool.vm import store_follower
 from wigeonspool.vm import structured_log
@@ -205,6 +206,13 @@
             settings, self._cluster, self._prober, http_protocol.HTTP_PROTOCOL
         )
         self._retry_log = retry_log.RetryLog(self._request_runner.retry_budget)
+        self._slack_share = slack_share.SlackShare(
+            self._request_runner.retry_budget,
+            self._own_entry,
+            settings.regions,
+            self._cluster,
+            lambda: self._registration.registered_until,
+        )
         self._caller_service = caller_service.CallerService(
             settings.vm,
             self._cluster,
@@ -389,14 +397,16 @@
         """Runs the periodic work once.
 
         It detects pauses of this process, sends changes, keepalives and pings
-        to other VMs, removes expired targets and idle connections, logs the use
-        of the retry budget, and measures the utilization.
+        to other VMs, removes expired targets and idle connections, updates the
+        share of the retry slack, logs the use of the retry budget, and measures
+        the utilization.
         """
         await asyncio.sleep(TICK_SECONDS)
         if self._pause_monitor.tick(time.monotonic()):
             await self._handle_pause()
         now = asyncio.get_running_loop().time()
         self._feeder.send_changes()
+        self._slack_share.update()
         for identity in self._cluster.remove_expired_targets(now):
             state_log.info("target did not come back", target=identity)
         if now >= self._next_keepalive_at:
@@ -457,9 +467,7 @@
             log.error("reload failed; settings stay", reason=str(error))
             return
         self._settings = settings
-        self._request_runner.apply_limits(
-            settings.bounds, len(settings.regions)
-        )
+        self._request_runner.apply_limits(settings.bounds)
         self._store.set_address(settings.store)
         log.info("reloaded", store=settings.store, seeds=settings.seeds)
 
--- a/wigeonspool/vm/vm_registration.py
+++ b/wigeonspool/vm/vm_registration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 from typing import Final, Protocol
 
 from wigeonspool import failure_logs
@@ -37,7 +38,12 @@
 
 
 class VmRegistration:
-    """Writes the entry of this VM to the store and renews its lease."""
+    """Writes the entry of this VM to the store and renews its lease.
+
+    Attributes:
+        registered_until: Time until which the store keeps the entry, loop
+            clock, as far as this VM knows.
+    """
 
     def __init__(
         self,
@@ -59,6 +65,7 @@
             on_store_lost: Called when a call to the store failed.
             min_lease_seconds: Shortest lease that the store grants.
         """
+        self.registered_until = -math.inf
         self._store = store
         self._entry = entry
         self._encode_entry = encode_entry
@@ -103,16 +110,21 @@
 
     def register_again(self) -> None:
         """Registers this VM again, since its entry was removed."""
-        self._lease = 0
+        self._end_registration()
         self._renew_at = 0.0
 
+    def _end_registration(self) -> None:
+        """Drops the lease, which the store has ended."""
+        self._lease = 0
+        self.registered_until = -math.inf
+
     async def _renew(self) -> float:
         """Renews the registration; returns the seconds to the next renewal."""
         try:
             await self._renew_or_register()
         except errors.LeaseEndedError as error:
             self._failures.record(error)
-            self._lease = 0
+            self._end_registration()
             return 0.0
         except Exception as error:
             # Not only errors of the store: an unforeseen reply must not end
@@ -130,10 +142,13 @@
             LeaseEndedError: If the lease has expired.
             StoreError: If the store could not serve a call.
         """
+        # The lease begins when the call reaches the store.
+        lease_end = asyncio.get_running_loop().time() + self._lease_seconds
         if self._lease:
             await self._store.renew(self._lease, RENEW_TIMEOUT_SECONDS)
-            return
-        lease = await self._store.grant(self._lease_seconds)
-        key, value = self._encode_entry(self._entry)
-        await self._store.write(key, value, lease)
-        self._lease = lease
+        else:
+            lease = await self._store.grant(self._lease_seconds)
+            key, value = self._encode_entry(self._entry)
+            await self._store.write(key, value, lease)
+            self._lease = lease
+        self.registered_until = lease_end
