Limit hedged requests to the attempts of a request

The limit of four attempts was checked for retries only; a hedge looked at the attempts that may have run.

--- a/tests/test_vm_lost_requests.py
+++ b/tests/test_vm_lost_requests.py
@@ -21,6 +21,7 @@
 from tests import vm_fleet
 from wigeonspool.core import cluster_state
 from wigeonspool.core import drain_policy
+from wigeonspool.core import retry_policy
 from wigeonspool.gateway import streaming
 from wigeonspool.model import fleet as fleet_model
 from wigeonspool.vm import caller_server
@@ -655,6 +656,25 @@
             raise
 
 
+class RefusingSender(ScriptedSender):
+    """Reports the first attempts as not run, and waits for the others."""
+
+    def __init__(self, refusals: int) -> None:
+        super().__init__()
+        self._refusals = refusals
+
+    async def send(
+        self,
+        context: request_context.RequestContext,
+        candidate: target_probes.Candidate,
+    ) -> request_context.AttemptResult:
+        if self._refusals:
+            self._refusals -= 1
+            candidate.channel.release()
+            return build_result(request_context.AttemptOutcome.NOT_RUN)
+        return await super().send(context, candidate)
+
+
 class TestHedgedRequests:
     """Neither of two attempts that run at the same time is lost."""
 
@@ -672,6 +692,30 @@
         await fleet.wait_for(lambda: len(sender.attempts) == attempts)
         return vm, sender, task
 
+    # Guards against a hedge beyond the limit of attempts: a request that three
+    # targets refused reached five.
+    async def test_last_attempt_is_not_hedged(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        for number in range(5, 10):
+            await vms.start_target(f"t-{number}", "reads", "zone-a")
+        vm = await vms.start_vm("vm-1")
+        for number in range(3):
+            await vms.send("vm-1", f"/read/{number}")
+        sender = RefusingSender(refusals=retry_policy.MAX_ATTEMPTS - 1)
+        vm._request_runner.replace_sender(sender)
+        task = asyncio.create_task(vms.send("vm-1", "/read/1"))
+        await fleet.wait_for(lambda: sender.attempts)
+        # Many times as long as a target needs, so that a hedge would be due.
+        await asyncio.sleep(0.3)
+        assert len(sender.attempts) == 1
+        sender.attempts[0].set_result(
+            request_context.AttemptResult(
+                request_context.AttemptOutcome.ANSWERED, 200, body=b"answer"
+            )
+        )
+        assert (await task)[0] == 200
+
     # Guards against an answer that is dropped since another attempt failed in
     # the same step of the event loop.
     @pytest.mark.parametrize("answered", [0, 1])
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -246,6 +246,8 @@
         """
         if context.possible_runs >= context.rule.max_targets:
             return None
+        if context.attempts_sent >= retry_policy.MAX_ATTEMPTS:
+            return None
         if not self._may_start(context):
             return None
         now = self._loop.time()
