Give the response of a distant target time to arrive before a hedge

The delay now adds the round trip of the health check that chose the target. With the former delay two of the three cases of test_target_has_a_round_trip_more_time fail.

--- a/tests/test_vm_core.py
+++ b/tests/test_vm_core.py
@@ -151,6 +151,23 @@
         assert allowed is expected
 
 
+class TestHedges:
+    # Guards against a hedge of a request whose response is on its way.
+    @pytest.mark.parametrize("round_trip_seconds", [0.0, 0.02, 0.1])
+    def test_target_has_a_round_trip_more_time(
+        self, round_trip_seconds: float
+    ) -> None:
+        hedge_at = retry_policy.find_hedge_at(
+            10.0, 0.005, round_trip_seconds, 11.0
+        )
+        assert hedge_at is not None
+        assert hedge_at >= 10.0 + 0.005 + round_trip_seconds
+
+    def test_late_hedge_is_not_sent(self) -> None:
+        assert retry_policy.find_hedge_at(10.0, 0.4, 0.0, 11.1) is not None
+        assert retry_policy.find_hedge_at(10.0, 0.4, 0.1, 11.1) is None
+
+
 class TestEstimates:
     def test_full_and_slow_targets_have_a_higher_slowdown(self) -> None:
         idle = estimates.estimate_slowdown(0, 0, 4, 1.0)
--- a/wigeonspool/core/retry_policy.py
+++ b/wigeonspool/core/retry_policy.py
@@ -19,19 +19,25 @@
 
 
 def find_hedge_at(
-    started_at: float, baseline_seconds: float, objective_at: float
+    started_at: float,
+    baseline_seconds: float,
+    round_trip_seconds: float,
+    objective_at: float,
 ) -> float | None:
     """Returns when to hedge an attempt that has no response yet.
 
     Args:
         started_at: Time at which the first attempt was sent.
         baseline_seconds: Baseline service time of the work.
+        round_trip_seconds: Time of a round trip to the target of the attempt,
+            during which its response may be on the way.
         objective_at: Time after which the response has less value.
 
     Returns:
         The time, or None if a hedged request would be late as well.
     """
-    at = started_at + HEDGE_DELAY_RATIO * baseline_seconds
+    delay_seconds = HEDGE_DELAY_RATIO * baseline_seconds + round_trip_seconds
+    at = started_at + delay_seconds
     latest = objective_at - HEDGE_REMAINING_RATIO * baseline_seconds
     return at if at <= latest else None
 
--- a/wigeonspool/load/emulated_targets.py
+++ b/wigeonspool/load/emulated_targets.py
@@ -299,7 +299,9 @@
             self._pool, row.entry.address, channels.TargetProtocol(self._loop)
         )
         estimate = self._estimate(row, report, probed_at)
-        return target_probes.Candidate(row, channel, estimate, report)
+        return target_probes.Candidate(
+            row, channel, estimate, report, self._settings.trip
+        )
 
 
 class EmulatedSender:
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -196,7 +196,10 @@
         now = self._loop.time()
         baseline_seconds = self._selector.find_baseline(context)
         hedge_at = retry_policy.find_hedge_at(
-            now, baseline_seconds, context.objective_at
+            now,
+            baseline_seconds,
+            candidate.round_trip_seconds,
+            context.objective_at,
         )
         if (
             hedge_at is None
--- a/wigeonspool/vm/target_probes.py
+++ b/wigeonspool/vm/target_probes.py
@@ -59,12 +59,14 @@
         channel: Connection on which it replied.
         estimate: Its expected slowdown, and its cost for ranking.
         report: The load that it reported.
+        round_trip_seconds: Time from sending the health check to its response.
     """
 
     row: cluster_state.TargetRow
     channel: channels.Channel
     estimate: waiting_policy.TargetEstimate
     report: protocols.LoadReport
+    round_trip_seconds: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -404,7 +406,8 @@
             self.notices.put_back(row.entry, channel)
             return None
         estimate = self._estimate(row, report, probed_at)
-        return Candidate(row, channel, estimate, report)
+        round_trip_seconds = self._loop.time() - probed_at
+        return Candidate(row, channel, estimate, report, round_trip_seconds)
 
     async def _send_health_check(
         self, row: cluster_state.TargetRow, channel: channels.Channel
