Send no request late in a stop that could be cut at its end

What another operator saw: in a planned stop requests that came late were passed on and cut at the end of the grace period, also ones that may not be repeated (LOST). Both of the suspected ways exist here. Requests started as usual during half of the grace period, however long, though the platform excuses cuts only of those sent within 3 s; and after that a request started if ten baseline service times fitted, which one slow target breaks.

Now all requests start during half of the grace period, at most 2.8 s, and after that only those whose callers give up before requests are aborted. Others are refused as not run at once, so that the caller goes to another VM.

--- a/tests/test_vm_lost_requests.py
+++ b/tests/test_vm_lost_requests.py
@@ -257,8 +257,15 @@
     grace_seconds = 2.0
     remaining_ms = "8000"
 
-    async def start(self, vms: vm_fleet.VmFleet) -> service.VmService:
-        """Starts a VM with rules whose time limits exceed the grace period."""
+    async def start(
+        self, vms: vm_fleet.VmFleet, **fields: str
+    ) -> service.VmService:
+        """Starts a VM with rules whose time limits exceed the grace period.
+
+        Args:
+            vms: Deployment of the VM.
+            **fields: Further fields of the rules.
+        """
         actions = {"Timeout": "8000ms"}
         rules = [
             vm_fleet.build_rule(
@@ -268,7 +275,7 @@
                 "write", "/write/", "unsafe", Service="writes", **actions
             ),
         ]
-        await vms.configure(rules)
+        await vms.configure([rule | fields for rule in rules])
         return await vms.start_vm("vm-1", grace_seconds=self.grace_seconds)
 
     async def send(
@@ -375,6 +382,25 @@
         assert (await held)[0] == 200
         await stop_task
 
+    # Guards against a request that is cut because its target is slower than
+    # most: ten usual service times fitted before the end.
+    async def test_late_request_to_a_slow_target_is_not_cut(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await self.start(vms, Slo="60ms")
+        await self.connect_twice(vms)
+        held = await self.hold(vms)
+        for target in ("t-1", "t-2"):
+            vms.targets[target].service_ms = 1500
+        runs = self.count_runs(vms)
+        stop_task = asyncio.create_task(self.stop(vms))
+        await asyncio.sleep(0.6 * self.grace_seconds)
+        status, reason, _ = await self.send(vms, "/read/2")
+        assert (status, reason) == (503, b"draining")
+        assert self.count_runs(vms) == runs
+        assert (await held)[0] == 200
+        await stop_task
+
     # Guards against a request that is read between the last look for running
     # requests and the close, sent to a target and cut.
     async def test_request_that_is_read_while_ports_close_is_refused(
--- a/wigeonspool/core/drain_policy.py
+++ b/wigeonspool/core/drain_policy.py
@@ -11,18 +11,20 @@
 # Fraction of the grace period during which requests start as usual. Callers
 # hold addresses that they resolved before the VM began to drain.
 UNRESTRICTED_FRACTION: Final = 0.5
+# Longest such time, also in a long grace period. Callers discard addresses
+# sooner, and the platform excuses no cut of a request that they sent 3 s after
+# the begin of the stop or later.
+MAX_UNRESTRICTED_SECONDS: Final = 2.8
 # Fraction of the grace period during which callers may still open connections.
 # After that, they have discarded those addresses.
 ACCEPT_FRACTION: Final = 0.55
-# Fraction of the grace period after which no request may wait or start.
-START_FRACTION: Final = 0.88
+# Fraction of the grace period after which no request is read.
+READ_FRACTION: Final = 0.88
 # Fraction of the grace period after which no request may run any more.
 FINISH_FRACTION: Final = 0.92
 # Fraction of the grace period after which all connections must be closed. The
 # process needs the rest to end.
 CLOSE_FRACTION: Final = 0.97
-# Service times vary. On a slow target they reach this many baseline times.
-SLOW_TARGET_RATIO: Final = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,14 +34,14 @@
     Attributes:
         unrestricted_until: Until then, requests start as usual.
         accept_until: Until then, callers may open connections.
-        start_until: After that, no request starts or waits for a target.
+        read_until: After that, no request is read.
         finish_at: Requests that still run are aborted.
         close_by: All connections must be closed.
     """
 
     unrestricted_until: float
     accept_until: float
-    start_until: float
+    read_until: float
     finish_at: float
     close_by: float
 
@@ -51,29 +53,37 @@
         started_at: Time at which the stop was requested.
         grace_seconds: Time from then until the process is killed.
     """
+    unrestricted_seconds = min(
+        grace_seconds * UNRESTRICTED_FRACTION, MAX_UNRESTRICTED_SECONDS
+    )
     return DrainSchedule(
-        started_at + grace_seconds * UNRESTRICTED_FRACTION,
+        started_at + unrestricted_seconds,
         started_at + grace_seconds * ACCEPT_FRACTION,
-        started_at + grace_seconds * START_FRACTION,
+        started_at + grace_seconds * READ_FRACTION,
         started_at + grace_seconds * FINISH_FRACTION,
         started_at + grace_seconds * CLOSE_FRACTION,
     )
 
 
-def find_latest_start(
-    schedule: DrainSchedule | None, baseline_seconds: float, deadline: float
-) -> float:
+def find_latest_start(schedule: DrainSchedule | None, deadline: float) -> float:
     """Returns the latest time at which an attempt may be sent to a target.
 
+    After the unrestricted time, only a deadline makes sure that a request ends
+    before the process: any target may be slower than usual.
+
     Args:
         schedule: Schedule of the stop, or None if the VM does not drain.
-        baseline_seconds: Baseline service time of the request.
-        deadline: Time at which its caller gives up. A request that ends before
-            the process in any case may start at any time.
+        deadline: Time at which the caller of the request gives up.
     """
     if schedule is None or deadline <= schedule.finish_at:
         return math.inf
-    ends_in_time = schedule.finish_at - baseline_seconds * SLOW_TARGET_RATIO
-    return max(
-        schedule.unrestricted_until, min(ends_in_time, schedule.start_until)
-    )
+    return schedule.unrestricted_until
+
+
+def find_latest_read(schedule: DrainSchedule | None) -> float:
+    """Returns the time until which requests are read.
+
+    Args:
+        schedule: Schedule of the stop, or None if the VM does not drain.
+    """
+    return math.inf if schedule is None else schedule.read_until
--- a/wigeonspool/vm/caller_service.py
+++ b/wigeonspool/vm/caller_service.py
@@ -6,7 +6,6 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
-import math
 import time
 
 from aiohttp import web
@@ -173,8 +172,7 @@
         request = served.request
         context: request_context.RequestContext | outcomes.Failure
         try:
-            # Neither its service time nor its deadline is known yet.
-            async with self._runner.start_limits.limit_wait(0.0, math.inf):
+            async with self._runner.start_limits.limit_wait(deadline=None):
                 context = await self._build_context(request)
         except TimeoutError:
             context = outcomes.build_refusal(outcomes.Reason.DRAINING)
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -13,7 +13,6 @@
 from wigeonspool.core import estimates
 from wigeonspool.core import retry_policy
 from wigeonspool.core import shared_retry_budget
-from wigeonspool.core import waiting_policy
 from wigeonspool.model import fleet
 from wigeonspool.model import outcomes
 from wigeonspool.model import protocols
@@ -155,34 +154,15 @@
 
         A request that could not end before this VM stops is refused.
         """
-        baseline_seconds = self._find_cautious_baseline(context)
         limits = self.start_limits
-        if limits.may_start(baseline_seconds, context.deadline):
+        if limits.may_start(context.deadline):
             try:
-                async with limits.limit_wait(
-                    baseline_seconds, context.deadline
-                ):
+                async with limits.limit_wait(context.deadline):
                     return await self._selector.select(context)
             except TimeoutError:
                 pass
         return context.build_failure(outcomes.Reason.DRAINING)
 
-    def _may_start(self, context: request_context.RequestContext) -> bool:
-        """Returns True if an attempt can end before this VM stops."""
-        return self.start_limits.may_start(
-            self._find_cautious_baseline(context), context.deadline
-        )
-
-    def _find_cautious_baseline(
-        self, context: request_context.RequestContext
-    ) -> float:
-        """Returns a baseline that a few fast responses do not make too low."""
-        return max(
-            self._selector.find_baseline(context),
-            waiting_policy.INITIAL_BASELINE_RATIO
-            * context.rule.objective_seconds,
-        )
-
     async def _send_hedged(
         self,
         context: request_context.RequestContext,
@@ -251,7 +231,7 @@
             return None
         if context.attempts_sent >= retry_policy.MAX_ATTEMPTS:
             return None
-        if not self._may_start(context):
+        if not self.start_limits.may_start(context.deadline):
             return None
         now = self._loop.time()
         reserve = retry_policy.HEDGE_RESERVE_TOKENS
@@ -426,7 +406,7 @@
         ):
             context.record_step(now, "no-time-to-repeat", "", 0.0)
             return False
-        if not self._may_start(context):
+        if not self.start_limits.may_start(context.deadline):
             context.record_step(now, "draining", "", 0.0)
             return False
         if self._selector.is_wanted_too_late(context):
--- a/wigeonspool/vm/start_limits.py
+++ b/wigeonspool/vm/start_limits.py
@@ -17,7 +17,8 @@
     def __init__(self) -> None:
         """Creates limits that are not in effect."""
         self._schedule: drain_policy.DrainSchedule | None = None
-        self._waiting: dict[asyncio.Timeout, tuple[float, float]] = {}
+        # Deadlines of the requests that wait, or None while they are read.
+        self._waiting: dict[asyncio.Timeout, float | None] = {}
         self._loop = asyncio.get_running_loop()
 
     def apply_schedule(self, schedule: drain_policy.DrainSchedule) -> None:
@@ -30,47 +31,42 @@
         if self._schedule is not None:
             return
         self._schedule = schedule
-        for timeout, (baseline_seconds, deadline) in self._waiting.items():
-            timeout.reschedule(self._find_limit(baseline_seconds, deadline))
+        for timeout, deadline in self._waiting.items():
+            timeout.reschedule(self._find_limit(deadline))
 
-    def may_start(self, baseline_seconds: float, deadline: float) -> bool:
-        """Returns True if an attempt that is sent now can end in time.
+    def may_start(self, deadline: float) -> bool:
+        """Returns True if an attempt may be sent now.
 
         Args:
-            baseline_seconds: Baseline service time of the request.
             deadline: Time at which its caller gives up, loop clock.
         """
         return self._loop.time() <= drain_policy.find_latest_start(
-            self._schedule, baseline_seconds, deadline
+            self._schedule, deadline
         )
 
     @contextlib.asynccontextmanager
-    async def limit_wait(
-        self, baseline_seconds: float, deadline: float
-    ) -> AsyncIterator[None]:
-        """Limits the time that a request may wait before it is sent.
+    async def limit_wait(self, deadline: float | None) -> AsyncIterator[None]:
+        """Limits the time until a request is read, or until it is sent.
 
         Args:
-            baseline_seconds: Baseline service time of the request.
-            deadline: Time at which its caller gives up, loop clock.
+            deadline: Time at which its caller gives up, loop clock; None while
+                the request is read.
 
         Raises:
-            TimeoutError: If an attempt that is sent later could not end in
-                time.
+            TimeoutError: If the request must not be sent any more.
         """
-        limit = self._find_limit(baseline_seconds, deadline)
-        async with asyncio.timeout_at(limit) as timeout:
-            self._waiting[timeout] = (baseline_seconds, deadline)
+        async with asyncio.timeout_at(self._find_limit(deadline)) as timeout:
+            self._waiting[timeout] = deadline
             try:
                 yield
             finally:
                 del self._waiting[timeout]
 
-    def _find_limit(
-        self, baseline_seconds: float, deadline: float
-    ) -> float | None:
-        """Returns the latest start of a request, or None without a limit."""
-        latest_start = drain_policy.find_latest_start(
-            self._schedule, baseline_seconds, deadline
+    def _find_limit(self, deadline: float | None) -> float | None:
+        """Returns the end of a wait, or None without a limit."""
+        limit = (
+            drain_policy.find_latest_read(self._schedule)
+            if deadline is None
+            else drain_policy.find_latest_start(self._schedule, deadline)
         )
-        return None if math.isinf(latest_start) else latest_start
+        return None if math.isinf(limit) else limit
