Divide idle connections to a target by the number of registered VMs

A target accepts MaxConns connections from all VMs together.

A VM now keeps at most three quarters of the smallest MaxConns divided by the number of registered VMs, from one to eight. The number comes from the store, as the VMs come and go.

--- a/tests/vm_fleet.py
+++ b/tests/vm_fleet.py
@@ -81,6 +81,7 @@
     rules: list[Any],
     host: str = HOST,
     header_timeout: str = "3000ms",
+    max_connections: int = 100,
 ) -> dict[str, Any]:
     """Returns a configuration document with three upstreams."""
     return {
@@ -93,7 +94,7 @@
         },
         "Listeners": [{"Host": host, "Policy": rules}],
         "Upstreams": [
-            {"Name": n, "HealthPath": "/health", "MaxConns": 100}
+            {"Name": n, "HealthPath": "/health", "MaxConns": max_connections}
             for n in ("other", "reads", "writes")
         ],
     }
@@ -153,10 +154,12 @@
             build_rule("write", "/write/", "unsafe", Service="writes"),
         ]
 
-    async def configure(self, rules: list[Any], host: str = HOST) -> int:
+    async def configure(
+        self, rules: list[Any], host: str = HOST, **options: Any
+    ) -> int:
         """Writes a configuration; returns its version."""
         self.version += 3
-        document = build_configuration(self.version, rules, host)
+        document = build_configuration(self.version, rules, host, **options)
         await self.store.put("op/config", json.dumps(document).encode())
         return self.version
 
--- a/wigeonspool/model/fleet.py
+++ b/wigeonspool/model/fleet.py
@@ -65,10 +65,13 @@
         name: Name of the service.
         health_path: Path of health checks; targets respond to them with their
             load, without queueing.
+        max_connections: Connections that one target accepts from all VMs
+            together, or 0 if that is unknown.
     """
 
     name: str
     health_path: str
+    max_connections: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wigeonspool/platform/configuration.py
+++ b/wigeonspool/platform/configuration.py
@@ -19,6 +19,7 @@
 MAX_WEIGHT: Final = 1e9
 MAX_PRIORITY: Final = 1_000_000
 MAX_ATTEMPTS: Final = 1_000_000
+MAX_CONNECTIONS: Final = 2**31 - 1
 # The HTTP parser holds the limits of a head in 32 bits.
 MAX_HEADER_BYTES: Final = 2**31 - 1
 MAX_BODY_BYTES: Final = 2**63 - 1
@@ -66,6 +67,7 @@
 class _Upstream(msgspec.Struct, rename="pascal"):
     name: str
     health_path: str = "/health"
+    max_conns: int = 0
 
 
 class _Limits(msgspec.Struct, rename="pascal"):
@@ -109,15 +111,19 @@
     """Converts an upstream of the platform into a service.
 
     Raises:
-        PlatformFormatError: If its name or health path is invalid.
+        PlatformFormatError: If its name, health path or number of connections
+            is invalid.
     """
     value_limits.check_name("Name", upstream.name)
+    value_limits.check_range("MaxConns", upstream.max_conns, 0, MAX_CONNECTIONS)
     if _PATH.fullmatch(upstream.health_path) is None:
         raise errors.PlatformFormatError(
             f"HealthPath: {value_limits.quote(upstream.health_path)}"
             " is not a path"
         )
-    return fleet.Service(upstream.name, upstream.health_path)
+    return fleet.Service(
+        upstream.name, upstream.health_path, upstream.max_conns
+    )
 
 
 def _build_limits(limits: _Limits) -> fleet.CallerLimits:
--- a/wigeonspool/vm/channels.py
+++ b/wigeonspool/vm/channels.py
@@ -10,6 +10,7 @@
 import socket
 from typing import Any, Final
 
+from wigeonspool.core import connection_limits
 from wigeonspool.gateway import connections
 from wigeonspool.gateway import response_protocol
 from wigeonspool.model import addresses
@@ -24,7 +25,6 @@
 IDLE_SLACK_SECONDS: Final = 1.0
 # A round trip between regions takes 25 ms; one lost packet costs 200 ms more.
 CONNECT_TIMEOUT_SECONDS: Final = 0.4
-MAX_IDLE_PER_TARGET: Final = 8
 MAX_KEEP_ALIVE_DIGITS: Final = 6
 
 log = structured_log.get_logger("targets")
@@ -170,6 +170,8 @@
         connect_failures: Number of connections that could not be opened.
         unsolicited_responses: Number of connections that were closed because
             data arrived while no response was due.
+        max_idle_per_target: Number of idle channels to one target that are
+            kept.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -179,6 +181,7 @@
         self.connect_attempts = 0
         self.connect_failures = 0
         self.unsolicited_responses = 0
+        self.max_idle_per_target = connection_limits.MAX_IDLE_PER_TARGET
 
     def acquire(self, address: str) -> Channel | None:
         """Returns a usable idle channel, or None if one must be opened.
@@ -239,14 +242,14 @@
         """Adds a channel to the pool.
 
         Closes it instead if it is unusable, or if the pool holds
-        `MAX_IDLE_PER_TARGET` channels to its target already.
+        `max_idle_per_target` channels to its target already.
         """
         channel.protocol.end_exchange()
         if not is_usable(channel):
             channel.close()
             return
         idle = self._idle.setdefault(channel.address, [])
-        if len(idle) >= MAX_IDLE_PER_TARGET:
+        if len(idle) >= self.max_idle_per_target:
             channel.close()
             return
         channel.idle_since = self._loop.time()
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -20,6 +20,7 @@
 from wigeonspool import listen_sockets
 from wigeonspool import process
 from wigeonspool.core import cluster_state
+from wigeonspool.core import connection_limits
 from wigeonspool.core import drain_policy
 from wigeonspool.core import feeders
 from wigeonspool.gateway import pauses
@@ -415,10 +416,22 @@
         if now >= self._next_ping_at:
             self._next_ping_at = now + peer_liveness.PING_INTERVAL_SECONDS
             self._liveness.send_pings()
+            self._limit_idle_connections()
             self._channel_pool.close_expired()
             self._retry_log.write_if_due()
             self._measure_utilization()
 
+    def _limit_idle_connections(self) -> None:
+        """Updates how many idle connections to one target are kept."""
+        configuration = self._cluster.configuration
+        services = configuration.services.values() if configuration else ()
+        self._channel_pool.max_idle_per_target = (
+            connection_limits.find_idle_limit(
+                (service.max_connections for service in services),
+                len(self._cluster.vms),
+            )
+        )
+
     def _measure_utilization(self) -> None:
         """Updates the fraction of its capacity that this VM uses.
 
