Check the shared retry budget in the soak

The soak now counts how often requests reach targets and fails if all VM processes together send a service more extra attempts than the limit allows; planted histories with 62 and 63 of 62 allowed show that it finds them.

--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -1,5 +1,6 @@
 """Checks the promises of the platform's pages on the history of a soak."""
 
+import bisect
 from collections.abc import Callable, Iterator
 from typing import Final
 
@@ -25,6 +26,11 @@
 # `MAX_DECLINED` requests of one VM.
 DECLINE_SLACK_SECONDS: Final = 0.5
 MAX_DECLINED: Final = 2
+# In any window, a service gets at most this fraction of its requests, and the
+# slack, beyond the first arrival of each request, from all VMs together.
+RETRY_FRACTION: Final = 0.2
+RETRY_SLACK: Final = 60
+RETRY_WINDOW_SECONDS: Final = 10.0
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 SUCCESS: Final = range(200, 300)
 SERVER_ERRORS: Final = range(500, 600)
@@ -175,6 +181,53 @@
                     yield f"sent-to-declining {vm} sent {count} to {target}"
 
 
+def check_retry_budget(history: histories.History) -> Iterator[str]:
+    """Yields services that get more extra attempts than all VMs may send."""
+    # The services differ by the method of their requests.
+    for method in ("GET", "POST"):
+        sent = sorted(
+            a.sent_at for a in history.attempts.values() if a.method == method
+        )
+        extra = _list_extra_arrivals(history, method)
+        for start in extra:
+            count = _count_in_window(extra, start)
+            requests = max(
+                _count_in_window(sent, start - earlier)
+                for earlier in (
+                    0.0,
+                    RETRY_WINDOW_SECONDS / 2,
+                    RETRY_WINDOW_SECONDS,
+                )
+            )
+            if count > RETRY_FRACTION * requests + RETRY_SLACK:
+                yield (
+                    f"too-many-retries {count} of {method} from {start:.3f} on,"
+                    f" for {requests} requests"
+                )
+                break
+
+
+def _list_extra_arrivals(
+    history: histories.History, method: str
+) -> list[float]:
+    """Returns when requests arrived at targets after their first arrival."""
+    arrived = set()
+    extra = []
+    for arrival in sorted(history.arrivals, key=lambda a: a.at):
+        if history.attempts[arrival.attempt].method != method:
+            continue
+        if arrival.attempt in arrived:
+            extra.append(arrival.at)
+        arrived.add(arrival.attempt)
+    return extra
+
+
+def _count_in_window(times: list[float], start: float) -> int:
+    """Returns how many sorted times lie in the window from a start on."""
+    end = start + RETRY_WINDOW_SECONDS
+    return bisect.bisect_left(times, end) - bisect.bisect_left(times, start)
+
+
 def _group_arrivals(
     history: histories.History, notice: histories.Notice
 ) -> dict[str, list[histories.Arrival]]:
@@ -263,6 +316,7 @@
     check_lost_requests,
     check_leaving,
     check_declines,
+    check_retry_budget,
     check_own_ends,
     check_recovery,
 )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -195,6 +195,24 @@
         assert find_names(history) == ["sent-to-declining"]
 
 
+class TestRetries:
+    """Violations planted into how often requests reach targets."""
+
+    # With 10 requests of this kind, 62 extra arrivals are allowed in 10 s.
+    @pytest.mark.parametrize(("extra", "is_broken"), [(62, False), (63, True)])
+    def test_too_many_extra_attempts_are_found(
+        self, extra: int, is_broken: bool
+    ) -> None:
+        history = build_history(build_attempt(), "t-1")
+        assert len(history.attempts) == 10
+        history.arrivals += [
+            histories.Arrival("t-1", 100.1 + number / 10, "a-1", True)
+            for number in range(extra + 1)
+        ]
+        expected = ["too-many-retries"] if is_broken else []
+        assert find_names(history) == expected
+
+
 class TestProcesses:
     """Violations planted into the life of processes."""
 
