--- a/tests/test_retry_log.py
+++ b/tests/test_retry_log.py
@@ -28,7 +28,7 @@
 
 async def use_budget(extra_attempts: int) -> None:
     """Logs a budget with a request and some extra attempts, for 5 intervals."""
-    budget = shared_retry_budget.ServiceRetryBudget()
+    budget = shared_retry_budget.ServiceRetryBudget(lambda: 0.5)
     budget.set_limits(0.2, 100.0, 10.0)
     budget.set_slack_share(1.0, -10.0)
     log = retry_log.RetryLog(budget)
--- a/tests/test_shared_retry_budget.py
+++ b/tests/test_shared_retry_budget.py
@@ -284,7 +284,7 @@
         assert not budget.consume_token("s", 100.0, CAUSE)
 
     def test_slack_is_lost_with_the_share(self) -> None:
-        budget = shared_retry_budget.ServiceRetryBudget()
+        budget = shared_retry_budget.ServiceRetryBudget(lambda: 0.5)
         budget.set_limits(0.2, 100.0, 10.0)
         budget.set_slack_share(0.5, 0.0)
         assert budget.count_tokens("s", 100.0) == pytest.approx(20.0)
@@ -294,7 +294,7 @@
         assert budget.count_tokens("s", 101.0) == pytest.approx(2.5)
 
     def test_service_without_requests_so_far_has_saved_slack(self) -> None:
-        budget = shared_retry_budget.ServiceRetryBudget()
+        budget = shared_retry_budget.ServiceRetryBudget(lambda: 0.5)
         budget.set_limits(0.2, 100.0, 10.0)
         budget.set_slack_share(1.0, 5.0)
         assert budget.count_tokens("s", 7.0) == pytest.approx(10.0)
--- a/wigeonspool/core/shared_retry_budget.py
+++ b/wigeonspool/core/shared_retry_budget.py
@@ -14,7 +14,6 @@
 import dataclasses
 import enum
 import math
-import random
 from typing import Final
 
 from wigeonspool.core import vm_assignment
@@ -95,9 +94,7 @@
         "uses",
     )
 
-    def __init__(
-        self, draw_fraction: Callable[[], float] = random.random
-    ) -> None:
+    def __init__(self, draw_fraction: Callable[[], float]) -> None:
         """Creates a budget that allows no extra attempts.
 
         Args:
