--- a/tests/test_platform_target.py
+++ b/tests/test_platform_target.py
@@ -153,6 +153,21 @@
         assert standin.target.arrivals[-1].path == "/read/1"
 
 
+class TestCrash:
+    # Guards against a soak that ends with an error of its own: a target crashed
+    # whose caller had just closed a connection.
+    async def test_closed_connection_is_passed_over(
+        self, standin: Standin
+    ) -> None:
+        host, _, port = standin.address.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        await fleet.wait_for(lambda: standin.target._open_writers)
+        (served,) = standin.target._open_writers
+        served.get_extra_info("socket")._sock.close()
+        standin.target.crash()
+        writer.close()
+
+
 class TestNewStart:
     async def test_entry_states_a_later_start_at_the_same_address(
         self, vms: vm_fleet.VmFleet
--- a/wigeonspool/platform/standin/target.py
+++ b/wigeonspool/platform/standin/target.py
@@ -368,9 +368,12 @@
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
-    """Resets a connection; data that is still buffered is discarded."""
+    """Resets a connection; data that is still buffered is discarded.
+
+    The socket of a connection that has ended is closed already.
+    """
     connection = writer.get_extra_info("socket")
-    if connection is not None:
+    if connection is not None and connection.fileno() >= 0:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
     writer.transport.abort()
 
