--- a/wigeonspool/vm/slack_share.py
+++ b/wigeonspool/vm/slack_share.py
@@ -12,7 +12,6 @@
     """Updates the share of the retry slack as VMs come and go.
 
     Attributes:
-        zones: Availability zones of the deployment.
         share: Fraction of the slack that this VM holds while it is registered.
     """
 
@@ -34,12 +33,12 @@
             find_registered_until: Returns the time until which the store keeps
                 the entry of the VM, loop clock.
         """
-        self.zones = zones
+        self.share = 0.0
+        self._zones = zones
         self._budget = budget
         self._entry = entry
         self._cluster = cluster
         self._find_registered_until = find_registered_until
-        self.share = 0.0
         self._ranked_changes = -1
         self._loop = asyncio.get_running_loop()
 
@@ -52,7 +51,7 @@
         if self._ranked_changes != self._cluster.vm_changes:
             self._ranked_changes = self._cluster.vm_changes
             self.share = shared_retry_budget.find_slack_share(
-                self._entry, self._cluster.vms.values(), self.zones
+                self._entry, self._cluster.vms.values(), self._zones
             )
         now = self._loop.time()
         is_registered = now < self._find_registered_until()
