--- a/review/1/case.py
+++ b/review/1/case.py
@@ -24,7 +24,7 @@
 async def run(fleet: fleets.Fleet, trouble: bool) -> bool:
     """Runs the case; returns True if DRAIN was broken."""
     record = fleet.record
-    store = stores.Store(stale_s=STALE_S)
+    store = stores.Store(lambda: STALE_S)
     port = fleets.find_free_port()
     await store.start("127.31.0.1", port)
     link = fleets.DelayProxy(("127.31.0.1", port), REGION_S)
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+from collections.abc import Callable
 import contextlib
 import json
 import time
@@ -10,6 +11,7 @@
 
 from review.lib import wire
 
+# PROTOCOL.md: "at most about 500 items or 1 MB".
 PAGE_ITEMS = 500
 
 
@@ -18,13 +20,21 @@
 
     Attributes:
         answer_s: Time until each answer.
-        stale_s: Age of the data in answers to reads with `AllowStale`.
+        find_stale_s: Returns the age of the data in the answer to a read with
+            `AllowStale`.
+        page_items: Most items of a page.
         revision: Revision of the last change.
     """
 
-    def __init__(self, stale_s: float = 0.0, answer_s: float = 0.004) -> None:
+    def __init__(
+        self,
+        find_stale_s: Callable[[], float] = lambda: 0.0,
+        answer_s: float = 0.004,
+        page_items: int = PAGE_ITEMS,
+    ) -> None:
         self.answer_s = answer_s
-        self.stale_s = stale_s
+        self.find_stale_s = find_stale_s
+        self.page_items = page_items
         self.revision = 10
         # (time, revision, key, item or None) of each change.
         self.log: list[tuple[float, int, str, dict[str, Any] | None]] = []
@@ -154,12 +164,12 @@
         now = time.monotonic()
         stale = query.get("AllowStale") == "1"
         if stale:
-            items, revision = self._read_past(now - self.stale_s)
+            items, revision = self._read_past(now - self.find_stale_s())
         self.reads.append((now, stale, revision))
         prefix, after = query.get("Prefix", ""), query.get("after", "")
         keys = sorted(k for k in items if k.startswith(prefix) and k > after)
-        page = [items[key] for key in keys[:PAGE_ITEMS]]
-        more = len(keys) > PAGE_ITEMS
+        page = [items[key] for key in keys[: self.page_items]]
+        more = len(keys) > self.page_items
         document = {"items": page, "HasMore": more, "AtRev": revision}
         return wire.build_json(200, document)
 
