--- a/review/1/case.py
+++ b/review/1/case.py
@@ -19,6 +19,8 @@
 # PROTOCOL.md: an instance whose entry is removed serves for `Drain` "and a
 # little longer (at times many seconds)".
 LINGER_S = 10.0
+# Of each machine; together they keep all slots of the other instances busy.
+CLIENTS = 9
 
 
 async def run(fleet: fleets.Fleet, trouble: bool) -> bool:
@@ -59,7 +61,7 @@
     clients = [
         asyncio.create_task(send_all(fleet, vm, sent, answers))
         for vm in (first, second)
-        for _ in range(6)
+        for _ in range(CLIENTS)
     ]
     await asyncio.sleep(1.0)
     restarted_at = 0.0
@@ -67,6 +69,7 @@
         second.send_signal(signal.SIGTERM)
     await asyncio.sleep(2.8)
     # It never reports `draining`: its entry is removed and it serves on.
+    leaver.leaving = True
     store.delete(f"servers/{leaver.identity}")
     left_at = time.monotonic()
     record.write(f"{leaver.identity}: entry removed, revision {store.revision}")
@@ -123,7 +126,7 @@
             )
             answers[attempt] = str(answer.status)
         fleet.record.write(f"{attempt} to {vm.node}: {answers[attempt]}")
-        await asyncio.sleep(0.15)
+        await asyncio.sleep(0.02)
 
 
 if __name__ == "__main__":
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -261,6 +261,7 @@
     """A sound instance, as PROTOCOL.md describes it.
 
     Attributes:
+        leaving: True once it leaves, which its health check then says.
         runs: (time, attempt, path) of each request that it began to run.
         arrivals: (time, attempt, path) of each request that reached it,
             without health checks and requests that get 421.
@@ -271,6 +272,7 @@
     ) -> None:
         self.identity, self.service, self.work_s = identity, service, work_s
         self.slots = 4
+        self.leaving = False
         self.address = ("", 0)
         self.runs: list[tuple[float, str, str]] = []
         self.arrivals: list[tuple[float, str, str]] = []
@@ -337,7 +339,10 @@
         if path == "/health":
             load = f"{self.running},0,{self.slots}"
             fields = {"X-Instance-Id": self.identity, "X-Instance-Load": load}
-            writer.write(wire.build("HTTP/1.1 200 OK", fields))
+            start = "HTTP/1.1 200 OK"
+            if self.leaving:
+                start = "HTTP/1.1 503 Service Unavailable"
+            writer.write(wire.build(start, fields))
             return True
         attempt = request.fields.get("x-attempt-id", "")
         fields = {"X-Attempt-Id": attempt}
