--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,7 @@
 # RULES.md: "less than a quarter is served, though a quarter or more was".
 MIN_SERVED = 0.25
 INSTANCES = 14
-CLIENTS = 6
+CLIENTS = 14
 # Of ten requests, nine ask for the list that all moderators see.
 POPULAR_PER_TEN = 9
 # An instance is back after so long, as a new boot with a new `Id`.
@@ -99,7 +99,9 @@
 
 async def crash(store: stores.Store, instance: fleets.Instance) -> None:
     """Crashes an instance; it is back as another one after some seconds."""
-    instance.record.write(f"{instance.identity}: crashes")
+    while not instance.running:
+        await asyncio.sleep(0.001)
+    instance.record.write(f"{instance.identity}: crashes at work")
     instance.stop()
     await asyncio.sleep(CRASH_S)
     name = f"{instance.identity}-again"
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,10 +15,12 @@
 GRACE_S = 6.0
 REGION_S = 0.012
 # PROTOCOL.md: a read with `AllowStale` "may be seconds old".
-STALE_S = 2.0
+STALE_S = 3.0
 # PROTOCOL.md: an instance whose entry is removed serves for `Drain` "and a
 # little longer (at times many seconds)".
 LINGER_S = 10.0
+# Time from the SIGTERM until the entry of the instance is removed.
+LEAVES_AFTER_S = 3.0
 # Of each machine; together they keep all slots of the other instances busy.
 CLIENTS = 9
 
@@ -67,14 +69,14 @@
     restarted_at = 0.0
     if trouble:
         second.send_signal(signal.SIGTERM)
-    await asyncio.sleep(2.8)
+    await asyncio.sleep(LEAVES_AFTER_S)
     # It never reports `draining`: its entry is removed and it serves on.
     leaver.leaving = True
     store.delete(f"servers/{leaver.identity}")
     left_at = time.monotonic()
     record.write(f"{leaver.identity}: entry removed, revision {store.revision}")
     if trouble:
-        await second.wait_end(GRACE_S - 2.8)
+        await second.wait_end(GRACE_S - LEAVES_AFTER_S)
         await asyncio.sleep(0.3)
         second.start()
         restarted_at = second.started_at
