--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -507,6 +507,8 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     say(fleet.record, f"trouble: {trouble}")
     code = 2
+    # Ends the processes also if the script itself is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(_limit(case(fleet, trouble)))
         say(fleet.record, "the rule was broken" if broken else "the rule held")
