--- a/wigeonspool/core/quarantine.py
+++ b/wigeonspool/core/quarantine.py
@@ -77,9 +77,15 @@
         self._crash_times = recent
         return len(recent) >= MASS_CRASH_TARGETS
 
-    def remove_suspect(self, fingerprint: int) -> None:
-        """Removes a request that got a response from the suspects."""
-        self._rows.pop(fingerprint, None)
+    def remove_suspect(self, fingerprint: int) -> tuple[str, ...]:
+        """Removes a request that got a response from the suspects.
+
+        Returns:
+            Targets that had crashed while they ran it; empty if it was no
+            suspect.
+        """
+        row = self._rows.pop(fingerprint, None)
+        return tuple(sorted(row.targets)) if row else ()
 
     def is_suspect(self, fingerprint: int) -> bool:
         """Returns True if a request is a suspect."""
--- a/wigeonspool/vm/caller_service.py
+++ b/wigeonspool/vm/caller_service.py
@@ -355,6 +355,13 @@
             )
         fingerprint = fingerprint_request(request, host, body)
         if self._cluster.suspects.is_refused(self._loop.time(), fingerprint):
+            crashed = self._cluster.suspects.list_crashed_targets(fingerprint)
+            log.info(
+                "quarantined",
+                request=identity,
+                fingerprint=f"{fingerprint:016x}",
+                targets=list(crashed),
+            )
             return outcomes.build_refusal(outcomes.Reason.QUARANTINED)
         return request_context.RequestContext(
             request,
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -338,7 +338,7 @@
         now = self._loop.time()
         if result.outcome is request_context.AttemptOutcome.ANSWERED:
             self._selector.record_response(context, seconds, candidate)
-            self._cluster.suspects.remove_suspect(context.fingerprint)
+            self._clear_suspect(context)
             return
         if result.outcome is request_context.AttemptOutcome.NOT_RUN:
             context.possible_runs -= 1
@@ -352,6 +352,17 @@
         if result.outcome is request_context.AttemptOutcome.UNKNOWN:
             self._start_crash_check(context.fingerprint, row.entry)
 
+    def _clear_suspect(self, context: request_context.RequestContext) -> None:
+        """Removes a request that got a response from the suspects."""
+        targets = self._cluster.suspects.remove_suspect(context.fingerprint)
+        if targets:
+            log.info(
+                "suspect answered",
+                request=context.identity,
+                fingerprint=f"{context.fingerprint:016x}",
+                targets=list(targets),
+            )
+
     def _start_crash_check(
         self, fingerprint: int, entry: fleet.TargetEntry
     ) -> None:
