Report the responses to suspects, so that old crashes do not refuse them

Cause: crashes were reported to all VMs as keys of the store, responses were not. A response removed the suspicion from the memory of one VM only; the keys stayed as long as its lease, so two crashes at any time counted as two in a row for each process that read them.

Why this works: a VM that gets a response to a suspect changes its keys to 'answered', and VMs drop the crash when they read that. The key is changed, not removed, since it is removed with a lease as well, which says nothing about the request. The first failure after an answer does not count, so two targets that crash together do not make a popular request a suspect. The other side holds as before: crashes without a response stay, through restarts of one or all VMs, and now also when the store was away or the lease of the reporting VM ended.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Mapping
 import itertools
 import json
 from typing import Any
@@ -13,10 +14,13 @@
 from tests import test_store_keys
 from tests import vm_fleet
 from wigeonspool.core import cluster_state
+from wigeonspool.core import quarantine
+from wigeonspool.core import suspect_reports
 from wigeonspool.model import errors
 from wigeonspool.model import key_values
 from wigeonspool.platform import store_keys
 from wigeonspool.vm import store_follower
+from wigeonspool.vm import suspect_writer
 from wigeonspool.vm import vm_registration
 
 GOOD = json.dumps(test_store_keys.ENTRY).encode()
@@ -144,7 +148,9 @@
         """Fails."""
         raise AttributeError
 
-    async def write(self, key: str, value: bytes, lease: int = 0) -> int:
+    async def write_all(
+        self, values: Mapping[str, bytes | None], lease: int = 0
+    ) -> int:
         """Fails."""
         raise OverflowError
 
@@ -177,7 +183,32 @@
         assert await registration._renew() == vm_registration.RETRY_SECONDS
         assert lost
         registration._lease = 1
-        await registration.write_key("suspects/1/t-1")
+        with pytest.raises(OverflowError):
+            await registration.write_keys({"suspects/1/t-1": b""})
+
+    async def test_suspect_writer_survives_unexpected_errors(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(suspect_writer, "RETRY_SECONDS", 0.0)
+        calls = []
+
+        async def fail(reports: list[suspect_reports.SuspectReport]) -> int:
+            calls.append(reports)
+            raise OverflowError
+
+        suspects = quarantine.QuarantineTable()
+        suspects.record_crash(0.0, 1, "t-1")
+        writer = suspect_writer.SuspectWriter(
+            suspect_reports.SuspectReports(
+                suspects, lambda: 0.0, lambda: 1, lambda subject: None
+            ),
+            fail,
+            max_batch=1,
+        )
+        writer.add_crash(1, "t-1")
+        for _ in range(3):
+            await writer.write_due()
+        assert len(calls) == 2
 
     async def test_process_continues_after_an_error_of_a_task(
         self, vms: vm_fleet.VmFleet, monkeypatch: pytest.MonkeyPatch
--- a/tests/test_slack_share.py
+++ b/tests/test_slack_share.py
@@ -1,6 +1,7 @@
 """Tests of the share of the retry slack that a VM holds."""
 
 import asyncio
+from collections.abc import Mapping
 
 from tests import vm_fleet
 from wigeonspool.load import virtual_loop
@@ -30,7 +31,9 @@
         await asyncio.sleep(1.0)
         self._check()
 
-    async def write(self, key: str, value: bytes, lease: int = 0) -> int:
+    async def write_all(
+        self, values: Mapping[str, bytes | None], lease: int = 0
+    ) -> int:
         self._check()
         return 1
 
--- a/tests/test_store_keys.py
+++ b/tests/test_store_keys.py
@@ -7,6 +7,7 @@
 import pytest
 
 from wigeonspool.core import cluster_state
+from wigeonspool.core import suspect_reports
 from wigeonspool.model import errors
 from wigeonspool.model import fleet
 from wigeonspool.platform import store_keys
@@ -281,5 +282,19 @@
         change = store_keys.decode_change(key, b"")
         assert change == cluster_state.SuspectChange(2**64 - 1, "t-1")
 
+    @pytest.mark.parametrize("state", list(suspect_reports.ReportState))
+    def test_report_is_decoded_as_it_was_encoded(
+        self, state: suspect_reports.ReportState
+    ) -> None:
+        report = suspect_reports.SuspectReport((7, "t-1"), state, 0.0)
+        key, value = store_keys.encode_report(report)
+        change = store_keys.decode_change(key, value)
+        assert change == cluster_state.SuspectChange(7, "t-1", state)
+
+    def test_unknown_report_counts_as_a_crash(self) -> None:
+        key = store_keys.build_suspect_key(7, "t-1")
+        change = store_keys.decode_change(key, b"later version")
+        assert change == cluster_state.SuspectChange(7, "t-1")
+
     def test_other_prefixes_are_ignored(self) -> None:
         assert store_keys.decode_change("status/x", b"\xff") is None
--- a/wigeonspool/core/cluster_state.py
+++ b/wigeonspool/core/cluster_state.py
@@ -11,6 +11,7 @@
 
 from wigeonspool.core import estimates
 from wigeonspool.core import quarantine
+from wigeonspool.core import suspect_reports
 from wigeonspool.model import fleet
 
 # Running targets whose registrations expired during a store outage register
@@ -83,15 +84,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SuspectChange:
-    """A target crashed while it ran a request.
+    """A report that a target crashed while it ran a request has changed.
 
     Attributes:
         fingerprint: Equal for resubmissions of the same request.
         target: Identity of the target.
+        state: What the report states now; EXPIRED if its key was removed, which
+            says nothing about the request.
     """
 
     fingerprint: int
     target: str
+    state: suspect_reports.ReportState = suspect_reports.ReportState.CRASHED
 
 
 Change = ConfigurationChange | TargetChange | VmChange | SuspectChange
@@ -145,10 +149,17 @@
         if isinstance(change, VmChange):
             return self._apply_vm(change)
         if isinstance(change, SuspectChange):
-            self.suspects.merge(now, change.fingerprint, (change.target,))
-            return True
+            return self._apply_suspect(now, change)
         return self._apply_target(now, revision, change)
 
+    def _apply_suspect(self, now: float, change: SuspectChange) -> bool:
+        """Counts a crash against a request, or removes it."""
+        if change.state is suspect_reports.ReportState.CRASHED:
+            self.suspects.merge_report(now, change.fingerprint, change.target)
+        elif change.state is suspect_reports.ReportState.ANSWERED:
+            self.suspects.remove_crash(change.fingerprint, change.target)
+        return True
+
     def _apply_configuration(self, received: fleet.Configuration) -> bool:
         """Activates a configuration if it is newer than the active one."""
         active = self.configuration
--- a/wigeonspool/platform/metadata_store.py
+++ b/wigeonspool/platform/metadata_store.py
@@ -24,6 +24,8 @@
 CALL_TIMEOUT_SECONDS: Final = 2.0
 # A page has at most about 1 MB.
 MAX_REPLY_BYTES: Final = 16 * 1024 * 1024
+# Entries that one transaction accepts.
+MAX_WRITTEN_KEYS: Final = 32
 # How much later than the end of its waiting time a watch may reply.
 WATCH_SLACK_SECONDS: Final = 1.0
 
@@ -235,6 +237,25 @@
             StoreUnavailableError: If the call failed or timed out.
             StoreReplyError: If the reply cannot be decoded.
         """
+        return await self.write_all({key: value}, lease, expected)
+
+    async def write_all(
+        self,
+        values: Mapping[str, bytes | None],
+        lease: int = 0,
+        expected: Mapping[str, int] | None = None,
+    ) -> int:
+        """Writes and removes keys in one transaction; returns its revision.
+
+        Args:
+            values: New value of each key, or None to remove it; at most
+                `MAX_WRITTEN_KEYS` in all.
+            lease: Lease that the written keys are attached to, or 0.
+            expected: As in `write`.
+
+        Raises:
+            StoreError: As in `write`.
+        """
         expected_revisions = expected or {}
         document = {
             "Expected": [
@@ -247,8 +268,10 @@
                     "Value": base64.b64encode(value).decode(),
                     "LeaseId": lease,
                 }
+                for key, value in values.items()
+                if value is not None
             ],
-            "Deletes": [],
+            "Deletes": [k for k, value in values.items() if value is None],
         }
         status, body = await self._call(
             "POST",
--- a/wigeonspool/platform/store_keys.py
+++ b/wigeonspool/platform/store_keys.py
@@ -10,8 +10,10 @@
 import msgspec
 
 from wigeonspool.core import cluster_state
+from wigeonspool.core import suspect_reports
 from wigeonspool.model import errors
 from wigeonspool.model import fleet
+from wigeonspool.model import key_values
 from wigeonspool.platform import configuration
 from wigeonspool.platform import target_entries
 from wigeonspool.platform import value_limits
@@ -19,6 +21,9 @@
 CONFIGURATION_KEY: Final = "op/config"
 VM_PREFIX: Final = "vms/"
 SUSPECT_PREFIX: Final = "suspects/"
+# Values of the key of a suspect. VMs of earlier versions write the first only.
+SUSPECT_CRASHED: Final = b""
+SUSPECT_ANSWERED: Final = b"answered"
 MAX_VM_BYTES: Final = 4 * 1024
 # Fingerprints have 64 bits.
 _FINGERPRINT: Final = re.compile("[0-9a-f]{1,16}")
@@ -65,20 +70,25 @@
     if key.startswith(VM_PREFIX):
         name = key.removeprefix(VM_PREFIX)
         return cluster_state.VmChange(name, _decode_vm(name, value), lease)
-    if key.startswith(SUSPECT_PREFIX) and value is not None:
-        return _decode_suspect(key.removeprefix(SUSPECT_PREFIX))
+    if key.startswith(SUSPECT_PREFIX):
+        return _decode_suspect(key.removeprefix(SUSPECT_PREFIX), value)
     if key == CONFIGURATION_KEY and value is not None:
         decoded = configuration.decode_configuration(value)
         return cluster_state.ConfigurationChange(decoded)
     return None
 
 
-def _decode_suspect(name: str) -> cluster_state.SuspectChange:
+def _decode_suspect(
+    name: str, value: bytes | None
+) -> cluster_state.SuspectChange:
     """Returns the crash that a suspect key records.
 
+    An unknown value means that the crash counts.
+
     Args:
         name: The key without its prefix: fingerprint of the request in
             hexadecimal, a slash, and the identity of the target.
+        value: Value of the key, or None if it was removed.
 
     Raises:
         PlatformFormatError: If the fingerprint is not a hexadecimal number of
@@ -90,7 +100,12 @@
             f"suspect: {value_limits.quote(fingerprint_text)} is no fingerprint"
         )
     value_limits.check_identity(target)
-    return cluster_state.SuspectChange(int(fingerprint_text, 16), target)
+    state = suspect_reports.ReportState.CRASHED
+    if value is None:
+        state = suspect_reports.ReportState.EXPIRED
+    elif value == SUSPECT_ANSWERED:
+        state = suspect_reports.ReportState.ANSWERED
+    return cluster_state.SuspectChange(int(fingerprint_text, 16), target, state)
 
 
 def build_suspect_key(fingerprint: int, target: str) -> str:
@@ -103,6 +118,41 @@
     return f"{SUSPECT_PREFIX}{fingerprint:016x}/{target}"
 
 
+def encode_report(
+    report: suspect_reports.SuspectReport,
+) -> tuple[str, bytes | None]:
+    """Returns the key of a report and its value, or None to remove it."""
+    value = {
+        suspect_reports.ReportState.CRASHED: SUSPECT_CRASHED,
+        suspect_reports.ReportState.ANSWERED: SUSPECT_ANSWERED,
+        suspect_reports.ReportState.EXPIRED: None,
+    }[report.state]
+    return build_suspect_key(*report.subject), value
+
+
+def decode_report(
+    item: key_values.KeyValue, own_lease: int
+) -> tuple[suspect_reports.Subject, suspect_reports.StoredReport] | None:
+    """Returns the report that a key holds, or None if it holds none.
+
+    Args:
+        item: A key, which may be removed.
+        own_lease: Lease of this VM, or 0.
+    """
+    if not item.key.startswith(SUSPECT_PREFIX):
+        return None
+    try:
+        change = decode_change(item.key, item.value, item.lease)
+    except errors.PlatformFormatError:
+        return None
+    if not isinstance(change, cluster_state.SuspectChange):
+        return None
+    is_own = bool(own_lease) and item.lease == own_lease
+    return (change.fingerprint, change.target), suspect_reports.StoredReport(
+        change.state, item.revision, is_own
+    )
+
+
 def _decode_vm(name: str, value: bytes | None) -> fleet.VmEntry | None:
     """Returns the entry of a VM, or None if its key was removed.
 
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable, Sequence
 from typing import Final, Protocol
 
 from wigeonspool.core import cluster_state
@@ -69,6 +69,8 @@
     Attributes:
         on_crash: Called with the fingerprint of a request and the identity of
             the target that crashed while it ran that request.
+        on_suspect_answered: Called with the fingerprint of a suspect that got a
+            response, and the targets that had crashed while they ran it.
         error_count: Number of attempts that ended by an unexpected exception.
         retry_budget: Limits attempts beyond the first of each request.
         start_limits: Limits the time until requests are sent while the VM
@@ -90,7 +92,10 @@
             prober: Sends health checks to targets.
             protocol_adapter: Protocol of the targets.
         """
-        self.on_crash: Callable[[int, str], Awaitable[None]] = _ignore_crash
+        self.on_crash: Callable[[int, str], None] = _ignore
+        self.on_suspect_answered: Callable[[int, tuple[str, ...]], None] = (
+            _ignore
+        )
         self.error_count = 0
         self.retry_budget = shared_retry_budget.ServiceRetryBudget(
             prober.draw_fraction
@@ -350,11 +355,13 @@
         if not result.declined:
             estimates.record_failure(row.health, now)
         if result.outcome is request_context.AttemptOutcome.UNKNOWN:
-            self._start_crash_check(context.fingerprint, row.entry)
+            self._start_crash_check(
+                context.fingerprint, row.entry, now - seconds
+            )
 
     def _clear_suspect(self, context: request_context.RequestContext) -> None:
         """Removes a request that got a response from the suspects."""
-        targets = self._cluster.suspects.remove_suspect(context.fingerprint)
+        targets = self._cluster.suspects.record_answer(context.fingerprint)
         if targets:
             log.info(
                 "suspect answered",
@@ -362,24 +369,35 @@
                 fingerprint=f"{context.fingerprint:016x}",
                 targets=list(targets),
             )
+            self.on_suspect_answered(context.fingerprint, targets)
 
     def _start_crash_check(
-        self, fingerprint: int, entry: fleet.TargetEntry
+        self, fingerprint: int, entry: fleet.TargetEntry, started_at: float
     ) -> None:
-        """Starts a background check whether the target of a request crashed."""
-        task = self._loop.create_task(self._check_crash(fingerprint, entry))
+        """Starts a background check whether the target of a request crashed.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            entry: The target.
+            started_at: Time at which the attempt was sent, loop clock.
+        """
+        task = self._loop.create_task(
+            self._check_crash(fingerprint, entry, started_at)
+        )
         self._crash_checks.add(task)
         task.add_done_callback(self._crash_checks.discard)
 
     async def _check_crash(
-        self, fingerprint: int, entry: fleet.TargetEntry
+        self, fingerprint: int, entry: fleet.TargetEntry, started_at: float
     ) -> None:
         """Records and reports a crash if a target accepts no connection."""
         await asyncio.sleep(CRASH_CHECK_DELAY_SECONDS)
         if await self._prober.is_reachable(entry):
             return
         now = self._loop.time()
-        self._cluster.suspects.record_crash(now, fingerprint, entry.identity)
+        self._cluster.suspects.record_crash(
+            now, fingerprint, entry.identity, started_at
+        )
         crashes = self._cluster.suspects.list_crashed_targets(fingerprint)
         log.warning(
             "target crashed",
@@ -388,7 +406,7 @@
             crashes=len(crashes),
         )
         if entry.identity in crashes:
-            await self.on_crash(fingerprint, entry.identity)
+            self.on_crash(fingerprint, entry.identity)
 
     def _may_retry(
         self,
@@ -459,8 +477,8 @@
         return context.build_failure(outcomes.Reason.CONNECTION_LOST)
 
 
-async def _ignore_crash(fingerprint: int, target: str) -> None:
-    """Does nothing; the default of `RequestRunner.on_crash`."""
+def _ignore(*arguments: object) -> None:
+    """Does nothing; the default of the callbacks of `RequestRunner`."""
 
 
 async def _wait_for_best(
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -23,6 +23,7 @@
 from wigeonspool.core import connection_limits
 from wigeonspool.core import drain_policy
 from wigeonspool.core import feeders
+from wigeonspool.core import suspect_reports
 from wigeonspool.gateway import pauses
 from wigeonspool.model import errors
 from wigeonspool.model import fleet
@@ -49,6 +50,7 @@
 from wigeonspool.vm import startup_gate
 from wigeonspool.vm import store_follower
 from wigeonspool.vm import structured_log
+from wigeonspool.vm import suspect_writer
 from wigeonspool.vm import target_probes
 from wigeonspool.vm import vm_registration
 
@@ -247,15 +249,53 @@
             ).update,
         )
         self._caller_service.on_answered = metrics.observe_duration
-        self._request_runner.on_crash = self._report_crash
+        self._suspect_writer = suspect_writer.SuspectWriter(
+            suspect_reports.SuspectReports(
+                self._cluster.suspects,
+                self._prober.draw_fraction,
+                lambda: len(self._cluster.vms),
+                self._find_stored_report,
+            ),
+            self._write_reports,
+            metadata_store.MAX_WRITTEN_KEYS,
+        )
+        self._request_runner.on_crash = self._suspect_writer.add_crash
+        self._request_runner.on_suspect_answered = (
+            self._suspect_writer.add_answer
+        )
+
+    def _find_stored_report(
+        self, subject: suspect_reports.Subject
+    ) -> suspect_reports.StoredReport | None:
+        """Returns the report that the store holds for a subject, or None."""
+        item = self._replica.items.get(store_keys.build_suspect_key(*subject))
+        if item is None:
+            return None
+        decoded = store_keys.decode_report(item, self._registration.lease)
+        return decoded[1] if decoded else None
+
+    async def _write_reports(
+        self, reports: list[suspect_reports.SuspectReport]
+    ) -> int:
+        """Writes reports to the store; returns their revision.
+
+        Raises:
+            StoreError: If the store could not serve the call.
+        """
+        return await self._registration.write_keys(
+            dict(store_keys.encode_report(report) for report in reports)
+        )
 
-    async def _report_crash(self, fingerprint: int, target: str) -> None:
-        """Reports to all VMs that a target crashed while it ran a request.
+    def _adopt_reports(self, lease: int) -> None:
+        """Takes over the reports that an earlier process of this VM wrote.
 
-        The report is a key in the store that expires with this VM's lease.
+        Args:
+            lease: Lease of the earlier process.
         """
-        key = store_keys.build_suspect_key(fingerprint, target)
-        await self._registration.write_key(key)
+        for item in self._replica.items.values():
+            decoded = store_keys.decode_report(item, lease)
+            if decoded is not None and decoded[1].is_own:
+                self._suspect_writer.adopt(decoded[0])
 
     def _build_pong(self) -> peer_liveness.Datagram:
         """Returns the reply of this VM to a ping."""
@@ -271,7 +311,8 @@
         """Handles a change of the cluster state.
 
         Logs it, records it for followers, opens the startup gate once there is
-        a configuration, and registers this VM again if its entry was removed.
+        a configuration, registers this VM again if its entry was removed, and
+        corrects reports about suspects.
         """
         self._feeder.record_change(item)
         self._startup_gate.open_if_configured()
@@ -279,6 +320,10 @@
         own_key, _ = store_keys.encode_vm(self._own_entry)
         if item.key == own_key and item.value is None:
             self._registration.register_again()
+        report = store_keys.decode_report(item, self._registration.lease)
+        if report is not None:
+            subject, stored = report
+            self._suspect_writer.handle_change(subject, stored.state)
 
     def _list_vms(self) -> list[fleet.VmEntry]:
         """Returns this VM and all others not known to be unavailable."""
@@ -344,9 +389,11 @@
         await self._follower.load_once()
         previous_entry = self._cluster.vms.get(self._own_entry.name)
         lease = self._cluster.leases.get(self._own_entry.name, 0)
+        self._adopt_reports(lease)
         self.add_future(
             self._registration.keep_registered(previous_entry, lease)
         )
+        self.add_future(self._repeat(self._suspect_writer.write_due))
         feeder_wait_seconds = (
             0.0 if self._is_region_feeder() else FEEDER_WAIT_SECONDS
         )
--- a/wigeonspool/vm/vm_registration.py
+++ b/wigeonspool/vm/vm_registration.py
@@ -1,7 +1,7 @@
 """Keeps this VM registered in the store, under a lease."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 import math
 from typing import Final, Protocol
 
@@ -34,8 +34,10 @@
     async def renew(self, lease: int, seconds: float) -> None:
         """Renews a lease; waits some seconds for the reply of the store."""
 
-    async def write(self, key: str, value: bytes, lease: int = 0) -> int:
-        """Writes a key under a lease; returns its revision."""
+    async def write_all(
+        self, values: Mapping[str, bytes | None], lease: int = 0
+    ) -> int:
+        """Writes keys under a lease, or removes them; returns the revision."""
 
 
 class VmRegistration:
@@ -90,17 +92,27 @@
         # The two clocks are not read at the same moment.
         return self._lease_end - max(0.0, suspended)
 
-    async def write_key(self, key: str) -> None:
-        """Writes a key that expires with the lease of this VM.
+    @property
+    def lease(self) -> int:
+        """Lease of this VM, or 0 if it is not registered."""
+        return self._lease
+
+    async def write_keys(self, values: Mapping[str, bytes | None]) -> int:
+        """Writes keys that expire with the lease of this VM, or removes keys.
+
+        Args:
+            values: New value of each key, or None to remove it.
+
+        Returns:
+            Store revision that wrote them.
 
-        Does nothing if this VM is not registered. Logs a failure of the store.
+        Raises:
+            StoreError: If this VM is not registered, or the store could not
+                serve the call.
         """
         if not self._lease:
-            return
-        try:
-            await self._store.write(key, b"", self._lease)
-        except Exception as error:
-            self._failures.record(error)
+            raise errors.StoreUnavailableError("write", "VM is not registered")
+        return await self._store.write_all(values, self._lease)
 
     async def keep_registered(
         self, previous_entry: fleet.VmEntry | None, lease: int
@@ -164,7 +176,7 @@
         else:
             lease = await self._store.grant(self._lease_seconds)
             key, value = self._encode_entry(self._entry)
-            await self._store.write(key, value, lease)
+            await self._store.write_all({key: value}, lease)
             self._lease = lease
         self._lease_end = lease_end
         self._suspended_seconds = suspended_seconds
