Ignore states of the store that are older than what a VM holds

Cause: StoreReplica compared an item with the one it held for the key, so for a key that it did not hold everything was news. A VM that starts gets the state of a feeder and a stale read of the store, in any order. The read came second, from before the removal; the replica's revision stayed at the feeder's, so nothing repeated the removal.

Evidence: the log of the restarted VM has 'following', 50 ms later 'changed' for the removed key with revision 11, and its own removal of revision 19 from before the restart. The new line 'all keys read' shows the revisions of the pages and of what was held.

Why this works: all changes up to its revision are applied to a replica, so an item that is not newer than that revision is no news, whether its key is held or was removed. A state that is older than the replica removes no keys, also if it comes from a feeder; one that is not older removes what it lacks, also if it was read as stale: before, such a read skipped removals for good.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -34,6 +34,8 @@
 REFUSAL_STATUSES: Final = frozenset({421, 503})
 # Shortest and longest time for which a target asks for no requests.
 DECLINED_SECONDS: Final = (0.2, 3.0)
+# Ages of the states with which the store replies to stale reads.
+STALE_SECONDS: Final = (0.2, 3.0)
 SETTLE_SECONDS: Final = 4.0
 CALM_SECONDS: Final = 2.0
 TARGET_FAULTS: Final[tuple[dict[str, Any], ...]] = (
@@ -133,6 +135,7 @@
     async def _start(self) -> None:
         """Starts the store, eight targets and the VM processes."""
         await self._world.start()
+        self._world.store.faults.stale_seconds = STALE_SECONDS
         await self._configure()
         for number in range(5, 9):
             service = "reads" if number % 2 else "writes"
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -197,7 +197,8 @@
             raise OverflowError
 
         suspects = quarantine.QuarantineTable()
-        suspects.record_crash(0.0, 1, "t-1")
+        now = asyncio.get_running_loop().time()
+        suspects.record_crash(now, 1, "t-1")
         writer = suspect_writer.SuspectWriter(
             suspect_reports.SuspectReports(
                 suspects, lambda: 0.0, lambda: 1, lambda subject: None
--- a/tests/test_vm_feeds.py
+++ b/tests/test_vm_feeds.py
@@ -165,6 +165,54 @@
         assert vms.store.records[b"vms/vm-1"] is entry
 
 
+class TestStaleReads:
+    """Replies to stale reads show an older state of the store."""
+
+    async def start_follower(
+        self, vms: vm_fleet.VmFleet, delay_ms: float
+    ) -> service.VmService:
+        """Starts vm-2, which can reach vm-1 before it has read the store."""
+        seed = vms.settings["vm-1"]
+        # All VMs of a deployment use the same port.
+        vms.settings["vm-2"] = dataclasses.replace(
+            vm_fleet.build_settings("vm-2", "zone-a", vms.store_address),
+            ip="127.0.0.2",
+            first_free_port=seed.first_free_port,
+            seeds=(f"{seed.ip}:1",),
+        )
+        vms.store.faults.delay_ms = delay_ms
+        follower = await vms.start_vm("vm-2", wait=False)
+        await fleet.wait_for(lambda: follower._follower._loaded)
+        vms.store.faults.delay_ms = 0
+        return follower
+
+    # Guards against a target that left and is used again, since a read of an
+    # older state was applied over the newer state of a feeder.
+    async def test_removed_target_stays_removed_after_a_restart(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        vm = await vms.start_vm("vm-1")
+        await asyncio.sleep(1.5)
+        vms.store.faults.stale_seconds = (1.0,)
+        await vms.store.put("servers/t-1", None)
+        await fleet.wait_for(lambda: not has_target(vm, "t-1"))
+        follower = await self.start_follower(vms, delay_ms=300)
+        assert "t-2" in follower._cluster.targets
+        assert "t-1" not in follower._cluster.targets
+
+    # Guards against a target that left and stays in use, since the key that a
+    # newer read lacks was kept and its removal skipped.
+    async def test_target_removed_after_the_feeders_state_is_removed(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        await vms.start_vm("vm-1")
+        vms.store.faults.silent_watches = True
+        await vms.store.put("servers/t-1", None)
+        follower = await self.start_follower(vms, delay_ms=300)
+        assert "t-1" not in follower._cluster.targets
+        vms.store.faults.silent_watches = False
+
+
 class TestFeedersWithoutStore:
     """VMs that other VMs follow lose their connection to the store."""
 
--- a/wigeonspool/platform/standin/store.py
+++ b/wigeonspool/platform/standin/store.py
@@ -6,8 +6,10 @@
 
 import asyncio
 import base64
+import collections
 import contextlib
 import dataclasses
+import time
 from typing import Any, Final
 import urllib.parse
 
@@ -19,6 +21,8 @@
 MAX_PAGE_ITEMS: Final = 50
 # A waiting watch checks at this interval whether a fault refuses it.
 WATCH_CHECK_SECONDS: Final = 0.25
+# Greatest age of the data of a replica.
+MAX_STALE_SECONDS: Final = 30.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -27,12 +31,12 @@
 
     Attributes:
         refused_hosts: IP addresses of clients whose calls get status 503.
-        stale_seconds: Age of the data in replies to stale reads. It can be set,
-            but no read uses it.
+        stale_seconds: Age of the data of each of its replicas, in seconds;
+            they serve stale reads in turn.
     """
 
     refused_hosts: tuple[str, ...] = ()
-    stale_seconds: float = 0.0
+    stale_seconds: tuple[float, ...] = (0.0,)
 
 
 class PlatformStore(store.StoreStandin):
@@ -46,6 +50,13 @@
         super().__init__()
         self.faults: PlatformFaults = PlatformFaults()
         self.compacted_revision = 0
+        self._stale_reads = 0
+        # State at the end of `MAX_STALE_SECONDS`, and the changes since then.
+        self._old_records: dict[bytes, store.Record] = {}
+        self._old_revision = self.revision
+        self._changes: collections.deque[
+            tuple[float, int, bytes, store.Record | None]
+        ] = collections.deque()
 
     def build_app(self) -> web.Application:
         """Returns the HTTP application, including /faults and /calls."""
@@ -66,6 +77,44 @@
         routes.add_get("/calls", self._show_calls)
         return app
 
+    def _write(self, key: bytes, value: bytes, lease: int) -> None:
+        """Writes one key at a new revision, and keeps the change for replicas.
+
+        Raises:
+            ValueError: If the value is too large or the lease has ended.
+        """
+        super()._write(key, value, lease)
+        self._record_change(key, self.records[key])
+
+    def _remove(self, key: bytes) -> None:
+        """Removes one key at a new revision, and keeps that for replicas."""
+        super()._remove(key)
+        self._record_change(key, None)
+
+    def _record_change(self, key: bytes, record: store.Record | None) -> None:
+        """Stores a change, and drops those that no replica lacks any more."""
+        now = time.monotonic()
+        self._changes.append((now, self.revision, key, record))
+        while self._changes[0][0] < now - MAX_STALE_SECONDS:
+            _, self._old_revision, old_key, old = self._changes.popleft()
+            _apply_change(self._old_records, old_key, old)
+
+    def _read_replica(self) -> tuple[dict[bytes, store.Record], int]:
+        """Returns the keys and the revision of the next replica."""
+        ages = self.faults.stale_seconds
+        age_seconds = ages[self._stale_reads % len(ages)]
+        self._stale_reads += 1
+        if not age_seconds:
+            return self.records, self.revision
+        records, revision = dict(self._old_records), self._old_revision
+        until = time.monotonic() - age_seconds
+        for changed_at, changed_revision, key, record in self._changes:
+            if changed_at > until:
+                break
+            revision = changed_revision
+            _apply_change(records, key, record)
+        return records, revision
+
     async def put(self, key: str, value: bytes | None) -> int:
         """Writes a key, or removes it; returns the revision.
 
@@ -134,19 +183,23 @@
         """Handles a read of a page of the keys with a prefix."""
         prefix = request.query.get("Prefix", "").encode()
         after = request.query.get("after", "").encode()
+        records, revision = self.records, self.revision
+        if request.query.get("AllowStale") == "1":
+            records, revision = self._read_replica()
         keys = sorted(
             key
-            for key in self.records
+            for key in records
             if key.startswith(prefix) and (not after or key > after)
         )
         items = [
-            self._encode_item(k, self.records[k]) for k in keys[:MAX_PAGE_ITEMS]
+            self._encode_item(key, records[key])
+            for key in keys[:MAX_PAGE_ITEMS]
         ]
         return web.json_response(
             {
                 "items": items,
                 "HasMore": len(keys) > MAX_PAGE_ITEMS,
-                "AtRev": self.revision,
+                "AtRev": revision,
             }
         )
 
@@ -232,3 +285,13 @@
             return web.Response(status=404)
         self._revoke({"ID": lease})
         return web.json_response({})
+
+
+def _apply_change(
+    records: dict[bytes, store.Record], key: bytes, record: store.Record | None
+) -> None:
+    """Writes a key to some records, or removes it if there is no record."""
+    if record is None:
+        records.pop(key, None)
+    else:
+        records[key] = record
--- a/wigeonspool/vm/store_follower.py
+++ b/wigeonspool/vm/store_follower.py
@@ -39,7 +39,9 @@
 class StoreReplica:
     """A copy of the keys of the store, which updates the cluster state.
 
-    The changes come from the store or from a feeder.
+    The changes come from the store or from a feeder. It never goes back to an
+    older state: since all changes up to `revision` are applied, an item that is
+    not newer than that is no news, also if its key was removed meanwhile.
 
     Attributes:
         items: Latest item of each key that exists.
@@ -89,11 +91,15 @@
     ) -> None:
         """Applies all keys of the store and removes keys that are missing.
 
+        If the snapshot is older than the replica, a missing key does not mean
+        that the key was removed.
+
         Args:
             items: All keys that could be decoded.
             revision: Revision of the store that the items reflect.
             unreadable_keys: Keys of the other items, which stay as they are.
         """
+        is_older = revision < self.revision
         present = {item.key for item in items}.union(unreadable_keys)
         missing = [
             key_values.KeyValue(key, None, revision)
@@ -101,15 +107,19 @@
             if key not in present and item.revision <= revision
         ]
         page = key_values.Page(
-            (*items, *missing), revision, unreadable_keys=unreadable_keys
+            tuple(items) if is_older else (*items, *missing),
+            revision,
+            unreadable_keys=unreadable_keys,
         )
         self.apply_page(page)
-        self.snapshot_revision = self.revision
+        if not is_older:
+            self.snapshot_revision = revision
 
     def _apply_item(self, item: key_values.KeyValue) -> None:
-        """Applies one change if it is newer than the item of its key."""
+        """Applies one change if it is news."""
         current = self.items.get(item.key)
-        if current is not None and current.revision >= item.revision:
+        known_revision = current.revision if current is not None else 0
+        if item.revision <= max(self.revision, known_revision):
             return
         if item.value is None:
             self.items.pop(item.key, None)
@@ -200,6 +210,7 @@
         unreadable_keys: tuple[str, ...] = ()
         after = ""
         revision: int | None = None
+        revisions: set[int] = set()
         while True:
             page = await self._source.read_range(ALL_KEYS_PREFIX, after, stale)
             items += page.items
@@ -207,6 +218,7 @@
             # Keys may change between the reads of two pages, so watches start
             # at the revision of the first page.
             revision = page.revision if revision is None else revision
+            revisions.add(page.revision)
             keys = [*(i.key for i in page.items), *page.unreadable_keys]
             if not page.more or not keys:
                 break
@@ -214,17 +226,13 @@
             if last_key == after:
                 raise errors.StoreReplyError("range", "pages do not advance")
             after = last_key
-        if stale:
-            # The state may be older than the replica, so a missing key does not
-            # mean that the key was removed.
-            self._replica.apply_page(
-                key_values.Page(
-                    tuple(items), revision, unreadable_keys=unreadable_keys
-                )
-            )
-            self._replica.snapshot_revision = self._replica.revision
-        else:
-            self._replica.apply_snapshot(items, revision, unreadable_keys)
+        log.info(
+            "all keys read",
+            revisions=sorted(revisions),
+            replica=self._replica.revision,
+            stale=stale,
+        )
+        self._replica.apply_snapshot(items, revision, unreadable_keys)
         self._loaded = True
 
     def is_failing(self) -> bool:
