Watch from the oldest page of a read, and pass on all that it shows

Cause: the revision of the first page was taken for that of the whole read. Stale reads come from replicas of different ages, so a later page may be older; the watch began after the first page's revision, and changes of keys on the older page between the two never arrived.

Evidence: the log of a restarted VM has 'all keys read' with revisions 73 and 76, and no 'changed' for the targets that report draining. No other VM was running, which rules out an older state of a feeder.

Why this works: the replica counts as complete up to the oldest page only, and keeps the revision of each newer page until the watch has passed it, so earlier changes don't undo what a page showed. Such changes are passed on to followers that did not get the page.

The same cause elsewhere: a feeder that reads all keys sends differences to its own earlier state, which a follower that is ahead of it can't use; the message says so now, and the follower asks for all keys. A feeder lost what exceeded 2,000 changes of one read. An item with an unreadable key, and an empty page before others, removed keys.

Before the fix (scratch copy): test_change_on_an_older_page_is_applied and test_followers_get_all_changes_of_a_large_read failed with 'waited for too long'. Without single parts of the fix (scratch copies): the state machine fails without the oldest page, the ranges or the mark of differences; test_replica.py without the changes that are passed on or the newer removals. The state machine, with 3,000 random examples of 40 steps, found two more orders on the way, both fixed; then it passed with as many.

--- a/tests/test_metadata_store.py
+++ b/tests/test_metadata_store.py
@@ -255,6 +255,19 @@
         await follower.load(stale=False)
         assert list(follower._cluster.targets) == ["t-0"]
 
+    # Guards against a reply without keys that removes all keys.
+    async def test_empty_page_before_others_is_an_error(
+        self, server: OddServer, store: metadata_store.MetadataStore
+    ) -> None:
+        follower = self.build_follower(store)
+        entry = json.dumps(test_store_keys.ENTRY).encode()
+        item = key_values.KeyValue("servers/t-0", entry, 2)
+        follower._replica.apply_page(key_values.Page((item,), 2))
+        server.reply({"items": [], "HasMore": True, "AtRev": 9})
+        with pytest.raises(errors.StoreReplyError):
+            await follower.load(stale=False)
+        assert list(follower._cluster.targets) == ["t-0"]
+
     async def test_pages_that_do_not_advance_are_an_error(
         self, server: OddServer, store: metadata_store.MetadataStore
     ) -> None:
--- a/tests/test_vm_feeds.py
+++ b/tests/test_vm_feeds.py
@@ -3,8 +3,12 @@
 import asyncio
 import dataclasses
 
+import pytest
+
 from tests import fleet
 from tests import vm_fleet
+from wigeonspool.platform.standin import store as stores
+from wigeonspool.vm import feed_server
 from wigeonspool.vm import service
 
 
@@ -212,6 +216,50 @@
         assert "t-1" not in follower._cluster.targets
         vms.store.faults.silent_watches = False
 
+    # Guards against a change that is lost, since a page of the first read is
+    # older than the page before it.
+    async def test_change_on_an_older_page_is_applied(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        for number in range(stores.MAX_PAGE_ITEMS):
+            await vms.store.put(f"a/{number:02}", b"")
+        await asyncio.sleep(1.5)
+        await vms.store.put("servers/t-1", None)
+        await asyncio.sleep(0.2)
+        # The first page, which shows no targets, is newer than the second one.
+        vms.store.faults.stale_seconds = (0.0, 1.0)
+        vm = await vms.start_vm("vm-1", wait=False)
+        await fleet.wait_for(lambda: vm._follower.find_synced_at() > 0)
+        await fleet.wait_for(lambda: not has_target(vm, "t-1"))
+        assert has_target(vm, "t-2")
+
+
+class TestJumps:
+    """A feeder reads all keys, past changes that it did not see."""
+
+    # Guards against followers that miss what exceeds the changes that a feeder
+    # keeps for reconnects.
+    async def test_followers_get_all_changes_of_a_large_read(
+        self, vms: vm_fleet.VmFleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(feed_server, "MAX_RECENT_CHANGES", 5)
+        for number in range(2):
+            await vms.start_vm(f"vm-{number}")
+        await fleet.wait_for(lambda: len(find_store_followers(vms)) == 1)
+        vms.store.faults.silent_watches = True
+        for number in range(20):
+            entry = vms.store.records[b"servers/t-1"].value
+            await vms.store.put(f"servers/more-{number}", entry)
+        vms.store.faults.silent_watches = False
+        await vms.store.compact()
+        await fleet.wait_for(
+            lambda: all(
+                has_target(vm, f"more-{number}")
+                for vm in vms.vms.values()
+                for number in range(20)
+            )
+        )
+
 
 class TestFeedersWithoutStore:
     """VMs that other VMs follow lose their connection to the store."""
--- a/wigeonspool/core/suspect_reports.py
+++ b/wigeonspool/core/suspect_reports.py
@@ -130,9 +130,14 @@
         others_due_at: float | None = None
         for target in targets:
             subject = fingerprint, target
+            pending = self._pending.get(subject)
             if subject in self._own:
                 due_at = now + ANSWER_BATCH_SECONDS
-            elif subject in self._pending and not self._find_stored(subject):
+            elif (
+                pending is not None
+                and pending.state is ReportState.CRASHED
+                and not self._find_stored(subject)
+            ):
                 # The crash was not reported yet, so no VM needs to learn of it.
                 del self._pending[subject]
                 continue
--- a/wigeonspool/vm/feed_client.py
+++ b/wigeonspool/vm/feed_client.py
@@ -25,6 +25,10 @@
 log = structured_log.get_logger("feed")
 
 
+class FeederJumpError(ConnectionError):
+    """A feeder jumped to a newer state, past changes that a follower needs."""
+
+
 class FeedClient:
     """Follows feeders and applies the changes that they send to a replica.
 
@@ -82,6 +86,12 @@
             return
         try:
             await self._follow(address)
+        except FeederJumpError:
+            log.info(
+                "feeder lacks changes",
+                feeder=address,
+                revision=self._replica.revision,
+            )
         except Exception as error:
             # Not only errors of the stream: an unforeseen message must not end
             # the task that follows feeders.
@@ -137,17 +147,27 @@
 
         Raises:
             ConnectionError: If the data of the feeder is stale, because it has
-                lost the store.
+                lost the store, or if this VM may lack changes that the feeder
+                did not see one by one.
         """
         now = self._loop.time()
         self._received_at = now
         if isinstance(message, feed_messages.Items):
             items = feed_messages.decode_items(message.items)
+            if (
+                message.jumped_from is not None
+                and self._replica.newest_revision > message.jumped_from
+            ):
+                # The first message of the next connection has all keys.
+                raise FeederJumpError
             if message.whole:
                 self._replica.apply_snapshot(items, message.revision)
             else:
                 page = key_values.Page(tuple(items), message.revision)
-                self._replica.apply_page(page)
+                if message.jumped_from is None:
+                    self._replica.apply_page(page)
+                else:
+                    self._replica.apply_differences(page)
         elif isinstance(message, feed_messages.Pulse):
             self.synced_at = now - message.age_seconds
             is_stale = message.age_seconds > store_follower.STALE_SECONDS
--- a/wigeonspool/vm/feed_messages.py
+++ b/wigeonspool/vm/feed_messages.py
@@ -50,11 +50,16 @@
         items: The changes, or all keys.
         whole: True if the message holds all keys, so that keys missing from it
             were removed.
+        jumped_from: Revision of an earlier state of the feeder, if the items
+            are the differences to that state instead of all changes since. A
+            follower that is newer than that state may lack changes. None if the
+            items are all changes.
     """
 
     revision: _Number
     items: tuple[WireItem, ...]
     whole: bool
+    jumped_from: _Number | None = None
 
 
 class Pulse(msgspec.Struct, array_like=True, tag=2, frozen=True):
--- a/wigeonspool/vm/feed_server.py
+++ b/wigeonspool/vm/feed_server.py
@@ -51,6 +51,7 @@
         self._recent_changes: collections.deque[key_values.KeyValue] = (
             collections.deque()
         )
+        self._unsent_changes: list[key_values.KeyValue] = []
         self._last_dropped_revision = 0
         self._sent_revision = 0
         self._server: asyncio.Server | None = None
@@ -81,29 +82,31 @@
 
         Drops the oldest one if there are more than `MAX_RECENT_CHANGES`.
         """
+        self._unsent_changes.append(item)
         self._recent_changes.append(item)
         if len(self._recent_changes) > MAX_RECENT_CHANGES:
-            self._last_dropped_revision = (
-                self._recent_changes.popleft().revision
+            dropped = self._recent_changes.popleft()
+            # The changes of a range that was read come in the order of keys.
+            self._last_dropped_revision = max(
+                self._last_dropped_revision, dropped.revision
             )
 
     def send_changes(self) -> None:
         """Sends all followers the changes since the last call."""
         revision = self._replica.revision
-        if revision <= self._sent_revision:
+        if revision <= self._sent_revision and not self._unsent_changes:
             return
-        changes = [
-            item
-            for item in self._recent_changes
-            if item.revision > self._sent_revision
-        ]
+        # Not only those newer than the last message: a range that was read may
+        # be newer than the revision.
+        changes, self._unsent_changes = self._unsent_changes, []
         self._sent_revision = revision
-        items = feed_messages.encode_items(changes)
-        self._broadcast(
-            feed_messages.encode_message(
-                feed_messages.Items(revision, items, False)
-            )
+        message = feed_messages.Items(
+            revision,
+            feed_messages.encode_items(changes),
+            whole=False,
+            jumped_from=self._replica.pop_jump(),
         )
+        self._broadcast(feed_messages.encode_message(message))
 
     def send_keepalive(self) -> None:
         """Sends all followers the revision and the age of the replica."""
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -176,6 +176,7 @@
         self._feeder = feed_server.Feeder(
             self._replica, self._follower.find_synced_at
         )
+        self._replica.on_known = self._feeder.record_change
         self._feed_client = feed_client.FeedClient(
             settings.vm, self._replica, self._list_feeders
         )
--- a/wigeonspool/vm/store_follower.py
+++ b/wigeonspool/vm/store_follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 from typing import Final
 
 from wigeonspool import failure_logs
@@ -36,19 +37,42 @@
 log = structured_log.get_logger("store")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyRange:
+    """A part of all keys, as one page shows it.
+
+    Attributes:
+        after: The keys are greater than this one.
+        last: The keys are not greater than this one; None for no bound.
+        page: All keys of the range.
+    """
+
+    after: str
+    last: str | None
+    page: key_values.Page
+
+    def contains(self, key: str) -> bool:
+        """Returns True if a key belongs to the range."""
+        return key > self.after and (self.last is None or key <= self.last)
+
+
 class StoreReplica:
     """A copy of the keys of the store, which updates the cluster state.
 
     The changes come from the store or from a feeder. It never goes back to an
     older state: since all changes up to `revision` are applied, an item that is
-    not newer than that is no news, also if its key was removed meanwhile.
+    not newer than that is no news, also if its key was removed meanwhile. The
+    same holds for the revision of each range that was read.
 
     Attributes:
         items: Latest item of each key that exists.
         revision: Revision of the store up to which all changes are applied.
-        snapshot_revision: Value of `revision` after the last read of all keys,
-            which does not show the single changes up to then.
+        newest_revision: Newest revision of which anything is applied.
+        snapshot_revision: Revision of the newest state that was applied as a
+            whole, without the single changes up to then.
         unreadable_items: Number of items whose value could not be decoded.
+        on_known: Called with each change that a range showed already; followers
+            that did not get that range need the change.
     """
 
     def __init__(
@@ -67,27 +91,40 @@
         """
         self.items: dict[str, key_values.KeyValue] = {}
         self.revision = 0
+        self.newest_revision = 0
         self.snapshot_revision = 0
         self.unreadable_items = 0
+        self.on_known: Callable[[key_values.KeyValue], None] = lambda item: None
+        self._jumped_from: int | None = None
+        # Ranges and removals that are newer than `revision`.
+        self._newer_ranges: list[KeyRange] = []
+        self._newer_removals: dict[str, int] = {}
         self._cluster = cluster
         self._decode = decode
         self._on_change = on_change
         self._loop = asyncio.get_running_loop()
 
+    def apply_differences(self, page: key_values.Page) -> None:
+        """Applies the differences between two states.
+
+        Args:
+            page: Keys that differ from the current state or an older one, and
+                the revision of the new state.
+        """
+        self._record_jump(page.revision)
+        self.apply_page(page)
+
     def apply_page(self, page: key_values.Page) -> None:
         """Applies changes and advances the revision to that of the page."""
         for item in page.items:
+            if self.revision < item.revision <= self._find_known(item.key):
+                self.on_known(item)
             self._apply_item(item)
-        for key in page.unreadable_keys:
-            self.unreadable_items += 1
-            log.error("unreadable", key=key, reason="malformed item")
-        self.revision = max(self.revision, page.revision)
+        self._count_unreadable(page)
+        self._advance(page.revision)
 
     def apply_snapshot(
-        self,
-        items: list[key_values.KeyValue],
-        revision: int,
-        unreadable_keys: tuple[str, ...] = (),
+        self, items: list[key_values.KeyValue], revision: int
     ) -> None:
         """Applies all keys of the store and removes keys that are missing.
 
@@ -95,34 +132,106 @@
         that the key was removed.
 
         Args:
-            items: All keys that could be decoded.
+            items: All keys.
             revision: Revision of the store that the items reflect.
-            unreadable_keys: Keys of the other items, which stay as they are.
         """
-        is_older = revision < self.revision
-        present = {item.key for item in items}.union(unreadable_keys)
+        page = key_values.Page(tuple(items), revision)
+        self.apply_ranges([KeyRange("", None, page)])
+
+    def apply_ranges(self, ranges: list[KeyRange]) -> None:
+        """Applies all keys of the store, read in ranges of different ages.
+
+        Changes after the oldest range must follow by `apply_page`.
+
+        Args:
+            ranges: Ranges that cover all keys.
+        """
+        for key_range in ranges:
+            self._apply_range(key_range)
+        oldest = min(key_range.page.revision for key_range in ranges)
+        newest = max(key_range.page.revision for key_range in ranges)
+        self._record_jump(newest)
+        self.newest_revision = max(self.newest_revision, newest)
+        self._newer_ranges += ranges
+        self._advance(oldest)
+
+    def _record_jump(self, revision: int) -> None:
+        """Records that changes up to a revision were not received one by one.
+
+        Must be called before the revision advances.
+        """
+        if revision > self.revision:
+            if self._jumped_from is None:
+                self._jumped_from = self.revision
+            self.snapshot_revision = max(self.snapshot_revision, revision)
+
+    def pop_jump(self) -> int | None:
+        """Returns the revision before the first jump since the last call.
+
+        A jump replaces the state by a newer one, without the changes between
+        them. Returns None if there was none.
+        """
+        jumped_from, self._jumped_from = self._jumped_from, None
+        return jumped_from
+
+    def _apply_range(self, key_range: KeyRange) -> None:
+        """Applies the keys of a range and removes keys that it lacks."""
+        page = key_range.page
+        present = {item.key for item in page.items}.union(page.unreadable_keys)
+        # Any key may be that of an item whose key is unreadable.
         missing = [
-            key_values.KeyValue(key, None, revision)
+            key_values.KeyValue(key, None, page.revision)
             for key, item in self.items.items()
-            if key not in present and item.revision <= revision
+            if "" not in present
+            and key not in present
+            and key_range.contains(key)
+            and max(self._find_known(key), item.revision) <= page.revision
         ]
-        page = key_values.Page(
-            tuple(items) if is_older else (*items, *missing),
-            revision,
-            unreadable_keys=unreadable_keys,
-        )
-        self.apply_page(page)
-        if not is_older:
-            self.snapshot_revision = revision
+        for item in (*page.items, *missing):
+            self._apply_item(item)
+        self._count_unreadable(page)
+
+    def _count_unreadable(self, page: key_values.Page) -> None:
+        """Logs and counts the items of a page that could not be decoded."""
+        for key in page.unreadable_keys:
+            self.unreadable_items += 1
+            log.error("unreadable", key=key, reason="malformed item")
+
+    def _advance(self, revision: int) -> None:
+        """Advances the revision, unless it is higher already."""
+        self.revision = max(self.revision, revision)
+        self.newest_revision = max(self.newest_revision, revision)
+        self._newer_ranges = [
+            key_range
+            for key_range in self._newer_ranges
+            if key_range.page.revision > self.revision
+        ]
+        self._newer_removals = {
+            key: removed_revision
+            for key, removed_revision in self._newer_removals.items()
+            if removed_revision > self.revision
+        }
+
+    def _find_known(self, key: str) -> int:
+        """Returns up to which revision all changes of a key are applied."""
+        known = max(self.revision, self._newer_removals.get(key, 0))
+        for key_range in self._newer_ranges:
+            if key_range.contains(key):
+                known = max(known, key_range.page.revision)
+        return known
 
     def _apply_item(self, item: key_values.KeyValue) -> None:
         """Applies one change if it is news."""
         current = self.items.get(item.key)
-        known_revision = current.revision if current is not None else 0
-        if item.revision <= max(self.revision, known_revision):
+        known = self._find_known(item.key)
+        if current is not None:
+            known = max(known, current.revision)
+        if item.revision <= known:
             return
+        self.newest_revision = max(self.newest_revision, item.revision)
         if item.value is None:
             self.items.pop(item.key, None)
+            self._newer_removals[item.key] = item.revision
         else:
             self.items[item.key] = item
         try:
@@ -206,33 +315,26 @@
         Raises:
             StoreError: If the store could not serve the calls.
         """
-        items: list[key_values.KeyValue] = []
-        unreadable_keys: tuple[str, ...] = ()
+        ranges: list[KeyRange] = []
         after = ""
-        revision: int | None = None
-        revisions: set[int] = set()
         while True:
             page = await self._source.read_range(ALL_KEYS_PREFIX, after, stale)
-            items += page.items
-            unreadable_keys += page.unreadable_keys
-            # Keys may change between the reads of two pages, so watches start
-            # at the revision of the first page.
-            revision = page.revision if revision is None else revision
-            revisions.add(page.revision)
-            keys = [*(i.key for i in page.items), *page.unreadable_keys]
-            if not page.more or not keys:
+            if not page.more:
+                ranges.append(KeyRange(after, None, page))
                 break
-            last_key = max(keys) if page.unreadable_keys else keys[-1]
-            if last_key == after:
+            keys = [*(i.key for i in page.items), *page.unreadable_keys]
+            last_key = max(keys, default="")
+            if last_key <= after:
                 raise errors.StoreReplyError("range", "pages do not advance")
+            ranges.append(KeyRange(after, last_key, page))
             after = last_key
         log.info(
             "all keys read",
-            revisions=sorted(revisions),
+            revisions=[key_range.page.revision for key_range in ranges],
             replica=self._replica.revision,
             stale=stale,
         )
-        self._replica.apply_snapshot(items, revision, unreadable_keys)
+        self._replica.apply_ranges(ranges)
         self._loaded = True
 
     def is_failing(self) -> bool:
