Tell other gateways of responses to suspects

They report crashes to each other through agents, and a response cleared the suspect at one gateway only. Agents also forwarded old crashes together with new ones, so the next crash made all gateways refuse the request, the one that had cleared it too.

Change: a gateway that answers a suspect says so (Suspect.answered, a field that is left out of messages about crashes). Agents forward that as far as they forwarded the crash, and drop it.

--- a/tests/test_suspect_relay.py
+++ b/tests/test_suspect_relay.py
@@ -19,6 +19,31 @@
         relay.relay(0.0, messages.Suspect(7, ("t1",)), sent.append)
         assert sent[1] == messages.Suspect(7, ("t0", "t1"))
 
+    # Guards against a request that gateways refuse, since crashes from before
+    # its last answer are forwarded together with later ones.
+    def test_answered_suspect_is_forwarded_and_dropped(self) -> None:
+        relay = suspect_relay.SuspectRelay()
+        sent: list[messages.Message] = []
+        answer = messages.Suspect(7, ("t0",), True)
+        relay.relay(0.0, answer, sent.append)
+        assert sent == []
+        relay.relay(0.0, messages.Suspect(7, ("t0",)), sent.append)
+        for _ in range(2):
+            relay.relay(0.0, answer, sent.append)
+        relay.relay(0.0, messages.Suspect(7, ("t1",)), sent.append)
+        assert sent[1:] == [answer, messages.Suspect(7, ("t1",))]
+
+    def test_answers_are_not_limited(self) -> None:
+        relay = suspect_relay.SuspectRelay()
+        sent: list[messages.Message] = []
+        count = suspect_relay.MAX_RELAYED_PER_SECOND
+        for number in range(count):
+            relay.relay(0.5, messages.Suspect(number, ("t",)), sent.append)
+        for number in range(count):
+            answer = messages.Suspect(number, ("t",), True)
+            relay.relay(0.5, answer, sent.append)
+        assert len(sent) == 2 * count
+
     def test_rate_is_limited(self) -> None:
         relay = suspect_relay.SuspectRelay()
         sent: list[messages.Message] = []
--- a/wigeonspool/agent/suspect_relay.py
+++ b/wigeonspool/agent/suspect_relay.py
@@ -46,7 +46,8 @@
     ) -> None:
         """Forwards a suspect if it names a target not yet forwarded for it.
 
-        Sends all targets stored for the suspect.
+        Sends all targets stored for the suspect. A suspect that was answered is
+        forwarded if its crashes were, whatever the rate.
 
         Args:
             now: Time on this process's clock, in seconds.
@@ -56,6 +57,9 @@
         forwarded = self._forwarded_targets.get(
             suspect.fingerprint, frozenset()
         )
+        if suspect.answered:
+            self._relay_answer(suspect, forwarded, send)
+            return
         merged = forwarded | frozenset(suspect.targets)
         if merged == forwarded or not self._try_acquire(now):
             return
@@ -65,6 +69,28 @@
             self._forwarded_targets.popitem(last=False)
         send(messages.Suspect(suspect.fingerprint, tuple(sorted(merged))))
 
+    def _relay_answer(
+        self,
+        suspect: messages.Suspect,
+        forwarded: frozenset[str],
+        send: Callable[[messages.Message], None],
+    ) -> None:
+        """Forwards that a suspect was answered, and drops its crashes.
+
+        Args:
+            suspect: Report of a gateway or another agent.
+            forwarded: Targets forwarded for the suspect.
+            send: Sends a message to all connected processes.
+        """
+        remaining = forwarded - frozenset(suspect.targets)
+        if remaining == forwarded:
+            return
+        if remaining:
+            self._forwarded_targets[suspect.fingerprint] = remaining
+        else:
+            del self._forwarded_targets[suspect.fingerprint]
+        send(suspect)
+
     def _try_acquire(self, now: float) -> bool:
         """Counts one message; returns True if the rate limit allows it."""
         if now >= self._window_ends_at:
--- a/wigeonspool/core/dispatcher.py
+++ b/wigeonspool/core/dispatcher.py
@@ -112,6 +112,11 @@
         for fingerprint, targets in suspects:
             self._quarantine.merge(now, fingerprint, targets)
 
+    def remove_crashes(self, fingerprint: int, targets: Iterable[str]) -> None:
+        """Removes crashes of a suspect that another gateway has answered."""
+        for target in targets:
+            self._quarantine.remove_crash(fingerprint, target)
+
     def set_draining_targets(self, addresses: Iterable[str]) -> None:
         """Sets the targets that the VM list marks as leaving, by address."""
         self._draining_addresses = frozenset(addresses)
--- a/wigeonspool/gateway/scheduler.py
+++ b/wigeonspool/gateway/scheduler.py
@@ -25,7 +25,7 @@
         sampler: Chooses the requests whose decisions are explained.
         ticker: Waits until the next tick is due.
         on_suspect: Called with each request that was running on a target when
-            the target crashed.
+            the target crashed, and with each suspect that was answered.
     """
 
     def __init__(self, zone: str) -> None:
@@ -60,7 +60,10 @@
         self.tick()
 
     def merge_suspect(self, suspect: messages.Suspect) -> None:
-        """Merges a suspect request that another gateway reported."""
+        """Merges a report of another gateway about a suspect request."""
+        if suspect.answered:
+            self.core.remove_crashes(suspect.fingerprint, suspect.targets)
+            return
         suspects = [(suspect.fingerprint, suspect.targets)]
         self.core.merge_suspects(self._loop.time(), suspects)
 
@@ -74,6 +77,12 @@
         if targets:
             self.on_suspect(messages.Suspect(fingerprint, targets))
 
+    def _report_answer(self, fingerprint: int) -> None:
+        """Reports that a request is answered, if it is a suspect until now."""
+        targets = self.core.list_crashed_targets(fingerprint)
+        if targets:
+            self.on_suspect(messages.Suspect(fingerprint, targets, True))
+
     async def submit(self, request: tables.RequestRow) -> actions.Action:
         """Submits a request; returns its first action, a Send or a Settle.
 
@@ -94,6 +103,8 @@
         """
         self._create_future(request.request_id)
         now = self._loop.time()
+        if result.kind is tables.ResultKind.ANSWERED:
+            self._report_answer(request.fingerprint)
         self._dispatch_actions(
             self.core.handle_result(now, request.request_id, target, result)
         )
--- a/wigeonspool/model/messages.py
+++ b/wigeonspool/model/messages.py
@@ -186,10 +186,13 @@
     Attributes:
         fingerprint: Hash that is the same for all submissions of the request.
         targets: Addresses of the targets that crashed.
+        answered: True if the request was answered since, so that these crashes
+            no longer count.
     """
 
     fingerprint: int
     targets: tuple[str, ...]
+    answered: bool = False
 
 
 Message = (
