Wait for the next tick before the request of the test of odd settings files

Trace: the log of the failure shows 2.1 s between two refused files, in which the event loop that VM, store and caller share stood still, then 'paused' and, 2 ms later, the end of the request. One of the files (10,003 bytes of dotted keys) takes 0.44 s to parse at a load of 12. A VM that was paused counts a request that may have waited in its socket as that much older, so one with a limit of 1.5 s was refused at once (deadline-passed), as it should be.

The test now waits for the tick that ends the pause. What it demands is the same: the settings stay, the process serves the request and has not crashed.

--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -1,5 +1,6 @@
 """Settings files of the platform that hold an odd value."""
 
+import asyncio
 import pathlib
 import re
 
@@ -148,5 +149,8 @@
             write(path, field, value)
             await vm.reload()
             assert vm._settings is before
+        # A request that may have waited in a socket while this process was busy
+        # with the files counts as late, until the next tick.
+        await asyncio.sleep(3 * service.TICK_SECONDS)
         assert (await vms.send("vm-1", "/read/1"))[0] == 200
         assert not vm.crashed
