Decode client accounts, allowed regions and limits of cold targets

A name or a key that belongs to two accounts makes a configuration invalid; error messages never quote a key. Configurations without these fields decode as before.

--- a/wigeonspool/model/fleet.py
+++ b/wigeonspool/model/fleet.py
@@ -10,6 +10,8 @@
 import enum
 from typing import Final
 
+from wigeonspool.model import credentials
+
 # Range of the capacity of a VM.
 MIN_CAPACITY_CORES: Final = 1e-3
 MAX_CAPACITY_CORES: Final = 1e5
@@ -44,6 +46,8 @@
         limit_seconds: Maximum time that a caller is kept waiting.
         max_targets: Maximum number of targets that may run one request.
         priority: 0 is the most urgent.
+        public: True if a request needs no key of a client account.
+        regions: Regions whose targets may serve the requests; empty for all.
     """
 
     name: str
@@ -55,6 +59,8 @@
     limit_seconds: float
     max_targets: int
     priority: int
+    public: bool = False
+    regions: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,11 +73,36 @@
             load, without queueing.
         max_connections: Connections that one target accepts from all VMs
             together, or 0 if that is unknown.
+        cold_seconds: Time after its start for which a target is cold.
+        cold_rate: Requests per second that a cold target tolerates from all VMs
+            together, or 0 if there is no limit.
     """
 
     name: str
     health_path: str
     max_connections: int = 0
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientAccount:
+    """A customer of the operators, whose callers identify it by a key.
+
+    Attributes:
+        name: Unique name, which targets are told.
+        priority: Priority of its requests, or None for that of their rule.
+        rate: Requests per second that all VMs together send for it, or 0 for no
+            limit.
+        burst: Requests beyond the rate that it may send at once.
+        regions: Regions whose targets may serve it; empty for all.
+    """
+
+    name: str
+    priority: int | None = None
+    rate: float = 0.0
+    burst: float = 0.0
+    regions: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,12 +131,22 @@
         hosts: Rules by host, the longest prefix first.
         services: Services by name.
         limits: Limits on callers' requests.
+        accounts: Client accounts by name. If there are any, requests need a
+            key unless their rule is public.
+        account_keys: Client accounts by the digest of each of their keys; see
+            `credentials.digest_key`.
     """
 
     version: int
     hosts: Mapping[str, tuple[Rule, ...]]
     services: Mapping[str, Service]
     limits: CallerLimits
+    accounts: Mapping[str, ClientAccount] = dataclasses.field(
+        default_factory=dict
+    )
+    account_keys: Mapping[bytes, ClientAccount] = dataclasses.field(
+        default_factory=dict
+    )
 
     def find_rule(self, host: str, path: str) -> Rule | None:
         """Returns the rule with the longest matching prefix, or None."""
@@ -114,6 +155,10 @@
                 return rule
         return None
 
+    def find_account(self, key: bytes) -> ClientAccount | None:
+        """Returns the client account that holds a key, or None."""
+        return self.account_keys.get(credentials.digest_key(key))
+
 
 class TargetState(enum.Enum):
     """State that a target registered."""
--- a/wigeonspool/model/vm_settings.py
+++ b/wigeonspool/model/vm_settings.py
@@ -19,6 +19,14 @@
         grace_seconds: Time from SIGTERM to SIGKILL.
         max_address_ttl_seconds: Maximum time for which callers cache the
             response to an address lookup.
+        usage_window_seconds: Length of the window in which the requests of a
+            client account with a usage cap are counted.
+        usage_overrun: Fraction by which all VMs together may exceed a usage cap
+            in a window.
+        usage_slack: Requests by which they may exceed it in addition.
+        cold_overrun: Factor by which all VMs together may exceed the rate that
+            a cold target tolerates, in any second.
+        cold_slack: Requests by which they may exceed it in addition.
     """
 
     retry_fraction: float
@@ -26,6 +34,11 @@
     retry_window_seconds: float
     grace_seconds: float
     max_address_ttl_seconds: float
+    usage_window_seconds: float = 5.0
+    usage_overrun: float = 0.0
+    usage_slack: float = 0.0
+    cold_overrun: float = 1.0
+    cold_slack: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wigeonspool/platform/configuration.py
+++ b/wigeonspool/platform/configuration.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from wigeonspool.model import credentials
 from wigeonspool.model import errors
 from wigeonspool.model import fleet
 from wigeonspool.platform import value_limits
@@ -25,6 +26,10 @@
 MAX_BODY_BYTES: Final = 2**63 - 1
 MAX_PATH_CHARS: Final = 4096
 MAX_TIMEOUT_SECONDS: Final = 24 * 3600.0
+# Requests per second, or requests of a burst.
+MAX_RATE: Final = 1e9
+# Characters of a key that fits into one header field.
+_KEY: Final = re.compile("[!-~]{1,1024}")
 _PATH: Final = re.compile(f"/[!-~]{{0,{MAX_PATH_CHARS}}}")
 DEFAULT_TIMEOUT: Final = "30s"
 
@@ -41,6 +46,8 @@
     # Longest time until the caller gets a response.
     timeout: str = DEFAULT_TIMEOUT
     max_attempts: int = 1
+    # Regions that may serve the requests; empty for all.
+    allowed_regions: tuple[str, ...] = ()
 
 
 class _Match(msgspec.Struct, rename="pascal"):
@@ -56,6 +63,8 @@
     slo: str | None = None
     # 0 is the most urgent.
     priority: int = 1
+    # True if a request needs no key.
+    public: bool = False
 
 
 class _Listener(msgspec.Struct, rename="pascal"):
@@ -68,6 +77,19 @@
     name: str
     health_path: str = "/health"
     max_conns: int = 0
+    cold: str = "0s"
+    cold_per_s: float = msgspec.field(name="ColdPerS", default=0.0)
+
+
+class _Tenant(msgspec.Struct, rename="pascal"):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    # Takes precedence over the priority of a rule.
+    priority: int | None = None
+    # 0 for no limit.
+    rate_per_s: float = msgspec.field(name="RatePerS", default=0.0)
+    burst: float = 0.0
+    allowed_regions: tuple[str, ...] = ()
 
 
 class _Limits(msgspec.Struct, rename="pascal"):
@@ -81,6 +103,7 @@
     config_version: int
     listeners: tuple[_Listener, ...]
     upstreams: tuple[_Upstream, ...] = ()
+    tenants: tuple[_Tenant, ...] = ()
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
@@ -99,14 +122,83 @@
     value_limits.check_range(
         "ConfigVersion", document.config_version, 0, MAX_VERSION
     )
+    accounts, account_keys = _build_accounts(document.tenants)
     return fleet.Configuration(
         version=document.config_version,
         hosts=_build_hosts(document.listeners),
         services={u.name: _build_service(u) for u in document.upstreams},
         limits=_build_limits(document.limits),
+        accounts=accounts,
+        account_keys=account_keys,
+    )
+
+
+def _build_accounts(
+    tenants: tuple[_Tenant, ...],
+) -> tuple[dict[str, fleet.ClientAccount], dict[bytes, fleet.ClientAccount]]:
+    """Returns the client accounts by name, and by the digests of their keys.
+
+    Error messages name the account and never a key.
+
+    Raises:
+        PlatformFormatError: If a field is invalid, or a name or a key belongs
+            to two accounts.
+    """
+    accounts: dict[str, fleet.ClientAccount] = {}
+    account_keys: dict[bytes, fleet.ClientAccount] = {}
+    for tenant in tenants:
+        account = _build_account(tenant)
+        if account.name in accounts:
+            raise errors.PlatformFormatError(
+                f"Name: {value_limits.quote(account.name)} is used twice"
+            )
+        accounts[account.name] = account
+        for key in tenant.api_keys:
+            if _KEY.fullmatch(key) is None:
+                raise errors.PlatformFormatError(
+                    f"ApiKeys of {value_limits.quote(account.name)}:"
+                    " a key is not valid"
+                )
+            digest = credentials.digest_key(key.encode())
+            if account_keys.setdefault(digest, account) is not account:
+                raise errors.PlatformFormatError(
+                    f"ApiKeys of {value_limits.quote(account.name)}:"
+                    " a key belongs to another account too"
+                )
+    return accounts, account_keys
+
+
+def _build_account(tenant: _Tenant) -> fleet.ClientAccount:
+    """Converts a tenant of the platform into a client account.
+
+    Raises:
+        PlatformFormatError: If a field is out of range.
+    """
+    value_limits.check_identity(tenant.name)
+    if tenant.priority is not None:
+        value_limits.check_range("Priority", tenant.priority, 0, MAX_PRIORITY)
+    value_limits.check_range("RatePerS", tenant.rate_per_s, 0.0, MAX_RATE)
+    value_limits.check_range("Burst", tenant.burst, 0.0, MAX_RATE)
+    return fleet.ClientAccount(
+        name=tenant.name,
+        priority=tenant.priority,
+        rate=tenant.rate_per_s,
+        burst=tenant.burst,
+        regions=_build_regions(tenant.allowed_regions),
     )
 
 
+def _build_regions(names: tuple[str, ...]) -> frozenset[str]:
+    """Returns a set of regions.
+
+    Raises:
+        PlatformFormatError: If the name of a region is invalid.
+    """
+    for name in names:
+        value_limits.check_name("AllowedRegions", name)
+    return frozenset(names)
+
+
 def _build_service(upstream: _Upstream) -> fleet.Service:
     """Converts an upstream of the platform into a service.
 
@@ -121,8 +213,15 @@
             f"HealthPath: {value_limits.quote(upstream.health_path)}"
             " is not a path"
         )
+    value_limits.check_range("ColdPerS", upstream.cold_per_s, 0.0, MAX_RATE)
     return fleet.Service(
-        upstream.name, upstream.health_path, upstream.max_conns
+        name=upstream.name,
+        health_path=upstream.health_path,
+        max_connections=upstream.max_conns,
+        cold_seconds=value_limits.parse_duration(
+            "Cold", upstream.cold, MAX_TIMEOUT_SECONDS
+        ),
+        cold_rate=upstream.cold_per_s,
     )
 
 
@@ -208,4 +307,6 @@
         limit_seconds=limit_seconds,
         max_targets=max(1, action.max_attempts),
         priority=rule.priority,
+        public=rule.public,
+        regions=_build_regions(action.allowed_regions),
     )
--- a/wigeonspool/platform/settings.py
+++ b/wigeonspool/platform/settings.py
@@ -74,6 +74,11 @@
     budget_slack: float = 0.0
     retry_window: str = "10s"
     grace: str = "6s"
+    quota_window: str = "5s"
+    quota_overrun: float = 0.0
+    quota_slack: float = 0.0
+    cold_overrun: float = 1.0
+    cold_slack: float = 0.0
     ttl_max: str = msgspec.field(name="ttl_max", default="5s")
 
 
@@ -207,6 +212,20 @@
     value_limits.check_range(
         "RetryWindow", window_seconds, MIN_SECONDS, MAX_SECONDS
     )
+    usage_window_seconds = value_limits.parse_duration(
+        "QuotaWindow", bounds.quota_window, MAX_SECONDS
+    )
+    value_limits.check_range(
+        "QuotaWindow", usage_window_seconds, MIN_SECONDS, MAX_SECONDS
+    )
+    for name, fraction, slack in (
+        ("Quota", bounds.quota_overrun, bounds.quota_slack),
+        ("Cold", bounds.cold_overrun, bounds.cold_slack),
+    ):
+        value_limits.check_range(
+            f"{name}Overrun", fraction, 0.0, MAX_RETRY_FRACTION
+        )
+        value_limits.check_range(f"{name}Slack", slack, 0.0, MAX_RETRY_SLACK)
     return vm_settings.DeploymentLimits(
         retry_fraction=bounds.retry_budget,
         retry_slack=bounds.budget_slack,
@@ -217,4 +236,9 @@
         max_address_ttl_seconds=value_limits.parse_duration(
             "ttl_max", bounds.ttl_max, MAX_SECONDS
         ),
+        usage_window_seconds=usage_window_seconds,
+        usage_overrun=bounds.quota_overrun,
+        usage_slack=bounds.quota_slack,
+        cold_overrun=bounds.cold_overrun,
+        cold_slack=bounds.cold_slack,
     )
