--- a/wigeonspool/vm/request_context.py
+++ b/wigeonspool/vm/request_context.py
@@ -36,6 +36,7 @@
         hedges_sent: Number of hedged requests, sent because an earlier attempt
             took long.
         closes_connection: True if its connection closes after the response.
+        account: Client account of the caller, or None.
         steps: Events so far, for the log: milliseconds since the arrival, name
             of the event, identity of the target, slowdown of the target.
     """
@@ -59,6 +60,7 @@
     probes_sent: int = 0
     hedges_sent: int = 0
     closes_connection: bool = False
+    account: fleet.ClientAccount | None = None
     steps: list[tuple[int, str, str, float]] = dataclasses.field(
         default_factory=list
     )
@@ -68,6 +70,25 @@
         """Key for the baseline service time, shared by similar requests."""
         return f"{self.rule.prefix}{self.service}"
 
+    @property
+    def priority(self) -> int:
+        """Priority of the account, or else of the rule; 0 is most urgent."""
+        if self.account is None or self.account.priority is None:
+            return self.rule.priority
+        return self.account.priority
+
+    def allows_region(self, region: str) -> bool:
+        """Returns True if targets of a region may serve the request.
+
+        Where both the rule and the account restrict the regions, both
+        restrictions apply.
+        """
+        account_regions = self.account.regions if self.account else None
+        return all(
+            not regions or region in regions
+            for regions in (self.rule.regions, account_regions)
+        )
+
     def record_step(
         self, now: float, event: str, target: str, slowdown: float
     ) -> None:
--- a/wigeonspool/vm/target_selection.py
+++ b/wigeonspool/vm/target_selection.py
@@ -92,7 +92,7 @@
         if step is not waiting_policy.Step.WAIT:
             return self._build_selection(context, step, candidate)
         queued = self._queued_by_priority[context.service]
-        queued[context.rule.priority] += 1
+        queued[context.priority] += 1
         try:
             while step is waiting_policy.Step.WAIT:
                 await self._wait_to_probe(context, baseline_seconds)
@@ -100,7 +100,7 @@
                     context, baseline_seconds
                 )
         finally:
-            queued[context.rule.priority] -= 1
+            queued[context.priority] -= 1
         return self._build_selection(context, step, candidate)
 
     async def _wait_to_probe(
@@ -187,7 +187,7 @@
         """
         queued = self._queued_by_priority[context.service]
         more_urgent_queued = any(
-            count and priority < context.rule.priority
+            count and priority < context.priority
             for priority, count in queued.items()
         )
         return waiting_policy.find_probe_delay(
