Reject responses whose status is not that of a final response

Cause: statuses below 100 were skipped as informational ones, so after a response with status 000 the request waited for another one until its deadline (504), and a second response on the connection counted as its own. Gateways did not check statuses at all: 101 and from 600 on reached callers. Change: the exchange, which VMs and gateways share, accepts 200 to 599 only, skips 100 to 199 except 101, and fails otherwise; the outcome is then unknown, so an idempotent request is retried and no other one is sent again.

--- a/tests/test_target_answers.py
+++ b/tests/test_target_answers.py
@@ -593,6 +593,48 @@
         assert status in (204, 304, 205, 502, 504)
         assert target.attempts == ["one"]
 
+    # Guards against a response without a valid status that counts as an
+    # informational one: the request waited for another response until its
+    # deadline, and took whatever came next on the connection for its own.
+    @pytest.mark.parametrize("status", [b"000", b"001", b"099"])
+    async def test_status_below_100_ends_the_attempt(
+        self, bench: Bench, status: bytes
+    ) -> None:
+        (target,) = await bench.start()
+        fields = b" Odd\r\nContent-Length: 0\r\n" + SEALED + b"\r\n"
+        later = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n" + SEALED
+        target.script = answer_with(
+            b"HTTP/1.1 " + status + fields + later + b"\r\nran"
+        )
+        answer = await bench.send("unsafe", "one", remaining="5000")
+        assert answer == (502, b"connection-lost")
+        assert target.attempts == ["one"]
+
+    # Guards against an idempotent request that is not sent to another target
+    # after a response without a valid status.
+    @pytest.mark.parametrize("status", [b"000", b"099", b"101", b"600", b"999"])
+    async def test_odd_status_is_retried_elsewhere(
+        self, bench: Bench, status: bytes
+    ) -> None:
+        first, second = await bench.start(2)
+        head = b"HTTP/1.1 " + status + b" Odd\r\nContent-Length: 0\r\n"
+        odd = answer_with(head + SEALED + b"\r\n")
+
+        async def answer(
+            attempt: str, number: int, writer: asyncio.StreamWriter
+        ) -> None:
+            if len(first.attempts) + len(second.attempts) == 1:
+                await odd(attempt, number, writer)
+            else:
+                writer.write(build_answer(attempt))
+
+        first.script = second.script = answer
+        assert await bench.send("safe", "one", remaining="9000") == (
+            200,
+            b"ran",
+        )
+        assert sorted(len(t.attempts) for t in (first, second)) == [1, 1]
+
     @pytest.mark.parametrize(
         "field",
         [b"X-A: a\xff", b"X-A: a\x01\x7f", b"X-A: a\r\n b", b"X\xff: a"],
@@ -988,6 +1030,42 @@
         server.close()
         assert kinds == [tables.ResultKind.NOT_RUN, tables.ResultKind.ANSWERED]
 
+    # Guards against a caller that gets a status which is none, or a change of
+    # the protocol: the gateway forwarded any status that the parser accepts.
+    @pytest.mark.parametrize("status", [b"000", b"099", b"101", b"600", b"999"])
+    async def test_odd_status_leaves_the_outcome_unknown(
+        self, status: bytes
+    ) -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(
+                b"HTTP/1.1 " + status + b" Odd\r\nContent-Length: 0\r\n\r\n"
+            )
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        client = egress.Egress()
+        outgoing = egress.OutgoingRequest(
+            "POST",
+            "/a",
+            CIMultiDict(),
+            b"",
+            asyncio.get_running_loop().time() + 20.0,
+        )
+        attempt = await client.send_attempt(
+            address, outgoing, may_retry_connection=False
+        )
+        await client.close()
+        server.close()
+        assert attempt.result is not None
+        assert attempt.result.kind is tables.ResultKind.LOST
+        assert attempt.complete_response is None
+
     # Guards against a request that hangs until its deadline: an invalid chunk
     # ended the connection, but not the wait for the body.
     async def test_invalid_chunk_leaves_the_outcome_unknown(self) -> None:
--- a/wigeonspool/gateway/exchanges.py
+++ b/wigeonspool/gateway/exchanges.py
@@ -22,8 +22,10 @@
 MAX_DISCARDED_RESPONSES: Final = 32
 # Longest body of a foreign response that is read in order to discard it.
 MAX_DISCARDED_BYTES: Final = 1024 * 1024
-MIN_FINAL_STATUS: Final = 200
 STATUS_SWITCHING: Final = 101
+INFORMATIONAL_STATUSES: Final = range(100, 200)
+# Statuses of final responses. No connection of a caller changes its protocol.
+FINAL_STATUSES: Final = range(200, 600)
 
 
 class Connection(Protocol):
@@ -255,7 +257,8 @@
 
     Raises:
         aiohttp.ClientError: If the connection ended, the response is not valid
-            HTTP, or too much precedes it.
+            HTTP, its status is not that of a final response, or too much
+            precedes it.
     """
     for _ in range(MAX_DISCARDED_RESPONSES + 1):
         try:
@@ -263,8 +266,12 @@
         except http.HttpProcessingError as error:
             raise aiohttp.ClientPayloadError(repr(error)) from error
         code = message.code
-        if code < MIN_FINAL_STATUS and code != STATUS_SWITCHING:
+        if code in INFORMATIONAL_STATUSES and code != STATUS_SWITCHING:
             continue
+        if code not in FINAL_STATUSES:
+            raise aiohttp.ClientPayloadError(
+                f"status {code} is not that of a final response"
+            )
         if accept(message):
             return message, content
         _, complete = await read_limited(content, MAX_DISCARDED_BYTES)
--- a/wigeonspool/vm/attempts.py
+++ b/wigeonspool/vm/attempts.py
@@ -22,8 +22,6 @@
 # Beyond it a response is streamed once it is longer than the minimum.
 MAX_BUFFERED_BYTES_PER_VM: Final = 32 * 1024 * 1024
 MIN_BUFFERED_BYTES: Final = 64 * 1024
-# Statuses of final responses. No connection of a caller changes its protocol.
-FINAL_STATUSES: Final = range(200, 600)
 # Characters that the HTTP library refuses to write in a header field.
 FORBIDDEN_CHARACTERS: Final = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
@@ -229,10 +227,6 @@
     Raises:
         ClientPayloadError: If it cannot.
     """
-    if response.status not in FINAL_STATUSES:
-        raise aiohttp.ClientPayloadError(
-            f"status {response.status} is not that of a final response"
-        )
     codings = response.headers.getall("Transfer-Encoding", [])
     if codings and not is_chunked(response):
         raise aiohttp.ClientPayloadError(
