Buffer a long response in front of requests that already ran

Change: if requests behind it run ahead, a stream is buffered before its first byte is sent, within bounds for a response and a VM; a break is then a failure of one request. A rule that had such a response lets nothing run ahead behind it until the configuration changes.

--- a/tests/test_vm_pipelines.py
+++ b/tests/test_vm_pipelines.py
@@ -13,6 +13,7 @@
 from tests.test_vm_lost_requests import build_head
 from wigeonspool.gateway import streaming
 from wigeonspool.vm import pipelines
+from wigeonspool.vm import response_buffers
 from wigeonspool.vm import service
 
 SLOW_MS = 500.0
@@ -413,6 +414,53 @@
         assert not vms.find_targets_that_ran("write")
         check_nothing_held(vm)
 
+    # Guards against sound responses that are lost with one in front of them: a
+    # target broke off a long response, which reset the connection.
+    async def test_long_response_that_breaks_off_costs_only_itself(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        rules = [
+            vm_fleet.build_rule("read", "/read/", "safe", Service="reads"),
+            vm_fleet.build_rule("fast", "/fast/", "safe", Service="writes"),
+        ]
+        await vms.configure(rules)
+        vm, caller = await start(vms, 100.0)
+        for identity in ("t-1", "t-2"):
+            vms.targets[identity].body = b"x" * 2_000_000
+            vms.targets[identity].faults.truncated = True
+        behind = [f"behind-{number}" for number in range(5)]
+        heads = [build_head("GET", "/fast/1", attempt) for attempt in behind]
+        caller.writer.write(FRONT + b"".join(heads))
+        assert (await caller.read_response())[0] == 502
+        for attempt in behind:
+            status, body = await caller.read_response()
+            assert status == 200
+            assert body.decode() in vms.find_targets_that_ran(attempt)
+        check_nothing_held(vm)
+        assert vm._caller_service._buffers.reserved_bytes == 0
+
+    # Guards against memory without bound, and against a response that is cut
+    # or out of order, where it is too long for the buffer.
+    @pytest.mark.parametrize("limit", [500_000, 1_500_000, 8_000_000])
+    async def test_long_response_in_front_is_complete(
+        self,
+        vms: vm_fleet.VmFleet,
+        monkeypatch: pytest.MonkeyPatch,
+        limit: int,
+    ) -> None:
+        monkeypatch.setattr(response_buffers, "MAX_BUFFERED_BYTES", limit)
+        vm, caller = await start(vms, 50.0)
+        body = bytes(range(256)) * 10_000
+        for identity in ("t-1", "t-2"):
+            vms.targets[identity].body = body
+        caller.writer.write(FRONT + READ)
+        assert await caller.read_response() == (200, body)
+        assert await caller.read_response() == (200, body)
+        check_nothing_held(vm)
+        await fleet.wait_for(
+            lambda: vm._caller_service._buffers.reserved_bytes == 0
+        )
+
     # Guards against an unexpected error in one request that leaves those
     # behind it running for nobody.
     async def test_error_in_front_lets_the_others_end(
--- a/wigeonspool/vm/caller_service.py
+++ b/wigeonspool/vm/caller_service.py
@@ -8,6 +8,7 @@
 import dataclasses
 import time
 
+import aiohttp
 from aiohttp import http
 from aiohttp import web
 import xxhash
@@ -27,6 +28,7 @@
 from wigeonspool.vm import pipelines
 from wigeonspool.vm import request_context
 from wigeonspool.vm import request_runner
+from wigeonspool.vm import response_buffers
 from wigeonspool.vm import startup_gate
 from wigeonspool.vm import structured_log
 
@@ -91,6 +93,9 @@
         self._protocol_adapter = protocol_adapter
         self._pause_monitor = pause_monitor
         self._gate = gate
+        self._buffers = response_buffers.ResponseBuffers()
+        # Rules with a response too long for the buffer of its attempt.
+        self._long_rules: set[fleet.Rule] = set()
         self._rotations: dict[str, traffic_split.WeightedRoundRobin] = {}
         self._configuration_version = -1
         self._rotation_offset = xxhash.xxh3_64_intdigest(vm.encode()) / 2**64
@@ -135,13 +140,19 @@
         """Returns True if a pipelined request may start before its turn.
 
         Large responses wait for their turn: an error within one resets the
-        connection, and with it all responses behind it.
+        connection, and with it all responses behind it. That includes rules
+        which had a response too long to buffer in front of other requests.
         """
         configuration = self._cluster.configuration
         if self.draining or configuration is None:
             return False
         rule = _find_rule(configuration, message.headers, message.path)
-        return rule is not None and rule.idempotent and not rule.large_responses
+        return (
+            rule is not None
+            and rule.idempotent
+            and not rule.large_responses
+            and rule not in self._long_rules
+        )
 
     async def run_ahead(
         self, request: web.BaseRequest, arrived_at: float, position: int
@@ -271,8 +282,41 @@
             assert isinstance(result, outcomes.Failure)
             return self._build_failure(result)
         context.request = served.request
+        reserved_bytes = 0
+        if result.stream is not None and pipeline.has_ahead():
+            self._long_rules.add(context.rule)
+            try:
+                reserved_bytes = await self._buffers.fill(
+                    result.stream, context.deadline
+                )
+            except (TimeoutError, aiohttp.ClientError, OSError) as error:
+                return self._build_failure(self._end_buffering(context, error))
         context.closes_connection = self._is_last(pipeline)
-        return await self._build_response(context, result)
+        try:
+            return await self._build_response(context, result)
+        finally:
+            self._buffers.release(reserved_bytes)
+
+    def _end_buffering(
+        self, context: request_context.RequestContext, error: Exception
+    ) -> outcomes.Failure:
+        """Logs a response that broke off while it was buffered.
+
+        Returns:
+            The failure to report; the connection of the caller stays open.
+        """
+        reason = (
+            outcomes.Reason.DEADLINE_PASSED
+            if isinstance(error, TimeoutError)
+            else outcomes.Reason.CONNECTION_LOST
+        )
+        log.warning(
+            "a buffered response broke off",
+            request=context.identity,
+            outcome=reason,
+            reason=repr(error),
+        )
+        return context.build_failure(reason)
 
     async def _run(self, served: OpenRequest) -> request_runner.RequestResult:
         """Runs a request, logs its result and returns it."""
@@ -387,6 +431,7 @@
         if configuration.version != self._configuration_version:
             self._configuration_version = configuration.version
             self._rotations.clear()
+            self._long_rules.clear()
         if len(rule.weighted_services) == 1:
             return rule.weighted_services[0].service
         rotation_key = f"{host}{rule.prefix}"
