Quote no part of a configuration in errors

A configuration holds the keys of client accounts, and the error about an unreadable one quoted its first bytes, which reach the log. The error gives the size of the document instead. The error about an invalid name of an account names its field. Which texts are keys is decided in one place, so that requests and configurations agree.

--- a/wigeonspool/model/credentials.py
+++ b/wigeonspool/model/credentials.py
@@ -1,14 +1,26 @@
 """Digests of the keys by which callers identify their client account."""
 
 import hashlib
+import re
 import secrets
 from typing import Final
 
 DIGEST_BYTES: Final = 16
+# Visible ASCII characters, so that a key fits into one header field.
+_KEY: Final = re.compile("[!-~]{1,1024}")
 # Differs between processes, so that callers cannot compute digests.
 _SALT: Final = secrets.token_bytes(16)
 
 
+def encode_key(text: str) -> bytes | None:
+    """Returns a key as bytes, or None if a text is not a valid key.
+
+    Configurations and requests are read by the same rule, so that each key of a
+    configuration can be used.
+    """
+    return None if _KEY.fullmatch(text) is None else text.encode()
+
+
 def digest_key(key: bytes) -> bytes:
     """Returns the digest of a key of a client account.
 
--- a/wigeonspool/platform/configuration.py
+++ b/wigeonspool/platform/configuration.py
@@ -28,8 +28,6 @@
 MAX_TIMEOUT_SECONDS: Final = 24 * 3600.0
 # Requests per second, or requests of a burst.
 MAX_RATE: Final = 1e9
-# Characters of a key that fits into one header field.
-_KEY: Final = re.compile("[!-~]{1,1024}")
 _PATH: Final = re.compile(f"/[!-~]{{0,{MAX_PATH_CHARS}}}")
 DEFAULT_TIMEOUT: Final = "30s"
 
@@ -117,7 +115,7 @@
         PlatformFormatError: If the value is not a valid configuration document.
     """
     document = value_limits.decode_json(
-        _decoder, value, MAX_CONFIGURATION_BYTES
+        _decoder, value, MAX_CONFIGURATION_BYTES, has_secrets=True
     )
     value_limits.check_range(
         "ConfigVersion", document.config_version, 0, MAX_VERSION
@@ -153,13 +151,14 @@
                 f"Name: {value_limits.quote(account.name)} is used twice"
             )
         accounts[account.name] = account
-        for key in tenant.api_keys:
-            if _KEY.fullmatch(key) is None:
+        for text in tenant.api_keys:
+            key = credentials.encode_key(text)
+            if key is None:
                 raise errors.PlatformFormatError(
                     f"ApiKeys of {value_limits.quote(account.name)}:"
                     " a key is not valid"
                 )
-            digest = credentials.digest_key(key.encode())
+            digest = credentials.digest_key(key)
             if account_keys.setdefault(digest, account) is not account:
                 raise errors.PlatformFormatError(
                     f"ApiKeys of {value_limits.quote(account.name)}:"
@@ -174,7 +173,7 @@
     Raises:
         PlatformFormatError: If a field is out of range.
     """
-    value_limits.check_identity(tenant.name)
+    value_limits.check_identity(tenant.name, "Name")
     if tenant.priority is not None:
         value_limits.check_range("Priority", tenant.priority, 0, MAX_PRIORITY)
     value_limits.check_range("RatePerS", tenant.rate_per_s, 0.0, MAX_RATE)
--- a/wigeonspool/platform/value_limits.py
+++ b/wigeonspool/platform/value_limits.py
@@ -39,7 +39,10 @@
 
 
 def decode_json(
-    decoder: msgspec.json.Decoder[_T], value: bytes, max_bytes: int
+    decoder: msgspec.json.Decoder[_T],
+    value: bytes,
+    max_bytes: int,
+    has_secrets: bool = False,
 ) -> _T:
     """Decodes a JSON document within the limits of size and nesting.
 
@@ -47,14 +50,15 @@
         decoder: Decoder of the expected type.
         value: The document.
         max_bytes: Maximum size of the document.
+        has_secrets: True if no part of the document may be in error messages.
 
     Raises:
         PlatformFormatError: If the document exceeds a limit, is not valid JSON
             or does not have the expected type.
     """
     _check_size(value, max_bytes)
-    check_json_depth(value)
-    return _decode(decoder, value)
+    check_json_depth(value, has_secrets=has_secrets)
+    return _decode(decoder, value, has_secrets)
 
 
 def decode_msgpack(
@@ -90,6 +94,7 @@
 def _decode(
     decoder: msgspec.json.Decoder[_T] | msgspec.msgpack.Decoder[_T],
     value: bytes,
+    has_secrets: bool = False,
 ) -> _T:
     """Decodes a document.
 
@@ -100,13 +105,25 @@
         return decoder.decode(value)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise errors.PlatformFormatError(
-            f"{error}, in {quote(value)}"
+            f"{error}, in {_describe(value, has_secrets)}"
         ) from error
 
 
-def check_json_depth(value: bytes, max_depth: int = MAX_DEPTH) -> None:
+def _describe(value: bytes, has_secrets: bool) -> str:
+    """Returns the beginning of a document, or its size if it has secrets."""
+    return f"{len(value)} bytes" if has_secrets else quote(value)
+
+
+def check_json_depth(
+    value: bytes, max_depth: int = MAX_DEPTH, has_secrets: bool = False
+) -> None:
     """Checks the nesting of a JSON document, which need not be valid JSON.
 
+    Args:
+        value: The document.
+        max_depth: Maximum number of levels.
+        has_secrets: True if no part of the document may be in error messages.
+
     Raises:
         PlatformFormatError: If the document has too many levels.
     """
@@ -118,7 +135,8 @@
         depth += 1 if bracket in _OPENING else -1
         if depth > max_depth:
             raise errors.PlatformFormatError(
-                f"more than {max_depth} levels, in {quote(value)}"
+                f"more than {max_depth} levels,"
+                f" in {_describe(value, has_secrets)}"
             )
 
 
@@ -149,16 +167,20 @@
         )
 
 
-def check_identity(identity: str) -> None:
+def check_identity(identity: str, field: str = "identity") -> None:
     """Checks an identity, which is also the value of a header field.
 
+    Args:
+        identity: The identity.
+        field: Name of its field, for error messages.
+
     Raises:
         PlatformFormatError: If it is not a name of visible ASCII characters.
     """
-    check_name("identity", identity)
+    check_name(field, identity)
     if not identity.isascii() or " " in identity:
         raise errors.PlatformFormatError(
-            f"identity: {quote(identity)} is not visible ASCII"
+            f"{field}: {quote(identity)} is not visible ASCII"
         )
 
 
