Let tests configure client accounts and see them at targets

The stand-in of a target records the fields that state an account, also under names that servers map to the same one, whether credentials arrived, and the names of all fields.

--- a/tests/vm_fleet.py
+++ b/tests/vm_fleet.py
@@ -76,15 +76,27 @@
     }
 
 
+def build_tenant(name: str, *keys: str, **fields: Any) -> dict[str, Any]:
+    """Returns a client account in the form of the configuration document.
+
+    Args:
+        name: Name of the account.
+        keys: Its keys.
+        fields: Further fields, for example `Priority`.
+    """
+    return {"Name": name, "ApiKeys": list(keys), **fields}
+
+
 def build_configuration(
     version: int,
     rules: list[Any],
     host: str = HOST,
     header_timeout: str = "3000ms",
     max_connections: int = 100,
+    tenants: list[Any] | None = None,
 ) -> dict[str, Any]:
     """Returns a configuration document with three upstreams."""
-    return {
+    document: dict[str, Any] = {
         "ConfigVersion": version,
         "Limits": {
             "MaxHeaderBytes": 16384,
@@ -98,6 +110,9 @@
             for n in ("other", "reads", "writes")
         ],
     }
+    if tenants is not None:
+        document["Tenants"] = tenants
+    return document
 
 
 class VmFleet:
@@ -282,13 +297,26 @@
         attempt: str = "",
         **options: Any,
     ) -> tuple[int, bytes, Any]:
-        """Sends a request; returns the status, body and header fields."""
+        """Sends a request; returns the status, body and header fields.
+
+        Args:
+            vm: Name of the VM.
+            path: Path of the request.
+            method: HTTP method.
+            host: Host that the request names.
+            attempt: Identity of the attempt; a new one if empty.
+            options: `remaining`, the time limit in milliseconds; `key`, that of
+                a client account; and those of the HTTP library.
+        """
         attempt = attempt or f"a-{next(self._attempts)}"
         fields = {
             "Host": host,
             "X-Attempt-Id": attempt,
             "X-Timeout-Remaining": options.pop("remaining", REMAINING_MS),
         }
+        key = options.pop("key", "")
+        if key:
+            fields["Authorization"] = f"Bearer {key}"
         url = f"http://{self.settings[vm].callers}{path}"
         async with self.session.request(
             method, url, headers=fields, **options
--- a/wigeonspool/platform/standin/target.py
+++ b/wigeonspool/platform/standin/target.py
@@ -10,6 +10,7 @@
 import contextlib
 import dataclasses
 import json
+import re
 import socket
 import struct
 import time
@@ -87,6 +88,10 @@
         body: Request body.
         remaining_ms: How long the caller still waits, in milliseconds, or 0 if
             the request does not state it.
+        accounts: Values of the fields that state the account of the caller,
+            also under names that a server may read as that of the account.
+        has_credentials: True if the request has credentials of the caller.
+        field_names: Names of the header fields, in order, as they arrived.
     """
 
     attempt: str
@@ -94,6 +99,9 @@
     path: str
     body: bytes
     remaining_ms: int
+    accounts: tuple[str, ...] = ()
+    has_credentials: bool = False
+    field_names: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -208,7 +216,19 @@
             self._respond_refusal(status, attempt, writer)
             return True
         remaining_ms = int(fields.get("x-timeout-remaining", "0"))
-        self.runs.append(Run(attempt, method, path, body, remaining_ms))
+        pairs = [line.split(": ", 1) for line in lines if line]
+        self.runs.append(
+            Run(
+                attempt,
+                method,
+                path,
+                body,
+                remaining_ms,
+                tuple(value for name, value in pairs if states_account(name)),
+                "authorization" in fields,
+                tuple(name for name, _ in pairs),
+            )
+        )
         return await self._run(attempt, reader, writer)
 
     def _respond_control(
@@ -367,6 +387,14 @@
         return False
 
 
+def states_account(name: str) -> bool:
+    """Returns True if a server may read a field as that of the account.
+
+    Some servers replace special characters in the names of fields.
+    """
+    return re.sub("[^a-z0-9]", "-", name.lower()) == "x-tenant"
+
+
 def reset(writer: asyncio.StreamWriter) -> None:
     """Resets a connection; data that is still buffered is discarded.
 
