Check the keys of client accounts for each request

With accounts configured, a request needs one key of an account unless its rule is public; otherwise it gets 401 before its body is read. The key is not forwarded, the account field of callers is dropped in all spellings, and targets get the name of the account. Log lines name the account, and the fingerprint of a request includes it. Without accounts nothing changes.

--- a/wigeonspool/gateway/responses.py
+++ b/wigeonspool/gateway/responses.py
@@ -33,6 +33,9 @@
     outcomes.Reason.ANSWER_NOT_KEPT: 410,
     outcomes.Reason.BODY_TOO_LARGE: 413,
     outcomes.Reason.BAD_REQUEST: 400,
+    outcomes.Reason.CREDENTIALS_MISSING: 401,
+    outcomes.Reason.CREDENTIALS_MALFORMED: 401,
+    outcomes.Reason.CREDENTIALS_UNKNOWN: 401,
     outcomes.Reason.DEADLINE_PASSED: 504,
     outcomes.Reason.INTERNAL_ERROR: 500,
 }
--- a/wigeonspool/model/outcomes.py
+++ b/wigeonspool/model/outcomes.py
@@ -57,6 +57,9 @@
     ANSWER_NOT_KEPT = "answer-not-kept"
     BODY_TOO_LARGE = "body-too-large"
     BAD_REQUEST = "bad-request"
+    CREDENTIALS_MISSING = "credentials-missing"
+    CREDENTIALS_MALFORMED = "credentials-malformed"
+    CREDENTIALS_UNKNOWN = "credentials-unknown"
     INTERNAL_ERROR = "internal-error"
 
 
--- a/wigeonspool/model/protocols.py
+++ b/wigeonspool/model/protocols.py
@@ -5,7 +5,7 @@
 contains the protocol names.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 import dataclasses
 import enum
 from typing import NamedTuple
@@ -89,9 +89,13 @@
 
     Attributes:
         read_request_metadata: Reads the header fields of a caller's request.
+        read_credentials: Reads from the header fields of a caller's request
+            what identifies its client account: for each credential the key, or
+            None if it is not a valid key.
         build_target_headers: Returns the header fields for a target, from the
-            caller's fields, the remaining seconds and the identity of the
-            target.
+            caller's fields, the remaining seconds, the identity of the target,
+            the name of the caller's account or "", and whether accounts are
+            configured.
         classify_response: Returns what a status and header fields prove about
             the attempt with a given identity.
         read_load_report: Reads the response to a health check; None if it is
@@ -100,6 +104,8 @@
             the target states about itself.
         build_retry_headers: Returns the header fields that state after how
             many seconds to retry.
+        challenge_headers: Header fields of the refusal of a request that does
+            not identify its account.
         refusal_status: Status of a refusal, which guarantees that the request
             did not run and never will.
         unknown_outcome_status: Status of a failure after which the request may
@@ -110,11 +116,15 @@
     """
 
     read_request_metadata: Callable[[Headers], RequestMetadata]
-    build_target_headers: Callable[[Headers, float, str], CIMultiDict[str]]
+    read_credentials: Callable[[Headers], Sequence[bytes | None]]
+    build_target_headers: Callable[
+        [Headers, float, str, str, bool], CIMultiDict[str]
+    ]
     classify_response: Callable[[int, Headers, str], ResponseClass]
     read_load_report: Callable[[int, Headers], LoadReport | None]
     read_notice: Callable[[int, Headers], TargetNotice]
     build_retry_headers: Callable[[float], Mapping[str, str]]
+    challenge_headers: Mapping[str, str]
     refusal_status: int
     unknown_outcome_status: int
     timeout_status: int
--- a/wigeonspool/platform/http_protocol.py
+++ b/wigeonspool/platform/http_protocol.py
@@ -7,6 +7,7 @@
 from multidict import istr
 
 from wigeonspool.gateway import headers
+from wigeonspool.model import credentials
 from wigeonspool.model import protocols
 
 # Identity of one attempt of a caller. Targets copy it into their response.
@@ -23,6 +24,17 @@
 # optionally, the slowdown in percent.
 TARGET_LOAD: Final = istr("X-Instance-Load")
 TARGET_ID: Final = istr("X-Instance-Id")
+# The key of the caller's client account, after the scheme.
+CREDENTIALS: Final = istr("Authorization")
+CREDENTIALS_SCHEME: Final = "bearer"
+CHALLENGE: Final = {"WWW-Authenticate": "Bearer"}
+# Name of the caller's client account.
+ACCOUNT: Final = istr("X-Tenant")
+# Names which a target may read as that of the account: some servers replace
+# special characters in the names of fields.
+ACCOUNT_SPELLINGS: Final = re.compile(
+    "x[^a-z0-9]tenant", re.IGNORECASE | re.ASCII
+)
 RETRY_AFTER: Final = istr("Retry-After")
 # A target that leaves sends it in all its responses.
 LEAVING: Final = istr("Server-Leaving")
@@ -56,6 +68,9 @@
     REMAINING_TIME.lower(),
     EXPECTED_TARGET.lower(),
 }
+# Fields that are not forwarded if client accounts are configured, in addition
+# to those whose name is a spelling of `ACCOUNT`.
+DROPPED_WITH_ACCOUNTS: Final = DROPPED_FIELDS | {CREDENTIALS.lower()}
 
 
 def read_request_metadata(
@@ -79,25 +94,71 @@
     )
 
 
+def read_credentials(fields: protocols.Headers) -> tuple[bytes | None, ...]:
+    """Returns the keys of client accounts that a caller's request states.
+
+    Args:
+        fields: Header fields of the request.
+
+    Returns:
+        For each field with credentials its key, or None if its scheme is
+        another one or its key is not valid.
+    """
+    return tuple(_parse_key(text) for text in fields.getall(CREDENTIALS, ()))
+
+
+def _parse_key(text: str) -> bytes | None:
+    """Returns the key in the value of a field, or None without a valid one."""
+    scheme, _, key = text.partition(" ")
+    if scheme.lower() != CREDENTIALS_SCHEME:
+        return None
+    return credentials.encode_key(key.lstrip(" "))
+
+
 def build_target_headers(
-    fields: protocols.Headers, remaining_seconds: float, target: str
+    fields: protocols.Headers,
+    remaining_seconds: float,
+    target: str,
+    account: str,
+    has_accounts: bool,
 ) -> CIMultiDict[str]:
     """Returns the header fields of a request to a target.
 
+    If client accounts are configured, the credentials of the caller are not
+    forwarded, and neither is an account that the caller states itself.
+
     Args:
         fields: Header fields of the caller's request.
         remaining_seconds: How long the caller will still wait. A target gets
             at least 1 ms.
         target: Identity of the only target that may run the request, or "" if
             any target may.
+        account: Name of the caller's client account, or "".
+        has_accounts: True if client accounts are configured.
     """
-    forwarded = CIMultiDict(headers.list_end_to_end(fields, DROPPED_FIELDS))
+    if has_accounts:
+        forwarded = _select_without_account(fields)
+        if account:
+            forwarded[ACCOUNT] = account
+    else:
+        forwarded = CIMultiDict(headers.list_end_to_end(fields, DROPPED_FIELDS))
     forwarded[REMAINING_TIME] = str(max(1, int(remaining_seconds * 1000)))
     if target:
         forwarded[EXPECTED_TARGET] = target
     return forwarded
 
 
+def _select_without_account(fields: protocols.Headers) -> CIMultiDict[str]:
+    """Returns the fields to forward that state no account or credentials."""
+    return CIMultiDict(
+        (name, value)
+        for name, value in headers.list_end_to_end(
+            fields, DROPPED_WITH_ACCOUNTS
+        )
+        if ACCOUNT_SPELLINGS.fullmatch(name) is None
+    )
+
+
 def classify_response(
     status: int, fields: protocols.Headers, identity: str
 ) -> protocols.ResponseClass:
@@ -196,11 +257,13 @@
 
 HTTP_PROTOCOL: Final = protocols.ProtocolAdapter(
     read_request_metadata=read_request_metadata,
+    read_credentials=read_credentials,
     build_target_headers=build_target_headers,
     classify_response=classify_response,
     read_load_report=read_load_report,
     read_notice=read_notice,
     build_retry_headers=build_retry_headers,
+    challenge_headers=CHALLENGE,
     refusal_status=STATUS_REFUSED,
     unknown_outcome_status=STATUS_UNKNOWN_OUTCOME,
     timeout_status=STATUS_TIMEOUT,
--- a/wigeonspool/vm/attempts.py
+++ b/wigeonspool/vm/attempts.py
@@ -78,6 +78,8 @@
             request.headers,
             context.deadline - self._loop.time(),
             candidate.row.entry.identity,
+            context.account_name,
+            context.has_accounts,
         )
         fields["Host"] = request.headers.get("Host", "")
         try:
--- a/wigeonspool/vm/caller_responses.py
+++ b/wigeonspool/vm/caller_responses.py
@@ -27,7 +27,11 @@
     outcomes.Reason.NOT_CONFIGURED: RETRY_AFTER_STARTUP_SECONDS,
     outcomes.Reason.TARGET_REFUSED: RETRY_AFTER_TARGET_REFUSED_SECONDS,
 }
+STATUS_UNAUTHENTICATED: Final = 401
 STATUS_BY_REASON: Final = {
+    outcomes.Reason.CREDENTIALS_MISSING: STATUS_UNAUTHENTICATED,
+    outcomes.Reason.CREDENTIALS_MALFORMED: STATUS_UNAUTHENTICATED,
+    outcomes.Reason.CREDENTIALS_UNKNOWN: STATUS_UNAUTHENTICATED,
     outcomes.Reason.NO_ROUTE: 404,
     outcomes.Reason.BODY_TOO_LARGE: 413,
     outcomes.Reason.BAD_REQUEST: 400,
@@ -75,6 +79,8 @@
         if failure.retry_at is not None:
             seconds = max(0.0, failure.retry_at - now)
         fields.update(protocol_adapter.build_retry_headers(seconds))
+    elif status == STATUS_UNAUTHENTICATED:
+        fields.update(protocol_adapter.challenge_headers)
     return web.Response(
         status=status, headers=fields, body=failure.reason.encode()
     )
--- a/wigeonspool/vm/caller_service.py
+++ b/wigeonspool/vm/caller_service.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 import xxhash
 
+from wigeonspool.core import client_accounts
 from wigeonspool.core import cluster_state
 from wigeonspool.core import drain_policy
 from wigeonspool.core import traffic_split
@@ -42,12 +43,15 @@
         arrived_at: Estimated time of its arrival, loop clock.
         position: Number of requests in front of it on its connection when it
             arrived.
+        account: Client account of the caller, or None if it has none or is not
+            known yet.
         context: Its state, or None until it has been validated.
     """
 
     request: web.BaseRequest
     arrived_at: float
     position: int
+    account: fleet.ClientAccount | None = None
     context: request_context.RequestContext | None = None
 
 
@@ -276,15 +280,14 @@
 
     async def _run(self, served: OpenRequest) -> request_runner.RequestResult:
         """Runs a request, logs its result and returns it."""
-        request = served.request
         context: request_context.RequestContext | outcomes.Failure
         try:
             async with self._runner.start_limits.limit_wait(deadline=None):
-                context = await self._build_context(request, served.arrived_at)
+                context = await self._build_context(served)
         except TimeoutError:
             context = outcomes.build_refusal(outcomes.Reason.DRAINING)
         if isinstance(context, outcomes.Failure):
-            self._log_refusal(request, context)
+            self._log_refusal(served, context)
             return context
         served.context = context
         result: request_runner.RequestResult
@@ -312,9 +315,13 @@
             )
 
     async def _build_context(
-        self, request: web.BaseRequest, arrived_at: float
+        self, served: OpenRequest
     ) -> request_context.RequestContext | outcomes.Failure:
-        """Returns the context of a valid request, or why it is refused."""
+        """Returns the context of a valid request, or why it is refused.
+
+        Sets the account of the request.
+        """
+        request, arrived_at = served.request, served.arrived_at
         await self._gate.wait()
         configuration = self._cluster.configuration
         if configuration is None:
@@ -333,6 +340,10 @@
             # Without an identity, no response can be matched with the request.
             # Bytes that are not UTF-8 would be left out when it is forwarded.
             return outcomes.build_refusal(outcomes.Reason.BAD_REQUEST)
+        account = self._identify_account(request, configuration, rule)
+        if isinstance(account, outcomes.Failure):
+            return account
+        served.account = account
         limit_seconds = rule.limit_seconds
         if caller_fields.remaining_seconds is not None:
             limit_seconds = min(limit_seconds, caller_fields.remaining_seconds)
@@ -353,7 +364,8 @@
                 if error.timed_out
                 else outcomes.Reason.BAD_REQUEST
             )
-        fingerprint = fingerprint_request(request, host, body)
+        account_name = account.name if account else ""
+        fingerprint = fingerprint_request(request, host, body, account_name)
         if self._cluster.suspects.is_refused(self._loop.time(), fingerprint):
             crashed = self._cluster.suspects.list_crashed_targets(fingerprint)
             log.info(
@@ -374,7 +386,30 @@
             arrived_at,
             arrived_at + rule.objective_seconds,
             deadline,
+            account=account,
+            has_accounts=bool(configuration.accounts),
+        )
+
+    def _identify_account(
+        self,
+        request: web.BaseRequest,
+        configuration: fleet.Configuration,
+        rule: fleet.Rule,
+    ) -> fleet.ClientAccount | outcomes.Failure | None:
+        """Returns the account of a request, or why it is refused.
+
+        The result is None for a request without an account.
+        """
+        if not configuration.accounts:
+            return None
+        account = client_accounts.identify_account(
+            configuration,
+            rule,
+            self._protocol_adapter.read_credentials(request.headers),
         )
+        if isinstance(account, outcomes.Reason):
+            return outcomes.build_refusal(account)
+        return account
 
     def _choose_service(
         self, configuration: fleet.Configuration, host: str, rule: fleet.Rule
@@ -399,12 +434,13 @@
         return rotation.choose()
 
     def _log_refusal(
-        self, request: web.BaseRequest, failure: outcomes.Failure
+        self, served: OpenRequest, failure: outcomes.Failure
     ) -> None:
         """Logs that a request was refused before any attempt, and why."""
         log.info(
             "refused",
-            request=self._read_identity(request),
+            request=self._read_identity(served.request),
+            account=served.account.name if served.account else "",
             outcome=failure.reason,
             not_run=True,
             version=self._configuration_version,
@@ -450,6 +486,7 @@
             request=context.identity,
             rule=context.rule.name,
             service=context.service,
+            account=context.account_name,
             outcome=outcome,
             not_run=not_run,
             version=self._configuration_version,
@@ -528,14 +565,27 @@
 
 
 def fingerprint_request(
-    request: web.BaseRequest, host: str, body: exchanges.Body
+    request: web.BaseRequest, host: str, body: exchanges.Body, account: str
 ) -> int:
     """Returns a hash that is equal for resends of the same request.
 
-    Bodies that are streamed are not part of the hash.
+    Bodies that are streamed are not part of the hash. The same request of two
+    accounts has two hashes, so that one account cannot cause the refusal of
+    requests of another one.
+
+    Args:
+        request: Request of the caller.
+        host: Host that it names.
+        body: Its body.
+        account: Name of the caller's client account, or "".
     """
     hasher = xxhash.xxh3_64()
-    hasher.update(f"{request.method} {host}{request.raw_path}\n".encode())
+    # The path and the account have no spaces, so that no request without an
+    # account has the hash of one with an account.
+    suffix = f" {account}" if account else ""
+    hasher.update(
+        f"{request.method} {host}{request.raw_path}{suffix}\n".encode()
+    )
     if isinstance(body, bytes):
         hasher.update(body)
     return hasher.intdigest()
--- a/wigeonspool/vm/request_context.py
+++ b/wigeonspool/vm/request_context.py
@@ -37,6 +37,7 @@
             took long.
         closes_connection: True if its connection closes after the response.
         account: Client account of the caller, or None.
+        has_accounts: True if client accounts are configured.
         steps: Events so far, for the log: milliseconds since the arrival, name
             of the event, identity of the target, slowdown of the target.
     """
@@ -61,6 +62,7 @@
     hedges_sent: int = 0
     closes_connection: bool = False
     account: fleet.ClientAccount | None = None
+    has_accounts: bool = False
     steps: list[tuple[int, str, str, float]] = dataclasses.field(
         default_factory=list
     )
@@ -77,6 +79,11 @@
             return self.rule.priority
         return self.account.priority
 
+    @property
+    def account_name(self) -> str:
+        """Name of the client account, or ""."""
+        return self.account.name if self.account else ""
+
     def allows_region(self, region: str) -> bool:
         """Returns True if targets of a region may serve the request.
 
