Send requests only to targets of regions that their rule and account allow

Cause: AllowedRegions of rules and accounts was decoded and not applied.

Change: target groups, the end of declines, hedges and retries consider only targets whose zone has an allowed region in the zone table of the settings. A zone without a region there serves unrestricted requests only.

--- a/wigeonspool/vm/attempts.py
+++ b/wigeonspool/vm/attempts.py
@@ -13,7 +13,6 @@
 from wigeonspool.model import protocols
 from wigeonspool.vm import channels
 from wigeonspool.vm import request_context
-from wigeonspool.vm import target_notices
 from wigeonspool.vm import target_probes
 
 # A longer response body is streamed to the caller as it arrives.
@@ -39,16 +38,18 @@
     def __init__(
         self,
         protocol_adapter: protocols.ProtocolAdapter,
-        notices: target_notices.NoticeRecorder,
+        prober: target_probes.TargetProber,
     ) -> None:
         """Creates a sender.
 
         Args:
             protocol_adapter: Protocol of the targets.
-            notices: Records what targets state about themselves.
+            prober: Decides whether a request may be sent to a target, and
+                records what targets state about themselves.
         """
         self.mismatched_responses = 0
-        self._notices = notices
+        self._prober = prober
+        self._notices = prober.notices
         # Bytes that the responses which are being read may fill.
         self._reserved_bytes = 0
         self._protocol_adapter = protocol_adapter
@@ -62,7 +63,8 @@
         """Sends a request to a candidate and returns the result.
 
         A connection that fails gives a result with an unknown outcome. The
-        attempt is withheld if the target wants no requests any more.
+        attempt is withheld if the target wants no requests any more, or the
+        request may no longer be sent to it.
 
         The caller of this function bounds its time. If the call is cancelled,
         the connection is closed, which cancels the request at the target.
@@ -81,7 +83,8 @@
         )
         fields["Host"] = request.headers.get("Host", "")
         try:
-            if not self._notices.may_send(candidate.row.entry):
+            context.update_regions(self._prober.configuration)
+            if not self._prober.may_send(candidate.row.entry, context.regions):
                 channel.close()
                 return request_context.AttemptResult(
                     request_context.AttemptOutcome.WITHHELD
--- a/wigeonspool/vm/caller_service.py
+++ b/wigeonspool/vm/caller_service.py
@@ -374,6 +374,7 @@
             arrived_at,
             arrived_at + rule.objective_seconds,
             deadline,
+            configuration_version=configuration.version,
         )
 
     def _choose_service(
--- a/wigeonspool/vm/locality.py
+++ b/wigeonspool/vm/locality.py
@@ -41,6 +41,10 @@
         self.region = region
         self._regions = regions
 
+    def find_region(self, zone: str) -> str:
+        """Returns the region of a zone, or "" if the zone is unknown."""
+        return self._regions.get(zone, "")
+
     def find_distance(self, zone: str) -> Distance:
         """Returns the distance of a zone; an unknown zone counts as remote."""
         if zone == self.zone:
--- a/wigeonspool/vm/request_context.py
+++ b/wigeonspool/vm/request_context.py
@@ -37,6 +37,8 @@
             took long.
         closes_connection: True if its connection closes after the response.
         account: Client account of the caller, or None.
+        configuration_version: Version of the configuration that `rule` and
+            `account` are from.
         steps: Events so far, for the log: milliseconds since the arrival, name
             of the event, identity of the target, slowdown of the target.
     """
@@ -61,6 +63,7 @@
     hedges_sent: int = 0
     closes_connection: bool = False
     account: fleet.ClientAccount | None = None
+    configuration_version: int = -1
     steps: list[tuple[int, str, str, float]] = dataclasses.field(
         default_factory=list
     )
@@ -77,17 +80,48 @@
             return self.rule.priority
         return self.account.priority
 
-    def allows_region(self, region: str) -> bool:
-        """Returns True if targets of a region may serve the request.
+    @property
+    def regions(self) -> frozenset[str] | None:
+        """Regions whose targets may serve the request, or None for all.
 
         Where both the rule and the account restrict the regions, both
-        restrictions apply.
+        restrictions apply, so there may be no region left.
         """
         account_regions = self.account.regions if self.account else None
-        return all(
-            not regions or region in regions
-            for regions in (self.rule.regions, account_regions)
-        )
+        if self.rule.regions and account_regions:
+            return self.rule.regions & account_regions
+        return self.rule.regions or account_regions or None
+
+    def allows_region(self, region: str) -> bool:
+        """Returns True if targets of a region may serve the request."""
+        regions = self.regions
+        return regions is None or region in regions
+
+    def update_regions(self, configuration: fleet.Configuration | None) -> None:
+        """Applies the regions that a newer configuration allows.
+
+        The other fields of the rule and of the account stay as they were when
+        the request arrived. A rule or an account that the configuration lacks
+        keeps its regions.
+        """
+        if (
+            configuration is None
+            or configuration.version == self.configuration_version
+        ):
+            return
+        self.configuration_version = configuration.version
+        host = self.request.headers.get("Host", "").partition(":")[0].lower()
+        path = self.request.raw_path.partition("?")[0]
+        rule = configuration.find_rule(host, path)
+        if rule is not None and rule.regions != self.rule.regions:
+            self.rule = dataclasses.replace(self.rule, regions=rule.regions)
+        if self.account is None:
+            return
+        account = configuration.accounts.get(self.account.name)
+        if account is not None and account.regions != self.account.regions:
+            self.account = dataclasses.replace(
+                self.account, regions=account.regions
+            )
 
     def record_step(
         self, now: float, event: str, target: str, slowdown: float
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -105,7 +105,7 @@
         self._prober = prober
         self._protocol_adapter = protocol_adapter
         self._sender: SenderProtocol = attempts.AttemptSender(
-            protocol_adapter, prober.notices
+            protocol_adapter, prober
         )
         self._selector = target_selection.TargetSelector(prober)
         self._crash_checks: set[asyncio.Task[None]] = set()
@@ -255,10 +255,12 @@
         """Sends one attempt and updates the estimates from its result.
 
         The attempt is withheld if the target has stated since its health check
-        that it wants no requests.
+        that it wants no requests, or if the request may no longer be sent to
+        it.
         """
         row = candidate.row
-        if not self._prober.notices.may_send(row.entry):
+        context.update_regions(self._cluster.configuration)
+        if not self._prober.may_send(row.entry, context.regions):
             self._prober.release_candidates([candidate])
             return self._withhold(context, candidate)
         started_at = self._loop.time()
@@ -438,6 +440,9 @@
         if not self.start_limits.may_start(context.deadline):
             context.record_step(now, "draining", "", 0.0)
             return False
+        if self._selector.lacks_permitted_target(context):
+            context.record_step(now, "no-target", "", 0.0)
+            return False
         if self._selector.is_wanted_too_late(context):
             return False
         cause = (
--- a/wigeonspool/vm/target_probes.py
+++ b/wigeonspool/vm/target_probes.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 import dataclasses
 import math
 import random
@@ -124,11 +124,21 @@
         self._loop = asyncio.get_running_loop()
         self._random = random.Random()
         self._last_slots = last_slots.LastSlotSlowdowns()
-        self._fast_until: dict[str, float] = {}
+        # By service and region of the targets.
+        self._fast_until: dict[str, dict[str, float]] = {}
         self._median_failures: dict[str, tuple[float, float]] = {}
 
+    @property
+    def configuration(self) -> fleet.Configuration | None:
+        """The active configuration, or None before the first."""
+        return self._cluster.configuration
+
     def list_target_groups(
-        self, service: str, excluded: Collection[str], large_responses: bool
+        self,
+        service: str,
+        excluded: Collection[str],
+        large_responses: bool,
+        regions: frozenset[str] | None = None,
     ) -> list[list[cluster_state.TargetRow]]:
         """Returns the targets that accept requests, in groups, nearest first.
 
@@ -140,12 +150,11 @@
             excluded: Identities of targets to leave out.
             large_responses: True if the cost of bytes between zones matters
                 more than load.
+            regions: Regions of the targets, or None for all.
         """
         now = self._loop.time()
         groups: list[list[cluster_state.TargetRow]] = [[], [], []]
-        for row in self._cluster.list_targets(service):
-            if row.entry.state is not fleet.TargetState.SERVING:
-                continue
+        for row in self._list_permitted(service, regions):
             if row.entry.identity in excluded or row.health.ejected_until > now:
                 continue
             if not self.notices.may_admit(row.entry):
@@ -156,11 +165,66 @@
             groups[distance.value].append(row)
         return [group for group in groups if group]
 
-    def find_wanted_at(self, service: str) -> float | None:
+    def _list_permitted(
+        self, service: str, regions: frozenset[str] | None
+    ) -> Iterator[cluster_state.TargetRow]:
+        """Yields the serving targets of a service in some regions.
+
+        Args:
+            service: Service of the targets.
+            regions: Regions of the targets, or None for all. The region of an
+                unknown zone is none of them.
+        """
+        for row in self._cluster.list_targets(service):
+            if row.entry.state is not fleet.TargetState.SERVING:
+                continue
+            if self._is_permitted(row.entry, regions):
+                yield row
+
+    def _is_permitted(
+        self, entry: fleet.TargetEntry, regions: frozenset[str] | None
+    ) -> bool:
+        """Returns True if requests to some regions may go to a target."""
+        return (
+            regions is None
+            or self._vm_locality.find_region(entry.zone) in regions
+        )
+
+    def lacks_permitted_target(
+        self, service: str, regions: frozenset[str] | None
+    ) -> bool:
+        """Returns True if a restriction leaves no target of a service.
+
+        Targets that are unavailable for a moment count as left. A service
+        without any targets is not restricted: some may register soon.
+        """
+        if regions is None:
+            return False
+        return next(self._list_permitted(service, regions), None) is None
+
+    def may_send(
+        self, entry: fleet.TargetEntry, regions: frozenset[str] | None
+    ) -> bool:
+        """Returns True if a request to some regions may be sent to a target.
+
+        To be called immediately before the request is sent, since what applied
+        when its target was selected may have changed.
+        """
+        return self.notices.may_send(entry) and self._is_permitted(
+            entry, regions
+        )
+
+    def find_wanted_at(
+        self, service: str, regions: frozenset[str] | None = None
+    ) -> float | None:
         """Returns when a target of a service will first want a request.
 
         An ejected target gets none before the end of its ejection.
 
+        Args:
+            service: Service of the targets.
+            regions: Regions of the targets, or None for all.
+
         Returns:
             The time on the loop clock, infinity if all its targets leave, or
             None if one of them wants requests now or all are ejected.
@@ -168,9 +232,7 @@
         now = self._loop.time()
         reachable = []
         ejected_until = math.inf
-        for row in self._cluster.list_targets(service):
-            if row.entry.state is not fleet.TargetState.SERVING:
-                continue
+        for row in self._list_permitted(service, regions):
             if row.health.ejected_until <= now:
                 reachable.append(row.entry)
             elif not self.notices.is_leaving(row.entry):
@@ -248,9 +310,20 @@
         candidates.sort(key=rank_candidate)
         return candidates
 
-    def has_recently_fast_target(self, service: str) -> bool:
-        """Returns True if a target of a service reported no slowdown lately."""
-        return self._fast_until.get(service, 0.0) > self._loop.time()
+    def has_recently_fast_target(
+        self, service: str, regions: frozenset[str] | None = None
+    ) -> bool:
+        """Returns True if a target of a service reported no slowdown lately.
+
+        Args:
+            service: Service of the targets.
+            regions: Regions of the targets, or None for all.
+        """
+        now = self._loop.time()
+        return any(
+            until > now and (regions is None or region in regions)
+            for region, until in self._fast_until.get(service, {}).items()
+        )
 
     def record_last_slot(
         self,
@@ -512,7 +585,9 @@
         if row.suspect_until or not report.healthy:
             cost *= estimates.UNHEALTHY_COST
         if report.slowdown <= last_slots.BASELINE_SLOWDOWN:
-            self._fast_until[row.entry.service] = now + FAST_TARGET_TTL_SECONDS
+            region = self._vm_locality.find_region(row.entry.zone)
+            fast_until = self._fast_until.setdefault(row.entry.service, {})
+            fast_until[region] = now + FAST_TARGET_TTL_SECONDS
         return waiting_policy.TargetEstimate(slowdown, cost, is_full)
 
     def _find_median_failures(self, service: str, now: float) -> float:
--- a/wigeonspool/vm/target_selection.py
+++ b/wigeonspool/vm/target_selection.py
@@ -44,8 +44,11 @@
         self._prober = prober
         self._queued_by_priority: dict[str, collections.Counter[int]]
         self._queued_by_priority = collections.defaultdict(collections.Counter)
-        # Set once no target of a service wants requests, and then replaced.
-        self._unwanted: dict[str, asyncio.Event] = {}
+        # Set once no target of a service in some regions wants requests, and
+        # then replaced. The regions are None for all.
+        self._unwanted: dict[
+            tuple[str, frozenset[str] | None], asyncio.Event
+        ] = {}
         self._loop = asyncio.get_running_loop()
         prober.notices.on_unwilling = self._wake_if_unwanted
 
@@ -116,7 +119,7 @@
                 is_wanted = True
                 while is_wanted:
                     unwanted = self._unwanted.setdefault(
-                        context.service, asyncio.Event()
+                        (context.service, context.regions), asyncio.Event()
                     )
                     await unwanted.wait()
                     is_wanted = not self.is_wanted_too_late(context)
@@ -125,10 +128,11 @@
 
     def _wake_if_unwanted(self, service: str) -> None:
         """Wakes the queued requests to a service if no target wants any."""
-        if service not in self._unwanted:
-            return
-        if self._prober.find_wanted_at(service) is not None:
-            self._unwanted.pop(service).set()
+        for queue in list(self._unwanted):
+            if queue[0] != service:
+                continue
+            if self._prober.find_wanted_at(*queue) is not None:
+                self._unwanted.pop(queue).set()
 
     def find_decline(
         self, context: request_context.RequestContext
@@ -138,7 +142,9 @@
         It states when a target will want the request, at a time that differs
         between requests.
         """
-        wanted_at = self._prober.find_wanted_at(context.service)
+        wanted_at = self._prober.find_wanted_at(
+            context.service, context.regions
+        )
         if wanted_at is None:
             return None
         now = self._loop.time()
@@ -155,11 +161,21 @@
         )
         return context.build_failure(outcomes.Reason.TARGETS_DECLINE, retry_at)
 
+    def lacks_permitted_target(
+        self, context: request_context.RequestContext
+    ) -> bool:
+        """Returns True if a restriction leaves no target for a request."""
+        return self._prober.lacks_permitted_target(
+            context.service, context.regions
+        )
+
     def is_wanted_too_late(
         self, context: request_context.RequestContext
     ) -> bool:
         """Returns True if no target will want a request by its objective."""
-        wanted_at = self._prober.find_wanted_at(context.service)
+        wanted_at = self._prober.find_wanted_at(
+            context.service, context.regions
+        )
         return wanted_at is not None and waiting_policy.is_late(
             wanted_at, self.find_baseline(context), context.objective_at
         )
@@ -173,6 +189,8 @@
         """Returns the candidate to use, or a failure if there is none."""
         if step is waiting_policy.Step.SEND and candidate is not None:
             return candidate
+        if self.lacks_permitted_target(context):
+            return context.build_failure(outcomes.Reason.NO_TARGET)
         return self.find_decline(context) or context.build_failure(
             outcomes.Reason.DEADLINE_UNREACHABLE
         )
@@ -209,7 +227,10 @@
         """
         prober = self._prober
         groups = prober.list_target_groups(
-            context.service, context.tried_targets, context.rule.large_responses
+            context.service,
+            context.tried_targets,
+            context.rule.large_responses,
+            context.regions,
         )
         if not groups:
             return None
@@ -238,14 +259,21 @@
             The next step, and the candidate to use if the step is SEND.
         """
         large_responses = context.rule.large_responses
+        context.update_regions(self._prober.configuration)
         groups = self._prober.list_target_groups(
-            context.service, context.tried_targets, large_responses
+            context.service,
+            context.tried_targets,
+            large_responses,
+            context.regions,
         )
         if not groups and context.tried_targets:
             groups = self._prober.list_target_groups(
-                context.service, (), large_responses
+                context.service, (), large_responses, context.regions
             )
-        if not groups and self.is_wanted_too_late(context):
+        if not groups and (
+            self.lacks_permitted_target(context)
+            or self.is_wanted_too_late(context)
+        ):
             return waiting_policy.Step.REFUSE, None
         if large_responses and len(groups) > 1:
             nearest_groups = groups[:1]
@@ -336,7 +364,9 @@
             context.deadline,
             has_unprobed,
             may_be_late,
-            self._prober.has_recently_fast_target(context.service),
+            self._prober.has_recently_fast_target(
+                context.service, context.regions
+            ),
         )
 
 
