Send no requests to targets of evacuated zones

Cause: operators had no way to take a zone away without draining each target.

Change: the key op/evacuate/ZONE is decoded into EvacuationChange and kept in ClusterState.evacuated; its value has no meaning, and an odd zone name costs only its key. Targets of these zones are left out of the selection, of retries and of hedges, and are checked again immediately before an attempt is sent. Requests that were sent continue, health checks may too. If no target is left, a request is refused at once as not run.

--- a/wigeonspool/core/cluster_state.py
+++ b/wigeonspool/core/cluster_state.py
@@ -98,7 +98,26 @@
     state: suspect_reports.ReportState = suspect_reports.ReportState.CRASHED
 
 
-Change = ConfigurationChange | TargetChange | VmChange | SuspectChange
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationChange:
+    """Operators evacuated a zone, or ended that.
+
+    Attributes:
+        zone: Availability zone.
+        active: True if targets of the zone must get no requests.
+    """
+
+    zone: str
+    active: bool
+
+
+Change = (
+    ConfigurationChange
+    | TargetChange
+    | VmChange
+    | SuspectChange
+    | EvacuationChange
+)
 
 
 class ClusterState:
@@ -111,6 +130,7 @@
         leases: Leases of the VM entries, by VM name.
         targets: Targets by identity.
         suspects: Requests that were running when a target crashed.
+        evacuated: Zones whose targets must get no requests.
         store_recovered_at: Time at which the store became reachable again after
             its last outage, on the core's clock.
     """
@@ -122,6 +142,7 @@
         self.leases: dict[str, int] = {}
         self.targets: dict[str, TargetRow] = {}
         self.suspects = quarantine.QuarantineTable()
+        self.evacuated: set[str] = set()
         self.store_recovered_at = float("-inf")
         self._services: dict[str, dict[str, TargetRow]] = {}
         self._revisions: dict[str, int] = {}
@@ -150,6 +171,8 @@
             return self._apply_vm(change)
         if isinstance(change, SuspectChange):
             return self._apply_suspect(now, change)
+        if isinstance(change, EvacuationChange):
+            return self._apply_evacuation(change)
         return self._apply_target(now, revision, change)
 
     def _apply_suspect(self, now: float, change: SuspectChange) -> bool:
@@ -160,6 +183,16 @@
             self.suspects.remove_crash(change.fingerprint, change.target)
         return True
 
+    def _apply_evacuation(self, change: EvacuationChange) -> bool:
+        """Evacuates a zone, or ends that; returns True if that is new."""
+        if change.active == (change.zone in self.evacuated):
+            return False
+        if change.active:
+            self.evacuated.add(change.zone)
+        else:
+            self.evacuated.discard(change.zone)
+        return True
+
     def _apply_configuration(self, received: fleet.Configuration) -> bool:
         """Activates a configuration if it is newer than the active one."""
         active = self.configuration
--- a/wigeonspool/platform/store_keys.py
+++ b/wigeonspool/platform/store_keys.py
@@ -19,6 +19,8 @@
 from wigeonspool.platform import value_limits
 
 CONFIGURATION_KEY: Final = "op/config"
+# The key exists while the zone is evacuated; its value has no meaning.
+EVACUATION_PREFIX: Final = "op/evacuate/"
 VM_PREFIX: Final = "vms/"
 SUSPECT_PREFIX: Final = "suspects/"
 # Values of the key of a suspect. VMs of earlier versions write the first only.
@@ -55,7 +57,8 @@
 
     Raises:
         PlatformFormatError: If the value of a configuration, a VM or a suspect
-            cannot be decoded. The cluster state then stays as it is.
+            cannot be decoded, or the zone of an evacuation is not a name. The
+            cluster state then stays as it is.
     """
     if key.startswith(target_entries.PREFIX):
         identity = key.removeprefix(target_entries.PREFIX)
@@ -72,6 +75,10 @@
         return cluster_state.VmChange(name, _decode_vm(name, value), lease)
     if key.startswith(SUSPECT_PREFIX):
         return _decode_suspect(key.removeprefix(SUSPECT_PREFIX), value)
+    if key.startswith(EVACUATION_PREFIX):
+        zone = key.removeprefix(EVACUATION_PREFIX)
+        value_limits.check_name("zone", zone)
+        return cluster_state.EvacuationChange(zone, value is not None)
     if key == CONFIGURATION_KEY and value is not None:
         decoded = configuration.decode_configuration(value)
         return cluster_state.ConfigurationChange(decoded)
--- a/wigeonspool/vm/metrics.py
+++ b/wigeonspool/vm/metrics.py
@@ -111,6 +111,10 @@
     "wigeonspool_vm_attempts_withheld_total",
     "Attempts not sent since their target had just declined.",
 )
+EVACUATED_ZONES: Final = aioprometheus.Gauge(
+    "wigeonspool_vm_zones_evacuated",
+    "Zones whose targets get no requests since operators evacuated them.",
+)
 VMS: Final = aioprometheus.Gauge(
     "wigeonspool_vm_members", "Entry VMs that are registered."
 )
@@ -214,6 +218,7 @@
         UNREADABLE_ITEMS.set({}, self._replica.unreadable_items)
         FOLLOWERS.set({}, len(self._feeder.subscribers))
         VMS.set({}, len(self._cluster.vms))
+        EVACUATED_ZONES.set({}, len(self._cluster.evacuated))
         configuration = self._cluster.configuration
         VERSION.set({}, configuration.version if configuration else 0)
         for name in configuration.services if configuration else ():
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -38,6 +38,7 @@
 from wigeonspool.vm import caller_server
 from wigeonspool.vm import caller_service
 from wigeonspool.vm import channels
+from wigeonspool.vm import evacuation_log
 from wigeonspool.vm import feed_client
 from wigeonspool.vm import feed_server
 from wigeonspool.vm import locality
@@ -209,6 +210,7 @@
         self._request_runner = request_runner.RequestRunner(
             settings, self._cluster, self._prober, http_protocol.HTTP_PROTOCOL
         )
+        self._evacuation_log = evacuation_log.EvacuationLog(self._cluster)
         self._retry_log = retry_log.RetryLog(self._request_runner.retry_budget)
         self._slack_share = slack_share.SlackShare(
             self._request_runner.retry_budget,
@@ -448,8 +450,8 @@
 
         It detects pauses of this process, sends changes, keepalives and pings
         to other VMs, removes expired targets and idle connections, updates the
-        share of the retry slack, logs the use of the retry budget, and measures
-        the utilization.
+        share of the retry slack, logs evacuated zones and the use of the retry
+        budget, and measures the utilization.
         """
         await asyncio.sleep(TICK_SECONDS)
         if self._pause_monitor.tick(time.monotonic()):
@@ -457,6 +459,7 @@
         now = asyncio.get_running_loop().time()
         self._feeder.send_changes()
         self._slack_share.update()
+        self._evacuation_log.write_changes()
         for identity in self._cluster.remove_expired_targets(now):
             state_log.info("target did not come back", target=identity)
         if now >= self._next_keepalive_at:
--- a/wigeonspool/vm/target_probes.py
+++ b/wigeonspool/vm/target_probes.py
@@ -168,7 +168,7 @@
     def _list_permitted(
         self, service: str, regions: frozenset[str] | None
     ) -> Iterator[cluster_state.TargetRow]:
-        """Yields the serving targets of a service in some regions.
+        """Yields the serving targets of a service that requests may go to.
 
         Args:
             service: Service of the targets.
@@ -184,7 +184,12 @@
     def _is_permitted(
         self, entry: fleet.TargetEntry, regions: frozenset[str] | None
     ) -> bool:
-        """Returns True if requests to some regions may go to a target."""
+        """Returns True if requests to some regions may go to a target.
+
+        None go to targets of evacuated zones.
+        """
+        if entry.zone in self._cluster.evacuated:
+            return False
         return (
             regions is None
             or self._vm_locality.find_region(entry.zone) in regions
@@ -195,10 +200,11 @@
     ) -> bool:
         """Returns True if a restriction leaves no target of a service.
 
-        Targets that are unavailable for a moment count as left. A service
-        without any targets is not restricted: some may register soon.
+        Restrictions are the regions and evacuated zones. Without any, targets
+        may register soon. Targets that are unavailable for a moment count as
+        left.
         """
-        if regions is None:
+        if regions is None and not self._cluster.evacuated:
             return False
         return next(self._list_permitted(service, regions), None) is None
 
@@ -370,11 +376,11 @@
             self.release_candidates([candidate])
 
     def drop_unwilling(self, candidates: list[Candidate]) -> list[Candidate]:
-        """Returns the candidates that still want requests, in their order.
+        """Returns the candidates that may still get requests, in their order.
 
         Releases the connections of the others.
         """
-        willing = [c for c in candidates if self.notices.may_send(c.row.entry)]
+        willing = [c for c in candidates if self.may_send(c.row.entry, None)]
         self.release_candidates([c for c in candidates if c not in willing])
         return willing
 
