--- a/wigeonspool/vm/caller_service.py
+++ b/wigeonspool/vm/caller_service.py
@@ -432,6 +432,7 @@
             deadline,
             account=account,
             has_accounts=bool(configuration.accounts),
+            configuration_version=configuration.version,
         )
 
     def _identify_account(
