--- a/wigeonspool/model/outcomes.py
+++ b/wigeonspool/model/outcomes.py
@@ -55,6 +55,7 @@
     HOME_UNREACHABLE = "home-unreachable"
     IN_PROGRESS = "in-progress"
     ANSWER_NOT_KEPT = "answer-not-kept"
+    QUOTA_EXCEEDED = "quota-exceeded"
     BODY_TOO_LARGE = "body-too-large"
     BAD_REQUEST = "bad-request"
     INTERNAL_ERROR = "internal-error"
--- a/wigeonspool/vm/caller_responses.py
+++ b/wigeonspool/vm/caller_responses.py
@@ -29,6 +29,7 @@
 }
 STATUS_BY_REASON: Final = {
     outcomes.Reason.NO_ROUTE: 404,
+    outcomes.Reason.QUOTA_EXCEEDED: 429,
     outcomes.Reason.BODY_TOO_LARGE: 413,
     outcomes.Reason.BAD_REQUEST: 400,
 }
@@ -70,7 +71,8 @@
     """
     status = find_status(failure, protocol_adapter)
     fields: dict[str, str] = {"Content-Type": "text/plain"}
-    if status == protocol_adapter.refusal_status:
+    is_quota = failure.reason is outcomes.Reason.QUOTA_EXCEEDED
+    if status == protocol_adapter.refusal_status or is_quota:
         seconds = RETRY_AFTER_BY_REASON.get(failure.reason, RETRY_AFTER_SECONDS)
         if failure.retry_at is not None:
             seconds = max(0.0, failure.retry_at - now)
--- a/wigeonspool/vm/caller_service.py
+++ b/wigeonspool/vm/caller_service.py
@@ -29,6 +29,7 @@
 from wigeonspool.vm import request_runner
 from wigeonspool.vm import startup_gate
 from wigeonspool.vm import structured_log
+from wigeonspool.vm import usage_limiter
 
 log = structured_log.get_logger("requests")
 
@@ -70,6 +71,7 @@
         protocol_adapter: protocols.ProtocolAdapter,
         pause_monitor: pauses.PauseMonitor,
         gate: startup_gate.StartupGate,
+        limiter: usage_limiter.UsageLimiter,
     ) -> None:
         """Creates the service.
 
@@ -81,6 +83,7 @@
             pause_monitor: Returns how long data that is read now may have
                 waited while the process did not run.
             gate: Delays requests until the first configuration is loaded.
+            limiter: Limits requests to the quotas of client accounts.
         """
         self.counts: dict[tuple[str, str], int] = {}
         self.error_count = 0
@@ -91,6 +94,7 @@
         self._protocol_adapter = protocol_adapter
         self._pause_monitor = pause_monitor
         self._gate = gate
+        self._limiter = limiter
         self._rotations: dict[str, traffic_split.WeightedRoundRobin] = {}
         self._configuration_version = -1
         self._rotation_offset = xxhash.xxh3_64_intdigest(vm.encode()) / 2**64
@@ -294,12 +298,37 @@
         else:
             try:
                 async with asyncio.timeout_at(context.deadline):
-                    result = await self._runner.run(context)
+                    result = await self._run_within_quota(context)
             except TimeoutError:
                 result = context.build_failure(outcomes.Reason.DEADLINE_PASSED)
         self._log_result(context, result, served.position)
         return result
 
+    async def _run_within_quota(
+        self, context: request_context.RequestContext
+    ) -> request_runner.RequestResult:
+        """Runs a request, once it has a token if its account has a quota.
+
+        The token of a request that did not run is used for another one.
+        """
+        account = context.account
+        if account is None or account.rate <= 0.0:
+            return await self._runner.run(context)
+        token = await self._limiter.acquire(account)
+        if isinstance(token, outcomes.Failure):
+            return token
+        result: request_runner.RequestResult | None = None
+        try:
+            result = await self._runner.run(context)
+            return result
+        finally:
+            if isinstance(result, outcomes.Failure):
+                did_not_run = result.outcome is outcomes.Outcome.NOT_RUN
+            else:
+                did_not_run = result is None and not context.possible_runs
+            if did_not_run:
+                self._limiter.give_back(account.name, token)
+
     def _log_held(self, served: OpenRequest, ahead: pipelines.AheadRun) -> None:
         """Logs a response that was complete before its turn."""
         held_ms = round(ahead.find_held_seconds() * 1000)
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -52,6 +52,7 @@
 from wigeonspool.vm import structured_log
 from wigeonspool.vm import suspect_writer
 from wigeonspool.vm import target_probes
+from wigeonspool.vm import usage_limiter
 from wigeonspool.vm import vm_registration
 
 TICK_SECONDS: Final = 0.1
@@ -217,6 +218,13 @@
             self._cluster,
             lambda: self._registration.registered_until,
         )
+        self._usage_limiter = usage_limiter.UsageLimiter(
+            settings,
+            self._own_entry,
+            self._cluster,
+            lambda: self._registration.registered_until,
+            lambda: self._registration.lease,
+        )
         self._caller_service = caller_service.CallerService(
             settings.vm,
             self._cluster,
@@ -224,6 +232,7 @@
             http_protocol.HTTP_PROTOCOL,
             self._pause_monitor,
             self._startup_gate,
+            self._usage_limiter,
         )
         self._caller_server = caller_server.CallerServer(
             self._caller_service, self._cluster
@@ -391,10 +400,13 @@
         previous_entry = self._cluster.vms.get(self._own_entry.name)
         lease = self._cluster.leases.get(self._own_entry.name, 0)
         self._adopt_reports(lease)
+        if previous_entry == self._own_entry:
+            self._usage_limiter.set_first_lease(lease)
         self.add_future(
             self._registration.keep_registered(previous_entry, lease)
         )
         self.add_future(self._repeat(self._suspect_writer.write_due))
+        self.add_future(self._repeat(self._usage_limiter.run_step))
         feeder_wait_seconds = (
             0.0 if self._is_region_feeder() else FEEDER_WAIT_SECONDS
         )
@@ -530,6 +542,7 @@
             return
         self._settings = settings
         self._request_runner.apply_limits(settings.bounds)
+        self._usage_limiter.apply_bounds(settings.bounds)
         self._store.set_address(settings.store)
         log.info("reloaded", store=settings.store, seeds=settings.seeds)
 
@@ -588,5 +601,6 @@
             log.warning("ports were closed with connections open")
         self._feeder.close()
         self._liveness_transport.close()
+        self._usage_limiter.close()
         self._channel_pool.close()
         await self._store.close()
