Choose one coordinator after a failure and shorten the messages of quotas

Cause: after a coordinator restarted, the holders delegated to up to four VMs, since each took the first one that replied; and each message carried clocks that only delegations need. Change: a choice is firm after 0.1 s, all candidates are asked after a failure, and requests for tokens are messages of their own.

--- a/wigeonspool/core/coordinator_choice.py
+++ b/wigeonspool/core/coordinator_choice.py
@@ -21,6 +21,10 @@
 # have no record, so a change costs tokens.
 SETTLE_SECONDS: Final = 5.0
 FEW_SHARES_FRACTION: Final = 0.5
+# VMs that are asked when the coordinator fails reply within this time.
+CHOICE_SECONDS: Final = 0.1
+# A new coordinator gets the shares within this time.
+GATHERING_SECONDS: Final = 2.0
 # After a start all VMs look for each other, so changes need no delay.
 START_SECONDS: Final = 3.0
 # While some VMs do not reply, those are preferred that replied this recently.
@@ -73,6 +77,8 @@
         self.ranking: list[str] = []
         self.fraction = 0.0
         self._own = own
+        self._chosen: str | None = None
+        self._chosen_at = -math.inf
         self._started_at = now
 
     def is_starting(self, now: float) -> bool:
@@ -101,27 +107,27 @@
         peer.unanswered += 1
         peer.asked_at = min(peer.asked_at, now)
 
-    def record_reply(
-        self, address: str, incarnation: int, clock: float, now: float
-    ) -> bool:
-        """Records a reply.
+    def record_clock(
+        self, address: str, incarnation: int, clock: float
+    ) -> None:
+        """Records the clock of a VM that replied.
 
         Args:
-            address: Address of the VM that replied.
+            address: Address of the VM.
             incarnation: Identity of its process.
             clock: Its clock when it replied.
-            now: Current time.
-
-        Returns:
-            False if the VM is not in the ranking.
         """
-        peer = self.peers.get(address)
-        if peer is None:
-            return False
+        peer = self.peers[address]
         if peer.incarnation != incarnation:
             peer.incarnation = incarnation
             peer.clock = clock
         peer.clock = max(peer.clock, clock)
+
+    def record_reply(self, address: str, now: float) -> bool:
+        """Records a reply; returns False if its VM is not in the ranking."""
+        peer = self.peers.get(address)
+        if peer is None:
+            return False
         peer.replied_at = now
         peer.asked_at = math.inf
         peer.unanswered = 0
@@ -155,26 +161,54 @@
         return RETRY_SECONDS
 
     def choose(self, now: float) -> str | None:
-        """Returns the address of the coordinator, or None if none replies."""
+        """Returns the address of the coordinator, or None if none replies.
+
+        The one that was chosen last stays until it fails, or until a preferred
+        one has settled.
+        """
+        chosen = self._find_preferred(now)
+        if chosen != self._chosen:
+            self._chosen = chosen
+            self._chosen_at = now
+        return chosen
+
+    def _find_preferred(self, now: float) -> str | None:
+        """Returns the address that `choose` returns."""
         has_failures = any(p.has_failed for p in self.peers.values())
-        first: str | None = None
+        has_current = self._is_usable(self._chosen)
+        unconfirmed: str | None = None
         for address in self.ranking:
-            if address == self._own:
-                return address if has_failures or first is None else first
-            peer = self.peers[address]
-            if peer.has_failed or not self._is_settled(peer, now):
+            if has_current and address == self._chosen:
+                return address
+            if not self._is_usable(address):
+                continue
+            peer = self.peers.get(address)
+            if peer is None:
+                return address
+            if has_current and not self._is_settled(peer, now):
                 continue
-            if peer.replied_at > now - CONFIRMED_SECONDS:
-                return address if has_failures or first is None else first
-            first = first or address
-        return first
+            if not has_failures or (peer.replied_at > now - CONFIRMED_SECONDS):
+                return address
+            unconfirmed = unconfirmed or address
+        return unconfirmed
+
+    def _is_usable(self, address: str | None) -> bool:
+        """Returns True if a VM is in the ranking and is not skipped."""
+        if address == self._own:
+            return address in self.ranking
+        peer = self.peers.get(address or "")
+        return peer is not None and not peer.has_failed
 
     def _is_settled(self, peer: Peer, now: float) -> bool:
-        """Returns True if a VM has replied for long enough to be chosen."""
+        """Returns True if a VM may replace the current coordinator."""
         return (
             now >= peer.settled_at
+            or now < self._chosen_at + CHOICE_SECONDS
             or self.is_starting(now)
-            or self.fraction < FEW_SHARES_FRACTION
+            or (
+                self.fraction < FEW_SHARES_FRACTION
+                and now >= self._chosen_at + GATHERING_SECONDS
+            )
         )
 
     def list_due_probes(self, now: float) -> list[str]:
--- a/wigeonspool/core/usage_limits.py
+++ b/wigeonspool/core/usage_limits.py
@@ -198,7 +198,11 @@
 
     def find_fraction(self, now: float) -> float:
         """Returns the fraction of all shares that are delegated now."""
-        return min(1.0, self.count_shares(now) / self._holder_count)
+        return self.scale_shares(self.count_shares(now))
+
+    def scale_shares(self, shares: int) -> float:
+        """Returns a number of shares as a fraction of all."""
+        return min(1.0, shares / self._holder_count)
 
     def add_share(
         self,
--- a/wigeonspool/vm/usage_messages.py
+++ b/wigeonspool/vm/usage_messages.py
@@ -14,8 +14,7 @@
 
 _Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_BYTES)]
 _Time = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
-_Seconds = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
-_Fraction = Annotated[float, msgspec.Meta(ge=0, le=1)]
+_Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=10**9)]
 _Count = Annotated[int, msgspec.Meta(ge=0, le=100_000)]
 _Incarnation = Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
 
@@ -34,65 +33,98 @@
     ahead: _Count = 0
 
 
-class Request(msgspec.Struct, array_like=True, tag=0, frozen=True):
-    """Asks a coordinator for a reply, delegates a share, and requests tokens.
+class Granted(msgspec.Struct, array_like=True, frozen=True):
+    """Tokens that a coordinator grants for an account.
+
+    Attributes:
+        account: Name of the account.
+        granted: Tokens.
+        refused: Waiting requests that get none.
+        retry_ms: Time after which the first of them should return.
+    """
+
+    account: _Name
+    granted: _Count
+    refused: _Count = 0
+    retry_ms: _Milliseconds = 0
+
+
+# No account is listed twice, and each entry has at least four bytes.
+_Wants = Annotated[tuple[Want, ...], msgspec.Meta(max_length=300)]
+_Grants = Annotated[tuple[Granted, ...], msgspec.Meta(max_length=300)]
+
+
+class TokenRequest(msgspec.Struct, array_like=True, tag=0, frozen=True):
+    """Requests tokens from a coordinator.
+
+    Attributes:
+        sent_at: Clock of the sender, which identifies the message.
+        wants: Tokens that are requested.
+    """
+
+    sent_at: _Time
+    wants: _Wants = ()
+
+
+class Delegation(msgspec.Struct, array_like=True, tag=1, frozen=True):
+    """Asks a coordinator for its clock, and delegates a share to it.
 
     Attributes:
         sent_at: Clock of the sender, which identifies the message.
+        wants: Tokens that are requested.
         incarnation: Process of the coordinator whose clock is echoed, or 0.
         clock: Clock value of its latest reply, or 0.
-        delegated_seconds: Time after that clock value at which the delegation
-            of the sender's share ends; 0 if it is not delegated.
+        seconds: Time after that clock value at which the delegation of the
+            sender's share ends; 0 if it is not delegated.
         term: Identifies the time of the sender with this coordinator.
         starting: Starting tokens that the share brings; see
             `usage_limits.StartingTokens`.
-        wants: Tokens that are requested.
     """
 
     sent_at: _Time
+    wants: _Wants = ()
     incarnation: _Incarnation = 0
     clock: _Time = 0.0
-    delegated_seconds: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
+    seconds: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     term: _Time = 0.0
     starting: Annotated[int, msgspec.Meta(ge=0, le=2)] = 0
-    wants: tuple[Want, ...] = ()
 
 
-class Granted(msgspec.Struct, array_like=True, frozen=True):
-    """Tokens that a coordinator grants for an account.
+class TokenReply(msgspec.Struct, array_like=True, tag=2, frozen=True):
+    """Replies to a request for tokens.
 
     Attributes:
-        account: Name of the account.
-        granted: Tokens.
-        refused: Waiting requests that get none.
-        retry_seconds: Time after which the first of them should return.
+        sent_at: Clock value of the request.
+        shares: Number of shares that are delegated to the coordinator.
+        grants: Tokens, for each account of the request.
     """
 
-    account: _Name
-    granted: _Count
-    refused: _Count = 0
-    retry_seconds: _Seconds = 0.0
+    sent_at: _Time
+    shares: _Count
+    grants: _Grants = ()
 
 
-class Reply(msgspec.Struct, array_like=True, tag=1, frozen=True):
-    """Replies to a request.
+class DelegationReply(msgspec.Struct, array_like=True, tag=3, frozen=True):
+    """Replies to a delegation.
 
     Attributes:
-        sent_at: Clock value of the request.
+        sent_at: Clock value of the delegation.
+        shares: Number of shares that are delegated to the coordinator.
+        grants: Tokens, for each account of the message.
         incarnation: Process of the coordinator.
         clock: Clock of the coordinator.
-        fraction: Fraction of the shares that are delegated to it.
-        grants: Tokens, for each account of the request.
     """
 
     sent_at: _Time
+    shares: _Count
+    grants: _Grants
     incarnation: _Incarnation
     clock: _Time
-    fraction: _Fraction
-    grants: tuple[Granted, ...] = ()
 
 
-Message = Request | Reply
+Request = TokenRequest | Delegation
+Reply = TokenReply | DelegationReply
+Message = TokenRequest | Delegation | TokenReply | DelegationReply
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final = msgspec.msgpack.Decoder(Message)
--- a/wigeonspool/vm/usage_node.py
+++ b/wigeonspool/vm/usage_node.py
@@ -32,7 +32,7 @@
 # A VM that starts waits this long for the preferred coordinator, before its
 # share brings starting tokens to another one.
 START_PATIENCE_SECONDS: Final = 1.0
-# A VM whose share brings starting tokens within this time after its start brings
+# A VM whose share brings starting tokens this soon after its start brings
 # those of a start.
 START_TOKENS_SECONDS: Final = 10.0
 RESEND_SECONDS: Final = 0.06
@@ -321,9 +321,8 @@
         self._ticked_at = now
         has_demand = any(use.waiters for use in self._uses.values())
         if self.choice.detect_failures(now):
-            for address, peer in self.choice.peers.items():
-                if not peer.has_failed:
-                    self._send_request(address, now)
+            for address in list(self.choice.peers):
+                self._send_request(address, now)
         self._refuse_expired(now)
         self._renew_delegation(now)
         self._request_tokens(now, is_tick=True)
@@ -357,15 +356,17 @@
 
     def _renew_delegation(self, now: float) -> None:
         """Delegates the share of this VM if that is due."""
-        if not self._holds_share(now) or now < self._renew_at:
+        if not self._holds_share(now):
             return
         chosen = self.choice.choose(now)
-        if chosen is None:
+        is_changing = chosen != self.delegation.coordinator
+        if chosen is None or not (
+            self._is_renewal_due(now)
+            or (is_changing and now >= self.delegation.ends_at)
+        ):
             return
-        is_starting = self.choice.is_starting(now)
-        self._renew_at = now + (
-            START_RENEW_SECONDS if is_starting else RENEW_SECONDS
-        )
+        # Until the delegation begins, the VM is only asked for its clock.
+        self._renew_at = now + START_RENEW_SECONDS
         self._send_request(chosen, now)
 
     def _request_tokens(self, now: float, is_tick: bool) -> None:
@@ -422,8 +423,9 @@
         for want in wants:
             for waiter in _list_unasked(self._uses[want.account], now):
                 waiter.asked_at = sent_at
+        request: usage_messages.Request
         if address == self._address:
-            request = self._build_request(
+            request = self._build_delegation(
                 address, self._incarnation, sent_at, sent_at, wants
             )
             reply = self._answer(address, request, sent_at)
@@ -432,21 +434,28 @@
         peer = self.choice.peers.get(address)
         if peer is None:
             return
-        request = self._build_request(
-            address, peer.incarnation, peer.clock, sent_at, wants
-        )
+        if wants and not self._is_renewal_due(now):
+            request = usage_messages.TokenRequest(sent_at, wants)
+        else:
+            request = self._build_delegation(
+                address, peer.incarnation, peer.clock, sent_at, wants
+            )
         self.choice.record_sent(address, now)
         self.sent += 1
         self._send(address, request)
 
-    def _build_request(
+    def _is_renewal_due(self, now: float) -> bool:
+        """Returns True if the delegation should be renewed."""
+        return now >= self._renew_at and self._holds_share(now)
+
+    def _build_delegation(
         self,
         address: str,
         incarnation: int,
         clock: float,
         sent_at: float,
         wants: tuple[usage_messages.Want, ...],
-    ) -> usage_messages.Request:
+    ) -> usage_messages.Delegation:
         """Returns a message; it delegates the share of this VM if it may.
 
         Args:
@@ -457,24 +466,21 @@
             wants: Tokens that are requested.
         """
         delegation = self.delegation
-        if not incarnation:
-            return usage_messages.Request(sent_at, wants=wants)
         is_starting = self.choice.is_starting(sent_at)
-        seconds = min(
-            START_DELEGATION_SECONDS
-            if is_starting
-            else usage_limits.DELEGATION_SECONDS,
-            self._registered_until - sent_at,
-        )
+        seconds = START_DELEGATION_SECONDS
+        renew_seconds = START_RENEW_SECONDS
+        if not is_starting:
+            seconds = usage_limits.DELEGATION_SECONDS
+            renew_seconds = RENEW_SECONDS
+        seconds = min(seconds, self._registered_until - sent_at)
         if (
-            seconds <= 0.0
+            not incarnation
+            or seconds <= 0.0
             or not self._holds_share(sent_at)
             or address != self.choice.choose(sent_at)
             or not delegation.begin(address, incarnation, sent_at)
         ):
-            return usage_messages.Request(
-                sent_at, incarnation, clock, wants=wants
-            )
+            return usage_messages.Delegation(sent_at, wants)
         if (
             address == self.choice.ranking[0]
             or sent_at >= self._started_at + START_PATIENCE_SECONDS
@@ -483,14 +489,15 @@
                 sent_at < self._started_at + START_TOKENS_SECONDS, sent_at
             )
         delegation.renew(seconds, sent_at)
-        return usage_messages.Request(
+        self._renew_at = sent_at + renew_seconds
+        return usage_messages.Delegation(
             sent_at,
+            wants,
             incarnation,
             clock,
             seconds,
             delegation.term,
             delegation.starting.value,
-            wants,
         )
 
     def receive(
@@ -508,64 +515,70 @@
             reply = self._answer(address, message, now)
             self.sent += 1
             self._send(address, reply)
-        elif message.sent_at > now or not self.choice.record_reply(
-            address, message.incarnation, message.clock, now
-        ):
+            return
+        if message.sent_at > now or not self.choice.record_reply(address, now):
             self.odd += 1
-        else:
-            self._apply_reply(address, message, now)
+            return
+        if isinstance(message, usage_messages.DelegationReply):
+            self.choice.record_clock(
+                address, message.incarnation, message.clock
+            )
+        self._apply_reply(address, message, now)
 
     def _answer(
         self, address: str, request: usage_messages.Request, now: float
     ) -> usage_messages.Reply:
         """Counts a delegation and grants tokens, as the coordinator."""
         coordinator = self.coordinator
+        is_delegation = isinstance(request, usage_messages.Delegation)
         if (
-            request.delegated_seconds > 0.0
+            isinstance(request, usage_messages.Delegation)
+            and request.seconds > 0.0
             and request.incarnation == self._incarnation
             and request.clock <= now
         ):
             coordinator.add_share(
                 address,
                 request.term,
-                request.clock + request.delegated_seconds,
+                request.clock + request.seconds,
                 usage_limits.StartingTokens(request.starting),
                 now,
             )
-        if not self._is_configured:
-            return usage_messages.Reply(
-                request.sent_at, self._incarnation, now, 0.0
-            )
-        grants = []
-        for want in request.wants:
-            grant = coordinator.take(
-                want.account, want.waiting, want.ahead, now
-            )
-            if grant is None:
-                # By the configuration of this VM the account has no quota.
-                grant = usage_limits.Grant(want.waiting)
-            grants.append(
-                usage_messages.Granted(
-                    want.account,
-                    grant.granted,
-                    grant.refused,
-                    grant.retry_seconds,
-                )
+        grants: tuple[usage_messages.Granted, ...] = ()
+        shares = 0
+        if self._is_configured:
+            grants = tuple(self._grant(want, now) for want in request.wants)
+            shares = coordinator.count_shares(now)
+        if is_delegation:
+            return usage_messages.DelegationReply(
+                request.sent_at, shares, grants, self._incarnation, now
             )
-        return usage_messages.Reply(
-            request.sent_at,
-            self._incarnation,
-            now,
-            coordinator.find_fraction(now),
-            tuple(grants),
+        return usage_messages.TokenReply(request.sent_at, shares, grants)
+
+    def _grant(
+        self, want: usage_messages.Want, now: float
+    ) -> usage_messages.Granted:
+        """Returns the tokens for an account, as the coordinator."""
+        grant = self.coordinator.take(
+            want.account, want.waiting, want.ahead, now
+        )
+        if grant is None:
+            # By the configuration of this VM the account has no quota.
+            return usage_messages.Granted(want.account, want.waiting)
+        return usage_messages.Granted(
+            want.account,
+            grant.granted,
+            grant.refused,
+            math.ceil(grant.retry_seconds * 1000),
         )
 
     def _apply_reply(
         self, address: str, reply: usage_messages.Reply, now: float
     ) -> None:
         """Uses the tokens of a reply, and refuses requests that got none."""
+        fraction = self.coordinator.scale_shares(reply.shares)
         if address == self.find_coordinator(now):
-            self.choice.fraction = self._reply_fraction = reply.fraction
+            self.choice.fraction = self._reply_fraction = fraction
         expires_at = reply.sent_at + usage_limits.TOKEN_SECONDS
         for grant in reply.grants:
             use = self._uses.get(grant.account)
@@ -576,15 +589,27 @@
             self._serve_waiters(use, now)
             if grant.refused:
                 use.batched_until = now + TICK_SECONDS
-                if reply.fraction > 0.0:
-                    self._refuse_asked(use, grant, reply)
-        if self._holds_share(now) and address == self.choice.choose(now):
-            is_delegated = (
-                self.delegation.coordinator == address
-                and self.delegation.incarnation == reply.incarnation
-            )
-            if not is_delegated and now >= self.delegation.ends_at:
-                self._send_request(address, now)
+                if fraction > 0.0:
+                    self._refuse_asked(use, grant, reply.sent_at, fraction)
+        if isinstance(reply, usage_messages.DelegationReply):
+            self._begin_delegation(address, reply.incarnation, now)
+
+    def _begin_delegation(
+        self, address: str, incarnation: int, now: float
+    ) -> None:
+        """Delegates the share of this VM to a coordinator that replied."""
+        delegation = self.delegation
+        is_delegated = (
+            delegation.coordinator == address
+            and delegation.incarnation == incarnation
+        )
+        if (
+            not is_delegated
+            and now >= delegation.ends_at
+            and self._holds_share(now)
+            and address == self.choice.choose(now)
+        ):
+            self._send_request(address, now)
 
     def _serve_waiters(self, use: _AccountUse, now: float) -> None:
         """Passes tokens to requests that wait, in arrival order."""
@@ -599,17 +624,18 @@
         self,
         use: _AccountUse,
         grant: usage_messages.Granted,
-        reply: usage_messages.Reply,
+        asked_at: float,
+        fraction: float,
     ) -> None:
         """Refuses the requests for which a reply has no token."""
         quota = self._quotas.get(grant.account)
         interval = 0.0
         if quota is not None and quota.rate > 0.0:
-            interval = 1.0 / (quota.rate * reply.fraction)
-        asked = [w for w in use.waiters if w.asked_at == reply.sent_at]
+            interval = 1.0 / (quota.rate * fraction)
+        asked = [w for w in use.waiters if w.asked_at == asked_at]
         for i, waiter in enumerate(asked[-grant.refused :]):
             use.waiters.remove(waiter)
-            seconds = grant.retry_seconds + i * interval
+            seconds = grant.retry_ms / 1000 + i * interval
             self._refuse(use, waiter, seconds, Cause.QUOTA)
 
 
