--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -140,17 +140,17 @@
             raise errors.HistoryExpiredError(after)
         raise KeyError("x")
 
-    async def grant(self, seconds: float) -> int:
+    async def grant(self, seconds: float) -> key_values.GrantedLease:
         """Fails."""
         raise AttributeError
 
-    async def renew(self, lease: int, seconds: float) -> None:
+    async def renew(self, lease: int, seconds: float) -> int:
         """Fails."""
         raise AttributeError
 
     async def write_all(
         self, values: Mapping[str, bytes | None], lease: int = 0
-    ) -> int:
+    ) -> key_values.WriteResult:
         """Fails."""
         raise OverflowError
 
--- a/tests/test_slack_share.py
+++ b/tests/test_slack_share.py
@@ -7,6 +7,7 @@
 from wigeonspool.load import virtual_loop
 from wigeonspool.model import errors
 from wigeonspool.model import fleet
+from wigeonspool.model import key_values
 from wigeonspool.vm import vm_registration
 
 ENTRY = fleet.VmEntry("vm-1", "north", "zone-a", "a", "p", 1.0)
@@ -22,20 +23,21 @@
     def __init__(self) -> None:
         self.error: errors.StoreError | None = None
 
-    async def grant(self, seconds: float) -> int:
+    async def grant(self, seconds: float) -> key_values.GrantedLease:
         self._check()
-        return 1
+        return key_values.GrantedLease(1)
 
-    async def renew(self, lease: int, seconds: float) -> None:
+    async def renew(self, lease: int, seconds: float) -> int:
         # The reply takes a second.
         await asyncio.sleep(1.0)
         self._check()
+        return 0
 
     async def write_all(
         self, values: Mapping[str, bytes | None], lease: int = 0
-    ) -> int:
+    ) -> key_values.WriteResult:
         self._check()
-        return 1
+        return key_values.WriteResult(1)
 
     def _check(self) -> None:
         if self.error is not None:
--- a/wigeonspool/core/cluster_state.py
+++ b/wigeonspool/core/cluster_state.py
@@ -3,8 +3,14 @@
 Each change carries the store revision that wrote it. A change no newer than the
 one already applied to its key is ignored, and a configuration is replaced only
 by a newer version.
+
+A store that was restored from a copy begins a new era: revisions start again,
+and its first state may lack changes that were applied here. `begin_era` and
+`end_restored_state` enclose that state; it brings no target back that was
+draining or had left.
 """
 
+import collections
 from collections.abc import Iterable
 import dataclasses
 from typing import Final
@@ -17,6 +23,14 @@
 # Running targets whose registrations expired during a store outage register
 # again within two seconds after the store recovered.
 REREGISTRATION_GRACE_SECONDS: Final = 2.0
+# A copy that the store is restored from is some seconds old.
+DEPARTURE_SECONDS: Final = 60.0
+# Bounds the memory for targets that were removed; a large deployment replaces
+# fewer targets than this within `DEPARTURE_SECONDS`.
+MAX_DEPARTURES: Final = 5_000
+# A VM whose entry a restored copy lacks may count on its registration for the
+# length of its lease, unless the store requires longer leases than this.
+VM_GRACE_SECONDS: Final = 12.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,6 +55,19 @@
     suspect_until: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Departure:
+    """A target that was removed.
+
+    Attributes:
+        position: Position of its last entry; see `_find_position`.
+        left_at: Time of its removal, on the core's clock.
+    """
+
+    position: tuple[int, int]
+    left_at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigurationChange:
     """Operators committed a configuration.
@@ -115,7 +142,14 @@
             its last outage, on the core's clock.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, vm_grace_seconds: float = VM_GRACE_SECONDS) -> None:
+        """Creates an empty state.
+
+        Args:
+            vm_grace_seconds: How long a VM stays whose entry a restored store
+                lacks; the length of the leases of VMs.
+        """
+        self._vm_grace_seconds = vm_grace_seconds
         self.configuration: fleet.Configuration | None = None
         self.vms: dict[str, fleet.VmEntry] = {}
         self.vm_changes = 0
@@ -125,11 +159,39 @@
         self.store_recovered_at = float("-inf")
         self._services: dict[str, dict[str, TargetRow]] = {}
         self._revisions: dict[str, int] = {}
+        # The oldest removal first.
+        self._departures: collections.OrderedDict[str, _Departure] = (
+            collections.OrderedDict()
+        )
+        self._is_restoring = False
+        self._restored_revision = 0
+        # VMs whose entries the restored state lacks, with the time until which
+        # they stay.
+        self._unconfirmed_vms: dict[str, float] = {}
 
     def list_targets(self, service: str) -> Iterable[TargetRow]:
         """Returns the targets of a service, including draining ones."""
         return self._services.get(service, {}).values()
 
+    def begin_era(self, now: float, revision: int) -> None:
+        """Begins a new era of the store, whose state is applied next.
+
+        Until `end_restored_state`, a key that is missing was not removed: the
+        copy may lack it. An entry that is not newer than the revision may have
+        been replaced or removed before the restore.
+
+        Args:
+            now: Time on the core's clock, in seconds.
+            revision: Revision in the new era at which its state was read.
+        """
+        self._revisions.clear()
+        self._is_restoring = True
+        self._restored_revision = revision
+
+    def end_restored_state(self) -> None:
+        """Treats further changes as writes of the new era."""
+        self._is_restoring = False
+
     def apply(
         self, now: float, key: str, revision: int, change: Change
     ) -> bool:
@@ -147,7 +209,7 @@
         if isinstance(change, ConfigurationChange):
             return self._apply_configuration(change.configuration)
         if isinstance(change, VmChange):
-            return self._apply_vm(change)
+            return self._apply_vm(now, change)
         if isinstance(change, SuspectChange):
             return self._apply_suspect(now, change)
         return self._apply_target(now, revision, change)
@@ -168,17 +230,41 @@
         self.configuration = received
         return True
 
-    def _apply_vm(self, change: VmChange) -> bool:
-        """Stores or removes the entry of a VM."""
+    def _apply_vm(self, now: float, change: VmChange) -> bool:
+        """Stores or removes the entry of a VM.
+
+        A VM that the restored state lacks stays until its lease must have
+        ended: until then it may use its share of a limit, so no other VM takes
+        it.
+        """
         self.vm_changes += 1
+        self._unconfirmed_vms.pop(change.name, None)
         if change.entry is None:
             self.leases.pop(change.name, None)
+            if self._is_restoring and change.name in self.vms:
+                self._unconfirmed_vms[change.name] = (
+                    now + self._vm_grace_seconds
+                )
+                return True
             return self.vms.pop(change.name, None) is not None
         self.leases[change.name] = change.lease
         changed = self.vms.get(change.name) != change.entry
         self.vms[change.name] = change.entry
         return changed
 
+    def remove_unconfirmed_vms(self, now: float) -> list[str]:
+        """Removes VMs that did not register again after a restore.
+
+        Returns:
+            Names of the removed VMs.
+        """
+        expired = [n for n, end in self._unconfirmed_vms.items() if end <= now]
+        for name in expired:
+            del self._unconfirmed_vms[name]
+            self.vms.pop(name, None)
+            self.vm_changes += 1
+        return expired
+
     def _apply_target(
         self, now: float, revision: int, change: TargetChange
     ) -> bool:
@@ -189,18 +275,29 @@
         row = self.targets.get(change.identity)
         entry = change.entry
         if entry is None:
-            if row is not None and change.problem:
+            if row is not None and change.problem and not self._is_restoring:
                 # The entry was written and did not expire, so there is no
                 # grace period.
-                self._remove(row)
+                self._remove(now, row)
                 return True
             return self._handle_missing_entry(now, row)
+        if (
+            self._is_restoring
+            and revision <= self._restored_revision
+            and self._is_outdated(entry)
+        ):
+            return False
+        self._departures.pop(entry.identity, None)
         if row is not None and _is_same_incarnation(row.entry, entry):
             changed = row.entry != entry or row.suspect_until > 0
             self._remove_from_service(row)
             row.entry = entry
             row.revision = revision
             row.suspect_until = 0.0
+            if not changed and self._is_restoring:
+                # The entry was not written again, so the target did not start.
+                self._services[entry.service][entry.identity] = row
+                return False
         else:
             changed = True
             if row is not None:
@@ -220,13 +317,31 @@
         if row is None:
             return False
         grace_until = self.store_recovered_at + REREGISTRATION_GRACE_SECONDS
+        if self._is_restoring:
+            grace_until = now + REREGISTRATION_GRACE_SECONDS
         serving = row.entry.state is fleet.TargetState.SERVING
         if now < grace_until and serving:
             row.suspect_until = grace_until
         else:
-            self._remove(row)
+            self._remove(now, row)
         return True
 
+    def _is_outdated(self, entry: fleet.TargetEntry) -> bool:
+        """Returns True if an entry of the restored state must not be used.
+
+        That is the case if it is older than the known entry of its target, or
+        if the target was draining or had left and it is not newer than that.
+        """
+        position = _find_position(entry)
+        row = self.targets.get(entry.identity)
+        if row is None:
+            departure = self._departures.get(entry.identity)
+            return departure is not None and position <= departure.position
+        known_position = _find_position(row.entry)
+        if position != known_position:
+            return position < known_position
+        return row.entry.state is fleet.TargetState.DRAINING
+
     def remove_expired_targets(self, now: float) -> list[str]:
         """Removes suspect targets that did not register again in time.
 
@@ -239,13 +354,24 @@
             if row.suspect_until and row.suspect_until <= now
         ]
         for row in expired:
-            self._remove(row)
+            self._remove(now, row)
         return [row.entry.identity for row in expired]
 
-    def _remove(self, row: TargetRow) -> None:
-        """Removes a target from all tables."""
+    def _remove(self, now: float, row: TargetRow) -> None:
+        """Removes a target from all tables, and stores that it left."""
+        identity = row.entry.identity
         self._remove_from_service(row)
-        del self.targets[row.entry.identity]
+        del self.targets[identity]
+        self._departures[identity] = _Departure(_find_position(row.entry), now)
+        self._departures.move_to_end(identity)
+        while len(self._departures) > MAX_DEPARTURES or (
+            # While a restored state is applied, all of them are still needed:
+            # the store may have been unavailable for long.
+            not self._is_restoring
+            and next(iter(self._departures.values())).left_at
+            <= now - DEPARTURE_SECONDS
+        ):
+            self._departures.popitem(last=False)
 
     def _remove_from_service(self, row: TargetRow) -> None:
         """Removes a target from the list of its service."""
@@ -253,6 +379,14 @@
         service_targets.pop(row.entry.identity, None)
 
 
+def _find_position(entry: fleet.TargetEntry) -> tuple[int, int]:
+    """Returns the position of an entry among all entries of its target.
+
+    A later start is newer regardless of the sequence number, which begins anew.
+    """
+    return entry.started_at_ms, entry.sequence
+
+
 def _is_same_incarnation(
     current: fleet.TargetEntry, entry: fleet.TargetEntry
 ) -> bool:
--- a/wigeonspool/core/suspect_reports.py
+++ b/wigeonspool/core/suspect_reports.py
@@ -77,10 +77,13 @@
     Attributes:
         revision: Store revision of the latest write, or 0 if unknown.
         expires_at: Time at which the crash no longer counts.
+        must_rewrite: True if the store was restored since the latest write, so
+            that the key is missing or held by a lease that has ended.
     """
 
     revision: int
     expires_at: float
+    must_rewrite: bool = False
 
 
 class SuspectReports:
@@ -193,6 +196,21 @@
         """Takes over a report that an earlier process of this VM wrote."""
         self._own[subject] = _OwnReport(0, now + quarantine.SUSPECT_TTL_SECONDS)
 
+    def begin_era(self, now: float) -> None:
+        """Reports again what this VM wrote, since the store is restored.
+
+        Must be called before the restored reports are applied, which may state
+        crashes that were answered since.
+        """
+        for subject, own in self._own.items():
+            own.revision = 0
+            own.must_rewrite = True
+            if subject in self._pending:
+                continue
+            counts = self._suspects.is_counted(now, *subject)
+            state = ReportState.CRASHED if counts else ReportState.ANSWERED
+            self._add(subject, state, now + ANSWER_BATCH_SECONDS)
+
     def find_next_due_at(self) -> float | None:
         """Returns when the next report is due, or None if there is none."""
         due_at = [report.due_at for report in self._pending.values()]
@@ -223,7 +241,9 @@
             expires_at = now + quarantine.SUSPECT_TTL_SECONDS
             own = self._own.pop(report.subject, _OwnReport(0, expires_at))
             if report.state is not ReportState.EXPIRED:
-                self._own[report.subject] = _OwnReport(own.revision, expires_at)
+                self._own[report.subject] = dataclasses.replace(
+                    own, expires_at=expires_at
+                )
         return batch[:limit]
 
     def _is_own(self, report: SuspectReport) -> bool:
@@ -252,11 +272,13 @@
             not self._suspects.is_counted(now, *report.subject)
         ):
             return True
+        own = self._own.get(report.subject)
+        if own is not None and own.must_rewrite:
+            return False
         stored = self._find_stored(report.subject)
         if stored is None or stored.state is not report.state:
             return False
         # The replica may not show the latest write of this VM yet.
-        own = self._own.get(report.subject)
         return own is None or stored.revision >= own.revision
 
     def record_written(
@@ -275,3 +297,4 @@
             own = self._own.get(report.subject)
             if own is not None:
                 own.revision = revision
+                own.must_rewrite = False
--- a/wigeonspool/model/errors.py
+++ b/wigeonspool/model/errors.py
@@ -391,3 +391,19 @@
 
     def __init__(self, lease: int) -> None:
         super().__init__(f"lease {lease} has ended")
+
+
+class EraChangedError(StoreError):
+    """The store was restored from a copy, so that a call does not count.
+
+    Attributes:
+        known_era: Era that the call relied on.
+        era: Era of the store.
+    """
+
+    code = "era-changed"
+
+    def __init__(self, known_era: int, era: int) -> None:
+        super().__init__(f"the store is in era {era}, not in era {known_era}")
+        self.known_era = known_era
+        self.era = era
--- a/wigeonspool/model/fleet.py
+++ b/wigeonspool/model/fleet.py
@@ -182,6 +182,8 @@
             still slow because of its start.
         started_at_ms: Start of the target, in milliseconds since the epoch, or
             0 if it is not stated.
+        sequence: Increases with each change of the entry since the start of the
+            target; 0 if it is not stated.
     """
 
     identity: str
@@ -192,6 +194,7 @@
     state: TargetState
     warmup_seconds: float = 0.0
     started_at_ms: int = 0
+    sequence: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wigeonspool/model/key_values.py
+++ b/wigeonspool/model/key_values.py
@@ -31,12 +31,42 @@
         more: True if the range has more keys after this page.
         unreadable_keys: Keys of items that could not be decoded; "" for an item
             whose key could not be decoded either.
+        era: Era of the store that the page reflects. It increases when the
+            store is restored from a copy; revisions of different eras cannot be
+            compared. 0 for a store without eras.
     """
 
     items: tuple[KeyValue, ...]
     revision: int
     more: bool = False
     unreadable_keys: tuple[str, ...] = ()
+    era: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantedLease:
+    """A lease that the store granted.
+
+    Attributes:
+        lease: ID of the lease; it identifies the lease within its era only.
+        era: Era of the store that granted it.
+    """
+
+    lease: int
+    era: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteResult:
+    """What the store replied to a write.
+
+    Attributes:
+        revision: Revision that the write got.
+        era: Era of the store that executed it.
+    """
+
+    revision: int
+    era: int = 0
 
 
 class KeyValueSource(Protocol):
--- a/wigeonspool/platform/metadata_store.py
+++ b/wigeonspool/platform/metadata_store.py
@@ -5,8 +5,8 @@
 """
 
 import base64
-from collections.abc import Mapping, Sequence
-from typing import Annotated, Any, Final
+from collections.abc import Callable, Mapping, Sequence
+from typing import Annotated, Any, Final, NamedTuple
 
 import aiohttp
 import msgspec
@@ -16,6 +16,10 @@
 from wigeonspool.model import key_values
 from wigeonspool.platform import duration_text
 
+# Number of times that the store was restored from a copy; in each reply.
+ERA_HEADER: Final = "Store-Era"
+# An era with fewer digits has at most 63 bits.
+MAX_ERA_DIGITS: Final = 19
 STATUS_OK: Final = 200
 STATUS_NOT_FOUND: Final = 404
 STATUS_GONE: Final = 410
@@ -30,7 +34,7 @@
 WATCH_SLACK_SECONDS: Final = 1.0
 
 
-# Revisions and lease IDs have 64 bits, also in the messages between VMs.
+# Revisions, eras and lease IDs have 64 bits, also in the messages between VMs.
 _Number = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 _Key = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 
@@ -70,12 +74,22 @@
     revision: _Number = 0
 
 
+class _Reply(NamedTuple):
+    """A complete reply of the store."""
+
+    status: int
+    body: bytes
+    era: int
+
+
 class MetadataStore:
     """Calls the store over HTTP.
 
     Attributes:
         calls: Number of calls made so far, including failed ones.
         failures: Number of calls that failed.
+        newest_era: Newest era in a reply so far; 0 for a store without eras.
+        on_new_era: Called with `newest_era` when it has increased.
     """
 
     def __init__(self, address: str) -> None:
@@ -86,6 +100,8 @@
         """
         self.calls = 0
         self.failures = 0
+        self.newest_era = 0
+        self.on_new_era: Callable[[int], None] = lambda era: None
         self._url = f"http://{address}"
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
@@ -124,9 +140,9 @@
             query["after"] = after
         if stale:
             query["AllowStale"] = "1"
-        _, body = await self._call("GET", "/v1/kv-range", query)
+        _, body, era = await self._call("GET", "/v1/kv-range", query)
         reply = _decode(body, _Range)
-        return _build_page(reply.items, reply.at_rev, reply.has_more)
+        return _build_page(reply.items, reply.at_rev, era, reply.has_more)
 
     async def watch(
         self, prefix: str, after: int, wait_seconds: float
@@ -151,7 +167,7 @@
             "after": str(after),
             "WaitMs": str(round(wait_seconds * 1000)),
         }
-        status, body = await self._call(
+        status, body, era = await self._call(
             "GET",
             "/v1/kv-watch",
             query,
@@ -161,10 +177,10 @@
         if status == STATUS_GONE:
             raise errors.HistoryExpiredError(after)
         reply = _decode(body, _Events)
-        return _build_page(reply.events, reply.at_rev)
+        return _build_page(reply.events, reply.at_rev, era)
 
-    async def grant(self, ttl_seconds: float) -> int:
-        """Creates a lease; returns its ID.
+    async def grant(self, ttl_seconds: float) -> key_values.GrantedLease:
+        """Creates a lease.
 
         Args:
             ttl_seconds: How long the lease lasts without a renewal.
@@ -174,14 +190,19 @@
             StoreReplyError: If the reply cannot be decoded.
         """
         document = {"Ttl_time": duration_text.format_seconds(ttl_seconds)}
-        _, body = await self._call("POST", "/v1/kv-lease", document=document)
+        _, body, era = await self._call(
+            "POST", "/v1/kv-lease", document=document
+        )
         granted: _Lease = _decode(body, _Lease)
-        return granted.lease_id
+        return key_values.GrantedLease(granted.lease_id, era)
 
     async def renew(
         self, lease: int, timeout_seconds: float = CALL_TIMEOUT_SECONDS
-    ) -> None:
-        """Renews a lease.
+    ) -> int:
+        """Renews a lease; returns the era of the store that renewed it.
+
+        If that is not the era in which the lease was granted, a lease of
+        another client may have been renewed.
 
         Args:
             lease: ID of the lease.
@@ -191,7 +212,7 @@
             LeaseEndedError: If the lease has ended.
             StoreUnavailableError: If the call failed or timed out.
         """
-        status, _ = await self._call(
+        status, _, era = await self._call(
             "POST",
             f"/v1/kv-keep/{lease}",
             timeout_seconds=timeout_seconds,
@@ -199,6 +220,7 @@
         )
         if status == STATUS_NOT_FOUND:
             raise errors.LeaseEndedError(lease)
+        return era
 
     async def revoke(self, lease: int) -> None:
         """Ends a lease, which removes its keys.
@@ -220,8 +242,9 @@
         value: bytes,
         lease: int = 0,
         expected: Mapping[str, int] | None = None,
-    ) -> int:
-        """Writes a key; returns its revision.
+        expected_era: int = 0,
+    ) -> key_values.WriteResult:
+        """Writes a key.
 
         Args:
             key: Key to write.
@@ -229,34 +252,42 @@
             lease: Lease that the key is attached to, or 0.
             expected: Revision that each of these keys must still have, or 0 if
                 the key must not exist. Otherwise nothing is written.
+            expected_era: Era of the revisions in `expected`.
 
         Raises:
+            EraChangedError: If there are conditions and a reply of the store
+                had a newer era than theirs. If that is the reply to this call,
+                the keys may have been written; they must be read again.
             ConditionFailedError: If one of the keys in `expected` has another
                 revision.
             LeaseEndedError: If the lease has ended.
             StoreUnavailableError: If the call failed or timed out.
             StoreReplyError: If the reply cannot be decoded.
         """
-        return await self.write_all({key: value}, lease, expected)
+        return await self.write_all({key: value}, lease, expected, expected_era)
 
     async def write_all(
         self,
         values: Mapping[str, bytes | None],
         lease: int = 0,
         expected: Mapping[str, int] | None = None,
-    ) -> int:
-        """Writes and removes keys in one transaction; returns its revision.
+        expected_era: int = 0,
+    ) -> key_values.WriteResult:
+        """Writes and removes keys in one transaction.
 
         Args:
             values: New value of each key, or None to remove it; at most
                 `MAX_WRITTEN_KEYS` in all.
             lease: Lease that the written keys are attached to, or 0.
             expected: As in `write`.
+            expected_era: As in `write`.
 
         Raises:
             StoreError: As in `write`.
         """
         expected_revisions = expected or {}
+        if expected_revisions and self.newest_era > expected_era:
+            raise errors.EraChangedError(expected_era, self.newest_era)
         document = {
             "Expected": [
                 {"Key": name, "Revision": revision}
@@ -273,7 +304,7 @@
             ],
             "Deletes": [k for k, value in values.items() if value is None],
         }
-        status, body = await self._call(
+        status, body, era = await self._call(
             "POST",
             "/v1/kv-txn",
             document=document,
@@ -285,10 +316,12 @@
         )
         if status == STATUS_NOT_FOUND:
             raise errors.LeaseEndedError(lease)
+        if expected_revisions and era > expected_era:
+            raise errors.EraChangedError(expected_era, era)
         if status == STATUS_PRECONDITION_FAILED:
             raise errors.ConditionFailedError(tuple(expected_revisions))
         written: _Written = _decode(body, _Written)
-        return written.revision
+        return key_values.WriteResult(written.revision, era)
 
     async def _call(
         self,
@@ -298,8 +331,8 @@
         document: Mapping[str, Any] | None = None,
         timeout_seconds: float = CALL_TIMEOUT_SECONDS,
         accepted_statuses: tuple[int, ...] = (STATUS_OK,),
-    ) -> tuple[int, bytes]:
-        """Makes one call; returns the status and the body of the reply.
+    ) -> _Reply:
+        """Makes one call; returns the reply.
 
         Args:
             method: HTTP method.
@@ -312,7 +345,8 @@
         Raises:
             StoreUnavailableError: If no complete reply came in time, or its
                 status is not accepted.
-            StoreReplyError: If the reply exceeds `MAX_REPLY_BYTES`.
+            StoreReplyError: If the reply exceeds `MAX_REPLY_BYTES`, or its era
+                cannot be decoded.
         """
         self.calls += 1
         body = None if document is None else msgspec.json.encode(document)
@@ -330,16 +364,37 @@
             ) as response:
                 response_body = await _read_body(response, path)
                 status = response.status
+                era = _read_era(response.headers.get(ERA_HEADER, ""), path)
         except errors.StoreReplyError:
             self.failures += 1
             raise
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self.failures += 1
             raise errors.StoreUnavailableError(path, repr(error)) from error
+        if era > self.newest_era:
+            self.newest_era = era
+            self.on_new_era(era)
         if status not in accepted_statuses:
             self.failures += 1
             raise errors.StoreUnavailableError(path, f"status {status}")
-        return status, response_body
+        return _Reply(status, response_body, era)
+
+
+def _read_era(field: str, path: str) -> int:
+    """Returns the era that a reply states, or 0 if it states none.
+
+    Args:
+        field: Value of the header field, or "".
+        path: Path of the call.
+
+    Raises:
+        StoreReplyError: If the value is not a number of 63 bits.
+    """
+    if not field:
+        return 0
+    if field.isascii() and field.isdigit() and len(field) < MAX_ERA_DIGITS:
+        return int(field)
+    raise errors.StoreReplyError(path, "the era is not a number")
 
 
 async def _read_body(response: aiohttp.ClientResponse, path: str) -> bytes:
@@ -369,7 +424,10 @@
 
 
 def _build_page(
-    raw_items: Sequence[msgspec.Raw], revision: int, more: bool = False
+    raw_items: Sequence[msgspec.Raw],
+    revision: int,
+    era: int,
+    more: bool = False,
 ) -> key_values.Page:
     """Decodes the items of a reply; leaves out those that cannot be decoded."""
     items = []
@@ -379,7 +437,9 @@
             items.append(_build_item(_decode(raw_item, _Item)))
         except errors.StoreReplyError:
             unreadable_keys.append(_find_key(raw_item))
-    return key_values.Page(tuple(items), revision, more, tuple(unreadable_keys))
+    return key_values.Page(
+        tuple(items), revision, more, tuple(unreadable_keys), era
+    )
 
 
 def _find_key(raw_item: msgspec.Raw) -> str:
--- a/wigeonspool/platform/standin/store.py
+++ b/wigeonspool/platform/standin/store.py
@@ -7,6 +7,7 @@
 import asyncio
 import base64
 import collections
+from collections.abc import Mapping
 import contextlib
 import dataclasses
 import time
@@ -16,13 +17,15 @@
 from aiohttp import web
 
 from wigeonspool.platform import duration_text
+from wigeonspool.platform import metadata_store
 from wigeonspool.standin import store
 
 MAX_PAGE_ITEMS: Final = 50
 # A waiting watch checks at this interval whether a fault refuses it.
 WATCH_CHECK_SECONDS: Final = 0.25
-# Greatest age of the data of a replica.
+# Greatest age of the data of a replica, and of a copy that is restored.
 MAX_STALE_SECONDS: Final = 30.0
+FIRST_ERA: Final = 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,10 +42,69 @@
     stale_seconds: tuple[float, ...] = (0.0,)
 
 
+@dataclasses.dataclass(slots=True)
+class _State:
+    """All that the store holds at one time.
+
+    Attributes:
+        era: Number of restores so far, plus `FIRST_ERA`.
+        revision: Revision of the latest change.
+        records: Keys with their values.
+        ttl_seconds: Length of each lease, by ID.
+    """
+
+    era: int
+    revision: int
+    records: dict[bytes, store.Record]
+    ttl_seconds: dict[int, float]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Change:
+    """A change of the state of the store.
+
+    Attributes:
+        changed_at: Time of the change, monotonic clock.
+        era: Era after the change.
+        revision: Revision after the change.
+        records: Keys that were written, or None for those that were removed.
+        ttl_seconds: Length of each lease that was granted, or None for those
+            that ended.
+        is_whole: True if all other keys and leases were removed.
+    """
+
+    changed_at: float
+    era: int
+    revision: int
+    records: Mapping[bytes, store.Record | None]
+    ttl_seconds: Mapping[int, float | None]
+    is_whole: bool = False
+
+    def apply(self, state: _State) -> None:
+        """Applies the change to a state."""
+        state.era = self.era
+        state.revision = self.revision
+        if self.is_whole:
+            state.records.clear()
+            state.ttl_seconds.clear()
+        for key, record in self.records.items():
+            if record is None:
+                state.records.pop(key, None)
+            else:
+                state.records[key] = record
+        for lease, seconds in self.ttl_seconds.items():
+            if seconds is None:
+                state.ttl_seconds.pop(lease, None)
+            else:
+                state.ttl_seconds[lease] = seconds
+
+
 class PlatformStore(store.StoreStandin):
     """Serves the platform's store protocol over HTTP.
 
     Attributes:
+        era: Number of restores so far, plus `FIRST_ERA`.
+        sends_era: False to send no header with the era.
         compacted_revision: Revision up to which the history was dropped.
     """
 
@@ -50,13 +112,12 @@
         super().__init__()
         self.faults: PlatformFaults = PlatformFaults()
         self.compacted_revision = 0
+        self.era = FIRST_ERA
+        self.sends_era = True
         self._stale_reads = 0
         # State at the end of `MAX_STALE_SECONDS`, and the changes since then.
-        self._old_records: dict[bytes, store.Record] = {}
-        self._old_revision = self.revision
-        self._changes: collections.deque[
-            tuple[float, int, bytes, store.Record | None]
-        ] = collections.deque()
+        self._old_state = _State(self.era, self.revision, {}, {})
+        self._changes: collections.deque[_Change] = collections.deque()
 
     def build_app(self) -> web.Application:
         """Returns the HTTP application, including /faults and /calls."""
@@ -74,46 +135,117 @@
             "/v1/kv-lease-end/{id}", self._apply_faults(self._serve_lease_end)
         )
         routes.add_post("/faults", self._set_faults)
+        routes.add_post("/restore", self._serve_restore)
         routes.add_get("/calls", self._show_calls)
         return app
 
     def _write(self, key: bytes, value: bytes, lease: int) -> None:
-        """Writes one key at a new revision, and keeps the change for replicas.
+        """Writes one key at a new revision, and stores the change.
 
         Raises:
             ValueError: If the value is too large or the lease has ended.
         """
         super()._write(key, value, lease)
-        self._record_change(key, self.records[key])
+        self._record_change({key: self.records[key]}, {})
 
     def _remove(self, key: bytes) -> None:
-        """Removes one key at a new revision, and keeps that for replicas."""
+        """Removes one key at a new revision, and stores the change."""
         super()._remove(key)
-        self._record_change(key, None)
-
-    def _record_change(self, key: bytes, record: store.Record | None) -> None:
-        """Stores a change, and drops those that no replica lacks any more."""
+        self._record_change({key: None}, {})
+
+    def _grant(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Creates a lease, and stores the change."""
+        granted = super()._grant(body)
+        lease = int(granted["ID"])
+        self._record_change({}, {lease: self.leases[lease].ttl_seconds})
+        return granted
+
+    def _revoke(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Ends a lease and removes its keys, and stores the change."""
+        reply = super()._revoke(body)
+        self._record_change({}, {int(body["ID"]): None})
+        return reply
+
+    async def _end_lease(self, lease_id: int) -> None:
+        """Ends a lease that has expired, and stores the change."""
+        self._record_change({}, {lease_id: None})
+        await super()._end_lease(lease_id)
+
+    def _record_change(
+        self,
+        records: Mapping[bytes, store.Record | None],
+        ttl_seconds: Mapping[int, float | None],
+        is_whole: bool = False,
+    ) -> None:
+        """Stores a change, and drops those that no copy lacks any more.
+
+        Args:
+            records: As in `_Change`.
+            ttl_seconds: As in `_Change`.
+            is_whole: As in `_Change`.
+        """
         now = time.monotonic()
-        self._changes.append((now, self.revision, key, record))
-        while self._changes[0][0] < now - MAX_STALE_SECONDS:
-            _, self._old_revision, old_key, old = self._changes.popleft()
-            _apply_change(self._old_records, old_key, old)
+        self._changes.append(
+            _Change(
+                now, self.era, self.revision, records, ttl_seconds, is_whole
+            )
+        )
+        while self._changes[0].changed_at < now - MAX_STALE_SECONDS:
+            self._changes.popleft().apply(self._old_state)
+
+    def _find_state(self, at: float) -> _State:
+        """Returns a copy of the state at a time, monotonic clock."""
+        state = dataclasses.replace(
+            self._old_state,
+            records=dict(self._old_state.records),
+            ttl_seconds=dict(self._old_state.ttl_seconds),
+        )
+        for change in self._changes:
+            if change.changed_at > at:
+                break
+            change.apply(state)
+        return state
 
-    def _read_replica(self) -> tuple[dict[bytes, store.Record], int]:
-        """Returns the keys and the revision of the next replica."""
+    def _read_replica(self) -> _State:
+        """Returns the state of the next replica."""
         ages = self.faults.stale_seconds
         age_seconds = ages[self._stale_reads % len(ages)]
         self._stale_reads += 1
         if not age_seconds:
-            return self.records, self.revision
-        records, revision = dict(self._old_records), self._old_revision
-        until = time.monotonic() - age_seconds
-        for changed_at, changed_revision, key, record in self._changes:
-            if changed_at > until:
-                break
-            revision = changed_revision
-            _apply_change(records, key, record)
-        return records, revision
+            return _State(self.era, self.revision, self.records, {})
+        return self._find_state(time.monotonic() - age_seconds)
+
+    async def restore(self, seconds_ago: float) -> None:
+        """Goes back to an earlier state, which begins a new era.
+
+        Revisions and lease IDs of later changes are assigned again. Leases of
+        the copy begin anew. Waiting watches are cut.
+
+        Args:
+            seconds_ago: Age of the state; at most `MAX_STALE_SECONDS`.
+        """
+        now = time.monotonic()
+        state = self._find_state(now - seconds_ago)
+        self.era += 1
+        self.revision = state.revision
+        self.records = state.records
+        self.leases = {
+            lease: store.Lease(seconds, now + seconds)
+            for lease, seconds in state.ttl_seconds.items()
+        }
+        self.history = [
+            change for change in self.history if change[0] <= self.revision
+        ]
+        self.compacted_revision = min(self.compacted_revision, self.revision)
+        self._record_change(
+            dict(self.records), dict(state.ttl_seconds), is_whole=True
+        )
+        await self._notify()
+
+    async def _serve_restore(self, request: web.Request) -> web.Response:
+        """Handles a restore; the body has the age of the state."""
+        await self.restore(float((await request.json())["seconds_ago"]))
+        return web.json_response({"era": self.era})
 
     async def put(self, key: str, value: bytes | None) -> int:
         """Writes a key, or removes it; returns the revision.
@@ -143,10 +275,11 @@
             if self.faults.delay_ms:
                 await asyncio.sleep(self.faults.delay_ms / 1000)
             if self._is_refused(request):
-                return web.Response(status=503)
-            revision = self.revision
-            response: web.StreamResponse = await serve(request)
-            if self.revision != revision and request.method != "GET":
+                return self._add_era(web.Response(status=503))
+            revision, era = self.revision, self.era
+            response: web.StreamResponse = self._add_era(await serve(request))
+            changed = self.revision != revision or self.era != era
+            if changed and request.method != "GET":
                 await self._notify()
                 if self.faults.lose_replies > 0:
                     self.faults.lose_replies -= 1
@@ -156,6 +289,14 @@
 
         return handle
 
+    def _add_era(self, response: web.StreamResponse) -> web.StreamResponse:
+        """Adds the current era to a response that does not state one."""
+        if self.sends_era:
+            response.headers.setdefault(
+                metadata_store.ERA_HEADER, str(self.era)
+            )
+        return response
+
     def _is_refused(self, request: web.Request) -> bool:
         """Returns True if a fault refuses a request."""
         return self.faults.down or request.remote in self.faults.refused_hosts
@@ -183,9 +324,10 @@
         """Handles a read of a page of the keys with a prefix."""
         prefix = request.query.get("Prefix", "").encode()
         after = request.query.get("after", "").encode()
-        records, revision = self.records, self.revision
+        state = _State(self.era, self.revision, self.records, {})
         if request.query.get("AllowStale") == "1":
-            records, revision = self._read_replica()
+            state = self._read_replica()
+        records = state.records
         keys = sorted(
             key
             for key in records
@@ -195,13 +337,16 @@
             self._encode_item(key, records[key])
             for key in keys[:MAX_PAGE_ITEMS]
         ]
-        return web.json_response(
+        response = web.json_response(
             {
                 "items": items,
                 "HasMore": len(keys) > MAX_PAGE_ITEMS,
-                "AtRev": revision,
+                "AtRev": state.revision,
             }
         )
+        if self.sends_era:
+            response.headers[metadata_store.ERA_HEADER] = str(state.era)
+        return response
 
     async def _serve_watch(self, request: web.Request) -> web.Response:
         """Handles a watch: replies at a change or after the waiting time."""
@@ -209,10 +354,15 @@
         after = int(request.query["after"])
         loop = asyncio.get_running_loop()
         deadline = loop.time() + int(request.query["WaitMs"]) / 1000
+        era = self.era
         while True:
             if self._is_refused(request):
                 return web.Response(status=503)
-            if after < self.compacted_revision:
+            if self.era != era:
+                if request.transport is not None:
+                    request.transport.abort()
+                return web.Response(status=503)
+            if not self.compacted_revision <= after <= self.revision:
                 return web.Response(status=410)
             changes = self._list_since(after, prefix, prefix + b"\xff")
             if changes and not self.faults.silent_watches:
@@ -285,13 +435,3 @@
             return web.Response(status=404)
         self._revoke({"ID": lease})
         return web.json_response({})
-
-
-def _apply_change(
-    records: dict[bytes, store.Record], key: bytes, record: store.Record | None
-) -> None:
-    """Writes a key to some records, or removes it if there is no record."""
-    if record is None:
-        records.pop(key, None)
-    else:
-        records[key] = record
--- a/wigeonspool/platform/target_entries.py
+++ b/wigeonspool/platform/target_entries.py
@@ -4,7 +4,7 @@
 registers no target and does not affect the other entries.
 """
 
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 
@@ -17,6 +17,7 @@
 MAX_SLOTS: Final = 1_000_000
 # The year 9999; the messages between VMs have integers of 64 bits.
 MAX_BORN_MS: Final = 253_402_300_799_999
+MAX_SEQUENCE: Final = 2**63 - 1
 MAX_COLD_SECONDS: Final = 24 * 3600.0
 STATES: Final = {
     "ready": fleet.TargetState.SERVING,
@@ -34,6 +35,8 @@
     state: str
     # Time after the registration during which the target is still slow.
     cold_time: str = msgspec.field(name="Cold_time", default="0ms")
+    # Decoded later, since an invalid value must not cost the entry.
+    seq: msgspec.Raw = msgspec.Raw(b"0")
 
 
 class _Entry(msgspec.Struct, rename="pascal"):
@@ -44,6 +47,8 @@
     born: int = msgspec.field(name="born", default=0)
 
 
+_Sequence = Annotated[int, msgspec.Meta(ge=0, le=MAX_SEQUENCE)]
+
 _decoder: Final = msgspec.json.Decoder(_Entry)
 
 
@@ -82,4 +87,14 @@
         state=state,
         warmup_seconds=warmup_seconds,
         started_at_ms=entry.born,
+        sequence=_read_sequence(entry.status.seq),
     )
+
+
+def _read_sequence(value: msgspec.Raw) -> int:
+    """Returns the sequence number of an entry, or 0 if it is invalid."""
+    try:
+        sequence: int = msgspec.json.decode(value, type=_Sequence)
+    except (msgspec.MsgspecError, ValueError, RecursionError):
+        return 0
+    return sequence
--- a/wigeonspool/vm/feed_client.py
+++ b/wigeonspool/vm/feed_client.py
@@ -29,6 +29,13 @@
     """A feeder jumped to a newer state, past changes that a follower needs."""
 
 
+class FeederEraError(ConnectionError):
+    """A feeder has an older era of the store than its follower."""
+
+    def __init__(self, era: int, current: int) -> None:
+        super().__init__(f"the feeder is in era {era}, not in era {current}")
+
+
 class FeedClient:
     """Follows feeders and applies the changes that they send to a replica.
 
@@ -125,7 +132,10 @@
             reader, writer = await asyncio.open_connection(host, port)
         try:
             subscribe = feed_messages.Subscribe(
-                feed_messages.VERSION, self._vm, self._replica.revision
+                feed_messages.VERSION,
+                self._vm,
+                self._replica.revision,
+                self._replica.era,
             )
             writer.write(feed_messages.encode_message(subscribe))
             self._stale_grace_until = self._loop.time() + STALE_GRACE_SECONDS
@@ -147,11 +157,13 @@
 
         Raises:
             ConnectionError: If the data of the feeder is stale, because it has
-                lost the store, or if this VM may lack changes that the feeder
-                did not see one by one.
+                lost the store or has an older era, or if this VM may lack
+                changes that the feeder did not see one by one.
         """
         now = self._loop.time()
         self._received_at = now
+        if not isinstance(message, feed_messages.Subscribe):
+            self._check_era(message)
         if isinstance(message, feed_messages.Items):
             items = feed_messages.decode_items(message.items)
             if (
@@ -161,9 +173,16 @@
                 # The first message of the next connection has all keys.
                 raise FeederJumpError
             if message.whole:
-                self._replica.apply_snapshot(items, message.revision)
+                self._replica.apply_snapshot(
+                    items,
+                    message.revision,
+                    message.era,
+                    message.restored_revision,
+                )
             else:
-                page = key_values.Page(tuple(items), message.revision)
+                page = key_values.Page(
+                    tuple(items), message.revision, era=message.era
+                )
                 if message.jumped_from is None:
                     self._replica.apply_page(page)
                 else:
@@ -177,3 +196,23 @@
             self.address = address
             self._failures.record_recovery()
             log.info("following", feeder=address)
+
+    def _check_era(
+        self, message: feed_messages.Items | feed_messages.Pulse
+    ) -> None:
+        """Checks that a message has the era of the replica, or begins a newer.
+
+        Raises:
+            FeederEraError: If the message has an older era.
+            FeederJumpError: If the message has a newer era but not all keys.
+        """
+        era = self._replica.era
+        if message.era < era:
+            log.info(
+                "feeder of an older era rejected", era=message.era, current=era
+            )
+            raise FeederEraError(message.era, era)
+        begins_era = isinstance(message, feed_messages.Items) and message.whole
+        if message.era > era and not begins_era:
+            # The first message of the next connection has all keys.
+            raise FeederJumpError
--- a/wigeonspool/vm/feed_messages.py
+++ b/wigeonspool/vm/feed_messages.py
@@ -1,4 +1,7 @@
-"""Messages by which a feeder sends changes of the store to its followers."""
+"""Messages by which a feeder sends changes of the store to its followers.
+
+VMs of earlier versions send no era, which is 0 then, and ignore it.
+"""
 
 import asyncio
 from typing import Annotated, Any, Final
@@ -25,11 +28,13 @@
         version: Version of the protocol.
         vm: Name of the follower.
         revision: Revision up to which the follower has all changes; 0 for none.
+        era: Era of the store that the revision belongs to.
     """
 
     version: int
     vm: str
     revision: _Number
+    era: _Number = 0
 
 
 class WireItem(msgspec.Struct, array_like=True, frozen=True):
@@ -54,12 +59,17 @@
             are the differences to that state instead of all changes since. A
             follower that is newer than that state may lack changes. None if the
             items are all changes.
+        era: Era of the store that the items belong to.
+        restored_revision: Revision at which the feeder read the first state of
+            the era; later items were written in it.
     """
 
     revision: _Number
     items: tuple[WireItem, ...]
     whole: bool
     jumped_from: _Number | None = None
+    era: _Number = 0
+    restored_revision: _Number = 0
 
 
 class Pulse(msgspec.Struct, array_like=True, tag=2, frozen=True):
@@ -68,10 +78,12 @@
     Attributes:
         revision: Revision up to which all changes have been sent.
         age_seconds: Time since the store last confirmed the feeder's replica.
+        era: Era of the store that the revision belongs to.
     """
 
     revision: _Number
     age_seconds: _Age
+    era: _Number = 0
 
 
 Message = Subscribe | Items | Pulse
--- a/wigeonspool/vm/feed_server.py
+++ b/wigeonspool/vm/feed_server.py
@@ -54,6 +54,8 @@
         self._unsent_changes: list[key_values.KeyValue] = []
         self._last_dropped_revision = 0
         self._sent_revision = 0
+        self._recorded_era = 0
+        self._sent_era = 0
         self._server: asyncio.Server | None = None
         self._closed = False
         self._loop = asyncio.get_running_loop()
@@ -80,8 +82,14 @@
     def record_change(self, item: key_values.KeyValue) -> None:
         """Stores a change for the followers.
 
-        Drops the oldest one if there are more than `MAX_RECENT_CHANGES`.
+        Drops the oldest one if there are more than `MAX_RECENT_CHANGES`, and
+        all of an older era.
         """
+        if self._recorded_era != self._replica.era:
+            self._recorded_era = self._replica.era
+            self._recent_changes.clear()
+            self._unsent_changes.clear()
+            self._last_dropped_revision = 0
         self._unsent_changes.append(item)
         self._recent_changes.append(item)
         if len(self._recent_changes) > MAX_RECENT_CHANGES:
@@ -92,7 +100,13 @@
             )
 
     def send_changes(self) -> None:
-        """Sends all followers the changes since the last call."""
+        """Sends all followers the changes since the last call.
+
+        In a new era of the store, they get all keys.
+        """
+        if self._sent_era != self._replica.era:
+            self._send_era()
+            return
         revision = self._replica.revision
         if revision <= self._sent_revision and not self._unsent_changes:
             return
@@ -105,14 +119,25 @@
             feed_messages.encode_items(changes),
             whole=False,
             jumped_from=self._replica.pop_jump(),
+            era=self._sent_era,
         )
         self._broadcast(feed_messages.encode_message(message))
 
+    def _send_era(self) -> None:
+        """Sends all followers the keys of a new era of the store."""
+        self._sent_era = self._replica.era
+        self._sent_revision = self._replica.revision
+        self._unsent_changes.clear()
+        self._replica.pop_jump()
+        self._broadcast(feed_messages.encode_message(self._build_whole()))
+
     def send_keepalive(self) -> None:
         """Sends all followers the revision and the age of the replica."""
         age_seconds = self._loop.time() - self._find_synced_at()
         message = feed_messages.Pulse(
-            self._replica.revision, min(age_seconds, MAX_AGE_SECONDS)
+            self._replica.revision,
+            min(age_seconds, MAX_AGE_SECONDS),
+            self._replica.era,
         )
         self._broadcast(feed_messages.encode_message(message))
 
@@ -141,7 +166,7 @@
             log.info("follower joined", follower=message.vm)
             writer.write(
                 feed_messages.encode_message(
-                    self._build_first_message(message.revision)
+                    self._build_first_message(message.revision, message.era)
                 )
             )
             self.subscribers[writer] = message.vm
@@ -154,28 +179,40 @@
             self.subscribers.pop(writer, None)
             writer.transport.abort()
 
-    def _build_first_message(self, revision: int) -> feed_messages.Items:
+    def _build_first_message(
+        self, revision: int, era: int = 0
+    ) -> feed_messages.Items:
         """Returns the first message for a follower.
 
         The message holds the changes after the revision of the follower, or all
-        keys if some of these changes are not stored any more.
+        keys if some of these changes are not stored any more or the follower
+        has another era.
 
         Args:
             revision: Revision up to which the follower has all changes.
+            era: Era of that revision.
         """
-        current_revision = self._replica.revision
         # Sends pending changes to the other followers first, so that all
         # followers continue from the revision of this message.
         self.send_changes()
-        if (
-            max(self._last_dropped_revision, self._replica.snapshot_revision)
-            <= revision
+        if era == self._replica.era and revision >= max(
+            self._last_dropped_revision, self._replica.snapshot_revision
         ):
             changes = [i for i in self._recent_changes if i.revision > revision]
             return feed_messages.Items(
-                current_revision, feed_messages.encode_items(changes), False
+                self._replica.revision,
+                feed_messages.encode_items(changes),
+                False,
+                era=era,
             )
-        items = list(self._replica.items.values())
+        return self._build_whole()
+
+    def _build_whole(self) -> feed_messages.Items:
+        """Returns a message with all keys."""
         return feed_messages.Items(
-            current_revision, feed_messages.encode_items(items), True
+            self._replica.revision,
+            feed_messages.encode_items(list(self._replica.items.values())),
+            True,
+            era=self._replica.era,
+            restored_revision=self._replica.restored_revision,
         )
--- a/wigeonspool/vm/metrics.py
+++ b/wigeonspool/vm/metrics.py
@@ -84,6 +84,10 @@
     "wigeonspool_vm_unreadable_items_total",
     "Items of the store that could not be decoded.",
 )
+STORE_ERA: Final = aioprometheus.Gauge(
+    "wigeonspool_vm_store_era",
+    "Era of the store; increases when it is restored, 0 without eras.",
+)
 VERSION: Final = aioprometheus.Gauge(
     "wigeonspool_vm_configuration_version",
     "Version of the configuration in force; 0 before the first.",
@@ -212,6 +216,7 @@
         STORE_CALLS.set({}, self._store.calls)
         STORE_FAILURES.set({}, self._store.failures)
         UNREADABLE_ITEMS.set({}, self._replica.unreadable_items)
+        STORE_ERA.set({}, self._replica.era)
         FOLLOWERS.set({}, len(self._feeder.subscribers))
         VMS.set({}, len(self._cluster.vms))
         configuration = self._cluster.configuration
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -93,7 +93,9 @@
         self._settings_file = settings_file.SettingsFile(path)
         self._writer = writer
         self._listeners = listeners or listen_sockets.ListenSockets()
-        self._cluster = cluster_state.ClusterState()
+        self._cluster = cluster_state.ClusterState(
+            max(vm_registration.LEASE_SECONDS, settings.min_lease_seconds)
+        )
         self._http_runners: list[web.ServerRunner] = []
         self._close_by = math.inf
         self._utilization = 0.0
@@ -188,6 +190,8 @@
             self._follower.cancel_watch,
             settings.min_lease_seconds,
         )
+        self._store.on_new_era = self._handle_newer_era
+        self._replica.on_new_era = self._handle_era_begin
         self._channel_pool = channels.ChannelPool(loop)
         vm_locality = locality.VmLocality(
             settings.zone, settings.region, settings.regions
@@ -308,6 +312,16 @@
             ready=self._address_service.is_ready(),
         )
 
+    def _handle_newer_era(self, era: int) -> None:
+        """Handles the first reply of the store with a newer era."""
+        self._follower.require_era(era)
+        self._registration.require_era(era)
+
+    def _handle_era_begin(self, era: int) -> None:
+        """Handles a newer era whose state is applied next."""
+        self._registration.require_era(era)
+        self._suspect_writer.begin_era()
+
     def _handle_change(self, item: key_values.KeyValue) -> None:
         """Handles a change of the cluster state.
 
@@ -366,6 +380,8 @@
         That is the case if other VMs follow this one, if no feeder keeps it up
         to date, or if it is the feeder of its region.
         """
+        if self._follower.is_behind():
+            return True
         if self._feeder.subscribers or not self._feed_client.is_fresh():
             return True
         return self._is_region_feeder()
@@ -392,7 +408,9 @@
         lease = self._cluster.leases.get(self._own_entry.name, 0)
         self._adopt_reports(lease)
         self.add_future(
-            self._registration.keep_registered(previous_entry, lease)
+            self._registration.keep_registered(
+                previous_entry, lease, self._replica.era
+            )
         )
         self.add_future(self._repeat(self._suspect_writer.write_due))
         feeder_wait_seconds = (
@@ -447,9 +465,9 @@
         """Runs the periodic work once.
 
         It detects pauses of this process, sends changes, keepalives and pings
-        to other VMs, removes expired targets and idle connections, updates the
-        share of the retry slack, logs the use of the retry budget, and measures
-        the utilization.
+        to other VMs, removes expired targets and VMs and idle connections,
+        updates the share of the retry slack, logs the use of the retry budget,
+        and measures the utilization.
         """
         await asyncio.sleep(TICK_SECONDS)
         if self._pause_monitor.tick(time.monotonic()):
@@ -459,6 +477,8 @@
         self._slack_share.update()
         for identity in self._cluster.remove_expired_targets(now):
             state_log.info("target did not come back", target=identity)
+        for name in self._cluster.remove_unconfirmed_vms(now):
+            state_log.info("VM did not register again", vm=name)
         if now >= self._next_keepalive_at:
             self._next_keepalive_at = now + feed_server.KEEPALIVE_SECONDS
             self._feeder.send_keepalive()
--- a/wigeonspool/vm/store_follower.py
+++ b/wigeonspool/vm/store_follower.py
@@ -29,6 +29,12 @@
 REPORTED_MAX_BACKOFF_SECONDS: Final = 2.0
 # State that the store last confirmed longer ago than this may be out of date.
 STALE_SECONDS: Final = WATCH_SECONDS + 1.0
+# Reads of all keys that are tried when the era changes during each of them.
+MAX_READS: Final = 4
+# A newer era that was seen in a renewal or a write usually arrives from the
+# feeder within this time, which saves a read of all keys.
+ERA_FEED_SECONDS: Final = 0.6
+OLDER_ERA_PROBLEM: Final = "the reply has an older era"
 # Longest description of an unexpected error in the log.
 MAX_REASON_CHARS: Final = 300
 
@@ -64,13 +70,20 @@
     not newer than that is no news, also if its key was removed meanwhile. The
     same holds for the revision of each range that was read.
 
+    All of this holds within one era of the store. A newer era begins with all
+    of its keys; anything of an older era is rejected.
+
     Attributes:
+        era: Era of the store that the replica reflects.
+        restored_revision: Revision at which the first state of the era was
+            read.
         items: Latest item of each key that exists.
         revision: Revision of the store up to which all changes are applied.
         newest_revision: Newest revision of which anything is applied.
         snapshot_revision: Revision of the newest state that was applied as a
             whole, without the single changes up to then.
         unreadable_items: Number of items whose value could not be decoded.
+        on_new_era: Called with a newer era before its first state is applied.
         on_known: Called with each change that a range showed already; followers
             that did not get that range need the change.
     """
@@ -90,10 +103,13 @@
             on_change: Called with each item that changed the cluster state.
         """
         self.items: dict[str, key_values.KeyValue] = {}
+        self.era = 0
+        self.restored_revision = 0
         self.revision = 0
         self.newest_revision = 0
         self.snapshot_revision = 0
         self.unreadable_items = 0
+        self.on_new_era: Callable[[int], None] = lambda era: None
         self.on_known: Callable[[key_values.KeyValue], None] = lambda item: None
         self._jumped_from: int | None = None
         # Ranges and removals that are newer than `revision`.
@@ -110,12 +126,29 @@
         Args:
             page: Keys that differ from the current state or an older one, and
                 the revision of the new state.
+
+        Raises:
+            EraChangedError: As `apply_page`.
         """
-        self._record_jump(page.revision)
+        if self._is_of_older_era(page.era, page.revision):
+            return
+        if page.era == self.era:
+            self._record_jump(page.revision)
         self.apply_page(page)
 
     def apply_page(self, page: key_values.Page) -> None:
-        """Applies changes and advances the revision to that of the page."""
+        """Applies changes and advances the revision to that of the page.
+
+        A page of an older era is ignored.
+
+        Raises:
+            EraChangedError: If the page has a newer era. Changes do not begin
+                an era, since they lack the keys that were not changed.
+        """
+        if self._is_of_older_era(page.era, page.revision):
+            return
+        if page.era > self.era:
+            raise errors.EraChangedError(self.era, page.era)
         for item in page.items:
             if self.revision < item.revision <= self._find_known(item.key):
                 self.on_known(item)
@@ -124,7 +157,11 @@
         self._advance(page.revision)
 
     def apply_snapshot(
-        self, items: list[key_values.KeyValue], revision: int
+        self,
+        items: list[key_values.KeyValue],
+        revision: int,
+        era: int = 0,
+        restored_revision: int | None = None,
     ) -> None:
         """Applies all keys of the store and removes keys that are missing.
 
@@ -134,27 +171,94 @@
         Args:
             items: All keys.
             revision: Revision of the store that the items reflect.
+            era: Era of the store that the items reflect.
+            restored_revision: As in `apply_ranges`.
         """
-        page = key_values.Page(tuple(items), revision)
-        self.apply_ranges([KeyRange("", None, page)])
+        page = key_values.Page(tuple(items), revision, era=era)
+        self.apply_ranges([KeyRange("", None, page)], restored_revision)
 
-    def apply_ranges(self, ranges: list[KeyRange]) -> None:
+    def apply_ranges(
+        self, ranges: list[KeyRange], restored_revision: int | None = None
+    ) -> None:
         """Applies all keys of the store, read in ranges of different ages.
 
-        Changes after the oldest range must follow by `apply_page`.
+        Changes after the oldest range must follow by `apply_page`. Ranges of a
+        newer era begin that era; ranges of an older one are ignored.
 
         Args:
-            ranges: Ranges that cover all keys.
+            ranges: Ranges that cover all keys, of one era.
+            restored_revision: Revision at which the first state of the era was
+                read, or None for the revision of the oldest range. Later items
+                were written in the new era.
+
+        Raises:
+            EraChangedError: If the ranges have different eras.
         """
-        for key_range in ranges:
-            self._apply_range(key_range)
+        eras = {key_range.page.era for key_range in ranges}
+        if len(eras) > 1:
+            raise errors.EraChangedError(min(eras), max(eras))
+        (era,) = eras
         oldest = min(key_range.page.revision for key_range in ranges)
         newest = max(key_range.page.revision for key_range in ranges)
+        if self._is_of_older_era(era, oldest):
+            return
+        begins_era = era > self.era
+        if begins_era:
+            if restored_revision is None:
+                restored_revision = oldest
+            self._begin_era(era, restored_revision)
+        try:
+            for key_range in ranges:
+                self._apply_range(key_range)
+        finally:
+            if begins_era:
+                self._cluster.end_restored_state()
         self._record_jump(newest)
         self.newest_revision = max(self.newest_revision, newest)
         self._newer_ranges += ranges
         self._advance(oldest)
 
+    def is_empty(self) -> bool:
+        """Returns True if nothing was applied yet."""
+        return not self.newest_revision and not self.items
+
+    def _is_of_older_era(self, era: int, revision: int) -> bool:
+        """Returns True if a state has an older era, and logs that."""
+        if era >= self.era:
+            return False
+        log.info(
+            "older era rejected", era=era, revision=revision, current=self.era
+        )
+        return True
+
+    def _begin_era(self, era: int, restored_revision: int) -> None:
+        """Begins a newer era; all its keys must be applied next.
+
+        Keys stay until then, so that those which the new era lacks are removed
+        one by one.
+
+        Args:
+            era: The new era.
+            restored_revision: As in `apply_ranges`.
+        """
+        log.info(
+            "new era",
+            old=self.era,
+            era=era,
+            old_revision=self.revision,
+            revision=restored_revision,
+        )
+        self.on_new_era(era)
+        self.era = era
+        self.restored_revision = restored_revision
+        self.revision = self.newest_revision = self.snapshot_revision = 0
+        self._jumped_from = None
+        self._newer_ranges.clear()
+        self._newer_removals.clear()
+        for key, item in self.items.items():
+            self.items[key] = dataclasses.replace(item, revision=0)
+        self._cluster.begin_era(self._loop.time(), restored_revision)
+
     def _record_jump(self, revision: int) -> None:
         """Records that changes up to a revision were not received one by one.
 
@@ -303,6 +407,9 @@
         self._backoff_seconds = MIN_BACKOFF_SECONDS
         self._max_backoff_seconds = MAX_BACKOFF_SECONDS
         self._loaded = False
+        # Newest era that a reply had, and the time of that reply.
+        self._required_era = 0
+        self._required_at = float("-inf")
         self._watch_task: asyncio.Task[key_values.Page] | None = None
         self.synced_at = float("-inf")
 
@@ -315,27 +422,84 @@
         Raises:
             StoreError: If the store could not serve the calls.
         """
+        for _ in range(MAX_READS):
+            try:
+                ranges = await self._read_all(stale)
+            except errors.EraChangedError as error:
+                # The store was restored between two pages.
+                self._failures.record(error)
+                stale = False
+                continue
+            era = ranges[0].page.era
+            if not stale or self._is_acceptable(era):
+                break
+            # A newer era begins with a state that is not older than the
+            # restore.
+            log.info("stale state rejected", era=era, current=self._replica.era)
+            stale = False
+        else:
+            raise errors.StoreUnavailableError("range", "the era changes")
+        if era < self._required_era:
+            raise errors.StoreUnavailableError("range", OLDER_ERA_PROBLEM)
+        log.info(
+            "all keys read",
+            revisions=[key_range.page.revision for key_range in ranges],
+            replica=self._replica.revision,
+            stale=stale,
+        )
+        self._replica.apply_ranges(ranges)
+        self._loaded = True
+
+    def _is_acceptable(self, era: int) -> bool:
+        """Returns True if a stale state of an era can be applied."""
+        if era < self._required_era:
+            return False
+        return era == self._replica.era or self._replica.is_empty()
+
+    async def _read_all(self, stale: bool) -> list[KeyRange]:
+        """Returns all keys of one era.
+
+        Raises:
+            EraChangedError: If the pages have different eras.
+            StoreError: If the store could not serve the calls.
+        """
         ranges: list[KeyRange] = []
         after = ""
         while True:
             page = await self._source.read_range(ALL_KEYS_PREFIX, after, stale)
+            if ranges and page.era != ranges[0].page.era:
+                raise errors.EraChangedError(ranges[0].page.era, page.era)
             if not page.more:
                 ranges.append(KeyRange(after, None, page))
-                break
+                return ranges
             keys = [*(i.key for i in page.items), *page.unreadable_keys]
             last_key = max(keys, default="")
             if last_key <= after:
                 raise errors.StoreReplyError("range", "pages do not advance")
             ranges.append(KeyRange(after, last_key, page))
             after = last_key
-        log.info(
-            "all keys read",
-            revisions=[key_range.page.revision for key_range in ranges],
-            replica=self._replica.revision,
-            stale=stale,
+
+    def require_era(self, era: int) -> None:
+        """Reads all keys next unless the replica reaches an era before.
+
+        A waiting watch of an older era is cancelled.
+
+        Args:
+            era: An era that a reply of the store had.
+        """
+        if era <= max(self._required_era, self._replica.era):
+            return
+        self._required_era = era
+        self._required_at = self._loop.time()
+        self.cancel_watch()
+
+    def is_behind(self) -> bool:
+        """Returns True if no feeder brought a newer era in time."""
+        waited_seconds = self._loop.time() - self._required_at
+        return (
+            self._required_era > self._replica.era
+            and waited_seconds >= ERA_FEED_SECONDS
         )
-        self._replica.apply_ranges(ranges)
-        self._loaded = True
 
     def is_failing(self) -> bool:
         """Returns True if the latest call failed."""
@@ -375,9 +539,24 @@
         try:
             if not self._loaded:
                 await self.load(stale=True)
+            elif self._required_era > self._replica.era:
+                await self.load(stale=False)
+            era = self._replica.era
             page = await self._watch(watch_seconds)
-        except errors.HistoryExpiredError as error:
+            # A newer era must not continue from a revision of an older one,
+            # even if the store has that number.
+            if page.era > era:
+                raise errors.EraChangedError(era, page.era)
+            if page.era < era:
+                raise errors.StoreUnavailableError("watch", OLDER_ERA_PROBLEM)
+        except (errors.HistoryExpiredError, errors.EraChangedError) as error:
             self._failures.record(error)
+            if (
+                isinstance(error, errors.EraChangedError)
+                and error.era <= self._replica.era
+            ):
+                # A feeder brought the newer era meanwhile.
+                return
             await self._reload()
             return
         except Exception as error:
@@ -386,6 +565,9 @@
             await self._record_failure(error)
             return
         self._record_success()
+        if self._replica.era != era:
+            # A feeder brought a newer era during the watch.
+            return
         self._replica.apply_page(page)
         if page.items:
             elapsed_seconds = self._loop.time() - started_at
@@ -395,9 +577,11 @@
         """Returns the next changes.
 
         Raises:
+            EraChangedError: If a newer era was required meanwhile.
             StoreError: If the store could not serve the call, or if
                 `cancel_watch` was called meanwhile.
         """
+        era = self._replica.era
         call = self._source.watch(
             ALL_KEYS_PREFIX, self._replica.revision, seconds
         )
@@ -409,6 +593,8 @@
             self._watch_task = None
             watch_task.cancel()
         if watch_task.cancelled():
+            if self._required_era > era:
+                raise errors.EraChangedError(era, self._required_era)
             raise errors.StoreUnavailableError("watch", "store is unreachable")
         return watch_task.result()
 
@@ -418,7 +604,10 @@
             self._watch_task.cancel()
 
     async def _reload(self) -> None:
-        """Reads all keys again, after the store discarded needed changes."""
+        """Reads all keys again.
+
+        The store discarded changes that are needed, or began a new era.
+        """
         try:
             await self.load(stale=False)
         except Exception as error:
--- a/wigeonspool/vm/suspect_writer.py
+++ b/wigeonspool/vm/suspect_writer.py
@@ -72,6 +72,11 @@
         """Takes over a report that an earlier process of this VM wrote."""
         self._reports.adopt(self._loop.time(), subject)
 
+    def begin_era(self) -> None:
+        """Writes the reports of this VM again, since the store is restored."""
+        self._reports.begin_era(self._loop.time())
+        self._changed.set()
+
     async def write_due(self) -> None:
         """Waits until reports are due and writes them with one call.
 
--- a/wigeonspool/vm/vm_registration.py
+++ b/wigeonspool/vm/vm_registration.py
@@ -9,6 +9,8 @@
 from wigeonspool.gateway import pauses
 from wigeonspool.model import errors
 from wigeonspool.model import fleet
+from wigeonspool.model import key_values
+from wigeonspool.vm import structured_log
 
 # Other VMs detect an unresponsive VM by pings. The lease only removes the
 # entries of VMs that have stopped for good.
@@ -24,24 +26,33 @@
 # A slow store takes a quarter of a second to reply.
 RENEW_TIMEOUT_SECONDS: Final = 0.6
 
+log = structured_log.get_logger("store")
+
 
 class LeaseStore(Protocol):
     """The store calls that a registration needs."""
 
-    async def grant(self, seconds: float) -> int:
+    async def grant(self, seconds: float) -> key_values.GrantedLease:
         """Returns a new lease that lasts some seconds."""
 
-    async def renew(self, lease: int, seconds: float) -> None:
-        """Renews a lease; waits some seconds for the reply of the store."""
+    async def renew(self, lease: int, seconds: float) -> int:
+        """Renews a lease; returns the era of the store.
+
+        Waits some seconds for the reply of the store.
+        """
 
     async def write_all(
         self, values: Mapping[str, bytes | None], lease: int = 0
-    ) -> int:
-        """Writes keys under a lease, or removes them; returns the revision."""
+    ) -> key_values.WriteResult:
+        """Writes keys under a lease, or removes them."""
 
 
 class VmRegistration:
-    """Writes the entry of this VM to the store and renews its lease."""
+    """Writes the entry of this VM to the store and renews its lease.
+
+    A lease belongs to the era of the store in which it was granted. After a
+    restore its ID may belong to another VM, so it is not used in a newer era.
+    """
 
     def __init__(
         self,
@@ -78,6 +89,9 @@
         self._on_store_lost = on_store_lost
         self._lease_seconds = max(LEASE_SECONDS, min_lease_seconds)
         self._lease = 0
+        self._lease_era = 0
+        # Newest era of the store that is known.
+        self._required_era = 0
         self._renew_at = 0.0
         self._failures = failure_logs.FailureLog("registration")
 
@@ -107,15 +121,26 @@
             Store revision that wrote them.
 
         Raises:
+            EraChangedError: If the store began a new era. The keys may have
+                been written under a lease of another VM.
             StoreError: If this VM is not registered, or the store could not
                 serve the call.
         """
         if not self._lease:
             raise errors.StoreUnavailableError("write", "VM is not registered")
-        return await self._store.write_all(values, self._lease)
+        era = self._lease_era
+        written = await self._store.write_all(values, self._lease)
+        self.require_era(written.era)
+        _check_era(era, written.era)
+        if self._required_era > era:
+            raise errors.EraChangedError(era, self._required_era)
+        return written.revision
 
     async def keep_registered(
-        self, previous_entry: fleet.VmEntry | None, lease: int
+        self,
+        previous_entry: fleet.VmEntry | None,
+        lease: int,
+        era: int = 0,
     ) -> None:
         """Registers this VM and renews its lease until it is cancelled.
 
@@ -123,9 +148,11 @@
             previous_entry: Entry of an earlier incarnation of this VM, or None.
                 If it is equal to the current entry, its lease is reused.
             lease: Lease of the previous entry.
+            era: Era of the store in which the previous entry was read.
         """
-        if previous_entry == self._entry:
+        if previous_entry == self._entry and era >= self._required_era:
             self._lease = lease
+            self._lease_era = era
         loop = asyncio.get_running_loop()
         while True:
             if loop.time() >= self._renew_at or self._is_active_feeder():
@@ -139,8 +166,24 @@
         self._end_registration()
         self._renew_at = 0.0
 
+    def require_era(self, era: int) -> None:
+        """Registers this VM again if its lease is of an older era.
+
+        Args:
+            era: An era that the store had.
+        """
+        self._required_era = max(era, self._required_era)
+        if self._lease and era > self._lease_era:
+            log.info(
+                "registration of an older era",
+                lease=self._lease,
+                old=self._lease_era,
+                era=era,
+            )
+            self.register_again()
+
     def _end_registration(self) -> None:
-        """Drops the lease, which the store has ended."""
+        """Drops the lease, which has ended or belongs to an older era."""
         self._lease = 0
         self._lease_end = -math.inf
 
@@ -148,7 +191,7 @@
         """Renews the registration; returns the seconds to the next renewal."""
         try:
             await self._renew_or_register()
-        except errors.LeaseEndedError as error:
+        except (errors.LeaseEndedError, errors.EraChangedError) as error:
             self._failures.record(error)
             self._end_registration()
             return 0.0
@@ -166,17 +209,39 @@
 
         Raises:
             LeaseEndedError: If the lease has expired.
+            EraChangedError: If the lease was granted in an older era.
             StoreError: If the store could not serve a call.
         """
         # The lease begins when the call reaches the store.
         lease_end = asyncio.get_running_loop().time() + self._lease_seconds
         suspended_seconds = self._find_suspended_seconds()
         if self._lease:
-            await self._store.renew(self._lease, RENEW_TIMEOUT_SECONDS)
+            lease, lease_era = self._lease, self._lease_era
+            era = await self._store.renew(lease, RENEW_TIMEOUT_SECONDS)
+            self.require_era(era)
+            _check_era(lease_era, era)
+            if (self._lease, self._lease_era) != (lease, lease_era):
+                # It was dropped during the call.
+                return
         else:
-            lease = await self._store.grant(self._lease_seconds)
+            granted = await self._store.grant(self._lease_seconds)
             key, value = self._encode_entry(self._entry)
-            await self._store.write_all({key: value}, lease)
-            self._lease = lease
+            written = await self._store.write_all({key: value}, granted.lease)
+            self.require_era(written.era)
+            _check_era(granted.era, written.era)
+            if self._required_era > granted.era:
+                raise errors.EraChangedError(granted.era, self._required_era)
+            self._lease, self._lease_era = granted.lease, granted.era
         self._lease_end = lease_end
         self._suspended_seconds = suspended_seconds
+
+
+def _check_era(lease_era: int, era: int) -> None:
+    """Checks that a reply has the era in which a lease was granted.
+
+    Raises:
+        EraChangedError: If it has another era; an older one is a reply of a
+            store that does not hold the lease.
+    """
+    if era != lease_era:
+        raise errors.EraChangedError(lease_era, era)
