Call the store by a small HTTP client of our own

The session of the HTTP library loads cookies, redirects, proxies, web sockets and TLS contexts at each start of an entry VM, 36 ms of processor time. The new client uses the parser, writer and connection protocol that requests to targets use already. Methods that may be resent are sent again once if a kept connection turned out to be closed, as before. Sockets move to a module of their own, so that an entry VM does not load the connectors of the gateway.

--- a/wigeonspool/gateway/connections.py
+++ b/wigeonspool/gateway/connections.py
@@ -7,11 +7,7 @@
 
 import asyncio
 import dataclasses
-import fcntl
 import functools
-import socket
-import struct
-import termios
 from typing import Any, Final
 import weakref
 
@@ -22,6 +18,7 @@
 from wigeonspool.gateway import connection_health
 from wigeonspool.gateway import parse_queue
 from wigeonspool.gateway import response_protocol
+from wigeonspool.gateway import sockets
 
 KEEPALIVE_IDLE_SECONDS: Final = 15.0
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
@@ -29,12 +26,6 @@
     total=None, sock_connect=CONNECT_TIMEOUT_SECONDS
 )
 MAX_CACHED_PEERS: Final = 1024
-# The kernel closes a connection whose peer acknowledges nothing for this long.
-TCP_USER_TIMEOUT_MS: Final = 1000
-TCP_KEEPALIVE_IDLE_SECONDS: Final = 1
-TCP_KEEPALIVE_INTERVAL_SECONDS: Final = 1
-# The form in which the kernel returns a number of bytes.
-C_INT: Final = struct.Struct("i")
 
 
 @dataclasses.dataclass(slots=True)
@@ -61,29 +52,6 @@
             self.timer.cancel()
 
 
-def open_socket(address: Any) -> socket.socket:
-    """Returns a socket that fails if its peer stops acknowledging data."""
-    family, kind, protocol, _, _ = address
-    sock = socket.socket(family, kind, protocol)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, TCP_KEEPALIVE_IDLE_SECONDS),
-        (socket.TCP_KEEPINTVL, TCP_KEEPALIVE_INTERVAL_SECONDS),
-        (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
-    ):
-        sock.setsockopt(socket.IPPROTO_TCP, option, value)
-    return sock
-
-
-def count_unread_bytes(transport: asyncio.Transport | None) -> int:
-    """Returns how many bytes the kernel holds that were not read yet."""
-    sock = None if transport is None else transport.get_extra_info("socket")
-    if sock is None:
-        return 0
-    count = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(C_INT.size))
-    return int(C_INT.unpack(count)[0])
-
-
 class TargetConnector(aiohttp.TCPConnector):
     """A connector that reuses connections as `ReusePolicy` allows."""
 
@@ -98,14 +66,14 @@
                 limit=0,
                 keepalive_timeout=KEEPALIVE_IDLE_SECONDS,
                 ttl_dns_cache=None,
-                socket_factory=open_socket,
+                socket_factory=sockets.open_socket,
             )
         else:
             super().__init__(
                 limit=0,
                 force_close=True,
                 ttl_dns_cache=None,
-                socket_factory=open_socket,
+                socket_factory=sockets.open_socket,
             )
         self._factory = functools.partial(
             _create_protocol,
@@ -178,7 +146,7 @@
     protocol = connection.protocol
     if protocol is None or protocol.should_close:
         return True
-    return count_unread_bytes(connection.transport) > 0
+    return sockets.count_unread_bytes(connection.transport) > 0
 
 
 def _create_protocol(
--- a/wigeonspool/gateway/exchanges.py
+++ b/wigeonspool/gateway/exchanges.py
@@ -160,6 +160,7 @@
     fields: CIMultiDict[str],
     body: Body,
     accept: ResponseFilter = lambda message: True,
+    auto_decompress: bool = False,
 ) -> TargetResponse:
     """Sends a request and waits for the head of its response.
 
@@ -171,6 +172,7 @@
         body: Complete body, a stream, or None.
         accept: Returns True if a response belongs to this request; other
             responses are read and dropped.
+        auto_decompress: True to decode the body's Content-Encoding.
 
     Raises:
         aiohttp.ClientError: If the connection ended or the response is not
@@ -182,7 +184,7 @@
     protocol.set_response_params(
         skip_payload=method == HEAD,
         read_until_eof=True,
-        auto_decompress=False,
+        auto_decompress=auto_decompress,
     )
     body_task: asyncio.Task[None] | None = None
     try:
--- a/wigeonspool/platform/metadata_store.py
+++ b/wigeonspool/platform/metadata_store.py
@@ -11,7 +11,8 @@
 import aiohttp
 import msgspec
 
-from wigeonspool.gateway import connections
+from wigeonspool.gateway import exchanges
+from wigeonspool.gateway import http_client
 from wigeonspool.model import errors
 from wigeonspool.model import key_values
 from wigeonspool.platform import duration_text
@@ -87,15 +88,7 @@
         self.calls = 0
         self.failures = 0
         self._url = f"http://{address}"
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0,
-                ttl_dns_cache=None,
-                keepalive_timeout=5.0,
-                socket_factory=connections.open_socket,
-            ),
-            cookie_jar=aiohttp.DummyCookieJar(),
-        )
+        self._session = http_client.HttpClient()
 
     def set_address(self, address: str) -> None:
         """Sends further calls to a store at another host:port."""
@@ -317,7 +310,6 @@
         self.calls += 1
         body = None if document is None else msgspec.json.encode(document)
         fields = {"Content-Type": "application/json"} if body else None
-        timeout = aiohttp.ClientTimeout(total=timeout_seconds, sock_connect=1.0)
         try:
             async with self._session.request(
                 method,
@@ -325,8 +317,7 @@
                 params=query,
                 data=body,
                 headers=fields,
-                timeout=timeout,
-                allow_redirects=False,
+                timeout_seconds=timeout_seconds,
             ) as response:
                 response_body = await _read_body(response, path)
                 status = response.status
@@ -342,7 +333,7 @@
         return status, response_body
 
 
-async def _read_body(response: aiohttp.ClientResponse, path: str) -> bytes:
+async def _read_body(response: exchanges.TargetResponse, path: str) -> bytes:
     """Returns the body of a reply.
 
     Raises:
--- a/wigeonspool/vm/channels.py
+++ b/wigeonspool/vm/channels.py
@@ -11,9 +11,9 @@
 from typing import Any, Final
 
 from wigeonspool.core import connection_limits
-from wigeonspool.gateway import connections
 from wigeonspool.gateway import parse_queue
 from wigeonspool.gateway import response_protocol
+from wigeonspool.gateway import sockets
 from wigeonspool.model import addresses
 from wigeonspool.model import errors
 from wigeonspool.vm import structured_log
@@ -67,7 +67,7 @@
         """
         if not self.is_connected() or self.should_close:
             return False
-        if connections.count_unread_bytes(self.transport):
+        if sockets.count_unread_bytes(self.transport):
             return False
         self.response_due = True
         return True
@@ -222,7 +222,7 @@
         except errors.AddressInvalidError:
             self.connect_failures += 1
             raise
-        tcp_socket = connections.open_socket(
+        tcp_socket = sockets.open_socket(
             (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", None)
         )
         tcp_socket.setblocking(False)
