Load less at the start of an entry VM

A start took 431 ms of processor time until the first request was served (411 to 478, median of 7, on a busy machine), nearly all of it for loading 541 modules. - The VM runs its tasks by vm/task_service.py and its ports by vm/http_port.py; the library mode and the web applications of the HTTP library stay unloaded. - Component loggers write to the sink of the process; loguru is loaded only where there is none. - Metrics are loaded at the first scrape; durations are counted before that. - deferred_packages.py loads the parts of aiohttp and attr that are used. The test of the page of metrics loads the module of the metrics, since the service no longer does.

--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -51,9 +51,8 @@
 class TestDocumentation:
     @pytest.mark.parametrize("component", ["agent", "gateway", "vm"])
     def test_page_lists_the_exported_metrics(self, component: str) -> None:
-        # The command of a VM loads its service, which registers the metrics,
-        # only after its ports are open.
-        module = "service" if component == "vm" else "main"
+        # The process of a VM loads its metrics only at the first scrape.
+        module = "metrics" if component == "vm" else "main"
         exported = list_exported(f"wigeonspool.{component}.{module}")
         assert exported
         assert list_documented(f"wigeonspool_{component}_") == exported
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -10,6 +10,7 @@
 import pytest
 
 from wigeonspool import process
+from wigeonspool import service_runner
 
 
 class CrashingService(process.DrainableService):
@@ -44,7 +45,7 @@
         lines: list[Any] = []
         handler = loguru.logger.add(lines.append, level="ERROR")
         try:
-            process.run_service(service())
+            service_runner.run_service(service())
         finally:
             loguru.logger.remove(handler)
             asyncio.set_event_loop(None)
@@ -58,7 +59,7 @@
         with pytest.raises(SystemExit) as caught:
             self.run(CrashingService)
         loguru.logger.remove(handler)
-        assert caught.value.code == process.EXIT_CRASHED
+        assert caught.value.code == service_runner.EXIT_CRASHED
         assert any("too deep" in str(line) for line in lines)
 
     @pytest.mark.parametrize("service", [RunningService, EndingService])
--- a/tests/test_vm_lost_requests.py
+++ b/tests/test_vm_lost_requests.py
@@ -442,7 +442,7 @@
             target.service_ms = 1500
         host, _, port = vms.settings["vm-1"].callers.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
-        server = vm._caller_runner.server
+        server = vm._caller_port.server
         assert server is not None
         await fleet.wait_for(lambda: server.connections)
         protocol = server.connections[0]
@@ -493,7 +493,7 @@
         client.setblocking(False)
         loop = asyncio.get_running_loop()
         await loop.sock_connect(client, (host, int(port)))
-        server = vm._caller_runner.server
+        server = vm._caller_port.server
         assert server is not None
         await fleet.wait_for(lambda: server.connections)
         transport = server.connections[0].transport
--- a/wigeonspool/agent/main.py
+++ b/wigeonspool/agent/main.py
@@ -7,7 +7,7 @@
 import cyclopts
 
 from wigeonspool import logs
-from wigeonspool import process
+from wigeonspool import service_runner
 from wigeonspool.agent import service
 from wigeonspool.model import errors
 from wigeonspool.model import options
@@ -31,9 +31,9 @@
         chosen = options.read_options(settings)
     except errors.SettingsError as error:
         print(error, file=sys.stderr)
-        sys.exit(process.EXIT_INVALID_SETTINGS)
+        sys.exit(service_runner.EXIT_INVALID_SETTINGS)
     logs.configure_logs(f"agent {chosen.vm}", chosen.log)
-    process.run_service(service.AgentService(chosen))
+    service_runner.run_service(service.AgentService(chosen))
 
 
 def main() -> None:
--- a/wigeonspool/failure_logs.py
+++ b/wigeonspool/failure_logs.py
@@ -5,7 +5,9 @@
 and when they ended.
 """
 
-import loguru
+from wigeonspool import component_logs
+
+log = component_logs.get_logger()
 
 
 class FailureLog:
@@ -29,13 +31,11 @@
         text = f"{type(error).__name__}: {error}"
         if text not in self._logged_texts:
             self._logged_texts.add(text)
-            loguru.logger.info("{}: {}", self._subject, text)
+            log.info(f"{self._subject}: {text}")
 
     def record_recovery(self) -> None:
         """Logs the number of failures, if there were any, and forgets them."""
         if self._count:
-            loguru.logger.info(
-                "{}: back after {} failures", self._subject, self._count
-            )
+            log.info(f"{self._subject}: back after {self._count} failures")
             self._logged_texts.clear()
             self._count = 0
--- a/wigeonspool/gateway/main.py
+++ b/wigeonspool/gateway/main.py
@@ -7,7 +7,7 @@
 import cyclopts
 
 from wigeonspool import logs
-from wigeonspool import process
+from wigeonspool import service_runner
 from wigeonspool.gateway import service
 from wigeonspool.model import errors
 from wigeonspool.model import options
@@ -37,9 +37,9 @@
             )
     except errors.SettingsError as error:
         print(error, file=sys.stderr)
-        sys.exit(process.EXIT_INVALID_SETTINGS)
+        sys.exit(service_runner.EXIT_INVALID_SETTINGS)
     logs.configure_logs(f"gateway {parsed.vm}-{index}", parsed.log)
-    process.run_service(service.GatewayService(parsed, index))
+    service_runner.run_service(service.GatewayService(parsed, index))
 
 
 def main() -> None:
--- a/wigeonspool/gateway/streaming.py
+++ b/wigeonspool/gateway/streaming.py
@@ -8,8 +8,8 @@
 
 import aiohttp
 from aiohttp import web
-import loguru
 
+from wigeonspool import component_logs
 from wigeonspool.gateway import exchanges
 from wigeonspool.gateway import headers
 from wigeonspool.model import outcomes
@@ -19,6 +19,8 @@
 # SO_LINGER with a timeout of 0: closing the socket resets the connection.
 LINGER_RESET: Final = struct.pack("ii", 1, 0)
 
+log = component_logs.get_logger()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamedResponse:
@@ -72,9 +74,7 @@
     if failure is not None:
         source.close()
         reset_connection(request)
-        loguru.logger.warning(
-            "answer of {} broke off: {}", request_id, failure.reason
-        )
+        log.warning(f"answer of {request_id} broke off: {failure.reason}")
     return StreamedResponse(response, failure)
 
 
--- a/wigeonspool/vm/address_service.py
+++ b/wigeonspool/vm/address_service.py
@@ -5,7 +5,6 @@
 
 from aiohttp import web
 
-from wigeonspool import process
 from wigeonspool.core import cluster_state
 from wigeonspool.core import vm_assignment
 from wigeonspool.model import fleet
@@ -37,7 +36,9 @@
         liveness: peer_liveness.LivenessProtocol,
         protocol_adapter: protocols.AddressLookupAdapter,
         gate: startup_gate.StartupGate,
-        update_metrics: Callable[[], None] = lambda: None,
+        render_metrics: Callable[[web.BaseRequest], web.Response] = (
+            lambda _: web.Response(status=404)
+        ),
     ) -> None:
         """Creates the service.
 
@@ -48,7 +49,7 @@
             liveness: Pings other VMs.
             protocol_adapter: Protocol of the lookups.
             gate: Delays lookups until the first configuration is loaded.
-            update_metrics: Updates the metrics; called at each scrape.
+            render_metrics: Returns the metrics page.
         """
         self.draining = False
         self._settings = settings
@@ -57,7 +58,7 @@
         self._liveness = liveness
         self._protocol_adapter = protocol_adapter
         self._gate = gate
-        self._update_metrics = update_metrics
+        self._render_metrics = render_metrics
 
     def is_ready(self) -> bool:
         """Returns True if this VM can serve callers."""
@@ -66,7 +67,7 @@
     async def serve_readiness(self, request: web.BaseRequest) -> web.Response:
         """Serves the readiness check and the metrics page."""
         if request.path == METRICS_PATH:
-            return process.render_metrics(request, self._update_metrics)
+            return self._render_metrics(request)
         if request.path != self._protocol_adapter.ready_path:
             return web.Response(status=404)
         return web.Response(status=200 if self.is_ready() else 503)
--- a/wigeonspool/vm/main.py
+++ b/wigeonspool/vm/main.py
@@ -35,7 +35,10 @@
     """
     # Imported here, after the ports are open, because the imports take longer
     # than all other steps of a start.
-    from wigeonspool import process
+    from wigeonspool import deferred_packages
+
+    deferred_packages.defer()
+    from wigeonspool import service_runner
     from wigeonspool.model import errors
     from wigeonspool.platform import settings
     from wigeonspool.vm import service
@@ -46,9 +49,9 @@
         vm_settings = settings.read_settings(path)
     except errors.SettingsError as error:
         print(error, file=sys.stderr)
-        sys.exit(process.EXIT_INVALID_SETTINGS)
+        sys.exit(service_runner.EXIT_INVALID_SETTINGS)
     writer = structured_log.configure(vm_settings.vm)
-    process.run_service(
+    service_runner.run_service(
         service.VmService(vm_settings, path, writer, listeners), signals
     )
 
--- a/wigeonspool/vm/metrics.py
+++ b/wigeonspool/vm/metrics.py
@@ -1,15 +1,20 @@
 """The metrics of an entry VM, updated at each scrape."""
 
 import asyncio
+import itertools
 from typing import Final
 
+from aiohttp import web
 import aioprometheus
+from aioprometheus import histogram
 
+from wigeonspool import metrics_page
 from wigeonspool.core import cluster_state
 from wigeonspool.model import fleet
 from wigeonspool.model import key_values
 from wigeonspool.vm import caller_service
 from wigeonspool.vm import channels
+from wigeonspool.vm import durations
 from wigeonspool.vm import feed_server
 from wigeonspool.vm import pipelines
 from wigeonspool.vm import request_runner
@@ -17,19 +22,6 @@
 from wigeonspool.vm import structured_log
 from wigeonspool.vm import target_probes
 
-# Upper bounds of the histogram of durations, in seconds.
-DURATION_BUCKETS_SECONDS: Final = (
-    0.005,
-    0.025,
-    0.05,
-    0.1,
-    0.2,
-    0.4,
-    0.8,
-    1.6,
-    3.2,
-    10.0,
-)
 REQUESTS: Final = aioprometheus.Counter(
     "wigeonspool_vm_requests_total",
     "Requests that ended, by outcome and reason.",
@@ -40,7 +32,7 @@
 DURATIONS: Final = aioprometheus.Histogram(
     "wigeonspool_vm_request_duration_seconds",
     "Time from the head of an answered request to its answer, by service.",
-    buckets=DURATION_BUCKETS_SECONDS,
+    buckets=durations.BUCKETS_SECONDS,
 )
 HEALTH_CHECKS: Final = aioprometheus.Counter(
     "wigeonspool_vm_health_checks_total",
@@ -162,6 +154,7 @@
         replica: store_follower.StoreReplica,
         writer: structured_log.LineWriter | None,
         pipeline_use: pipelines.PipelineUse,
+        request_durations: durations.Durations,
     ) -> None:
         """Stores the components that are read at each update.
 
@@ -177,6 +170,7 @@
             writer: Writer of the log, or None if the log does not go to
                 standard output.
             pipeline_use: What the pipelined requests use.
+            request_durations: Durations of the answered requests.
         """
         self._service = service
         self._runner = runner
@@ -188,9 +182,19 @@
         self._replica = replica
         self._writer = writer
         self._pipeline_use = pipeline_use
+        self._durations = request_durations
+
+    def render(self, request: web.BaseRequest) -> web.Response:
+        """Returns the metrics page.
+
+        Args:
+            request: Request for the page.
+        """
+        return metrics_page.render_metrics(request, self.update)
 
     def update(self) -> None:
-        """Sets all metrics but the durations to their current values."""
+        """Sets all metrics to their current values."""
+        self._update_durations()
         for (outcome, reason), count in self._service.counts.items():
             REQUESTS.set({"outcome": outcome, "reason": reason}, count)
         RUNNING.set({}, self._service.in_flight)
@@ -225,6 +229,17 @@
         if self._writer is not None:
             DROPPED_LOG_LINES.set({}, self._writer.dropped_lines)
 
+    def _update_durations(self) -> None:
+        """Sets the histogram of the durations, by service."""
+        for service, observed in self._durations.services.items():
+            total = histogram.Histogram(*durations.BUCKETS_SECONDS)
+            cumulative = itertools.accumulate(observed.counts)
+            for bound, count in zip(total.buckets, cumulative, strict=True):
+                total.buckets[bound] = count
+            total.observations = sum(observed.counts)
+            total.sum = observed.total_seconds
+            DURATIONS.set_value({"service": service}, total)
+
     def _update_retries(self) -> None:
         """Sets what was used of the retry budget, by service."""
         budget = self._runner.retry_budget
@@ -266,8 +281,3 @@
         TARGET_NOTICES.set({"kind": "declined"}, counts.declined)
         TARGET_NOTICES.set({"kind": "ignored"}, counts.ignored)
         WITHHELD_ATTEMPTS.set({}, counts.withheld)
-
-
-def observe_duration(service: str, seconds: float) -> None:
-    """Adds a request with a target response to the histogram of its service."""
-    DURATIONS.observe({"service": service}, seconds)
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -15,10 +15,8 @@
 from typing import Final
 
 from aiohttp import web
-import mode
 
 from wigeonspool import listen_sockets
-from wigeonspool import process
 from wigeonspool.core import cluster_state
 from wigeonspool.core import connection_limits
 from wigeonspool.core import drain_policy
@@ -38,10 +36,11 @@
 from wigeonspool.vm import caller_server
 from wigeonspool.vm import caller_service
 from wigeonspool.vm import channels
+from wigeonspool.vm import durations
 from wigeonspool.vm import feed_client
 from wigeonspool.vm import feed_server
+from wigeonspool.vm import http_port
 from wigeonspool.vm import locality
-from wigeonspool.vm import metrics
 from wigeonspool.vm import peer_liveness
 from wigeonspool.vm import request_runner
 from wigeonspool.vm import retry_log
@@ -52,6 +51,7 @@
 from wigeonspool.vm import structured_log
 from wigeonspool.vm import suspect_writer
 from wigeonspool.vm import target_probes
+from wigeonspool.vm import task_service
 from wigeonspool.vm import vm_registration
 
 TICK_SECONDS: Final = 0.1
@@ -70,7 +70,7 @@
 state_log = structured_log.get_logger("knowledge")
 
 
-class VmService(process.DrainableService):
+class VmService(task_service.TaskService):
     """The process of one entry VM."""
 
     def __init__(
@@ -94,7 +94,10 @@
         self._writer = writer
         self._listeners = listeners or listen_sockets.ListenSockets()
         self._cluster = cluster_state.ClusterState()
-        self._http_runners: list[web.ServerRunner] = []
+        self._http_ports: list[http_port.HttpPort] = []
+        self._metrics_page: Callable[[web.BaseRequest], web.Response] | None
+        self._metrics_page = None
+        self._durations = durations.Durations()
         self._close_by = math.inf
         self._utilization = 0.0
         self._cpu_seconds = time.process_time()
@@ -116,13 +119,13 @@
         """
         self._build_components()
         # The first read of the store runs while the ports are opened.
-        self.add_future(self._follow_store())
+        self.add_task(self._follow_store())
         host, _, port = self._own_entry.peer_address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._liveness_transport, _ = await loop.create_datagram_endpoint(
             lambda: self._liveness, local_addr=(host, int(port))
         )
-        self._caller_runner = await self._serve(
+        self._caller_port = await self._serve(
             self._settings.callers,
             self._caller_server,
         )
@@ -131,13 +134,15 @@
             (self._settings.readiness, self._address_service.serve_readiness),
         ):
             server = web.Server(handler, access_log=None)
-            self._http_runners.append(await self._serve(address, server))
+            self._http_ports.append(await self._serve(address, server))
         for address, error in self._listeners.failures.items():
             log.warning("port was opened late", port=address, reason=str(error))
         self._listeners.close()
         await self._feeder.start(self._own_entry.peer_address)
-        self.add_future(self._run_feed_client())
-        self.add_future(self._clear_data_age())
+        self.add_task(self._run_feed_client())
+        self.add_task(self._clear_data_age())
+        self.add_task(self._run_ticks())
+        self.add_task(self._poll_settings())
         # Objects that exist now stay for the life of the process, so garbage
         # collections can skip them.
         gc.freeze()
@@ -150,14 +155,15 @@
 
     async def _serve(
         self, address: str, server: web.Server
-    ) -> web.ServerRunner:
+    ) -> http_port.HttpPort:
         """Starts an HTTP server, on the listen socket if that is open already.
 
         Raises:
             OSError: If the port cannot be opened.
         """
-        listen_socket = self._listeners.pop_socket(address)
-        return await process.serve_http(address, server, listen_socket)
+        port = http_port.HttpPort(server)
+        await port.open(address, self._listeners)
+        return port
 
     def _build_components(self) -> None:
         """Builds the components, which need the running event loop."""
@@ -236,20 +242,9 @@
             self._liveness,
             address_protocol.ADDRESS_PROTOCOL,
             self._startup_gate,
-            metrics.VmMetrics(
-                self._caller_service,
-                self._request_runner,
-                self._prober,
-                self._channel_pool,
-                self._cluster,
-                self._feeder,
-                self._store,
-                self._replica,
-                self._writer,
-                self._caller_server.pipeline_use,
-            ).update,
+            self._render_metrics,
         )
-        self._caller_service.on_answered = metrics.observe_duration
+        self._caller_service.on_answered = self._durations.observe
         self._suspect_writer = suspect_writer.SuspectWriter(
             suspect_reports.SuspectReports(
                 self._cluster.suspects,
@@ -265,6 +260,27 @@
             self._suspect_writer.add_answer
         )
 
+    def _render_metrics(self, request: web.BaseRequest) -> web.Response:
+        """Returns the metrics page; the first call loads its modules."""
+        # The metrics library is not needed before the first scrape.
+        from wigeonspool.vm import metrics
+
+        if self._metrics_page is None:
+            self._metrics_page = metrics.VmMetrics(
+                self._caller_service,
+                self._request_runner,
+                self._prober,
+                self._channel_pool,
+                self._cluster,
+                self._feeder,
+                self._store,
+                self._replica,
+                self._writer,
+                self._caller_server.pipeline_use,
+                self._durations,
+            ).render
+        return self._metrics_page(request)
+
     def _find_stored_report(
         self, subject: suspect_reports.Subject
     ) -> suspect_reports.StoredReport | None:
@@ -391,10 +407,8 @@
         previous_entry = self._cluster.vms.get(self._own_entry.name)
         lease = self._cluster.leases.get(self._own_entry.name, 0)
         self._adopt_reports(lease)
-        self.add_future(
-            self._registration.keep_registered(previous_entry, lease)
-        )
-        self.add_future(self._repeat(self._suspect_writer.write_due))
+        self.add_task(self._registration.keep_registered(previous_entry, lease))
+        self.add_task(self._repeat(self._suspect_writer.write_due))
         feeder_wait_seconds = (
             0.0 if self._is_region_feeder() else FEEDER_WAIT_SECONDS
         )
@@ -438,7 +452,6 @@
                 )
                 await asyncio.sleep(TICK_SECONDS)
 
-    @mode.Service.task
     async def _run_ticks(self) -> None:
         """Runs the periodic work for as long as the process runs."""
         await self._repeat(self._tick)
@@ -533,7 +546,6 @@
         self._store.set_address(settings.store)
         log.info("reloaded", store=settings.store, seeds=settings.seeds)
 
-    @mode.Service.task
     async def _poll_settings(self) -> None:
         """Reloads the settings file when it changes without a signal."""
         await self._repeat(self._check_settings)
@@ -561,7 +573,7 @@
         self._caller_service.begin_drain(schedule)
         log.info("stopping", in_flight=self._caller_service.in_flight)
         await asyncio.sleep(schedule.accept_until - loop.time())
-        await self._close_listener()
+        self._close_listener()
         while (
             loop.time() < schedule.finish_at
             and self._caller_server.has_busy_connections()
@@ -570,16 +582,13 @@
         self._caller_server.pre_shutdown()
         log.info("stopped", cut=self._caller_service.log_cut())
 
-    async def _close_listener(self) -> None:
+    def _close_listener(self) -> None:
         """Stops accepting new connections of callers."""
-        for site in list(self._caller_runner.sites):
-            await site.stop()
+        self._caller_port.stop_accepting()
 
     async def on_stop(self) -> None:
         """Closes the ports and connections."""
-        cleanups = [
-            r.cleanup() for r in (self._caller_runner, *self._http_runners)
-        ]
+        cleanups = [p.close() for p in (self._caller_port, *self._http_ports)]
         close_by = asyncio.get_running_loop().time() + CLOSE_TIMEOUT_SECONDS
         try:
             async with asyncio.timeout_at(min(close_by, self._close_by)):
--- a/wigeonspool/vm/structured_log.py
+++ b/wigeonspool/vm/structured_log.py
@@ -12,10 +12,9 @@
 import time
 from typing import Any, Final
 
-import loguru
 import msgspec
 
-from wigeonspool import logs
+from wigeonspool import component_logs
 
 # With 300 bytes per line this is below 1 Mbit/s.
 LINES_PER_SECOND: Final = 400.0
@@ -24,9 +23,11 @@
 # for other lines.
 ROUTINE_MIN_TOKENS: Final = BURST_LINES / 2
 # Fields that identify the source of a line; the other fields explain the event.
-PART_FIELD: Final = "part"
+PART_FIELD: Final = component_logs.PART_FIELD
 VM_FIELD: Final = "vm"
 
+library_log = component_logs.get_logger("process")
+
 
 class LineWriter:
     """Writes lines to a file descriptor without waiting for its reader.
@@ -116,6 +117,18 @@
     return msgspec.json.encode(line, enc_hook=str) + b"\n"
 
 
+class LibraryHandler(logging.Handler):
+    """Writes records of the standard library's logging to the same log."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes one record of a library, after the name of its logger."""
+        error = record.exc_info[1] if record.exc_info else None
+        level = component_logs.Level(record.levelname, record.levelno)
+        library_log.opt(exception=error).log(
+            level, f"{record.name}: {record.getMessage()}"
+        )
+
+
 def configure(vm: str) -> LineWriter:
     """Directs the log of this process to standard output.
 
@@ -126,11 +139,24 @@
         The writer of the lines.
     """
     writer = LineWriter(sys.stdout.fileno())
-    loguru.logger.remove()
-    loguru.logger.configure(extra={VM_FIELD: vm})
-    loguru.logger.add(writer.write, level="DEBUG", format="{message}")
+
+    def write(line: Any) -> None:
+        """Writes a line with the name of this VM; raises nothing."""
+        record = line.record
+        record["extra"][VM_FIELD] = vm
+        try:
+            writer.write(line)
+        except Exception:
+            # A value of the line cannot be encoded, for example text with
+            # lone surrogates from a request.
+            record["message"] = ascii(record["message"])
+            record["extra"] = {k: ascii(v) for k, v in record["extra"].items()}
+            record["exception"] = None
+            writer.write(line)
+
+    component_logs.set_sink(write)
     logging.basicConfig(
-        handlers=[logs.StdlibLogHandler()], level=logging.WARNING, force=True
+        handlers=[LibraryHandler()], level=logging.WARNING, force=True
     )
     logging.captureWarnings(True)
     return writer
@@ -142,4 +168,4 @@
     Args:
         name: Name of the component, which is a field of each of its lines.
     """
-    return loguru.logger.bind(part=name)
+    return component_logs.get_logger(name)
