Name VMs that have replied before those that have not

A VM that was not pinged yet counted as live. After a loss of power of all VMs, the registrations of the others are still in the store, so the first VM that started named VMs that were not up until these had missed three pings, 0.6 s after the first lookup, and callers kept the addresses for another second.

A lookup now pings the VMs that it would name at once, waits up to 0.1 s for their replies, only once for each VM, and names VMs without a reply only if none has replied.

--- a/tests/test_peer_liveness.py
+++ b/tests/test_peer_liveness.py
@@ -1,5 +1,6 @@
 """Tests the pings between VMs."""
 
+import asyncio
 from typing import Any
 
 import msgspec
@@ -52,6 +53,52 @@
         assert not protocol.is_live(odd_vm)
 
 
+class TestConfirmation:
+    """Lookups wait for the first reply of a VM."""
+
+    async def test_vm_is_confirmed_by_its_reply(self) -> None:
+        protocol, transport = build_protocol()
+        vm = build_vm("vm-1", "10.0.0.1:2")
+        confirmation = asyncio.create_task(protocol.confirm([vm]))
+        await asyncio.sleep(0)
+        # The ping does not wait for the next tick.
+        assert [to for _, to in transport.sent] == [("10.0.0.1", 2)]
+        assert protocol.is_live(vm) and not protocol.is_confirmed(vm)
+        pong = peer_liveness.Datagram(peer_liveness.PONG, 0.0)
+        data = msgspec.msgpack.encode(pong)
+        protocol.datagram_received(data, ("10.0.0.1", 2))
+        await confirmation
+        assert protocol.is_confirmed(vm)
+        for _ in range(peer_liveness.MAX_MISSED_PINGS):
+            protocol.send_pings()
+        assert not protocol.is_confirmed(vm)
+
+    async def test_vm_that_is_not_ready_is_not_confirmed(self) -> None:
+        protocol, _ = build_protocol()
+        vm = build_vm("vm-1", "10.0.0.1:2")
+        confirmation = asyncio.create_task(protocol.confirm([vm]))
+        await asyncio.sleep(0)
+        pong = peer_liveness.Datagram(peer_liveness.PONG, 0.0, ready=False)
+        data = msgspec.msgpack.encode(pong)
+        protocol.datagram_received(data, ("10.0.0.1", 2))
+        await confirmation
+        assert not protocol.is_confirmed(vm)
+
+    @pytest.mark.parametrize("address", ["10.0.0.1:2", "odd", ""])
+    async def test_lookups_wait_only_once_for_a_vm_without_reply(
+        self, address: str, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against lookups that each wait for a VM without power.
+        monkeypatch.setattr(peer_liveness, "REPLY_TIMEOUT_SECONDS", 0.02)
+        protocol, _ = build_protocol()
+        vm = build_vm("vm-1", address)
+        await protocol.confirm([vm])
+        confirm_by = protocol.peers[address].confirm_by
+        assert not protocol.is_confirmed(vm)
+        await protocol.confirm([vm])
+        assert protocol.peers[address].confirm_by == confirm_by
+
+
 class TestDatagrams:
     @pytest.mark.parametrize(
         "data",
--- a/tests/test_vm_core.py
+++ b/tests/test_vm_core.py
@@ -3,6 +3,8 @@
 import collections
 import random
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from wigeonspool.core import cluster_state
@@ -74,6 +76,70 @@
         assert len(vm_assignment.assign_vms("z-1", ranked, live, 0.5)) == 2
         assert len(vm_assignment.assign_vms("z-1", ranked, live, 1.1)) == 4
 
+    def test_vm_that_has_not_replied_waits_for_its_reply(self) -> None:
+        # Guards against callers that are sent to VMs without power, whose
+        # registrations are still in the store.
+        vms = [build_vm("large", capacity=2.1), build_vm("small")]
+        ranked = vm_assignment.rank_vms("z-1", "r-1", vms)
+        live = {"large", "small"}
+        for confirmed, names in (
+            ({"small"}, ["small"]),
+            ({"large", "small"}, ["large", "small"]),
+            (set(), ["large", "small"]),
+        ):
+            assigned = vm_assignment.assign_vms(
+                "z-1", ranked, live, 0.0, confirmed=confirmed
+            )
+            assert [vm.name for vm in assigned] == names
+
+    def test_zone_without_replies_uses_vms_that_have_replied(self) -> None:
+        vms = [build_vm("a", "z-1"), build_vm("b", "z-2"), build_vm("c", "z-2")]
+        ranked = vm_assignment.rank_vms("z-1", "r-1", vms)
+        assigned = vm_assignment.assign_vms(
+            "z-1", ranked, {"a", "b", "c"}, 0.0, confirmed={"b"}
+        )
+        assert [vm.name for vm in assigned] == ["b"]
+
+    @hypothesis.given(
+        sizes=strategies.lists(
+            strategies.sampled_from([0.4, 2.1]), min_size=1, max_size=12
+        ),
+        data=strategies.data(),
+    )
+    @hypothesis.settings(derandomize=True, deadline=None)
+    def test_vms_without_a_reply_are_assigned_only_if_none_replied(
+        self, sizes: list[float], data: strategies.DataObject
+    ) -> None:
+        vms = [
+            build_vm(f"vm-{n}", f"z-{n % 3}", capacity=size)
+            for n, size in enumerate(sizes)
+        ]
+        names = strategies.sets(
+            strategies.sampled_from([vm.name for vm in vms])
+        )
+        live, confirmed = data.draw(names), data.draw(names)
+        ranked = vm_assignment.rank_vms("z-1", "r-1", vms)
+        assigned = vm_assignment.assign_vms(
+            "z-1", ranked, live, 0.0, confirmed=confirmed
+        )
+        assert {vm.name for vm in assigned} <= (live & confirmed or live)
+        assert bool(assigned) == bool(live)
+        in_zone = {vm.name for vm in vms if vm.zone == "z-1"}
+        if len(live & confirmed & in_zone) >= 2:
+            assert [vm.zone for vm in assigned] == ["z-1", "z-1"]
+
+    def test_pinged_vms_include_live_ones_behind_unavailable_ones(
+        self,
+    ) -> None:
+        # Guards against live VMs that are never pinged, and so never assigned.
+        vms = [build_vm(f"vm-{n}") for n in range(40)]
+        ranked = vm_assignment.rank_vms("z-1", "r-1", vms)
+        live = {vm.name for vm in ranked[7:]}
+        monitored = vm_assignment.list_monitored(ranked, live, 4)
+        assert monitored == ranked[:11]
+        monitored = vm_assignment.list_monitored(ranked, set(), 4)
+        assert monitored == ranked[: vm_assignment.MAX_MONITORED_VMS]
+
 
 class TestFeeders:
     def test_one_vm_of_each_region_follows_the_store(self) -> None:
--- a/wigeonspool/vm/address_service.py
+++ b/wigeonspool/vm/address_service.py
@@ -83,7 +83,9 @@
         address_request = self._protocol_adapter.read_address_request(
             request.url
         )
-        assigned = self.assign_vms(address_request.zone or self._own_entry.zone)
+        zone = address_request.zone or self._own_entry.zone
+        await self._confirm_vms(zone)
+        assigned = self.assign_vms(zone)
         if not assigned:
             return web.Response(status=503)
         ttl_seconds = min(
@@ -100,25 +102,54 @@
         Assigns more VMs if the first ones are busy. Starts to ping the assigned
         VMs and some spare ones.
         """
-        region = self._settings.regions.get(zone, "")
-        vms = dict(self._cluster.vms)
-        vms[self._own_entry.name] = self._own_entry
-        ranked = vm_assignment.rank_vms(zone, region, vms.values())
+        ranked = self._rank_vms(zone)
         live = {vm.name for vm in ranked if self._is_live(vm)}
-        assigned = vm_assignment.assign_vms(zone, ranked, live, 0.0)
+        confirmed = {vm.name for vm in ranked if self._is_confirmed(vm)}
+        assigned = vm_assignment.assign_vms(
+            zone, ranked, live, 0.0, confirmed=confirmed
+        )
         utilizations = [self._find_utilization(vm) for vm in assigned]
         mean_utilization = (
             sum(utilizations) / len(utilizations) if utilizations else 0.0
         )
         assigned = vm_assignment.assign_vms(
-            zone, ranked, live, mean_utilization
+            zone, ranked, live, mean_utilization, confirmed=confirmed
+        )
+        count = max(len(assigned), vm_assignment.MIN_ASSIGNED_VMS)
+        monitored = vm_assignment.list_monitored(
+            ranked, live, count + MAX_SPARE_VMS_PINGED
         )
-        pinged = ranked[: len(assigned) + MAX_SPARE_VMS_PINGED]
         self._liveness.monitor(
-            [vm for vm in pinged if vm.name != self._own_entry.name]
+            [vm for vm in monitored if vm.name != self._own_entry.name]
         )
         return assigned
 
+    def _rank_vms(self, zone: str) -> list[fleet.VmEntry]:
+        """Returns this VM and the others in the order for a zone's callers."""
+        region = self._settings.regions.get(zone, "")
+        vms = dict(self._cluster.vms)
+        vms[self._own_entry.name] = self._own_entry
+        return vm_assignment.rank_vms(zone, region, vms.values())
+
+    async def _confirm_vms(self, zone: str) -> None:
+        """Waits a moment for replies of the VMs that would be assigned.
+
+        A VM that has just started does not know which others are up; they may
+        all have lost power, with their registrations still in the store.
+        """
+        ranked = self._rank_vms(zone)
+        live = [vm for vm in ranked if self._is_live(vm)]
+        first = live[: vm_assignment.MIN_ASSIGNED_VMS]
+        await self._liveness.confirm(
+            [vm for vm in first if not self._is_confirmed(vm)]
+        )
+
+    def _is_confirmed(self, vm: fleet.VmEntry) -> bool:
+        """Returns True if a VM is known to accept callers."""
+        if vm.name == self._own_entry.name:
+            return self.is_ready()
+        return self._liveness.is_confirmed(vm)
+
     def _is_live(self, vm: fleet.VmEntry) -> bool:
         """Returns True unless a VM is known not to accept callers."""
         if vm.name == self._own_entry.name:
--- a/wigeonspool/vm/peer_liveness.py
+++ b/wigeonspool/vm/peer_liveness.py
@@ -20,6 +20,9 @@
 # After this many pings in a row without a reply, a VM has stopped, hangs or is
 # disconnected from the network.
 MAX_MISSED_PINGS: Final = 3
+# How long a lookup waits for the reply of a VM that was not pinged before. A
+# round trip between regions takes 25 ms.
+REPLY_TIMEOUT_SECONDS: Final = 0.1
 # A VM is pinged for this long after the last lookup that needed it.
 MONITORING_SECONDS: Final = 10.0
 PING: Final = 0
@@ -57,12 +60,17 @@
         utilization: Fraction of its capacity that it uses.
         is_unavailable: True if it replied that it accepts no new callers.
         monitored_until: Time until which it is pinged, loop clock.
+        confirm_by: Time until which lookups wait for its first reply, loop
+            clock, or None if none has.
+        replied: Set once it has replied.
     """
 
     missed_pings: int = 0
     utilization: float = 0.0
     is_unavailable: bool = False
     monitored_until: float = 0.0
+    confirm_by: float | None = None
+    replied: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
 
 class LivenessProtocol(asyncio.DatagramProtocol):
@@ -104,6 +112,7 @@
             peer.missed_pings = 0
             peer.utilization = datagram.busy
             peer.is_unavailable = datagram.leaving or not datagram.ready
+            peer.replied.set()
 
     def monitor(self, vms: list[fleet.VmEntry]) -> None:
         """Pings some VMs for `MONITORING_SECONDS` from now on.
@@ -123,23 +132,53 @@
             return True
         return peer.missed_pings < MAX_MISSED_PINGS and not peer.is_unavailable
 
-    def send_pings(self) -> None:
-        """Pings each monitored VM once, and removes expired ones.
+    def is_confirmed(self, vm: fleet.VmEntry) -> bool:
+        """Returns True if a VM has replied and is not known to be unavailable.
+
+        A VM that is registered may have lost power, and one that has not
+        replied may not have started.
+        """
+        peer = self.peers.get(vm.peer_address)
+        return peer is not None and peer.replied.is_set() and self.is_live(vm)
+
+    async def confirm(self, vms: list[fleet.VmEntry]) -> None:
+        """Pings VMs and waits until each has replied, or for a short time.
 
-        Each ping counts as missed until its reply arrives.
+        Does not wait for VMs that did not reply to an earlier call in time.
         """
+        self.monitor(vms)
+        peers = {vm.peer_address: self.peers[vm.peer_address] for vm in vms}
+        now = self._loop.time()
+        for address, peer in peers.items():
+            if peer.confirm_by is None:
+                peer.confirm_by = now + REPLY_TIMEOUT_SECONDS
+                self._ping(address, peer)
+        for peer in peers.values():
+            assert peer.confirm_by is not None
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(peer.confirm_by):
+                    await peer.replied.wait()
+
+    def _ping(self, address: str, peer: PeerLiveness) -> None:
+        """Pings one VM; the ping counts as missed until its reply arrives."""
+        if self._transport is None:
+            return
+        peer.missed_pings += 1
+        data = msgspec.msgpack.encode(Datagram(PING, self._loop.time()))
+        # A ping that cannot be sent is a missed one.
+        with contextlib.suppress(OSError):
+            self._transport.sendto(data, addresses.split_address(address))
+
+    def send_pings(self) -> None:
+        """Pings each monitored VM once, and removes expired ones."""
         now = self._loop.time()
         if self._transport is None:
             return
-        data = msgspec.msgpack.encode(Datagram(PING, now))
         for address, peer in list(self.peers.items()):
             if peer.monitored_until <= now:
                 del self.peers[address]
-                continue
-            peer.missed_pings += 1
-            # A ping that cannot be sent is a missed one.
-            with contextlib.suppress(OSError):
-                self._transport.sendto(data, addresses.split_address(address))
+            else:
+                self._ping(address, peer)
 
     def reset_missed(self) -> None:
         """Clears the missed pings of all VMs, after this process was paused."""
