Defer TLS and proxy settings at the start of an entry VM

The event loop and the HTTP library name types of ssl, and functions of urllib.request and html, that an entry VM never uses. The names are there; the modules are loaded by the first use.

--- a/wigeonspool/deferred_packages.py
+++ b/wigeonspool/deferred_packages.py
@@ -2,12 +2,12 @@
 
 The `__init__` modules of these packages import all of their parts, most of
 which an entry VM does not use: an HTTP client with cookies and TLS, a framework
-for web applications, validators. Loading them took half of the processor time
-of a start. Their parts are unchanged; only the `__init__` module does not run
-until a name is used that is not listed here.
+for web applications, validators. Loading them took a quarter of the processor
+time of a start. Their parts are unchanged; only the `__init__` module does not
+run until a name is used that is not listed here.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 import importlib
 import importlib.machinery
 import importlib.util
@@ -16,6 +16,8 @@
 import types
 from typing import Any, Final
 
+from wigeonspool import tls_names
+
 # The names of each package that an entry VM uses: the module that defines each,
 # and its name there.
 ORIGINS: Final[Mapping[str, Mapping[str, tuple[str, str]]]] = {
@@ -45,6 +47,17 @@
         "s": ("attr._make", "attrs"),
     },
 }
+# Functions that importing modules name, but that are called only for proxies of
+# an HTTP client, for error pages and for TLS. The first call loads the module.
+FUNCTIONS: Final[Mapping[str, tuple[str, ...]]] = {
+    "html": ("escape",),
+    "ssl": ("MemoryBIO", "create_default_context"),
+    "urllib.request": ("getproxies", "proxy_bypass"),
+}
+# Other names that these modules have before they are loaded.
+VALUES: Final = {"ssl": tls_names.NAMES}
+# Modules of which importing modules use no name before they need them.
+UNUSED: Final = ("mimetypes",)
 VERSION_PREFIX: Final = "__version__ = "
 
 
@@ -59,7 +72,7 @@
         """
         spec = self.__spec__
         assert spec is not None
-        origin = ORIGINS[spec.name].get(name)
+        origin = ORIGINS.get(spec.name, {}).get(name)
         if origin is not None:
             module_name, attribute = origin
             value = getattr(importlib.import_module(module_name), attribute)
@@ -70,20 +83,22 @@
         elif _has_submodule(spec, name):
             return importlib.import_module(f"{spec.name}.{name}")
         else:
-            return self._load(spec, name)
+            return self.load_name(name)
         setattr(self, name, value)
         return value
 
-    def _load(self, spec: importlib.machinery.ModuleSpec, name: str) -> Any:
-        """Runs the module, and returns one of its names.
+    def load_name(self, name: str) -> Any:
+        """Runs the module if it has not run yet, and returns one of its names.
 
         Raises:
             AttributeError: If the module has no such name.
         """
-        # The module then looks up names as any other does.
-        self.__class__ = types.ModuleType  # type: ignore[assignment]
-        assert spec.loader is not None
-        spec.loader.exec_module(self)
+        if type(self) is DeferredModule:
+            # From now on the module looks up names as any other does.
+            self.__class__ = types.ModuleType  # type: ignore[assignment]
+            assert self.__spec__ is not None
+            assert self.__spec__.loader is not None
+            self.__spec__.loader.exec_module(self)
         return getattr(self, name)
 
 
@@ -108,25 +123,50 @@
 
 
 def defer() -> None:
-    """Defers the packages of `ORIGINS`; to be called before their import.
+    """Defers all packages listed here; to be called before their import.
 
     A package that is loaded already stays as it is.
     """
-    for name in ORIGINS:
-        if name in sys.modules:
-            continue
-        spec = importlib.util.find_spec(name)
-        if spec is None:
-            continue
-        module = DeferredModule(name, None)
-        module.__spec__ = spec
-        module.__loader__ = spec.loader
-        module.__file__ = spec.origin
-        parent, _, child = name.rpartition(".")
-        module.__package__ = parent
-        if spec.submodule_search_locations is not None:
-            module.__package__ = name
-            module.__path__ = spec.submodule_search_locations
-        sys.modules[name] = module
-        if parent:
-            setattr(sys.modules[parent], child, module)
+    for name, functions in FUNCTIONS.items():
+        names = {f: _build_deferred_function(name, f) for f in functions}
+        _defer_module(name, names | VALUES.get(name, {}))
+    for name in (*UNUSED, *ORIGINS):
+        _defer_module(name, {})
+
+
+def _build_deferred_function(module_name: str, name: str) -> Callable[..., Any]:
+    """Returns a function that loads its module when it is called."""
+
+    def call(*args: Any, **kwargs: Any) -> Any:
+        """Calls the function of the loaded module."""
+        module = sys.modules[module_name]
+        if type(module) is DeferredModule:
+            return module.load_name(name)(*args, **kwargs)
+        return getattr(module, name)(*args, **kwargs)
+
+    return call
+
+
+def _defer_module(name: str, names: Mapping[str, Any]) -> None:
+    """Defers a module unless it is loaded already or not installed.
+
+    Args:
+        name: Name of the module.
+        names: Values that the module has before it runs.
+    """
+    spec = None if name in sys.modules else importlib.util.find_spec(name)
+    if spec is None:
+        return
+    module = DeferredModule(name, None)
+    module.__spec__ = spec
+    module.__loader__ = spec.loader
+    module.__file__ = spec.origin
+    parent, _, child = name.rpartition(".")
+    module.__package__ = parent
+    if spec.submodule_search_locations is not None:
+        module.__package__ = name
+        module.__path__ = spec.submodule_search_locations
+    module.__dict__.update(names)
+    sys.modules[name] = module
+    if parent:
+        setattr(sys.modules[parent], child, module)
