Count the requests of client accounts by outcome

The first 200 names of accounts that a process sees have series of their own, and all others share one, since names may change with each configuration. Refused requests also log the version of the active configuration; before, it was that of the last request for which a service was chosen, -1 at first.

--- a/tests/test_client_accounts.py
+++ b/tests/test_client_accounts.py
@@ -132,6 +132,27 @@
             assert account is None
 
 
+class TestCounter:
+    # Guards against a metric that grows with each new name of an account.
+    def test_names_are_bounded(self) -> None:
+        counter = client_accounts.AccountCounter()
+        limit = client_accounts.MAX_COUNTED_ACCOUNTS
+        for _ in range(2):
+            for number in range(limit + 5):
+                account = fleet.ClientAccount(f"account-{number}")
+                counter.count(account, outcomes.Outcome.ANSWERED)
+        names = {name for name, _ in counter.counts}
+        assert len(names) == limit + 1
+        other = (client_accounts.OTHER_ACCOUNTS, outcomes.Outcome.ANSWERED)
+        assert counter.counts[other] == 10
+        assert counter.counts["account-0", outcomes.Outcome.ANSWERED] == 2
+
+    def test_request_without_an_account_is_not_counted(self) -> None:
+        counter = client_accounts.AccountCounter()
+        counter.count(None, outcomes.Outcome.ANSWERED)
+        assert counter.counts == {}
+
+
 class TestAnyFields:
     """Whatever the fields hold, an account needs exactly one of its keys."""
 
--- a/wigeonspool/core/client_accounts.py
+++ b/wigeonspool/core/client_accounts.py
@@ -6,14 +6,48 @@
 """
 
 from collections.abc import Sequence
+from typing import Final
 
 from wigeonspool.model import fleet
 from wigeonspool.model import outcomes
 
+# Accounts that are counted one by one. Their names come from configurations,
+# each of which may have other ones, and a name once counted stays.
+MAX_COUNTED_ACCOUNTS: Final = 200
+# Name under which all further accounts are counted. Names of accounts have no
+# spaces.
+OTHER_ACCOUNTS: Final = "other accounts"
+
 # Key of one credential, or None if the credential is not a valid key.
 Credential = bytes | None
 
 
+class AccountCounter:
+    """Counts the requests of accounts by outcome.
+
+    Attributes:
+        counts: Number of requests by the name of their account and outcome.
+    """
+
+    def __init__(self) -> None:
+        """Creates a counter without requests."""
+        self.counts: dict[tuple[str, str], int] = {}
+        self._names: set[str] = set()
+
+    def count(self, account: fleet.ClientAccount | None, outcome: str) -> None:
+        """Counts a request; one without an account is not counted."""
+        if account is None:
+            return
+        name = account.name
+        if name not in self._names:
+            if len(self._names) < MAX_COUNTED_ACCOUNTS:
+                self._names.add(name)
+            else:
+                name = OTHER_ACCOUNTS
+        key = (name, outcome)
+        self.counts[key] = self.counts.get(key, 0) + 1
+
+
 def identify_account(
     configuration: fleet.Configuration,
     rule: fleet.Rule,
--- a/wigeonspool/vm/caller_service.py
+++ b/wigeonspool/vm/caller_service.py
@@ -60,6 +60,7 @@
 
     Attributes:
         counts: Number of completed requests, by outcome and reason.
+        account_counter: Counts the completed requests of client accounts.
         error_count: Number of requests that ended by an unexpected exception.
         draining: True while this VM prepares to stop.
         on_answered: Called for each successful or failed response of a target,
@@ -87,6 +88,7 @@
             gate: Delays requests until the first configuration is loaded.
         """
         self.counts: dict[tuple[str, str], int] = {}
+        self.account_counter = client_accounts.AccountCounter()
         self.error_count = 0
         self.draining = False
         self.on_answered: Callable[[str, float], None] = lambda _, __: None
@@ -163,8 +165,9 @@
 
     def discard_ahead(self, request: web.BaseRequest) -> None:
         """Ends a request that ran ahead and whose response is not sent."""
-        if self._open_requests.pop(id(request), None) is not None:
-            self._count(outcomes.Outcome.UNKNOWN, outcomes.Reason.CALLER_LEFT)
+        served = self._open_requests.pop(id(request), None)
+        if served is not None:
+            self._count_disconnected(served)
 
     async def serve(
         self, request: web.BaseRequest, pipeline: pipelines.Pipeline
@@ -184,13 +187,11 @@
             response = await self._serve(served, pipelined, pipeline)
             closing = pipelined.closes_connection
         except asyncio.CancelledError:
-            self._count(outcomes.Outcome.UNKNOWN, outcomes.Reason.CALLER_LEFT)
+            self._count_disconnected(served)
             raise
         except Exception as error:
             if isinstance(error, ConnectionError) and _has_left(request):
-                self._count(
-                    outcomes.Outcome.UNKNOWN, outcomes.Reason.CALLER_LEFT
-                )
+                self._count_disconnected(served)
                 raise
             response = self._handle_error(served, error)
             closing = pipelined.closes_connection
@@ -251,7 +252,7 @@
             request=self._read_identity(served.request),
             not_run=failure.outcome is outcomes.Outcome.NOT_RUN,
         )
-        response = self._build_failure(failure)
+        response = self._build_failure(failure, served.account)
         if served.request.writer.output_size > 0:
             streaming.reset_connection(served.request)
             raise ConnectionError("a response has already begun") from error
@@ -273,7 +274,7 @@
         context = served.context
         if context is None or isinstance(result, outcomes.Failure):
             assert isinstance(result, outcomes.Failure)
-            return self._build_failure(result)
+            return self._build_failure(result, served.account)
         context.request = served.request
         context.closes_connection = self._is_last(pipeline)
         return await self._build_response(context, result)
@@ -326,6 +327,7 @@
         configuration = self._cluster.configuration
         if configuration is None:
             return outcomes.build_refusal(outcomes.Reason.NOT_CONFIGURED)
+        self._record_version(configuration)
         if incoming_request.validate_request(request) is not None:
             return outcomes.build_refusal(outcomes.Reason.BAD_REQUEST)
         host = _read_host(request.headers)
@@ -347,7 +349,7 @@
         limit_seconds = rule.limit_seconds
         if caller_fields.remaining_seconds is not None:
             limit_seconds = min(limit_seconds, caller_fields.remaining_seconds)
-        service = self._choose_service(configuration, host, rule)
+        service = self._choose_service(host, rule)
         if service is None:
             return outcomes.build_refusal(outcomes.Reason.NO_TARGET)
         deadline = arrived_at + limit_seconds
@@ -411,17 +413,21 @@
             return outcomes.build_refusal(account)
         return account
 
-    def _choose_service(
-        self, configuration: fleet.Configuration, host: str, rule: fleet.Rule
-    ) -> str | None:
-        """Returns the service for the next request that matches a rule.
+    def _record_version(self, configuration: fleet.Configuration) -> None:
+        """Records the version of the active configuration.
 
-        Several services take turns by their weights in the rule. Returns None
-        if none of them has a positive weight.
+        Another version begins with new rotations of services.
         """
         if configuration.version != self._configuration_version:
             self._configuration_version = configuration.version
             self._rotations.clear()
+
+    def _choose_service(self, host: str, rule: fleet.Rule) -> str | None:
+        """Returns the service for the next request that matches a rule.
+
+        Several services take turns by their weights in the rule. Returns None
+        if none of them has a positive weight.
+        """
         if len(rule.weighted_services) == 1:
             return rule.weighted_services[0].service
         rotation_key = f"{host}{rule.prefix}"
@@ -509,7 +515,9 @@
 
         A response that was too long to buffer is streamed to the caller first.
         """
-        self._count(outcomes.Outcome.ANSWERED, result.outcome.value)
+        self._count(
+            outcomes.Outcome.ANSWERED, result.outcome.value, context.account
+        )
         self.on_answered(
             context.service, self._loop.time() - context.arrived_at
         )
@@ -528,17 +536,30 @@
         )
         return streamed.response
 
-    def _build_failure(self, failure: outcomes.Failure) -> web.Response:
+    def _build_failure(
+        self, failure: outcomes.Failure, account: fleet.ClientAccount | None
+    ) -> web.Response:
         """Counts a failure and returns the response that reports it."""
-        self._count(failure.outcome, failure.reason)
+        self._count(failure.outcome, failure.reason, account)
         return caller_responses.build_failure(
             failure, self._protocol_adapter, self._loop.time()
         )
 
-    def _count(self, outcome: str, reason: str) -> None:
-        """Counts a completed request."""
+    def _count_disconnected(self, served: OpenRequest) -> None:
+        """Counts a request whose caller disconnected."""
+        self._count(
+            outcomes.Outcome.UNKNOWN,
+            outcomes.Reason.CALLER_LEFT,
+            served.account,
+        )
+
+    def _count(
+        self, outcome: str, reason: str, account: fleet.ClientAccount | None
+    ) -> None:
+        """Counts a completed request, of an account if it has one."""
         key = (outcome, reason)
         self.counts[key] = self.counts.get(key, 0) + 1
+        self.account_counter.count(account, outcome)
 
 
 def _read_host(fields: protocols.Headers) -> str:
--- a/wigeonspool/vm/metrics.py
+++ b/wigeonspool/vm/metrics.py
@@ -34,6 +34,10 @@
     "wigeonspool_vm_requests_total",
     "Requests that ended, by outcome and reason.",
 )
+ACCOUNT_REQUESTS: Final = aioprometheus.Counter(
+    "wigeonspool_vm_account_requests_total",
+    "Requests of client accounts that ended, by account and outcome.",
+)
 RUNNING: Final = aioprometheus.Gauge(
     "wigeonspool_vm_requests_running", "Requests that have not ended."
 )
@@ -193,6 +197,9 @@
         """Sets all metrics but the durations to their current values."""
         for (outcome, reason), count in self._service.counts.items():
             REQUESTS.set({"outcome": outcome, "reason": reason}, count)
+        account_counts = self._service.account_counter.counts
+        for (name, outcome), count in account_counts.items():
+            ACCOUNT_REQUESTS.set({"account": name, "outcome": outcome}, count)
         RUNNING.set({}, self._service.in_flight)
         self._update_retries()
         counts = self._prober.counts
