Test restores of the store, and follow them without delay

Cause: the tests know one era of the store only. A watch that a restored store cuts was sent again by the HTTP library and then waited in the new era, from a revision of the old one, for up to three seconds. An era whose copy is of an empty store (revision 0) removed no keys.

Change: a state machine draws restores between and during reads, watches and feeds, stale reads of an older era, and feeders in old and new eras. The soak restores the store as one of its disturbances, and checks that all VMs are registered under leases of their own at the end. Watches are not sent again by the library once the store has stated an era.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -36,6 +36,12 @@
 DECLINED_SECONDS: Final = (0.2, 3.0)
 # Ages of the states with which the store replies to stale reads.
 STALE_SECONDS: Final = (0.2, 3.0)
+# Ages of the copies from which the store is restored.
+COPY_SECONDS: Final = (0.5, 5.0)
+# Targets and the operator write their lost values again within this time.
+REWRITE_SECONDS: Final = 2.0
+# Keys of VMs, which write them again themselves.
+VM_KEYS: Final = (b"vms/", b"suspects/")
 SETTLE_SECONDS: Final = 4.0
 CALM_SECONDS: Final = 2.0
 TARGET_FAULTS: Final[tuple[dict[str, Any], ...]] = (
@@ -96,6 +102,7 @@
             self._lose_replies,
             self._compact_store,
             self._cut_store,
+            self._restore_store,
             self._crash_target,
             self._drain_target,
             self._harm_target,
@@ -128,6 +135,7 @@
         await asyncio.sleep(SETTLE_SECONDS)
         self.history.calm_from = self._loop.time()
         await asyncio.sleep(CALM_SECONDS)
+        self.history.unregistered = self._list_unregistered()
         stopped.set()
         await load
         return await self._stop()
@@ -352,6 +360,45 @@
         pipe.cut()
         fault.ended_at = self._loop.time()
 
+    async def _restore_store(self) -> None:
+        """Restores the store; targets and the operator write again."""
+        store = self._world.store
+        fault = self._record("store-restore", "store")
+        before = dict(store.records)
+        await store.restore(self._random.uniform(*COPY_SECONDS))
+        restored = dict(store.records)
+        lost = sorted(
+            key
+            for key in before.keys() | restored.keys()
+            if before.get(key) != restored.get(key)
+            and not key.startswith(VM_KEYS)
+        )
+        self._random.shuffle(lost)
+        for key in lost:
+            await asyncio.sleep(
+                self._random.uniform(0.0, REWRITE_SECONDS / len(lost))
+            )
+            # Unless another writer has changed it since.
+            if store.records.get(key) is restored.get(key):
+                record = before.get(key)
+                value = None if record is None else record.value
+                if value is not None or key in store.records:
+                    await store.put(key.decode(), value)
+        fault.ended_at = self._loop.time()
+
+    def _list_unregistered(self) -> list[str]:
+        """Returns the VMs without an entry under a lease of their own."""
+        records = self._world.store.records
+        leases = [
+            records[key].lease if key in records else 0
+            for key in (f"vms/{vm}".encode() for vm in self._names)
+        ]
+        return [
+            vm
+            for vm, lease in zip(self._names, leases, strict=True)
+            if lease not in self._world.store.leases or leases.count(lease) > 1
+        ]
+
     async def _crash_target(self) -> None:
         """Crashes a target and starts it again."""
         with self._reserve(sorted(self._world.targets)) as identity:
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -147,6 +147,8 @@
         self_ended: VMs whose process ended without a signal, with its exit
             code.
         calm_from: Start of the calm phase at the end.
+        unregistered: VMs that had no entry under a lease of their own at the
+            end.
     """
 
     grace_seconds: float
@@ -157,6 +159,7 @@
     disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
     self_ended: list[tuple[str, int]] = dataclasses.field(default_factory=list)
     calm_from: float = float("inf")
+    unregistered: list[str] = dataclasses.field(default_factory=list)
 
     def list_disturbances(
         self, subject: str, start: float, end: float
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -162,6 +162,12 @@
         yield f"no-recovery {served} of {len(calm)} requests were served"
 
 
+def check_registrations(history: histories.History) -> Iterator[str]:
+    """Yields VMs that are not registered once all disturbances have ended."""
+    for vm in history.unregistered:
+        yield f"not-registered {vm}"
+
+
 def check_leaving(history: histories.History) -> Iterator[str]:
     """Yields requests that a VM sent to a target that leaves."""
     for notice in history.notices:
@@ -348,4 +354,5 @@
     check_retry_budget,
     check_own_ends,
     check_recovery,
+    check_registrations,
 )
--- a/tests/test_replica_state_machine.py
+++ b/tests/test_replica_state_machine.py
@@ -1,10 +1,12 @@
 """Drawn orders of reads, watches and feeds of different ages.
 
 What a VM holds never goes back behind a state that it has held, and equals the
-store once its watch or its feed has caught up.
+store once its watch or its feed has caught up. The second machine also restores
+the store from older copies, between calls and during them.
 """
 
 import asyncio
+from collections.abc import Callable
 import json
 from typing import Any
 
@@ -14,6 +16,9 @@
 
 from tests import test_store_keys
 from wigeonspool.core import cluster_state
+from wigeonspool.load import virtual_loop
+from wigeonspool.model import errors
+from wigeonspool.model import fleet
 from wigeonspool.model import key_values
 from wigeonspool.platform import store_keys
 from wigeonspool.vm import feed_client
@@ -86,10 +91,10 @@
         super().__init__(replica, lambda: 0.0)
         self.messages: list[feed_messages.Message] | None = None
 
-    def connect(self, revision: int) -> None:
+    def connect(self, revision: int, era: int = 0) -> None:
         """Connects the follower, which has all changes up to a revision."""
         self.messages = None
-        self.messages = [self._build_first_message(revision)]
+        self.messages = [self._build_first_message(revision, era)]
 
     def _broadcast(self, data: bytes) -> None:
         if self.messages is not None:
@@ -313,3 +318,446 @@
 TestReplica = hypothesis.settings(
     derandomize=True, max_examples=300, stateful_step_count=40, deadline=None
 )(ReplicaMachine).TestCase
+
+
+FIRST_ERA = 1
+# Changes that a restore loses at most.
+MAX_LOST_CHANGES = 8
+# Polls of the store after which a VM must be up to date.
+MAX_POLLS = 6
+AFTER_GRACE_SECONDS = cluster_state.REREGISTRATION_GRACE_SECONDS + 1.0
+DRAINING = "draining"
+
+
+def build_state(variant: int, sequence: int) -> bytes:
+    """Returns an entry; variants from 2 on are draining."""
+    state = DRAINING if variant >= 2 else "ready"
+    status = {"State": state, "Seq": sequence, "Cold_time": "0ms"}
+    fields = {"Address": f"10.0.0.1:{1000 + variant}", "Status": status}
+    return json.dumps(test_store_keys.ENTRY | fields).encode()
+
+
+def find_state(item: key_values.KeyValue | None) -> str:
+    """Returns the address and state in an entry, or "" if there is none."""
+    if item is None or item.value is None:
+        return ""
+    document = json.loads(item.value)
+    return f"{document['Address']} {document['Status']['State']}"
+
+
+def find_sequence(item: key_values.KeyValue | None) -> int:
+    """Returns the sequence number of an entry, or -1 if there is none."""
+    if item is None or item.value is None:
+        return -1
+    sequence: int = json.loads(item.value)["Status"]["Seq"]
+    return sequence
+
+
+class RestoredStore:
+    """A store that is restored from copies, with the history of all eras.
+
+    Attributes:
+        logs: Changes of each era, including those of its copy.
+        timeline: Era and revision after each change and restore.
+        ages: Number of changes that the pages of a stale read lack.
+        events: Called one by one, after each page and before each watch
+            replies.
+    """
+
+    def __init__(self) -> None:
+        self.logs: list[list[key_values.KeyValue]] = [[]]
+        self.timeline = [(FIRST_ERA, 0)]
+        self.ages: list[int] = []
+        self.events: list[Callable[[], None]] = []
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Current era and revision."""
+        return self.timeline[-1]
+
+    def write(self, identity: str, value: bytes | None) -> None:
+        """Writes a key, or removes it."""
+        key = f"servers/{identity}"
+        log = self.logs[-1]
+        log.append(key_values.KeyValue(key, value, len(log) + 1))
+        self._record()
+
+    def restore(self, lost: int) -> None:
+        """Goes back by a number of changes."""
+        log = self.logs[-1]
+        self.logs.append(log[: max(0, len(log) - lost)])
+        self._record()
+
+    def _record(self) -> None:
+        era = FIRST_ERA + len(self.logs) - 1
+        self.timeline.append((era, len(self.logs[-1])))
+
+    def read(self, era: int, revision: int) -> dict[str, key_values.KeyValue]:
+        """Returns the keys as they were at a revision of an era."""
+        items: dict[str, key_values.KeyValue] = {}
+        if era < FIRST_ERA:
+            return items
+        for item in self.logs[era - FIRST_ERA][:revision]:
+            if item.value is None:
+                items.pop(item.key, None)
+            else:
+                items[item.key] = item
+        return items
+
+    def list_changes(
+        self, identity: str, era: int, after: int
+    ) -> list[key_values.KeyValue]:
+        """Returns the changes of a target in an era after a revision."""
+        if era < FIRST_ERA:
+            return []
+        log = self.logs[era - FIRST_ERA][after:]
+        return [item for item in log if item.key == f"servers/{identity}"]
+
+    def _run_event(self) -> None:
+        if self.events:
+            self.events.pop(0)()
+
+    async def read_range(
+        self, prefix: str, after: str = "", stale: bool = False
+    ) -> key_values.Page:
+        """Returns a page; a stale one is of an older state."""
+        age = self.ages.pop(0) if stale and self.ages else 0
+        era, revision = self.timeline[max(0, len(self.timeline) - 1 - age)]
+        last = next(end for end in PAGE_ENDS if end is None or end > after)
+        items = [
+            item
+            for key, item in sorted(self.read(era, revision).items())
+            if key > after and (last is None or key <= last)
+        ]
+        # The follower continues after the last key of a page.
+        if last is not None and not items:
+            last = None
+            items = [
+                item
+                for key, item in sorted(self.read(era, revision).items())
+                if key > after
+            ]
+        self._run_event()
+        return key_values.Page(
+            tuple(items), revision, last is not None, era=era
+        )
+
+    async def watch(
+        self, prefix: str, after: int, wait_seconds: float
+    ) -> key_values.Page:
+        """Returns the changes after a revision of any era."""
+        self._run_event()
+        era, revision = self.position
+        if after > revision:
+            raise errors.HistoryExpiredError(after)
+        items = self.logs[-1][after:]
+        return key_values.Page(tuple(items), revision, era=era)
+
+
+class FollowingVm(Vm):
+    """A VM that follows a store which is restored.
+
+    Attributes:
+        follower: Follows the store.
+        held: What it held of each target when its era began.
+        last: What it held of each target when that was recorded last.
+        left: Sequence numbers of targets that it no longer holds.
+    """
+
+    def __init__(self, store: RestoredStore) -> None:
+        super().__init__()
+        self.follower = store_follower.StoreFollower(
+            store, self.replica, self.cluster
+        )
+        self.replica.on_new_era = self.record_era
+        self.held: dict[str, str] = {}
+        self.held_sequences: dict[str, int] = {}
+        self.last: dict[str, str] = {}
+        self.left: dict[str, int] = {}
+        self.position = (0, 0)
+
+    def read_state(self, identity: str) -> str:
+        """Returns the address and state of a target, or ""."""
+        row = self.cluster.targets.get(identity)
+        if row is None:
+            return ""
+        draining = row.entry.state is fleet.TargetState.DRAINING
+        return f"{row.entry.address} {DRAINING if draining else 'ready'}"
+
+    def record(self) -> None:
+        """Records what it holds, and which targets have left."""
+        for identity in IDENTITIES:
+            state = self.read_state(identity)
+            if state:
+                self.left.pop(identity, None)
+                row = self.cluster.targets[identity]
+                self.held_sequences[identity] = row.entry.sequence
+            elif self.last.get(identity):
+                self.left[identity] = self.held_sequences[identity]
+            self.last[identity] = state
+
+    def record_era(self, era: int) -> None:
+        """Records what it holds when a new era begins."""
+        self.record()
+        self.held = dict(self.last)
+        self.held_left = dict(self.left)
+        self.held_at = dict(self.held_sequences)
+
+
+class RestoredReplicaMachine(stateful.RuleBasedStateMachine):
+    """Reads, watches and feeds of a store that is restored at any time."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = virtual_loop.VirtualLoop()
+        self.store = RestoredStore()
+        self.is_numbered = False
+        self.sequence = 1
+        self.vms = [self.build_vm() for _ in VMS]
+
+    def build_vm(self) -> FollowingVm:
+        """Returns a VM that holds nothing."""
+
+        async def build() -> FollowingVm:
+            return FollowingVm(self.store)
+
+        return self.loop.run_until_complete(build())
+
+    def run(self, action: Any) -> Any:
+        """Runs an action on the event loop."""
+
+        async def act() -> Any:
+            return action()
+
+        return self.loop.run_until_complete(act())
+
+    def write(self, identity: str, variant: int | None) -> None:
+        """Writes or removes a target, with a new sequence number."""
+        era, revision = self.store.position
+        is_stored = f"servers/{identity}" in self.store.read(era, revision)
+        if variant is None:
+            if is_stored:
+                self.store.write(identity, None)
+            return
+        if self.is_numbered:
+            self.sequence += 1
+        self.store.write(identity, build_state(variant, self.sequence))
+
+    @stateful.initialize(is_numbered=st.booleans())
+    def choose(self, is_numbered: bool) -> None:
+        """Targets number their entries, or do not."""
+        self.is_numbered = is_numbered
+
+    @stateful.rule(
+        identity=st.sampled_from(IDENTITIES),
+        variant=st.one_of(st.none(), st.integers(0, 3)),
+    )
+    def change(self, identity: str, variant: int | None) -> None:
+        """A target is written or removed."""
+        self.write(identity, variant)
+
+    @stateful.rule(lost=st.integers(0, MAX_LOST_CHANGES))
+    def restore(self, lost: int) -> None:
+        """The store is restored from an older copy."""
+        self.store.restore(lost)
+
+    def draw_event(self, lost: int, changes: list[Any]) -> None:
+        """Something happens during the next call."""
+
+        def happen() -> None:
+            if lost >= 0:
+                self.store.restore(lost)
+            for identity, variant in changes:
+                self.write(identity, variant)
+
+        self.store.events.append(happen)
+
+    @stateful.rule(
+        lost=st.integers(-1, MAX_LOST_CHANGES),
+        changes=st.lists(
+            st.tuples(
+                st.sampled_from(IDENTITIES),
+                st.one_of(st.none(), st.integers(0, 3)),
+            ),
+            max_size=3,
+        ),
+    )
+    def interrupt(self, lost: int, changes: list[Any]) -> None:
+        """The store is restored, or changes, during one of the next calls."""
+        self.draw_event(lost, changes)
+
+    @stateful.rule(
+        number=st.sampled_from(VMS),
+        stale=st.booleans(),
+        ages=st.lists(st.integers(0, MAX_STALE_CHANGES), max_size=3),
+    )
+    def read(self, number: int, stale: bool, ages: list[int]) -> None:
+        """A VM reads all keys, perhaps with pages of an older era."""
+        vm = self.vms[number]
+        self.store.ages = ages
+        self.loop.run_until_complete(vm.follower.load(stale))
+        self.store.ages = []
+        vm.loaded = True
+
+    @stateful.rule(number=st.sampled_from(VMS))
+    def poll(self, number: int) -> None:
+        """A VM gets the next changes from the store."""
+        vm = self.vms[number]
+        if vm.loaded:
+            self.loop.run_until_complete(vm.follower.poll_changes())
+
+    @stateful.rule(number=st.sampled_from(VMS))
+    def send(self, number: int) -> None:
+        """A VM sends its changes to its follower."""
+        self.run(self.vms[number].feeder.send_changes)
+
+    @stateful.rule(number=st.sampled_from(VMS[1:]))
+    def connect(self, number: int) -> None:
+        """A VM connects to its feeder."""
+        replica = self.vms[number].replica
+        feeder = self.vms[number - 1].feeder
+        self.run(lambda: feeder.connect(replica.revision, replica.era))
+
+    @stateful.rule(
+        number=st.sampled_from(VMS[1:]),
+        most=st.integers(1, 5),
+        is_earlier=st.booleans(),
+    )
+    def receive(self, number: int, most: int, is_earlier: bool = False) -> None:
+        """A VM reads messages of its feeder, which may send no era."""
+        vm = self.vms[number]
+        feeder = self.vms[number - 1].feeder
+        for _ in range(most):
+            if not feeder.messages:
+                return
+            message = feeder.messages.pop(0)
+            assert isinstance(message, feed_messages.Items)
+            if is_earlier:
+                if not vm.replica.era:
+                    # A VM without eras cannot tell them apart.
+                    return
+                message = feed_messages.Items(
+                    message.revision,
+                    message.items,
+                    message.whole,
+                    message.jumped_from,
+                )
+            is_older = message.era < vm.replica.era
+            before = [vm.read_state(identity) for identity in IDENTITIES]
+            try:
+                self.run(lambda m=message: vm.client._handle_message("a", m))
+            except feed_client.FeederJumpError:
+                self.connect(number)
+                continue
+            except feed_client.FeederEraError:
+                assert is_older
+                after = [vm.read_state(identity) for identity in IDENTITIES]
+                assert after == before
+                feeder.messages = None
+                return
+            assert not is_older
+            vm.loaded = vm.loaded or message.whole
+
+    @stateful.rule(number=st.sampled_from(VMS))
+    def restart(self, number: int) -> None:
+        """A VM starts again and holds nothing."""
+        self.vms[number] = self.build_vm()
+        if number:
+            self.vms[number - 1].feeder.messages = None
+
+    @stateful.rule(follow=st.booleans())
+    def catch_up(self, follow: bool) -> None:
+        """All VMs catch up, before and after targets write their entries.
+
+        What a target wrote before a VM read the new era counts as restored for
+        that VM, unless the target numbers its entries.
+        """
+        self.store.events.clear()
+        self.update_all(follow)
+        era, revision = self.store.position
+        for key, item in self.store.read(era, revision).items():
+            variant = int(find_state(item).split()[0].rpartition(":")[2]) - 1000
+            self.write(key.removeprefix("servers/"), variant)
+        self.update_all(follow)
+        stored = self.store.read(*self.store.position)
+        for vm in self.vms:
+            # Targets that the copy lacked have had the time to come back.
+            expired_at = self.loop.time() + AFTER_GRACE_SECONDS
+            vm.cluster.remove_expired_targets(expired_at)
+            for identity in IDENTITIES:
+                item = stored.get(f"servers/{identity}")
+                assert vm.read_state(identity) == find_state(item)
+
+    def update_all(self, follow: bool) -> None:
+        """All VMs catch up, from their feeders or from the store."""
+        for number, vm in enumerate(self.vms):
+            if number and follow:
+                self.follow(number)
+            else:
+                self.poll_all(vm)
+            assert (vm.replica.era, vm.replica.revision) == self.store.position
+
+    def poll_all(self, vm: FollowingVm) -> None:
+        """A VM polls the store until it is up to date."""
+        for _ in range(MAX_POLLS):
+            self.loop.run_until_complete(vm.follower.poll_changes())
+            vm.loaded = True
+            position = vm.replica.era, vm.replica.revision
+            if position == self.store.position:
+                return
+
+    def follow(self, number: int) -> None:
+        """A VM gets all that its feeder has."""
+        self.send(number - 1)
+        self.connect(number)
+        self.receive(number, 10)
+        self.vms[number].loaded = True
+
+    @stateful.invariant()
+    def no_vm_goes_back(self) -> None:
+        for vm in self.vms:
+            position = vm.replica.era, vm.replica.revision
+            assert position >= vm.position
+            vm.position = position
+            for identity in IDENTITIES:
+                self.check(vm, identity)
+            vm.record()
+
+    def check(self, vm: FollowingVm, identity: str) -> None:
+        """Checks what a VM holds of a target."""
+        era, revision = vm.replica.era, vm.replica.revision
+        if era < FIRST_ERA:
+            assert not vm.read_state(identity)
+            return
+        state = vm.read_state(identity)
+        key = f"servers/{identity}"
+        end = len(self.store.logs[era - FIRST_ERA])
+        allowed = {
+            find_state(self.store.read(era, r).get(key))
+            for r in range(revision, end + 1)
+        }
+        restored = vm.replica.restored_revision
+        changes = self.store.list_changes(identity, era, restored)
+        if not any(item.revision <= revision for item in changes):
+            allowed.add(vm.held.get(identity, ""))
+        row = vm.cluster.targets.get(identity)
+        if row is not None and row.suspect_until:
+            allowed.add(vm.held.get(identity, ""))
+        assert state in allowed
+        if changes or not vm.held:
+            return
+        # Nothing but the restored copy speaks for the target.
+        copied = find_sequence(self.store.read(era, restored).get(key))
+        held = vm.held[identity]
+        if identity in vm.held_left and copied <= vm.held_left[identity]:
+            assert not state
+        if held.endswith(DRAINING) and copied <= vm.held_at[identity]:
+            assert state in ("", held)
+
+    def teardown(self) -> None:
+        self.loop.close()
+
+
+TestRestoredReplica = hypothesis.settings(
+    derandomize=True, max_examples=300, stateful_step_count=40, deadline=None
+)(RestoredReplicaMachine).TestCase
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -278,6 +278,12 @@
             attempt.sealed = False
         assert find_names(history) == ["no-recovery"]
 
+    # Guards against a check that does not see a VM whose entry was lost.
+    def test_vm_that_is_not_registered(self) -> None:
+        history = build_history(build_attempt(), "t-1")
+        history.unregistered = ["vm-1"]
+        assert find_names(history) == ["not-registered"]
+
 
 class TestShortSoak:
     """Processes under overlapping faults, stops, restarts and changes."""
--- a/wigeonspool/platform/metadata_store.py
+++ b/wigeonspool/platform/metadata_store.py
@@ -173,6 +173,9 @@
             query,
             timeout_seconds=wait_seconds + WATCH_SLACK_SECONDS,
             accepted_statuses=(STATUS_OK, STATUS_GONE),
+            # A store that is restored cuts watches. A watch that is sent again
+            # would wait in the new era from a revision of the old one.
+            may_resend=not self.newest_era,
         )
         if status == STATUS_GONE:
             raise errors.HistoryExpiredError(after)
@@ -331,6 +334,7 @@
         document: Mapping[str, Any] | None = None,
         timeout_seconds: float = CALL_TIMEOUT_SECONDS,
         accepted_statuses: tuple[int, ...] = (STATUS_OK,),
+        may_resend: bool = True,
     ) -> _Reply:
         """Makes one call; returns the reply.
 
@@ -341,6 +345,8 @@
             document: JSON document of the request body, if any.
             timeout_seconds: Longest time until the complete reply.
             accepted_statuses: Statuses that do not count as a failure.
+            may_resend: True if the HTTP library may send the call again after
+                its connection broke.
 
         Raises:
             StoreUnavailableError: If no complete reply came in time, or its
@@ -361,6 +367,7 @@
                 headers=fields,
                 timeout=timeout,
                 allow_redirects=False,
+                middlewares=() if may_resend else (_fail_disconnected,),
             ) as response:
                 response_body = await _read_body(response, path)
                 status = response.status
@@ -380,6 +387,22 @@
         return _Reply(status, response_body, era)
 
 
+async def _fail_disconnected(
+    request: aiohttp.ClientRequest, send: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Sends a request; fails if the connection breaks.
+
+    The HTTP library sends requests again after other errors.
+
+    Raises:
+        ClientConnectionError: If the connection broke.
+    """
+    try:
+        return await send(request)
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise aiohttp.ClientConnectionError(repr(error)) from error
+
+
 def _read_era(field: str, path: str) -> int:
     """Returns the era that a reply states, or 0 if it states none.
 
--- a/wigeonspool/vm/store_follower.py
+++ b/wigeonspool/vm/store_follower.py
@@ -212,7 +212,7 @@
                 self._apply_range(key_range)
         finally:
             if begins_era:
-                self._cluster.end_restored_state()
+                self._end_restored_state()
         self._record_jump(newest)
         self.newest_revision = max(self.newest_revision, newest)
         self._newer_ranges += ranges
@@ -251,14 +251,27 @@
         self.on_new_era(era)
         self.era = era
         self.restored_revision = restored_revision
-        self.revision = self.newest_revision = self.snapshot_revision = 0
+        # Not 0, since the copy may be of an empty store.
+        self.revision = self.newest_revision = -1
+        self.snapshot_revision = 0
         self._jumped_from = None
         self._newer_ranges.clear()
         self._newer_removals.clear()
         for key, item in self.items.items():
-            self.items[key] = dataclasses.replace(item, revision=0)
+            self.items[key] = dataclasses.replace(item, revision=-1)
         self._cluster.begin_era(self._loop.time(), restored_revision)
 
+    def _end_restored_state(self) -> None:
+        """Ends the first state of an era.
+
+        A key whose item was unreadable keeps its value, as if it had been
+        written at the beginning of the era.
+        """
+        self._cluster.end_restored_state()
+        for key, item in self.items.items():
+            if item.revision < 0:
+                self.items[key] = dataclasses.replace(item, revision=0)
+
     def _record_jump(self, revision: int) -> None:
         """Records that changes up to a revision were not received one by one.
 
@@ -318,7 +331,7 @@
 
     def _find_known(self, key: str) -> int:
         """Returns up to which revision all changes of a key are applied."""
-        known = max(self.revision, self._newer_removals.get(key, 0))
+        known = max(self.revision, self._newer_removals.get(key, -1))
         for key_range in self._newer_ranges:
             if key_range.contains(key):
                 known = max(known, key_range.page.revision)
