Pass the first entry of a new era on, and drop older changes

Cause: a feeder for which a restore changed nothing kept its recent changes of the older era, and sent them to a follower that reconnected, with revisions above that of the follower. A target that writes its entry again after a restore was not passed on if it was equal to what the feeder held, so a follower that had seen the removal of the target excluded it for good.

Change: the feeder drops changes of an older era before it sends anything of the new one. The first write of a key in a new era is passed on.

--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -505,6 +505,54 @@
         assert follower.replica.era == FIRST_ERA + 1
         assert follower.replica.revision == 9
 
+    # Guards against changes of an older era that a feeder sends as new ones,
+    # since the new era changed nothing for it.
+    async def test_reconnecting_follower_gets_no_change_of_an_older_era(
+        self,
+    ) -> None:
+        feeder, follower = machine.Vm(), machine.Vm()
+        feeder.replica.apply_snapshot([], 1, FIRST_ERA)
+        items = (self.build_item("t-1", 90), self.build_item("t-2", 91))
+        feeder.replica.apply_page(key_values.Page(items, 91, era=FIRST_ERA))
+        feeder.feeder.send_changes()
+        copy = [self.build_item("t-1", 7), self.build_item("t-2", 8)]
+        for vm in (feeder, follower):
+            vm.replica.apply_snapshot(copy, 10, FIRST_ERA + 1)
+        removed = key_values.KeyValue("servers/t-2", None, 11)
+        page = key_values.Page((removed,), 11, era=FIRST_ERA + 1)
+        follower.replica.apply_page(page)
+        feeder.feeder.connect(10, FIRST_ERA + 1)
+        assert feeder.feeder.messages is not None
+        for message in feeder.feeder.messages:
+            follower.client._handle_message("a", message)
+        assert list(follower.cluster.targets) == ["t-1"]
+
+    # Guards against a target that a follower excludes for good: it had seen
+    # the removal before the restore, for its feeder nothing has changed.
+    async def test_first_entry_of_a_new_era_is_passed_on(self) -> None:
+        feeder, follower = machine.Vm(), machine.Vm()
+        for vm in (feeder, follower):
+            vm.replica.apply_snapshot([self.build_item("t-1", 5)], 5, FIRST_ERA)
+        removed = key_values.KeyValue("servers/t-1", None, 6)
+        follower.replica.apply_page(
+            key_values.Page((removed,), 6, era=FIRST_ERA)
+        )
+        for vm in (feeder, follower):
+            vm.replica.apply_snapshot(
+                [self.build_item("t-1", 3)], 4, FIRST_ERA + 1
+            )
+        assert not follower.cluster.targets
+        feeder.feeder.connect(4, FIRST_ERA + 1)
+        written = (self.build_item("t-1", 5),)
+        feeder.replica.apply_page(
+            key_values.Page(written, 5, era=FIRST_ERA + 1)
+        )
+        feeder.feeder.send_changes()
+        assert feeder.feeder.messages is not None
+        for message in feeder.feeder.messages:
+            follower.client._handle_message("a", message)
+        assert list(follower.cluster.targets) == ["t-1"]
+
     # Guards against a feeder that was cut off and undoes a restore.
     @pytest.mark.parametrize(
         "message",
--- a/wigeonspool/platform/metadata_store.py
+++ b/wigeonspool/platform/metadata_store.py
@@ -142,7 +142,7 @@
             query["AllowStale"] = "1"
         _, body, era = await self._call("GET", "/v1/kv-range", query)
         reply = _decode(body, _Range)
-        return _build_page(reply.items, reply.at_rev, era, reply.has_more)
+        return _build_page(reply.items, reply.at_rev, reply.has_more, era)
 
     async def watch(
         self, prefix: str, after: int, wait_seconds: float
@@ -180,7 +180,7 @@
         if status == STATUS_GONE:
             raise errors.HistoryExpiredError(after)
         reply = _decode(body, _Events)
-        return _build_page(reply.events, reply.at_rev, era)
+        return _build_page(reply.events, reply.at_rev, era=era)
 
     async def grant(self, ttl_seconds: float) -> key_values.GrantedLease:
         """Creates a lease.
@@ -449,8 +449,8 @@
 def _build_page(
     raw_items: Sequence[msgspec.Raw],
     revision: int,
-    era: int,
     more: bool = False,
+    era: int = 0,
 ) -> key_values.Page:
     """Decodes the items of a reply; leaves out those that cannot be decoded."""
     items = []
--- a/wigeonspool/vm/feed_server.py
+++ b/wigeonspool/vm/feed_server.py
@@ -85,11 +85,7 @@
         Drops the oldest one if there are more than `MAX_RECENT_CHANGES`, and
         all of an older era.
         """
-        if self._recorded_era != self._replica.era:
-            self._recorded_era = self._replica.era
-            self._recent_changes.clear()
-            self._unsent_changes.clear()
-            self._last_dropped_revision = 0
+        self._drop_older_era()
         self._unsent_changes.append(item)
         self._recent_changes.append(item)
         if len(self._recent_changes) > MAX_RECENT_CHANGES:
@@ -99,6 +95,14 @@
                 self._last_dropped_revision, dropped.revision
             )
 
+    def _drop_older_era(self) -> None:
+        """Drops the stored changes if they belong to an older era."""
+        if self._recorded_era != self._replica.era:
+            self._recorded_era = self._replica.era
+            self._recent_changes.clear()
+            self._unsent_changes.clear()
+            self._last_dropped_revision = 0
+
     def send_changes(self) -> None:
         """Sends all followers the changes since the last call.
 
@@ -125,6 +129,7 @@
 
     def _send_era(self) -> None:
         """Sends all followers the keys of a new era of the store."""
+        self._drop_older_era()
         self._sent_era = self._replica.era
         self._sent_revision = self._replica.revision
         self._unsent_changes.clear()
--- a/wigeonspool/vm/store_follower.py
+++ b/wigeonspool/vm/store_follower.py
@@ -346,13 +346,20 @@
         if item.revision <= known:
             return
         self.newest_revision = max(self.newest_revision, item.revision)
+        # A follower may exclude the target of a restored entry that this VM
+        # uses, until the entry is written again.
+        is_first_write = (
+            current is not None
+            and current.revision <= self.restored_revision < item.revision
+            and self.era > 0
+        )
         if item.value is None:
             self.items.pop(item.key, None)
             self._newer_removals[item.key] = item.revision
         else:
             self.items[item.key] = item
         try:
-            changed = self._apply_value(item)
+            changed = self._apply_value(item, is_first_write)
         except errors.PlatformFormatError as error:
             self.unreadable_items += 1
             log.error("unreadable", key=item.key, reason=str(error))
@@ -366,11 +373,19 @@
         if changed:
             self._on_change(item)
 
-    def _apply_value(self, item: key_values.KeyValue) -> bool:
+    def _apply_value(
+        self, item: key_values.KeyValue, is_first_write: bool
+    ) -> bool:
         """Decodes an item and applies it to the cluster state.
 
+        Args:
+            item: The item.
+            is_first_write: True if the key was last written before the restore
+                that began the era.
+
         Returns:
-            True if it may have changed the cluster state.
+            True if it may have changed the cluster state of this VM or a
+            follower.
 
         Raises:
             PlatformFormatError: If the value cannot be decoded.
@@ -382,7 +397,8 @@
             self.unreadable_items += 1
             log.warning("unreadable", key=item.key, reason=change.problem)
         now = self._loop.time()
-        return self._cluster.apply(now, item.key, item.revision, change)
+        changed = self._cluster.apply(now, item.key, item.revision, change)
+        return changed or is_first_write
 
 
 def _shorten(error: Exception) -> str:
