Keep a lease whose renewal got a reply of an older era

Cause: a renewal or write dropped the lease if the reply had any other era. A reply of an older era comes from a store that does not hold the lease, and says nothing about it.

Change: such a reply counts as a failed call: the lease stays, but is not extended. The stand-in's targets number their entries, as those of the platform do. A test covers a VM that gets the new era from its feeder only.

--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -409,6 +409,23 @@
 
         virtual_loop.run(run())
 
+    # Guards against a valid lease that is dropped, and against one that counts
+    # as renewed by a store that does not hold it.
+    def test_reply_of_an_older_era_neither_renews_nor_drops(self) -> None:
+        async def run() -> None:
+            store = EraLeaseStore()
+            registration = build_registration(store)
+            await registration._renew()
+            registered_until = registration.registered_until
+            await asyncio.sleep(1.0)
+            store.era -= 1
+            delay = await registration._renew()
+            assert delay == vm_registration.RETRY_SECONDS
+            assert registration.lease == 1
+            assert registration.registered_until == registered_until
+
+        virtual_loop.run(run())
+
     # Guards against a renewal that restores what was dropped during it.
     def test_renewal_of_a_dropped_lease_does_not_count(self) -> None:
         async def run() -> None:
@@ -827,6 +844,31 @@
             vm._slack_share.update()
         assert sum(vm._slack_share.share > 0 for vm in started) == 2
 
+    # Guards against a VM that stays in the older era since it cannot reach the
+    # store itself.
+    async def test_vm_without_the_store_gets_the_era_from_its_feeder(
+        self, vms: vm_fleet.VmFleet
+    ) -> None:
+        started = [await vms.start_vm(f"vm-{number}") for number in range(2)]
+        for vm in started:
+            await vms.wait_until_listed(vm, {"vm-0", "vm-1"})
+        await fleets.wait_for(
+            lambda: sum(vm._should_follow_store() for vm in started) == 1
+        )
+        (follower,) = [vm for vm in started if not vm._should_follow_store()]
+        follower._store._url = "http://127.0.0.1:9"
+        await vms.store.restore(0.1)
+        await vms.store.put("servers/t-1", None)
+        await fleets.wait_for(lambda: follower._replica.era == FIRST_ERA + 1)
+        await fleets.wait_for(lambda: "t-1" not in follower._cluster.targets)
+        # Its lease may belong to another VM now.
+        assert follower._registration.lease == 0
+        follower._slack_share.update()
+        budget = follower._request_runner.retry_budget
+        assert not budget.count_tokens(
+            "reads", asyncio.get_running_loop().time()
+        )
+
     # Guards against requests that are refused during a restore.
     async def test_requests_are_served_during_a_restore(
         self, vms: vm_fleet.VmFleet
--- a/tests/vm_fleet.py
+++ b/tests/vm_fleet.py
@@ -117,6 +117,7 @@
         self.session: aiohttp.ClientSession
         self._registrations: dict[str, tuple[str, str, str]] = {}
         self._started_at_ms: dict[str, int] = {}
+        self._sequences: dict[str, int] = {}
         self._attempts = itertools.count(1)
         self._stack = contextlib.AsyncExitStack()
 
@@ -194,6 +195,7 @@
             identity, standins.FIRST_START_MS
         )
         self._started_at_ms[identity] = started_at_ms + 1
+        self._sequences[identity] = 0
         await self.register(identity)
         return target
 
@@ -203,8 +205,10 @@
         started_at_ms = self._started_at_ms.get(
             identity, standins.FIRST_START_MS
         )
+        sequence = self._sequences.get(identity, 0) + 1
+        self._sequences[identity] = sequence
         entry = standins.build_entry(
-            address, service_name, zone, state, started_at_ms
+            address, service_name, zone, state, started_at_ms, sequence
         )
         key = f"servers/{identity}"
         await self.store.put(key, json.dumps(entry).encode())
--- a/wigeonspool/platform/standin/main.py
+++ b/wigeonspool/platform/standin/main.py
@@ -94,6 +94,7 @@
     zone: str,
     state: str = "ready",
     started_at_ms: int = FIRST_START_MS,
+    sequence: int = 1,
 ) -> dict[str, Any]:
     """Returns the entry with which a target registers itself.
 
@@ -103,6 +104,7 @@
         zone: Availability zone.
         state: State that the target reports: "ready" or "draining".
         started_at_ms: Start of the target, in Unix milliseconds.
+        sequence: Number of the entry among those of this start.
     """
     return {
         "Address": address,
@@ -112,7 +114,7 @@
             "Zone": zone,
             "Slots": 4,
         },
-        "Status": {"State": state, "Seq": 1, "Cold_time": "0ms"},
+        "Status": {"State": state, "Seq": sequence, "Cold_time": "0ms"},
         "born": started_at_ms,
     }
 
--- a/wigeonspool/vm/vm_registration.py
+++ b/wigeonspool/vm/vm_registration.py
@@ -240,8 +240,11 @@
     """Checks that a reply has the era in which a lease was granted.
 
     Raises:
-        EraChangedError: If it has another era; an older one is a reply of a
-            store that does not hold the lease.
+        EraChangedError: If it has a newer era.
+        StoreUnavailableError: If it has an older era. The lease may still be
+            valid, but was not renewed.
     """
-    if era != lease_era:
+    if era > lease_era:
         raise errors.EraChangedError(lease_era, era)
+    if era < lease_era:
+        raise errors.StoreUnavailableError("lease", "reply has an older era")
