--- a/wigeonspool/gateway/http_client.py
+++ b/wigeonspool/gateway/http_client.py
@@ -105,6 +105,7 @@
         data: bytes | None = None,
         headers: Mapping[str, str] | None = None,
         timeout_seconds: float,
+        may_resend: bool = True,
     ) -> AsyncIterator[exchanges.TargetResponse]:
         """Makes one call; the context holds its response.
 
@@ -115,6 +116,8 @@
             data: Request body, if any.
             headers: Header fields, if any.
             timeout_seconds: Longest time until the end of the context.
+            may_resend: True if an idempotent call may be sent again after a
+                kept connection broke.
 
         Raises:
             TimeoutError: If the time has passed.
@@ -127,7 +130,9 @@
         fields["Accept-Encoding"] = "gzip, deflate"
         fields.update(headers or {})
         async with asyncio.timeout(timeout_seconds):
-            response = await self._send(method, target, fields, data)
+            response = await self._send(
+                method, target, fields, data, may_resend
+            )
             try:
                 yield response
             finally:
@@ -140,8 +145,9 @@
         target: yarl.URL,
         fields: CIMultiDict[str],
         data: bytes | None,
+        may_resend: bool,
     ) -> exchanges.TargetResponse:
-        """Sends a call on a kept or a new connection.
+        """Sends a call on a kept or a new connection; see `request`.
 
         Raises:
             aiohttp.ClientError: If the connection ended, or the response is not
@@ -166,7 +172,9 @@
                 was_closed = isinstance(
                     error, (aiohttp.ServerDisconnectedError, ConnectionError)
                 )
-                if is_new or not was_closed or method not in RESENT_METHODS:
+                if is_new or not (was_closed and may_resend):
+                    raise
+                if method not in RESENT_METHODS:
                     raise
             connection = None
 
--- a/wigeonspool/platform/metadata_store.py
+++ b/wigeonspool/platform/metadata_store.py
@@ -135,7 +135,7 @@
             query["AllowStale"] = "1"
         _, body, era = await self._call("GET", "/v1/kv-range", query)
         reply = _decode(body, _Range)
-        return _build_page(reply.items, reply.at_rev, era, reply.has_more)
+        return _build_page(reply.items, reply.at_rev, reply.has_more, era)
 
     async def watch(
         self, prefix: str, after: int, wait_seconds: float
@@ -166,11 +166,14 @@
             query,
             timeout_seconds=wait_seconds + WATCH_SLACK_SECONDS,
             accepted_statuses=(STATUS_OK, STATUS_GONE),
+            # A store that is restored cuts watches. A watch that is sent again
+            # would wait in the new era from a revision of the old one.
+            may_resend=not self.newest_era,
         )
         if status == STATUS_GONE:
             raise errors.HistoryExpiredError(after)
         reply = _decode(body, _Events)
-        return _build_page(reply.events, reply.at_rev, era)
+        return _build_page(reply.events, reply.at_rev, era=era)
 
     async def grant(self, ttl_seconds: float) -> key_values.GrantedLease:
         """Creates a lease.
@@ -324,6 +327,7 @@
         document: Mapping[str, Any] | None = None,
         timeout_seconds: float = CALL_TIMEOUT_SECONDS,
         accepted_statuses: tuple[int, ...] = (STATUS_OK,),
+        may_resend: bool = True,
     ) -> _Reply:
         """Makes one call; returns the reply.
 
@@ -334,6 +338,8 @@
             document: JSON document of the request body, if any.
             timeout_seconds: Longest time until the complete reply.
             accepted_statuses: Statuses that do not count as a failure.
+            may_resend: True if the call may be sent again after a kept
+                connection broke.
 
         Raises:
             StoreUnavailableError: If no complete reply came in time, or its
@@ -352,6 +358,7 @@
                 data=body,
                 headers=fields,
                 timeout_seconds=timeout_seconds,
+                may_resend=may_resend,
             ) as response:
                 response_body = await _read_body(response, path)
                 status = response.status
@@ -371,23 +378,6 @@
         return _Reply(status, response_body, era)
 
 
-def _read_era(field: str, path: str) -> int:
-    """Returns the era that a reply states, or 0 if it states none.
-
-    Args:
-        field: Value of the header field, or "".
-        path: Path of the call.
-
-    Raises:
-        StoreReplyError: If the value is not a number of 63 bits.
-    """
-    if not field:
-        return 0
-    if field.isascii() and field.isdigit() and len(field) < MAX_ERA_DIGITS:
-        return int(field)
-    raise errors.StoreReplyError(path, "the era is not a number")
-
-
 async def _read_body(response: exchanges.TargetResponse, path: str) -> bytes:
     """Returns the body of a reply.
 
@@ -417,8 +407,8 @@
 def _build_page(
     raw_items: Sequence[msgspec.Raw],
     revision: int,
-    era: int,
     more: bool = False,
+    era: int = 0,
 ) -> key_values.Page:
     """Decodes the items of a reply; leaves out those that cannot be decoded."""
     items = []
--- a/wigeonspool/vm/store_follower.py
+++ b/wigeonspool/vm/store_follower.py
@@ -212,7 +212,7 @@
                 self._apply_range(key_range)
         finally:
             if begins_era:
-                self._cluster.end_restored_state()
+                self._end_restored_state()
         self._record_jump(newest)
         self.newest_revision = max(self.newest_revision, newest)
         self._newer_ranges += ranges
@@ -251,14 +251,27 @@
         self.on_new_era(era)
         self.era = era
         self.restored_revision = restored_revision
-        self.revision = self.newest_revision = self.snapshot_revision = 0
+        # Not 0, since the copy may be of an empty store.
+        self.revision = self.newest_revision = -1
+        self.snapshot_revision = 0
         self._jumped_from = None
         self._newer_ranges.clear()
         self._newer_removals.clear()
         for key, item in self.items.items():
-            self.items[key] = dataclasses.replace(item, revision=0)
+            self.items[key] = dataclasses.replace(item, revision=-1)
         self._cluster.begin_era(self._loop.time(), restored_revision)
 
+    def _end_restored_state(self) -> None:
+        """Ends the first state of an era.
+
+        A key whose item was unreadable keeps its value, as if it had been
+        written at the beginning of the era.
+        """
+        self._cluster.end_restored_state()
+        for key, item in self.items.items():
+            if item.revision < 0:
+                self.items[key] = dataclasses.replace(item, revision=0)
+
     def _record_jump(self, revision: int) -> None:
         """Records that changes up to a revision were not received one by one.
 
@@ -318,7 +331,7 @@
 
     def _find_known(self, key: str) -> int:
         """Returns up to which revision all changes of a key are applied."""
-        known = max(self.revision, self._newer_removals.get(key, 0))
+        known = max(self.revision, self._newer_removals.get(key, -1))
         for key_range in self._newer_ranges:
             if key_range.contains(key):
                 known = max(known, key_range.page.revision)
@@ -333,13 +346,20 @@
         if item.revision <= known:
             return
         self.newest_revision = max(self.newest_revision, item.revision)
+        # A follower may exclude the target of a restored entry that this VM
+        # uses, until the entry is written again.
+        is_first_write = (
+            current is not None
+            and current.revision <= self.restored_revision < item.revision
+            and self.era > 0
+        )
         if item.value is None:
             self.items.pop(item.key, None)
             self._newer_removals[item.key] = item.revision
         else:
             self.items[item.key] = item
         try:
-            changed = self._apply_value(item)
+            changed = self._apply_value(item, is_first_write)
         except errors.PlatformFormatError as error:
             self.unreadable_items += 1
             log.error("unreadable", key=item.key, reason=str(error))
@@ -353,11 +373,19 @@
         if changed:
             self._on_change(item)
 
-    def _apply_value(self, item: key_values.KeyValue) -> bool:
+    def _apply_value(
+        self, item: key_values.KeyValue, is_first_write: bool
+    ) -> bool:
         """Decodes an item and applies it to the cluster state.
 
+        Args:
+            item: The item.
+            is_first_write: True if the key was last written before the restore
+                that began the era.
+
         Returns:
-            True if it may have changed the cluster state.
+            True if it may have changed the cluster state of this VM or a
+            follower.
 
         Raises:
             PlatformFormatError: If the value cannot be decoded.
@@ -369,7 +397,8 @@
             self.unreadable_items += 1
             log.warning("unreadable", key=item.key, reason=change.problem)
         now = self._loop.time()
-        return self._cluster.apply(now, item.key, item.revision, change)
+        changed = self._cluster.apply(now, item.key, item.revision, change)
+        return changed or is_first_write
 
 
 def _shorten(error: Exception) -> str:
