Hand quotas over before a coordinator stops, count and log their use

Cause: a planned stop of the coordinator cost the second until its delegations ended, and VMs that registered together all waited as if they displaced each other.

--- a/tests/test_usage_limits.py
+++ b/tests/test_usage_limits.py
@@ -10,6 +10,7 @@
 
 from tests import usage_model
 from wigeonspool.core import usage_limits
+from wigeonspool.core import vm_assignment
 from wigeonspool.model import fleet
 from wigeonspool.vm import usage_messages
 
@@ -259,6 +260,21 @@
         assert find_wrong_fraction(deployment, settled_at) <= 0.05
         assert find_wrong_fraction(deployment, start) <= 0.1
 
+    # A VM that stops as planned lets others choose another coordinator first.
+    def test_planned_stop_of_the_coordinator(self) -> None:
+        deployment = build_deployment(17)
+        start = deployment.now
+        serve(deployment, 14.0)
+        deployment.run(2.0)
+        coordinator = deployment.list_holders()[0]
+        assert coordinator.node is not None
+        coordinator.node.is_leaving = True
+        # Its callers are sent to other VMs meanwhile.
+        deployment.run(2.0)
+        deployment.stop([coordinator], 0.5)
+        deployment.run(10.0)
+        assert find_wrong_fraction(deployment, start) <= 0.02
+
     def test_lost_datagrams(self) -> None:
         deployment = build_deployment(17)
         deployment.loss = 0.02
@@ -505,44 +521,54 @@
 
 
 class TestHolderRole:
-    VMS = tuple(build_entry(f"vm-{i}") for i in range(4))
     ZONES = {"z0": "r0"}
 
     def list_ranked(self, count: int) -> list[fleet.VmEntry]:
-        """Returns VMs of a zone, the first holder first."""
-        ranked = usage_limits.rank_coordinators(self.VMS[:2], self.ZONES)
-        assert len(ranked) == 2
-        vms = list(self.VMS[:count])
-        holders = usage_limits.rank_coordinators(vms, self.ZONES)
-        return [*holders, *(vm for vm in vms if vm not in holders)]
+        """Returns VMs of a zone, the one to which callers go first in front."""
+        vms = [build_entry(f"vm-{i}") for i in range(count)]
+        return vm_assignment.rank_vms("z0", "r0", vms)
+
+    def find_held_from(
+        self, own: fleet.VmEntry, vms: list[fleet.VmEntry], known: bool = False
+    ) -> float:
+        """Returns from when a VM holds a share that registers at 5 s.
+
+        The others of the list registered before it.
+        """
+        role = usage_limits.HolderRole()
+        revisions = {vm.name: 2 if vm == own else 1 for vm in vms}
+        role.update(own, vms, self.ZONES, revisions, known, 5.0)
+        return role.held_from
 
     def test_first_two_vms_hold_shares_at_once(self) -> None:
         vms = self.list_ranked(2)
+        assert self.find_held_from(vms[0], vms) == 5.0
+
+    # Failure: VMs that started together all waited for each other.
+    def test_vm_does_not_wait_for_those_that_registered_later(self) -> None:
+        vms = self.list_ranked(4)
         role = usage_limits.HolderRole()
-        role.update(vms[0], vms, self.ZONES, False, 5.0)
+        revisions = {vm.name: i for i, vm in enumerate(vms)}
+        role.update(vms[0], vms, self.ZONES, revisions, False, 5.0)
         assert role.held_from == 5.0
 
     def test_vm_that_displaces_another_waits(self) -> None:
         vms = self.list_ranked(3)
-        role = usage_limits.HolderRole()
-        role.update(vms[0], vms, self.ZONES, False, 5.0)
-        assert role.held_from == 5.0 + usage_limits.DISPLACEMENT_SECONDS
+        held_from = self.find_held_from(vms[0], vms)
+        assert held_from == 5.0 + usage_limits.DISPLACEMENT_SECONDS
 
     def test_vm_that_was_known_before_its_start_does_not_wait(self) -> None:
         vms = self.list_ranked(3)
-        role = usage_limits.HolderRole()
-        role.update(vms[0], vms, self.ZONES, True, 5.0)
-        assert role.held_from == 5.0
+        assert self.find_held_from(vms[0], vms, known=True) == 5.0
 
     def test_successor_of_a_vm_that_is_gone_does_not_wait(self) -> None:
         vms = self.list_ranked(4)
         role = usage_limits.HolderRole()
-        own = vms[2]
-        role.update(own, vms, self.ZONES, False, 5.0)
+        revisions = {vm.name: i for i, vm in enumerate(vms)}
+        role.update(vms[2], vms, self.ZONES, revisions, False, 5.0)
         assert role.held_from == math.inf
-        role.update(own, vms[1:], self.ZONES, False, 6.0)
-        holders = usage_limits.rank_coordinators(vms[1:], self.ZONES)
-        assert role.held_from == (6.0 if own in holders else math.inf)
+        role.update(vms[2], vms[1:], self.ZONES, revisions, False, 6.0)
+        assert role.held_from == 6.0
 
 
 class TestTokens:
--- a/tests/usage_model.py
+++ b/tests/usage_model.py
@@ -50,7 +50,7 @@
     paused_until: float = -math.inf
     process: int = 0
     lease: int = 0
-    listed: dict[str, tuple[fleet.VmEntry, int]] = dataclasses.field(
+    listed: dict[str, tuple[fleet.VmEntry, int, int]] = dataclasses.field(
         default_factory=dict
     )
     read_changes: int = 0
@@ -141,7 +141,8 @@
         lease = next(self._lease_numbers)
         end = self.now + vm_registration.LEASE_SECONDS
         self._leases[vm.entry.name] = (lease, end)
-        self._log.append((self.now, vm.entry.name, (vm.entry, lease)))
+        item = (vm.entry, lease, len(self._log))
+        self._log.append((self.now, vm.entry.name, item))
         return lease
 
     def at(self, time: float, action: Any) -> None:
@@ -166,7 +167,7 @@
         vm.node.set_quotas(vm.quotas, self.now)
         if self._reaches_store(vm):
             self._read_changes(vm, lag_seconds=0.0)
-        vm.first_lease = vm.listed.get(vm.entry.name, (None, 0))[1]
+        vm.first_lease = vm.listed.get(vm.entry.name, (None, 0, 0))[1]
         vm.lease = vm.first_lease
         self._tick(vm, vm.process)
 
@@ -248,7 +249,7 @@
                 vm.listed.pop(name, None)
             else:
                 vm.listed[name] = item
-        own_lease = vm.listed.get(vm.entry.name, (None, 0))[1]
+        own_lease = vm.listed.get(vm.entry.name, (None, 0, 0))[1]
         is_registered = vm.registered_until > self.now and own_lease == vm.lease
         if has_changed or is_registered != vm.is_listed:
             vm.is_listed = is_registered
@@ -258,9 +259,10 @@
 
     def _set_members(self, vm: ModelVm) -> None:
         assert vm.node is not None
-        entries = [entry for entry, _ in vm.listed.values()]
+        entries = [entry for entry, _, _ in vm.listed.values()]
+        revisions = {name: item[2] for name, item in vm.listed.items()}
         is_known = vm.lease == vm.first_lease != 0
-        vm.node.set_members(entries, is_known, self.now)
+        vm.node.set_members(entries, revisions, is_known, self.now)
 
     def _send(
         self, sender: ModelVm, address: str, message: usage_messages.Message
--- a/wigeonspool/core/coordinator_choice.py
+++ b/wigeonspool/core/coordinator_choice.py
@@ -43,6 +43,7 @@
         incarnation: Identity of its process.
         clock: Clock value of its latest reply.
         has_failed: True while it is skipped.
+        is_leaving: True if it stops soon.
         retry_at: When it is asked again while it is skipped or settling.
         settled_at: From when it may be chosen again.
     """
@@ -53,6 +54,7 @@
     incarnation: int = 0
     clock: float = -math.inf
     has_failed: bool = False
+    is_leaving: bool = False
     retry_at: float = -math.inf
     settled_at: float = -math.inf
 
@@ -108,7 +110,12 @@
         peer.asked_at = min(peer.asked_at, now)
 
     def record_clock(
-        self, address: str, incarnation: int, clock: float
+        self,
+        address: str,
+        incarnation: int,
+        clock: float,
+        is_leaving: bool,
+        now: float,
     ) -> None:
         """Records the clock of a VM that replied.
 
@@ -116,12 +123,17 @@
             address: Address of the VM.
             incarnation: Identity of its process.
             clock: Its clock when it replied.
+            is_leaving: True if it stops soon.
+            now: Current time.
         """
         peer = self.peers[address]
         if peer.incarnation != incarnation:
             peer.incarnation = incarnation
             peer.clock = clock
         peer.clock = max(peer.clock, clock)
+        if peer.is_leaving and not is_leaving:
+            peer.settled_at = now + SETTLE_SECONDS
+        peer.is_leaving = is_leaving
 
     def record_reply(self, address: str, now: float) -> bool:
         """Records a reply; returns False if its VM is not in the ranking."""
@@ -174,7 +186,9 @@
 
     def _find_preferred(self, now: float) -> str | None:
         """Returns the address that `choose` returns."""
-        has_failures = any(p.has_failed for p in self.peers.values())
+        has_failures = any(
+            p.has_failed or p.is_leaving for p in self.peers.values()
+        )
         has_current = self._is_usable(self._chosen)
         unconfirmed: str | None = None
         for address in self.ranking:
@@ -197,7 +211,7 @@
         if address == self._own:
             return address in self.ranking
         peer = self.peers.get(address or "")
-        return peer is not None and not peer.has_failed
+        return peer is not None and not (peer.has_failed or peer.is_leaving)
 
     def _is_settled(self, peer: Peer, now: float) -> bool:
         """Returns True if a VM may replace the current coordinator."""
@@ -225,7 +239,7 @@
             peer = self.peers.get(address)
             if peer is None:
                 continue
-            if peer.has_failed or peer.settled_at > now:
+            if peer.has_failed or peer.is_leaving or peer.settled_at > now:
                 if is_preferred and now >= peer.retry_at:
                     peer.retry_at = now + self._find_retry_seconds(now)
                     due.append(address)
--- a/wigeonspool/core/usage_limits.py
+++ b/wigeonspool/core/usage_limits.py
@@ -413,19 +413,22 @@
         own: fleet.VmEntry,
         vms: Collection[fleet.VmEntry],
         zones: Collection[str],
+        revisions: Mapping[str, int],
         is_known: bool,
         now: float,
     ) -> None:
         """Updates the role after a change of the list of VMs.
 
         A VM that displaces another holder waits until that one knows it. It
-        displaces none if its zone has no other VMs than holders, or if it
-        replaces a VM that is gone.
+        displaces none if fewer VMs than holders registered before it in its
+        zone, or if it replaces a VM that is gone. VMs that registered later
+        have known it from their start.
 
         Args:
             own: Entry of the VM.
             vms: Entries of all registered VMs.
             zones: Availability zones of the deployment.
+            revisions: Store revision of each registration, by name.
             is_known: True if all VMs know this one from before its start.
             now: Current time.
         """
@@ -436,8 +439,10 @@
             return
         if self.held_from < math.inf:
             return
+        own_revision = revisions.get(own.name, 0)
+        older = [n for n in names if revisions.get(n, 0) < own_revision]
         displaces_none = (
-            len(names) <= vm_assignment.MIN_ASSIGNED_VMS
+            len(older) < vm_assignment.MIN_ASSIGNED_VMS
             or (previous is None and is_known)
             or (previous is not None and names < previous)
         )
--- a/wigeonspool/gateway/responses.py
+++ b/wigeonspool/gateway/responses.py
@@ -31,6 +31,7 @@
     outcomes.Reason.TOKEN_EXPIRED: 409,
     outcomes.Reason.IN_PROGRESS: 409,
     outcomes.Reason.ANSWER_NOT_KEPT: 410,
+    outcomes.Reason.QUOTA_EXCEEDED: 429,
     outcomes.Reason.BODY_TOO_LARGE: 413,
     outcomes.Reason.BAD_REQUEST: 400,
     outcomes.Reason.DEADLINE_PASSED: 504,
--- a/wigeonspool/vm/metrics.py
+++ b/wigeonspool/vm/metrics.py
@@ -16,6 +16,7 @@
 from wigeonspool.vm import store_follower
 from wigeonspool.vm import structured_log
 from wigeonspool.vm import target_probes
+from wigeonspool.vm import usage_limiter
 
 # Upper bounds of the histogram of durations, in seconds.
 DURATION_BUCKETS_SECONDS: Final = (
@@ -141,6 +142,26 @@
     "wigeonspool_vm_held_response_seconds_total",
     "Time for which complete responses were held until their turn.",
 )
+QUOTA_GRANTED: Final = aioprometheus.Counter(
+    "wigeonspool_vm_quota_requests_granted_total",
+    "Requests that got a token of a quota, by account and source.",
+)
+QUOTA_REFUSED: Final = aioprometheus.Counter(
+    "wigeonspool_vm_quota_requests_refused_total",
+    "Requests that got no token of a quota, by account and cause.",
+)
+QUOTA_SHARES: Final = aioprometheus.Gauge(
+    "wigeonspool_vm_quota_shares",
+    "Shares of the quotas that are delegated to this VM.",
+)
+QUOTA_DATAGRAMS: Final = aioprometheus.Counter(
+    "wigeonspool_vm_quota_datagrams_total",
+    "Datagrams about quotas, by what became of them.",
+)
+QUOTA_BYTES: Final = aioprometheus.Counter(
+    "wigeonspool_vm_quota_bytes_total",
+    "Size of the datagrams about quotas, by direction.",
+)
 DROPPED_LOG_LINES: Final = aioprometheus.Counter(
     "wigeonspool_vm_log_lines_left_out_total",
     "Log lines that exceeded the bound or that nobody read.",
@@ -162,6 +183,7 @@
         replica: store_follower.StoreReplica,
         writer: structured_log.LineWriter | None,
         pipeline_use: pipelines.PipelineUse,
+        limiter: usage_limiter.UsageLimiter,
     ) -> None:
         """Stores the components that are read at each update.
 
@@ -177,6 +199,7 @@
             writer: Writer of the log, or None if the log does not go to
                 standard output.
             pipeline_use: What the pipelined requests use.
+            limiter: Limits requests to the quotas of client accounts.
         """
         self._service = service
         self._runner = runner
@@ -188,6 +211,7 @@
         self._replica = replica
         self._writer = writer
         self._pipeline_use = pipeline_use
+        self._limiter = limiter
 
     def update(self) -> None:
         """Sets all metrics but the durations to their current values."""
@@ -222,6 +246,7 @@
             self._update_notices(name, [row.entry for row in targets])
         self._update_notice_counts()
         self._update_pipelines()
+        self._update_quotas()
         if self._writer is not None:
             DROPPED_LOG_LINES.set({}, self._writer.dropped_lines)
 
@@ -259,6 +284,29 @@
         HELD_BYTES.set({}, use.held_bytes)
         HELD_SECONDS.set({}, use.held_seconds)
 
+    def _update_quotas(self) -> None:
+        """Sets the requests to which quotas apply, and the datagrams."""
+        limiter = self._limiter
+        node = limiter.node
+        if node is None:
+            return
+        for account, counts in node.list_counts().items():
+            labels = {"account": account}
+            for source, granted in counts.granted.items():
+                QUOTA_GRANTED.set(labels | {"source": source.value}, granted)
+            for cause, refused in counts.refused.items():
+                QUOTA_REFUSED.set(labels | {"cause": cause.value}, refused)
+        now = usage_limiter.read_clock()
+        QUOTA_SHARES.set({}, node.coordinator.count_shares(now))
+        for result, datagrams in (
+            ("sent", node.sent),
+            ("received", node.received),
+            ("dropped", node.odd + limiter.unreadable),
+        ):
+            QUOTA_DATAGRAMS.set({"result": result}, datagrams)
+        QUOTA_BYTES.set({"direction": "sent"}, limiter.sent_bytes)
+        QUOTA_BYTES.set({"direction": "received"}, limiter.received_bytes)
+
     def _update_notice_counts(self) -> None:
         """Sets the counters of what targets stated about themselves."""
         counts = self._prober.notices.counts
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -224,6 +224,7 @@
             self._cluster,
             lambda: self._registration.registered_until,
             lambda: self._registration.lease,
+            self._find_registration_revision,
         )
         self._caller_service = caller_service.CallerService(
             settings.vm,
@@ -256,6 +257,7 @@
                 self._replica,
                 self._writer,
                 self._caller_server.pipeline_use,
+                self._usage_limiter,
             ).update,
         )
         self._caller_service.on_answered = metrics.observe_duration
@@ -284,6 +286,11 @@
         decoded = store_keys.decode_report(item, self._registration.lease)
         return decoded[1] if decoded else None
 
+    def _find_registration_revision(self, vm: fleet.VmEntry) -> int:
+        """Returns the store revision of the entry of a VM, or 0."""
+        item = self._replica.items.get(store_keys.encode_vm(vm)[0])
+        return item.revision if item else 0
+
     async def _write_reports(
         self, reports: list[suspect_reports.SuspectReport]
     ) -> int:
@@ -571,6 +578,7 @@
         self._close_by = schedule.close_by
         self._address_service.draining = True
         self._feeder.close()
+        self._usage_limiter.begin_drain()
         self._caller_service.begin_drain(schedule)
         log.info("stopping", in_flight=self._caller_service.in_flight)
         await asyncio.sleep(schedule.accept_until - loop.time())
--- a/wigeonspool/vm/usage_limiter.py
+++ b/wigeonspool/vm/usage_limiter.py
@@ -70,6 +70,7 @@
         cluster: cluster_state.ClusterState,
         find_registered_until: Callable[[], float],
         find_lease: Callable[[], int],
+        find_revision: Callable[[fleet.VmEntry], int],
     ) -> None:
         """Creates a limiter that has no port yet.
 
@@ -80,6 +81,7 @@
             find_registered_until: Returns the time until which the store keeps
                 the entry of the VM, loop clock.
             find_lease: Returns the lease of the VM, or 0.
+            find_revision: Returns the store revision of a registration.
         """
         self.node: usage_node.UsageNode | None = None
         self.unreadable = 0
@@ -91,6 +93,7 @@
         self._cluster = cluster
         self._find_registered_until = find_registered_until
         self._find_lease = find_lease
+        self._find_revision = find_revision
         self._first_lease = 0
         self._transport: asyncio.DatagramTransport | None = None
         self._configuration: fleet.Configuration | None = None
@@ -101,7 +104,7 @@
         self._open_at = float("-inf")
         self._loop = asyncio.get_running_loop()
         self._logged_at = self._loop.time()
-        self._logged: dict[str, tuple[int, int]] = {}
+        self._logged: dict[str, tuple[int, ...]] = {}
         self._logged_coordinator = ""
         self._logged_base = False
 
@@ -198,7 +201,7 @@
             await self._open()
         self._apply_members(node)
         node.tick(read_clock())
-        self._log_changes(node)
+        self._log_use(node)
         await asyncio.sleep(usage_node.TICK_SECONDS)
 
     def _apply_configuration(self) -> None:
@@ -239,6 +242,11 @@
             return
         self._transport = transport
 
+    def begin_drain(self) -> None:
+        """Lets other VMs choose another coordinator, since this one stops."""
+        if self.node is not None:
+            self.node.is_leaving = True
+
     def close(self) -> None:
         """Closes the port."""
         if self._transport is not None:
@@ -263,7 +271,13 @@
             return
         self._vm_changes, self._was_registered = changes, is_registered
         is_known = lease == self._first_lease
-        node.set_members(list(self._cluster.vms.values()), is_known, now)
+        vms = list(self._cluster.vms.values())
+        revisions = {
+            vm.name: self._find_revision(vm)
+            for vm in vms
+            if vm.zone == self._entry.zone
+        }
+        node.set_members(vms, revisions, is_known, now)
         if not is_registered:
             node.role.clear()
 
@@ -285,8 +299,11 @@
             return
         self.node.receive(address, message, read_clock())
 
-    def _log_changes(self, node: usage_node.UsageNode) -> None:
-        """Logs another coordinator, and at intervals the refused requests."""
+    def _log_use(self, node: usage_node.UsageNode) -> None:
+        """Logs at intervals who decides, and the refused requests."""
+        if self._loop.time() < self._logged_at + LOG_SECONDS:
+            return
+        self._logged_at = self._loop.time()
         now = read_clock()
         coordinator = node.find_coordinator(now) or ""
         if coordinator != self._logged_coordinator:
@@ -296,26 +313,27 @@
                 coordinator=coordinator,
                 fraction=round(node.choice.fraction, 3),
             )
-        if self._loop.time() < self._logged_at + LOG_SECONDS:
-            return
-        self._logged_at = self._loop.time()
         uses_base = node.uses_base_share(now)
         if uses_base != self._logged_base:
             self._logged_base = uses_base
             log.info("base shares used", active=uses_base)
         for name, counts in node.list_counts().items():
+            refused = counts.refused
             granted = sum(counts.granted.values())
-            refused = sum(counts.refused.values())
-            logged = self._logged.get(name, (0, 0))
-            self._logged[name] = (granted, refused)
-            if refused > logged[1] and name in self._quotas:
+            current = (granted, *refused.values())
+            logged = self._logged.get(name, (0,) * len(current))
+            self._logged[name] = current
+            new = [n - m for n, m in zip(current, logged, strict=True)]
+            if any(new[1:]) and name in self._quotas:
                 log.info(
-                    "quota exceeded",
+                    "requests refused by a quota",
                     account=name,
                     rate=self._quotas[name].rate,
                     coordinator=coordinator,
-                    granted=granted - logged[0],
-                    refused=refused - logged[1],
+                    granted=new[0],
+                    exceeded=new[1],
+                    no_shares=new[2],
+                    no_reply=new[3],
                 )
 
 
--- a/wigeonspool/vm/usage_messages.py
+++ b/wigeonspool/vm/usage_messages.py
@@ -113,6 +113,7 @@
         grants: Tokens, for each account of the message.
         incarnation: Process of the coordinator.
         clock: Clock of the coordinator.
+        is_leaving: True if it stops soon.
     """
 
     sent_at: _Time
@@ -120,6 +121,7 @@
     grants: _Grants
     incarnation: _Incarnation
     clock: _Time
+    is_leaving: bool = False
 
 
 Request = TokenRequest | Delegation
--- a/wigeonspool/vm/usage_node.py
+++ b/wigeonspool/vm/usage_node.py
@@ -150,6 +150,8 @@
         choice: The VMs that may be the coordinator of this one.
         delegation: To whom the share of this VM is delegated.
         role: Whether this VM holds a share.
+        is_leaving: True if this VM stops soon, so that others need another
+            coordinator.
         sent: Messages sent to other VMs.
         received: Messages received from other VMs.
         odd: Messages that were dropped, since they cannot be valid.
@@ -184,6 +186,7 @@
         self.choice = coordinator_choice.CoordinatorChoice(address, now)
         self.delegation = usage_limits.Delegation(bounds.window_seconds)
         self.role = usage_limits.HolderRole()
+        self.is_leaving = False
         self.sent = 0
         self.received = 0
         self.odd = 0
@@ -216,16 +219,21 @@
                 del self._uses[name]
 
     def set_members(
-        self, vms: Collection[fleet.VmEntry], is_known: bool, now: float
+        self,
+        vms: Collection[fleet.VmEntry],
+        revisions: Mapping[str, int],
+        is_known: bool,
+        now: float,
     ) -> None:
         """Applies a change of the list of VMs.
 
         Args:
             vms: Entries of all registered VMs.
+            revisions: Store revision of each registration, by name.
             is_known: True if all VMs know this one from before its start.
             now: Current time.
         """
-        self.role.update(self._own, vms, self._zones, is_known, now)
+        self.role.update(self._own, vms, self._zones, revisions, is_known, now)
         ranked = usage_limits.rank_coordinators(vms, self._zones)
         known = [find_address(vm) for vm in ranked]
         self.choice.set_ranking([a for a in known if a is not None], now)
@@ -521,7 +529,11 @@
             return
         if isinstance(message, usage_messages.DelegationReply):
             self.choice.record_clock(
-                address, message.incarnation, message.clock
+                address,
+                message.incarnation,
+                message.clock,
+                message.is_leaving,
+                now,
             )
         self._apply_reply(address, message, now)
 
@@ -551,7 +563,12 @@
             shares = coordinator.count_shares(now)
         if is_delegation:
             return usage_messages.DelegationReply(
-                request.sent_at, shares, grants, self._incarnation, now
+                request.sent_at,
+                shares,
+                grants,
+                self._incarnation,
+                now,
+                self.is_leaving,
             )
         return usage_messages.TokenReply(request.sent_at, shares, grants)
 
