--- a/tests/usage_model.py
+++ b/tests/usage_model.py
@@ -210,7 +210,7 @@
         node.tick(self.now)
         delay = usage_node.TICK_SECONDS
         if not node.list_counts() and math.isinf(node.role.held_from):
-            delay = 0.5
+            delay = 0.15
         self.at(self.now + delay, lambda: self._tick(vm, process))
 
     def _renew(self, vm: ModelVm) -> None:
--- a/wigeonspool/core/coordinator_choice.py
+++ b/wigeonspool/core/coordinator_choice.py
@@ -116,8 +116,10 @@
         clock: float,
         is_leaving: bool,
         now: float,
-    ) -> None:
-        """Records the clock of a VM that replied.
+    ) -> bool:
+        """Records the clock of a VM that replied; returns True if it leaves.
+
+        It does so once, when the VM states it for the first time.
 
         Args:
             address: Address of the VM.
@@ -133,7 +135,8 @@
         peer.clock = max(peer.clock, clock)
         if peer.is_leaving and not is_leaving:
             peer.settled_at = now + SETTLE_SECONDS
-        peer.is_leaving = is_leaving
+        was_leaving, peer.is_leaving = peer.is_leaving, is_leaving
+        return is_leaving and not was_leaving
 
     def record_reply(self, address: str, now: float) -> bool:
         """Records a reply; returns False if its VM is not in the ranking."""
--- a/wigeonspool/core/usage_limits.py
+++ b/wigeonspool/core/usage_limits.py
@@ -37,8 +37,9 @@
 # VMs disagree on who holds shares for up to 3 s, and a delegation counts for up
 # to one more second. A VM that displaces another holder waits that long.
 DISPLACEMENT_SECONDS: Final = 3.0 + DELEGATION_SECONDS
-# The shares that a coordinator gets this soon after its first one bring
-# starting tokens. Later ones join buckets that have a record of earlier grants.
+# The shares that a coordinator gets this soon after its first one bring the
+# starting tokens of a start. Later ones come from VMs that started again one by
+# one, while the buckets have a record of earlier grants.
 COORDINATOR_START_SECONDS: Final = 3.0
 # Longest time over which refused callers are spread.
 MAX_SPREAD_SECONDS: Final = 5.0
@@ -236,7 +237,8 @@
         share.until = max(share.until, until)
         if starting is not StartingTokens.NONE and not share.brought:
             share.brought = True
-            if now < self._begun_at + COORDINATOR_START_SECONDS:
+            is_start = now < self._begun_at + COORDINATOR_START_SECONDS
+            if is_start or starting is StartingTokens.HANDOVER:
                 self._add_starting_tokens(starting, now)
 
     def _add_starting_tokens(
--- a/wigeonspool/vm/usage_node.py
+++ b/wigeonspool/vm/usage_node.py
@@ -329,8 +329,7 @@
         self._ticked_at = now
         has_demand = any(use.waiters for use in self._uses.values())
         if self.choice.detect_failures(now):
-            for address in list(self.choice.peers):
-                self._send_request(address, now)
+            self._ask_all(now)
         self._refuse_expired(now)
         self._renew_delegation(now)
         self._request_tokens(now, is_tick=True)
@@ -338,6 +337,11 @@
             for address in self.choice.list_due_probes(now):
                 self._send_request(address, now)
 
+    def _ask_all(self, now: float) -> None:
+        """Asks all VMs that may be the next coordinator for a reply."""
+        for address in list(self.choice.peers):
+            self._send_request(address, now)
+
     def _holds_share(self, now: float) -> bool:
         """Returns True if this VM holds a share."""
         return self.role.held_from <= now < self._registered_until
@@ -527,14 +531,16 @@
         if message.sent_at > now or not self.choice.record_reply(address, now):
             self.odd += 1
             return
-        if isinstance(message, usage_messages.DelegationReply):
-            self.choice.record_clock(
-                address,
-                message.incarnation,
-                message.clock,
-                message.is_leaving,
-                now,
-            )
+        if isinstance(
+            message, usage_messages.DelegationReply
+        ) and self.choice.record_clock(
+            address,
+            message.incarnation,
+            message.clock,
+            message.is_leaving,
+            now,
+        ):
+            self._ask_all(now)
         self._apply_reply(address, message, now)
 
     def _answer(
