--- a/wigeonspool/core/usage_limits.py
+++ b/wigeonspool/core/usage_limits.py
@@ -37,8 +37,9 @@
 # VMs disagree on who holds shares for up to 3 s, and a delegation counts for up
 # to one more second. A VM that displaces another holder waits that long.
 DISPLACEMENT_SECONDS: Final = 3.0 + DELEGATION_SECONDS
-# The shares that a coordinator gets this soon after its first one bring
-# starting tokens. Later ones join buckets that have a record of earlier grants.
+# The shares that a coordinator gets this soon after its first one bring the
+# starting tokens of a start. Later ones come from VMs that started again one by
+# one, while the buckets have a record of earlier grants.
 COORDINATOR_START_SECONDS: Final = 3.0
 # Longest time over which refused callers are spread.
 MAX_SPREAD_SECONDS: Final = 5.0
@@ -236,7 +237,8 @@
         share.until = max(share.until, until)
         if starting is not StartingTokens.NONE and not share.brought:
             share.brought = True
-            if now < self._begun_at + COORDINATOR_START_SECONDS:
+            is_start = now < self._begun_at + COORDINATOR_START_SECONDS
+            if is_start or starting is StartingTokens.HANDOVER:
                 self._add_starting_tokens(starting, now)
 
     def _add_starting_tokens(
@@ -413,19 +415,22 @@
         own: fleet.VmEntry,
         vms: Collection[fleet.VmEntry],
         zones: Collection[str],
+        revisions: Mapping[str, int],
         is_known: bool,
         now: float,
     ) -> None:
         """Updates the role after a change of the list of VMs.
 
         A VM that displaces another holder waits until that one knows it. It
-        displaces none if its zone has no other VMs than holders, or if it
-        replaces a VM that is gone.
+        displaces none if fewer VMs than holders registered before it in its
+        zone, or if it replaces a VM that is gone. VMs that registered later
+        have known it from their start.
 
         Args:
             own: Entry of the VM.
             vms: Entries of all registered VMs.
             zones: Availability zones of the deployment.
+            revisions: Store revision of each registration, by name.
             is_known: True if all VMs know this one from before its start.
             now: Current time.
         """
@@ -436,8 +441,10 @@
             return
         if self.held_from < math.inf:
             return
+        own_revision = revisions.get(own.name, 0)
+        older = [n for n in names if revisions.get(n, 0) < own_revision]
         displaces_none = (
-            len(names) <= vm_assignment.MIN_ASSIGNED_VMS
+            len(older) < vm_assignment.MIN_ASSIGNED_VMS
             or (previous is None and is_known)
             or (previous is not None and names < previous)
         )
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -236,6 +236,7 @@
             self._cluster,
             lambda: self._registration.registered_until,
             lambda: self._registration.lease,
+            self._find_registration_revision,
         )
         self._caller_service = caller_service.CallerService(
             settings.vm,
@@ -293,6 +294,7 @@
                 self._writer,
                 self._caller_server.pipeline_use,
                 self._durations,
+                self._usage_limiter,
             ).render
         return self._metrics_page(request)
 
@@ -306,6 +308,11 @@
         decoded = store_keys.decode_report(item, self._registration.lease)
         return decoded[1] if decoded else None
 
+    def _find_registration_revision(self, vm: fleet.VmEntry) -> int:
+        """Returns the store revision of the entry of a VM, or 0."""
+        item = self._replica.items.get(store_keys.encode_vm(vm)[0])
+        return item.revision if item else 0
+
     async def _write_reports(
         self, reports: list[suspect_reports.SuspectReport]
     ) -> int:
@@ -608,6 +615,7 @@
         self._close_by = schedule.close_by
         self._address_service.draining = True
         self._feeder.close()
+        self._usage_limiter.begin_drain()
         self._caller_service.begin_drain(schedule)
         log.info("stopping", in_flight=self._caller_service.in_flight)
         await asyncio.sleep(schedule.accept_until - loop.time())
