Limit the requests that all VMs together send to a cold target

Cause: ColdPerS, ColdOverrun and ColdSlack were decoded and not applied, so a zone that returned cold got all requests that waited for it.

Change: core/cold_targets.py keeps until when each target is cold (from its start, and from X-Cold-Remaining in health check responses) and divides nine tenths of the limit among two VMs of each zone. A VM holds a whole number of requests per second for each target and spaces them; the remainder of the division goes to other VMs for each target. Equal fractions with carried-over parts were ruled out: 12 VMs with 0.71 of a request each could send 12 in one second where 9 are allowed. A new share is used 3 s after it was got. Each attempt counts when it is sent, except one that gets 421. Targets without a request left are not selected for the moment; a VM without a share refuses if all targets are cold.

--- a/tests/vm_fleet.py
+++ b/tests/vm_fleet.py
@@ -82,8 +82,18 @@
     host: str = HOST,
     header_timeout: str = "3000ms",
     max_connections: int = 100,
+    **upstream: Any,
 ) -> dict[str, Any]:
-    """Returns a configuration document with three upstreams."""
+    """Returns a configuration document with three upstreams.
+
+    Args:
+        version: Version of the configuration.
+        rules: Rules of the host.
+        host: The only host.
+        header_timeout: Longest time to receive a request head.
+        max_connections: Connections that each target accepts.
+        **upstream: Other fields of each upstream.
+    """
     return {
         "ConfigVersion": version,
         "Limits": {
@@ -95,6 +105,7 @@
         "Listeners": [{"Host": host, "Policy": rules}],
         "Upstreams": [
             {"Name": n, "HealthPath": "/health", "MaxConns": max_connections}
+            | upstream
             for n in ("other", "reads", "writes")
         ],
     }
--- a/wigeonspool/model/protocols.py
+++ b/wigeonspool/model/protocols.py
@@ -58,6 +58,8 @@
         slots: Requests that the target can run concurrently, or 0 if it
             reports no load.
         slowdown: Ratio of the current service time to the baseline.
+        cold_seconds: Time for which the target stays cold, or 0 if it is not
+            cold.
     """
 
     identity: str
@@ -66,6 +68,7 @@
     waiting: int
     slots: int
     slowdown: float
+    cold_seconds: float = 0.0
 
 
 class TargetNotice(NamedTuple):
@@ -107,6 +110,8 @@
         timeout_status: Status of a request that exceeded its time limit; the
             request may have run.
         not_run_statuses: Statuses which guarantee that a request did not run.
+        misdirected_status: Status of a response to a request that was meant for
+            another target.
     """
 
     read_request_metadata: Callable[[Headers], RequestMetadata]
@@ -119,6 +124,7 @@
     unknown_outcome_status: int
     timeout_status: int
     not_run_statuses: frozenset[int]
+    misdirected_status: int
 
 
 class AddressRequest(NamedTuple):
--- a/wigeonspool/platform/http_protocol.py
+++ b/wigeonspool/platform/http_protocol.py
@@ -23,12 +23,16 @@
 # optionally, the slowdown in percent.
 TARGET_LOAD: Final = istr("X-Instance-Load")
 TARGET_ID: Final = istr("X-Instance-Id")
+# How long a target stays cold, in milliseconds, in responses to health checks.
+COLD_REMAINING: Final = istr("X-Cold-Remaining")
 RETRY_AFTER: Final = istr("Retry-After")
 # A target that leaves sends it in all its responses.
 LEAVING: Final = istr("Server-Leaving")
 LEAVING_VALUE: Final = "1"
 # Seconds with an optional fraction. The longest value is about 30 years.
 RETRY_AFTER_PATTERN: Final = re.compile(r"[0-9]{1,9}(\.[0-9]{0,30})?")
+# Milliseconds with an optional fraction.
+COLD_REMAINING_PATTERN: Final = RETRY_AFTER_PATTERN
 # Longest part of an invalid value that is reported.
 MAX_REPORTED_LENGTH: Final = 64
 
@@ -143,6 +147,7 @@
     if fields.get(ATTEMPT_ID):
         return None
     identity = fields.get(TARGET_ID, "")
+    cold_seconds = _read_cold_seconds(fields)
     texts = fields.get(TARGET_LOAD, "").split(",")
     numbers = [
         int(text)
@@ -153,13 +158,37 @@
     ]
     healthy = status == STATUS_OK
     if len(numbers) != len(texts) or len(numbers) < MIN_LOAD_FIELDS:
-        return protocols.LoadReport(identity, healthy, 0, 0, 0, 1.0)
+        return protocols.LoadReport(
+            identity, healthy, 0, 0, 0, 1.0, cold_seconds
+        )
     running, waiting, slots = numbers[:MIN_LOAD_FIELDS]
     slowdown = 1.0
     if len(numbers) > MIN_LOAD_FIELDS:
         slowdown = numbers[MIN_LOAD_FIELDS] / BASELINE_PERCENT
     return protocols.LoadReport(
-        identity, healthy, running, waiting, slots, max(slowdown, MIN_SLOWDOWN)
+        identity,
+        healthy,
+        running,
+        waiting,
+        slots,
+        max(slowdown, MIN_SLOWDOWN),
+        cold_seconds,
+    )
+
+
+def _read_cold_seconds(fields: protocols.Headers) -> float:
+    """Returns how long a target stays cold; 0 for a missing or invalid value.
+
+    The longest of several values counts.
+    """
+    texts = fields.getall(COLD_REMAINING, ())
+    return max(
+        (
+            float(text) / 1000
+            for text in texts
+            if COLD_REMAINING_PATTERN.fullmatch(text)
+        ),
+        default=0.0,
     )
 
 
@@ -205,4 +234,5 @@
     unknown_outcome_status=STATUS_UNKNOWN_OUTCOME,
     timeout_status=STATUS_TIMEOUT,
     not_run_statuses=NOT_RUN_STATUSES,
+    misdirected_status=STATUS_MISDIRECTED,
 )
--- a/wigeonspool/platform/standin/target.py
+++ b/wigeonspool/platform/standin/target.py
@@ -21,6 +21,7 @@
 # Arrivals that a target records; older ones are dropped.
 MAX_ARRIVALS: Final = 20_000
 HEALTH_PATH: Final = "/health"
+STATUS_MISDIRECTED: Final = 421
 FAULTS_PATH: Final = "/faults"
 ARRIVALS_PATH: Final = "/arrivals"
 ENDLESS_BLOCK: Final = bytes(65_536)
@@ -55,6 +56,10 @@
             response.
         unnamed: Leaves the identity of the attempt out of refusals.
         endless: Sends response bodies that never end.
+        cold_seconds: Time for which the target reports to be cold, counted
+            from when the faults were set, or 0.
+        cold_limit: Crashes if it gets more requests than this in a second while
+            it is cold; 0 for no limit.
     """
 
     pace: int = BASELINE_PERCENT
@@ -74,6 +79,8 @@
     repeating: bool = False
     unnamed: bool = False
     endless: bool = False
+    cold_seconds: float = 0.0
+    cold_limit: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -147,6 +154,10 @@
         self.service_ms = 5.0
         self.body = identity.encode()
         self._slots = slots
+        # Faults that the end of the cold time belongs to.
+        self._cold_faults = self.faults
+        self._cold_seconds = 0.0
+        self._cold_until = 0.0
         self._running = 0
         self._server: asyncio.Server | None = None
         self._open_writers: set[asyncio.StreamWriter] = set()
@@ -207,6 +218,9 @@
         if status:
             self._respond_refusal(status, attempt, writer)
             return True
+        if self._is_overloaded_cold():
+            self.crash()
+            return False
         remaining_ms = int(fields.get("x-timeout-remaining", "0"))
         self.runs.append(Run(attempt, method, path, body, remaining_ms))
         return await self._run(attempt, reader, writer)
@@ -227,7 +241,7 @@
         """Returns the status of the refusal of a request, or 0 to run it."""
         faults = self.faults
         if fields.get("x-target-instance", self.identity) != self.identity:
-            return 421
+            return STATUS_MISDIRECTED
         declines = faults.full or faults.declining_seconds is not None
         if declines or not fields.get("x-attempt-id"):
             return 503
@@ -274,9 +288,39 @@
             "X-Instance-Id": self.identity,
             "X-Instance-Load": load,
         }
+        cold_ms = self._find_cold_ms()
+        if cold_ms > 0:
+            header_fields["X-Cold-Remaining"] = str(cold_ms)
         status = 503 if self.faults.ill else 200
         writer.write(self._build_response(status, header_fields, b""))
 
+    def _find_cold_ms(self) -> int:
+        """Returns how long the target stays cold, in milliseconds."""
+        if self._cold_faults is not self.faults or (
+            self._cold_seconds != self.faults.cold_seconds
+        ):
+            self._cold_faults = self.faults
+            self._cold_seconds = self.faults.cold_seconds
+            self._cold_until = time.monotonic() + self._cold_seconds
+        if not self._cold_seconds:
+            return 0
+        return max(0, round((self._cold_until - time.monotonic()) * 1000))
+
+    def _is_overloaded_cold(self) -> bool:
+        """Returns True if the target is cold and got too many requests."""
+        limit = self.faults.cold_limit
+        if not limit or not self._find_cold_ms():
+            return False
+        since = time.monotonic() - 1.0
+        recent = [
+            arrival
+            for arrival in self.arrivals
+            if arrival.at > since
+            and arrival.path != HEALTH_PATH
+            and arrival.status != STATUS_MISDIRECTED
+        ]
+        return len(recent) > limit
+
     async def _run(
         self,
         attempt: str,
--- a/wigeonspool/vm/attempts.py
+++ b/wigeonspool/vm/attempts.py
@@ -84,7 +84,8 @@
         fields["Host"] = request.headers.get("Host", "")
         try:
             context.update_regions(self._prober.configuration)
-            if not self._prober.may_send(candidate.row.entry, context.regions):
+            sent_at = self._prober.begin_attempt(candidate.row, context.regions)
+            if sent_at is None:
                 channel.close()
                 return request_context.AttemptResult(
                     request_context.AttemptOutcome.WITHHELD
@@ -109,6 +110,11 @@
                 channel.protocol.force_close()
             result = await self._read_response(context, response, channel)
             result.declined = is_declined(notice, result.outcome)
+            if (
+                result.outcome is request_context.AttemptOutcome.NOT_RUN
+                and result.status == self._protocol_adapter.misdirected_status
+            ):
+                self._prober.cold.refund(candidate.row.entry, sent_at)
             return result
         except (aiohttp.ClientError, OSError) as error:
             channel.close()
--- a/wigeonspool/vm/metrics.py
+++ b/wigeonspool/vm/metrics.py
@@ -115,6 +115,14 @@
     "wigeonspool_vm_zones_evacuated",
     "Zones whose targets get no requests since operators evacuated them.",
 )
+COLD_TARGETS: Final = aioprometheus.Gauge(
+    "wigeonspool_vm_targets_cold",
+    "Targets that are cold and whose requests are limited, by service.",
+)
+COLD_ATTEMPTS: Final = aioprometheus.Counter(
+    "wigeonspool_vm_cold_attempts_total",
+    "Attempts sent to cold targets whose requests are limited.",
+)
 VMS: Final = aioprometheus.Gauge(
     "wigeonspool_vm_members", "Entry VMs that are registered."
 )
@@ -208,6 +216,7 @@
             ("health_check", counts.errors),
         ):
             UNEXPECTED_ERRORS.set({"stage": stage}, count)
+        COLD_ATTEMPTS.set({}, counts.cold_attempts)
         CONNECTIONS.set({}, self._pool.connect_attempts)
         MISMATCHED_RESPONSES.set(
             {}, self._runner.mismatched_responses + counts.mismatched
@@ -224,6 +233,8 @@
         for name in configuration.services if configuration else ():
             targets = list(self._cluster.list_targets(name))
             TARGETS.set({"service": name}, len(targets))
+            cold = sum(self._prober.is_cold(row) for row in targets)
+            COLD_TARGETS.set({"service": name}, cold)
             self._update_notices(name, [row.entry for row in targets])
         self._update_notice_counts()
         self._update_pipelines()
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -113,12 +113,16 @@
         self.apply_limits(settings.bounds)
 
     def apply_limits(self, limits: vm_settings.DeploymentLimits) -> None:
-        """Sets the limits of the retry budget; used tokens stay used."""
+        """Sets the limits of the retry budget and of requests to cold targets.
+
+        Used tokens stay used.
+        """
         self.retry_budget.set_limits(
             limits.retry_fraction,
             limits.retry_slack,
             limits.retry_window_seconds,
         )
+        self._prober.cold.set_limits(limits.cold_overrun, limits.cold_slack)
 
     def replace_sender(self, sender: "SenderProtocol") -> None:
         """Replaces the sender, for example by one for emulated targets."""
@@ -260,7 +264,7 @@
         """
         row = candidate.row
         context.update_regions(self._cluster.configuration)
-        if not self._prober.may_send(row.entry, context.regions):
+        if not self._prober.may_send(row, context.regions):
             self._prober.release_candidates([candidate])
             return self._withhold(context, candidate)
         started_at = self._loop.time()
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -218,6 +218,7 @@
             settings.regions,
             self._cluster,
             lambda: self._registration.registered_until,
+            self._prober.cold,
         )
         self._caller_service = caller_service.CallerService(
             settings.vm,
--- a/wigeonspool/vm/target_probes.py
+++ b/wigeonspool/vm/target_probes.py
@@ -10,12 +10,14 @@
 import dataclasses
 import math
 import random
+import time
 from typing import Final
 
 import aiohttp
 from aiohttp import http
 
 from wigeonspool.core import cluster_state
+from wigeonspool.core import cold_targets
 from wigeonspool.core import estimates
 from wigeonspool.core import last_slots
 from wigeonspool.core import waiting_policy
@@ -44,6 +46,8 @@
 # A target whose failure score exceeds the median of its service by more than
 # this, which is one recent failure, is probed last.
 MAX_EXCESS_FAILURES: Final = 1.0
+# Targets for which the end of the cold time after their start is cached.
+MAX_CACHED_STARTS: Final = 4096
 # Failure scores change over seconds, so the median is cached for this time.
 MEDIAN_FAILURES_TTL_SECONDS: Final = 0.1
 
@@ -81,6 +85,7 @@
         unresponsive_connections: Pooled connections that ended, or on which no
             usable response came in time.
         errors: Health checks that ended by an unexpected exception.
+        cold_attempts: Requests sent to cold targets.
     """
 
     sent: int = 0
@@ -88,6 +93,7 @@
     mismatched: int = 0
     unresponsive_connections: int = 0
     errors: int = 0
+    cold_attempts: int = 0
 
 
 class TargetProber:
@@ -96,6 +102,7 @@
     Attributes:
         counts: Counters of health checks.
         notices: Records what targets state about themselves.
+        cold: Limits the requests to cold targets.
     """
 
     def __init__(
@@ -117,6 +124,7 @@
         """
         self.counts = ProbeCounts()
         self.notices = target_notices.NoticeRecorder(vm, pool, protocol_adapter)
+        self.cold = cold_targets.ColdTargets()
         self._pool = pool
         self._cluster = cluster
         self._protocol_adapter = protocol_adapter
@@ -127,6 +135,11 @@
         # By service and region of the targets.
         self._fast_until: dict[str, dict[str, float]] = {}
         self._median_failures: dict[str, tuple[float, float]] = {}
+        # By identity: the entry and the cold time of its service that the end
+        # of the cold time after the start was found for.
+        self._start_until: dict[
+            str, tuple[fleet.TargetEntry, float, float]
+        ] = {}
 
     @property
     def configuration(self) -> fleet.Configuration | None:
@@ -153,12 +166,15 @@
             regions: Regions of the targets, or None for all.
         """
         now = self._loop.time()
+        cold_rate = self._find_cold_rate(service)
         groups: list[list[cluster_state.TargetRow]] = [[], [], []]
         for row in self._list_permitted(service, regions):
             if row.entry.identity in excluded or row.health.ejected_until > now:
                 continue
             if not self.notices.may_admit(row.entry):
                 continue
+            if cold_rate and not self._may_send_cold(row, now, cold_rate):
+                continue
             distance = self._vm_locality.find_distance(row.entry.zone)
             if distance is locality.Distance.ZONE and not large_responses:
                 distance = locality.Distance.REGION
@@ -209,23 +225,118 @@
         return next(self._list_permitted(service, regions), None) is None
 
     def may_send(
-        self, entry: fleet.TargetEntry, regions: frozenset[str] | None
+        self, row: cluster_state.TargetRow, regions: frozenset[str] | None
     ) -> bool:
         """Returns True if a request to some regions may be sent to a target.
 
-        To be called immediately before the request is sent, since what applied
-        when its target was selected may have changed.
+        What applied when the target was selected may have changed.
+        """
+        if not self.notices.may_send(row.entry):
+            return False
+        if not self._is_permitted(row.entry, regions):
+            return False
+        cold_rate = self._find_cold_rate(row.entry.service)
+        return not cold_rate or self._may_send_cold(
+            row, self._loop.time(), cold_rate
+        )
+
+    def begin_attempt(
+        self, row: cluster_state.TargetRow, regions: frozenset[str] | None
+    ) -> float | None:
+        """Counts a request to a target; returns None if it must not be sent.
+
+        To be called immediately before the request is sent.
+
+        Returns:
+            The time of the request, loop clock, by which it can be taken back.
+        """
+        if not self.may_send(row, regions):
+            return None
+        cold_rate = self._find_cold_rate(row.entry.service)
+        now = self._loop.time()
+        if not cold_rate or self._find_cold_until(row) <= now:
+            return now
+        if not self.cold.consume(now, row.entry, cold_rate):
+            return None
+        self.counts.cold_attempts += 1
+        return now
+
+    def _find_cold_rate(self, service: str) -> float:
+        """Returns the requests per second that a cold target tolerates.
+
+        Returns 0 if there is no limit.
+        """
+        configuration = self._cluster.configuration
+        if configuration is None or service not in configuration.services:
+            return 0.0
+        return configuration.services[service].cold_rate
+
+    def _find_cold_until(self, row: cluster_state.TargetRow) -> float:
+        """Returns until when a target is cold, loop clock."""
+        entry = row.entry
+        configuration = self._cluster.configuration
+        assert configuration is not None
+        cold_seconds = configuration.services[entry.service].cold_seconds
+        cached = self._start_until.get(entry.identity)
+        if (
+            cached is None
+            or cached[0] is not entry
+            or cached[1] != cold_seconds
+        ):
+            start_until = cold_targets.find_start_until(
+                entry,
+                row.warming_until - entry.warmup_seconds,
+                time.time() - self._loop.time(),
+                cold_seconds,
+            )
+            if len(self._start_until) > MAX_CACHED_STARTS:
+                self._start_until.clear()
+            cached = entry, cold_seconds, start_until
+            self._start_until[entry.identity] = cached
+        return max(cached[2], self.cold.find_reported_until(entry))
+
+    def _may_send_cold(
+        self, row: cluster_state.TargetRow, now: float, cold_rate: float
+    ) -> bool:
+        """Returns True unless a target is cold and gets nothing from this VM.
+
+        Args:
+            row: The target.
+            now: Time on the loop clock.
+            cold_rate: Requests per second that it tolerates while it is cold.
         """
-        return self.notices.may_send(entry) and self._is_permitted(
-            entry, regions
+        if self._find_cold_until(row) <= now:
+            return True
+        return self.cold.find_sendable_at(now, row.entry, cold_rate) <= now
+
+    def is_cold(self, row: cluster_state.TargetRow) -> bool:
+        """Returns True if a target is cold and its service limits requests."""
+        return (
+            self._find_cold_rate(row.entry.service) > 0
+            and self._find_cold_until(row) > self._loop.time()
         )
 
+    def _find_no_share_until(
+        self, row: cluster_state.TargetRow, now: float, cold_rate: float
+    ) -> float | None:
+        """Returns when to retry a target that this VM holds no requests for.
+
+        Returns None if it is not cold, or this VM may send it requests.
+        """
+        cold_until = self._find_cold_until(row)
+        if cold_until <= now or not math.isinf(
+            self.cold.find_sendable_at(now, row.entry, cold_rate)
+        ):
+            return None
+        return min(cold_until, now + cold_targets.RETRY_SECONDS)
+
     def find_wanted_at(
         self, service: str, regions: frozenset[str] | None = None
     ) -> float | None:
         """Returns when a target of a service will first want a request.
 
-        An ejected target gets none before the end of its ejection.
+        An ejected target gets none before the end of its ejection, and a cold
+        one none from a VM without a share of its requests.
 
         Args:
             service: Service of the targets.
@@ -237,14 +348,25 @@
         """
         now = self._loop.time()
         reachable = []
-        ejected_until = math.inf
+        ejected_until = no_share_until = math.inf
+        cold_rate = self._find_cold_rate(service)
         for row in self._list_permitted(service, regions):
             if row.health.ejected_until <= now:
-                reachable.append(row.entry)
+                until = cold_rate and self._find_no_share_until(
+                    row, now, cold_rate
+                )
+                if until:
+                    no_share_until = min(no_share_until, until)
+                else:
+                    reachable.append(row.entry)
             elif not self.notices.is_leaving(row.entry):
                 ejected_until = min(ejected_until, row.health.ejected_until)
         wanted_at = self.notices.find_wanted_at(reachable)
-        return None if wanted_at is None else min(wanted_at, ejected_until)
+        if not reachable and not math.isinf(no_share_until):
+            wanted_at = no_share_until
+        if wanted_at is None:
+            return None
+        return min(wanted_at, ejected_until, no_share_until)
 
     def draw_fraction(self) -> float:
         """Returns a random number from 0 to 1."""
@@ -380,7 +502,7 @@
 
         Releases the connections of the others.
         """
-        willing = [c for c in candidates if self.may_send(c.row.entry, None)]
+        willing = [c for c in candidates if self.may_send(c.row, None)]
         self.release_candidates([c for c in candidates if c not in willing])
         return willing
 
@@ -426,7 +548,7 @@
             candidate = await self._probe_over(row, channel, timeout_seconds)
             if candidate is not None or channel.protocol.is_connected():
                 return candidate
-            if not self.notices.may_send(row.entry):
+            if not self.may_send(row, None):
                 return None
             self.counts.unresponsive_connections += 1
             self._pool.close_idle(address)
@@ -439,7 +561,7 @@
         if (
             candidate is None
             and not channel.protocol.is_connected()
-            and self.notices.may_send(row.entry)
+            and self.may_send(row, None)
         ):
             estimates.record_unreachable(row.health, self._loop.time())
         return candidate
@@ -481,7 +603,8 @@
             estimates.record_unreachable(row.health, self._loop.time())
             return None
         estimates.record_reachable(row.health)
-        if not self.notices.may_send(row.entry):
+        self._record_cold(row, report.cold_seconds)
+        if not self.may_send(row, None):
             self.notices.put_back(row.entry, channel)
             return None
         estimate = self._estimate(row, report, probed_at)
@@ -535,6 +658,27 @@
             return None
         return report
 
+    def _record_cold(
+        self, row: cluster_state.TargetRow, cold_seconds: float
+    ) -> None:
+        """Records for how long a target reported to be cold.
+
+        Logs it if the target was not cold before.
+        """
+        cold_rate = self._find_cold_rate(row.entry.service)
+        if not cold_rate:
+            return
+        was_cold = self.is_cold(row)
+        now = self._loop.time()
+        self.cold.record_report(now, row.entry, cold_seconds)
+        if cold_seconds and not was_cold:
+            log.info(
+                "target is cold",
+                target=row.entry.identity,
+                service=row.entry.service,
+                seconds=round(cold_seconds, 3),
+            )
+
     def _read_notice(
         self, row: cluster_state.TargetRow, message: http.RawResponseMessage
     ) -> None:
