Do not wait for the connections of a zone that has failed, one after the other

Cause: when all targets of a zone hang at once, each batch of health checks waited for a timeout of 50 ms on a pooled connection and then up to 400 ms for a new one, and the next batch probed targets of the same zone. Requests with large responses probe all targets of this zone first.

Change: a batch of health checks ends after 1.5 times the longest timeout among them (75 or 225 ms); connections that are still being opened go on without the request. A zone in which two targets did not respond within a second, and none has since, is probed after all others (core/zone_silence.py), also by requests that are selecting a target at that moment.

--- a/wigeonspool/vm/target_probes.py
+++ b/wigeonspool/vm/target_probes.py
@@ -21,6 +21,7 @@
 from wigeonspool.core import estimates
 from wigeonspool.core import last_slots
 from wigeonspool.core import waiting_policy
+from wigeonspool.core import zone_silence
 from wigeonspool.gateway import exchanges
 from wigeonspool.model import fleet
 from wigeonspool.model import protocols
@@ -33,6 +34,10 @@
 # a new connection. A target that takes longer is not fit for requests now.
 NEAR_TIMEOUT_SECONDS: Final = 0.05
 REMOTE_TIMEOUT_SECONDS: Final = 0.15
+# Longest wait for health checks that are sent together, as a multiple of the
+# longest timeout among them. A connection that cannot be opened takes longer,
+# and goes on without the request.
+MAX_WAIT_FACTOR: Final = 1.5
 # Time that the other targets have to reply after the first one has replied.
 EXTRA_WAIT_SECONDS: Final = 0.004
 # Longest body of a response to a health check, which needs none.
@@ -132,6 +137,7 @@
         self._loop = asyncio.get_running_loop()
         self._random = random.Random()
         self._last_slots = last_slots.LastSlotSlowdowns()
+        self._silence = zone_silence.ZoneSilence()
         # By service and region of the targets.
         self._fast_until: dict[str, dict[str, float]] = {}
         self._median_failures: dict[str, tuple[float, float]] = {}
@@ -156,7 +162,8 @@
         """Returns the targets that accept requests, in groups, nearest first.
 
         Targets of this zone and of other zones of this region form one group,
-        unless responses are large.
+        unless responses are large. Targets of zones that have stopped
+        responding come after all others.
 
         Args:
             service: Service of the targets.
@@ -167,7 +174,10 @@
         """
         now = self._loop.time()
         cold_rate = self._find_cold_rate(service)
-        groups: list[list[cluster_state.TargetRow]] = [[], [], []]
+        silent_zones = self._silence.list_silent(now)
+        distances = len(locality.Distance)
+        groups: list[list[cluster_state.TargetRow]]
+        groups = [[] for _ in range(2 * distances)]
         for row in self._list_permitted(service, regions):
             if row.entry.identity in excluded or row.health.ejected_until > now:
                 continue
@@ -178,7 +188,8 @@
             distance = self._vm_locality.find_distance(row.entry.zone)
             if distance is locality.Distance.ZONE and not large_responses:
                 distance = locality.Distance.REGION
-            groups[distance.value].append(row)
+            is_silent = row.entry.zone in silent_zones
+            groups[distance.value + is_silent * distances].append(row)
         return [group for group in groups if group]
 
     def _list_permitted(
@@ -368,6 +379,19 @@
             return None
         return min(wanted_at, ejected_until, no_share_until)
 
+    def remove_silent(
+        self, groups: list[list[cluster_state.TargetRow]]
+    ) -> list[list[cluster_state.TargetRow]]:
+        """Returns groups without targets of zones that stopped responding."""
+        silent_zones = self._silence.list_silent(self._loop.time())
+        if not silent_zones:
+            return groups
+        remaining = [
+            [row for row in group if row.entry.zone not in silent_zones]
+            for group in groups
+        ]
+        return [group for group in remaining if group]
+
     def draw_fraction(self) -> float:
         """Returns a random number from 0 to 1."""
         return self._random.random()
@@ -398,7 +422,8 @@
         """Probes targets concurrently; returns the candidates, best first.
 
         Once one target has replied, the others have `EXTRA_WAIT_SECONDS`.
-        Targets that want no requests by now are left out.
+        Targets that want no requests by now are left out. Returns no candidates
+        if none replied within `MAX_WAIT_FACTOR` of the longest timeout.
         """
         tasks = [
             self._loop.create_task(self._try_probe(row))
@@ -406,13 +431,12 @@
             if self.notices.admit(row.entry)
         ]
         candidates: list[Candidate] = []
-        stop_at: float | None = None
+        timeouts = [self._find_timeout(row) for row in rows]
+        stop_at = self._loop.time() + MAX_WAIT_FACTOR * max(timeouts, default=0)
         pending: set[asyncio.Task[Candidate | None]] = set(tasks)
         try:
             while pending:
-                timeout_seconds = None
-                if stop_at is not None:
-                    timeout_seconds = max(0.0, stop_at - self._loop.time())
+                timeout_seconds = max(0.0, stop_at - self._loop.time())
                 done, pending = await asyncio.wait(
                     pending,
                     timeout=timeout_seconds,
@@ -420,14 +444,16 @@
                 )
                 if not done:
                     break
+                had_candidates = bool(candidates)
                 finished = [task for task in tasks if task in done]
                 candidates += [
                     candidate
                     for task in finished
                     if (candidate := task.result())
                 ]
-                if candidates and stop_at is None:
-                    stop_at = self._loop.time() + EXTRA_WAIT_SECONDS
+                if candidates and not had_candidates:
+                    extra_until = self._loop.time() + EXTRA_WAIT_SECONDS
+                    stop_at = min(stop_at, extra_until)
         except BaseException:
             self.release_candidates(candidates)
             for task in pending:
@@ -535,13 +561,7 @@
         If a pooled connection turns out to be dead, the target is probed over
         a new one.
         """
-        is_remote = (
-            self._vm_locality.find_distance(row.entry.zone)
-            is locality.Distance.REMOTE
-        )
-        timeout_seconds = (
-            REMOTE_TIMEOUT_SECONDS if is_remote else NEAR_TIMEOUT_SECONDS
-        )
+        timeout_seconds = self._find_timeout(row)
         address = row.entry.address
         channel = self._pool.acquire(address)
         if channel is not None:
@@ -554,7 +574,8 @@
             self._pool.close_idle(address)
         try:
             channel = await self._pool.open(address)
-        except OSError:
+        except OSError as error:
+            self._record_timeout(row, error)
             estimates.record_unreachable(row.health, self._loop.time())
             return None
         candidate = await self._probe_over(row, channel, timeout_seconds)
@@ -566,6 +587,22 @@
             estimates.record_unreachable(row.health, self._loop.time())
         return candidate
 
+    def _find_timeout(self, row: cluster_state.TargetRow) -> float:
+        """Returns the timeout of a health check of a target, in seconds."""
+        distance = self._vm_locality.find_distance(row.entry.zone)
+        if distance is locality.Distance.REMOTE:
+            return REMOTE_TIMEOUT_SECONDS
+        return NEAR_TIMEOUT_SECONDS
+
+    def _record_timeout(
+        self, row: cluster_state.TargetRow, error: Exception
+    ) -> None:
+        """Records that a target did not respond, if an error means that."""
+        if isinstance(error, TimeoutError):
+            now = self._loop.time()
+            entry = row.entry
+            self._silence.record_timeout(now, entry.zone, entry.identity)
+
     async def _probe_over(
         self,
         row: cluster_state.TargetRow,
@@ -587,8 +624,9 @@
         try:
             async with asyncio.timeout(timeout_seconds):
                 report = await self._send_health_check(row, channel)
-        except (aiohttp.ClientError, OSError):
+        except (aiohttp.ClientError, OSError) as error:
             channel.close()
+            self._record_timeout(row, error)
             return None
         except BaseException:
             channel.close()
@@ -597,6 +635,7 @@
             channel.close()
             return None
         self.counts.answered += 1
+        self._silence.record_response(row.entry.zone)
         if report.identity not in ("", row.entry.identity):
             # The address now belongs to another target.
             channel.close()
--- a/wigeonspool/vm/target_selection.py
+++ b/wigeonspool/vm/target_selection.py
@@ -323,6 +323,8 @@
                 groups = _remove_probed(groups, probed)
                 context.probes_sent += len(probed)
                 candidates = await prober.probe_targets(probed)
+                if not candidates:
+                    groups = prober.remove_silent(groups)
                 if best is not None:
                     candidates.append(best)
                 candidates.sort(key=target_probes.rank_candidate)
