--- a/tests/vm_fleet.py
+++ b/tests/vm_fleet.py
@@ -94,8 +94,19 @@
     header_timeout: str = "3000ms",
     max_connections: int = 100,
     tenants: list[Any] | None = None,
+    **upstream: Any,
 ) -> dict[str, Any]:
-    """Returns a configuration document with three upstreams."""
+    """Returns a configuration document with three upstreams.
+
+    Args:
+        version: Version of the configuration.
+        rules: Rules of the host.
+        host: The only host.
+        header_timeout: Longest time to receive a request head.
+        max_connections: Connections that each target accepts.
+        tenants: Client accounts, if any.
+        **upstream: Other fields of each upstream.
+    """
     document: dict[str, Any] = {
         "ConfigVersion": version,
         "Limits": {
@@ -107,6 +118,7 @@
         "Listeners": [{"Host": host, "Policy": rules}],
         "Upstreams": [
             {"Name": n, "HealthPath": "/health", "MaxConns": max_connections}
+            | upstream
             for n in ("other", "reads", "writes")
         ],
     }
--- a/wigeonspool/platform/metadata_store.py
+++ b/wigeonspool/platform/metadata_store.py
@@ -378,6 +378,23 @@
         return _Reply(status, response_body, era)
 
 
+def _read_era(field: str, path: str) -> int:
+    """Returns the era that a reply states, or 0 if it states none.
+
+    Args:
+        field: Value of the header field, or "".
+        path: Path of the call.
+
+    Raises:
+        StoreReplyError: If the value is not a number of 63 bits.
+    """
+    if not field:
+        return 0
+    if field.isascii() and field.isdigit() and len(field) < MAX_ERA_DIGITS:
+        return int(field)
+    raise errors.StoreReplyError(path, "the era is not a number")
+
+
 async def _read_body(response: exchanges.TargetResponse, path: str) -> bytes:
     """Returns the body of a reply.
 
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -229,6 +229,7 @@
             settings.regions,
             self._cluster,
             lambda: self._registration.registered_until,
+            self._prober.cold,
         )
         self._usage_limiter = usage_limiter.UsageLimiter(
             settings,
