--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -138,3 +138,21 @@
             # Guards against the response of one call as that of another.
             assert (await call(client, "GET", url))[0] == 200
         assert len(connections) == 2
+
+    async def test_old_connections_are_closed_by_calls_to_other_servers(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against connections that stay open after a change of address.
+        async def serve(request: web.BaseRequest) -> web.Response:
+            return web.Response()
+
+        async with (
+            run_server(serve) as first,
+            run_server(serve) as second,
+            run_client() as client,
+        ):
+            await call(client, "GET", first)
+            ((old,), *_) = client._idle.values()
+            monkeypatch.setattr(http_client, "KEEPALIVE_SECONDS", 0.0)
+            await call(client, "GET", second)
+            assert old.transport is None or old.transport.is_closing()
--- a/wigeonspool/gateway/http_client.py
+++ b/wigeonspool/gateway/http_client.py
@@ -154,6 +154,7 @@
                 valid HTTP.
             OSError: If the connection failed.
         """
+        self._close_expired()
         connection = self._pop_idle(target)
         while True:
             is_new = connection is None
@@ -178,6 +179,13 @@
                     raise
             connection = None
 
+    def _close_expired(self) -> None:
+        """Closes idle connections, also to other servers, that are too old."""
+        for idle in self._idle.values():
+            for connection in [c for c in idle if not c.is_usable()]:
+                idle.remove(connection)
+                connection.close()
+
     def _pop_idle(self, target: yarl.URL) -> ClientConnection | None:
         """Returns a usable kept connection, or None."""
         idle = self._idle.get(target.raw_authority)
