Defer hashlib and typing_extensions at the start of an entry VM

hashlib maps the library of OpenSSL and is needed only for keys of client accounts; random bytes come from the system.

--- a/tests/test_vm_start.py
+++ b/tests/test_vm_start.py
@@ -1,6 +1,7 @@
 """What an entry VM loads and whom it names when it has just started."""
 
 import asyncio
+import hashlib
 import importlib
 import os
 import pathlib
@@ -14,6 +15,7 @@
 import aiohttp
 from aiohttp import http
 import pytest
+import typing_extensions
 
 from tests import fleet
 from tests import test_vm_process
@@ -27,6 +29,7 @@
 # milliseconds of processor time to load. `ssl`, `html` and `urllib.request` are
 # listed by what they load in turn.
 HEAVY_MODULES = {
+    "_hashlib",
     "_ssl",
     "aiohttp.client",
     "aiohttp.client_reqrep",
@@ -56,6 +59,7 @@
     "multiprocessing",
     "pydantic",
     "pytz",
+    "secrets",
     "unittest",
     "wigeonspool.vm.metrics",
     "yaml",
@@ -219,6 +223,21 @@
             else:
                 assert isinstance(value, type) == isinstance(real, type)
 
+    def test_names_of_types_are_the_real_ones(self) -> None:
+        # `get_type_hints` is a wrapper of that of `typing`.
+        names = deferred_packages.VALUES["typing_extensions"]
+        for name in ("NotRequired", "Required"):
+            assert names[name] is getattr(typing_extensions, name)
+        code = """
+        import typing_extensions
+        import hashlib
+        loaded = "_hashlib" in sys.modules
+        digest = hashlib.blake2b(b"a", digest_size=2).hexdigest()
+        print(loaded, digest, typing_extensions.TypedDict.__name__)
+        """
+        digest = hashlib.blake2b(b"a", digest_size=2).hexdigest()
+        assert self.run(code) == f"False {digest} TypedDict"
+
     def test_context_of_tls_is_a_real_one(self) -> None:
         code = """
         import ssl
--- a/wigeonspool/deferred_packages.py
+++ b/wigeonspool/deferred_packages.py
@@ -14,6 +14,7 @@
 import pathlib
 import sys
 import types
+import typing
 from typing import Any, Final
 
 from wigeonspool import tls_names
@@ -54,10 +55,18 @@
     "ssl": ("MemoryBIO", "create_default_context"),
     "urllib.request": ("getproxies", "proxy_bypass"),
 }
-# Other names that these modules have before they are loaded.
-VALUES: Final = {"ssl": tls_names.NAMES}
+# Other names that modules have before they are loaded. `msgspec` would also use
+# those of `typing` if `typing_extensions` were not installed.
+VALUES: Final[Mapping[str, Mapping[str, Any]]] = {
+    "ssl": tls_names.NAMES,
+    "typing_extensions": {
+        "NotRequired": typing.NotRequired,
+        "Required": typing.Required,
+        "get_type_hints": typing.get_type_hints,
+    },
+}
 # Modules of which importing modules use no name before they need them.
-UNUSED: Final = ("mimetypes",)
+UNUSED: Final = ("hashlib", "mimetypes")
 VERSION_PREFIX: Final = "__version__ = "
 
 
@@ -127,9 +136,12 @@
 
     A package that is loaded already stays as it is.
     """
-    for name, functions in FUNCTIONS.items():
-        names = {f: _build_deferred_function(name, f) for f in functions}
-        _defer_module(name, names | VALUES.get(name, {}))
+    for name in FUNCTIONS.keys() | VALUES.keys():
+        functions = {
+            function: _build_deferred_function(name, function)
+            for function in FUNCTIONS.get(name, ())
+        }
+        _defer_module(name, {**functions, **VALUES.get(name, {})})
     for name in (*UNUSED, *ORIGINS):
         _defer_module(name, {})
 
--- a/wigeonspool/model/credentials.py
+++ b/wigeonspool/model/credentials.py
@@ -1,15 +1,15 @@
 """Digests of the keys by which callers identify their client account."""
 
 import hashlib
+import os
 import re
-import secrets
 from typing import Final
 
 DIGEST_BYTES: Final = 16
 # Visible ASCII characters, so that a key fits into one header field.
 _KEY: Final = re.compile("[!-~]{1,1024}")
 # Differs between processes, so that callers cannot compute digests.
-_SALT: Final = secrets.token_bytes(16)
+_SALT: Final = os.urandom(16)
 
 
 def encode_key(text: str) -> bytes | None:
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -9,8 +9,8 @@
 from collections.abc import Awaitable, Callable
 import gc
 import math
+import os
 import pathlib
-import secrets
 import time
 from typing import Final
 
@@ -154,7 +154,7 @@
         log.info(
             "started",
             callers=self._settings.callers,
-            incarnation=secrets.token_hex(4),
+            incarnation=os.urandom(4).hex(),
         )
 
     async def _serve(
