Test that stale reads of a newer era are replaced

Cause: a trial mutation that accepts each stale read passed all tests.

Change: two tests of first and later stale reads.

Measured: test_stale_read_of_a_newer_era_is_replaced fails with the mutation and passes without it.

--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -679,6 +679,34 @@
 
         virtual_loop.run(run())
 
+    # Guards against a new era that begins with a state from which entries that
+    # were written again since are missing.
+    def test_stale_read_of_a_newer_era_is_replaced(self) -> None:
+        async def run() -> None:
+            store, vm = self.build()
+            await vm.follower.load(stale=True)
+            store.restore(3)
+            for identity in machine.IDENTITIES:
+                store.write(identity, machine.build_state(1, 2))
+            store.ages = [4, 4, 4]
+            await vm.follower.load(stale=True)
+            assert (vm.replica.era, vm.replica.revision) == store.position
+
+        virtual_loop.run(run())
+
+    # Guards against paid calls: an empty replica has nothing to lose.
+    def test_stale_first_read_of_one_era_is_used(self) -> None:
+        async def run() -> None:
+            store, vm = self.build()
+            store.restore(0)
+            store.ages = [1, 1, 1]
+            await vm.follower.load(stale=True)
+            assert vm.replica.era == FIRST_ERA
+            await vm.follower.poll_changes()
+            assert (vm.replica.era, vm.replica.revision) == store.position
+
+        virtual_loop.run(run())
+
     # Guards against a VM that learns of a restore only from its next watch.
     def test_era_of_another_call_starts_a_read(self) -> None:
         async def run() -> None:
