Test shares and tokens of quotas at single VMs

Cause: twelve faults planted in a copy: five were found by no test (a delegation that counts from its receipt, for an earlier process or beyond the registration, a role without a registration, a token that counts from its reply). Change: TestNode passes messages between two VMs; tests with real VMs check that no port is opened without quotas and that the token of a refused request returns.

--- a/tests/test_usage_limits.py
+++ b/tests/test_usage_limits.py
@@ -6,6 +6,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import pytest
 
 from tests import usage_model
@@ -13,6 +14,7 @@
 from wigeonspool.core import vm_assignment
 from wigeonspool.model import fleet
 from wigeonspool.vm import usage_messages
+from wigeonspool.vm import usage_node
 
 ZONES = 6
 LARGE = "large"
@@ -610,3 +612,151 @@
             message = usage_messages.TokenRequest(1.0, group)
             data = usage_messages.encode(message)
             assert usage_messages.decode(data) == message
+
+
+class NodePair:
+    """A holder that is not preferred, and the node that it prefers.
+
+    Attributes:
+        sent: Messages of both, with the address of the receiver.
+        coordinator: The preferred node.
+        holder: The other node.
+    """
+
+    def __init__(self) -> None:
+        """Creates the nodes, both registered until 1,000 s."""
+        self.sent: list[tuple[str, usage_messages.Message]] = []
+        zones = {"z0": "r0"}
+        vms = [
+            fleet.VmEntry(
+                f"vm-{i}", "r0", "z0", "", f"10.0.0.{i}:7000", 2.0 - i
+            )
+            for i in range(2)
+        ]
+        self.addresses = ["10.0.0.0:7001", "10.0.0.1:7001"]
+        nodes = []
+        for i, vm in enumerate(vms):
+            node = usage_node.UsageNode(
+                vm,
+                i + 1,
+                zones,
+                BOUNDS,
+                0.0,
+                lambda address, message: self.sent.append((address, message)),
+                lambda: 0.5,
+            )
+            node.set_quotas({"a": usage_limits.Quota(10.0, 20.0)}, 0.0)
+            node.set_registered_until(1000.0, 10.0)
+            node.set_members(vms, {"vm-0": 1, "vm-1": 2}, True, 10.0)
+            nodes.append(node)
+        self.coordinator, self.holder = nodes
+
+    def pop(self, kind: type[usage_messages.Message]) -> usage_messages.Message:
+        """Returns the latest message, which must be of a kind."""
+        message = self.sent.pop()[1]
+        assert isinstance(message, kind)
+        return message
+
+    def exchange_clock(self, now: float) -> usage_messages.Delegation:
+        """Returns the first delegation, which is not delivered yet."""
+        self.holder.tick(now)
+        hello = self.pop(usage_messages.Delegation)
+        self.coordinator.receive(self.addresses[1], hello, now)
+        reply = self.pop(usage_messages.DelegationReply)
+        self.holder.receive(self.addresses[0], reply, now)
+        delegation = self.pop(usage_messages.Delegation)
+        assert isinstance(delegation, usage_messages.Delegation)
+        return delegation
+
+    def count_shares(
+        self, delegation: usage_messages.Delegation, now: float
+    ) -> int:
+        """Returns the shares of the coordinator once it got a delegation."""
+        self.coordinator.receive(self.addresses[1], delegation, now)
+        return self.coordinator.coordinator.count_shares(now)
+
+
+class TestNode:
+    """Guards against shares and tokens that are used after their end."""
+
+    def test_delegation_counts_from_the_clock_that_it_echoes(self) -> None:
+        pair = NodePair()
+        delegation = pair.exchange_clock(20.0)
+        assert delegation.seconds == usage_limits.DELEGATION_SECONDS
+        assert pair.holder.delegation.ends_at >= 21.0
+        assert pair.count_shares(delegation, 20.9) == 1
+        assert pair.count_shares(delegation, 21.1) == 0
+
+    def test_late_delegation_does_not_count(self) -> None:
+        pair = NodePair()
+        delegation = pair.exchange_clock(20.0)
+        assert pair.count_shares(delegation, 21.1) == 0
+
+    def test_delegation_to_an_earlier_process_does_not_count(self) -> None:
+        pair = NodePair()
+        delegation = pair.exchange_clock(20.0)
+        later = msgspec.structs.replace(delegation, incarnation=7)
+        assert pair.count_shares(later, 20.1) == 0
+
+    def test_delegation_ends_with_the_registration(self) -> None:
+        pair = NodePair()
+        pair.holder.set_registered_until(20.4, 20.0)
+        delegation = pair.exchange_clock(20.0)
+        assert delegation.seconds == pytest.approx(0.4)
+
+    def test_unregistered_vm_holds_no_share(self) -> None:
+        pair = NodePair()
+        assert pair.holder.role.held_from == 10.0
+        pair.holder.set_registered_until(19.0, 20.0)
+        assert pair.holder.role.held_from == math.inf
+
+    def request_token(
+        self, pair: NodePair, decisions: list[usage_node.Decision]
+    ) -> usage_messages.Message:
+        """Returns the reply to a request for a token at 30 s."""
+        pair.count_shares(pair.exchange_clock(29.9), 29.9)
+        pair.sent.clear()
+        waiter = usage_node.Waiter("a", decisions.append)
+        assert pair.holder.acquire(waiter, 30.0) is None
+        pair.holder.flush(30.0)
+        request = pair.pop(usage_messages.TokenRequest)
+        pair.coordinator.receive(pair.addresses[1], request, 30.0)
+        return pair.pop(usage_messages.TokenReply)
+
+    def test_token_counts_from_the_request(self) -> None:
+        pair = NodePair()
+        decisions: list[usage_node.Decision] = []
+        reply = self.request_token(pair, decisions)
+        pair.holder.receive(pair.addresses[0], reply, 30.1)
+        expires_at = decisions[0].expires_at
+        assert expires_at == pytest.approx(30.0 + usage_limits.TOKEN_SECONDS)
+
+    def test_token_of_a_late_reply_is_not_used(self) -> None:
+        pair = NodePair()
+        decisions: list[usage_node.Decision] = []
+        reply = self.request_token(pair, decisions)
+        pair.holder.receive(pair.addresses[0], reply, 30.6)
+        assert decisions == []
+
+    def test_token_of_a_request_that_did_not_run_serves_another(self) -> None:
+        pair = NodePair()
+        decisions: list[usage_node.Decision] = []
+        reply = self.request_token(pair, decisions)
+        pair.holder.receive(pair.addresses[0], reply, 30.1)
+        expires_at = decisions[0].expires_at
+        assert expires_at is not None
+        pair.holder.give_back("a", expires_at, 30.2)
+        waiter = usage_node.Waiter("a", decisions.append)
+        assert pair.holder.acquire(waiter, 30.3) == expires_at
+        pair.holder.give_back("a", expires_at, 30.4)
+        assert pair.holder.acquire(waiter, 30.6) is None
+
+    def test_request_waits_a_quarter_of_a_second(self) -> None:
+        pair = NodePair()
+        decisions: list[usage_node.Decision] = []
+        waiter = usage_node.Waiter("a", decisions.append)
+        pair.holder.acquire(waiter, 30.0)
+        for tick in range(1, 6):
+            assert decisions == []
+            pair.holder.tick(30.0 + tick * usage_node.TICK_SECONDS)
+        assert [d.cause for d in decisions] == [usage_node.Cause.NO_REPLY]
--- a/tests/test_vm_quotas.py
+++ b/tests/test_vm_quotas.py
@@ -117,3 +117,32 @@
         assert len(set(waits)) > len(waits) / 2
         for name in names:
             assert (await send(vms, name, CALM_KEY))[0] == 200
+
+
+class TestWithoutQuotas:
+    """Guards against costs for a deployment without quotas."""
+
+    async def test_no_port_is_opened(self, vms: vm_fleet.VmFleet) -> None:
+        vm = await vms.start_vm("vm-1")
+        limiter = vm._usage_limiter
+        assert limiter.node is None
+        assert limiter._transport is None
+        await configure_accounts(vms)
+        await fleets.wait_for(lambda: limiter._transport is not None)
+
+
+class TestRequestThatDidNotRun:
+    """Guards against tokens that are lost with refused requests."""
+
+    async def test_its_token_is_returned(self, vms: vm_fleet.VmFleet) -> None:
+        await start_vms(vms, ("vm-1", "vm-2"))
+        returned: list[str] = []
+        limiter = vms.vms["vm-1"]._usage_limiter
+        limiter.give_back = (  # type: ignore[method-assign]
+            lambda account, expires_at: returned.append(account)
+        )
+        assert (await send(vms, "vm-1", HOT_KEY))[0] == 200
+        assert returned == []
+        vms.set_faults(full=True)
+        assert (await send(vms, "vm-1", HOT_KEY))[0] == 503
+        assert returned == ["hot"]
