Keep a zone evacuated for 5 s after a restore of the store

A copy may lack the key of an evacuation until operators write it again. Its zone was used at once. The first of two new tests failed before.

--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -255,6 +255,36 @@
         assert not state.remove_unconfirmed_vms(100.0)
         assert "vm-1" in state.vms
 
+    # Guards against requests to an evacuated zone: the copy lacks its key until
+    # operators write it again.
+    def test_zone_stays_evacuated_until_operators_had_time(self) -> None:
+        state = cluster_state.ClusterState()
+        begin = cluster_state.EvacuationChange("zone-a", True)
+        end = cluster_state.EvacuationChange("zone-a", False)
+        state.apply(0.0, "k", 9, begin)
+        state.begin_era(10.0, 5)
+        assert not state.apply(10.0, "k", 5, end)
+        state.end_restored_state()
+        ends_at = 10.0 + cluster_state.EVACUATION_GRACE_SECONDS
+        assert not state.end_unconfirmed_evacuations(ends_at - 0.1)
+        assert state.evacuated == {"zone-a"}
+        assert state.end_unconfirmed_evacuations(ends_at) == ["zone-a"]
+        assert not state.evacuated
+
+    def test_zone_that_is_evacuated_again_stays(self) -> None:
+        state = cluster_state.ClusterState()
+        begin = cluster_state.EvacuationChange("zone-a", True)
+        end = cluster_state.EvacuationChange("zone-a", False)
+        state.apply(0.0, "k", 9, begin)
+        state.begin_era(10.0, 5)
+        state.apply(10.0, "k", 5, end)
+        state.end_restored_state()
+        assert state.apply(11.0, "k", 6, begin)
+        assert not state.end_unconfirmed_evacuations(100.0)
+        assert state.evacuated == {"zone-a"}
+        assert state.apply(101.0, "k", 7, end)
+        assert not state.evacuated
+
 
 class TestSequences:
     @pytest.mark.parametrize(
--- a/wigeonspool/core/cluster_state.py
+++ b/wigeonspool/core/cluster_state.py
@@ -31,6 +31,8 @@
 # A VM whose entry a restored copy lacks may count on its registration for the
 # length of its lease, unless the store requires longer leases than this.
 VM_GRACE_SECONDS: Final = 12.0
+# Operators write an evacuation again that a restored copy lacks.
+EVACUATION_GRACE_SECONDS: Final = 5.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -189,6 +191,9 @@
         # VMs whose entries the restored state lacks, with the time until which
         # they stay.
         self._unconfirmed_vms: dict[str, float] = {}
+        # Evacuated zones whose keys the restored state lacks, with the time at
+        # which they are used again.
+        self._pending_returns: dict[str, float] = {}
 
     def list_targets(self, service: str) -> Iterable[TargetRow]:
         """Returns the targets of a service, including draining ones."""
@@ -234,7 +239,7 @@
         if isinstance(change, SuspectChange):
             return self._apply_suspect(now, change)
         if isinstance(change, EvacuationChange):
-            return self._apply_evacuation(change)
+            return self._apply_evacuation(now, change)
         return self._apply_target(now, revision, change)
 
     def _apply_suspect(self, now: float, change: SuspectChange) -> bool:
@@ -245,16 +250,34 @@
             self.suspects.remove_crash(change.fingerprint, change.target)
         return True
 
-    def _apply_evacuation(self, change: EvacuationChange) -> bool:
+    def _apply_evacuation(self, now: float, change: EvacuationChange) -> bool:
         """Evacuates a zone, or ends that; returns True if that is new."""
+        was_pending = self._pending_returns.pop(change.zone, None) is not None
         if change.active == (change.zone in self.evacuated):
-            return False
+            # A zone that operators evacuated again after a restore.
+            return was_pending and change.active
         if change.active:
             self.evacuated.add(change.zone)
+        elif self._is_restoring:
+            # Operators may have to write the evacuation again.
+            self._pending_returns[change.zone] = now + EVACUATION_GRACE_SECONDS
+            return False
         else:
             self.evacuated.discard(change.zone)
         return True
 
+    def end_unconfirmed_evacuations(self, now: float) -> list[str]:
+        """Ends evacuations that were not written again after a restore.
+
+        Returns:
+            The zones that are used again.
+        """
+        returned = [z for z, end in self._pending_returns.items() if end <= now]
+        for zone in returned:
+            del self._pending_returns[zone]
+            self.evacuated.discard(zone)
+        return returned
+
     def _apply_configuration(self, received: fleet.Configuration) -> bool:
         """Activates a configuration if it is newer than the active one."""
         active = self.configuration
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -515,6 +515,7 @@
         self._evacuation_log.write_changes()
         for identity in self._cluster.remove_expired_targets(now):
             state_log.info("target did not come back", target=identity)
+        self._cluster.end_unconfirmed_evacuations(now)
         for name in self._cluster.remove_unconfirmed_vms(now):
             state_log.info("VM did not register again", vm=name)
         if now >= self._next_keepalive_at:
