--- a/tests/test_usage_limits.py
+++ b/tests/test_usage_limits.py
@@ -262,6 +262,18 @@
         assert find_wrong_fraction(deployment, settled_at) <= 0.05
         assert find_wrong_fraction(deployment, start) <= 0.1
 
+    # Holders leave a coordinator that is paused again and again.
+    def test_pauses_of_the_coordinator(self) -> None:
+        deployment = build_deployment(17)
+        start = deployment.now
+        serve(deployment, 20.0)
+        coordinator = deployment.list_holders()[0]
+        for _ in range(6):
+            deployment.run(3.0)
+            coordinator.paused_until = deployment.now + 0.4
+        deployment.run(5.0)
+        assert find_wrong_fraction(deployment, start) <= 0.01
+
     # A VM that stops as planned lets others choose another coordinator first.
     def test_planned_stop_of_the_coordinator(self) -> None:
         deployment = build_deployment(17)
