--- a/tests/test_vm_quotas.py
+++ b/tests/test_vm_quotas.py
@@ -2,11 +2,9 @@
 
 import asyncio
 import json
-from typing import Any
 
 from tests import fleet as fleets
 from tests import vm_fleet
-from wigeonspool.vm import request_context
 from wigeonspool.vm import service
 from wigeonspool.vm import usage_limiter
 from wigeonspool.vm import usage_node
@@ -40,23 +38,6 @@
     await vms.store.put("op/config", json.dumps(document).encode())
 
 
-def set_accounts(vm: service.VmService) -> None:
-    """Lets requests have the account of their key."""
-    caller_service = vm._caller_service
-    build_context = caller_service._build_context
-
-    async def build(request: Any, arrived_at: float) -> Any:
-        context = await build_context(request, arrived_at)
-        if isinstance(context, request_context.RequestContext):
-            key = request.headers["Authorization"].removeprefix("Bearer ")
-            configuration = vm._cluster.configuration
-            assert configuration is not None
-            context.account = configuration.find_account(key.encode())
-        return context
-
-    caller_service._build_context = build  # type: ignore[method-assign]
-
-
 def find_node(vm: service.VmService) -> usage_node.UsageNode:
     """Returns the state of the quotas at a VM."""
     node = vm._usage_limiter.node
@@ -72,7 +53,6 @@
     started = []
     for name in names:
         started.append(await vms.start_vm(name, **BOUNDS))
-        set_accounts(started[-1])
     for vm in started:
         await vms.wait_until_listed(vm, set(names))
 
