Serve queued requests in the order of their urgency

Cause: each request that waits at a VM probed targets on its own timer, so that who got the next free slot was chance within a factor of three.

Change: one ordered queue per service. The requests at its front probe, as often as all of them did before, and a target that is found free goes to the first request that may use it, also one that a new request found. A request that cannot end by its deadline any more is refused at that moment. A slot is reserved when its request is chosen, no longer when it is sent, and the estimates are updated with the reservations before each choice.

--- a/tests/test_vm_target_notices.py
+++ b/tests/test_vm_target_notices.py
@@ -324,7 +324,7 @@
         vm = await vms.start_vm("vm-1")
         notices = vm._prober.notices
         selector = vm._request_runner._selector
-        queued = selector._queued_by_priority["reads"]
+        queued = selector._queues["reads"].requests
         entries = [vm._cluster.targets[name].entry for name in ("t-1", "t-2")]
 
         def find_long_delay(*arguments: Any) -> float:
@@ -343,7 +343,7 @@
             )
         decline(0.1)
         waiting = asyncio.create_task(vms.send("vm-1", "/read/1"))
-        await fleet.wait_for(lambda: queued.total())
+        await fleet.wait_for(lambda: len(queued))
         decline(1000.0)
         answer = await waiting
         assert answer[:2] == (503, b"targets-decline")
--- a/wigeonspool/load/emulated_targets.py
+++ b/wigeonspool/load/emulated_targets.py
@@ -300,7 +300,7 @@
         )
         estimate = self._estimate(row, report, probed_at)
         return target_probes.Candidate(
-            row, channel, estimate, report, self._settings.trip
+            row, channel, estimate, report, self._settings.trip, probed_at
         )
 
 
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -262,7 +262,6 @@
             self._prober.release_candidates([candidate])
             return self._withhold(context, candidate)
         started_at = self._loop.time()
-        estimates.record_reservation(row.health, started_at)
         context.attempts_sent += 1
         # The attempt counts as run until the target proves that it did not run.
         context.possible_runs += 1
--- a/wigeonspool/vm/target_probes.py
+++ b/wigeonspool/vm/target_probes.py
@@ -60,6 +60,7 @@
         estimate: Its expected slowdown, and its cost for ranking.
         report: The load that it reported.
         round_trip_seconds: Time from sending the health check to its response.
+        probed_at: Time at which the health check was sent, loop clock.
     """
 
     row: cluster_state.TargetRow
@@ -67,6 +68,7 @@
     estimate: waiting_policy.TargetEstimate
     report: protocols.LoadReport
     round_trip_seconds: float
+    probed_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -279,6 +281,18 @@
         if is_last and report.slowdown <= last_slots.BASELINE_SLOWDOWN:
             self._last_slots.record(service, seconds, baseline_seconds)
 
+    def update_estimates(self, candidates: list[Candidate]) -> None:
+        """Updates the estimates of candidates, and sorts them, best first.
+
+        The requests that were sent to a target since its health check count as
+        running there.
+        """
+        for candidate in candidates:
+            candidate.estimate = self._estimate(
+                candidate.row, candidate.report, candidate.probed_at
+            )
+        candidates.sort(key=rank_candidate)
+
     def release_candidates(self, candidates: list[Candidate]) -> None:
         """Releases the connections of candidates that are not used."""
         for candidate in candidates:
@@ -407,7 +421,9 @@
             return None
         estimate = self._estimate(row, report, probed_at)
         round_trip_seconds = self._loop.time() - probed_at
-        return Candidate(row, channel, estimate, report, round_trip_seconds)
+        return Candidate(
+            row, channel, estimate, report, round_trip_seconds, probed_at
+        )
 
     async def _send_health_check(
         self, row: cluster_state.TargetRow, channel: channels.Channel
--- a/wigeonspool/vm/target_selection.py
+++ b/wigeonspool/vm/target_selection.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import collections
+import dataclasses
 from typing import Final
 
+from wigeonspool.core import admission_order
 from wigeonspool.core import cluster_state
+from wigeonspool.core import estimates
 from wigeonspool.core import target_notices
 from wigeonspool.core import waiting_policy
 from wigeonspool.model import outcomes
@@ -27,6 +30,39 @@
 log = structured_log.get_logger("requests")
 
 
+@dataclasses.dataclass(eq=False, slots=True, kw_only=True)
+class WaitingRequest(admission_order.QueuedRequest):
+    """A queued request of this VM.
+
+    Attributes:
+        context: Its state.
+        woken: Set when it has a target, or is to probe or to check whether it
+            is refused.
+        may_probe: True if it is to probe targets.
+        candidate: Target that another request found for it, or None.
+    """
+
+    context: request_context.RequestContext
+    woken: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    may_probe: bool = False
+    candidate: target_probes.Candidate | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class ServiceQueue:
+    """The requests to one service that wait at this VM.
+
+    Attributes:
+        requests: The requests, in order.
+        timer: Wakes the next request that probes.
+    """
+
+    requests: admission_order.AdmissionQueue[WaitingRequest] = (
+        dataclasses.field(default_factory=admission_order.AdmissionQueue)
+    )
+    timer: asyncio.TimerHandle | None = None
+
+
 class TargetSelector:
     """Selects targets for requests and schedules repeated health checks.
 
@@ -42,10 +78,8 @@
         """
         self.baseline_times = waiting_policy.BaselineServiceTimes()
         self._prober = prober
-        self._queued_by_priority: dict[str, collections.Counter[int]]
-        self._queued_by_priority = collections.defaultdict(collections.Counter)
-        # Set once no target of a service wants requests, and then replaced.
-        self._unwanted: dict[str, asyncio.Event] = {}
+        self._queues: dict[str, ServiceQueue]
+        self._queues = collections.defaultdict(ServiceQueue)
         self._loop = asyncio.get_running_loop()
         prober.notices.on_unwilling = self._wake_if_unwanted
 
@@ -89,46 +123,167 @@
         step, candidate = await self._probe_nearest_first(
             context, baseline_seconds
         )
-        if step is not waiting_policy.Step.WAIT:
-            return self._build_selection(context, step, candidate)
-        queued = self._queued_by_priority[context.service]
-        queued[context.priority] += 1
+        if candidate is not None and not self._offer(
+            context.service, candidate
+        ):
+            return self._reserve(candidate)
+        if candidate is None and step is not waiting_policy.Step.WAIT:
+            return self._build_refusal(context)
+        return await self._wait_in_queue(context, baseline_seconds)
+
+    async def _wait_in_queue(
+        self, context: request_context.RequestContext, baseline_seconds: float
+    ) -> target_probes.Candidate | outcomes.Failure:
+        """Returns the target of a queued request, or a failure."""
+        now = self._loop.time()
+        request = WaitingRequest(
+            priority=context.priority,
+            baseline_seconds=baseline_seconds,
+            objective_at=context.objective_at,
+            deadline=context.deadline,
+            joined_at=now,
+            probed_at=now,
+            context=context,
+        )
+        queue = self._queues[context.service]
+        queue.requests.join(request)
+        self._schedule_probes(context.service)
         try:
-            while step is waiting_policy.Step.WAIT:
-                await self._wait_to_probe(context, baseline_seconds)
-                step, candidate = await self._probe_nearest_first(
-                    context, baseline_seconds
-                )
+            while True:
+                await request.woken.wait()
+                request.woken.clear()
+                step = await self._probe_for_queue(request)
+                if request.candidate is not None:
+                    candidate, request.candidate = request.candidate, None
+                    return candidate
+                if step is not waiting_policy.Step.WAIT:
+                    return self._build_refusal(context)
         finally:
-            queued[context.priority] -= 1
-        return self._build_selection(context, step, candidate)
+            queue.requests.leave(request)
+            if request.candidate is not None:
+                self._prober.release_candidates([request.candidate])
+            if not queue.requests and queue.timer is not None:
+                queue.timer.cancel()
+                queue.timer = None
+
+    async def _probe_for_queue(
+        self, request: WaitingRequest
+    ) -> waiting_policy.Step:
+        """Probes targets for the queue, if it is the turn of a request.
 
-    async def _wait_to_probe(
-        self, context: request_context.RequestContext, baseline_seconds: float
-    ) -> None:
-        """Waits before the next health checks for a queued request.
+        A target that is found goes to the first request in order that may use
+        it.
 
-        Returns early once no target will want the request by its objective.
+        Returns:
+            The next step of the request, or WAIT if it has a target.
         """
-        delay_seconds = self._find_probe_delay(context, baseline_seconds)
+        context = request.context
+        if request.candidate is not None:
+            return waiting_policy.Step.WAIT
+        if not request.may_probe:
+            is_refused = self.is_wanted_too_late(
+                context
+            ) or admission_order.is_expired(self._loop.time(), request)
+            return (
+                waiting_policy.Step.REFUSE
+                if is_refused
+                else waiting_policy.Step.WAIT
+            )
+        request.may_probe = False
+        request.is_probing = True
         try:
-            async with asyncio.timeout(delay_seconds):
-                is_wanted = True
-                while is_wanted:
-                    unwanted = self._unwanted.setdefault(
-                        context.service, asyncio.Event()
-                    )
-                    await unwanted.wait()
-                    is_wanted = not self.is_wanted_too_late(context)
-        except TimeoutError:
-            pass
+            step, candidate = await self._probe_nearest_first(
+                context, request.baseline_seconds
+            )
+        finally:
+            request.is_probing = False
+        if candidate is None:
+            return step
+        if not self._offer(context.service, candidate):
+            if request.candidate is None:
+                request.candidate = self._reserve(candidate)
+            else:
+                self._prober.release_candidates([candidate])
+        return waiting_policy.Step.WAIT
+
+    def _offer(self, service: str, candidate: target_probes.Candidate) -> bool:
+        """Gives a target to the first queued request that may use it.
+
+        Returns:
+            False if there is none.
+        """
+        requests = self._queues[service].requests
+        if not requests or candidate.estimate.full:
+            return False
+        for request in requests.list_in_order(self._loop.time()):
+            if request.candidate is None and self._may_use(request, candidate):
+                request.candidate = self._reserve(candidate)
+                request.woken.set()
+                return True
+        return False
+
+    def _offer_all(
+        self, service: str, candidates: list[target_probes.Candidate]
+    ) -> None:
+        """Gives targets to queued requests that may use them."""
+        for candidate in candidates:
+            if not self._offer(service, candidate):
+                self._prober.release_candidates([candidate])
+
+    def _may_use(
+        self, request: WaitingRequest, candidate: target_probes.Candidate
+    ) -> bool:
+        """Returns True if a queued request may be sent to a target now."""
+        context = request.context
+        step = self._decide(
+            context, request.baseline_seconds, candidate, False, True
+        )
+        if step is not waiting_policy.Step.SEND:
+            return False
+        groups = self._prober.list_target_groups(
+            context.service, context.tried_targets, context.rule.large_responses
+        )
+        return any(candidate.row is row for group in groups for row in group)
+
+    def _reserve(
+        self, candidate: target_probes.Candidate
+    ) -> target_probes.Candidate:
+        """Returns a candidate after counting a request to it as sent."""
+        estimates.record_reservation(candidate.row.health, self._loop.time())
+        return candidate
+
+    def _schedule_probes(self, service: str) -> None:
+        """Sets the timer for the next health checks for queued requests."""
+        queue = self._queues[service]
+        if queue.timer is not None:
+            return
+        queue.timer = self._loop.call_later(
+            self._find_probe_delay(service), self._start_probes, service
+        )
+
+    def _start_probes(self, service: str) -> None:
+        """Wakes the queued request that probes next."""
+        queue = self._queues[service]
+        queue.timer = None
+        now = self._loop.time()
+        for expired in queue.requests.list_expired(now):
+            expired.woken.set()
+        request = queue.requests.choose_prober(now)
+        if request is not None:
+            request.probed_at = now
+            request.may_probe = True
+            request.woken.set()
+        if queue.requests:
+            self._schedule_probes(service)
 
     def _wake_if_unwanted(self, service: str) -> None:
         """Wakes the queued requests to a service if no target wants any."""
-        if service not in self._unwanted:
+        if service not in self._queues:
             return
         if self._prober.find_wanted_at(service) is not None:
-            self._unwanted.pop(service).set()
+            requests = self._queues[service].requests
+            for request in requests.list_in_order(self._loop.time()):
+                request.woken.set()
 
     def find_decline(
         self, context: request_context.RequestContext
@@ -164,40 +319,18 @@
             wanted_at, self.find_baseline(context), context.objective_at
         )
 
-    def _build_selection(
-        self,
-        context: request_context.RequestContext,
-        step: waiting_policy.Step,
-        candidate: target_probes.Candidate | None,
-    ) -> target_probes.Candidate | outcomes.Failure:
-        """Returns the candidate to use, or a failure if there is none."""
-        if step is waiting_policy.Step.SEND and candidate is not None:
-            return candidate
+    def _build_refusal(
+        self, context: request_context.RequestContext
+    ) -> outcomes.Failure:
+        """Returns the failure of a request that gets no target."""
         return self.find_decline(context) or context.build_failure(
             outcomes.Reason.DEADLINE_UNREACHABLE
         )
 
-    def _find_probe_delay(
-        self, context: request_context.RequestContext, baseline_seconds: float
-    ) -> float:
-        """Returns how long to wait before the next health checks, in seconds.
-
-        The delay is longer if requests with a more urgent priority, which is a
-        lower number, are queued for the same service.
-        """
-        queued = self._queued_by_priority[context.service]
-        more_urgent_queued = any(
-            count and priority < context.priority
-            for priority, count in queued.items()
-        )
-        return waiting_policy.find_probe_delay(
-            self._loop.time(),
-            baseline_seconds,
-            context.objective_at,
-            context.deadline,
-            queued.total(),
-            PROBE_INTERVAL_SECONDS,
-            more_urgent_queued,
+    def _find_probe_delay(self, service: str) -> float:
+        """Returns the time until the next health checks for a queue, in s."""
+        return self._queues[service].requests.find_probe_delay(
+            self._loop.time(), PROBE_INTERVAL_SECONDS
         )
 
     async def find_fast_target(
@@ -216,11 +349,12 @@
         probed = prober.sample_targets(groups[0], PROBE_BATCH_SIZE)
         context.probes_sent += len(probed)
         candidates = await prober.probe_targets(probed)
+        prober.update_estimates(candidates)
         prober.release_candidates(candidates[1:])
         if candidates and waiting_policy.is_within_slowdown_limit(
             candidates[0].estimate
         ):
-            return candidates[0]
+            return self._reserve(candidates[0])
         prober.release_candidates(candidates[:1])
         return None
 
@@ -280,8 +414,8 @@
         # If other requests to the service are queued, few targets have free
         # slots. Each queued request then probes one batch at a time, and so
         # does a request that sent many health checks before.
-        max_probes = context.probes_sent + PROBE_BATCH_SIZE
-        if not self._queued_by_priority[context.service].total():
+        max_probes = context.probes_sent + 1
+        if not self._queues[context.service].requests:
             max_probes = max(max_probes, MAX_PROBES)
         best: target_probes.Candidate | None = None
         step = self._decide(
@@ -297,10 +431,10 @@
                 candidates = await prober.probe_targets(probed)
                 if best is not None:
                     candidates.append(best)
-                candidates.sort(key=target_probes.rank_candidate)
+                prober.update_estimates(candidates)
                 candidates = prober.drop_unwilling(candidates)
                 best = candidates[0] if candidates else None
-                prober.release_candidates(candidates[1:])
+                self._offer_all(context.service, candidates[1:])
                 has_more = bool(groups) and context.probes_sent < max_probes
                 step = self._decide(
                     context, baseline_seconds, best, has_more, may_be_late
