State when there is room for a refused request

Cause: a request that was refused in the queue got a fixed Retry-After. A health check that was sent before its target rejected a request still showed the slot as free.

Change: Retry-After of a refusal follows from the length of the queue and the rate at which it got targets, spread between the refused. A rejection marks its target as full for the health checks that were sent before it.

The effect of the mark was not measured on its own.

--- a/wigeonspool/core/admission_order.py
+++ b/wigeonspool/core/admission_order.py
@@ -5,6 +5,7 @@
 leave.
 """
 
+import collections
 import dataclasses
 from typing import Final, Generic, TypeVar
 
@@ -13,6 +14,10 @@
 # Requests at the front that probe by turns. If the first one may not use most
 # targets, those behind it still find theirs.
 FRONT_COUNT: Final = 3
+# Time over which the rate is counted at which queued requests get targets, and
+# the shortest time that a queue must have lasted for it.
+RATE_WINDOW_SECONDS: Final = 1.0
+MIN_RATE_SECONDS: Final = 0.25
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -64,17 +69,27 @@
 class AdmissionQueue(Generic[Request]):
     """The requests to one service that wait at this VM."""
 
-    __slots__ = ("_requests",)
+    __slots__ = ("_busy_since", "_requests", "_served")
 
     def __init__(self) -> None:
         self._requests: list[Request] = []
+        self._busy_since = 0.0
+        self._served: collections.deque[float] = collections.deque()
 
     def __len__(self) -> int:
         """Returns the number of queued requests."""
         return len(self._requests)
 
-    def join(self, request: Request) -> None:
-        """Adds a request."""
+    def join(self, request: Request, now: float) -> None:
+        """Adds a request.
+
+        Args:
+            request: The request.
+            now: Time on the core's clock, in seconds.
+        """
+        if not self._requests:
+            self._busy_since = now
+            self._served.clear()
         self._requests.append(request)
 
     def leave(self, request: Request) -> None:
@@ -87,6 +102,37 @@
             self._requests, key=lambda request: find_rank(now, request)
         )
 
+    def record_served(self, now: float) -> None:
+        """Records that a queued request got a target."""
+        self._served.append(now)
+
+    def find_served_rate(self, now: float) -> float | None:
+        """Returns how many queued requests get a target per second, or None.
+
+        It is unknown while the queue is new. The request that gets the next
+        target counts already, so that a rate of zero does not occur.
+        """
+        since = max(self._busy_since, now - RATE_WINDOW_SECONDS)
+        while self._served and self._served[0] < since:
+            self._served.popleft()
+        if not self._requests or now - since < MIN_RATE_SECONDS:
+            return None
+        return (len(self._served) + 1) / (now - since)
+
+    def find_room_at(self, now: float) -> float | None:
+        """Returns when all queued requests will have targets, or None.
+
+        The time is unknown while the queue is new.
+        """
+        rate = self.find_served_rate(now)
+        return None if rate is None else now + len(self._requests) / rate
+
+    def list_expired(self, now: float) -> list[Request]:
+        """Returns the requests that cannot end by their deadlines any more."""
+        return [
+            request for request in self._requests if is_expired(now, request)
+        ]
+
     def find_probe_delay(self, now: float, interval_seconds: float) -> float:
         """Returns the time until the next health checks, in seconds.
 
@@ -114,12 +160,6 @@
         )
         return max(interval_seconds, 1.0 / probes_per_second)
 
-    def list_expired(self, now: float) -> list[Request]:
-        """Returns the requests that cannot end by their deadlines any more."""
-        return [
-            request for request in self._requests if is_expired(now, request)
-        ]
-
     def choose_prober(self, now: float) -> Request | None:
         """Returns the request for which targets are probed next, or None.
 
--- a/wigeonspool/core/estimates.py
+++ b/wigeonspool/core/estimates.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import math
 from typing import Final
 
 # Added cost of a target, times the fraction of its slots that is in use. It
@@ -39,6 +40,8 @@
         ejected_until: Time until which it gets no work, on the core's clock.
         consecutive_ejections: Consecutive times that it was unreachable.
         reservations: Times at which requests were recently sent to it.
+        rejected_at: Time at which it last rejected a request, which shows that
+            it had no room.
     """
 
     failures: float = 0.0
@@ -46,6 +49,7 @@
     ejected_until: float = 0.0
     consecutive_ejections: int = 0
     reservations: list[float] = dataclasses.field(default_factory=list)
+    rejected_at: float = -math.inf
 
 
 def decay_failures(health: TargetHealth, now: float) -> float:
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -347,6 +347,7 @@
         if result.outcome is request_context.AttemptOutcome.NOT_RUN:
             context.possible_runs -= 1
             if not result.declined:
+                row.health.rejected_at = now
                 estimates.record_failure(
                     row.health, now, NOT_RUN_FAILURE_WEIGHT
                 )
--- a/wigeonspool/vm/target_probes.py
+++ b/wigeonspool/vm/target_probes.py
@@ -517,7 +517,8 @@
         slowdown = estimates.estimate_slowdown(
             running, report.waiting, slots, report.slowdown, last_slot
         )
-        is_full = last_slots.is_at_limit(
+        # A rejection shows that there was no room after the health check.
+        is_full = health.rejected_at >= probed_at or last_slots.is_at_limit(
             running, report.waiting, slots, last_slot
         )
         if row.warming_until > now:
--- a/wigeonspool/vm/target_selection.py
+++ b/wigeonspool/vm/target_selection.py
@@ -39,12 +39,14 @@
         woken: Set when it has a target, or is to probe or to check whether it
             is refused.
         may_probe: True if it is to probe targets.
+        is_refused: True if it cannot end by its deadline.
         candidate: Target that another request found for it, or None.
     """
 
     context: request_context.RequestContext
     woken: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     may_probe: bool = False
+    is_refused: bool = False
     candidate: target_probes.Candidate | None = None
 
 
@@ -146,7 +148,8 @@
             context=context,
         )
         queue = self._queues[context.service]
-        queue.requests.join(request)
+        queue.requests.join(request, now)
+        self._refuse_expired(context.service)
         self._schedule_probes(context.service)
         try:
             while True:
@@ -181,9 +184,7 @@
         if request.candidate is not None:
             return waiting_policy.Step.WAIT
         if not request.may_probe:
-            is_refused = self.is_wanted_too_late(
-                context
-            ) or admission_order.is_expired(self._loop.time(), request)
+            is_refused = request.is_refused or self.is_wanted_too_late(context)
             return (
                 waiting_policy.Step.REFUSE
                 if is_refused
@@ -202,6 +203,9 @@
         if not self._offer(context.service, candidate):
             if request.candidate is None:
                 request.candidate = self._reserve(candidate)
+                self._queues[context.service].requests.record_served(
+                    self._loop.time()
+                )
             else:
                 self._prober.release_candidates([candidate])
         return waiting_policy.Step.WAIT
@@ -218,6 +222,7 @@
         for request in requests.list_in_order(self._loop.time()):
             if request.candidate is None and self._may_use(request, candidate):
                 request.candidate = self._reserve(candidate)
+                requests.record_served(self._loop.time())
                 request.woken.set()
                 return True
         return False
@@ -252,6 +257,15 @@
         estimates.record_reservation(candidate.row.health, self._loop.time())
         return candidate
 
+    def _refuse_expired(self, service: str) -> None:
+        """Wakes the queued requests that cannot end by their deadlines."""
+        for request in self._queues[service].requests.list_expired(
+            self._loop.time()
+        ):
+            if not request.is_probing and request.candidate is None:
+                request.is_refused = True
+                request.woken.set()
+
     def _schedule_probes(self, service: str) -> None:
         """Sets the timer for the next health checks for queued requests."""
         queue = self._queues[service]
@@ -266,8 +280,7 @@
         queue = self._queues[service]
         queue.timer = None
         now = self._loop.time()
-        for expired in queue.requests.list_expired(now):
-            expired.woken.set()
+        self._refuse_expired(service)
         request = queue.requests.choose_prober(now)
         if request is not None:
             request.probed_at = now
@@ -323,8 +336,18 @@
         self, context: request_context.RequestContext
     ) -> outcomes.Failure:
         """Returns the failure of a request that gets no target."""
-        return self.find_decline(context) or context.build_failure(
-            outcomes.Reason.DEADLINE_UNREACHABLE
+        decline = self.find_decline(context)
+        if decline is not None:
+            return decline
+        now = self._loop.time()
+        room_at = self._queues[context.service].requests.find_room_at(now)
+        retry_at = None
+        if room_at is not None:
+            retry_at = target_notices.find_retry_at(
+                now, room_at, self._prober.draw_fraction()
+            )
+        return context.build_failure(
+            outcomes.Reason.DEADLINE_UNREACHABLE, retry_at
         )
 
     def _find_probe_delay(self, service: str) -> float:
