--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -268,7 +268,6 @@
             self._prober.release_candidates([candidate])
             return self._withhold(context, candidate)
         started_at = self._loop.time()
-        estimates.record_reservation(row.health, started_at)
         context.attempts_sent += 1
         # The attempt counts as run until the target proves that it did not run.
         context.possible_runs += 1
@@ -354,6 +353,7 @@
         if result.outcome is request_context.AttemptOutcome.NOT_RUN:
             context.possible_runs -= 1
             if not result.declined:
+                row.health.rejected_at = now
                 estimates.record_failure(
                     row.health, now, NOT_RUN_FAILURE_WEIGHT
                 )
--- a/wigeonspool/vm/target_probes.py
+++ b/wigeonspool/vm/target_probes.py
@@ -69,6 +69,7 @@
         estimate: Its expected slowdown, and its cost for ranking.
         report: The load that it reported.
         round_trip_seconds: Time from sending the health check to its response.
+        probed_at: Time at which the health check was sent, loop clock.
     """
 
     row: cluster_state.TargetRow
@@ -76,6 +77,7 @@
     estimate: waiting_policy.TargetEstimate
     report: protocols.LoadReport
     round_trip_seconds: float
+    probed_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -179,11 +181,7 @@
         groups: list[list[cluster_state.TargetRow]]
         groups = [[] for _ in range(2 * distances)]
         for row in self._list_permitted(service, regions):
-            if row.entry.identity in excluded or row.health.ejected_until > now:
-                continue
-            if not self.notices.may_admit(row.entry):
-                continue
-            if cold_rate and not self._may_send_cold(row, now, cold_rate):
+            if not self._is_available(row, excluded, now, cold_rate):
                 continue
             distance = self._vm_locality.find_distance(row.entry.zone)
             if distance is locality.Distance.ZONE and not large_responses:
@@ -192,6 +190,44 @@
             groups[distance.value + is_silent * distances].append(row)
         return [group for group in groups if group]
 
+    def _is_available(
+        self,
+        row: cluster_state.TargetRow,
+        excluded: Collection[str],
+        now: float,
+        cold_rate: float,
+    ) -> bool:
+        """Returns True if a permitted target accepts a request now."""
+        if row.entry.identity in excluded or row.health.ejected_until > now:
+            return False
+        if not self.notices.may_admit(row.entry):
+            return False
+        return not cold_rate or self._may_send_cold(row, now, cold_rate)
+
+    def may_use(
+        self,
+        row: cluster_state.TargetRow,
+        excluded: Collection[str],
+        regions: frozenset[str] | None,
+    ) -> bool:
+        """Returns True if a request may go to a target now.
+
+        Args:
+            row: The target.
+            excluded: Identities of targets to leave out.
+            regions: Regions of the targets, or None for all.
+        """
+        if row.entry.state is not fleet.TargetState.SERVING:
+            return False
+        if not self._is_permitted(row.entry, regions):
+            return False
+        return self._is_available(
+            row,
+            excluded,
+            self._loop.time(),
+            self._find_cold_rate(row.entry.service),
+        )
+
     def _list_permitted(
         self, service: str, regions: frozenset[str] | None
     ) -> Iterator[cluster_state.TargetRow]:
@@ -506,6 +542,18 @@
         if is_last and report.slowdown <= last_slots.BASELINE_SLOWDOWN:
             self._last_slots.record(service, seconds, baseline_seconds)
 
+    def update_estimates(self, candidates: list[Candidate]) -> None:
+        """Updates the estimates of candidates, and sorts them, best first.
+
+        The requests that were sent to a target since its health check count as
+        running there.
+        """
+        for candidate in candidates:
+            candidate.estimate = self._estimate(
+                candidate.row, candidate.report, candidate.probed_at
+            )
+        candidates.sort(key=rank_candidate)
+
     def release_candidates(self, candidates: list[Candidate]) -> None:
         """Releases the connections of candidates that are not used."""
         for candidate in candidates:
@@ -648,7 +696,9 @@
             return None
         estimate = self._estimate(row, report, probed_at)
         round_trip_seconds = self._loop.time() - probed_at
-        return Candidate(row, channel, estimate, report, round_trip_seconds)
+        return Candidate(
+            row, channel, estimate, report, round_trip_seconds, probed_at
+        )
 
     async def _send_health_check(
         self, row: cluster_state.TargetRow, channel: channels.Channel
@@ -763,7 +813,8 @@
         slowdown = estimates.estimate_slowdown(
             running, report.waiting, slots, report.slowdown, last_slot
         )
-        is_full = last_slots.is_at_limit(
+        # A rejection shows that there was no room after the health check.
+        is_full = health.rejected_at >= probed_at or last_slots.is_at_limit(
             running, report.waiting, slots, last_slot
         )
         if row.warming_until > now:
