--- a/wigeonspool/vm/http_port.py
+++ b/wigeonspool/vm/http_port.py
@@ -5,13 +5,14 @@
 """
 
 import asyncio
+from typing import Final
 
 from aiohttp import web
 
 from wigeonspool import listen_sockets
 
 # Time for the handlers that run when the port is closed.
-SHUTDOWN_TIMEOUT_SECONDS = 0.5
+SHUTDOWN_TIMEOUT_SECONDS: Final = 0.5
 
 
 class HttpPort:
