--- a/wigeonspool/component_logs.py
+++ b/wigeonspool/component_logs.py
@@ -15,7 +15,7 @@
 # Field that names the component that wrote a line.
 PART_FIELD: Final = "part"
 # How many frames lie between the caller of a logger and the library.
-LIBRARY_DEPTH: Final = 2
+LIBRARY_DEPTH: Final = 3
 
 
 class Level(NamedTuple):
