--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -271,6 +271,21 @@
         assert state.end_unconfirmed_evacuations(ends_at) == ["zone-a"]
         assert not state.evacuated
 
+    # Guards against a zone that is used again too early after two restores.
+    def test_second_restore_extends_the_time(self) -> None:
+        state = cluster_state.ClusterState()
+        begin = cluster_state.EvacuationChange("zone-a", True)
+        end = cluster_state.EvacuationChange("zone-a", False)
+        state.apply(0.0, "k", 9, begin)
+        state.begin_era(10.0, 5)
+        state.apply(10.0, "k", 5, end)
+        state.end_restored_state()
+        state.begin_era(14.0, 5)
+        state.end_restored_state()
+        ends_at = 14.0 + cluster_state.EVACUATION_GRACE_SECONDS
+        assert not state.end_unconfirmed_evacuations(ends_at - 0.1)
+        assert state.end_unconfirmed_evacuations(ends_at) == ["zone-a"]
+
     def test_zone_that_is_evacuated_again_stays(self) -> None:
         state = cluster_state.ClusterState()
         begin = cluster_state.EvacuationChange("zone-a", True)
--- a/wigeonspool/core/cluster_state.py
+++ b/wigeonspool/core/cluster_state.py
@@ -211,6 +211,9 @@
             revision: Revision in the new era at which its state was read.
         """
         self._revisions.clear()
+        # A further copy may lack what operators wrote since the last restore.
+        for zone in self._pending_returns:
+            self._pending_returns[zone] = now + EVACUATION_GRACE_SECONDS
         self._is_restoring = True
         self._restored_revision = revision
 
