--- a/wigeonspool/vm/usage_limiter.py
+++ b/wigeonspool/vm/usage_limiter.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 import contextlib
 import random
-import secrets
 import time
 from typing import Any, Final
 
@@ -218,7 +217,7 @@
         if self.node is None and self._quotas:
             self.node = usage_node.UsageNode(
                 self._entry,
-                secrets.randbelow(2**32 - 1) + 1,
+                random.SystemRandom().randrange(1, 2**32),
                 self._zones,
                 self._bounds,
                 read_clock(),
