--- a/tests/test_admission_order.py
+++ b/tests/test_admission_order.py
@@ -203,7 +203,7 @@
             kind: counts.in_time_share for kind, counts in result.kinds.items()
         }
         assert shares["urgent"] >= min_urgent
-        assert shares["urgent"] >= shares["long"]
+        assert shares["urgent"] >= shares["usual"]
         assert result.value >= min_value
         assert result.most_runs == 1
 
