Fix what reviews of the merged parts found

Quotas: a restore of the store refused all accounts with a quota for 4 s; a stopping coordinator refused its own callers; requests hung when a version dropped all quotas; a duplicated reply counted its tokens twice; a request that waited longer than its token lasted was sent in a later window, and now takes another one. Accounts: a key was forwarded if accounts were configured while its request waited. Queue: a found target went to requests behind the finder; large responses left their zone; an evacuation refused queued requests one at a time; a timer set for late requests delayed urgent ones. Lookups: one lost datagram hid all other VMs.

--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -12,6 +12,7 @@
 from tests import fleet
 from wigeonspool import process
 from wigeonspool.gateway import http_client
+from wigeonspool.gateway import streaming
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -103,6 +104,24 @@
                     await call(client, method, url)
         assert methods == ["GET", method] + [method] * resent
 
+    # Guards against a call that fails because the store reset the connection
+    # that was kept since the last one.
+    async def test_call_is_sent_again_after_a_reset(self) -> None:
+        methods: list[str] = []
+
+        async def serve(request: web.BaseRequest) -> web.Response:
+            methods.append(request.method)
+            if len(methods) % 2 == 0:
+                streaming.reset_connection(request)
+            return web.Response(body=b"ok")
+
+        async with run_server(serve) as url, run_client() as client:
+            assert await call(client, "GET", url) == (200, b"ok")
+            assert await call(client, "GET", url) == (200, b"ok")
+            with pytest.raises((aiohttp.ClientError, OSError)):
+                await call(client, "POST", url)
+        assert methods == ["GET", "GET", "GET", "POST"]
+
     async def test_new_connection_that_fails_is_an_error(self) -> None:
         calls = []
 
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -156,9 +156,7 @@
         sending = vms.send("vm-1", "/read/1", remaining="20000")
         task = asyncio.create_task(sending)
         await fleet.wait_for(
-            lambda: len(
-                vm._request_runner._selector._queues["reads"].requests
-            )
+            lambda: len(vm._request_runner._selector._queues["reads"].requests)
         )
         await vms.configure(build_rules(["north"], Timeout="20s"))
         assert (await task)[1] in (b"t-1", b"t-2")
--- a/tests/usage_model.py
+++ b/tests/usage_model.py
@@ -56,6 +56,7 @@
     read_changes: int = 0
     first_lease: int = 0
     is_listed: bool = False
+    held_until: float = -math.inf
     renew_at: float = 0.0
     registered_until: float = -math.inf
     quotas: Mapping[str, usage_limits.Quota] = dataclasses.field(
@@ -167,6 +168,7 @@
         vm.node.set_quotas(vm.quotas, self.now)
         if self._reaches_store(vm):
             self._read_changes(vm, lag_seconds=0.0)
+        vm.held_until = -math.inf
         vm.first_lease = vm.listed.get(vm.entry.name, (None, 0, 0))[1]
         vm.lease = vm.first_lease
         self._tick(vm, vm.process)
@@ -206,6 +208,8 @@
         if self._reaches_store(vm):
             self._renew(vm)
             self._read_changes(vm, vm.lag_seconds)
+        if node.role.held_from <= self.now < vm.registered_until:
+            vm.held_until = vm.registered_until
         node.set_registered_until(vm.registered_until, self.now)
         node.tick(self.now)
         delay = usage_node.TICK_SECONDS
@@ -261,7 +265,7 @@
         assert vm.node is not None
         entries = [entry for entry, _, _ in vm.listed.values()]
         revisions = {name: item[2] for name, item in vm.listed.items()}
-        is_known = vm.lease == vm.first_lease != 0
+        is_known = vm.lease == vm.first_lease != 0 or self.now < vm.held_until
         vm.node.set_members(entries, revisions, is_known, self.now)
 
     def _send(
--- a/wigeonspool/core/admission_order.py
+++ b/wigeonspool/core/admission_order.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Iterator
 import dataclasses
 from typing import Final, Generic, TypeVar
 
@@ -80,6 +81,10 @@
         """Returns the number of queued requests."""
         return len(self._requests)
 
+    def __iter__(self) -> "Iterator[Request]":
+        """Yields the queued requests in the order of joining."""
+        return iter(self._requests)
+
     def join(self, request: Request, now: float) -> None:
         """Adds a request.
 
--- a/wigeonspool/core/coordinator_choice.py
+++ b/wigeonspool/core/coordinator_choice.py
@@ -78,6 +78,7 @@
         self.peers: dict[str, Peer] = {}
         self.ranking: list[str] = []
         self.fraction = 0.0
+        self.is_leaving = False
         self._own = own
         self._chosen: str | None = None
         self._chosen_at = -math.inf
@@ -207,12 +208,14 @@
             if not has_failures or (peer.replied_at > now - CONFIRMED_SECONDS):
                 return address
             unconfirmed = unconfirmed or address
+        if unconfirmed is None and self._own in self.ranking:
+            return self._own
         return unconfirmed
 
     def _is_usable(self, address: str | None) -> bool:
         """Returns True if a VM is in the ranking and is not skipped."""
         if address == self._own:
-            return address in self.ranking
+            return address in self.ranking and not self.is_leaving
         peer = self.peers.get(address or "")
         return peer is not None and not (peer.has_failed or peer.is_leaving)
 
--- a/wigeonspool/gateway/http_client.py
+++ b/wigeonspool/gateway/http_client.py
@@ -170,8 +170,10 @@
                     auto_decompress=True,
                 )
             except (aiohttp.ClientError, OSError) as error:
+                # The library reports a reset as an error of its own, which is
+                # an OSError but no ConnectionError.
                 was_closed = isinstance(
-                    error, (aiohttp.ServerDisconnectedError, ConnectionError)
+                    error, (aiohttp.ServerDisconnectedError, OSError)
                 )
                 if is_new or not (was_closed and may_resend):
                     raise
--- a/wigeonspool/vm/attempts.py
+++ b/wigeonspool/vm/attempts.py
@@ -73,6 +73,7 @@
             return request_context.AttemptResult(
                 request_context.AttemptOutcome.NOT_RUN, detail=repr(error)
             )
+        context.update_regions(self._prober.configuration)
         request = context.request
         fields = self._protocol_adapter.build_target_headers(
             request.headers,
@@ -83,7 +84,6 @@
         )
         fields["Host"] = request.headers.get("Host", "")
         try:
-            context.update_regions(self._prober.configuration)
             sent_at = self._prober.begin_attempt(candidate.row, context.regions)
             if sent_at is None:
                 channel.close()
--- a/wigeonspool/vm/caller_service.py
+++ b/wigeonspool/vm/caller_service.py
@@ -364,9 +364,11 @@
         account = context.account
         if account is None or account.rate <= 0.0:
             return await self._runner.run(context)
-        token = await self._limiter.acquire(account)
-        if isinstance(token, outcomes.Failure):
-            return token
+        expires_at = await self._limiter.acquire(account)
+        if isinstance(expires_at, outcomes.Failure):
+            return expires_at
+        token = usage_limiter.UsageToken(self._limiter, account, expires_at)
+        context.token = token
         result: request_runner.RequestResult | None = None
         try:
             result = await self._runner.run(context)
@@ -377,7 +379,7 @@
             else:
                 did_not_run = result is None and not context.possible_runs
             if did_not_run:
-                self._limiter.give_back(account.name, token)
+                token.give_back()
 
     def _log_held(self, served: OpenRequest, ahead: pipelines.AheadRun) -> None:
         """Logs a response that was complete before its turn."""
--- a/wigeonspool/vm/peer_liveness.py
+++ b/wigeonspool/vm/peer_liveness.py
@@ -153,12 +153,24 @@
             if peer.confirm_by is None:
                 peer.confirm_by = now + REPLY_TIMEOUT_SECONDS
                 self._ping(address, peer)
+                self._loop.call_later(
+                    REPLY_TIMEOUT_SECONDS / 2, self._ping_again, address, peer
+                )
         for peer in peers.values():
             assert peer.confirm_by is not None
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout_at(peer.confirm_by):
                     await peer.replied.wait()
 
+    def _ping_again(self, address: str, peer: PeerLiveness) -> None:
+        """Pings a VM that has not replied yet, as one datagram may be lost.
+
+        Both pings together count as one that is missed.
+        """
+        if not peer.replied.is_set():
+            peer.missed_pings -= 1
+            self._ping(address, peer)
+
     def _ping(self, address: str, peer: PeerLiveness) -> None:
         """Pings one VM; the ping counts as missed until its reply arrives."""
         if self._transport is None:
--- a/wigeonspool/vm/request_context.py
+++ b/wigeonspool/vm/request_context.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+from typing import Protocol
 
 from aiohttp import web
 
@@ -11,6 +12,13 @@
 from wigeonspool.vm import channels
 
 
+class UsageToken(Protocol):
+    """The token of a request whose account has a quota."""
+
+    async def refresh(self) -> outcomes.Failure | None:
+        """Replaces an expired token; returns why there is none, or None."""
+
+
 @dataclasses.dataclass(slots=True)
 class RequestContext:
     """A request and the attempts made for it so far.
@@ -40,6 +48,7 @@
         has_accounts: True if client accounts are configured.
         configuration_version: Version of the configuration that `rule` and
             `account` are from.
+        token: Token of a request whose account has a quota, or None.
         steps: Events so far, for the log: milliseconds since the arrival, name
             of the event, identity of the target, slowdown of the target.
     """
@@ -64,6 +73,7 @@
     hedges_sent: int = 0
     closes_connection: bool = False
     account: fleet.ClientAccount | None = None
+    token: "UsageToken | None" = None
     has_accounts: bool = False
     configuration_version: int = -1
     steps: list[tuple[int, str, str, float]] = dataclasses.field(
@@ -117,6 +127,8 @@
         ):
             return
         self.configuration_version = configuration.version
+        # A key must not be forwarded once accounts are configured.
+        self.has_accounts = self.has_accounts or bool(configuration.accounts)
         host = self.request.headers.get("Host", "").partition(":")[0].lower()
         path = self.request.raw_path.partition("?")[0]
         rule = configuration.find_rule(host, path)
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -148,6 +148,10 @@
             candidate = await self._select(context)
             if isinstance(candidate, outcomes.Failure):
                 return candidate
+            if context.token is not None and not context.attempts_sent:
+                refusal = await self._refresh_token(context.token, candidate)
+                if refusal is not None:
+                    return refusal
             result = await self._send_hedged(context, candidate)
             if result.outcome is request_context.AttemptOutcome.WITHHELD:
                 continue
@@ -156,6 +160,25 @@
             if not self._may_retry(context, result):
                 return self._build_final_result(context, result)
 
+    async def _refresh_token(
+        self,
+        token: request_context.UsageToken,
+        candidate: target_probes.Candidate,
+    ) -> outcomes.Failure | None:
+        """Replaces an expired token; releases the candidate if there is none.
+
+        Returns:
+            Why the request must not be sent, or None.
+        """
+        try:
+            refusal = await token.refresh()
+        except BaseException:
+            self._prober.release_candidates([candidate])
+            raise
+        if refusal is not None:
+            self._prober.release_candidates([candidate])
+        return refusal
+
     async def _select(
         self, context: request_context.RequestContext
     ) -> target_probes.Candidate | outcomes.Failure:
--- a/wigeonspool/vm/target_probes.py
+++ b/wigeonspool/vm/target_probes.py
@@ -228,6 +228,18 @@
             self._find_cold_rate(row.entry.service),
         )
 
+    def is_nearest(
+        self,
+        row: cluster_state.TargetRow,
+        excluded: Collection[str],
+        regions: frozenset[str] | None,
+    ) -> bool:
+        """Returns True if no available target is nearer than a target."""
+        groups = self.list_target_groups(
+            row.entry.service, excluded, True, regions
+        )
+        return not groups or row in groups[0]
+
     def _list_permitted(
         self, service: str, regions: frozenset[str] | None
     ) -> Iterator[cluster_state.TargetRow]:
--- a/wigeonspool/vm/target_selection.py
+++ b/wigeonspool/vm/target_selection.py
@@ -125,20 +125,21 @@
         step, candidate = await self._probe_nearest_first(
             context, baseline_seconds
         )
+        request = self._build_waiting(context, baseline_seconds)
         if candidate is not None and not self._offer(
-            context.service, candidate
+            context.service, candidate, request
         ):
             return self._reserve(candidate)
         if candidate is None and step is not waiting_policy.Step.WAIT:
             return self._build_refusal(context)
-        return await self._wait_in_queue(context, baseline_seconds)
+        return await self._wait_in_queue(request)
 
-    async def _wait_in_queue(
+    def _build_waiting(
         self, context: request_context.RequestContext, baseline_seconds: float
-    ) -> target_probes.Candidate | outcomes.Failure:
-        """Returns the target of a queued request, or a failure."""
+    ) -> WaitingRequest:
+        """Returns a request that is not queued yet."""
         now = self._loop.time()
-        request = WaitingRequest(
+        return WaitingRequest(
             priority=context.priority,
             baseline_seconds=baseline_seconds,
             objective_at=context.objective_at,
@@ -147,6 +148,13 @@
             probed_at=now,
             context=context,
         )
+
+    async def _wait_in_queue(
+        self, request: WaitingRequest
+    ) -> target_probes.Candidate | outcomes.Failure:
+        """Returns the target of a queued request, or a failure."""
+        context = request.context
+        now = self._loop.time()
         queue = self._queues[context.service]
         queue.requests.join(request, now)
         self._refuse_expired(context.service)
@@ -210,7 +218,12 @@
                 self._prober.release_candidates([candidate])
         return waiting_policy.Step.WAIT
 
-    def _offer(self, service: str, candidate: target_probes.Candidate) -> bool:
+    def _offer(
+        self,
+        service: str,
+        candidate: target_probes.Candidate,
+        found_by: WaitingRequest | None = None,
+    ) -> bool:
         """Gives a target to the first queued request that may use it.
 
         Returns:
@@ -219,7 +232,11 @@
         requests = self._queues[service].requests
         if not requests or candidate.estimate.full:
             return False
-        for request in requests.list_in_order(self._loop.time()):
+        now = self._loop.time()
+        last = found_by and admission_order.find_rank(now, found_by)
+        for request in requests.list_in_order(now):
+            if last and last < admission_order.find_rank(now, request):
+                return False
             if request.candidate is None and self._may_use(request, candidate):
                 request.candidate = self._reserve(candidate)
                 requests.record_served(self._loop.time())
@@ -245,6 +262,18 @@
         )
         if step is not waiting_policy.Step.SEND:
             return False
+        if (
+            context.rule.large_responses
+            and not waiting_policy.is_late(
+                self._loop.time(),
+                request.baseline_seconds,
+                request.objective_at,
+            )
+            and not self._prober.is_nearest(
+                candidate.row, context.tried_targets, context.regions
+            )
+        ):
+            return False
         return self._prober.may_use(
             candidate.row, context.tried_targets, context.regions
         )
@@ -264,15 +293,31 @@
             if not request.is_probing and request.candidate is None:
                 request.is_refused = True
                 request.woken.set()
+        lacking: dict[frozenset[str] | None, bool] = {}
+        for request in self._queues[service].requests:
+            request.context.update_regions(self._prober.configuration)
+            regions = request.context.regions
+            if regions not in lacking:
+                lacking[regions] = self._prober.lacks_permitted_target(
+                    service, regions
+                )
+            if (
+                lacking[regions]
+                and not request.is_probing
+                and request.candidate is None
+            ):
+                request.is_refused = True
+                request.woken.set()
 
     def _schedule_probes(self, service: str) -> None:
         """Sets the timer for the next health checks for queued requests."""
         queue = self._queues[service]
+        probe_at = self._loop.time() + self._find_probe_delay(service)
         if queue.timer is not None:
-            return
-        queue.timer = self._loop.call_later(
-            self._find_probe_delay(service), self._start_probes, service
-        )
+            if queue.timer.when() <= probe_at:
+                return
+            queue.timer.cancel()
+        queue.timer = self._loop.call_at(probe_at, self._start_probes, service)
 
     def _start_probes(self, service: str) -> None:
         """Wakes the queued request that probes next."""
--- a/wigeonspool/vm/task_service.py
+++ b/wigeonspool/vm/task_service.py
@@ -80,7 +80,10 @@
         """Records that a task has ended; its error ends the service."""
         self._tasks.discard(task)
         error = None if task.cancelled() else task.exception()
-        if error is None or self.should_stop:
+        if error is None:
+            return
+        if self.should_stop:
+            log.opt(exception=error).error("a task failed during the stop")
             return
         self.crash_reason = error
         log.opt(exception=error).error("a task failed; the process ends")
--- a/wigeonspool/vm/usage_limiter.py
+++ b/wigeonspool/vm/usage_limiter.py
@@ -52,6 +52,46 @@
         self._handle(data, f"{addr[0]}:{addr[1]}")
 
 
+class UsageToken:
+    """The token of a request.
+
+    Attributes:
+        expires_at: Time from which the request needs another token.
+    """
+
+    def __init__(
+        self,
+        limiter: "UsageLimiter",
+        account: fleet.ClientAccount,
+        expires_at: float,
+    ) -> None:
+        """Creates the token of a request that was not sent yet."""
+        self.expires_at = expires_at
+        self._limiter = limiter
+        self._account = account
+
+    async def refresh(self) -> outcomes.Failure | None:
+        """Replaces an expired token, before its request is sent.
+
+        Requests that waited for a target would otherwise be sent in a later
+        window than the one in which their tokens count.
+
+        Returns:
+            Why there is no other token, or None.
+        """
+        if self.expires_at > read_clock():
+            return None
+        acquired = await self._limiter.acquire(self._account)
+        if isinstance(acquired, outcomes.Failure):
+            return acquired
+        self.expires_at = acquired
+        return None
+
+    def give_back(self) -> None:
+        """Returns the token, since the request provably did not run."""
+        self._limiter.give_back(self._account.name, self.expires_at)
+
+
 class UsageLimiter:
     """Grants and requests tokens for the requests of accounts with a quota.
 
@@ -99,6 +139,9 @@
         self._quotas: dict[str, usage_limits.Quota] = {}
         self._vm_changes = -1
         self._was_registered = False
+        # Until when all VMs know the share held last. A VM that registers again
+        # before that displaces no other holder.
+        self._held_until = float("-inf")
         self._is_flushing = False
         self._open_at = float("-inf")
         self._loop = asyncio.get_running_loop()
@@ -130,6 +173,8 @@
         if node is None:
             return self._build_refusal(usage_node.MIN_RETRY_SECONDS)
         while True:
+            if account.name not in self._quotas:
+                return read_clock() + usage_limits.TOKEN_SECONDS
             future: asyncio.Future[usage_node.Decision] = (
                 self._loop.create_future()
             )
@@ -261,6 +306,8 @@
         now = read_clock()
         left_seconds = self._find_registered_until() - self._loop.time()
         node.set_registered_until(now + left_seconds, now)
+        if node.role.held_from <= now and left_seconds > 0.0:
+            self._held_until = now + left_seconds
         lease = self._find_lease()
         is_registered = left_seconds > 0.0 and (
             self._cluster.leases.get(self._entry.name, 0) == lease != 0
@@ -269,7 +316,7 @@
         if (changes, is_registered) == (self._vm_changes, self._was_registered):
             return
         self._vm_changes, self._was_registered = changes, is_registered
-        is_known = lease == self._first_lease
+        is_known = lease == self._first_lease or now < self._held_until
         vms = list(self._cluster.vms.values())
         revisions = {
             vm.name: self._find_revision(vm)
--- a/wigeonspool/vm/usage_node.py
+++ b/wigeonspool/vm/usage_node.py
@@ -22,6 +22,10 @@
 
 # A request waits this long for its token.
 WAIT_SECONDS: Final = 0.25
+# Bounds the time in a reply, which a tiny rate would make too long to encode.
+MAX_REPORTED_RETRY_SECONDS: Final = 1e5
+# A reply that arrives later than this is dropped.
+REPLY_MEMORY_SECONDS: Final = 2.0
 TICK_SECONDS: Final = 0.05
 # A longer gap between ticks means that this process was paused.
 MAX_TICK_GAP_SECONDS: Final = 0.2
@@ -184,9 +188,10 @@
             vm_assignment.MIN_ASSIGNED_VMS * len(zones), bounds
         )
         self.choice = coordinator_choice.CoordinatorChoice(address, now)
+        # Requests without a reply so far, the oldest first.
+        self._outstanding: dict[tuple[float, str], None] = {}
         self.delegation = usage_limits.Delegation(bounds.window_seconds)
         self.role = usage_limits.HolderRole()
-        self.is_leaving = False
         self.sent = 0
         self.received = 0
         self.odd = 0
@@ -215,8 +220,9 @@
         self._quotas = quotas
         self._is_configured = True
         for name in list(self._uses):
-            if name not in quotas and not self._uses[name].waiters:
-                del self._uses[name]
+            if name not in quotas:
+                for waiter in self._uses.pop(name).waiters:
+                    waiter.settle(Decision(now + usage_limits.TOKEN_SECONDS))
 
     def set_members(
         self,
@@ -249,6 +255,15 @@
         if until <= now:
             self.role.clear()
 
+    @property
+    def is_leaving(self) -> bool:
+        """True once this VM stops, so that another one should coordinate."""
+        return self.choice.is_leaving
+
+    @is_leaving.setter
+    def is_leaving(self, value: bool) -> None:
+        self.choice.is_leaving = value
+
     def list_counts(self) -> dict[str, AccountCounts]:
         """Returns the requests by result, for each account."""
         return {name: use.counts for name, use in self._uses.items()}
@@ -330,6 +345,10 @@
         has_demand = any(use.waiters for use in self._uses.values())
         if self.choice.detect_failures(now):
             self._ask_all(now)
+        for sent_at, address in list(self._outstanding):
+            if sent_at > now - REPLY_MEMORY_SECONDS:
+                break
+            del self._outstanding[sent_at, address]
         self._refuse_expired(now)
         self._renew_delegation(now)
         self._request_tokens(now, is_tick=True)
@@ -453,6 +472,7 @@
                 address, peer.incarnation, peer.clock, sent_at, wants
             )
         self.choice.record_sent(address, now)
+        self._outstanding[sent_at, address] = None
         self.sent += 1
         self._send(address, request)
 
@@ -528,6 +548,11 @@
             self.sent += 1
             self._send(address, reply)
             return
+        if (message.sent_at, address) not in self._outstanding:
+            # A datagram may arrive twice, but its tokens count once.
+            self.odd += 1
+            return
+        del self._outstanding[message.sent_at, address]
         if message.sent_at > now or not self.choice.record_reply(address, now):
             self.odd += 1
             return
@@ -592,7 +617,9 @@
             want.account,
             grant.granted,
             grant.refused,
-            math.ceil(grant.retry_seconds * 1000),
+            math.ceil(
+                min(grant.retry_seconds, MAX_REPORTED_RETRY_SECONDS) * 1000
+            ),
         )
 
     def _apply_reply(
