--- a/tests/vm_fleet.py
+++ b/tests/vm_fleet.py
@@ -76,15 +76,38 @@
     }
 
 
+def build_tenant(name: str, *keys: str, **fields: Any) -> dict[str, Any]:
+    """Returns a client account in the form of the configuration document.
+
+    Args:
+        name: Name of the account.
+        keys: Its keys.
+        fields: Further fields, for example `Priority`.
+    """
+    return {"Name": name, "ApiKeys": list(keys), **fields}
+
+
 def build_configuration(
     version: int,
     rules: list[Any],
     host: str = HOST,
     header_timeout: str = "3000ms",
     max_connections: int = 100,
+    tenants: list[Any] | None = None,
+    **upstream: Any,
 ) -> dict[str, Any]:
-    """Returns a configuration document with three upstreams."""
-    return {
+    """Returns a configuration document with three upstreams.
+
+    Args:
+        version: Version of the configuration.
+        rules: Rules of the host.
+        host: The only host.
+        header_timeout: Longest time to receive a request head.
+        max_connections: Connections that each target accepts.
+        tenants: Client accounts, if any.
+        **upstream: Other fields of each upstream.
+    """
+    document: dict[str, Any] = {
         "ConfigVersion": version,
         "Limits": {
             "MaxHeaderBytes": 16384,
@@ -95,9 +118,13 @@
         "Listeners": [{"Host": host, "Policy": rules}],
         "Upstreams": [
             {"Name": n, "HealthPath": "/health", "MaxConns": max_connections}
+            | upstream
             for n in ("other", "reads", "writes")
         ],
     }
+    if tenants is not None:
+        document["Tenants"] = tenants
+    return document
 
 
 class VmFleet:
@@ -117,6 +144,7 @@
         self.session: aiohttp.ClientSession
         self._registrations: dict[str, tuple[str, str, str]] = {}
         self._started_at_ms: dict[str, int] = {}
+        self._sequences: dict[str, int] = {}
         self._attempts = itertools.count(1)
         self._stack = contextlib.AsyncExitStack()
 
@@ -194,6 +222,7 @@
             identity, standins.FIRST_START_MS
         )
         self._started_at_ms[identity] = started_at_ms + 1
+        self._sequences[identity] = 0
         await self.register(identity)
         return target
 
@@ -203,8 +232,10 @@
         started_at_ms = self._started_at_ms.get(
             identity, standins.FIRST_START_MS
         )
+        sequence = self._sequences.get(identity, 0) + 1
+        self._sequences[identity] = sequence
         entry = standins.build_entry(
-            address, service_name, zone, state, started_at_ms
+            address, service_name, zone, state, started_at_ms, sequence
         )
         key = f"servers/{identity}"
         await self.store.put(key, json.dumps(entry).encode())
@@ -282,13 +313,26 @@
         attempt: str = "",
         **options: Any,
     ) -> tuple[int, bytes, Any]:
-        """Sends a request; returns the status, body and header fields."""
+        """Sends a request; returns the status, body and header fields.
+
+        Args:
+            vm: Name of the VM.
+            path: Path of the request.
+            method: HTTP method.
+            host: Host that the request names.
+            attempt: Identity of the attempt; a new one if empty.
+            options: `remaining`, the time limit in milliseconds; `key`, that of
+                a client account; and those of the HTTP library.
+        """
         attempt = attempt or f"a-{next(self._attempts)}"
         fields = {
             "Host": host,
             "X-Attempt-Id": attempt,
             "X-Timeout-Remaining": options.pop("remaining", REMAINING_MS),
         }
+        key = options.pop("key", "")
+        if key:
+            fields["Authorization"] = f"Bearer {key}"
         url = f"http://{self.settings[vm].callers}{path}"
         async with self.session.request(
             method, url, headers=fields, **options
--- a/wigeonspool/model/outcomes.py
+++ b/wigeonspool/model/outcomes.py
@@ -55,8 +55,12 @@
     HOME_UNREACHABLE = "home-unreachable"
     IN_PROGRESS = "in-progress"
     ANSWER_NOT_KEPT = "answer-not-kept"
+    QUOTA_EXCEEDED = "quota-exceeded"
     BODY_TOO_LARGE = "body-too-large"
     BAD_REQUEST = "bad-request"
+    CREDENTIALS_MISSING = "credentials-missing"
+    CREDENTIALS_MALFORMED = "credentials-malformed"
+    CREDENTIALS_UNKNOWN = "credentials-unknown"
     INTERNAL_ERROR = "internal-error"
 
 
--- a/wigeonspool/platform/standin/target.py
+++ b/wigeonspool/platform/standin/target.py
@@ -10,6 +10,7 @@
 import contextlib
 import dataclasses
 import json
+import re
 import socket
 import struct
 import time
@@ -21,6 +22,7 @@
 # Arrivals that a target records; older ones are dropped.
 MAX_ARRIVALS: Final = 20_000
 HEALTH_PATH: Final = "/health"
+STATUS_MISDIRECTED: Final = 421
 FAULTS_PATH: Final = "/faults"
 ARRIVALS_PATH: Final = "/arrivals"
 ENDLESS_BLOCK: Final = bytes(65_536)
@@ -55,6 +57,11 @@
             response.
         unnamed: Leaves the identity of the attempt out of refusals.
         endless: Sends response bodies that never end.
+        cold_seconds: Time for which the target reports to be cold, counted
+            from the first health check or request after this value was set; 0
+            if it is warm.
+        cold_limit: Crashes if it gets more requests than this in a second while
+            it is cold; 0 for no limit.
     """
 
     pace: int = BASELINE_PERCENT
@@ -74,6 +81,8 @@
     repeating: bool = False
     unnamed: bool = False
     endless: bool = False
+    cold_seconds: float = 0.0
+    cold_limit: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,6 +96,10 @@
         body: Request body.
         remaining_ms: How long the caller still waits, in milliseconds, or 0 if
             the request does not state it.
+        accounts: Values of the fields that state the account of the caller,
+            also under names that a server may read as that of the account.
+        has_credentials: True if the request has credentials of the caller.
+        field_names: Names of the header fields, in order, as they arrived.
     """
 
     attempt: str
@@ -94,6 +107,9 @@
     path: str
     body: bytes
     remaining_ms: int
+    accounts: tuple[str, ...] = ()
+    has_credentials: bool = False
+    field_names: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -147,6 +163,9 @@
         self.service_ms = 5.0
         self.body = identity.encode()
         self._slots = slots
+        # Cold time that the end belongs to.
+        self._cold_seconds = 0.0
+        self._cold_until = 0.0
         self._running = 0
         self._server: asyncio.Server | None = None
         self._open_writers: set[asyncio.StreamWriter] = set()
@@ -207,8 +226,23 @@
         if status:
             self._respond_refusal(status, attempt, writer)
             return True
+        if self._is_overloaded_cold():
+            self.crash()
+            return False
         remaining_ms = int(fields.get("x-timeout-remaining", "0"))
-        self.runs.append(Run(attempt, method, path, body, remaining_ms))
+        pairs = [line.split(": ", 1) for line in lines if line]
+        self.runs.append(
+            Run(
+                attempt,
+                method,
+                path,
+                body,
+                remaining_ms,
+                tuple(value for name, value in pairs if states_account(name)),
+                "authorization" in fields,
+                tuple(name for name, _ in pairs),
+            )
+        )
         return await self._run(attempt, reader, writer)
 
     def _respond_control(
@@ -227,7 +261,7 @@
         """Returns the status of the refusal of a request, or 0 to run it."""
         faults = self.faults
         if fields.get("x-target-instance", self.identity) != self.identity:
-            return 421
+            return STATUS_MISDIRECTED
         declines = faults.full or faults.declining_seconds is not None
         if declines or not fields.get("x-attempt-id"):
             return 503
@@ -274,9 +308,36 @@
             "X-Instance-Id": self.identity,
             "X-Instance-Load": load,
         }
+        cold_ms = self._find_cold_ms()
+        if cold_ms > 0:
+            header_fields["X-Cold-Remaining"] = str(cold_ms)
         status = 503 if self.faults.ill else 200
         writer.write(self._build_response(status, header_fields, b""))
 
+    def _find_cold_ms(self) -> int:
+        """Returns how long the target stays cold, in milliseconds."""
+        if self._cold_seconds != self.faults.cold_seconds:
+            self._cold_seconds = self.faults.cold_seconds
+            self._cold_until = time.monotonic() + self._cold_seconds
+        if not self._cold_seconds:
+            return 0
+        return max(0, round((self._cold_until - time.monotonic()) * 1000))
+
+    def _is_overloaded_cold(self) -> bool:
+        """Returns True if the target is cold and got too many requests."""
+        limit = self.faults.cold_limit
+        if not limit or not self._find_cold_ms():
+            return False
+        since = time.monotonic() - 1.0
+        recent = [
+            arrival
+            for arrival in self.arrivals
+            if arrival.at > since
+            and arrival.path != HEALTH_PATH
+            and arrival.status != STATUS_MISDIRECTED
+        ]
+        return len(recent) > limit
+
     async def _run(
         self,
         attempt: str,
@@ -367,6 +428,14 @@
         return False
 
 
+def states_account(name: str) -> bool:
+    """Returns True if a server may read a field as that of the account.
+
+    Some servers replace special characters in the names of fields.
+    """
+    return re.sub("[^a-z0-9]", "-", name.lower()) == "x-tenant"
+
+
 def reset(writer: asyncio.StreamWriter) -> None:
     """Resets a connection; data that is still buffered is discarded.
 
--- a/wigeonspool/vm/caller_responses.py
+++ b/wigeonspool/vm/caller_responses.py
@@ -27,8 +27,13 @@
     outcomes.Reason.NOT_CONFIGURED: RETRY_AFTER_STARTUP_SECONDS,
     outcomes.Reason.TARGET_REFUSED: RETRY_AFTER_TARGET_REFUSED_SECONDS,
 }
+STATUS_UNAUTHENTICATED: Final = 401
 STATUS_BY_REASON: Final = {
+    outcomes.Reason.CREDENTIALS_MISSING: STATUS_UNAUTHENTICATED,
+    outcomes.Reason.CREDENTIALS_MALFORMED: STATUS_UNAUTHENTICATED,
+    outcomes.Reason.CREDENTIALS_UNKNOWN: STATUS_UNAUTHENTICATED,
     outcomes.Reason.NO_ROUTE: 404,
+    outcomes.Reason.QUOTA_EXCEEDED: 429,
     outcomes.Reason.BODY_TOO_LARGE: 413,
     outcomes.Reason.BAD_REQUEST: 400,
 }
@@ -70,11 +75,14 @@
     """
     status = find_status(failure, protocol_adapter)
     fields: dict[str, str] = {"Content-Type": "text/plain"}
-    if status == protocol_adapter.refusal_status:
+    is_quota = failure.reason is outcomes.Reason.QUOTA_EXCEEDED
+    if status == protocol_adapter.refusal_status or is_quota:
         seconds = RETRY_AFTER_BY_REASON.get(failure.reason, RETRY_AFTER_SECONDS)
         if failure.retry_at is not None:
             seconds = max(0.0, failure.retry_at - now)
         fields.update(protocol_adapter.build_retry_headers(seconds))
+    elif status == STATUS_UNAUTHENTICATED:
+        fields.update(protocol_adapter.challenge_headers)
     return web.Response(
         status=status, headers=fields, body=failure.reason.encode()
     )
--- a/wigeonspool/vm/caller_service.py
+++ b/wigeonspool/vm/caller_service.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 import xxhash
 
+from wigeonspool.core import client_accounts
 from wigeonspool.core import cluster_state
 from wigeonspool.core import drain_policy
 from wigeonspool.core import traffic_split
@@ -31,6 +32,7 @@
 from wigeonspool.vm import response_buffers
 from wigeonspool.vm import startup_gate
 from wigeonspool.vm import structured_log
+from wigeonspool.vm import usage_limiter
 
 log = structured_log.get_logger("requests")
 
@@ -44,12 +46,15 @@
         arrived_at: Estimated time of its arrival, loop clock.
         position: Number of requests in front of it on its connection when it
             arrived.
+        account: Client account of the caller, or None if it has none or is not
+            known yet.
         context: Its state, or None until it has been validated.
     """
 
     request: web.BaseRequest
     arrived_at: float
     position: int
+    account: fleet.ClientAccount | None = None
     context: request_context.RequestContext | None = None
 
 
@@ -58,6 +63,7 @@
 
     Attributes:
         counts: Number of completed requests, by outcome and reason.
+        account_counter: Counts the completed requests of client accounts.
         error_count: Number of requests that ended by an unexpected exception.
         draining: True while this VM prepares to stop.
         on_answered: Called for each successful or failed response of a target,
@@ -72,6 +78,7 @@
         protocol_adapter: protocols.ProtocolAdapter,
         pause_monitor: pauses.PauseMonitor,
         gate: startup_gate.StartupGate,
+        limiter: usage_limiter.UsageLimiter,
     ) -> None:
         """Creates the service.
 
@@ -83,8 +90,10 @@
             pause_monitor: Returns how long data that is read now may have
                 waited while the process did not run.
             gate: Delays requests until the first configuration is loaded.
+            limiter: Limits requests to the quotas of client accounts.
         """
         self.counts: dict[tuple[str, str], int] = {}
+        self.account_counter = client_accounts.AccountCounter()
         self.error_count = 0
         self.draining = False
         self.on_answered: Callable[[str, float], None] = lambda _, __: None
@@ -96,6 +105,7 @@
         self._buffers = response_buffers.ResponseBuffers()
         # Rules with a response too long for the buffer of its attempt.
         self._long_rules: set[fleet.Rule] = set()
+        self._limiter = limiter
         self._rotations: dict[str, traffic_split.WeightedRoundRobin] = {}
         self._configuration_version = -1
         self._rotation_offset = xxhash.xxh3_64_intdigest(vm.encode()) / 2**64
@@ -170,8 +180,9 @@
 
     def discard_ahead(self, request: web.BaseRequest) -> None:
         """Ends a request that ran ahead and whose response is not sent."""
-        if self._open_requests.pop(id(request), None) is not None:
-            self._count(outcomes.Outcome.UNKNOWN, outcomes.Reason.CALLER_LEFT)
+        served = self._open_requests.pop(id(request), None)
+        if served is not None:
+            self._count_disconnected(served)
 
     async def serve(
         self, request: web.BaseRequest, pipeline: pipelines.Pipeline
@@ -191,13 +202,11 @@
             response = await self._serve(served, pipelined, pipeline)
             closing = pipelined.closes_connection
         except asyncio.CancelledError:
-            self._count(outcomes.Outcome.UNKNOWN, outcomes.Reason.CALLER_LEFT)
+            self._count_disconnected(served)
             raise
         except Exception as error:
             if isinstance(error, ConnectionError) and _has_left(request):
-                self._count(
-                    outcomes.Outcome.UNKNOWN, outcomes.Reason.CALLER_LEFT
-                )
+                self._count_disconnected(served)
                 raise
             response = self._handle_error(served, error)
             closing = pipelined.closes_connection
@@ -258,7 +267,7 @@
             request=self._read_identity(served.request),
             not_run=failure.outcome is outcomes.Outcome.NOT_RUN,
         )
-        response = self._build_failure(failure)
+        response = self._build_failure(failure, served.account)
         if served.request.writer.output_size > 0:
             streaming.reset_connection(served.request)
             raise ConnectionError("a response has already begun") from error
@@ -280,7 +289,7 @@
         context = served.context
         if context is None or isinstance(result, outcomes.Failure):
             assert isinstance(result, outcomes.Failure)
-            return self._build_failure(result)
+            return self._build_failure(result, served.account)
         context.request = served.request
         reserved_bytes = 0
         if result.stream is not None and pipeline.has_ahead():
@@ -290,7 +299,9 @@
                     result.stream, context.deadline
                 )
             except (TimeoutError, aiohttp.ClientError, OSError) as error:
-                return self._build_failure(self._end_buffering(context, error))
+                return self._build_failure(
+                    self._end_buffering(context, error), served.account
+                )
         context.closes_connection = self._is_last(pipeline)
         try:
             return await self._build_response(context, result)
@@ -320,15 +331,14 @@
 
     async def _run(self, served: OpenRequest) -> request_runner.RequestResult:
         """Runs a request, logs its result and returns it."""
-        request = served.request
         context: request_context.RequestContext | outcomes.Failure
         try:
             async with self._runner.start_limits.limit_wait(deadline=None):
-                context = await self._build_context(request, served.arrived_at)
+                context = await self._build_context(served)
         except TimeoutError:
             context = outcomes.build_refusal(outcomes.Reason.DRAINING)
         if isinstance(context, outcomes.Failure):
-            self._log_refusal(request, context)
+            self._log_refusal(served, context)
             return context
         served.context = context
         result: request_runner.RequestResult
@@ -338,12 +348,39 @@
         else:
             try:
                 async with asyncio.timeout_at(context.deadline):
-                    result = await self._runner.run(context)
+                    result = await self._run_within_quota(context)
             except TimeoutError:
                 result = context.build_failure(outcomes.Reason.DEADLINE_PASSED)
         self._log_result(context, result, served.position)
         return result
 
+    async def _run_within_quota(
+        self, context: request_context.RequestContext
+    ) -> request_runner.RequestResult:
+        """Runs a request, once it has a token if its account has a quota.
+
+        The token of a request that did not run is used for another one.
+        """
+        account = context.account
+        if account is None or account.rate <= 0.0:
+            return await self._runner.run(context)
+        expires_at = await self._limiter.acquire(account)
+        if isinstance(expires_at, outcomes.Failure):
+            return expires_at
+        token = usage_limiter.UsageToken(self._limiter, account, expires_at)
+        context.token = token
+        result: request_runner.RequestResult | None = None
+        try:
+            result = await self._runner.run(context)
+            return result
+        finally:
+            if isinstance(result, outcomes.Failure):
+                did_not_run = result.outcome is outcomes.Outcome.NOT_RUN
+            else:
+                did_not_run = result is None and not context.possible_runs
+            if did_not_run:
+                token.give_back()
+
     def _log_held(self, served: OpenRequest, ahead: pipelines.AheadRun) -> None:
         """Logs a response that was complete before its turn."""
         held_ms = round(ahead.find_held_seconds() * 1000)
@@ -356,13 +393,18 @@
             )
 
     async def _build_context(
-        self, request: web.BaseRequest, arrived_at: float
+        self, served: OpenRequest
     ) -> request_context.RequestContext | outcomes.Failure:
-        """Returns the context of a valid request, or why it is refused."""
+        """Returns the context of a valid request, or why it is refused.
+
+        Sets the account of the request.
+        """
+        request, arrived_at = served.request, served.arrived_at
         await self._gate.wait()
         configuration = self._cluster.configuration
         if configuration is None:
             return outcomes.build_refusal(outcomes.Reason.NOT_CONFIGURED)
+        self._record_version(configuration)
         if incoming_request.validate_request(request) is not None:
             return outcomes.build_refusal(outcomes.Reason.BAD_REQUEST)
         host = _read_host(request.headers)
@@ -377,10 +419,14 @@
             # Without an identity, no response can be matched with the request.
             # Bytes that are not UTF-8 would be left out when it is forwarded.
             return outcomes.build_refusal(outcomes.Reason.BAD_REQUEST)
+        account = self._identify_account(request, configuration, rule)
+        if isinstance(account, outcomes.Failure):
+            return account
+        served.account = account
         limit_seconds = rule.limit_seconds
         if caller_fields.remaining_seconds is not None:
             limit_seconds = min(limit_seconds, caller_fields.remaining_seconds)
-        service = self._choose_service(configuration, host, rule)
+        service = self._choose_service(host, rule)
         if service is None:
             return outcomes.build_refusal(outcomes.Reason.NO_TARGET)
         deadline = arrived_at + limit_seconds
@@ -397,7 +443,8 @@
                 if error.timed_out
                 else outcomes.Reason.BAD_REQUEST
             )
-        fingerprint = fingerprint_request(request, host, body)
+        account_name = account.name if account else ""
+        fingerprint = fingerprint_request(request, host, body, account_name)
         if self._cluster.suspects.is_refused(self._loop.time(), fingerprint):
             crashed = self._cluster.suspects.list_crashed_targets(fingerprint)
             log.info(
@@ -418,20 +465,49 @@
             arrived_at,
             arrived_at + rule.objective_seconds,
             deadline,
+            account=account,
+            has_accounts=bool(configuration.accounts),
+            configuration_version=configuration.version,
         )
 
-    def _choose_service(
-        self, configuration: fleet.Configuration, host: str, rule: fleet.Rule
-    ) -> str | None:
-        """Returns the service for the next request that matches a rule.
+    def _identify_account(
+        self,
+        request: web.BaseRequest,
+        configuration: fleet.Configuration,
+        rule: fleet.Rule,
+    ) -> fleet.ClientAccount | outcomes.Failure | None:
+        """Returns the account of a request, or why it is refused.
 
-        Several services take turns by their weights in the rule. Returns None
-        if none of them has a positive weight.
+        The result is None for a request without an account.
+        """
+        if not configuration.accounts:
+            return None
+        account = client_accounts.identify_account(
+            configuration,
+            rule,
+            self._protocol_adapter.read_credentials(request.headers),
+        )
+        if isinstance(account, outcomes.Reason):
+            return outcomes.build_refusal(account)
+        return account
+
+    def _record_version(self, configuration: fleet.Configuration) -> None:
+        """Records the version of the active configuration.
+
+        Another version begins with new rotations of services, and with no
+        rules known to have long responses.
         """
         if configuration.version != self._configuration_version:
             self._configuration_version = configuration.version
             self._rotations.clear()
             self._long_rules.clear()
+
+    def _choose_service(self, host: str, rule: fleet.Rule) -> str | None:
+        """Returns the service for the next request that matches a rule.
+
+        Several services take turns by their weights in the rule. Returns None
+        if none of them has a positive weight.
+        """
         if len(rule.weighted_services) == 1:
             return rule.weighted_services[0].service
         rotation_key = f"{host}{rule.prefix}"
@@ -444,12 +520,13 @@
         return rotation.choose()
 
     def _log_refusal(
-        self, request: web.BaseRequest, failure: outcomes.Failure
+        self, served: OpenRequest, failure: outcomes.Failure
     ) -> None:
         """Logs that a request was refused before any attempt, and why."""
         log.info(
             "refused",
-            request=self._read_identity(request),
+            request=self._read_identity(served.request),
+            account=served.account.name if served.account else "",
             outcome=failure.reason,
             not_run=True,
             version=self._configuration_version,
@@ -495,6 +572,7 @@
             request=context.identity,
             rule=context.rule.name,
             service=context.service,
+            account=context.account_name,
             outcome=outcome,
             not_run=not_run,
             version=self._configuration_version,
@@ -517,7 +595,9 @@
 
         A response that was too long to buffer is streamed to the caller first.
         """
-        self._count(outcomes.Outcome.ANSWERED, result.outcome.value)
+        self._count(
+            outcomes.Outcome.ANSWERED, result.outcome.value, context.account
+        )
         self.on_answered(
             context.service, self._loop.time() - context.arrived_at
         )
@@ -536,17 +616,30 @@
         )
         return streamed.response
 
-    def _build_failure(self, failure: outcomes.Failure) -> web.Response:
+    def _build_failure(
+        self, failure: outcomes.Failure, account: fleet.ClientAccount | None
+    ) -> web.Response:
         """Counts a failure and returns the response that reports it."""
-        self._count(failure.outcome, failure.reason)
+        self._count(failure.outcome, failure.reason, account)
         return caller_responses.build_failure(
             failure, self._protocol_adapter, self._loop.time()
         )
 
-    def _count(self, outcome: str, reason: str) -> None:
-        """Counts a completed request."""
+    def _count_disconnected(self, served: OpenRequest) -> None:
+        """Counts a request whose caller disconnected."""
+        self._count(
+            outcomes.Outcome.UNKNOWN,
+            outcomes.Reason.CALLER_LEFT,
+            served.account,
+        )
+
+    def _count(
+        self, outcome: str, reason: str, account: fleet.ClientAccount | None
+    ) -> None:
+        """Counts a completed request, of an account if it has one."""
         key = (outcome, reason)
         self.counts[key] = self.counts.get(key, 0) + 1
+        self.account_counter.count(account, outcome)
 
 
 def _read_host(fields: protocols.Headers) -> str:
@@ -573,14 +666,27 @@
 
 
 def fingerprint_request(
-    request: web.BaseRequest, host: str, body: exchanges.Body
+    request: web.BaseRequest, host: str, body: exchanges.Body, account: str
 ) -> int:
     """Returns a hash that is equal for resends of the same request.
 
-    Bodies that are streamed are not part of the hash.
+    Bodies that are streamed are not part of the hash. The same request of two
+    accounts has two hashes, so that one account cannot cause the refusal of
+    requests of another one.
+
+    Args:
+        request: Request of the caller.
+        host: Host that it names.
+        body: Its body.
+        account: Name of the caller's client account, or "".
     """
     hasher = xxhash.xxh3_64()
-    hasher.update(f"{request.method} {host}{request.raw_path}\n".encode())
+    # The path and the account have no spaces, so that no request without an
+    # account has the hash of one with an account.
+    suffix = f" {account}" if account else ""
+    hasher.update(
+        f"{request.method} {host}{request.raw_path}{suffix}\n".encode()
+    )
     if isinstance(body, bytes):
         hasher.update(body)
     return hasher.intdigest()
--- a/wigeonspool/vm/request_runner.py
+++ b/wigeonspool/vm/request_runner.py
@@ -105,7 +105,7 @@
         self._prober = prober
         self._protocol_adapter = protocol_adapter
         self._sender: SenderProtocol = attempts.AttemptSender(
-            protocol_adapter, prober.notices
+            protocol_adapter, prober
         )
         self._selector = target_selection.TargetSelector(prober)
         self._crash_checks: set[asyncio.Task[None]] = set()
@@ -113,12 +113,16 @@
         self.apply_limits(settings.bounds)
 
     def apply_limits(self, limits: vm_settings.DeploymentLimits) -> None:
-        """Sets the limits of the retry budget; used tokens stay used."""
+        """Sets the limits of the retry budget and of requests to cold targets.
+
+        Used tokens stay used.
+        """
         self.retry_budget.set_limits(
             limits.retry_fraction,
             limits.retry_slack,
             limits.retry_window_seconds,
         )
+        self._prober.cold.set_limits(limits.cold_overrun, limits.cold_slack)
 
     def replace_sender(self, sender: "SenderProtocol") -> None:
         """Replaces the sender, for example by one for emulated targets."""
@@ -144,6 +148,10 @@
             candidate = await self._select(context)
             if isinstance(candidate, outcomes.Failure):
                 return candidate
+            if context.token is not None and not context.attempts_sent:
+                refusal = await self._refresh_token(context.token, candidate)
+                if refusal is not None:
+                    return refusal
             result = await self._send_hedged(context, candidate)
             if result.outcome is request_context.AttemptOutcome.WITHHELD:
                 continue
@@ -152,6 +160,25 @@
             if not self._may_retry(context, result):
                 return self._build_final_result(context, result)
 
+    async def _refresh_token(
+        self,
+        token: request_context.UsageToken,
+        candidate: target_probes.Candidate,
+    ) -> outcomes.Failure | None:
+        """Replaces an expired token; releases the candidate if there is none.
+
+        Returns:
+            Why the request must not be sent, or None.
+        """
+        try:
+            refusal = await token.refresh()
+        except BaseException:
+            self._prober.release_candidates([candidate])
+            raise
+        if refusal is not None:
+            self._prober.release_candidates([candidate])
+        return refusal
+
     async def _select(
         self, context: request_context.RequestContext
     ) -> target_probes.Candidate | outcomes.Failure:
@@ -255,14 +282,15 @@
         """Sends one attempt and updates the estimates from its result.
 
         The attempt is withheld if the target has stated since its health check
-        that it wants no requests.
+        that it wants no requests, or if the request may no longer be sent to
+        it.
         """
         row = candidate.row
-        if not self._prober.notices.may_send(row.entry):
+        context.update_regions(self._cluster.configuration)
+        if not self._prober.may_send(row, context.regions):
             self._prober.release_candidates([candidate])
             return self._withhold(context, candidate)
         started_at = self._loop.time()
-        estimates.record_reservation(row.health, started_at)
         context.attempts_sent += 1
         # The attempt counts as run until the target proves that it did not run.
         context.possible_runs += 1
@@ -348,6 +376,7 @@
         if result.outcome is request_context.AttemptOutcome.NOT_RUN:
             context.possible_runs -= 1
             if not result.declined:
+                row.health.rejected_at = now
                 estimates.record_failure(
                     row.health, now, NOT_RUN_FAILURE_WEIGHT
                 )
@@ -438,6 +467,9 @@
         if not self.start_limits.may_start(context.deadline):
             context.record_step(now, "draining", "", 0.0)
             return False
+        if self._selector.lacks_permitted_target(context):
+            context.record_step(now, "no-target", "", 0.0)
+            return False
         if self._selector.is_wanted_too_late(context):
             return False
         cause = (
--- a/wigeonspool/vm/service.py
+++ b/wigeonspool/vm/service.py
@@ -9,16 +9,14 @@
 from collections.abc import Awaitable, Callable
 import gc
 import math
+import os
 import pathlib
-import secrets
 import time
 from typing import Final
 
 from aiohttp import web
-import mode
 
 from wigeonspool import listen_sockets
-from wigeonspool import process
 from wigeonspool.core import cluster_state
 from wigeonspool.core import connection_limits
 from wigeonspool.core import drain_policy
@@ -38,10 +36,12 @@
 from wigeonspool.vm import caller_server
 from wigeonspool.vm import caller_service
 from wigeonspool.vm import channels
+from wigeonspool.vm import durations
+from wigeonspool.vm import evacuation_log
 from wigeonspool.vm import feed_client
 from wigeonspool.vm import feed_server
+from wigeonspool.vm import http_port
 from wigeonspool.vm import locality
-from wigeonspool.vm import metrics
 from wigeonspool.vm import peer_liveness
 from wigeonspool.vm import request_runner
 from wigeonspool.vm import retry_log
@@ -52,6 +52,8 @@
 from wigeonspool.vm import structured_log
 from wigeonspool.vm import suspect_writer
 from wigeonspool.vm import target_probes
+from wigeonspool.vm import task_service
+from wigeonspool.vm import usage_limiter
 from wigeonspool.vm import vm_registration
 
 TICK_SECONDS: Final = 0.1
@@ -70,7 +72,7 @@
 state_log = structured_log.get_logger("knowledge")
 
 
-class VmService(process.DrainableService):
+class VmService(task_service.TaskService):
     """The process of one entry VM."""
 
     def __init__(
@@ -93,8 +95,13 @@
         self._settings_file = settings_file.SettingsFile(path)
         self._writer = writer
         self._listeners = listeners or listen_sockets.ListenSockets()
-        self._cluster = cluster_state.ClusterState()
-        self._http_runners: list[web.ServerRunner] = []
+        self._cluster = cluster_state.ClusterState(
+            max(vm_registration.LEASE_SECONDS, settings.min_lease_seconds)
+        )
+        self._http_ports: list[http_port.HttpPort] = []
+        self._metrics_page: Callable[[web.BaseRequest], web.Response] | None
+        self._metrics_page = None
+        self._durations = durations.Durations()
         self._close_by = math.inf
         self._utilization = 0.0
         self._cpu_seconds = time.process_time()
@@ -116,13 +123,13 @@
         """
         self._build_components()
         # The first read of the store runs while the ports are opened.
-        self.add_future(self._follow_store())
+        self.add_task(self._follow_store())
         host, _, port = self._own_entry.peer_address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._liveness_transport, _ = await loop.create_datagram_endpoint(
             lambda: self._liveness, local_addr=(host, int(port))
         )
-        self._caller_runner = await self._serve(
+        self._caller_port = await self._serve(
             self._settings.callers,
             self._caller_server,
         )
@@ -131,13 +138,15 @@
             (self._settings.readiness, self._address_service.serve_readiness),
         ):
             server = web.Server(handler, access_log=None)
-            self._http_runners.append(await self._serve(address, server))
+            self._http_ports.append(await self._serve(address, server))
         for address, error in self._listeners.failures.items():
             log.warning("port was opened late", port=address, reason=str(error))
         self._listeners.close()
         await self._feeder.start(self._own_entry.peer_address)
-        self.add_future(self._run_feed_client())
-        self.add_future(self._clear_data_age())
+        self.add_task(self._run_feed_client())
+        self.add_task(self._clear_data_age())
+        self.add_task(self._run_ticks())
+        self.add_task(self._poll_settings())
         # Objects that exist now stay for the life of the process, so garbage
         # collections can skip them.
         gc.freeze()
@@ -145,19 +154,20 @@
         log.info(
             "started",
             callers=self._settings.callers,
-            incarnation=secrets.token_hex(4),
+            incarnation=os.urandom(4).hex(),
         )
 
     async def _serve(
         self, address: str, server: web.Server
-    ) -> web.ServerRunner:
+    ) -> http_port.HttpPort:
         """Starts an HTTP server, on the listen socket if that is open already.
 
         Raises:
             OSError: If the port cannot be opened.
         """
-        listen_socket = self._listeners.pop_socket(address)
-        return await process.serve_http(address, server, listen_socket)
+        port = http_port.HttpPort(server)
+        await port.open(address, self._listeners)
+        return port
 
     def _build_components(self) -> None:
         """Builds the components, which need the running event loop."""
@@ -188,6 +198,8 @@
             self._follower.cancel_watch,
             settings.min_lease_seconds,
         )
+        self._store.on_new_era = self._handle_newer_era
+        self._replica.on_new_era = self._handle_era_begin
         self._channel_pool = channels.ChannelPool(loop)
         vm_locality = locality.VmLocality(
             settings.zone, settings.region, settings.regions
@@ -209,6 +221,7 @@
         self._request_runner = request_runner.RequestRunner(
             settings, self._cluster, self._prober, http_protocol.HTTP_PROTOCOL
         )
+        self._evacuation_log = evacuation_log.EvacuationLog(self._cluster)
         self._retry_log = retry_log.RetryLog(self._request_runner.retry_budget)
         self._slack_share = slack_share.SlackShare(
             self._request_runner.retry_budget,
@@ -216,6 +229,15 @@
             settings.regions,
             self._cluster,
             lambda: self._registration.registered_until,
+            self._prober.cold,
+        )
+        self._usage_limiter = usage_limiter.UsageLimiter(
+            settings,
+            self._own_entry,
+            self._cluster,
+            lambda: self._registration.registered_until,
+            lambda: self._registration.lease,
+            self._find_registration_revision,
         )
         self._caller_service = caller_service.CallerService(
             settings.vm,
@@ -224,6 +246,7 @@
             http_protocol.HTTP_PROTOCOL,
             self._pause_monitor,
             self._startup_gate,
+            self._usage_limiter,
         )
         self._caller_server = caller_server.CallerServer(
             self._caller_service, self._cluster
@@ -236,20 +259,9 @@
             self._liveness,
             address_protocol.ADDRESS_PROTOCOL,
             self._startup_gate,
-            metrics.VmMetrics(
-                self._caller_service,
-                self._request_runner,
-                self._prober,
-                self._channel_pool,
-                self._cluster,
-                self._feeder,
-                self._store,
-                self._replica,
-                self._writer,
-                self._caller_server.pipeline_use,
-            ).update,
+            self._render_metrics,
         )
-        self._caller_service.on_answered = metrics.observe_duration
+        self._caller_service.on_answered = self._durations.observe
         self._suspect_writer = suspect_writer.SuspectWriter(
             suspect_reports.SuspectReports(
                 self._cluster.suspects,
@@ -265,6 +277,28 @@
             self._suspect_writer.add_answer
         )
 
+    def _render_metrics(self, request: web.BaseRequest) -> web.Response:
+        """Returns the metrics page; the first call loads its modules."""
+        # The metrics library is not needed before the first scrape.
+        from wigeonspool.vm import metrics
+
+        if self._metrics_page is None:
+            self._metrics_page = metrics.VmMetrics(
+                self._caller_service,
+                self._request_runner,
+                self._prober,
+                self._channel_pool,
+                self._cluster,
+                self._feeder,
+                self._store,
+                self._replica,
+                self._writer,
+                self._caller_server.pipeline_use,
+                self._durations,
+                self._usage_limiter,
+            ).render
+        return self._metrics_page(request)
+
     def _find_stored_report(
         self, subject: suspect_reports.Subject
     ) -> suspect_reports.StoredReport | None:
@@ -275,6 +309,11 @@
         decoded = store_keys.decode_report(item, self._registration.lease)
         return decoded[1] if decoded else None
 
+    def _find_registration_revision(self, vm: fleet.VmEntry) -> int:
+        """Returns the store revision of the entry of a VM, or 0."""
+        item = self._replica.items.get(store_keys.encode_vm(vm)[0])
+        return item.revision if item else 0
+
     async def _write_reports(
         self, reports: list[suspect_reports.SuspectReport]
     ) -> int:
@@ -308,6 +347,16 @@
             ready=self._address_service.is_ready(),
         )
 
+    def _handle_newer_era(self, era: int) -> None:
+        """Handles the first reply of the store with a newer era."""
+        self._follower.require_era(era)
+        self._registration.require_era(era)
+
+    def _handle_era_begin(self, era: int) -> None:
+        """Handles a newer era whose state is applied next."""
+        self._registration.require_era(era)
+        self._suspect_writer.begin_era()
+
     def _handle_change(self, item: key_values.KeyValue) -> None:
         """Handles a change of the cluster state.
 
@@ -366,6 +415,8 @@
         That is the case if other VMs follow this one, if no feeder keeps it up
         to date, or if it is the feeder of its region.
         """
+        if self._follower.is_behind():
+            return True
         if self._feeder.subscribers or not self._feed_client.is_fresh():
             return True
         return self._is_region_feeder()
@@ -391,10 +442,15 @@
         previous_entry = self._cluster.vms.get(self._own_entry.name)
         lease = self._cluster.leases.get(self._own_entry.name, 0)
         self._adopt_reports(lease)
-        self.add_future(
-            self._registration.keep_registered(previous_entry, lease)
+        if previous_entry == self._own_entry:
+            self._usage_limiter.set_first_lease(lease)
+        self.add_task(
+            self._registration.keep_registered(
+                previous_entry, lease, self._replica.era
+            )
         )
-        self.add_future(self._repeat(self._suspect_writer.write_due))
+        self.add_task(self._repeat(self._suspect_writer.write_due))
+        self.add_task(self._repeat(self._usage_limiter.run_step))
         feeder_wait_seconds = (
             0.0 if self._is_region_feeder() else FEEDER_WAIT_SECONDS
         )
@@ -438,7 +494,6 @@
                 )
                 await asyncio.sleep(TICK_SECONDS)
 
-    @mode.Service.task
     async def _run_ticks(self) -> None:
         """Runs the periodic work for as long as the process runs."""
         await self._repeat(self._tick)
@@ -447,9 +502,9 @@
         """Runs the periodic work once.
 
         It detects pauses of this process, sends changes, keepalives and pings
-        to other VMs, removes expired targets and idle connections, updates the
-        share of the retry slack, logs the use of the retry budget, and measures
-        the utilization.
+        to other VMs, removes expired targets and VMs and idle connections,
+        updates the share of the retry slack, logs evacuated zones and the use
+        of the retry budget, and measures the utilization.
         """
         await asyncio.sleep(TICK_SECONDS)
         if self._pause_monitor.tick(time.monotonic()):
@@ -457,8 +512,12 @@
         now = asyncio.get_running_loop().time()
         self._feeder.send_changes()
         self._slack_share.update()
+        self._evacuation_log.write_changes()
         for identity in self._cluster.remove_expired_targets(now):
             state_log.info("target did not come back", target=identity)
+        self._cluster.end_unconfirmed_evacuations(now)
+        for name in self._cluster.remove_unconfirmed_vms(now):
+            state_log.info("VM did not register again", vm=name)
         if now >= self._next_keepalive_at:
             self._next_keepalive_at = now + feed_server.KEEPALIVE_SECONDS
             self._feeder.send_keepalive()
@@ -530,10 +589,10 @@
             return
         self._settings = settings
         self._request_runner.apply_limits(settings.bounds)
+        self._usage_limiter.apply_bounds(settings.bounds)
         self._store.set_address(settings.store)
         log.info("reloaded", store=settings.store, seeds=settings.seeds)
 
-    @mode.Service.task
     async def _poll_settings(self) -> None:
         """Reloads the settings file when it changes without a signal."""
         await self._repeat(self._check_settings)
@@ -558,10 +617,11 @@
         self._close_by = schedule.close_by
         self._address_service.draining = True
         self._feeder.close()
+        self._usage_limiter.begin_drain()
         self._caller_service.begin_drain(schedule)
         log.info("stopping", in_flight=self._caller_service.in_flight)
         await asyncio.sleep(schedule.accept_until - loop.time())
-        await self._close_listener()
+        self._close_listener()
         while (
             loop.time() < schedule.finish_at
             and self._caller_server.has_busy_connections()
@@ -570,16 +630,13 @@
         self._caller_server.pre_shutdown()
         log.info("stopped", cut=self._caller_service.log_cut())
 
-    async def _close_listener(self) -> None:
+    def _close_listener(self) -> None:
         """Stops accepting new connections of callers."""
-        for site in list(self._caller_runner.sites):
-            await site.stop()
+        self._caller_port.stop_accepting()
 
     async def on_stop(self) -> None:
         """Closes the ports and connections."""
-        cleanups = [
-            r.cleanup() for r in (self._caller_runner, *self._http_runners)
-        ]
+        cleanups = [p.close() for p in (self._caller_port, *self._http_ports)]
         close_by = asyncio.get_running_loop().time() + CLOSE_TIMEOUT_SECONDS
         try:
             async with asyncio.timeout_at(min(close_by, self._close_by)):
@@ -588,5 +645,6 @@
             log.warning("ports were closed with connections open")
         self._feeder.close()
         self._liveness_transport.close()
+        self._usage_limiter.close()
         self._channel_pool.close()
         await self._store.close()
