--- a/tests/test_peer_liveness.py
+++ b/tests/test_peer_liveness.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests import test_store_keys
+from wigeonspool.load import virtual_loop
 from wigeonspool.model import fleet
 from wigeonspool.vm import peer_liveness
 
@@ -98,6 +99,27 @@
         await protocol.confirm([vm])
         assert protocol.peers[address].confirm_by == confirm_by
 
+    # Guards against a lookup that omits a VM because one datagram was lost.
+    def test_lost_first_ping_is_repeated_in_time(self) -> None:
+        async def run() -> None:
+            protocol, transport = build_protocol()
+            vm = build_vm("vm-1", "10.0.0.1:2")
+            confirmation = asyncio.create_task(protocol.confirm([vm]))
+            await asyncio.sleep(0)
+            assert len(transport.sent) == 1
+            while len(transport.sent) == 1 and not confirmation.done():
+                await asyncio.sleep(0.001)
+            assert not confirmation.done()
+            # Both pings count as one, so that the VM is not excluded earlier.
+            assert protocol.peers[vm.peer_address].missed_pings == 1
+            pong = peer_liveness.Datagram(peer_liveness.PONG, 0.0)
+            data = msgspec.msgpack.encode(pong)
+            protocol.datagram_received(data, ("10.0.0.1", 2))
+            await confirmation
+            assert protocol.is_confirmed(vm)
+
+        virtual_loop.run(run())
+
 
 class TestDatagrams:
     @pytest.mark.parametrize(
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -20,6 +20,7 @@
 from wigeonspool.model import fleet
 from wigeonspool.model import key_values
 from wigeonspool.platform import metadata_store
+from wigeonspool.platform import store_keys
 from wigeonspool.platform import target_entries
 from wigeonspool.platform.standin import store as stores
 from wigeonspool.platform.standin import target as targets
@@ -670,6 +671,32 @@
         assert converted == message
 
 
+class ExpiredStore:
+    """A store without keys that has the history of no revision.
+
+    Attributes:
+        revision: Its revision.
+        reads: Number of reads of all keys.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 50
+        self.reads = 0
+
+    async def read_range(
+        self, prefix: str, after: str = "", stale: bool = False
+    ) -> key_values.Page:
+        """Returns a page without keys."""
+        self.reads += 1
+        return key_values.Page((), self.revision, era=0)
+
+    async def watch(
+        self, prefix: str, after: int, seconds: float
+    ) -> key_values.Page:
+        """Fails with a response of status 410."""
+        raise errors.HistoryExpiredError(after)
+
+
 class TestFollower:
     """Restores during the calls of a follower of the store."""
 
@@ -769,6 +796,47 @@
 
         virtual_loop.run(run())
 
+    # Guards against reads of all keys without pause, as no era is newer.
+    def test_expired_history_without_progress_waits(self) -> None:
+        async def run() -> None:
+            loop = asyncio.get_running_loop()
+            store = ExpiredStore()
+            cluster = cluster_state.ClusterState()
+            replica = store_follower.StoreReplica(
+                cluster, store_keys.decode_change, lambda item: None
+            )
+            replica.apply_snapshot([], store.revision + 50)
+            follower = store_follower.StoreFollower(store, replica, cluster)
+            pauses = []
+            for _ in range(4):
+                reads, started_at = store.reads, loop.time()
+                await follower.poll_changes()
+                # The fake takes no time, so only a pause advances the clock.
+                assert store.reads > reads and loop.time() > started_at
+                pauses.append(loop.time() - started_at)
+            assert pauses[-1] > pauses[0]
+
+        virtual_loop.run(run())
+
+    # Guards against a pause that delays changes after a useful read.
+    def test_expired_history_with_progress_does_not_wait(self) -> None:
+        async def run() -> None:
+            loop = asyncio.get_running_loop()
+            store = ExpiredStore()
+            cluster = cluster_state.ClusterState()
+            replica = store_follower.StoreReplica(
+                cluster, store_keys.decode_change, lambda item: None
+            )
+            follower = store_follower.StoreFollower(store, replica, cluster)
+            await follower.load(stale=False)
+            store.revision += 50
+            started_at = loop.time()
+            await follower.poll_changes()
+            assert replica.revision == store.revision
+            assert loop.time() == started_at
+
+        virtual_loop.run(run())
+
 
 class TestStoreClient:
     """Calls of the client to the stand-in."""
