Add regression tests for faults of quotas and accounts

Cause: the faults that reviews of the merged parts found were fixed without tests. The program is unchanged.

--- a/tests/test_usage_limits.py
+++ b/tests/test_usage_limits.py
@@ -763,6 +763,49 @@
         pair.holder.give_back("a", expires_at, 30.4)
         assert pair.holder.acquire(waiter, 30.6) is None
 
+    # Failure: a datagram that the network repeated brought its tokens again.
+    def test_tokens_of_a_repeated_reply_count_once(self) -> None:
+        pair = NodePair()
+        decisions: list[usage_node.Decision] = []
+        reply = self.request_token(pair, decisions)
+        for _ in range(3):
+            pair.holder.receive(pair.addresses[0], reply, 30.1)
+        assert len(decisions) == 1
+        waiter = usage_node.Waiter("a", decisions.append)
+        assert pair.holder.acquire(waiter, 30.2) is None
+        assert len(decisions) == 1
+
+    # Failure: requests hung when a version dropped the quota they waited for.
+    def test_request_goes_on_when_its_quota_is_dropped(self) -> None:
+        pair = NodePair()
+        decisions: list[usage_node.Decision] = []
+        waiter = usage_node.Waiter("a", decisions.append)
+        assert pair.holder.acquire(waiter, 30.0) is None
+        pair.holder.set_quotas({"b": usage_limits.Quota(1.0, 1.0)}, 30.1)
+        assert len(decisions) == 1
+        expires_at = decisions[0].expires_at
+        assert expires_at is not None
+        assert expires_at > 30.1
+
+    # Failure: a coordinator that was stopping refused its own callers.
+    def test_stopping_coordinator_asks_another_one(self) -> None:
+        pair = NodePair()
+        own, other = pair.addresses
+        assert pair.coordinator.find_coordinator(20.0) == own
+        pair.coordinator.is_leaving = True
+        assert pair.coordinator.find_coordinator(20.1) == other
+
+    # Failure: a VM that stops had no coordinator once no other one replied.
+    def test_stopping_coordinator_stays_if_no_other_one_replies(self) -> None:
+        pair = NodePair()
+        own, other = pair.addresses
+        pair.coordinator.is_leaving = True
+        choice = pair.coordinator.choice
+        for _ in range(2):
+            choice.record_sent(other, 20.0)
+        assert choice.detect_failures(21.0)
+        assert pair.coordinator.find_coordinator(21.0) == own
+
     def test_request_waits_a_quarter_of_a_second(self) -> None:
         pair = NodePair()
         decisions: list[usage_node.Decision] = []
--- a/tests/test_vm_client_accounts.py
+++ b/tests/test_vm_client_accounts.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import types
 from typing import Any
 
 import loguru
@@ -12,8 +13,11 @@
 from tests import vm_fleet
 from tests.test_vm_lost_requests import RawCaller
 from tests.test_vm_lost_requests import build_head
+from wigeonspool.model import fleet as model_fleet
 from wigeonspool.model import outcomes
 from wigeonspool.platform.standin import target as targets
+from wigeonspool.vm import attempts
+from wigeonspool.vm import request_context
 from wigeonspool.vm import service
 from wigeonspool.vm import structured_log
 
@@ -125,6 +129,51 @@
         assert find_run(vms, "one").body == b"body"
 
 
+class TestAccountsOfALaterVersion:
+    # Guards against a key that is forwarded by a request that was waiting.
+    async def test_waiting_request_learns_that_accounts_are_configured(
+        self,
+    ) -> None:
+        request: Any = types.SimpleNamespace(
+            headers={"Host": "h"}, raw_path="/read/1"
+        )
+        rule: Any = types.SimpleNamespace(regions=frozenset())
+        context = request_context.RequestContext(
+            request, "one", rule, "reads", b"", True, 0, 0.0, 0.0, 9.0
+        )
+        account = model_fleet.ClientAccount("acme")
+        limits: Any = None
+        for version, accounts, expected in (
+            (1, {}, False),
+            (2, {"acme": account}, True),
+            # A key that was secret once stays so for this request.
+            (3, {}, True),
+        ):
+            context.update_regions(
+                model_fleet.Configuration(version, {}, {}, limits, accounts)
+            )
+            assert context.has_accounts is expected
+
+    # Guards against headers that are built before a new connection is opened.
+    async def test_key_is_not_forwarded_over_a_new_connection(
+        self, vms: vm_fleet.VmFleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        await configure(vms, None)
+        find_channel = attempts._find_channel
+
+        async def find_channel_late(context: Any, candidate: Any) -> Any:
+            assert not context.has_accounts
+            await configure(vms, [ACME, GLOBEX])
+            return await find_channel(context, candidate)
+
+        monkeypatch.setattr(attempts, "_find_channel", find_channel_late)
+        status, _, _ = await vms.send(
+            "vm-1", "/write/1", "POST", attempt="one", key=KEY
+        )
+        assert status == 200
+        assert not find_run(vms, "one").has_credentials
+
+
 class TestBadCredentials:
     """A request without one known key gets 401 and does not run."""
 
