Let requests wait for tokens for 1 s after a start

Cause: after a loss of power of all VMs, the holders register and delegate their shares over about 0.8 s. Change: for 1 s after its start a VM lets requests wait, and does not pass on a refusal of a coordinator that does not have all shares yet.

--- a/tests/test_usage_limits.py
+++ b/tests/test_usage_limits.py
@@ -743,6 +743,25 @@
         expires_at = decisions[0].expires_at
         assert expires_at == pytest.approx(30.0 + usage_limits.TOKEN_SECONDS)
 
+    # Guards against requests that are refused right after a start of all VMs,
+    # while the holders still delegate their shares one after the other.
+    @pytest.mark.parametrize("started_at", [29.6, 20.0])
+    def test_request_waits_for_shares_after_a_start(
+        self, started_at: float
+    ) -> None:
+        pair = NodePair()
+        decisions: list[usage_node.Decision] = []
+        reply = self.request_token(pair, decisions)
+        pair.holder._started_at = started_at
+        none_granted = usage_messages.Granted("a", 0, 1, 500)
+        assert isinstance(reply, usage_messages.TokenReply)
+        refusal = msgspec.structs.replace(
+            reply, shares=1, grants=(none_granted,)
+        )
+        pair.holder.receive(pair.addresses[0], refusal, 30.1)
+        is_starting = started_at > 29.0
+        assert bool(decisions) is not is_starting
+
     def test_token_of_a_late_reply_is_not_used(self) -> None:
         pair = NodePair()
         decisions: list[usage_node.Decision] = []
--- a/wigeonspool/vm/usage_node.py
+++ b/wigeonspool/vm/usage_node.py
@@ -33,6 +33,8 @@
 # Delegations are short after a start, since the coordinator may change often.
 START_DELEGATION_SECONDS: Final = 0.3
 START_RENEW_SECONDS: Final = 0.1
+# Requests that arrive earlier after a start wait up to this time for a token.
+START_WAIT_SECONDS: Final = 1.0
 # A VM that starts waits this long for the preferred coordinator, before its
 # share brings starting tokens to another one.
 START_PATIENCE_SECONDS: Final = 1.0
@@ -287,7 +289,9 @@
             if expires_at is not None:
                 self._count_granted(use, now)
                 return expires_at
-        waiter.waits_until = now + WAIT_SECONDS
+        waiter.waits_until = max(
+            now + WAIT_SECONDS, self._started_at + START_WAIT_SECONDS
+        )
         use.waiters.append(waiter)
         return None
 
@@ -639,11 +643,19 @@
             self._serve_waiters(use, now)
             if grant.refused:
                 use.batched_until = now + TICK_SECONDS
-                if fraction > 0.0:
+                if fraction > 0.0 and not self._is_starting(fraction, now):
                     self._refuse_asked(use, grant, reply.sent_at, fraction)
         if isinstance(reply, usage_messages.DelegationReply):
             self._begin_delegation(address, reply.incarnation, now)
 
+    def _is_starting(self, fraction: float, now: float) -> bool:
+        """Returns True if the coordinator is expected to get more shares.
+
+        After a start of all VMs, the holders register and delegate their shares
+        one after the other, and the buckets fill meanwhile.
+        """
+        return fraction < 1.0 and now < self._started_at + START_WAIT_SECONDS
+
     def _begin_delegation(
         self, address: str, incarnation: int, now: float
     ) -> None:
