Explain the wait after a 410 and who gets a found target

Found while reading the change as a newcomer: two names and a condition needed explanation, and the refusal of a queued request stood twice.

--- a/wigeonspool/vm/store_follower.py
+++ b/wigeonspool/vm/store_follower.py
@@ -571,7 +571,7 @@
             elif self._required_era > self._replica.era:
                 await self.load(stale=False)
             era = self._replica.era
-            error_revision = self._replica.revision
+            watched_revision = self._replica.revision
             page = await self._watch(watch_seconds)
             # A newer era must not continue from a revision of an older one,
             # even if the store has that number.
@@ -588,10 +588,12 @@
                 # A feeder brought the newer era meanwhile.
                 return
             await self._reload()
+            # The store may have lost its history without a new era. Each read
+            # would then succeed without progress, so the next one must wait.
             if (
                 isinstance(error, errors.HistoryExpiredError)
                 and self._replica.era == era
-                and self._replica.revision <= error_revision
+                and self._replica.revision <= watched_revision
             ):
                 await self._record_failure(error)
             return
--- a/wigeonspool/vm/target_selection.py
+++ b/wigeonspool/vm/target_selection.py
@@ -226,6 +226,12 @@
     ) -> bool:
         """Gives a target to the first queued request that may use it.
 
+        Args:
+            service: Service of the target.
+            candidate: The target.
+            found_by: Request that found it and is not queued, or None.
+                Requests that rank behind it do not get the target.
+
         Returns:
             False if there is none.
         """
@@ -233,9 +239,15 @@
         if not requests or candidate.estimate.full:
             return False
         now = self._loop.time()
-        last = found_by and admission_order.find_rank(now, found_by)
+        finder_rank = (
+            None
+            if found_by is None
+            else admission_order.find_rank(now, found_by)
+        )
         for request in requests.list_in_order(now):
-            if last and last < admission_order.find_rank(now, request):
+            if finder_rank is not None and (
+                finder_rank < admission_order.find_rank(now, request)
+            ):
                 return False
             if request.candidate is None and self._may_use(request, candidate):
                 request.candidate = self._reserve(candidate)
@@ -286,28 +298,23 @@
         return candidate
 
     def _refuse_expired(self, service: str) -> None:
-        """Wakes the queued requests that cannot end by their deadlines."""
-        for request in self._queues[service].requests.list_expired(
-            self._loop.time()
-        ):
-            if not request.is_probing and request.candidate is None:
-                request.is_refused = True
-                request.woken.set()
+        """Wakes the queued requests that cannot be served any more.
+
+        They cannot end by their deadlines, or have no permitted target left.
+        """
+        requests = self._queues[service].requests
+        for request in requests.list_expired(self._loop.time()):
+            _refuse(request)
         lacking: dict[frozenset[str] | None, bool] = {}
-        for request in self._queues[service].requests:
+        for request in requests:
             request.context.update_regions(self._prober.configuration)
             regions = request.context.regions
             if regions not in lacking:
                 lacking[regions] = self._prober.lacks_permitted_target(
                     service, regions
                 )
-            if (
-                lacking[regions]
-                and not request.is_probing
-                and request.candidate is None
-            ):
-                request.is_refused = True
-                request.woken.set()
+            if lacking[regions]:
+                _refuse(request)
 
     def _schedule_probes(self, service: str) -> None:
         """Sets the timer for the next health checks for queued requests."""
@@ -575,6 +582,13 @@
         )
 
 
+def _refuse(request: WaitingRequest) -> None:
+    """Refuses a queued request unless it probes or has a target."""
+    if not request.is_probing and request.candidate is None:
+        request.is_refused = True
+        request.woken.set()
+
+
 def _find_batch_size(context: request_context.RequestContext) -> int:
     """Returns how many targets to probe next for a request."""
     return PROBE_BATCH_SIZE if context.probes_sent else FIRST_PROBE_COUNT
